--- /dev/null
+++ b/Makefile
@@ -0,0 +1,34 @@
+# Targets for developers; README.md explains the first two.
+GO ?= go
+BIN := bin
+
+.PHONY: build test lint bench capacity demo proto clean
+
+build:
+	$(GO) build -o $(BIN)/ ./cmd/...
+
+test: build
+	$(GO) test -timeout 280s ./...
+
+lint:
+	@out=$$(gofmt -l $$(git ls-files '*.go' 2>/dev/null)); if [ -n "$$out" ]; then echo "gofmt: $$out"; exit 1; fi
+	$(GO) vet ./...
+	$(GO) tool staticcheck ./...
+
+bench: build
+	$(GO) test -run '^$$' -bench . -benchtime 1s -timeout 1200s ./coordination/... ./proctest/...
+
+capacity: build
+	$(GO) run ./proctest/capacity
+
+demo: build
+	$(GO) run ./proctest/demo -bin $(BIN) -example examples/kalahari
+
+# Needs protoc (Debian: protobuf-compiler); the output is committed.
+proto:
+	mkdir -p $(BIN)/tools
+	$(GO) build -o $(BIN)/tools/protoc-gen-go google.golang.org/protobuf/cmd/protoc-gen-go
+	protoc --plugin=$(BIN)/tools/protoc-gen-go --go_out=. --go_opt=module=quinceroad protocol/pb/quince.proto
+
+clean:
+	rm -rf $(BIN)
--- /dev/null
+++ b/cmd/coord/intent.go
@@ -0,0 +1,119 @@
+package coord
+
+import (
+	"errors"
+	"strings"
+
+	"github.com/valyala/fasthttp"
+
+	"quinceroad/coordination/outcome"
+	"quinceroad/protocol/api"
+	"quinceroad/protocol/event"
+	"quinceroad/protocol/settings"
+	"quinceroad/transport/web"
+)
+
+// handler serves the operators' intent API.
+func (p *plans) handler(ctx *fasthttp.RequestCtx) {
+	by, ok := p.operator(ctx)
+	if !ok {
+		event.OperatorDeny.Log(p.coord.log, "path", string(ctx.Path()))
+		fail(ctx, 401, "bad_token", "no operator has this token; send Authorization: Bearer TOKEN")
+		return
+	}
+	path := strings.Split(strings.Trim(string(ctx.Path()), "/"), "/")
+	method := string(ctx.Method())
+	switch {
+	case len(path) == 2 && path[1] == "plans" && method == "POST":
+		p.servePlan(ctx, by)
+	case len(path) == 3 && path[1] == "plans" && method == "GET":
+		p.serveShow(ctx, path[2])
+	case len(path) == 4 && path[1] == "plans" && path[3] == "confirm" && method == "POST":
+		p.serveConfirm(ctx, path[2], by)
+	case len(path) == 2 && path[1] == "status" && method == "GET":
+		web.JSON(ctx, 200, p.coord.status())
+	case len(path) == 2 && path[1] == "config" && method == "GET":
+		p.serveConfig(ctx)
+	case len(path) == 2 && path[1] == "state" && method == "GET":
+		web.JSON(ctx, 200, p.coord.state())
+	default:
+		fail(ctx, 404, "no_such_call", "have POST /v1/plans, GET /v1/plans/ID, POST /v1/plans/ID/confirm, GET /v1/status, /v1/config, /v1/state")
+	}
+}
+
+// operator returns who calls, by a token compared in constant time.
+func (p *plans) operator(ctx *fasthttp.RequestCtx) (string, bool) {
+	digest := web.Digest(web.Bearer(ctx))
+	name, found := "", false
+	for _, o := range p.coord.set.Operators {
+		if web.SameDigest(o.TokenSHA256, digest) {
+			name, found = o.Name, true
+		}
+	}
+	return name, found
+}
+
+func (p *plans) servePlan(ctx *fasthttp.RequestCtx, by string) {
+	plan, err := p.make(string(ctx.PostBody()), by)
+	var found settings.Findings
+	switch {
+	case errors.As(err, &found):
+		web.JSON(ctx, 422, found)
+	case err != nil:
+		fail(ctx, 503, "platform_unreachable", "the plan could not be kept: "+err.Error())
+	default:
+		web.JSON(ctx, 200, plan)
+	}
+}
+
+func (p *plans) serveShow(ctx *fasthttp.RequestCtx, id string) {
+	plan, err := p.load(id)
+	if err != nil {
+		planError(ctx, err)
+		return
+	}
+	web.JSON(ctx, 200, plan)
+}
+
+func (p *plans) serveConfirm(ctx *fasthttp.RequestCtx, id, by string) {
+	done, err := p.confirm(id, by)
+	if err != nil {
+		planError(ctx, err)
+		return
+	}
+	status := 200
+	switch done.State {
+	case stateConflict:
+		status = 409
+	case stateUndetermined:
+		status = 202
+	}
+	web.JSON(ctx, status, done)
+}
+
+func planError(ctx *fasthttp.RequestCtx, err error) {
+	if errors.Is(err, errNoPlan) {
+		fail(ctx, 404, "unknown_plan", "no plan has this id; plan again")
+		return
+	}
+	fail(ctx, 503, "platform_unreachable", "nothing was confirmed: "+err.Error())
+}
+
+func (p *plans) serveConfig(ctx *fasthttp.RequestCtx) {
+	rev, f := p.coord.config()
+	if f == nil {
+		fail(ctx, 404, "no_configuration", "nothing has been confirmed yet")
+		return
+	}
+	s := api.Stored{Revision: rev.Revision, PlanID: rev.PlanID, Declaration: string(rev.Declaration)}
+	if kv, err := p.coord.platform.Get(configKey); err == nil {
+		if at, err := decodeStored(kv); err == nil && at.Revision == s.Revision {
+			s.History = at.History
+		}
+	}
+	web.JSON(ctx, 200, s)
+}
+
+func fail(ctx *fasthttp.RequestCtx, status int, code, detail string) {
+	web.Fail(ctx, &api.Error{Status: status, Code: code, Detail: detail, Outcome: outcome.NotRun})
+}
--- /dev/null
+++ b/cmd/coord/list.go
@@ -0,0 +1,184 @@
+package coord
+
+import (
+	"context"
+	"encoding/json"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"quinceroad/coordination/replicas"
+	"quinceroad/coordination/scheduler"
+	"quinceroad/protocol/api"
+	"quinceroad/protocol/convert"
+	"quinceroad/protocol/event"
+	"quinceroad/protocol/frame"
+	"quinceroad/protocol/pb"
+
+)
+
+const (
+	listEvery   = time.Second
+	listStale   = 3 * time.Second // without the hall's reader for so long, read the platform
+	loadEvery   = 500 * time.Millisecond
+	loadTimeout = 200 * time.Millisecond
+)
+
+// listLoop keeps the list of replicas: the hall's reader polls the platform,
+// the others follow the reader's views.
+func (c *Coord) listLoop(ctx context.Context) {
+	var following string
+	every(ctx, listEvery, func() {
+		reader := c.readerOf("list")
+		if reader == c.set.Name || c.listAge() > listStale {
+			c.pollList()
+			return
+		}
+		if reader != following || c.listAge() > 2*listEvery {
+			following = reader
+			go c.follow(ctx, reader)
+		}
+	})
+}
+
+func (c *Coord) listAge() time.Duration {
+	c.replicasMu.RLock()
+	defer c.replicasMu.RUnlock()
+	return time.Since(c.listAt)
+}
+
+func (c *Coord) pollList() {
+	c.count.platformReads.Inc(1)
+	list, err := c.platform.Instances()
+	if err != nil {
+		c.count.platformFailed.Inc(1)
+		return
+	}
+	c.takeList(convert.FromListed(list))
+}
+
+// follow takes the reader's views of replicas until the stream ends.
+func (c *Coord) follow(ctx context.Context, reader string) {
+	c.membersMu.RLock()
+	m, ok := c.view.Get(reader)
+	c.membersMu.RUnlock()
+	if !ok {
+		return
+	}
+	s, err := c.links.Open(m.CoordLink, frame.Watch, &pb.Watch{})
+	if err != nil {
+		return
+	}
+	defer s.Close()
+	for ctx.Err() == nil && c.readerOf("list") == reader {
+		var v pb.View
+		if err := s.SetReadDeadline(time.Now().Add(listStale)); err != nil {
+			return
+		}
+		if err := frame.Read(s, &v); err != nil {
+			return
+		}
+		if v.GetReplicas() != nil {
+			c.takeList(convert.FromReplicas(v.GetReplicas().GetReplicas()))
+		}
+		if v.GetLoads() != nil {
+			c.takeLoads(v.GetLoads())
+		}
+		c.replicasMu.Lock()
+		c.listAt = time.Now() // the views' heartbeat says that nothing changed
+		c.replicasMu.Unlock()
+	}
+}
+
+// takeList merges a whole list and passes on what changed.
+func (c *Coord) takeList(list []replicas.Replica) {
+	c.replicasMu.Lock()
+	before := make(map[string]bool)
+	for _, r := range c.replicas.All() {
+		before[r.ID] = r.Leaving
+	}
+	changed := c.replicas.List(list)
+	c.listAt = time.Now()
+	all := c.replicas.All()
+	var leaves []replicas.Replica
+	for _, r := range all {
+		if r.Leaving && !before[r.ID] {
+			c.signs[r.ID] = newsRounds
+			leaves = append(leaves, r)
+		}
+	}
+	c.replicasMu.Unlock()
+	c.logLeaving(leaves, "list")
+	if changed {
+		c.replicasChanged(all)
+	}
+}
+
+// mergeLeaving takes in signs that replicas leave.
+func (c *Coord) mergeLeaving(signs []*pb.Replica, from string) {
+	if len(signs) == 0 {
+		return
+	}
+	c.replicasMu.Lock()
+	var news []replicas.Replica
+	for _, s := range signs {
+		if c.replicas.Leaving(s.GetId(), s.GetIncarnation()) {
+			c.signs[s.GetId()] = newsRounds
+			news = append(news, convert.FromReplica(s))
+		}
+	}
+	all := c.replicas.All()
+	c.replicasMu.Unlock()
+	if news == nil {
+		return
+	}
+	c.logLeaving(news, from)
+	c.replicasChanged(all)
+	c.kickBeat()
+}
+
+func (c *Coord) logLeaving(rs []replicas.Replica, sign string) {
+	for _, r := range rs {
+		event.ReplicaLeaves.Log(c.log, "replica", r.ID, "incarnation", r.Incarnation, "sign", sign)
+	}
+}
+
+func (c *Coord) replicasChanged(all []replicas.Replica) {
+	c.owner.configure()
+	c.watchers.send(&pb.View{Replicas: &pb.Replicas{Replicas: convert.Replicas(all)}})
+}
+
+// loadLoop reads the replicas' own load for the hall. Only the policy local
+// uses it: with permits the owner knows the exact counts.
+func (c *Coord) loadLoop(ctx context.Context) {
+	client := &fasthttp.Client{
+		MaxIdemponentCallAttempts: 1,
+		RetryIfErr:                func(*fasthttp.Request, int, error) (bool, bool) { return false, false },
+	}
+	every(ctx, loadEvery, func() {
+		_, f := c.config()
+		if f == nil || f.Policy != string(scheduler.TwoChoices) || !c.isReader("list") {
+			return
+		}
+		c.takeLoads(c.pollLoads(client))
+	})
+}
+
+func (c *Coord) pollLoads(client *fasthttp.Client) *pb.Loads {
+	out := &pb.Loads{}
+	for _, r := range c.allReplicas() {
+		_, body, err := client.GetTimeout(nil, "http://"+r.Address+"/v1/load", loadTimeout)
+		var l api.LoadReport
+		if err != nil || json.Unmarshal(body, &l) != nil {
+			continue
+		}
+		out.Loads = append(out.Loads, &pb.Load{Id: r.ID, Running: uint32(l.Running), Queued: uint32(l.Queued)})
+	}
+	return out
+}
+
+func (c *Coord) takeLoads(l *pb.Loads) {
+	if len(l.GetLoads()) > 0 {
+		c.watchers.send(&pb.View{Loads: l})
+	}
+}
--- /dev/null
+++ b/cmd/coord/plans.go
@@ -0,0 +1,223 @@
+package coord
+
+import (
+	"crypto/rand"
+	"encoding/json"
+	"errors"
+	"reflect"
+	"strconv"
+	"time"
+
+	"quinceroad/coordination/planner"
+	"quinceroad/coordination/revision"
+	"quinceroad/protocol/api"
+	"quinceroad/protocol/event"
+	"quinceroad/protocol/settings"
+	"quinceroad/state/fleet"
+	"quinceroad/transport/platform"
+)
+
+// The states of a plan and of its confirmation.
+const (
+	statePlanned      = "planned"
+	stateUnchanged    = "unchanged"
+	stateConfirmed    = "confirmed"
+	stateConflict     = "conflict"
+	stateUndetermined = "undetermined"
+)
+
+const (
+	planPrefix   = "plans/"
+	confirmTries = 4
+	confirmGap   = 150 * time.Millisecond
+)
+
+var errNoPlan = errors.New("no such plan")
+
+// plans makes and confirms plans. A plan lies on the platform, so that any
+// coord can confirm it; confirming is one compare-and-swap.
+type plans struct{ coord *Coord }
+
+func newPlans(c *Coord) *plans { return &plans{coord: c} }
+
+// make answers an intent; findings come back as an error.
+func (p *plans) make(text, by string) (*api.Plan, error) {
+	next, err := settings.LoadFleet("declaration", []byte(text))
+	if err != nil {
+		return nil, err
+	}
+	rev, old := p.coord.config()
+	all := p.coord.allReplicas()
+	out := &api.Plan{
+		ID: rand.Text(), Base: rev.Revision, By: by, State: statePlanned, Text: text,
+		Inputs: api.PlanInputs{Instances: len(p.coord.members()), Replicas: len(all)},
+	}
+	fill(out, planner.Make(next, old, all))
+	if old != nil && reflect.DeepEqual(next, old) {
+		out.State = stateUnchanged
+		return out, nil
+	}
+	b, err := json.Marshal(out)
+	if err != nil {
+		return nil, err
+	}
+	p.coord.count.platformWrites.Inc(1)
+	if _, err := p.coord.platform.Put(planPrefix+out.ID, api.KVPut{Value: b}); err != nil {
+		// The id is fresh: whether the write took effect or not, nobody knows
+		// of the plan but this operator, who is told to plan again.
+		return nil, err
+	}
+	event.PlanMade.Log(p.coord.log, "plan", out.ID, "by", by, "base", out.Base)
+	return out, nil
+}
+
+func fill(out *api.Plan, p planner.Plan) {
+	out.Changes, out.Warnings = p.Changes, p.Warnings
+	for _, s := range p.Steps {
+		out.Stages = append(out.Stages, api.PlannedStep{
+			Pipeline: s.Pipeline, Stage: s.Stage, Service: s.Service, Halls: s.Halls, Slots: s.Slots,
+			PerSec: s.PerSec, BudgetMS: int(s.Budget.Milliseconds()), Cost: s.Cost,
+		})
+	}
+}
+
+func (p *plans) load(id string) (*api.Plan, error) {
+	p.coord.count.platformReads.Inc(1)
+	kv, err := p.coord.platform.Get(planPrefix + id)
+	if err != nil {
+		return nil, err
+	}
+	if kv.Version == 0 {
+		return nil, errNoPlan
+	}
+	var out api.Plan
+	return &out, json.Unmarshal(kv.Value, &out)
+}
+
+// confirm puts a plan into force if its base still is. A lost answer is read
+// back by the plan's id, and until it is known the operator is told so.
+func (p *plans) confirm(id, by string) (*api.Confirmed, error) {
+	plan, err := p.load(id)
+	if err != nil {
+		return nil, err
+	}
+	for try := range confirmTries {
+		if try > 0 {
+			time.Sleep(jitter(confirmGap))
+		}
+		done, err := p.tryConfirm(plan, by)
+		if err == nil {
+			event.PlanConfirmed.Log(p.coord.log, "plan", id, "by", by, "revision", done.Revision, "state", done.State)
+			return done, nil
+		}
+		if try == 0 && !errors.Is(err, errUndetermined) {
+			return nil, err // the platform could not even be read
+		}
+	}
+	return &api.Confirmed{Plan: id, State: stateUndetermined}, nil
+}
+
+// tryConfirm reads what is in force, and writes the plan if it is its turn.
+// Trying again is safe: the version it read guards the write.
+func (p *plans) tryConfirm(plan *api.Plan, by string) (*api.Confirmed, error) {
+	p.coord.count.platformReads.Inc(1)
+	kv, err := p.coord.platform.Get(configKey)
+	if err != nil {
+		return nil, err
+	}
+	at, err := decodeStored(kv)
+	if err != nil {
+		return nil, err
+	}
+	for _, past := range at.History {
+		if past.PlanID == plan.ID {
+			p.coord.offerStored(kv.Value, "platform")
+			return &api.Confirmed{Plan: plan.ID, Revision: past.Revision, State: stateConfirmed}, nil
+		}
+	}
+	if inForce, _ := p.coord.config(); at.Revision != plan.Base || inForce.Revision > plan.Base {
+		return &api.Confirmed{Plan: plan.ID, Revision: max(at.Revision, inForce.Revision), State: stateConflict}, nil
+	}
+	next := follow(at, plan, by)
+	b, err := json.Marshal(next)
+	if err != nil {
+		return nil, err
+	}
+	p.coord.count.platformWrites.Inc(1)
+	_, err = p.coord.platform.Put(configKey, api.KVPut{Value: b, IfVersion: kv.Version})
+	if err != nil && !errors.Is(err, platform.ErrConflict) {
+		return nil, errors.Join(errUndetermined, err)
+	}
+	if err != nil { // another operator's or our own earlier write: read again
+		return nil, errUndetermined
+	}
+	p.coord.offer(revision.Config{Revision: next.Revision, PlanID: plan.ID, Declaration: []byte(plan.Text)}, "confirm")
+	return &api.Confirmed{Plan: plan.ID, Revision: next.Revision, State: stateConfirmed}, nil
+}
+
+// follow returns what is stored once the plan is in force.
+func follow(at api.Stored, plan *api.Plan, by string) api.Stored {
+	next := api.Stored{Revision: at.Revision + 1, PlanID: plan.ID, By: by, Declaration: plan.Text}
+	next.History = append([]api.Past{{Revision: next.Revision, PlanID: plan.ID, By: by}}, at.History...)
+	if len(next.History) > api.MaxHistory {
+		next.History = next.History[:api.MaxHistory]
+	}
+	return next
+}
+
+func decodeStored(kv api.KV) (api.Stored, error) {
+	var s api.Stored
+	if kv.Version == 0 {
+		return s, nil
+	}
+	return s, json.Unmarshal(kv.Value, &s)
+}
+
+// status returns this coord's view of the fleet.
+func (c *Coord) status() api.Status {
+	rev, _ := c.config()
+	s := api.Status{Instance: c.set.Name, Revision: rev.Revision, Plan: rev.PlanID}
+	for _, m := range c.members() {
+		s.Instances = append(s.Instances, api.InstanceStatus{
+			Name: m.Name, Hall: m.Hall, State: stateName(int(m.State)), Leaving: m.Leaving,
+			Incarnation: strconv.FormatUint(m.Incarnation, 16), Entry: m.EntryHTTP,
+		})
+	}
+	for _, r := range c.allReplicas() {
+		s.Replicas = append(s.Replicas, api.ReplicaStatus{ID: r.ID, Service: r.Service, Hall: r.Hall, Leaving: r.Leaving})
+	}
+	return s
+}
+
+func stateName(n int) string { return [...]string{"alive", "suspect", "dead"}[n] }
+
+// dump is the coord's state on request, without secrets.
+type dump struct {
+	Status   api.Status   `json:"status"`
+	Fleet    *fleet.Fleet `json:"fleet"`
+	Slots    any          `json:"slots"`
+	Watchers int          `json:"watchers"`
+	Links    int          `json:"links"`
+	ListAge  string       `json:"list_age"`
+	Readers  readers      `json:"readers"`
+}
+
+// readers names who reads the platform for this hall.
+type readers struct {
+	Config string `json:"config"`
+	List   string `json:"list"`
+}
+
+func (c *Coord) state() any {
+	_, f := c.config()
+	if f != nil {
+		shown := *f
+		shown.Customers = nil // their key digests stay inside
+		f = &shown
+	}
+	return dump{
+		Status: c.status(), Fleet: f, Slots: c.slots.Stats(), Watchers: c.watchers.len(),
+		Links: c.links.Len(), ListAge: c.listAge().String(),
+		Readers: readers{Config: c.readerOf("config"), List: c.readerOf("list")},
+	}
+}
--- /dev/null
+++ b/cmd/ctl/ctl.go
@@ -0,0 +1,253 @@
+// Package ctl is the operators' command line over the intent API.
+package ctl
+
+import (
+	"encoding/json"
+	"errors"
+	"flag"
+	"fmt"
+	"io"
+	"os"
+	"strings"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"quinceroad/cmd/process"
+	"quinceroad/protocol/api"
+	"quinceroad/protocol/settings"
+)
+
+const usage = `usage: quincectl [-operators IP:PORT] [-token TOKEN] [-o text|json] COMMAND
+
+commands:
+  check -f FILE      check a declaration here, without asking anybody
+  plan -f FILE       state an intent; answers with a plan, changes nothing
+  show PLAN          print a plan
+  confirm PLAN       put a plan into force
+  diff -f FILE       what a declaration would change, without keeping a plan
+  status             instances, replicas and the revision in force
+  history            accepted revisions, newest first
+  dump               the coord's state
+
+examples:
+  quincectl check -f examples/kalahari/fleet.toml
+  quincectl -operators 127.0.0.1:21014 -token demo-operator plan -f examples/kalahari/fleet.toml
+  quincectl -operators 127.0.0.1:21014 -token demo-operator status
+
+The address and the token may come from QUINCE_OPERATORS and QUINCE_TOKEN.
+exit codes: 0 done, 1 refused or failed, 2 bad arguments or declaration,
+3 conflict: plan again, 4 undetermined: ask again
+
+`
+
+// The exit codes beside those of package process.
+const (
+	exitConflict     = 3
+	exitUndetermined = 4
+)
+
+const (
+	callTimeout = 10 * time.Second
+	jsonOut     = "json"
+)
+
+// client is one invocation.
+type client struct {
+	addr, token, format, file string
+	out, errOut               io.Writer
+}
+
+// errUsage is a wrong command line.
+var errUsage = errors.New("bad arguments; see quincectl -h")
+
+// Main runs the command line and returns an exit code.
+func Main(args []string, out, errOut io.Writer) int {
+	c := &client{out: out, errOut: errOut}
+	flags := flag.NewFlagSet("quincectl", flag.ContinueOnError)
+	flags.SetOutput(errOut)
+	flags.StringVar(&c.addr, "operators", os.Getenv("QUINCE_OPERATORS"), "a coord's operators' listener")
+	flags.StringVar(&c.token, "token", os.Getenv("QUINCE_TOKEN"), "the operator's token")
+	flags.StringVar(&c.format, "o", "text", "text or json")
+	version := flags.Bool("version", false, "print the version and exit")
+	flags.Usage = func() { fmt.Fprint(errOut, usage); flags.PrintDefaults() }
+	switch err := flags.Parse(args); {
+	case errors.Is(err, flag.ErrHelp):
+		return process.ExitOK
+	case err != nil:
+		return process.ExitUsage
+	case *version:
+		fmt.Fprintln(out, "quincectl", process.Version)
+		return process.ExitOK
+	}
+	code, err := c.command(flags.Args())
+	if err != nil {
+		fmt.Fprintln(errOut, "quincectl:", err)
+	}
+	return code
+}
+
+func (c *client) command(args []string) (int, error) {
+	if len(args) == 0 {
+		return process.ExitUsage, errUsage
+	}
+	name, rest := args[0], args[1:]
+	if len(rest) == 2 && rest[0] == "-f" {
+		c.file = rest[1]
+		rest = nil
+	}
+	switch {
+	case name == "check" && c.file != "":
+		return c.check()
+	case (name == "plan" || name == "diff") && c.file != "":
+		return c.plan(name == "diff")
+	case name == "show" && len(rest) == 1:
+		return c.show(rest[0])
+	case name == "confirm" && len(rest) == 1:
+		return c.confirm(rest[0])
+	case name == "status" && len(rest) == 0:
+		return c.status()
+	case name == "history" && len(rest) == 0:
+		return c.history()
+	case name == "dump" && len(rest) == 0:
+		return c.dump()
+	}
+	return process.ExitUsage, errUsage
+}
+
+func (c *client) check() (int, error) {
+	if _, err := process.Load(c.file, settings.LoadFleet); err != nil {
+		return process.ExitUsage, err
+	}
+	fmt.Fprintln(c.out, c.file, "is good")
+	return process.ExitOK, nil
+}
+
+// call makes one call and returns its status; out gets a body of status 2xx or 409.
+func (c *client) call(method, path string, body []byte, out any) (int, error) {
+	if c.addr == "" || c.token == "" {
+		return 0, errors.New("-operators and -token are missing")
+	}
+	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseRequest(req)
+	defer fasthttp.ReleaseResponse(resp)
+	req.Header.SetMethod(method)
+	req.SetRequestURI("http://" + c.addr + path)
+	req.Header.Set(api.HeaderKey, "Bearer "+c.token)
+	req.SetBody(body)
+	once := &fasthttp.Client{
+		MaxIdemponentCallAttempts: 1,
+		RetryIfErr:                func(*fasthttp.Request, int, error) (bool, bool) { return false, false },
+	}
+	if err := once.DoTimeout(req, resp, callTimeout); err != nil {
+		return 0, fmt.Errorf("no answer from %s: %w; try another instance", c.addr, err)
+	}
+	status := resp.StatusCode()
+	switch {
+	case status == 422:
+		return status, c.findings(resp.Body())
+	case status >= 300 && status != 409:
+		var e api.Error
+		if err := json.Unmarshal(resp.Body(), &e); err != nil {
+			return status, fmt.Errorf("status %d", status)
+		}
+		return status, &e
+	}
+	return status, json.Unmarshal(resp.Body(), out)
+}
+
+// findings names the file that the operator has, not what the coord calls it.
+func (c *client) findings(body []byte) error {
+	var found settings.Findings
+	if err := json.Unmarshal(body, &found); err != nil {
+		return err
+	}
+	for i := range found {
+		found[i].File = c.file
+	}
+	return errors.New("the declaration is not good:\n" + found.Error())
+}
+
+func (c *client) plan(only bool) (int, error) {
+	text, err := os.ReadFile(c.file)
+	if err != nil {
+		return process.ExitUsage, err
+	}
+	var p api.Plan
+	status, err := c.call("POST", "/v1/plans", text, &p)
+	if status == 422 {
+		return process.ExitUsage, err
+	}
+	if err != nil {
+		return process.ExitFail, err
+	}
+	return c.print(p, func() { c.printPlan(&p, only) })
+}
+
+func (c *client) show(id string) (int, error) {
+	var p api.Plan
+	if _, err := c.call("GET", "/v1/plans/"+id, nil, &p); err != nil {
+		return process.ExitFail, err
+	}
+	return c.print(p, func() { c.printPlan(&p, false) })
+}
+
+func (c *client) confirm(id string) (int, error) {
+	var done api.Confirmed
+	if _, err := c.call("POST", "/v1/plans/"+id+"/confirm", nil, &done); err != nil {
+		return process.ExitFail, err
+	}
+	code, err := c.print(done, func() { c.printConfirmed(&done) })
+	switch {
+	case err != nil:
+		return code, err
+	case done.State == "conflict":
+		return exitConflict, nil
+	case done.State == "undetermined":
+		return exitUndetermined, nil
+	}
+	return code, nil
+}
+
+func (c *client) status() (int, error) {
+	var s api.Status
+	if _, err := c.call("GET", "/v1/status", nil, &s); err != nil {
+		return process.ExitFail, err
+	}
+	return c.print(s, func() { c.printStatus(&s) })
+}
+
+func (c *client) history() (int, error) {
+	var s api.Stored
+	if _, err := c.call("GET", "/v1/config", nil, &s); err != nil {
+		return process.ExitFail, err
+	}
+	return c.print(s.History, func() {
+		for _, p := range s.History {
+			fmt.Fprintf(c.out, "revision %d  plan %s  by %s\n", p.Revision, p.PlanID, p.By)
+		}
+	})
+}
+
+func (c *client) dump() (int, error) {
+	var v json.RawMessage
+	if _, err := c.call("GET", "/v1/state", nil, &v); err != nil {
+		return process.ExitFail, err
+	}
+	c.format = jsonOut
+	return c.print(v, nil)
+}
+
+// print writes v as JSON, or calls text.
+func (c *client) print(v any, text func()) (int, error) {
+	if c.format != jsonOut {
+		text()
+		return process.ExitOK, nil
+	}
+	b, err := json.MarshalIndent(v, "", "  ")
+	if err != nil {
+		return process.ExitFail, err
+	}
+	_, err = fmt.Fprintln(c.out, strings.TrimSpace(string(b)))
+	return process.ExitOK, err
+}
--- /dev/null
+++ b/cmd/load/caller.go
@@ -0,0 +1,208 @@
+// Package load is the load and experiment client: open-loop arrivals, one
+// history line per request, the checker's verdict.
+package load
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"quinceroad/cmd/check"
+	"quinceroad/coordination/outcome"
+	"quinceroad/protocol/api"
+)
+
+const (
+	answerGrace = 3 * time.Second // over the deadline, before a caller gives up
+	askTimeout  = time.Second
+)
+
+// Caller is one customer's program: it asks which addresses to use, keeps the
+// answer for its lifetime, and calls them.
+type Caller struct {
+	Key   string
+	Hall  string
+	Known []string // IP:port of some entries, to ask first
+
+	http   *fasthttp.Client
+	mu     sync.Mutex
+	answer api.AddressAnswer
+	until  time.Time
+	number atomic.Uint64
+	turn   atomic.Uint64
+}
+
+// NewCaller returns a caller that has asked nobody yet.
+func NewCaller(key, hall string, known []string) *Caller {
+	return &Caller{Key: key, Hall: hall, Known: known, http: &fasthttp.Client{
+		MaxIdemponentCallAttempts: 1,
+		RetryIfErr:                func(*fasthttp.Request, int, error) (bool, bool) { return false, false },
+		MaxConnsPerHost:           4096,
+		MaxIdleConnDuration:       5 * time.Second,
+	}}
+}
+
+var errNoAddresses = errors.New("no entry answers with addresses")
+
+// Addresses returns the kept answer, or asks anew when it has run out.
+func (c *Caller) Addresses() (api.AddressAnswer, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if time.Now().Before(c.until) {
+		return c.answer, nil
+	}
+	ask := make([]string, 0, len(c.Known)+len(c.answer.Addresses))
+	for _, a := range c.answer.Addresses {
+		ask = append(ask, a.Address)
+	}
+	for _, addr := range append(ask, c.Known...) {
+		began := time.Now()
+		var got api.AddressAnswer
+		if c.get(addr, &got) == nil && len(got.Addresses) > 0 {
+			c.answer = got
+			c.until = began.Add(time.Duration(got.LifetimeMS) * time.Millisecond)
+			return got, nil
+		}
+	}
+	return c.answer, errNoAddresses
+}
+
+// Forget makes the next call ask anew.
+func (c *Caller) Forget() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.until = time.Time{}
+}
+
+func (c *Caller) get(addr string, out any) error {
+	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseRequest(req)
+	defer fasthttp.ReleaseResponse(resp)
+	req.SetRequestURI("http://" + addr + "/v1/addresses")
+	req.Header.Set(api.HeaderKey, "Bearer "+c.Key)
+	req.Header.Set(api.HeaderHall, c.Hall)
+	if err := c.http.DoTimeout(req, resp, askTimeout); err != nil {
+		return err
+	}
+	if resp.StatusCode() != 200 {
+		return fmt.Errorf("status %d", resp.StatusCode())
+	}
+	return json.Unmarshal(resp.Body(), out)
+}
+
+// Request is one run to ask for.
+type Request struct {
+	Pipeline string
+	Input    string
+	Deadline time.Duration
+	Stream   bool
+	Numbered bool   // under a ticket
+	Ticket   string // a retry's; "" takes the next number
+	Address  string // "" takes one of the answer's
+	Intended time.Time
+}
+
+// Do sends one request and returns what the caller was told.
+func (c *Caller) Do(q Request) check.Told {
+	t := check.Told{Pipeline: q.Pipeline, Input: q.Input, Deadline: q.Deadline, Intended: q.Intended, Ticket: q.Ticket}
+	if t.Intended.IsZero() {
+		t.Intended = time.Now()
+	}
+	addr := q.Address
+	if addr == "" || (q.Numbered && q.Ticket == "") {
+		a, err := c.Addresses()
+		if err != nil {
+			t.Answered, t.Code = time.Now(), err.Error()
+			return t
+		}
+		if q.Numbered && q.Ticket == "" {
+			t.Ticket = fmt.Sprintf("%s.%d", a.Ticket, c.number.Add(1))
+		}
+		if addr == "" {
+			addr = a.Addresses[c.turn.Add(1)%uint64(len(a.Addresses))].Address
+		}
+	}
+	if err := c.post(addr, q, &t); err != nil {
+		t.Code = err.Error()
+	}
+	t.Answered = time.Now()
+	return t
+}
+
+func (c *Caller) post(addr string, q Request, t *check.Told) error {
+	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseRequest(req)
+	defer fasthttp.ReleaseResponse(resp)
+	body, err := json.Marshal(api.RunRequest{Input: q.Input, DeadlineMS: int(q.Deadline.Milliseconds()), Stream: q.Stream})
+	if err != nil {
+		return err
+	}
+	req.Header.SetMethod("POST")
+	req.SetRequestURI("http://" + addr + "/v1/pipelines/" + q.Pipeline + "/runs")
+	req.Header.Set(api.HeaderKey, "Bearer "+c.Key)
+	if t.Ticket != "" {
+		req.Header.Set(api.HeaderTicket, t.Ticket)
+	}
+	req.SetBody(body)
+	if err := c.http.DoTimeout(req, resp, q.Deadline+answerGrace); err != nil {
+		return err
+	}
+	t.Status = resp.StatusCode()
+	if strings.HasPrefix(string(resp.Header.ContentType()), "text/event-stream") {
+		return readStream(resp.Body(), t)
+	}
+	return readAnswer(resp.Body(), t)
+}
+
+// readAnswer fills t from a whole answer or an error; both have its fields.
+func readAnswer(body []byte, t *check.Told) error {
+	var a struct {
+		api.RunAnswer
+		Code string `json:"code"`
+	}
+	if err := json.Unmarshal(body, &a); err != nil {
+		return err
+	}
+	t.ID, t.Outcome, t.Code = a.ID, a.Outcome, a.Code
+	t.Output, t.Count, t.Digest, t.Stages = a.Output, a.Count, a.Digest, a.Stages
+	return nil
+}
+
+// errCut is a stream without its end event.
+var errCut = errors.New("the stream was cut")
+
+func readStream(body []byte, t *check.Told) error {
+	var output strings.Builder
+	sc := bufio.NewScanner(bytes.NewReader(body))
+	sc.Buffer(nil, len(body)+1)
+	ended := false
+	for sc.Scan() {
+		line := sc.Bytes()
+		data, isData := bytes.CutPrefix(line, []byte("data: "))
+		switch {
+		case bytes.Equal(line, []byte("event: end")):
+			ended = true
+		case isData && ended:
+			err := readAnswer(data, t)
+			if t.Outcome == outcome.Done {
+				t.Output = output.String()
+			}
+			return err
+		case isData:
+			var tok api.Token
+			if err := json.Unmarshal(data, &tok); err != nil {
+				return err
+			}
+			output.WriteString(tok.Text)
+		}
+	}
+	return errCut
+}
--- /dev/null
+++ b/cmd/process/process.go
@@ -0,0 +1,59 @@
+// Package process holds what all binaries share: reading settings, running
+// until a signal, exit codes.
+package process
+
+import (
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+)
+
+// Version is the product's version.
+const Version = "0.1.0"
+
+// The exit codes of all binaries.
+const (
+	ExitOK    = 0
+	ExitFail  = 1 // it ran and failed
+	ExitUsage = 2 // bad arguments or settings; nothing was done
+)
+
+// Process is something that runs until it is stopped.
+type Process interface {
+	Start() error
+	Stop() error // a planned stop: returns once nothing is in flight
+}
+
+// Run starts p, waits for SIGTERM or SIGINT, stops p, and returns an exit code.
+// A second signal ends the process at once.
+func Run(p Process) int {
+	signals := make(chan os.Signal, 2)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	if err := p.Start(); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return ExitFail
+	}
+	<-signals
+	go func() {
+		<-signals
+		os.Exit(ExitFail)
+	}()
+	if err := p.Stop(); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return ExitFail
+	}
+	return ExitOK
+}
+
+// Load reads a settings file with the given reader.
+func Load[T any](file string, read func(string, []byte) (*T, error)) (*T, error) {
+	if file == "" {
+		return nil, fmt.Errorf("-config FILE is missing")
+	}
+	data, err := os.ReadFile(file)
+	if err != nil {
+		return nil, err
+	}
+	return read(file, data)
+}
--- /dev/null
+++ b/cmd/quince-entry/main.go
@@ -0,0 +1,15 @@
+// Command quince-entry runs the process that callers talk to.
+package main
+
+import (
+	"os"
+
+	"quinceroad/cmd/entry"
+	"quinceroad/cmd/process"
+)
+
+func main() {
+	os.Exit(process.Main("quince-entry", func(a process.Args) process.Process {
+		return entry.New(a.Settings, a.Log)
+	}))
+}
--- /dev/null
+++ b/cmd/quince-load/main.go
@@ -0,0 +1,103 @@
+// Command quince-load sends an open-loop load to a deployment and checks what
+// callers were told against what the upstreams journalled.
+package main
+
+import (
+	"flag"
+	"fmt"
+	"os"
+	"strings"
+	"time"
+
+	"quinceroad/cmd/check"
+	"quinceroad/cmd/load"
+	"quinceroad/cmd/process"
+	"quinceroad/protocol/settings"
+	"quinceroad/state/fleet"
+)
+
+const usage = `usage: quince-load -fleet FILE -entries IP:PORT[,IP:PORT] [-rate N] [-for D]
+
+Sends every pipeline of the declaration in equal shares, customer by customer,
+and prints attainment, latency and the checker's verdict.
+
+example:
+  quince-load -fleet examples/kalahari/fleet.toml -entries 127.0.0.1:21010 -journal 127.0.0.1:21001 -rate 100 -for 10s
+
+exit codes: 0 no promise was broken, 1 one was or the load failed, 2 bad arguments
+
+`
+
+type options struct {
+	fleet, entries, journal, pipeline string
+	rate, burst                       float64
+	duration, burstFor                time.Duration
+	seed                              uint64
+}
+
+func main() {
+	var o options
+	flags := flag.NewFlagSet("quince-load", flag.ExitOnError)
+	flags.StringVar(&o.fleet, "fleet", "", "the declaration in force")
+	flags.StringVar(&o.entries, "entries", "", "entries to ask for addresses, comma-separated")
+	flags.StringVar(&o.journal, "journal", "", "control address of the stand-in upstreams; empty: no verdict")
+	flags.StringVar(&o.pipeline, "pipeline", "", "only this pipeline")
+	flags.Float64Var(&o.rate, "rate", 50, "requests a second")
+	flags.DurationVar(&o.duration, "for", 10*time.Second, "how long at that rate")
+	flags.Float64Var(&o.burst, "burst", 0, "requests a second of a burst in the middle; 0: none")
+	flags.DurationVar(&o.burstFor, "burst-for", 10*time.Second, "how long the burst lasts")
+	flags.Uint64Var(&o.seed, "seed", 1, "of arrivals and inputs")
+	version := flags.Bool("version", false, "print the version and exit")
+	flags.Usage = func() { fmt.Fprint(flags.Output(), usage); flags.PrintDefaults() }
+	_ = flags.Parse(os.Args[1:]) // exits on error
+	if *version {
+		fmt.Println("quince-load", process.Version)
+		return
+	}
+	f, err := process.Load(o.fleet, settings.LoadFleet)
+	if err != nil || o.entries == "" {
+		fmt.Fprintln(os.Stderr, "quince-load: wants -fleet and -entries:", err)
+		os.Exit(process.ExitUsage)
+	}
+	if err := run(f, o); err != nil {
+		fmt.Fprintln(os.Stderr, "quince-load:", err)
+		os.Exit(process.ExitFail)
+	}
+}
+
+func run(f *fleet.Fleet, o options) error {
+	lo := load.Options{Known: strings.Split(o.entries, ","), Seed: o.seed, Phases: []load.Phase{{For: o.duration, Rate: o.rate}}}
+	if o.burst > 0 {
+		lo.Phases = append(lo.Phases, load.Phase{For: o.burstFor, Rate: o.burst}, load.Phase{For: o.duration, Rate: o.rate})
+	}
+	for i, p := range f.Pipelines {
+		if o.pipeline != "" && o.pipeline != p.Name {
+			continue
+		}
+		lo.Mix = append(lo.Mix, load.Mix{
+			Customer: f.Customers[i%len(f.Customers)].Name, Hall: f.Halls[i%len(f.Halls)],
+			Pipeline: p.Name, Share: 1, Deadline: p.Deadline(), Numbered: !p.Repeatable,
+		})
+	}
+	if len(lo.Mix) == 0 {
+		return fmt.Errorf("no pipeline is named %q", o.pipeline)
+	}
+	res := load.Run(lo)
+	fmt.Println(res.Summarize())
+	if o.journal == "" {
+		return nil
+	}
+	journal, err := load.Journal(o.journal)
+	if err != nil {
+		return err
+	}
+	found := check.All(f, res.Told, journal)
+	for _, v := range found {
+		fmt.Println("violation:", v)
+	}
+	fmt.Printf("checked %d answers against %d executions: %d violations\n", len(res.Told), len(journal), len(found))
+	if len(found) > 0 {
+		return fmt.Errorf("%d violations", len(found))
+	}
+	return nil
+}
--- /dev/null
+++ b/coordination/limit/limit.go
@@ -0,0 +1,32 @@
+// Package limit holds customers' rate limits: each instance fills a bucket at
+// its share of the customer's one fleet-wide rate.
+package limit
+
+import "time"
+
+// Bucket is a token bucket; not safe for concurrent use.
+type Bucket struct {
+	tokens float64
+	at     time.Duration
+	filled bool
+}
+
+// Take spends one token of a bucket that fills at rate a second up to burst.
+// When there is none it returns false and when to come back. A rate of zero
+// means no limit.
+func (b *Bucket) Take(now time.Duration, rate, burst float64) (bool, time.Duration) {
+	if rate <= 0 {
+		return true, 0
+	}
+	burst = max(burst, 1)
+	if !b.filled {
+		b.tokens, b.at, b.filled = burst, now, true
+	}
+	b.tokens = min(b.tokens+rate*(now-b.at).Seconds(), burst)
+	b.at = now
+	if b.tokens < 1 {
+		return false, time.Duration((1 - b.tokens) / rate * float64(time.Second))
+	}
+	b.tokens--
+	return true, 0
+}
--- /dev/null
+++ b/coordination/planner/planner.go
@@ -0,0 +1,138 @@
+// Package planner works out what a declaration would change: where each stage
+// runs, how much capacity it gets, what it may take of the deadline and costs.
+package planner
+
+import (
+	"fmt"
+	"math"
+	"reflect"
+	"sort"
+	"time"
+
+	"quinceroad/coordination/replicas"
+	"quinceroad/state/fleet"
+)
+
+// Step is one stage's place in the plan.
+type Step struct {
+	Pipeline string
+	Stage    string
+	Service  string
+	Halls    []string
+	Slots    int
+	PerSec   float64       // stages a second the whole service can run at the expected time
+	Budget   time.Duration // the stage's share of the deadline
+	Cost     float64       // units per request
+}
+
+// Plan is what a declaration would bring.
+type Plan struct {
+	Changes  []string
+	Warnings []string
+	Steps    []Step
+}
+
+// Make compares the declared fleet with the one in force, which may be nil,
+// over the replicas that are there.
+func Make(next, old *fleet.Fleet, there []replicas.Replica) Plan {
+	p := Plan{Changes: changes(next, old)}
+	capacity := capacities(next, there)
+	for _, pl := range next.Pipelines {
+		p.addPipeline(next, &pl, capacity)
+	}
+	for _, s := range next.Services {
+		if capacity[s.Name].slots == 0 {
+			p.Warnings = append(p.Warnings, fmt.Sprintf("service %s has no live replica", s.Name))
+		}
+	}
+	return p
+}
+
+type capacity struct {
+	halls []string
+	slots int
+}
+
+func capacities(f *fleet.Fleet, there []replicas.Replica) map[string]capacity {
+	out := make(map[string]capacity)
+	for _, s := range f.Services {
+		halls := make(map[string]bool)
+		var c capacity
+		for _, r := range there {
+			if r.Service == s.Name && !r.Leaving {
+				halls[r.Hall] = true
+				c.slots += s.Slots
+			}
+		}
+		for h := range halls {
+			c.halls = append(c.halls, h)
+		}
+		sort.Strings(c.halls)
+		out[s.Name] = c
+	}
+	return out
+}
+
+func (p *Plan) addPipeline(f *fleet.Fleet, pl *fleet.Pipeline, capacity map[string]capacity) {
+	var total time.Duration
+	for i := range pl.Stages {
+		total += pl.Stages[i].Expect()
+	}
+	if total > pl.Deadline() {
+		p.Warnings = append(p.Warnings, fmt.Sprintf("pipeline %s: its stages' expected times add up to %s, over its deadline of %s", pl.Name, total, pl.Deadline()))
+	}
+	for i := range pl.Stages {
+		st := &pl.Stages[i]
+		svc, _ := f.Service(st.Service) // checked when the declaration was read
+		c := capacity[st.Service]
+		share := float64(st.Expect()) / float64(max(total, 1))
+		p.Steps = append(p.Steps, Step{
+			Pipeline: pl.Name, Stage: st.Name, Service: st.Service,
+			Halls: c.halls, Slots: c.slots,
+			PerSec: math.Round(10*float64(c.slots)/st.Expect().Seconds()) / 10,
+			Budget: time.Duration(share * float64(pl.Deadline())),
+			Cost:   st.Expect().Seconds() * svc.Cost,
+		})
+	}
+}
+
+// changes lists the differences by name, in a fixed order.
+func changes(next, old *fleet.Fleet) []string {
+	if old == nil {
+		old = &fleet.Fleet{}
+	}
+	var out []string
+	a, b := *next, *old
+	a.Services, a.Pipelines, a.Customers = nil, nil, nil
+	b.Services, b.Pipelines, b.Customers = nil, nil, nil
+	if !reflect.DeepEqual(a, b) {
+		out = append(out, "~ fleet settings")
+	}
+	out = append(out, compare("service", next.Services, old.Services, func(s fleet.Service) string { return s.Name })...)
+	out = append(out, compare("pipeline", next.Pipelines, old.Pipelines, func(p fleet.Pipeline) string { return p.Name })...)
+	return append(out, compare("customer", next.Customers, old.Customers, func(c fleet.Customer) string { return c.Name })...)
+}
+
+func compare[T any](kind string, next, old []T, name func(T) string) []string {
+	before := make(map[string]T)
+	for _, o := range old {
+		before[name(o)] = o
+	}
+	var out []string
+	for _, n := range next {
+		o, ok := before[name(n)]
+		delete(before, name(n))
+		switch {
+		case !ok:
+			out = append(out, fmt.Sprintf("+ %s %s", kind, name(n)))
+		case !reflect.DeepEqual(n, o):
+			out = append(out, fmt.Sprintf("~ %s %s", kind, name(n)))
+		}
+	}
+	for _, o := range old {
+		if _, gone := before[name(o)]; gone {
+			out = append(out, fmt.Sprintf("- %s %s", kind, name(o)))
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/coordination/replicas/replicas.go
@@ -0,0 +1,102 @@
+// Package replicas merges every sign of upstreams' replicas into one list:
+// the platform's lagging list, peers' news, and what a replica's own answers
+// say. Within an incarnation leaving wins, so a lagging list can't bring a
+// leaving replica back (brief: "An upstream that is leaving receives no new
+// work after a few seconds").
+package replicas
+
+import "sort"
+
+// Replica is one replica of a service.
+type Replica struct {
+	ID           string
+	Service      string
+	Hall         string
+	Address      string // IP:port
+	Incarnation  uint64
+	Leaving      bool
+	ChecksFences bool
+}
+
+// Set is not safe for concurrent use; its owner guards it (table.RankReplicas).
+type Set struct {
+	rows    map[string]Replica
+	leaving map[string]uint64 // replica -> highest incarnation known to leave
+}
+
+// New returns an empty set.
+func New() *Set {
+	return &Set{rows: make(map[string]Replica), leaving: make(map[string]uint64)}
+}
+
+// List takes in the platform's whole list and reports whether the set changed.
+// A replica that the list no longer has is dropped.
+func (s *Set) List(list []Replica) bool {
+	changed := false
+	seen := make(map[string]bool, len(list))
+	for _, r := range list {
+		seen[r.ID] = true
+		changed = s.put(r) || changed
+	}
+	for id := range s.rows {
+		if !seen[id] {
+			delete(s.rows, id)
+			changed = true
+		}
+	}
+	return changed
+}
+
+func (s *Set) put(r Replica) bool {
+	old, ok := s.rows[r.ID]
+	if ok && r.Incarnation < old.Incarnation {
+		return false
+	}
+	if r.Leaving {
+		s.note(r.ID, r.Incarnation)
+	}
+	r.Leaving = s.isLeaving(r)
+	s.rows[r.ID] = r
+	return !ok || old != r
+}
+
+// Leaving takes in a sign that an incarnation leaves; true when it is news.
+func (s *Set) Leaving(id string, incarnation uint64) bool {
+	if !s.note(id, incarnation) {
+		return false
+	}
+	if r, ok := s.rows[id]; ok {
+		r.Leaving = s.isLeaving(r)
+		s.rows[id] = r
+	}
+	return true
+}
+
+func (s *Set) note(id string, incarnation uint64) bool {
+	if at, ok := s.leaving[id]; ok && at >= incarnation {
+		return false
+	}
+	s.leaving[id] = incarnation
+	return true
+}
+
+func (s *Set) isLeaving(r Replica) bool {
+	at, ok := s.leaving[r.ID]
+	return ok && r.Incarnation <= at
+}
+
+// All returns the replicas by id.
+func (s *Set) All() []Replica {
+	out := make([]Replica, 0, len(s.rows))
+	for _, r := range s.rows {
+		out = append(out, r)
+	}
+	sort.Slice(out, func(i, j int) bool { return out[i].ID < out[j].ID })
+	return out
+}
+
+// Get returns the replica of that id.
+func (s *Set) Get(id string) (Replica, bool) {
+	r, ok := s.rows[id]
+	return r, ok
+}
--- /dev/null
+++ b/coordination/scheduler/scheduler.go
@@ -0,0 +1,285 @@
+// Package scheduler decides, for one service, which queued stage runs next, on
+// which replica, and which is refused because it can't be whole in time.
+//
+// The same machine serves twice: at the service's soft owner, where it holds
+// the exact slots of all entries (policy permits), and inside an entry, over
+// that entry's own view, when the owner can't be reached (policy local). It is
+// pure: time comes in as an argument and randomness as a seed. See
+// docs/design/scheduling.md.
+package scheduler
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"quinceroad/state/fleet"
+)
+
+// Ask is one stage of one request waiting for a slot.
+type Ask struct {
+	ID       uint64
+	Holder   string // who asks; its permits end when it is gone
+	Customer string
+	Weight   int
+	Class    fleet.Class
+	Deadline time.Duration // of the whole request, on the scheduler's clock
+	Rest     time.Duration // expected for the stages after this one
+	Expect   time.Duration // expected for this stage
+	Avoid    []string      // replicas that failed this stage before
+}
+
+// slack is what would be left if the stage started now.
+func (a *Ask) slack(now time.Duration) time.Duration {
+	return a.Deadline - a.Rest - now
+}
+
+// Reason is why an ask was refused.
+type Reason string
+
+// The reasons.
+const (
+	Overload  Reason = "overload"    // the queue is too long for its deadline
+	Doomed    Reason = "doomed"      // waited until it could no longer be whole in time
+	NoReplica Reason = "no_replicas" // the service has none that takes work
+)
+
+// Action is what the owner of the scheduler must tell a holder: a grant when
+// Replica is set, else a refusal.
+type Action struct {
+	Ask        uint64
+	Holder     string
+	Permit     uint64
+	Replica    string
+	Reason     Reason
+	RetryAfter time.Duration
+}
+
+// Granted reports whether the action is a grant.
+func (a Action) Granted() bool { return a.Replica != "" }
+
+type permit struct {
+	replica *replica
+	ask     askKey
+	start   time.Duration
+	expect  time.Duration
+	late    bool
+}
+
+// Scheduler is not safe for concurrent use; its owner guards it (table.RankScheduler).
+type Scheduler struct {
+	opts     Options
+	rand     *rand.Rand
+	pool     *pool
+	queue    *queue
+	permits  map[uint64]*permit
+	granted  map[askKey]uint64 // ask -> its permit
+	next     uint64
+	meanTook float64 // nanoseconds, over all replicas
+	out      []Action
+}
+
+// New returns a scheduler without replicas.
+func New(seed uint64, opts ...Option) *Scheduler {
+	o := newOptions(opts)
+	return &Scheduler{
+		opts:    o,
+		rand:    rand.New(rand.NewPCG(seed, seed)),
+		pool:    newPool(o.Policy),
+		queue:   newQueue(),
+		permits: make(map[uint64]*permit),
+		granted: make(map[askKey]uint64),
+	}
+}
+
+// Configure changes the options in force; the policy stays.
+func (s *Scheduler) Configure(opts ...Option) {
+	for _, f := range opts {
+		f(&s.opts)
+	}
+}
+
+// Ask takes in a stage: it is granted, refused at once, or queued.
+func (s *Scheduler) Ask(now time.Duration, a Ask) []Action {
+	s.out = nil
+	if s.pool.len() == 0 {
+		s.refuse(&a, NoReplica, s.opts.ComeBack)
+		return s.out
+	}
+	if s.opts.Shed > 0 && s.hopeless(now, &a) {
+		return s.out
+	}
+	s.queue.push(&a, s.dropAt(&a))
+	s.pump(now)
+	return s.out
+}
+
+// hopeless refuses an ask that can't be whole in time even if all goes as expected.
+func (s *Scheduler) hopeless(now time.Duration, a *Ask) bool {
+	wait := s.expectWait(a)
+	need := a.Expect
+	if wait > 0 {
+		need = time.Duration(s.opts.Shed * float64(a.Expect))
+	}
+	left := a.slack(now) - wait - need
+	if left >= 0 {
+		return false
+	}
+	reason := Overload
+	if wait == 0 {
+		reason = Doomed
+	}
+	s.refuse(a, reason, max(wait, s.opts.ComeBack))
+	return true
+}
+
+// expectWait is how long the ask would queue, were it queued now.
+func (s *Scheduler) expectWait(a *Ask) time.Duration {
+	ahead := s.queue.ahead(a)
+	slots := s.pool.slots()
+	if slots == 0 || (ahead == 0 && s.pool.free()) {
+		return 0
+	}
+	took := max(s.meanTook, float64(a.Expect)/4)
+	return time.Duration(float64(ahead+1) / float64(slots) * took)
+}
+
+// dropAt is when a queued ask is given up: its slack has fallen under Shed
+// times its expected time.
+func (s *Scheduler) dropAt(a *Ask) time.Duration {
+	return a.Deadline - a.Rest - time.Duration(s.opts.Shed*float64(a.Expect))
+}
+
+// Done returns a permit's slot after took; zero means that it was not used.
+func (s *Scheduler) Done(now time.Duration, id uint64, took time.Duration, failed bool) []Action {
+	s.out = nil
+	p, ok := s.permits[id]
+	if !ok {
+		return nil
+	}
+	s.forget(id, p)
+	if took == 0 && !failed {
+		s.pool.drop(p)
+		s.pump(now)
+		return s.out
+	}
+	s.pool.release(now, p, took, failed, s.opts)
+	if !failed {
+		s.meanTook += 0.02 * (float64(took) - s.meanTook)
+		if s.meanTook < float64(took)/50 {
+			s.meanTook = float64(took)
+		}
+	}
+	s.pump(now)
+	return s.out
+}
+
+func (s *Scheduler) forget(id uint64, p *permit) {
+	delete(s.permits, id)
+	delete(s.granted, p.ask)
+}
+
+// Cancel drops an ask whose caller gave it up; if it was granted meanwhile,
+// its slot is free again.
+func (s *Scheduler) Cancel(now time.Duration, id uint64, holder string) []Action {
+	s.queue.cancel(id, holder)
+	permit, ok := s.granted[askKey{holder, id}]
+	if !ok {
+		return nil
+	}
+	return s.Done(now, permit, 0, false)
+}
+
+// DropHolder ends the permits and asks of a holder that is gone.
+func (s *Scheduler) DropHolder(now time.Duration, holder string) []Action {
+	s.out = nil
+	s.queue.dropHolder(holder)
+	for id, p := range s.permits {
+		if p.ask.holder == holder {
+			s.forget(id, p)
+			s.pool.drop(p)
+		}
+	}
+	s.pump(now)
+	return s.out
+}
+
+// SetReplicas gives the replicas that may take work, with their slots.
+func (s *Scheduler) SetReplicas(now time.Duration, slots map[string]int) []Action {
+	s.out = nil
+	s.pool.set(now, slots)
+	s.pool.refresh(now, s.opts)
+	s.pump(now)
+	return s.out
+}
+
+// Report takes in a replica's own lagged report of its running requests.
+func (s *Scheduler) Report(now time.Duration, id string, running int, age time.Duration) {
+	s.pool.report(now-age, id, running)
+}
+
+// Tick drops the doomed and looks at replicas whose requests are overdue; call
+// it about every 50 ms.
+func (s *Scheduler) Tick(now time.Duration) []Action {
+	s.out = nil
+	for _, p := range s.permits {
+		s.pool.watch(now, p, s.opts)
+	}
+	s.pool.refresh(now, s.opts)
+	s.pump(now)
+	return s.out
+}
+
+// pump refuses the doomed, then grants while there are asks and slots.
+func (s *Scheduler) pump(now time.Duration) {
+	if s.opts.Shed > 0 {
+		for a := s.queue.popDoomed(now); a != nil; a = s.queue.popDoomed(now) {
+			s.refuse(a, Doomed, max(s.expectWait(a), s.opts.ComeBack))
+		}
+	}
+	for s.queue.len() > 0 {
+		r := s.pool.pick(now, s.rand, nil)
+		if r == nil {
+			return
+		}
+		a := s.queue.pop()
+		if len(a.Avoid) > 0 {
+			if other := s.pool.pick(now, s.rand, a.Avoid); other != nil {
+				r = other
+			}
+		}
+		s.grant(now, a, r)
+	}
+}
+
+func (s *Scheduler) grant(now time.Duration, a *Ask, r *replica) {
+	s.next++
+	key := askKey{a.Holder, a.ID}
+	s.permits[s.next] = &permit{replica: r, ask: key, start: now, expect: a.Expect}
+	s.granted[key] = s.next
+	s.pool.take(now, r, s.opts)
+	s.out = append(s.out, Action{Ask: a.ID, Holder: a.Holder, Permit: s.next, Replica: r.id})
+}
+
+func (s *Scheduler) refuse(a *Ask, why Reason, after time.Duration) {
+	s.out = append(s.out, Action{Ask: a.ID, Holder: a.Holder, Reason: why, RetryAfter: after})
+}
+
+// Stats is a scheduler's state for dumps and load figures.
+type Stats struct {
+	Policy   Policy         `json:"policy"`
+	Queued   int            `json:"queued"`
+	Running  int            `json:"running"`
+	Slots    int            `json:"slots"`
+	Replicas []ReplicaStats `json:"replicas"`
+}
+
+// Stats returns the scheduler's state.
+func (s *Scheduler) Stats() Stats {
+	return Stats{
+		Policy:   s.opts.Policy,
+		Queued:   s.queue.len(),
+		Running:  len(s.permits),
+		Slots:    s.pool.slots(),
+		Replicas: s.pool.stats(),
+	}
+}
--- /dev/null
+++ b/proctest/demo/main.go
@@ -0,0 +1,102 @@
+// Command demo starts an example deployment, loads its declaration through
+// plan and confirm, sends real requests, and prints an answer and a summary.
+package main
+
+import (
+	"encoding/json"
+	"flag"
+	"fmt"
+	"os"
+	"time"
+
+	"quinceroad/cmd/check"
+	"quinceroad/cmd/load"
+	"quinceroad/coordination/outcome"
+	"quinceroad/proctest/rig"
+)
+
+const (
+	rate     = 50 // requests a second
+	duration = 5 * time.Second
+	deadline = 2 * time.Second
+)
+
+func main() {
+	bin := flag.String("bin", "bin", "folder of the binaries")
+	example := flag.String("example", "examples/kalahari", "folder of the deployment")
+	flag.Parse()
+	if err := run(*bin, *example); err != nil {
+		fmt.Fprintln(os.Stderr, "demo:", err)
+		os.Exit(1)
+	}
+}
+
+func run(bin, example string) error {
+	dir, err := os.MkdirTemp("", "quince-demo-")
+	if err != nil {
+		return err
+	}
+	defer os.RemoveAll(dir)
+	r, err := rig.Start(rig.Options{Example: example, Bin: bin, Dir: dir, AsIs: true})
+	if err != nil {
+		return err
+	}
+	defer r.Close()
+	fmt.Printf("%d instances, each an entry and a coord, and %d services are up\n", len(r.Instances), len(r.Fleet.Services))
+	done, err := r.Confirm(r.Text)
+	if err != nil {
+		return err
+	}
+	fmt.Printf("plan %s confirmed, revision %d in force at every entry\n", done.Plan, done.Revision)
+	if err := one(r); err != nil {
+		return err
+	}
+	return many(r)
+}
+
+// one sends a request and prints its answer.
+func one(r *rig.Rig) error {
+	p := r.Fleet.Pipelines[0]
+	caller := load.NewCaller("key-"+r.Fleet.Customers[0].Name, r.Fleet.Halls[0], r.Entries())
+	t := caller.Do(load.Request{Pipeline: p.Name, Input: "May a blast be fired while the hoist is in use?", Deadline: p.Deadline()})
+	if t.Outcome != outcome.Done {
+		return fmt.Errorf("the first request was not done: %s %s", t.Outcome, t.Code)
+	}
+	b, err := json.MarshalIndent(t.Stages, "", "  ")
+	if err != nil {
+		return err
+	}
+	fmt.Printf("\none %s, %s in %s\noutput: %.70s...\nstages: %s\n\n", p.Name, t.Outcome, t.Answered.Sub(t.Intended).Round(time.Microsecond), t.Output, b)
+	return nil
+}
+
+// many sends a few seconds of every pipeline and checks the histories.
+func many(r *rig.Rig) error {
+	var mix []load.Mix
+	for i, p := range r.Fleet.Pipelines {
+		c := r.Fleet.Customers[i%len(r.Fleet.Customers)]
+		mix = append(mix, load.Mix{
+			Customer: c.Name, Hall: r.Fleet.Halls[i%len(r.Fleet.Halls)], Pipeline: p.Name, Share: 1,
+			Deadline: min(deadline, p.Deadline()), Stream: i%2 == 0 && p.Repeatable, Numbered: !p.Repeatable,
+		})
+	}
+	res := load.Run(load.Options{Known: r.Entries(), Mix: mix, Phases: []load.Phase{{For: duration, Rate: rate}}, Seed: 1})
+	sum := res.Summarize()
+	fmt.Println(sum)
+	journal, err := r.Journal()
+	if err != nil {
+		return err
+	}
+	found := check.All(r.Fleet, res.Told, journal)
+	for _, v := range found {
+		fmt.Println("violation:", v)
+	}
+	fmt.Printf("checked %d answers against %d executions: %d violations\n", len(res.Told), len(journal), len(found))
+	switch {
+	case len(found) > 0:
+		return fmt.Errorf("%d violations", len(found))
+	case sum.ByOutcome[outcome.Done] != sum.Sent:
+		return fmt.Errorf("%d of %d requests were not done", sum.Sent-sum.ByOutcome[outcome.Done], sum.Sent)
+	}
+	return nil
+}
--- /dev/null
+++ b/proctest/rig/proc.go
@@ -0,0 +1,77 @@
+package rig
+
+import (
+	"os"
+	"os/exec"
+	"path/filepath"
+	"syscall"
+	"time"
+)
+
+const killAfter = 40 * time.Second // a stop that takes longer has failed
+
+// Proc is one process that the rig started.
+type Proc struct {
+	Name string
+	cmd  *exec.Cmd
+	log  *os.File
+	done chan struct{}
+}
+
+func (r *Rig) run(name, binary string, args ...string) (*Proc, error) {
+	log, err := os.OpenFile(filepath.Join(r.opts.Dir, name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		return nil, err
+	}
+	p := &Proc{Name: name, log: log, done: make(chan struct{})}
+	p.cmd = exec.Command(filepath.Join(r.opts.Bin, binary), args...)
+	p.cmd.Stdout, p.cmd.Stderr = log, log
+	p.cmd.Env = append(os.Environ(), r.opts.Env...)
+	if err := p.cmd.Start(); err != nil {
+		return nil, err
+	}
+	go func() {
+		_ = p.cmd.Wait()
+		close(p.done)
+	}()
+	r.procs = append(r.procs, p)
+	return p, nil
+}
+
+// PID returns the process's id.
+func (p *Proc) PID() int { return p.cmd.Process.Pid }
+
+// Kill ends the process without warning.
+func (p *Proc) Kill() { p.signal(syscall.SIGKILL); <-p.done }
+
+// Freeze stops the process from running until Thaw.
+func (p *Proc) Freeze() { p.signal(syscall.SIGSTOP) }
+
+// Thaw lets a frozen process go on.
+func (p *Proc) Thaw() { p.signal(syscall.SIGCONT) }
+
+// Stop begins a planned stop; Wait waits for its end.
+func (p *Proc) Stop() { p.signal(syscall.SIGTERM) }
+
+// Wait waits for the process's end and returns its exit code.
+func (p *Proc) Wait() int {
+	select {
+	case <-p.done:
+	case <-time.After(killAfter):
+		p.Kill()
+	}
+	return p.cmd.ProcessState.ExitCode()
+}
+
+func (p *Proc) signal(s os.Signal) { _ = p.cmd.Process.Signal(s) }
+
+// Close ends every process of the rig.
+func (r *Rig) Close() {
+	for _, p := range r.procs {
+		p.Kill()
+		_ = p.log.Close()
+	}
+	if r.guard != nil {
+		_ = r.guard.Close()
+	}
+}
--- /dev/null
+++ b/proctest/rig/rig.go
@@ -0,0 +1,407 @@
+// Package rig starts a deployment as real processes: the stand-ins, and an
+// entry and a coord per instance, from an example's files. Tests, the
+// demonstration and the measurements share it.
+package rig
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"regexp"
+	"strconv"
+	"time"
+
+	"github.com/pelletier/go-toml/v2"
+
+	"quinceroad/cmd/load"
+	"quinceroad/cmd/standin/proxy"
+	"quinceroad/cmd/standin/upstream"
+	"quinceroad/protocol/api"
+	"quinceroad/protocol/settings"
+	"quinceroad/state/fleet"
+)
+
+const (
+	firstPort  = 21000 // of the examples
+	portStep   = 1000
+	portSteps  = 11
+	guardPort  = 999 // within a step: held while a rig lives
+	proxyPort  = 500 // added to a port for its proxied form
+	readyLimit = 20 * time.Second
+	readyPoll  = 20 * time.Millisecond
+	token      = "demo-operator"
+)
+
+// Options choose what a rig starts.
+type Options struct {
+	Example string // folder
+	Bin     string // folder of the binaries
+	Dir     string // for generated settings and logs
+	AsIs    bool   // use the example's own ports
+	Proxy   bool   // put the fault proxy before links and platform
+	Env     []string
+	Edit    func(*settings.Instance) // changes an instance's settings
+	Standin func(*upstream.Config)   // changes the stand-ins' settings
+}
+
+// Rig is a running deployment.
+type Rig struct {
+	Instances []*Instance
+	Platform  string // IP:port, not proxied
+	Control   string // of the upstreams' stand-in
+	Fleet     *fleet.Fleet
+	Text      string // the declaration
+
+	opts   Options
+	shift  int
+	guard  net.Listener
+	proxy  string
+	routes []proxy.Route
+	procs  []*Proc
+}
+
+// Instance is one instance's two processes.
+type Instance struct {
+	Name     string
+	Settings *settings.Instance
+	Entry    *Proc
+	Coord    *Proc
+}
+
+// Start starts everything and waits until each entry may be given work.
+func Start(o Options) (*Rig, error) {
+	r := &Rig{opts: o}
+	if err := r.reserve(); err != nil {
+		return nil, err
+	}
+	if err := r.start(); err != nil {
+		r.Close()
+		return nil, err
+	}
+	return r, nil
+}
+
+// reserve finds a range of ports that no other rig uses.
+func (r *Rig) reserve() error {
+	for i := range portSteps {
+		if r.opts.AsIs && i > 0 {
+			break
+		}
+		ln, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", firstPort+i*portStep+guardPort))
+		if err == nil {
+			r.shift, r.guard = i*portStep, ln
+			return nil
+		}
+	}
+	return errors.New("rig: all port ranges are in use")
+}
+
+var (
+	addrPattern = regexp.MustCompile(`127\.0\.0\.1:(\d+)`)
+	portPattern = regexp.MustCompile(`first_port = (\d+)`)
+)
+
+// read returns an example's file with its ports moved to the rig's range.
+func (r *Rig) read(name string) ([]byte, error) {
+	b, err := os.ReadFile(filepath.Join(r.opts.Example, name))
+	if err != nil {
+		return nil, err
+	}
+	move := func(m []byte) []byte {
+		digits := regexp.MustCompile(`\d+$`)
+		return digits.ReplaceAllFunc(m, func(d []byte) []byte {
+			n, _ := strconv.Atoi(string(d))
+			return strconv.AppendInt(nil, int64(n+r.shift), 10)
+		})
+	}
+	b = addrPattern.ReplaceAllFunc(b, move)
+	return portPattern.ReplaceAllFunc(b, move), nil
+}
+
+func (r *Rig) start() error {
+	if err := os.MkdirAll(r.opts.Dir, 0o755); err != nil {
+		return err
+	}
+	if err := r.loadFleet(); err != nil {
+		return err
+	}
+	if err := r.startStandins(); err != nil {
+		return err
+	}
+	files, err := filepath.Glob(filepath.Join(r.opts.Example, "instances", "*.toml"))
+	if err != nil {
+		return err
+	}
+	for _, f := range files {
+		if err := r.addInstance(filepath.Join("instances", filepath.Base(f))); err != nil {
+			return err
+		}
+	}
+	if err := r.startProxy(); err != nil {
+		return err
+	}
+	for _, in := range r.Instances {
+		if err := r.StartCoord(in); err != nil {
+			return err
+		}
+		if err := r.StartEntry(in); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (r *Rig) loadFleet() error {
+	b, err := r.read("fleet.toml")
+	if err != nil {
+		return err
+	}
+	r.Text = string(b)
+	r.Fleet, err = settings.LoadFleet("fleet.toml", b)
+	return err
+}
+
+func (r *Rig) startStandins() error {
+	b, err := r.read("upstreams.toml")
+	if err != nil {
+		return err
+	}
+	c, err := upstream.Load("upstreams.toml", b)
+	if err != nil {
+		return err
+	}
+	if r.opts.Standin != nil {
+		r.opts.Standin(c)
+	}
+	r.Platform, r.Control = c.Platform, c.Control
+	if _, err := r.run("platform", "quince-standin", "platform", "-listen", c.Platform); err != nil {
+		return err
+	}
+	if err := r.waitPort(c.Platform); err != nil {
+		return err
+	}
+	file, err := r.write("upstreams.toml", c)
+	if err != nil {
+		return err
+	}
+	if _, err := r.run("upstreams", "quince-standin", "upstream", "-config", file); err != nil {
+		return err
+	}
+	return r.waitPort(c.Control)
+}
+
+func (r *Rig) addInstance(name string) error {
+	b, err := r.read(name)
+	if err != nil {
+		return err
+	}
+	s, err := settings.LoadInstance(name, b)
+	if err != nil {
+		return err
+	}
+	if r.opts.Proxy {
+		s.Platform = r.proxied(s.Name+"/platform", s.Platform, len(r.routes))
+		s.Coord.Known = r.proxied(s.Name+"/coord", s.Coord.Link, len(r.routes))
+		s.Entry.Known = r.proxied(s.Name+"/entry", s.Entry.Link, len(r.routes))
+		s.Seeds = nil
+	}
+	if r.opts.Edit != nil {
+		r.opts.Edit(s)
+	}
+	r.Instances = append(r.Instances, &Instance{Name: s.Name, Settings: s})
+	return nil
+}
+
+// proxied adds a route before target and returns where it listens.
+func (r *Rig) proxied(name, target string, n int) string {
+	listen := fmt.Sprintf("127.0.0.1:%d", firstPort+r.shift+proxyPort+n)
+	r.routes = append(r.routes, proxy.Route{Name: name, Listen: listen, Target: target})
+	return listen
+}
+
+func (r *Rig) startProxy() error {
+	if !r.opts.Proxy {
+		return nil
+	}
+	for _, in := range r.Instances {
+		for _, o := range r.Instances {
+			if o != in {
+				in.Settings.Seeds = append(in.Settings.Seeds, o.Settings.Coord.Known)
+			}
+		}
+	}
+	r.proxy = fmt.Sprintf("127.0.0.1:%d", firstPort+r.shift+proxyPort-1)
+	file, err := r.write("proxy.toml", proxy.Config{Control: r.proxy, Routes: r.routes})
+	if err != nil {
+		return err
+	}
+	if _, err := r.run("proxy", "quince-standin", "proxy", "-config", file); err != nil {
+		return err
+	}
+	return r.waitPort(r.proxy)
+}
+
+func (r *Rig) write(name string, v any) (string, error) {
+	b, err := toml.Marshal(v)
+	if err != nil {
+		return "", err
+	}
+	file := filepath.Join(r.opts.Dir, name)
+	return file, os.WriteFile(file, b, 0o600)
+}
+
+// StartCoord starts, or starts again, an instance's coord.
+func (r *Rig) StartCoord(in *Instance) (err error) {
+	in.Coord, err = r.startProc(in, "quince-coord", "coord", in.Settings.Coord.Admin)
+	return err
+}
+
+// StartEntry starts, or starts again, an instance's entry.
+func (r *Rig) StartEntry(in *Instance) (err error) {
+	in.Entry, err = r.startProc(in, "quince-entry", "entry", in.Settings.Entry.Admin)
+	return err
+}
+
+func (r *Rig) startProc(in *Instance, binary, kind, admin string) (*Proc, error) {
+	file, err := r.write(in.Name+".toml", in.Settings)
+	if err != nil {
+		return nil, err
+	}
+	p, err := r.run(in.Name+"-"+kind, binary, "-config", file)
+	if err != nil {
+		return nil, err
+	}
+	return p, r.waitPort(admin)
+}
+
+func (r *Rig) waitPort(addr string) error {
+	return r.Until("listening on "+addr, func() bool {
+		c, err := net.Dial("tcp", addr)
+		if err == nil {
+			_ = c.Close()
+		}
+		return err == nil
+	})
+}
+
+// Until polls cond for as long as a deployment may take to settle.
+func (r *Rig) Until(what string, cond func() bool) error {
+	for until := time.Now().Add(readyLimit); time.Now().Before(until); time.Sleep(readyPoll) {
+		if cond() {
+			return nil
+		}
+	}
+	return fmt.Errorf("rig: not in %s: %s", readyLimit, what)
+}
+
+// Confirm plans and confirms a declaration through the first instance and
+// waits until it is in force at every entry.
+func (r *Rig) Confirm(text string) (*api.Confirmed, error) {
+	var plan api.Plan
+	if err := r.Operate(r.Instances[0], "POST", "/v1/plans", text, &plan); err != nil {
+		return nil, err
+	}
+	var done api.Confirmed
+	if err := r.Operate(r.Instances[0], "POST", "/v1/plans/"+plan.ID+"/confirm", "", &done); err != nil {
+		return nil, err
+	}
+	return &done, r.WaitRevision(done.Revision)
+}
+
+// WaitRevision waits until every live entry has the revision in force, sees all
+// instances and the replicas.
+func (r *Rig) WaitRevision(rev uint64) error {
+	return r.Until(fmt.Sprintf("revision %d everywhere", rev), func() bool {
+		for _, in := range r.Instances {
+			s, err := r.EntryState(in)
+			if err != nil || s.Revision < rev || s.Replicas == 0 || s.Members < len(r.Instances) {
+				return false
+			}
+		}
+		return true
+	})
+}
+
+// EntryState is what a rig reads of an entry's dump.
+type EntryState struct {
+	Revision uint64 `json:"revision"`
+	Members  int    `json:"members"`
+	Replicas int    `json:"replicas"`
+	Ledger   int    `json:"ledger_records"`
+}
+
+// EntryState reads an entry's dump.
+func (r *Rig) EntryState(in *Instance) (EntryState, error) {
+	var s EntryState
+	resp, err := http.Get("http://" + in.Settings.Entry.Admin + "/debug/state")
+	if err != nil {
+		return s, err
+	}
+	defer resp.Body.Close()
+	return s, json.NewDecoder(resp.Body).Decode(&s)
+}
+
+// Operate makes one call of the intent API.
+func (r *Rig) Operate(in *Instance, method, path, body string, out any) error {
+	req, err := http.NewRequest(method, "http://"+in.Settings.Coord.Operators+path, bytes.NewBufferString(body))
+	if err != nil {
+		return err
+	}
+	req.Header.Set(api.HeaderKey, "Bearer "+token)
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return err
+	}
+	defer resp.Body.Close()
+	b, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return err
+	}
+	if resp.StatusCode >= 300 && resp.StatusCode != http.StatusConflict {
+		return fmt.Errorf("%s %s: status %d: %s", method, path, resp.StatusCode, b)
+	}
+	return json.Unmarshal(b, out)
+}
+
+// Entries returns the addresses callers use.
+func (r *Rig) Entries() []string {
+	out := make([]string, len(r.Instances))
+	for i, in := range r.Instances {
+		out[i] = in.Settings.Entry.HTTP
+	}
+	return out
+}
+
+// Journal returns what the upstreams executed.
+func (r *Rig) Journal() ([]api.Execution, error) { return load.Journal(r.Control) }
+
+// FaultUpstream makes a replica do wrong.
+func (r *Rig) FaultUpstream(f upstream.Fault) error { return post(r.Control, f) }
+
+// FaultPlatform makes the platform do wrong, by the fields of platform.Faults.
+func (r *Rig) FaultPlatform(f any) error { return post(r.Platform, f) }
+
+// FaultLink makes a proxied route do wrong: NAME/coord, NAME/entry or NAME/platform.
+func (r *Rig) FaultLink(f proxy.Fault) error { return post(r.proxy, f) }
+
+func post(addr string, v any) error {
+	b, err := json.Marshal(v)
+	if err != nil {
+		return err
+	}
+	resp, err := http.Post("http://"+addr+"/fault", "application/json", bytes.NewReader(b))
+	if err != nil {
+		return err
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		return fmt.Errorf("fault: status %d", resp.StatusCode)
+	}
+	return nil
+}
--- /dev/null
+++ b/protocol/event/event.go
@@ -0,0 +1,85 @@
+// Package event is the catalogue of what the processes log: each line carries
+// its event's number. docs/EVENTS.md is made from it and a test compares them.
+package event
+
+import (
+	"fmt"
+	"strings"
+
+	"github.com/hashicorp/go-hclog"
+)
+
+// Event is one kind of log line.
+type Event struct {
+	Number  int
+	Level   hclog.Level
+	Name    string
+	Fields  string // comma-separated
+	Meaning string
+	Do      string // what an operator should do
+}
+
+// Log writes the event; args are alternating field names and values.
+func (e *Event) Log(l hclog.Logger, args ...any) {
+	l.Log(e.Level, e.Name, append([]any{"event", e.Number}, args...)...)
+}
+
+const nothing = "nothing"
+
+// Events of the entry.
+var (
+	EntryStarted  = add(1001, hclog.Info, "entry started", "instance, incarnation, http", "The entry listens.", nothing)
+	EntryStopping = add(1002, hclog.Info, "entry stopping", "instance, wait", "A planned stop began: the entry serves on until the longest address answer has run out.", nothing)
+	EntryStopped  = add(1003, hclog.Info, "entry stopped", "instance, in_flight", "The planned stop ended.", "if in_flight is not 0, look why those requests outlived the stop's limit")
+	ViewLost      = add(1010, hclog.Warn, "coord unreachable", "error", "The entry goes on with its last configuration and members.", "see that the coord on this instance runs")
+	ViewAdopted   = add(1011, hclog.Info, "configuration in force", "revision", "The entry took a new revision into force.", nothing)
+	ViewRefused   = add(1012, hclog.Error, "configuration refused", "revision, error", "The entry was sent a configuration that it can't read or that is older than the one in force.", "compare the versions of the binaries; ask every coord for its revision with quincectl status")
+	Panicked      = add(1020, hclog.Error, "panic in a request", "panic", "One request ended by a fault of the program; others go on.", "report it with the line")
+	LateAnswer    = add(1030, hclog.Warn, "answer dropped", "request, stage, replica, error", "An upstream's answer was late, cut or another request's, and was not used.", "look at that replica when it repeats")
+	Unauthorized  = add(1040, hclog.Warn, "caller refused", "code, path", "A caller's key or ticket was not accepted.", "see that the customer has the declared key")
+	OwnerLost     = add(1050, hclog.Warn, "slots owner unreachable", "service, owner", "The entry chooses replicas by itself for a while.", "see that the owner's coord runs")
+	HomeLost      = add(1060, hclog.Warn, "ticket's home unreachable", "request, home", "The caller was told unknown: only the home may run the request.", "see whether that instance crashed")
+	HandedOver    = add(1070, hclog.Info, "ledger handed over", "heir, entries", "A stopping entry's heir may start its tickets' numbers.", nothing)
+	HandoverFails = add(1071, hclog.Warn, "ledger not handed over", "error", "Retries of this entry's tickets are told unknown.", "see that the platform's store answers; not urgent")
+	Adopted       = add(1072, hclog.Info, "ledger taken over", "from, entries", "This entry starts a stopped entry's numbers.", nothing)
+)
+
+// Events of the coord.
+var (
+	CoordStarted  = add(2001, hclog.Info, "coord started", "instance, incarnation, link", "The coord listens.", nothing)
+	CoordStopped  = add(2002, hclog.Info, "coord stopped", "instance", "A planned stop ended.", nothing)
+	MemberNew     = add(2010, hclog.Info, "member", "name, state, incarnation, leaving", "The view of another instance changed.", "for many at once look at the network between halls")
+	MemberDead    = add(2011, hclog.Warn, "member dead", "name, incarnation", "An instance has been silent and did not refute it.", "see whether it crashed or is cut off")
+	ConfigAdopted = add(2020, hclog.Info, "configuration in force", "revision, plan", "The coord took a new revision into force.", nothing)
+	ConfigOlder   = add(2021, hclog.Error, "older configuration refused", "from, revision, in_force", "The platform or a peer offered an older revision. It was not taken.", "see whether the platform's store was restored from a backup")
+	ConfigClash   = add(2022, hclog.Error, "two plans under one revision", "from, revision, plan", "The platform's store let two plans take one revision.", "the store has lost a write: plan and confirm again")
+	ConfigBroken  = add(2023, hclog.Error, "configuration can't be read", "from, revision, error", "A confirmed declaration does not pass this binary's checks; the one in force stays.", "compare the versions of the binaries")
+	PlatformLost  = add(2030, hclog.Warn, "platform unreachable", "error", "Nothing can be confirmed; what is in force goes on.", "see to the platform's service")
+	PlatformBack  = add(2031, hclog.Info, "platform reachable", "after", "The outage ended.", nothing)
+	ReplicaLeaves = add(2040, hclog.Info, "replica leaving", "replica, incarnation, sign", "The replica gets no new work.", nothing)
+	PlanMade      = add(2050, hclog.Info, "plan made", "plan, by, base", "An operator stated an intent; nothing has changed yet.", nothing)
+	PlanConfirmed = add(2051, hclog.Info, "plan confirmed", "plan, by, revision, state", "An operator confirmed a plan.", nothing)
+	OperatorDeny  = add(2060, hclog.Warn, "operator refused", "path", "A call to the intent API had no valid token.", "see who calls")
+)
+
+var all []*Event
+
+func add(n int, l hclog.Level, name, fields, meaning, do string) *Event {
+	e := &Event{Number: n, Level: l, Name: name, Fields: fields, Meaning: meaning, Do: do}
+	all = append(all, e)
+	return e
+}
+
+// All returns the catalogue by number.
+func All() []*Event { return all }
+
+// Markdown returns the catalogue as the page docs/EVENTS.md.
+func Markdown() string {
+	var b strings.Builder
+	b.WriteString("# Events\n\nEvery log line carries `event`, a number of this list. `make events` writes this page from `protocol/event`; a test compares them.\n\n")
+	b.WriteString("| number | level | line | fields | meaning | what to do |\n| --- | --- | --- | --- | --- | --- |\n")
+	for _, e := range all {
+		fmt.Fprintf(&b, "| %d | %s | %s | %s | %s | %s |\n", e.Number, e.Level, e.Name, e.Fields, e.Meaning, e.Do)
+	}
+	return b.String()
+}
--- /dev/null
+++ b/transport/link/server.go
@@ -0,0 +1,99 @@
+package link
+
+import (
+	"net"
+	"sync"
+
+	"github.com/hashicorp/yamux"
+
+	"quinceroad/protocol/frame"
+)
+
+// Handler serves one stream; it may read and write further frames. The stream
+// is closed when it returns.
+type Handler func(k frame.Kind, first []byte, stream net.Conn)
+
+// Server accepts sessions of peers.
+type Server struct {
+	ln       net.Listener
+	handler  Handler
+	mu       sync.Mutex
+	sessions map[*yamux.Session]struct{}
+	closed   bool
+}
+
+// Listen starts a server on addr.
+func Listen(addr string, h Handler) (*Server, error) {
+	ln, err := net.Listen("tcp", addr)
+	if err != nil {
+		return nil, err
+	}
+	s := &Server{ln: ln, handler: h, sessions: make(map[*yamux.Session]struct{})}
+	go s.accept()
+	return s, nil
+}
+
+func (s *Server) accept() {
+	for {
+		c, err := s.ln.Accept()
+		if err != nil {
+			return
+		}
+		mux, err := yamux.Server(c, config())
+		if err != nil || !s.add(mux) {
+			_ = c.Close()
+			continue
+		}
+		go s.serve(mux)
+	}
+}
+
+func (s *Server) add(mux *yamux.Session) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.closed {
+		return false
+	}
+	s.sessions[mux] = struct{}{}
+	return true
+}
+
+func (s *Server) serve(mux *yamux.Session) {
+	defer func() {
+		_ = mux.Close()
+		s.mu.Lock()
+		delete(s.sessions, mux)
+		s.mu.Unlock()
+	}()
+	for {
+		st, err := mux.AcceptStream()
+		if err != nil {
+			return
+		}
+		go s.stream(st)
+	}
+}
+
+func (s *Server) stream(st *yamux.Stream) {
+	defer st.Close()
+	k, first, err := frame.ReadRaw(st)
+	if err != nil {
+		return
+	}
+	s.handler(k, first, st)
+}
+
+// Stop closes the listener and all sessions.
+func (s *Server) Stop() {
+	_ = s.ln.Close()
+	s.mu.Lock()
+	s.closed = true
+	open := make([]*yamux.Session, 0, len(s.sessions))
+	for mux := range s.sessions {
+		open = append(open, mux)
+	}
+	s.mu.Unlock()
+	for _, mux := range open {
+		_ = mux.Close()
+	}
+}
--- /dev/null
+++ b/transport/platform/platform.go
@@ -0,0 +1,91 @@
+// Package platform is the client of the platform's service: the key-value
+// store and the list of upstream replicas. Each call is made once: the caller
+// decides on retries, since a write may have taken effect though its answer
+// was lost.
+package platform
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"quinceroad/protocol/api"
+)
+
+// The errors of a call.
+var (
+	ErrConflict = errors.New("platform: the key has another version")
+	ErrUnknown  = errors.New("platform: no answer; a write may have taken effect")
+)
+
+const callTimeout = 1 * time.Second
+
+// Client talks to one platform address.
+type Client struct {
+	base string
+	http *fasthttp.Client
+}
+
+// New returns a client of the platform at addr, IP:port.
+func New(addr string) *Client {
+	return &Client{base: "http://" + addr, http: &fasthttp.Client{
+		// The library would send a PUT again whose connection closed
+		// unanswered; all retries are ours.
+		MaxIdemponentCallAttempts: 1,
+		RetryIfErr:                func(*fasthttp.Request, int, error) (bool, bool) { return false, false },
+	}}
+}
+
+// Get reads a key; an absent key has version 0.
+func (c *Client) Get(key string) (api.KV, error) {
+	var kv api.KV
+	return kv, c.call("GET", "/v1/kv/"+key, nil, &kv, callTimeout)
+}
+
+// Put writes a key if its version still is ifVersion, and returns the new version.
+func (c *Client) Put(key string, put api.KVPut) (uint64, error) {
+	var kv api.KV
+	err := c.call("PUT", "/v1/kv/"+key, put, &kv, callTimeout)
+	return kv.Version, err
+}
+
+// Watch waits until the key's version is above after, or for wait, and reads it.
+func (c *Client) Watch(key string, after uint64, wait time.Duration) (api.KV, error) {
+	var kv api.KV
+	path := fmt.Sprintf("/v1/watch/%s?after=%d&wait_ms=%d", key, after, wait.Milliseconds())
+	return kv, c.call("GET", path, nil, &kv, wait+callTimeout)
+}
+
+// Instances reads the lagging list of upstream replicas.
+func (c *Client) Instances() ([]api.Listed, error) {
+	var list []api.Listed
+	return list, c.call("GET", "/v1/instances", nil, &list, callTimeout)
+}
+
+func (c *Client) call(method, path string, body, out any, timeout time.Duration) error {
+	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseRequest(req)
+	defer fasthttp.ReleaseResponse(resp)
+	req.Header.SetMethod(method)
+	req.SetRequestURI(c.base + path)
+	if body != nil {
+		b, err := json.Marshal(body)
+		if err != nil {
+			return err
+		}
+		req.SetBody(b)
+	}
+	if err := c.http.DoTimeout(req, resp, timeout); err != nil {
+		return fmt.Errorf("%w: %w", ErrUnknown, err)
+	}
+	switch resp.StatusCode() {
+	case 200:
+		return json.Unmarshal(resp.Body(), out)
+	case 409:
+		return ErrConflict
+	}
+	return fmt.Errorf("%w: status %d", ErrUnknown, resp.StatusCode())
+}
--- /dev/null
+++ b/transport/upstream/call.go
@@ -0,0 +1,199 @@
+package upstream
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http/httputil"
+	"strconv"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/valyala/fasthttp"
+
+	"quinceroad/coordination/outcome"
+	"quinceroad/protocol/api"
+)
+
+// Call is one attempt at one stage.
+type Call struct {
+	Request  string
+	Stage    string
+	Attempt  int
+	Op       string
+	Class    int
+	Input    []byte
+	Offset   int             // tokens of the answer that are here already
+	Deadline time.Time       // of the whole request
+	OnToken  func(t string)  // nil unless the answer streams
+	Resumed  func() []string // the tokens that are here already
+}
+
+// Answer is what a replica said.
+type Answer struct {
+	Status      int
+	Body        []byte
+	Tokens      []string // of this attempt, without those resumed over
+	Refused     bool     // the replica says that it did not run the call
+	Leaving     bool     // the replica says that it leaves
+	Incarnation uint64   // of the replica
+}
+
+// Digest is the form in which inputs and outputs are compared: xxhash64 in hex.
+func Digest(b []byte) string { return strconv.FormatUint(xxhash.Sum64(b), 16) }
+
+// Do sends the call and reads the whole answer. On success the connection goes
+// back to its client, else it is closed.
+func (cn *Conn) Do(d outcome.Dispatched, c *Call) (*Answer, error) {
+	a, err := cn.do(d, c)
+	if err != nil {
+		cn.Close()
+		return a, err
+	}
+	cn.client.give(cn)
+	return a, nil
+}
+
+func (cn *Conn) do(d outcome.Dispatched, c *Call) (*Answer, error) {
+	digest := Digest(c.Input)
+	if err := cn.net.SetDeadline(c.Deadline); err != nil {
+		return nil, errors.Join(ErrCut, err)
+	}
+	req := fasthttp.AcquireRequest()
+	defer fasthttp.ReleaseRequest(req)
+	c.fill(req, cn.addr, digest)
+	if err := cn.send(d, req); err != nil {
+		return nil, err
+	}
+	var h fasthttp.ResponseHeader
+	if err := h.Read(cn.r); err != nil {
+		return nil, errors.Join(ErrCut, err)
+	}
+	if !c.matches(&h, digest) {
+		return nil, ErrCrossed
+	}
+	a := &Answer{Status: h.StatusCode()}
+	a.Leaving = len(h.Peek(api.HeaderLeaving)) > 0
+	a.Refused = a.Status == fasthttp.StatusServiceUnavailable
+	a.Incarnation, _ = strconv.ParseUint(string(h.Peek(api.HeaderIncarnat)), 10, 64)
+	if h.ContentLength() == -1 {
+		return a, cn.readStream(c, a)
+	}
+	if h.ContentLength() < 0 || h.ContentLength() > maxAnswer {
+		return nil, ErrCut // without a length a cut answer looks whole
+	}
+	a.Body = make([]byte, h.ContentLength())
+	if _, err := io.ReadFull(cn.r, a.Body); err != nil {
+		return nil, errors.Join(ErrCut, err)
+	}
+	return a, nil
+}
+
+func (c *Call) fill(req *fasthttp.Request, addr, digest string) {
+	req.Header.SetMethod(fasthttp.MethodPost)
+	req.SetRequestURI("/v1/execute")
+	req.Header.SetHost(addr)
+	req.Header.Set(api.HeaderRequest, c.Request)
+	req.Header.Set(api.HeaderStage, c.Stage)
+	req.Header.Set(api.HeaderAttempt, strconv.Itoa(c.Attempt))
+	req.Header.Set(api.HeaderDigest, digest)
+	req.Header.Set(api.HeaderOp, c.Op)
+	req.Header.Set(api.HeaderClass, strconv.Itoa(c.Class))
+	req.Header.Set(api.HeaderLeft, strconv.FormatInt(time.Until(c.Deadline).Milliseconds(), 10))
+	if c.Offset > 0 {
+		req.Header.Set(api.HeaderOffset, strconv.Itoa(c.Offset))
+	}
+	req.SetBodyRaw(c.Input)
+}
+
+// matches reports whether an answer names the call's own identity.
+func (c *Call) matches(h *fasthttp.ResponseHeader, digest string) bool {
+	return string(h.Peek(api.HeaderRequest)) == c.Request &&
+		string(h.Peek(api.HeaderStage)) == c.Stage &&
+		string(h.Peek(api.HeaderAttempt)) == strconv.Itoa(c.Attempt) &&
+		string(h.Peek(api.HeaderDigest)) == digest
+}
+
+// StreamEnd is the last event of a replica's stream: what makes it whole.
+type StreamEnd struct {
+	Count  int    `json:"count"`  // tokens, those resumed over included
+	Digest string `json:"digest"` // of all tokens, joined
+}
+
+var (
+	dataPrefix = []byte("data: ")
+	endPrefix  = []byte("event: end")
+)
+
+// readStream reads server-sent tokens until the end event, and checks the end.
+func (cn *Conn) readStream(c *Call, a *Answer) error {
+	body := newLines(httputil.NewChunkedReader(cn.r))
+	ended := false
+	var end StreamEnd
+	for {
+		line, err := body.next()
+		if err == io.EOF && ended {
+			break
+		}
+		if err != nil {
+			return errors.Join(ErrCut, err)
+		}
+		if err := takeLine(line, c, a, &ended, &end); err != nil {
+			return err
+		}
+	}
+	if _, err := cn.r.Discard(len("\r\n")); err != nil { // after the last chunk
+		return errors.Join(ErrCut, err)
+	}
+	return checkEnd(c, a, end)
+}
+
+func takeLine(line []byte, c *Call, a *Answer, ended *bool, end *StreamEnd) error {
+	if bytes.HasPrefix(line, endPrefix) {
+		*ended = true
+		return nil
+	}
+	data, ok := bytes.CutPrefix(line, dataPrefix)
+	if !ok {
+		return nil
+	}
+	if *ended {
+		if err := json.Unmarshal(data, end); err != nil {
+			return fmt.Errorf("%w: %w", ErrCut, err)
+		}
+		return nil
+	}
+	var t api.Token
+	if err := json.Unmarshal(data, &t); err != nil {
+		return fmt.Errorf("%w: %w", ErrCut, err)
+	}
+	a.Tokens = append(a.Tokens, t.Text)
+	if c.OnToken != nil {
+		c.OnToken(t.Text)
+	}
+	return nil
+}
+
+// checkEnd compares the replica's count and digest with the tokens that came,
+// those of earlier attempts included.
+func checkEnd(c *Call, a *Answer, end StreamEnd) error {
+	var all bytes.Buffer
+	n := 0
+	if c.Resumed != nil {
+		for _, t := range c.Resumed() {
+			all.WriteString(t)
+			n++
+		}
+	}
+	for _, t := range a.Tokens {
+		all.WriteString(t)
+		n++
+	}
+	if n != end.Count || Digest(all.Bytes()) != end.Digest {
+		return fmt.Errorf("%w: %d tokens of %d, or another digest", ErrCut, n, end.Count)
+	}
+	a.Body = all.Bytes()
+	return nil
+}
--- /dev/null
+++ b/transport/upstream/upstream.go
@@ -0,0 +1,145 @@
+// Package upstream is the client of services' replicas.
+//
+// It keeps its own connections instead of the HTTP library's client, for three
+// promises: to connect is apart from to write (an outcome.Dispatched is needed
+// for the latter), a connection carries one request at a time and is closed
+// after any failure, and nothing is ever sent twice. Parsing is the library's.
+package upstream
+
+import (
+	"bufio"
+	"errors"
+	"net"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"quinceroad/coordination/outcome"
+)
+
+// The errors of a call.
+var (
+	ErrConnect = errors.New("upstream: no connection; nothing was written")
+	ErrCut     = errors.New("upstream: the answer was cut or did not come")
+	ErrCrossed = errors.New("upstream: the answer is another request's")
+	ErrToken   = errors.New("upstream: not dispatched") // a zero outcome.Dispatched: a fault of the caller
+)
+
+const (
+	dialTimeout = 300 * time.Millisecond
+	maxIdle     = 32               // connections kept per replica
+	idleFor     = 20 * time.Second // below what servers keep them
+	maxAnswer   = 4 << 20
+)
+
+// Client holds the idle connections by replica address.
+type Client struct {
+	mu   sync.Mutex
+	idle map[string][]*Conn
+}
+
+// New returns a client without connections.
+func New() *Client { return &Client{idle: make(map[string][]*Conn)} }
+
+// Conn is a connection to a replica that carries one request at a time.
+type Conn struct {
+	client *Client
+	addr   string
+	net    net.Conn
+	r      *bufio.Reader
+	w      *bufio.Writer
+	used   time.Time
+}
+
+// Connect returns a connection to addr on which nothing is under way.
+func (c *Client) Connect(addr string) (*Conn, error) {
+	for cn := c.take(addr); cn != nil; cn = c.take(addr) {
+		if time.Since(cn.used) < idleFor && quiet(cn.net) {
+			return cn, nil
+		}
+		cn.Close()
+	}
+	n, err := net.DialTimeout("tcp", addr, dialTimeout)
+	if err != nil {
+		return nil, errors.Join(ErrConnect, err)
+	}
+	return &Conn{client: c, addr: addr, net: n, r: bufio.NewReader(n), w: bufio.NewWriter(n)}, nil
+}
+
+func (c *Client) take(addr string) *Conn {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	list := c.idle[addr]
+	if len(list) == 0 {
+		return nil
+	}
+	cn := list[len(list)-1]
+	c.idle[addr] = list[:len(list)-1]
+	return cn
+}
+
+func (c *Client) give(cn *Conn) {
+	cn.used = time.Now()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if len(c.idle[cn.addr]) >= maxIdle {
+		_ = cn.net.Close()
+		return
+	}
+	c.idle[cn.addr] = append(c.idle[cn.addr], cn)
+}
+
+// Forget closes the idle connections to replicas that keep does not name.
+func (c *Client) Forget(keep map[string]bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for addr, list := range c.idle {
+		if keep[addr] {
+			continue
+		}
+		for _, cn := range list {
+			_ = cn.net.Close()
+		}
+		delete(c.idle, addr)
+	}
+}
+
+// Close ends the connection; a replica takes that as a cancel.
+func (cn *Conn) Close() { _ = cn.net.Close() }
+
+// quiet reports whether an idle connection is open and has nothing to read: a
+// closed one would lose the request, and bytes would be a late answer.
+func quiet(c net.Conn) bool {
+	sc, ok := c.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		return false
+	}
+	idle := false
+	err = raw.Read(func(fd uintptr) bool {
+		var b [1]byte
+		_, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		idle = err == syscall.EAGAIN
+		return true
+	})
+	return err == nil && idle
+}
+
+// send writes the request; from here on it may run.
+func (cn *Conn) send(d outcome.Dispatched, req *fasthttp.Request) error {
+	if !d.Valid() {
+		return ErrToken
+	}
+	if err := req.Write(cn.w); err != nil {
+		return errors.Join(ErrCut, err)
+	}
+	if err := cn.w.Flush(); err != nil {
+		return errors.Join(ErrCut, err)
+	}
+	return nil
+}
--- /dev/null
+++ b/transport/web/admin.go
@@ -0,0 +1,63 @@
+package web
+
+import (
+	"bytes"
+	"fmt"
+	"strings"
+
+	metrics "github.com/rcrowley/go-metrics"
+	"github.com/valyala/fasthttp"
+)
+
+// Admin is what a process shows on its admin listener.
+type Admin struct {
+	Registry metrics.Registry
+	Ready    func() error // nil when it may be given work
+	State    func() any   // a consistent dump, without secrets
+}
+
+// Handler serves /healthz, /readyz, /metrics and /debug/state.
+func (a *Admin) Handler(ctx *fasthttp.RequestCtx) {
+	switch string(ctx.Path()) {
+	case "/healthz":
+		ctx.SetBodyString("ok\n")
+	case "/readyz":
+		if err := a.Ready(); err != nil {
+			ctx.SetStatusCode(503)
+			ctx.SetBodyString(err.Error() + "\n")
+			return
+		}
+		ctx.SetBodyString("ready\n")
+	case "/metrics":
+		ctx.SetContentType("text/plain; version=0.0.4")
+		ctx.SetBody(expose(a.Registry))
+	case "/debug/state":
+		JSON(ctx, 200, a.State())
+	default:
+		ctx.SetStatusCode(404)
+		ctx.SetBodyString("have /healthz /readyz /metrics /debug/state\n")
+	}
+}
+
+// expose writes the registry in the text form that scrapers read.
+func expose(r metrics.Registry) []byte {
+	var b bytes.Buffer
+	r.Each(func(name string, m any) {
+		name = "quince_" + strings.ReplaceAll(name, ".", "_")
+		switch m := m.(type) {
+		case metrics.Counter:
+			fmt.Fprintf(&b, "%s_total %d\n", name, m.Count())
+		case metrics.Gauge:
+			fmt.Fprintf(&b, "%s %d\n", name, m.Value())
+		case metrics.GaugeFloat64:
+			fmt.Fprintf(&b, "%s %g\n", name, m.Value())
+		case metrics.Histogram:
+			s := m.Snapshot()
+			for _, q := range []float64{0.5, 0.95, 0.99} {
+				fmt.Fprintf(&b, "%s{quantile=\"%g\"} %g\n", name, q, s.Percentile(q))
+			}
+			fmt.Fprintf(&b, "%s_count %d\n", name, s.Count())
+		}
+	})
+	return b.Bytes()
+}
