Tests of the decisions, the checker, the settings; fuzz targets

Found by them: a replica that once was faster than expected kept drawing all single requests (its measured speed lowered its key), so one replica of three got 100 of 100; speed above the service's is no bonus any more.

--- /dev/null
+++ b/cmd/check/check_test.go
@@ -0,0 +1,105 @@
+package check
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"quinceroad/cmd/standin/work"
+	"quinceroad/coordination/outcome"
+	"quinceroad/protocol/api"
+	"quinceroad/state/fleet"
+	"quinceroad/transport/upstream"
+)
+
+var testFleet = &fleet.Fleet{Pipelines: []fleet.Pipeline{
+	{Name: "p", Repeatable: true, Stages: []fleet.Stage{{Name: "a", Operation: "x"}, {Name: "b", Operation: "y"}}},
+	{Name: "q", Stages: []fleet.Stage{{Name: "s", Operation: "store", Once: true}}},
+}}
+
+// good is a history that keeps every promise.
+func good() ([]Told, []api.Execution) {
+	out := Expect(&testFleet.Pipelines[0], "in")
+	t0 := time.Now()
+	told := []Told{
+		{Pipeline: "p", Input: "in", ID: "1", Outcome: outcome.Done, Output: out, Count: len(out), Digest: upstream.Digest([]byte(out)),
+			Stages: []api.Stage{{Name: "a"}, {Name: "b"}}, Intended: t0, Answered: t0, Deadline: time.Second},
+		{Pipeline: "p", Input: "no", ID: "2", Outcome: outcome.NotRun, Intended: t0, Answered: t0, Deadline: time.Second},
+		{Pipeline: "q", Input: "n1", ID: "3.t", Ticket: "T.1", Outcome: outcome.Unknown, Intended: t0, Answered: t0},
+	}
+	journal := []api.Execution{
+		{Request: "1", Stage: "a", Op: "x", Digest: upstream.Digest([]byte("in")), EndUS: 2},
+		{Request: "1", Stage: "b", Op: "y", Digest: upstream.Digest(work.Output("x", []byte("in"))), EndUS: 3},
+		{Request: "3.t", Stage: "s", Op: "store", Digest: upstream.Digest([]byte("n1"))},
+	}
+	return told, journal
+}
+
+func rows(vs []Violation) map[string]bool {
+	out := make(map[string]bool)
+	for _, v := range vs {
+		out[v.Row] = true
+	}
+	return out
+}
+
+func TestGoodHistory(t *testing.T) {
+	told, journal := good()
+	is.New(t).Equal(len(All(testFleet, told, journal)), 0)
+}
+
+func TestEachViolationIsCalledOne(t *testing.T) {
+	cases := []struct {
+		name, row string
+		spoil     func(told []Told, journal []api.Execution) ([]Told, []api.Execution)
+	}{
+		{"another request's answer", "P1", func(t []Told, j []api.Execution) ([]Told, []api.Execution) {
+			t[0].Output = Expect(&testFleet.Pipelines[0], "other")
+			t[0].Digest = upstream.Digest([]byte(t[0].Output))
+			return t, j
+		}},
+		{"a stage missing from the report", "P1", func(t []Told, j []api.Execution) ([]Told, []api.Execution) {
+			t[0].Stages = t[0].Stages[:1]
+			return t, j
+		}},
+		{"a stage that no replica ended", "P1", func(t []Told, j []api.Execution) ([]Told, []api.Execution) {
+			j[1].EndUS = 0
+			return t, j
+		}},
+		{"a cut answer", "P2", func(t []Told, j []api.Execution) ([]Told, []api.Execution) {
+			t[0].Output = t[0].Output[:3]
+			return t, j
+		}},
+		{"not_run that ran", "P3", func(t []Told, j []api.Execution) ([]Told, []api.Execution) {
+			return t, append(j, api.Execution{Request: "2", Stage: "a", Op: "x"})
+		}},
+		{"one id twice", "P4", func(t []Told, j []api.Execution) ([]Told, []api.Execution) {
+			return t, append(j, j[2])
+		}},
+		{"one number under two ids", "P4", func(t []Told, j []api.Execution) ([]Told, []api.Execution) {
+			x := j[2]
+			x.Request = "r.9"
+			return t, append(j, x)
+		}},
+		{"a refusal held back", "P8", func(t []Told, j []api.Execution) ([]Told, []api.Execution) {
+			t[1].Answered = t[1].Intended.Add(3 * time.Second)
+			return t, j
+		}},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			told, journal := c.spoil(good())
+			is.New(t).True(rows(All(testFleet, told, journal))[c.row])
+		})
+	}
+}
+
+func TestLeftAndUnended(t *testing.T) {
+	is := is.New(t)
+	at := time.Now()
+	late := []api.Execution{{Replica: "r", StartUS: at.Add(4 * time.Second).UnixMicro()}}
+	is.Equal(len(Left(late, "r", at, 3*time.Second)), 1)
+	is.Equal(len(Left(late, "r", at, 5*time.Second)), 0)
+	is.Equal(len(Unended([]Told{{Outcome: outcome.Done}, {}, {Outcome: outcome.NotRun}})), 2)
+}
--- a/coordination/membership/membership.go
+++ b/coordination/membership/membership.go
@@ -9,6 +9,8 @@
 package membership
 
 import (
+	"cmp"
+	"slices"
 	"sort"
 	"time"
 
@@ -50,15 +52,20 @@
 	opts   Options
 	self   string
 	rows   map[string]*row
-	ring   []string // live names by hash
+	ring   []spot // live members by hash
 	digest uint64
 }
 
+// spot is a member's place on the ring.
+type spot struct {
+	hash uint64
+	name string
+}
+
 // New returns a view that holds only self.
 func New(self Member, opts ...Option) *View {
 	v := &View{opts: newOptions(opts), self: self.Name, rows: make(map[string]*row)}
-	v.rows[self.Name] = &row{Member: self}
-	v.rebuild()
+	v.set(&row{Member: self})
 	return v
 }
 
@@ -67,10 +74,10 @@
 
 // Update changes this instance's own entry and raises its sequence number.
 func (v *View) Update(change func(*Member)) Member {
-	r := v.rows[v.self]
+	r := *v.rows[v.self]
 	change(&r.Member)
 	r.Seq++
-	v.rebuild()
+	v.set(&r)
 	return r.Member
 }
 
@@ -85,8 +92,7 @@
 		if m.State == Dead {
 			return false
 		}
-		v.rows[m.Name] = &row{Member: m, since: now}
-		v.rebuild()
+		v.set(&row{Member: m, since: now})
 		return true
 	}
 	if !newer(m, r.Member) {
@@ -95,11 +101,11 @@
 	if m.Incarnation == r.Incarnation && r.Leaving {
 		m.Leaving = true // leaving wins within an incarnation
 	}
+	next := &row{Member: m, since: r.since}
 	if m.State != r.State {
-		r.since = now
+		next.since = now
 	}
-	r.Member = m
-	v.rebuild()
+	v.set(next)
 	return true
 }
 
@@ -109,8 +115,9 @@
 	if m.Incarnation != r.Incarnation || m.Seq < r.Seq || m.State == Alive {
 		return false
 	}
-	r.Seq = m.Seq + 1
-	v.rebuild()
+	next := *r
+	next.Seq = m.Seq + 1
+	v.set(&next)
 	return true
 }
 
@@ -131,9 +138,10 @@
 	if !ok || name == v.self || r.State != Alive {
 		return Member{}, false
 	}
-	r.State, r.since = Suspect, now
-	v.rebuild()
-	return r.Member, true
+	next := &row{Member: r.Member, since: now}
+	next.State = Suspect
+	v.set(next)
+	return next.Member, true
 }
 
 // Tick ends suspicions that were not refuted and forgets the long dead. It
@@ -143,32 +151,38 @@
 	for name, r := range v.rows {
 		switch {
 		case r.State == Suspect && now-r.since > v.opts.SuspectFor:
-			r.State, r.since = Dead, now
-			died = append(died, r.Member)
+			next := &row{Member: r.Member, since: now}
+			next.State = Dead
+			v.set(next)
+			died = append(died, next.Member)
 		case r.State == Dead && now-r.since > v.opts.Forget:
+			v.digest ^= r.hash()
 			delete(v.rows, name)
 		}
 	}
-	if died != nil {
-		v.rebuild()
-	}
 	return died
 }
 
-// rebuild orders the live members and sums up the view. Changes are few (some
-// hundreds a day), reads are many.
-func (v *View) rebuild() {
-	v.ring, v.digest = v.ring[:0], 0
-	for name, r := range v.rows {
-		v.digest ^= r.hash()
-		if r.State != Dead {
-			v.ring = append(v.ring, name)
-		}
+// set puts a row in place of the member's last one and keeps the digest and the
+// ring with it, in time that grows with the ring's memory move only.
+func (v *View) set(r *row) {
+	if old, ok := v.rows[r.Name]; ok {
+		v.digest ^= old.hash()
 	}
-	sort.Slice(v.ring, func(i, j int) bool {
-		a, b := xxhash.Sum64String(v.ring[i]), xxhash.Sum64String(v.ring[j])
-		return a < b || (a == b && v.ring[i] < v.ring[j])
-	})
+	v.rows[r.Name] = r
+	v.digest ^= r.hash()
+	s := spot{hash: xxhash.Sum64String(r.Name), name: r.Name}
+	i, there := slices.BinarySearchFunc(v.ring, s, compareSpots)
+	switch live := r.State != Dead; {
+	case live && !there:
+		v.ring = slices.Insert(v.ring, i, s)
+	case !live && there:
+		v.ring = slices.Delete(v.ring, i, i+1)
+	}
+}
+
+func compareSpots(a, b spot) int {
+	return cmp.Or(cmp.Compare(a.hash, b.hash), cmp.Compare(a.name, b.name))
 }
 
 func (r *row) hash() uint64 {
@@ -211,20 +225,26 @@
 }
 
 // Live returns the names of all members that are not dead, in ring order.
-func (v *View) Live() []string { return append([]string(nil), v.ring...) }
+func (v *View) Live() []string {
+	out := make([]string, len(v.ring))
+	for i, s := range v.ring {
+		out[i] = s.name
+	}
+	return out
+}
 
 // Partners returns the members this instance beats to: those at distances 1,
 // 2, 4, ... after it on the ring.
 func (v *View) Partners() []string {
 	n, at := len(v.ring), 0
-	for i, name := range v.ring {
-		if name == v.self {
+	for i, s := range v.ring {
+		if s.name == v.self {
 			at = i
 		}
 	}
 	var out []string
 	for d := 1; d < n; d *= 2 {
-		out = append(out, v.ring[(at+d)%n])
+		out = append(out, v.ring[(at+d)%n].name)
 	}
 	return out
 }
--- a/coordination/scheduler/pool.go
+++ b/coordination/scheduler/pool.go
@@ -106,7 +106,7 @@
 
 func (p *pool) take(now time.Duration, r *replica, o Options) {
 	r.inflight++
-	if r.probing(p, o) {
+	if r.isSlow(p, o) {
 		r.probeAt = now + o.ProbeGap
 	}
 	p.rate(now, r, o)
@@ -196,7 +196,9 @@
 	return r.late >= lateEnough || r.slow > o.SlowRatio*max(p.ratio, 0.1)
 }
 
-func (r *replica) probing(p *pool, o Options) bool { return r.isSlow(p, o) }
+// penalty is how many times slower than the service the replica is. A faster
+// one gets no bonus: chance alone would then heap the work on few replicas.
+func (r *replica) penalty(p *pool) float64 { return max(1, r.slow/max(p.ratio, 0.1)) }
 
 func (p *pool) rekey(r *replica) {
 	if r.index < 0 {
@@ -208,7 +210,7 @@
 	case r.inflight >= r.room:
 		r.key = math.Inf(1)
 	default:
-		r.key = float64(r.inflight+1) / float64(r.room) * max(r.slow, 0.1)
+		r.key = float64(r.inflight+1) / float64(r.room) * r.penalty(p)
 	}
 	heap.Fix(&p.heap, r.index)
 }
@@ -268,7 +270,7 @@
 		if load >= float64(r.room) || slices.Contains(avoid, r.id) {
 			continue
 		}
-		if score := (load + 1) / float64(r.room) * max(r.slow, 0.1); score < least {
+		if score := (load + 1) / float64(r.room) * r.penalty(p); score < least {
 			best, least = r, score
 		}
 	}
--- /dev/null
+++ b/coordination/scheduler/scheduler_test.go
@@ -0,0 +1,254 @@
+package scheduler
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"quinceroad/state/fleet"
+)
+
+const ms = time.Millisecond
+
+func replicasOf(n, slots int) map[string]int {
+	out := make(map[string]int)
+	for i := range n {
+		out[fmt.Sprintf("r%d", i)] = slots
+	}
+	return out
+}
+
+func ask(id uint64, customer string, class fleet.Class, deadline time.Duration) Ask {
+	return Ask{ID: id, Holder: "e", Customer: customer, Weight: 1, Class: class, Deadline: deadline, Expect: 10 * ms}
+}
+
+func TestQueueOrder(t *testing.T) {
+	is := is.New(t)
+	s := New(1)
+	s.SetReplicas(0, replicasOf(1, 1))
+	is.True(s.Ask(0, ask(1, "a", fleet.Normal, time.Second))[0].Granted())
+	for i, a := range []Ask{
+		ask(2, "a", fleet.Batch, time.Second),
+		ask(3, "a", fleet.Normal, 900*ms),
+		ask(4, "a", fleet.Normal, 800*ms), // less slack than 3
+		ask(5, "b", fleet.Normal, time.Second),
+		ask(6, "a", fleet.Urgent, time.Second),
+	} {
+		is.Equal(len(s.Ask(time.Duration(i)*ms, a)), 0) // queued
+	}
+	var order []uint64
+	for permit := uint64(1); len(order) < 5; permit++ {
+		out := s.Done(10*ms, permit, 10*ms, false)
+		is.Equal(len(out), 1)
+		order = append(order, out[0].Ask)
+	}
+	is.Equal(order[0], uint64(6))                   // the urgent first
+	is.Equal(order[4], uint64(2))                   // batch last
+	is.True(order[1] == 4 || order[1] == 5)         // a's least slack, or b's turn
+	is.True(order[3] != 5 || order[2] == uint64(4)) // b does not wait for all of a
+}
+
+func TestFairShare(t *testing.T) {
+	is := is.New(t)
+	s := New(1, Shed(0))
+	s.SetReplicas(0, replicasOf(1, 1))
+	s.Ask(0, ask(1, "greedy", fleet.Normal, time.Hour))
+	for i := range uint64(100) {
+		s.Ask(0, ask(10+i, "greedy", fleet.Normal, time.Hour))
+	}
+	for i := range uint64(5) {
+		s.Ask(0, ask(1000+i, "small", fleet.Normal, time.Hour))
+	}
+	small := 0
+	for permit := uint64(1); permit <= 12; permit++ {
+		if out := s.Done(0, permit, ms, false); out[0].Ask >= 1000 {
+			small++
+		}
+	}
+	is.Equal(small, 5) // five of the next twelve, behind a hundred
+}
+
+func TestDoomedAndOverload(t *testing.T) {
+	is := is.New(t)
+	s := New(1)
+	s.SetReplicas(0, replicasOf(1, 1))
+	s.Ask(0, ask(1, "a", fleet.Normal, time.Second))
+	is.Equal(len(s.Ask(0, ask(2, "a", fleet.Normal, 45*ms))), 0) // queued
+	out := s.Tick(26 * ms)                                       // slack 19 ms is under twice 10 ms
+	is.Equal(out[0].Reason, Doomed)
+	for i := range uint64(50) {
+		out = s.Ask(30*ms, ask(10+i, "a", fleet.Normal, 130*ms))
+	}
+	is.Equal(out[0].Reason, Overload) // the queue is longer than its deadline
+	is.True(out[0].RetryAfter > 0)
+}
+
+func TestAnnouncementsCount(t *testing.T) {
+	is := is.New(t)
+	s := New(1)
+	s.SetReplicas(0, replicasOf(1, 1))
+	admitted := 0
+	for i := range uint64(50) {
+		out := s.Announce(0, ask(1+i, "a", fleet.Normal, 130*ms), 10*ms)
+		if out[0].Admitted {
+			admitted++
+		}
+	}
+	is.True(admitted > 3 && admitted < 50) // what fits, no more
+	is.True(s.Ask(10*ms, ask(1, "a", fleet.Normal, 130*ms))[0].Granted())
+	is.Equal(s.Stats().Coming, admitted-1)
+	s.Cancel(10*ms, 2, "e")
+	is.Equal(s.Stats().Coming, admitted-2)
+	s.Tick(time.Second)
+	is.Equal(s.Stats().Coming, 0) // ended with their deadlines
+}
+
+func TestSlowReplicaAvoided(t *testing.T) {
+	is := is.New(t)
+	s := New(1)
+	s.SetReplicas(0, replicasOf(4, 1))
+	now := time.Duration(0)
+	onSlow := 0
+	for i := range uint64(200) {
+		now += 20 * ms
+		s.Tick(now)
+		out := s.Ask(now, ask(i+1, "a", fleet.Normal, now+time.Second))
+		took := 10 * ms
+		if out[0].Replica == "r0" {
+			took = 100 * ms
+			onSlow++
+		}
+		s.Done(now+took, out[0].Permit, took, false)
+	}
+	is.True(onSlow < 10) // of 200; an even share would be 50
+}
+
+func TestFailingReplicaEjected(t *testing.T) {
+	is := is.New(t)
+	s := New(1, Shed(0))
+	s.SetReplicas(0, replicasOf(3, 1))
+	failed := 0
+	for i := range uint64(20) { // each round has work for all three
+		var granted []Action
+		for j := range uint64(3) {
+			granted = append(granted, s.Ask(0, ask(3*i+j+1, "a", fleet.Normal, time.Hour))...)
+		}
+		for len(granted) > 0 {
+			g := granted[0]
+			bad := g.Replica == "r1"
+			if bad {
+				failed++
+			}
+			granted = append(granted[1:], s.Done(0, g.Permit, ms, bad)...)
+		}
+	}
+	is.Equal(failed, ejectAfter)
+}
+
+// Whatever comes in whatever order: no replica runs more than its slots, each
+// ask gets exactly one answer, and nothing is left when all is over.
+func TestSlotsNeverExceeded(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		m := &slotModel{s: New(1), inflight: map[string]int{}, permits: map[uint64]string{}, open: map[uint64]bool{}}
+		m.take(t, m.s.SetReplicas(0, replicasOf(3, 2)))
+		t.Repeat(map[string]func(*rapid.T){
+			"ask":      m.ask,
+			"announce": m.announce,
+			"done":     m.done,
+			"cancel":   m.cancel,
+			"tick": func(t *rapid.T) {
+				m.now += time.Duration(rapid.IntRange(0, 100).Draw(t, "ms")) * ms
+				m.take(t, m.s.Tick(m.now))
+			},
+			"": func(t *rapid.T) {
+				for r, n := range m.inflight {
+					if n > 2 {
+						t.Fatalf("%s runs %d", r, n)
+					}
+				}
+				if got := m.s.Stats(); got.Running != len(m.permits) {
+					t.Fatalf("%d running, %d granted", got.Running, len(m.permits))
+				}
+			},
+		})
+		m.now += time.Hour
+		m.take(t, m.s.Tick(m.now))
+		for len(m.permits) > 0 {
+			m.done(t)
+		}
+		if len(m.open) > 0 || m.s.Stats().Queued > 0 || m.s.Stats().Coming > 0 {
+			t.Fatalf("%d asks without an answer", len(m.open))
+		}
+		for i := range m.s.queue.classes {
+			if c := &m.s.queue.classes[i]; c.n != 0 || c.coming != 0 || c.weight > 1e-9 {
+				t.Fatalf("class %d is left with %+v", i, *c)
+			}
+		}
+	})
+}
+
+type slotModel struct {
+	s        *Scheduler
+	now      time.Duration
+	next     uint64
+	inflight map[string]int
+	permits  map[uint64]string
+	open     map[uint64]bool // asked, no answer yet
+	booked   []uint64
+}
+
+func (m *slotModel) take(t *rapid.T, out []Action) {
+	for _, a := range out {
+		if a.Admitted {
+			m.booked = append(m.booked, a.Ask)
+			continue
+		}
+		if !m.open[a.Ask] && a.Granted() {
+			t.Fatalf("ask %d got a second answer", a.Ask)
+		}
+		delete(m.open, a.Ask)
+		if a.Granted() {
+			m.inflight[a.Replica]++
+			m.permits[a.Permit] = a.Replica
+		}
+	}
+}
+
+func (m *slotModel) draw(t *rapid.T) Ask {
+	m.next++
+	left := time.Duration(rapid.IntRange(0, 300).Draw(t, "left")) * ms
+	class := fleet.Class(rapid.IntRange(0, 2).Draw(t, "class"))
+	return ask(m.next, fmt.Sprint("c", rapid.IntRange(0, 2).Draw(t, "customer")), class, m.now+left)
+}
+
+func (m *slotModel) ask(t *rapid.T) {
+	a := m.draw(t)
+	if len(m.booked) > 0 && rapid.Bool().Draw(t, "booked") {
+		a.ID = m.booked[0]
+		m.booked = m.booked[1:]
+	}
+	m.open[a.ID] = true
+	m.take(t, m.s.Ask(m.now, a))
+}
+
+func (m *slotModel) announce(t *rapid.T) { m.take(t, m.s.Announce(m.now, m.draw(t), 20*ms)) }
+
+func (m *slotModel) done(t *rapid.T) {
+	for p, r := range m.permits {
+		delete(m.permits, p)
+		m.inflight[r]--
+		m.take(t, m.s.Done(m.now, p, time.Duration(rapid.IntRange(0, 50).Draw(t, "took"))*ms, rapid.Bool().Draw(t, "failed")))
+		return
+	}
+}
+
+func (m *slotModel) cancel(t *rapid.T) {
+	for id := range m.open {
+		delete(m.open, id)
+		m.take(t, m.s.Cancel(m.now, id, "e"))
+		return
+	}
+}
--- /dev/null
+++ b/protocol/frame/frame_test.go
@@ -0,0 +1,41 @@
+package frame
+
+import (
+	"bytes"
+	"errors"
+	"io"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"quinceroad/protocol/pb"
+)
+
+func TestRoundTrip(t *testing.T) {
+	is := is.New(t)
+	var b bytes.Buffer
+	is.NoErr(Write(&b, Beat, &pb.Beat{Revision: 7}))
+	is.NoErr(Write(&b, Reply, &pb.Config{}))
+	k, _, err := ReadRaw(bytes.NewReader(b.Bytes()))
+	is.NoErr(err)
+	is.Equal(k, Beat)
+	var m pb.Beat
+	is.NoErr(Read(&b, &m))
+	is.Equal(m.GetRevision(), uint64(7))
+	is.NoErr(Read(&b, &pb.Config{}))
+	is.Equal(Read(&b, &m), io.EOF)
+}
+
+func FuzzReadRaw(f *testing.F) {
+	f.Add([]byte{0, 0, 0, 1, 1})
+	f.Add([]byte{255, 255, 255, 255, 1})
+	f.Fuzz(func(t *testing.T, data []byte) {
+		_, b, err := ReadRaw(bytes.NewReader(data))
+		if err == nil && len(b) > len(data) {
+			t.Fatal("more than came")
+		}
+		if err != nil && !errors.Is(err, ErrTooLarge) && !errors.Is(err, io.EOF) && !errors.Is(err, io.ErrUnexpectedEOF) {
+			t.Fatal(err)
+		}
+	})
+}
--- /dev/null
+++ b/protocol/settings/settings_test.go
@@ -0,0 +1,127 @@
+package settings
+
+import (
+	"errors"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+)
+
+const badFleet = `name = "x"
+region = "r"
+halls = ["h"]
+attainment_weight = 1.5
+address_lifetime_seconds = 3
+policy = "permit"
+shed = 2.0
+polcy = "x"
+
+[[service]]
+name = "enc"
+kind = "pool"
+slots = "four"
+`
+
+const dangling = `name = "x"
+region = "r"
+halls = ["h"]
+attainment_weight = 1.5
+address_lifetime_seconds = 3
+policy = "permit"
+shed = 2.0
+
+[[service]]
+name = "enc"
+kind = "pool"
+slots = 4
+
+[[service]]
+name = "enc"
+kind = "pool"
+slots = 0
+
+[[pipeline]]
+name = "p"
+deadline_ms = 10
+priority = "normal"
+repeatable = true
+
+[[pipeline.stage]]
+name = "a"
+service = "encc"
+operation = "encode"
+expect_ms = 1
+once = true
+`
+
+// All findings of a file come in one run, each with its line.
+func TestFindingsTogether(t *testing.T) {
+	cases := []struct {
+		name, text string
+		want       []string
+	}{
+		{"shape", badFleet, []string{
+			`f.toml:8: polcy: unknown key; did you mean "policy"?`,
+			`f.toml:13: service[0].slots: wants int, has a string`,
+		}},
+		{"meaning", dangling, []string{
+			`f.toml:4: attainment_weight: wants 0 to 1, has 1.5`,
+			`f.toml:6: policy: unknown value "permit"; did you mean "permits"?`,
+			`f.toml:15: service[1].name: "enc" stands already at line 10`,
+			`f.toml:17: service[1].slots: wants 1 to 4096, has 0`,
+			`f.toml:23: pipeline[0].repeatable: is true, but it has a stage with once = true: true`,
+			`f.toml:27: pipeline[0].stage[0].service: "encc" is not declared; did you mean "enc"?`,
+		}},
+		{"syntax", "name = \n", []string{"f.toml:1: : toml: incomplete number"}},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			_, err := LoadFleet("f.toml", []byte(c.text))
+			var found Findings
+			is.True(errors.As(err, &found))
+			if c.name == "syntax" {
+				is.Equal(found[0].Line, 1)
+				return
+			}
+			is.Equal(strings.Split(found.Error(), "\n"), c.want)
+		})
+	}
+}
+
+func TestExamplesAreGood(t *testing.T) {
+	is := is.New(t)
+	fleets, err := filepath.Glob("../../examples/*/fleet.toml")
+	is.NoErr(err)
+	is.Equal(len(fleets), 2)
+	for _, f := range fleets {
+		text, err := os.ReadFile(f)
+		is.NoErr(err)
+		_, err = LoadFleet(f, text)
+		is.NoErr(err)
+	}
+	instances, err := filepath.Glob("../../examples/*/instances/*.toml")
+	is.NoErr(err)
+	is.Equal(len(instances), 14)
+	for _, f := range instances {
+		text, err := os.ReadFile(f)
+		is.NoErr(err)
+		_, err = LoadInstance(f, text)
+		is.NoErr(err)
+	}
+}
+
+func FuzzLoadFleet(f *testing.F) {
+	f.Add([]byte(badFleet))
+	f.Add([]byte(dangling))
+	f.Fuzz(func(t *testing.T, text []byte) {
+		_, err := LoadFleet("f", text)
+		var found Findings
+		if err != nil && !errors.As(err, &found) {
+			t.Fatalf("not findings: %v", err)
+		}
+	})
+}
