--- a/cmd/coord/plans.go
+++ b/cmd/coord/plans.go
@@ -135,8 +135,12 @@
 			return &api.Confirmed{Plan: plan.ID, Revision: past.Revision, State: stateConfirmed}, nil
 		}
 	}
-	if inForce, _ := p.coord.config(); at.Revision != plan.Base || inForce.Revision > plan.Base {
-		return &api.Confirmed{Plan: plan.ID, Revision: max(at.Revision, inForce.Revision), State: stateConflict}, nil
+	inForce, _ := p.coord.config()
+	if at.Revision < inForce.Revision { // the store lost data: go on from what is in force
+		at = api.Stored{Revision: inForce.Revision, PlanID: inForce.PlanID, Declaration: string(inForce.Declaration)}
+	}
+	if at.Revision != plan.Base {
+		return &api.Confirmed{Plan: plan.ID, Revision: at.Revision, State: stateConflict}, nil
 	}
 	next := follow(at, plan, by)
 	b, err := json.Marshal(next)
--- a/proctest/fleet_test.go
+++ b/proctest/fleet_test.go
@@ -1,6 +1,7 @@
 package proctest
 
 import (
+	"encoding/json"
 	"fmt"
 	"strings"
 	"sync"
@@ -13,6 +14,7 @@
 	"quinceroad/cmd/standin/upstream"
 	"quinceroad/proctest/rig"
 	"quinceroad/protocol/api"
+	client "quinceroad/transport/platform"
 )
 
 const leaveGrace = 3 * time.Second // brief: "after a few seconds"
@@ -186,8 +188,9 @@
 	stop()
 }
 
-// P7: a platform that answers with older data does not take anyone back, nor a
-// process that starts meanwhile.
+// P7: a platform that answers with older data, or lost the newest for good,
+// does not take anyone back, nor a process that starts meanwhile; and operators
+// can go on from what is in force.
 func TestConfigStalePlatform(t *testing.T) {
 	r := deploy(t, rig.Options{Example: kalahari})
 	p := plan(t, r, r.Instances[0], changed(r, 1))
@@ -203,7 +206,33 @@
 		must(t, r.StartEntry(in))
 	}
 	must(t, r.WaitRevision(d.Revision))
+	must(t, r.FaultPlatform(platform.Faults{}))
+	loseNewest(t, r)
+	res := runLoad(r, 60, 3*time.Second)
+	verdict(t, r, res.Told)
 	stop()
+	must(t, r.WaitRevision(d.Revision))
+	next := plan(t, r, r.Instances[1], changed(r, 2))
+	d, err = confirm(r, r.Instances[1], next.ID)
+	must(t, err)
+	if d.State != "confirmed" || d.Revision != 3 {
+		t.Errorf("%+v, want revision 3 confirmed", d)
+	}
+	must(t, r.WaitRevision(3))
+}
+
+// loseNewest puts an older configuration in place of the newest, as a store
+// does that came back from a backup.
+func loseNewest(t *testing.T, r *rig.Rig) {
+	t.Helper()
+	const key = "config/current"
+	c := client.New(r.Platform)
+	kv, err := c.Get(key)
+	must(t, err)
+	b, err := json.Marshal(api.Stored{Revision: 1, PlanID: "older", Declaration: r.Text})
+	must(t, err)
+	_, err = c.Put(key, api.KVPut{Value: b, IfVersion: kv.Version})
+	must(t, err)
 }
 
 // watchRevisions polls every entry's revision until the returned function is
