Experiment tool: policies side by side, with a bound

Change: proctest/experiment runs scenarios with real processes under each policy in one run, the same arrivals and service times (drawn from the caller's label), and prints attainment, the share of a bound worked out from the service times, wasted slot time, cost, refusals and when they came, the worst customer and broken promises.

--- a/cmd/check/check.go
+++ b/cmd/check/check.go
@@ -16,6 +16,8 @@
 
 // Told is one receipt of a request and what its caller was told.
 type Told struct {
+	Customer string
+	Label    string // the caller's own id
 	Pipeline string
 	Input    string
 	Ticket   string // with its number; "" without
--- a/cmd/load/caller.go
+++ b/cmd/load/caller.go
@@ -111,12 +111,13 @@
 	Numbered bool   // under a ticket
 	Ticket   string // a retry's; "" takes the next number
 	Address  string // "" takes one of the answer's
+	Label    string // the caller's own id for it
 	Intended time.Time
 }
 
 // Do sends one request and returns what the caller was told.
 func (c *Caller) Do(q Request) check.Told {
-	t := check.Told{Pipeline: q.Pipeline, Input: q.Input, Deadline: q.Deadline, Intended: q.Intended, Ticket: q.Ticket}
+	t := check.Told{Label: q.Label, Pipeline: q.Pipeline, Input: q.Input, Deadline: q.Deadline, Intended: q.Intended, Ticket: q.Ticket}
 	if t.Intended.IsZero() {
 		t.Intended = time.Now()
 	}
@@ -155,6 +156,9 @@
 	if t.Ticket != "" {
 		req.Header.Set(api.HeaderTicket, t.Ticket)
 	}
+	if q.Label != "" {
+		req.Header.Set(api.HeaderID, q.Label)
+	}
 	req.SetBody(body)
 	if err := c.http.DoTimeout(req, resp, q.Deadline+answerGrace); err != nil {
 		return err
--- a/cmd/load/load.go
+++ b/cmd/load/load.go
@@ -74,10 +74,12 @@
 			q := Request{
 				Pipeline: m.Pipeline, Input: input(m, o.Seed, n, rnd), Deadline: m.Deadline,
 				Stream: m.Stream, Numbered: m.Numbered, Intended: at,
+				Label: fmt.Sprintf("s%d-%d", o.Seed, n),
 			}
 			time.Sleep(time.Until(at))
 			wg.Go(func() {
 				t := callers[i].Do(q)
+				t.Customer = m.Customer
 				mu.Lock()
 				defer mu.Unlock()
 				res.Told = append(res.Told, t)
@@ -112,6 +114,18 @@
 	P50, P99   time.Duration // of the whole ones, from the intended time
 	Cost       float64       // units spent on answers that came
 	StageTime  time.Duration // of the whole ones
+	ByCustomer map[string]Share
+}
+
+// Share is how many of a customer's requests were whole in time.
+type Share struct{ Sent, Whole int }
+
+// Attainment is the share as a number.
+func (s Share) Attainment() float64 { return float64(s.Whole) / float64(max(s.Sent, 1)) }
+
+// Whole reports whether the request was answered whole within its deadline.
+func Whole(t *check.Told) bool {
+	return t.Outcome == outcome.Done && t.Answered.Sub(t.Intended) <= t.Deadline
 }
 
 const (
@@ -121,9 +135,10 @@
 
 // Summarize works out a load's figures.
 func (r *Result) Summarize() Summary {
-	s := Summary{Sent: len(r.Told), ByOutcome: make(map[outcome.Kind]int)}
+	s := Summary{Sent: len(r.Told), ByOutcome: make(map[outcome.Kind]int), ByCustomer: make(map[string]Share)}
 	h := hdr.New(1, maxLatencyUS, digits)
-	for _, t := range r.Told {
+	for i := range r.Told {
+		t := &r.Told[i]
 		kind := t.Outcome
 		if t.Status == 0 || kind == "" {
 			kind = "no_answer"
@@ -132,12 +147,17 @@
 		for _, st := range t.Stages {
 			s.Cost += st.Cost
 		}
-		took := t.Answered.Sub(t.Intended)
-		if kind != outcome.Done || took > t.Deadline {
+		share := s.ByCustomer[t.Customer]
+		share.Sent++
+		if Whole(t) {
+			share.Whole++
+		}
+		s.ByCustomer[t.Customer] = share
+		if !Whole(t) {
 			continue
 		}
 		s.Whole++
-		_ = h.RecordValue(took.Microseconds()) // in range: a whole one is within its deadline
+		_ = h.RecordValue(t.Answered.Sub(t.Intended).Microseconds()) // in range: a whole one is within its deadline
 		for _, st := range t.Stages {
 			s.StageTime += time.Duration(st.TimeMS * float64(time.Millisecond))
 		}
--- a/cmd/standin/upstream/replica.go
+++ b/cmd/standin/upstream/replica.go
@@ -35,6 +35,7 @@
 	Late    int     `json:"late_ms"`     // run, then answer so much later
 	Leaving bool    `json:"leaving"`     // say so in answers and in the list
 	Refuse  bool    `json:"refuse_work"` // answer 503 without running
+	Dead    bool    `json:"dead"`        // close every connection, run nothing
 }
 
 // replica is one process of a service, as far as callers can tell.
@@ -116,6 +117,9 @@
 
 func (r *replica) execute(w http.ResponseWriter, q *http.Request) {
 	f := r.faults()
+	if f.Dead {
+		panic(http.ErrAbortHandler)
+	}
 	h := w.Header()
 	for _, name := range []string{api.HeaderRequest, api.HeaderStage, api.HeaderAttempt, api.HeaderDigest} {
 		h.Set(name, q.Header.Get(name))
@@ -138,6 +142,7 @@
 	}
 	defer r.leave()
 	line := r.journal.start(r, q, input)
+	defer r.journal.free(line)
 	if f.Cross { // what is answered from here on is another request's
 		h.Set(api.HeaderRequest, "another")
 		input = []byte("another")
--- a/cmd/standin/upstream/upstream.go
+++ b/cmd/standin/upstream/upstream.go
@@ -44,6 +44,13 @@
 	j.lines[line].Output = upstream.Digest(out)
 }
 
+// free notes when a slot was free again, also of a cancelled execution.
+func (j *journal) free(line int) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	j.lines[line].FreeUS = time.Now().UnixMicro()
+}
+
 // Standin is all replicas of one process.
 type Standin struct {
 	config   *Config
--- a/cmd/standin/work/work.go
+++ b/cmd/standin/work/work.go
@@ -48,14 +48,15 @@
 }
 
 // Time returns how long an operation takes: mean times a lognormal factor of
-// mean 1 drawn from the request's own name, so that any policy meets the same
-// service times.
+// mean 1 drawn from the label that the caller gave the request (the part of its
+// id before the dot), so that any policy meets the same service times.
 func Time(mean time.Duration, sigma float64, request, stage string) time.Duration {
 	if sigma == 0 {
 		return mean
 	}
+	label, _, _ := strings.Cut(request, ".")
 	h := fnv.New64a()
-	_, _ = h.Write([]byte(request))
+	_, _ = h.Write([]byte(label))
 	_, _ = h.Write([]byte{0})
 	_, _ = h.Write([]byte(stage))
 	s := xxhash.Sum64String(fmt.Sprint(h.Sum64()))
--- /dev/null
+++ b/proctest/experiment/main.go
@@ -0,0 +1,116 @@
+// Command experiment compares policies: each scenario is run under each of
+// them, side by side in one run, with real processes and the same arrivals and
+// service times. It prints a table and checks the ratios to the best baseline
+// of the same run against proctest/experiment/bounds.toml.
+package main
+
+import (
+	"flag"
+	"fmt"
+	"os"
+	"text/tabwriter"
+	"time"
+
+	"github.com/pelletier/go-toml/v2"
+)
+
+type options struct {
+	bin, scenario, policy, bounds string
+	seed                          uint64
+}
+
+func main() {
+	var o options
+	flag.StringVar(&o.bin, "bin", "bin", "folder of the binaries")
+	flag.StringVar(&o.scenario, "scenario", "", "only scenarios whose names contain this")
+	flag.StringVar(&o.policy, "policy", "", "only this policy")
+	flag.StringVar(&o.bounds, "bounds", "proctest/experiment/bounds.toml", "least ratios to the best baseline")
+	flag.Uint64Var(&o.seed, "seed", 1, "of arrivals and inputs")
+	flag.Parse()
+	if err := run(o); err != nil {
+		fmt.Fprintln(os.Stderr, "experiment:", err)
+		os.Exit(1)
+	}
+}
+
+// bounds are the least ratios of a policy's attainment to the best baseline's.
+type bounds struct {
+	Scenarios []scenarioBound `toml:"scenario"`
+}
+
+type scenarioBound struct {
+	Name  string  `toml:"name"`
+	Least float64 `toml:"least_ratio"` // of permits
+}
+
+func run(o options) error {
+	text, err := os.ReadFile(o.bounds)
+	if err != nil {
+		return err
+	}
+	var b bounds
+	if err := toml.Unmarshal(text, &b); err != nil {
+		return err
+	}
+	t := tabwriter.NewWriter(os.Stdout, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(t, "SCENARIO\tPOLICY\tSENT\tATTAINMENT\tOF BOUND\tTO BASE\tP50\tP99\tWASTED\tREFUSED\tAFTER\tCOST\tWORST CUSTOMER\tBROKEN")
+	failed := 0
+	for _, s := range find(o.scenario) {
+		n, err := compare(t, s, o, b)
+		if err != nil {
+			return fmt.Errorf("%s: %w", s.name, err)
+		}
+		failed += n
+		_ = t.Flush()
+	}
+	if failed > 0 {
+		return fmt.Errorf("%d figures are under their bounds or broke a promise", failed)
+	}
+	return nil
+}
+
+// compare runs one scenario under each policy and counts what is not good.
+func compare(t *tabwriter.Writer, s scenario, o options, b bounds) (int, error) {
+	best, failed := 0.0, 0
+	for _, p := range policies() {
+		if o.policy != "" && o.policy != p.name {
+			continue
+		}
+		f, err := measure(s, p, o.bin, o.seed)
+		if err != nil {
+			return 0, err
+		}
+		if p.base {
+			best = max(best, f.Attainment)
+		}
+		ratio := 0.0
+		if best > 0 {
+			ratio = f.Attainment / best
+		}
+		failed += f.Violations
+		for _, sb := range b.Scenarios {
+			if sb.Name == s.name && p.name == "permits" && best > 0 && ratio < sb.Least {
+				failed++
+			}
+		}
+		print(t, s, p, f, ratio)
+	}
+	return failed, nil
+}
+
+func print(t *tabwriter.Writer, s scenario, p policy, f *figures, ratio float64) {
+	worst, least := "", 2.0
+	cost := 0.0
+	for name, c := range f.ByCustomer {
+		if c.Attainment() < least {
+			worst, least = name, c.Attainment()
+		}
+	}
+	for _, c := range f.StageCost {
+		cost += c
+	}
+	fmt.Fprintf(t, "%s\t%s\t%d\t%.3f\t%.2f\t%.2f\t%s\t%s\t%.3f\t%d\t%s\t%.3f\t%s %.3f\t%d\n",
+		s.name, p.name, f.Sent, f.Attainment, f.Attainment/max(f.Bound, 1e-9), ratio,
+		f.P50.Round(time.Millisecond), f.P99.Round(time.Millisecond), f.Wasted,
+		f.ByOutcome["not_run"], f.Refused.Round(time.Millisecond), cost, worst, least, f.Violations)
+}
--- a/protocol/api/platform.go
+++ b/protocol/api/platform.go
@@ -37,7 +37,8 @@
 	Op      string `json:"op"`
 	Digest  string `json:"digest"` // of the input
 	StartUS int64  `json:"start_us"`
-	EndUS   int64  `json:"end_us"` // 0 while it runs or was cancelled
+	EndUS   int64  `json:"end_us"`  // 0 while it runs or was cancelled
+	FreeUS  int64  `json:"free_us"` // when its slot was free again; 0 while it runs
 	Output  string `json:"output_digest"`
 }
 
