Fenced orders: one holder tells the engines which model to serve

Cause: P9 had no mechanism. Not proved: engines that check no tokens, between the check and the write.

--- a/cmd/check/check.go
+++ b/cmd/check/check.go
@@ -225,3 +225,18 @@
 	}
 	return out
 }
+
+// Fenced is P9: no engine that checks obeys a token lower than one it has obeyed.
+func Fenced(orders []api.Ordered) []Violation {
+	highest := make(map[string]uint64)
+	var out []Violation
+	for _, o := range orders {
+		if o.Obeyed && o.Fence < highest[o.Replica] {
+			out = append(out, Violation{Row: "P9", ID: o.Replica, Text: fmt.Sprintf("obeyed token %d after %d", o.Fence, highest[o.Replica])})
+		}
+		if o.Obeyed {
+			highest[o.Replica] = o.Fence
+		}
+	}
+	return out
+}
--- a/cmd/coord/coord.go
+++ b/cmd/coord/coord.go
@@ -54,6 +54,7 @@
 	owner    *owner
 	watchers *watchers
 	plans    *plans
+	orders   *orders
 
 	kick    chan struct{} // beat now: there is news
 	server  *link.Server
@@ -106,6 +107,7 @@
 	})
 	c.owner = newOwner(c)
 	c.plans = newPlans(c)
+	c.orders = newOrders(c)
 	return c
 }
 
@@ -126,7 +128,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	c.cancel = cancel
 	c.running, ctx = errgroup.WithContext(ctx)
-	loops := []func(context.Context){c.beatLoop, c.configLoop, c.listLoop, c.sweepLoop}
+	loops := []func(context.Context){c.beatLoop, c.configLoop, c.listLoop, c.sweepLoop, c.orders.loop}
 	for _, loop := range loops {
 		c.running.Go(func() error { loop(ctx); return nil })
 	}
--- a/cmd/standin/upstream/replica.go
+++ b/cmd/standin/upstream/replica.go
@@ -22,6 +22,7 @@
 	cacheShare  = 0.25 // of the time saved when the prefix is cached
 	cacheMost   = 64   // prefixes a replica keeps
 	prefixBytes = 64
+	loadTime    = 60 * time.Millisecond // to load a model
 )
 
 // Fault is what a replica does wrong; set by POST /fault.
@@ -54,6 +55,7 @@
 	cache   map[string]*list.Element
 	recent  list.List
 	fence   uint64
+	model   string
 	reports []report // by time, the first is the one shown
 }
 
@@ -91,16 +93,27 @@
 	}
 }
 
-// order obeys a fenced order unless a newer holder has given one.
+// order obeys a fenced order unless a newer holder has given one; to load the
+// model takes a while.
 func (r *replica) order(w http.ResponseWriter, q *http.Request) {
-	fence, _ := strconv.ParseUint(q.Header.Get("X-Fence"), 10, 64)
+	fence, _ := strconv.ParseUint(q.Header.Get(api.HeaderFence), 10, 64)
+	var o api.Order
+	if err := json.NewDecoder(q.Body).Decode(&o); err != nil {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
 	r.mu.Lock()
-	defer r.mu.Unlock()
-	if r.svc.Fences && fence < r.fence {
+	obey := !r.svc.Fences || fence >= r.fence
+	if obey {
+		r.fence, r.model = fence, o.Model
+	}
+	r.mu.Unlock()
+	r.journal.order(api.Ordered{Replica: r.id, Fence: fence, Model: o.Model, Obeyed: obey, AtUS: time.Now().UnixMicro()})
+	if !obey {
 		w.WriteHeader(http.StatusPreconditionFailed)
 		return
 	}
-	r.fence = max(r.fence, fence)
+	time.Sleep(loadTime)
 }
 
 func (r *replica) load() api.LoadReport {
--- a/cmd/standin/upstream/upstream.go
+++ b/cmd/standin/upstream/upstream.go
@@ -20,8 +20,15 @@
 
 // journal is the list of executions, shared by all replicas of the process.
 type journal struct {
-	mu    sync.Mutex
-	lines []api.Execution
+	mu     sync.Mutex
+	lines  []api.Execution
+	orders []api.Ordered
+}
+
+func (j *journal) order(o api.Ordered) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	j.orders = append(j.orders, o)
 }
 
 func (j *journal) start(r *replica, q *http.Request, input []byte) int {
@@ -90,6 +97,7 @@
 	}
 	mux := http.NewServeMux()
 	mux.HandleFunc("/journal", s.serveJournal)
+	mux.HandleFunc("/orders", s.serveOrders)
 	mux.HandleFunc("/fault", s.serveFault)
 	if err := s.listen(s.config.Control, mux); err != nil {
 		return err
@@ -131,6 +139,13 @@
 	_ = json.NewEncoder(w).Encode(lines)
 }
 
+func (s *Standin) serveOrders(w http.ResponseWriter, _ *http.Request) {
+	s.journal.mu.Lock()
+	orders := append([]api.Ordered(nil), s.journal.orders...)
+	s.journal.mu.Unlock()
+	_ = json.NewEncoder(w).Encode(orders)
+}
+
 func (s *Standin) serveFault(w http.ResponseWriter, q *http.Request) {
 	var f Fault
 	if err := json.NewDecoder(q.Body).Decode(&f); err != nil {
--- a/proctest/capacity/series.go
+++ b/proctest/capacity/series.go
@@ -19,6 +19,9 @@
 
 func idle() {}
 
+// none leaves the ports of replicas to many coords.
+func none(c *upstream.Config) { c.Services = nil }
+
 func asIs(r *rig.Rig) string { return r.Text }
 
 // instances: membership and platform calls of coords that have nothing to do.
@@ -26,7 +29,7 @@
 	s := &series{title: "instances: x = log2(n), n = 6, 12, 24, 48 coords, idle",
 		columns: []string{"n", "cpu %", "worst cpu %", "RSS MB", "link in KB/s", "link out KB/s", "platform calls/s, all"}}
 	for _, n := range []int{6, 12, 24, 48} {
-		r, end, err := start(rig.Options{Bin: bin, Many: n}, asIs)
+		r, end, err := start(rig.Options{Bin: bin, Many: n, Standin: none}, asIs)
 		if err != nil {
 			return err
 		}
--- a/protocol/api/api.go
+++ b/protocol/api/api.go
@@ -26,6 +26,7 @@
 	HeaderOffset   = "X-Resume-Offset"
 	HeaderLeaving  = "X-Leaving"
 	HeaderIncarnat = "X-Incarnation"
+	HeaderFence    = "X-Fence" // of an order: the fencing token of who gives it
 )
 
 // Error is the body of every answer that is not a whole result.
--- a/protocol/api/platform.go
+++ b/protocol/api/platform.go
@@ -48,3 +48,18 @@
 	Running int    `json:"running"`
 	Queued  int    `json:"queued"`
 }
+
+// Order tells a model engine what to serve: POST /v1/orders with HeaderFence.
+// An engine that checks answers 412 to a token lower than one it has obeyed.
+type Order struct {
+	Model string `json:"model"` // NAME@VERSION
+}
+
+// Ordered is one line of a stand-in engine's journal of orders.
+type Ordered struct {
+	Replica string `json:"replica"`
+	Fence   uint64 `json:"fence"`
+	Model   string `json:"model"`
+	Obeyed  bool   `json:"obeyed"`
+	AtUS    int64  `json:"at_us"`
+}
--- a/protocol/event/event.go
+++ b/protocol/event/event.go
@@ -59,6 +59,10 @@
 	ReplicaLeaves = add(2040, hclog.Info, "replica leaving", "replica, incarnation, sign", "The replica gets no new work.", nothing)
 	PlanMade      = add(2050, hclog.Info, "plan made", "plan, by, base", "An operator stated an intent; nothing has changed yet.", nothing)
 	PlanConfirmed = add(2051, hclog.Info, "plan confirmed", "plan, by, revision, state", "An operator confirmed a plan.", nothing)
+	LeaseTaken    = add(2070, hclog.Info, "order lease taken", "token", "This coord gives the engines their orders from now on.", nothing)
+	LeaseLost     = add(2071, hclog.Warn, "order lease lost", "token", "This coord gives no orders any more.", "nothing, unless no other takes it: then see to the platform's service")
+	OrderGiven    = add(2072, hclog.Info, "order obeyed", "replica, model, token", "An engine serves the declared model.", nothing)
+	OrderRefused  = add(2073, hclog.Warn, "order not obeyed", "replica, model, token, error", "An engine did not take an order; it is given again while the lease is held.", "look at that replica when it repeats")
 	OperatorDeny  = add(2060, hclog.Warn, "operator refused", "path", "A call to the intent API had no valid token.", "see who calls")
 )
 
--- a/protocol/settings/declaration.go
+++ b/protocol/settings/declaration.go
@@ -47,6 +47,9 @@
 		d.oneOf(key+".kind", string(s.Kind), string(fleet.Engine), string(fleet.Pool), string(fleet.Plain))
 		d.between(key+".slots", float64(s.Slots), 1, maxSlots)
 		d.between(key+".cost", s.Cost, 0, 1e6)
+		if s.Model != "" && s.Kind != fleet.Engine {
+			d.Add(key+".model", "only a service of kind engine has a model")
+		}
 	}
 }
 
--- a/state/fleet/fleet.go
+++ b/state/fleet/fleet.go
@@ -50,6 +50,7 @@
 	Kind  Kind    `toml:"kind"`
 	Slots int     `toml:"slots"` // requests a replica runs at once
 	Cost  float64 `toml:"cost"`  // units per second of one slot
+	Model string  `toml:"model"` // engines: NAME@VERSION that the replicas are ordered to serve; empty: as they are
 }
 
 // Pipeline is a chain of stages under one deadline.
