Partition of all from all, idle schedulers without ticks, benches of the cores

Cause: no test cut instances from each other in both directions; every coord ticked the schedulers of all services, owned or not, over all replicas every 20 ms. Found: callers that sent numbered requests to any address were told unknown by 85 of 85 while all entries were cut off from each other; the address answer names the home, and the load client now sends there as docs/API.md asks. Change: TestPartitionHeals; idle schedulers get no ticks and look at their replicas when next asked; make bench has ns and allocations per decision.

--- a/cmd/load/caller.go
+++ b/cmd/load/caller.go
@@ -131,7 +131,10 @@
 		if q.Numbered && q.Ticket == "" {
 			t.Ticket = fmt.Sprintf("%s.%d", a.Ticket, c.number.Add(1))
 		}
-		if addr == "" {
+		switch {
+		case addr == "" && q.Numbered:
+			addr = a.Home // any other would have to forward it there
+		case addr == "":
 			addr = a.Addresses[c.turn.Add(1)%uint64(len(a.Addresses))].Address
 		}
 	}
--- a/cmd/slots/slots.go
+++ b/cmd/slots/slots.go
@@ -46,7 +46,7 @@
 }
 
 // Start begins the ticks.
-func (h *Host) Start() { go h.tick() }
+func (h *Host) Start() { go h.ticks() }
 
 // Stop ends the ticks.
 func (h *Host) Stop() { close(h.quit) }
@@ -153,7 +153,14 @@
 	return true
 }
 
-func (h *Host) tick() {
+func tick(s *scheduler.Scheduler, now time.Duration) []scheduler.Action {
+	if s.Idle() {
+		return nil
+	}
+	return s.Tick(now)
+}
+
+func (h *Host) ticks() {
 	t := time.NewTicker(tickEvery)
 	defer t.Stop()
 	for {
@@ -163,7 +170,7 @@
 		case <-t.C:
 		}
 		for name := range h.services.Rows() {
-			h.with(name, func(s *scheduler.Scheduler, now time.Duration) []scheduler.Action { return s.Tick(now) })
+			h.with(name, tick)
 		}
 	}
 }
--- /dev/null
+++ b/coordination/scheduler/bench_test.go
@@ -0,0 +1,62 @@
+package scheduler
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"quinceroad/state/fleet"
+)
+
+// BenchmarkDecision is one ask and the end of one permit, at 90% of the slots,
+// as the fleet grows: flat or logarithmic is what is wanted.
+func BenchmarkDecision(b *testing.B) {
+	for _, policy := range []Policy{Exact, Local, LeastInflight, RoundRobin} {
+		for _, n := range []int{12, 600, 6000} {
+			b.Run(fmt.Sprintf("%s/replicas=%d", policy, n), func(b *testing.B) {
+				const slots = 4
+				s := New(1, WithPolicy(policy))
+				s.SetReplicas(0, replicasOf(n, slots))
+				var out []Action
+				id := uint64(0)
+				for range n * slots * 9 / 10 {
+					id++
+					out = append(out, s.Ask(0, ask(id, "c", fleet.Normal, time.Hour))...)
+				}
+				b.ReportAllocs()
+				for i := 0; b.Loop(); i++ {
+					id++
+					s.Done(0, out[i%len(out)].Permit, 10*time.Millisecond, false)
+					out[i%len(out)] = s.Ask(0, ask(id, "c", fleet.Normal, time.Hour))[0]
+				}
+			})
+		}
+	}
+}
+
+// BenchmarkQueue is one ask into and one grant out of a queue that holds many
+// customers' asks.
+func BenchmarkQueue(b *testing.B) {
+	for _, customers := range []int{5, 540, 5400} {
+		b.Run(fmt.Sprintf("customers=%d", customers), func(b *testing.B) {
+			s := New(1, Shed(0))
+			s.SetReplicas(0, replicasOf(1, 1))
+			id := uint64(1)
+			permit := s.Ask(0, ask(id, "c0", fleet.Normal, time.Hour))[0].Permit
+			for range 4 * customers {
+				id++
+				s.Ask(0, ask(id, fmt.Sprint("c", int(id)%customers), fleet.Normal, time.Hour))
+			}
+			names := make([]string, customers)
+			for i := range names {
+				names[i] = fmt.Sprint("c", i)
+			}
+			b.ReportAllocs()
+			for b.Loop() {
+				id++
+				s.Ask(0, ask(id, names[id%uint64(customers)], fleet.Normal, time.Hour))
+				permit = s.Done(0, permit, time.Millisecond, false)[0].Permit
+			}
+		})
+	}
+}
--- a/coordination/scheduler/scheduler.go
+++ b/coordination/scheduler/scheduler.go
@@ -70,6 +70,9 @@
 // waitMargin is what an expected wait may be wrong by, as a share of it.
 const waitMargin = 0.5
 
+// lookEvery is the longest time between two looks at the replicas in use.
+const lookEvery = 100 * time.Millisecond
+
 // mostMargin is the share of an ask's slack that its margin may take.
 const mostMargin = 2.0 / 3
 
@@ -81,7 +84,8 @@
 	permits  map[uint64]*permit
 	granted  map[askKey]uint64 // ask -> its permit
 	next     uint64
-	meanTook float64 // nanoseconds, over all replicas
+	meanTook float64       // nanoseconds, over all replicas
+	looked   time.Duration // when the replicas were last looked at
 	out      []Action
 }
 
@@ -107,6 +111,7 @@
 // Ask takes in a stage: it is granted, refused at once, or queued.
 func (s *Scheduler) Ask(now time.Duration, a Ask) []Action {
 	s.out = nil
+	s.wake(now)
 	if s.pool.len() == 0 {
 		s.refuse(&a, NoReplica, s.opts.ComeBack)
 		return s.out
@@ -128,6 +133,7 @@
 // or refused while nothing of the request has run.
 func (s *Scheduler) Announce(now time.Duration, a Ask, ready time.Duration) []Action {
 	s.out = nil
+	s.wake(now)
 	if s.pool.len() == 0 {
 		s.refuse(&a, NoReplica, s.opts.ComeBack)
 		return s.out
@@ -258,16 +264,34 @@
 	return s.out
 }
 
+// Idle reports whether nothing runs, waits or was announced; an idle scheduler
+// needs no ticks.
+func (s *Scheduler) Idle() bool {
+	return len(s.permits)+s.queue.len()+len(s.queue.coming) == 0
+}
+
 // Tick drops the doomed and looks at replicas whose requests are overdue; call
-// it about every 50 ms.
+// it about every 20 ms unless it is idle.
 func (s *Scheduler) Tick(now time.Duration) []Action {
 	s.out = nil
+	s.look(now)
+	s.pump(now)
+	return s.out
+}
+
+// wake looks at the replicas when no tick has for a while.
+func (s *Scheduler) wake(now time.Duration) {
+	if now-s.looked > lookEvery {
+		s.look(now)
+	}
+}
+
+func (s *Scheduler) look(now time.Duration) {
+	s.looked = now
 	for _, p := range s.permits {
 		s.pool.watch(now, p, s.opts)
 	}
 	s.pool.refresh(now, s.opts)
-	s.pump(now)
-	return s.out
 }
 
 // pump refuses the doomed, then grants while there are asks and slots.
--- a/proctest/fleet_test.go
+++ b/proctest/fleet_test.go
@@ -11,6 +11,7 @@
 	"quinceroad/cmd/check"
 	"quinceroad/cmd/load"
 	"quinceroad/cmd/standin/platform"
+	"quinceroad/cmd/standin/proxy"
 	"quinceroad/cmd/standin/upstream"
 	"quinceroad/proctest/rig"
 	"quinceroad/protocol/api"
@@ -267,3 +268,54 @@
 		wg.Wait()
 	}
 }
+
+// Every instance cut off from every other, and all but one from the platform:
+// each goes on serving alone; what was confirmed at the one reaches the others
+// once the cut is over, and the views agree again.
+func TestPartitionHeals(t *testing.T) {
+	r := deploy(t, rig.Options{Example: kalahari, Proxy: true})
+	confirmer := r.Instances[0]
+	cut := func(on bool) {
+		for _, in := range r.Instances {
+			must(t, r.FaultLink(proxy.Fault{Route: in.Name + "/coord", Cut: on}))
+			must(t, r.FaultLink(proxy.Fault{Route: in.Name + "/entry", Cut: on}))
+			if in != confirmer {
+				must(t, r.FaultLink(proxy.Fault{Route: in.Name + "/platform", Cut: on}))
+			}
+		}
+	}
+	cut(true)
+	res := runLoad(r, 60, 5*time.Second)
+	t.Log(res.Summarize())
+	verdict(t, r, res.Told)
+	if allAlive(t, r) {
+		t.Error("nobody noticed the cut")
+	}
+	p := plan(t, r, confirmer, changed(r, 1))
+	d, err := confirm(r, confirmer, p.ID)
+	must(t, err)
+	if s, err := r.EntryState(r.Instances[5]); err != nil || s.Revision != 1 {
+		t.Errorf("a cut instance has revision %d, %v", s.Revision, err)
+	}
+	cut(false)
+	must(t, r.WaitRevision(d.Revision))
+	must(t, r.Until("equal views", func() bool { return allAlive(t, r) }))
+}
+
+// allAlive reports whether every coord sees every instance alive.
+func allAlive(t *testing.T, r *rig.Rig) bool {
+	t.Helper()
+	for _, in := range r.Instances {
+		var s api.Status
+		must(t, r.Operate(in, "GET", "/v1/status", "", &s))
+		for _, m := range s.Instances {
+			if m.State != "alive" {
+				return false
+			}
+		}
+		if len(s.Instances) != len(r.Instances) {
+			return false
+		}
+	}
+	return true
+}
