Customers' limits: shares of one budget that follow demand

Cause: a customer's rate was split evenly over all entries, whoever was asked: at half its rate and one entry, 63 of 92 requests were refused. Change: a soft owner (rendezvous over eight buckets, so that an entry has at most eight such links) divides the rate by what each entry reports seeing; without word of the owner the last share stays. Declarations travel and lie compressed (before and after below, in docs/CAPACITY.md), plans lapse after an hour.

--- a/cmd/coord/config.go
+++ b/cmd/coord/config.go
@@ -138,12 +138,12 @@
 		event.ConfigBroken.Log(c.log, "from", from, "revision", 0, "error", err.Error())
 		return
 	}
-	c.offer(revision.Config{Revision: s.Revision, PlanID: s.PlanID, Declaration: []byte(s.Declaration)}, from)
+	c.offer(revision.Config{Revision: s.Revision, PlanID: s.PlanID, Declaration: s.Declaration}, from)
 }
 
 // offer takes a configuration into force if it is newer and can be read.
 func (c *Coord) offer(cfg revision.Config, from string) revision.Verdict {
-	f, err := settings.LoadFleet("revision", cfg.Declaration)
+	f, err := settings.LoadPacked(cfg.Declaration)
 	if err != nil {
 		event.ConfigBroken.Log(c.log, "from", from, "revision", cfg.Revision, "error", err.Error())
 		return revision.Conflict
--- a/cmd/coord/coord.go
+++ b/cmd/coord/coord.go
@@ -55,6 +55,7 @@
 	watchers *watchers
 	plans    *plans
 	orders   *orders
+	limits   *limits
 
 	kick    chan struct{} // beat now: there is news
 	server  *link.Server
@@ -108,6 +109,7 @@
 	c.owner = newOwner(c)
 	c.plans = newPlans(c)
 	c.orders = newOrders(c)
+	c.limits = newLimits(c)
 	return c
 }
 
@@ -200,5 +202,8 @@
 const sweepEvery = 5 * time.Second
 
 func (c *Coord) sweepLoop(ctx context.Context) {
-	every(ctx, sweepEvery, func() { c.links.Sweep(time.Now()) })
+	every(ctx, sweepEvery, func() {
+		c.links.Sweep(time.Now())
+		c.limits.sweep()
+	})
 }
--- a/cmd/coord/intent.go
+++ b/cmd/coord/intent.go
@@ -9,6 +9,7 @@
 	"quinceroad/coordination/outcome"
 	"quinceroad/protocol/api"
 	"quinceroad/protocol/event"
+	"quinceroad/protocol/pack"
 	"quinceroad/protocol/settings"
 	"quinceroad/transport/web"
 )
@@ -105,7 +106,12 @@
 		fail(ctx, 404, "no_configuration", "nothing has been confirmed yet")
 		return
 	}
-	s := api.Stored{Revision: rev.Revision, PlanID: rev.PlanID, Declaration: string(rev.Declaration)}
+	text, err := pack.Open(rev.Declaration)
+	if err != nil {
+		fail(ctx, 500, "bad_declaration", err.Error())
+		return
+	}
+	s := api.InForce{Revision: rev.Revision, PlanID: rev.PlanID, Declaration: string(text)}
 	if kv, err := p.coord.platform.Get(configKey); err == nil {
 		if at, err := decodeStored(kv); err == nil && at.Revision == s.Revision {
 			s.History = at.History
--- a/cmd/coord/plans.go
+++ b/cmd/coord/plans.go
@@ -12,6 +12,7 @@
 	"quinceroad/coordination/revision"
 	"quinceroad/protocol/api"
 	"quinceroad/protocol/event"
+	"quinceroad/protocol/pack"
 	"quinceroad/protocol/settings"
 	"quinceroad/state/fleet"
 	"quinceroad/transport/platform"
@@ -28,6 +29,7 @@
 
 const (
 	planPrefix   = "plans/"
+	planLife     = time.Hour // a plan that is not confirmed by then is gone
 	confirmTries = 4
 	confirmGap   = 150 * time.Millisecond
 )
@@ -57,12 +59,13 @@
 		out.State = stateUnchanged
 		return out, nil
 	}
-	b, err := json.Marshal(out)
+	b, err := encodePlan(*out)
 	if err != nil {
 		return nil, err
 	}
 	p.coord.count.platformWrites.Inc(1)
-	if _, err := p.coord.platform.Put(planPrefix+out.ID, api.KVPut{Value: b}); err != nil {
+	put := api.KVPut{Value: b, LeaseMS: planLife.Milliseconds()}
+	if _, err := p.coord.platform.Put(planPrefix+out.ID, put); err != nil {
 		// The id is fresh: whether the write took effect or not, nobody knows
 		// of the plan but this operator, who is told to plan again.
 		return nil, err
@@ -71,6 +74,16 @@
 	return out, nil
 }
 
+// encodePlan returns a plan as it lies on the platform.
+func encodePlan(plan api.Plan) ([]byte, error) {
+	packed, err := pack.Text(plan.Text)
+	if err != nil {
+		return nil, err
+	}
+	plan.Text = ""
+	return json.Marshal(api.StoredPlan{Plan: plan, Declaration: packed})
+}
+
 func fill(out *api.Plan, p planner.Plan) {
 	out.Changes, out.Warnings = p.Changes, p.Warnings
 	for _, s := range p.Steps {
@@ -90,8 +103,13 @@
 	if kv.Version == 0 {
 		return nil, errNoPlan
 	}
-	var out api.Plan
-	return &out, json.Unmarshal(kv.Value, &out)
+	var stored api.StoredPlan
+	if err := json.Unmarshal(kv.Value, &stored); err != nil {
+		return nil, err
+	}
+	text, err := pack.Open(stored.Declaration)
+	stored.Text = string(text)
+	return &stored.Plan, err
 }
 
 // confirm puts a plan into force if its base still is. A lost answer is read
@@ -137,12 +155,15 @@
 	}
 	inForce, _ := p.coord.config()
 	if at.Revision < inForce.Revision { // the store lost data: go on from what is in force
-		at = api.Stored{Revision: inForce.Revision, PlanID: inForce.PlanID, Declaration: string(inForce.Declaration)}
+		at = api.Stored{Revision: inForce.Revision, PlanID: inForce.PlanID, Declaration: inForce.Declaration}
 	}
 	if at.Revision != plan.Base {
 		return &api.Confirmed{Plan: plan.ID, Revision: at.Revision, State: stateConflict}, nil
 	}
-	next := follow(at, plan, by)
+	next, err := follow(at, plan, by)
+	if err != nil {
+		return nil, err
+	}
 	b, err := json.Marshal(next)
 	if err != nil {
 		return nil, err
@@ -155,18 +176,19 @@
 	if err != nil { // another operator's or our own earlier write: read again
 		return nil, errUndetermined
 	}
-	p.coord.offer(revision.Config{Revision: next.Revision, PlanID: plan.ID, Declaration: []byte(plan.Text)}, "confirm")
+	p.coord.offer(revision.Config{Revision: next.Revision, PlanID: plan.ID, Declaration: next.Declaration}, "confirm")
 	return &api.Confirmed{Plan: plan.ID, Revision: next.Revision, State: stateConfirmed}, nil
 }
 
 // follow returns what is stored once the plan is in force.
-func follow(at api.Stored, plan *api.Plan, by string) api.Stored {
-	next := api.Stored{Revision: at.Revision + 1, PlanID: plan.ID, By: by, Declaration: plan.Text}
+func follow(at api.Stored, plan *api.Plan, by string) (api.Stored, error) {
+	packed, err := pack.Text(plan.Text)
+	next := api.Stored{Revision: at.Revision + 1, PlanID: plan.ID, By: by, Declaration: packed}
 	next.History = append([]api.Past{{Revision: next.Revision, PlanID: plan.ID, By: by}}, at.History...)
 	if len(next.History) > api.MaxHistory {
 		next.History = next.History[:api.MaxHistory]
 	}
-	return next
+	return next, err
 }
 
 func decodeStored(kv api.KV) (api.Stored, error) {
--- a/cmd/coord/serve.go
+++ b/cmd/coord/serve.go
@@ -25,6 +25,8 @@
 			c.mergeLeaving(b.GetLeaving(), "entry")
 			return &pb.Noted{}
 		})
+	case frame.Limits:
+		answer(first, s, &pb.Demands{}, c.limits.serve)
 	case frame.Watch:
 		var w pb.Watch
 		if proto.Unmarshal(first, &w) == nil {
--- a/cmd/ctl/ctl.go
+++ b/cmd/ctl/ctl.go
@@ -218,7 +218,7 @@
 }
 
 func (c *client) history() (int, error) {
-	var s api.Stored
+	var s api.InForce
 	if _, err := c.call("GET", "/v1/config", nil, &s); err != nil {
 		return process.ExitFail, err
 	}
--- a/cmd/entry/entry.go
+++ b/cmd/entry/entry.go
@@ -18,7 +18,6 @@
 
 	"quinceroad/coordination/estimate"
 	"quinceroad/coordination/ledger"
-	"quinceroad/coordination/limit"
 	"quinceroad/coordination/retry"
 	"quinceroad/coordination/ticket"
 	"quinceroad/protocol/event"
@@ -30,7 +29,7 @@
 	"quinceroad/transport/web"
 )
 
-// Entry is one instance's entry. Locks, in order: limitsMu, ledgerMu, then the
+// Entry is one instance's entry. Locks, in order: the limits', ledgerMu, then the
 // slots' (docs/ARCHITECTURE.md). The view is a snapshot that is exchanged as a
 // whole and needs none.
 type Entry struct {
@@ -49,8 +48,7 @@
 	view    atomic.Pointer[view]
 	viewErr atomic.Pointer[error] // why the view may be old; nil while the coord talks
 
-	limitsMu sync.Mutex
-	limits   map[string]*limit.Bucket
+	limits *limits
 
 	ledgerMu  sync.Mutex
 	ledger    *ledger.Ledger
@@ -126,7 +124,6 @@
 		platform:    platform.New(s.Platform),
 		registry:    r,
 		count:       newCounters(r),
-		limits:      make(map[string]*limit.Bucket),
 		rewatch:     make(chan struct{}, 1),
 		heirlooms:   table.New[uint64, *heirloom](table.RankLedger),
 		retries:     retry.NewBudget(retryShare, retryMost),
@@ -134,6 +131,7 @@
 	}
 	e.ledger = ledger.New(e.incarnation)
 	e.slots = newSlotClient(e)
+	e.limits = newLimits(e)
 	return e
 }
 
@@ -155,6 +153,7 @@
 	e.running, ctx = errgroup.WithContext(ctx)
 	e.slots.start()
 	e.running.Go(func() error { e.watchLoop(ctx); return nil })
+	e.running.Go(func() error { e.limits.loop(ctx); return nil })
 	event.EntryStarted.Log(e.log, "incarnation", e.incarnation, "http", e.set.Entry.HTTP)
 	return nil
 }
--- a/cmd/entry/run.go
+++ b/cmd/entry/run.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"quinceroad/coordination/estimate"
-	"quinceroad/coordination/limit"
 	"quinceroad/coordination/outcome"
 	"quinceroad/protocol/api"
 	"quinceroad/state/fleet"
@@ -59,7 +58,7 @@
 	if e.refusing.Load() {
 		return e.refuse(r, 503, "stopping", "this instance is stopping; use another address", 0)
 	}
-	if ok, after := e.limit(r.customer, r.view.live); !ok {
+	if ok, after := e.limits.take(r.customer, r.view.live); !ok {
 		return e.refuse(r, 429, "rate_limited", "the customer is over its declared rate", after)
 	}
 	need := e.expectAll(r)
@@ -69,18 +68,6 @@
 	return e.execute(r)
 }
 
-// limit takes one request off the customer's share of its fleet-wide rate.
-func (e *Entry) limit(c *fleet.Customer, live int) (bool, time.Duration) {
-	e.limitsMu.Lock()
-	defer e.limitsMu.Unlock()
-	b, ok := e.limits[c.Name]
-	if !ok {
-		b = &limit.Bucket{}
-		e.limits[c.Name] = b
-	}
-	return b.Take(e.now(), c.Rate/float64(live), c.Burst/float64(live))
-}
-
 // refuse ends a run that was not run; when that can't be said any more it ends
 // as failed or unknown.
 func (e *Entry) refuse(r *run, status int, code, detail string, after time.Duration) *final {
--- a/cmd/entry/view.go
+++ b/cmd/entry/view.go
@@ -27,6 +27,8 @@
 	replicas  map[string]replicas.Replica
 	owners    map[string]string // service -> coord link of its slots' owner
 	live      int               // instances that share customers' limits
+
+	limitOwners [limitOwners]string // coord links of the owners of customers' budgets
 }
 
 func (v *view) lifetime() time.Duration {
@@ -154,7 +156,7 @@
 		}
 		return false
 	}
-	f, err := settings.LoadFleet("revision", c.GetDeclaration())
+	f, err := settings.LoadPacked(c.GetDeclaration())
 	if err != nil {
 		event.ViewRefused.Log(e.log, "revision", c.GetRevision(), "error", err.Error())
 		return false
@@ -183,6 +185,7 @@
 		}
 	}
 	v.live = max(len(names), 1)
+	v.assignLimits(names, links)
 	v.owners = make(map[string]string)
 	if v.fleet == nil {
 		return
--- a/cmd/load/load.go
+++ b/cmd/load/load.go
@@ -24,6 +24,7 @@
 	Deadline time.Duration
 	Stream   bool
 	Numbered bool
+	Only     []string // entries to use in turn, whatever the address answers say
 }
 
 // Phase is a time with one rate.
@@ -76,6 +77,9 @@
 				Stream: m.Stream, Numbered: m.Numbered, Intended: at,
 				Label: fmt.Sprintf("s%d-%d", o.Seed, n),
 			}
+			if len(m.Only) > 0 {
+				q.Address = m.Only[n%len(m.Only)]
+			}
 			time.Sleep(time.Until(at))
 			wg.Go(func() {
 				t := callers[i].Do(q)
--- /dev/null
+++ b/coordination/limit/limit_test.go
@@ -0,0 +1,55 @@
+package limit
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+)
+
+func TestBucket(t *testing.T) {
+	is := is.New(t)
+	var b Bucket
+	for range 5 {
+		ok, _ := b.Take(0, 10, 5)
+		is.True(ok)
+	}
+	ok, after := b.Take(0, 10, 5)
+	is.True(!ok)
+	is.Equal(after, 100*time.Millisecond)
+	ok, _ = b.Take(100*time.Millisecond, 10, 5)
+	is.True(ok)
+	ok, _ = b.Take(0, 0, 0) // no limit
+	is.True(ok)
+}
+
+func TestSharesFollowDemand(t *testing.T) {
+	is := is.New(t)
+	b := NewBudget()
+	is.Equal(b.Share(0, "a", 300, 400), 400.0) // alone: all of it
+	is.Equal(b.Share(0, "b", 0, 400), 50.0)    // half of what is over
+	is.Equal(b.Share(0, "c", 500, 400), 250.0) // 500 of 800
+	is.Equal(b.Share(time.Second, "a", 300, 400), 150.0)
+	is.Equal(b.Share(10*time.Second, "b", 0, 400), 400.0) // the others are gone
+}
+
+// Shares handed out in one round never add up to more than the rate.
+func TestSharesAddUp(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		wants := rapid.SliceOfN(rapid.Float64Range(0, 1000), 1, 20).Draw(t, "wants")
+		rate := rapid.Float64Range(1, 2000).Draw(t, "rate")
+		b := NewBudget()
+		name := func(i int) string { return string(rune('a' + i)) }
+		for i, w := range wants {
+			b.Share(0, name(i), w, rate)
+		}
+		sum := 0.0
+		for i, w := range wants {
+			sum += b.Share(0, name(i), w, rate)
+		}
+		if sum > rate*1.000001 {
+			t.Fatalf("%g of %g", sum, rate)
+		}
+	})
+}
--- a/coordination/revision/revision.go
+++ b/coordination/revision/revision.go
@@ -6,7 +6,7 @@
 type Config struct {
 	Revision    uint64
 	PlanID      string
-	Declaration []byte // TOML
+	Declaration []byte // opaque here: compressed TOML
 }
 
 // Verdict is what became of an offered configuration.
--- a/proctest/fleet_test.go
+++ b/proctest/fleet_test.go
@@ -15,6 +15,7 @@
 	"quinceroad/cmd/standin/upstream"
 	"quinceroad/proctest/rig"
 	"quinceroad/protocol/api"
+	"quinceroad/protocol/pack"
 	client "quinceroad/transport/platform"
 )
 
@@ -230,7 +231,9 @@
 	c := client.New(r.Platform)
 	kv, err := c.Get(key)
 	must(t, err)
-	b, err := json.Marshal(api.Stored{Revision: 1, PlanID: "older", Declaration: r.Text})
+	packed, err := pack.Text(r.Text)
+	must(t, err)
+	b, err := json.Marshal(api.Stored{Revision: 1, PlanID: "older", Declaration: packed})
 	must(t, err)
 	_, err = c.Put(key, api.KVPut{Value: b, IfVersion: kv.Version})
 	must(t, err)
--- a/protocol/api/api.go
+++ b/protocol/api/api.go
@@ -132,13 +132,27 @@
 	State    string `json:"state"` // confirmed, conflict or undetermined
 }
 
+// StoredPlan is a plan as it lies on the platform, without its text.
+type StoredPlan struct {
+	Plan
+	Declaration []byte `json:"packed"` // see package pack
+}
+
+// InForce answers GET /v1/config.
+type InForce struct {
+	Revision    uint64 `json:"revision"`
+	PlanID      string `json:"plan_id"`
+	Declaration string `json:"declaration"`
+	History     []Past `json:"history"`
+}
+
 // Stored is the accepted configuration as it lies on the platform.
 type Stored struct {
 	Revision    uint64 `json:"revision"`
 	PlanID      string `json:"plan_id"`
 	By          string `json:"by"`
-	Declaration string `json:"declaration"`
-	History     []Past `json:"history"` // newest first, at most MaxHistory
+	Declaration []byte `json:"declaration"` // see package pack
+	History     []Past `json:"history"`     // newest first, at most MaxHistory
 }
 
 // MaxHistory bounds the revisions that Stored remembers.
--- a/protocol/frame/frame.go
+++ b/protocol/frame/frame.go
@@ -23,6 +23,7 @@
 	Run                         // Run -> RunReply
 	Handover                    // Handover -> HandoverReply
 	Leaving                     // Beat with leaving replicas, from an entry -> Noted
+	Limits                      // Demands -> Demands
 	Reply                       // the answer to any of them
 )
 
--- /dev/null
+++ b/protocol/pack/pack.go
@@ -0,0 +1,44 @@
+// Package pack compresses declarations for links and the platform: a
+// declaration of 5,400 customers would fill the platform's megabyte and most of
+// a node's bytes for control (docs/CAPACITY.md).
+package pack
+
+import (
+	"bytes"
+	"compress/gzip"
+	"errors"
+	"io"
+)
+
+// MaxText bounds an opened declaration in bytes.
+const MaxText = 8 << 20
+
+// ErrTooLarge is returned for what would open to more than MaxText.
+var ErrTooLarge = errors.New("pack: the text is too large")
+
+// Text compresses a text.
+func Text(text string) ([]byte, error) {
+	var b bytes.Buffer
+	w, err := gzip.NewWriterLevel(&b, gzip.BestCompression)
+	if err != nil {
+		return nil, err
+	}
+	if _, err := io.WriteString(w, text); err != nil {
+		return nil, err
+	}
+	err = w.Close()
+	return b.Bytes(), err
+}
+
+// Open is the reverse of Text.
+func Open(packed []byte) ([]byte, error) {
+	r, err := gzip.NewReader(bytes.NewReader(packed))
+	if err != nil {
+		return nil, err
+	}
+	text, err := io.ReadAll(io.LimitReader(r, MaxText+1))
+	if err == nil && len(text) > MaxText {
+		return nil, ErrTooLarge
+	}
+	return text, err
+}
--- a/protocol/settings/declaration.go
+++ b/protocol/settings/declaration.go
@@ -4,6 +4,7 @@
 	"fmt"
 
 	"quinceroad/coordination/scheduler"
+	"quinceroad/protocol/pack"
 	"quinceroad/state/fleet"
 )
 
@@ -39,6 +40,15 @@
 	return &f, d.Err()
 }
 
+// LoadPacked reads and checks a declaration as it travels.
+func LoadPacked(packed []byte) (*fleet.Fleet, error) {
+	text, err := pack.Open(packed)
+	if err != nil {
+		return nil, err
+	}
+	return LoadFleet("revision", text)
+}
+
 func (d *Document) services(f *fleet.Fleet) {
 	names := d.unique("service")
 	for i, s := range f.Services {
--- a/state/fleet/fleet.go
+++ b/state/fleet/fleet.go
@@ -101,6 +101,16 @@
 	return nil, false
 }
 
+// Customer returns the customer of that name.
+func (f *Fleet) Customer(name string) (*Customer, bool) {
+	for i := range f.Customers {
+		if f.Customers[i].Name == name {
+			return &f.Customers[i], true
+		}
+	}
+	return nil, false
+}
+
 // Deadline returns the pipeline's declared deadline.
 func (p *Pipeline) Deadline() time.Duration {
 	return time.Duration(p.DeadlineMS) * time.Millisecond
