--- a/cmd/coord/list.go
+++ b/cmd/coord/list.go
@@ -15,16 +15,20 @@
 const (
 	listEvery = time.Second
 	listStale = 3 * time.Second // without the hall's reader for so long, read the platform
+	listBytes = 12_000.0        // a second that a reader takes from the platform
 )
 
 // listLoop keeps the list of replicas: the hall's reader polls the platform,
 // the others follow the reader's views.
 func (c *Coord) listLoop(ctx context.Context) {
 	var following string
+	var next time.Duration // when the platform may be read again
 	every(ctx, listEvery, func() {
 		reader := c.readerOf("list")
 		if reader == c.set.Name || c.listAge() > listStale {
-			c.pollList()
+			if c.now() >= next {
+				next = c.now() + c.pollList()
+			}
 			return
 		}
 		if reader != following || c.listAge() > 2*listEvery {
@@ -40,17 +44,21 @@
 	return time.Since(c.listAt)
 }
 
-func (c *Coord) pollList() {
+// pollList reads the list and returns how long to wait before the next read: a
+// long list is read less often, so that its bytes a second stay the same. What
+// can't wait, a replica's leaving, comes by signs.
+func (c *Coord) pollList() time.Duration {
 	c.count.platformReads.Inc(1)
-	list, err := c.platform.Instances()
+	list, size, err := c.platform.Instances()
 	if err != nil {
 		c.count.platformFailed.Inc(1)
 		if !c.hasList() {
 			c.borrowList()
 		}
-		return
+		return 0
 	}
 	c.takeList(convert.FromListed(list))
+	return time.Duration(float64(size) / listBytes * float64(time.Second))
 }
 
 // hasList reports whether a list was ever had; without one an empty set says
--- a/transport/platform/platform.go
+++ b/transport/platform/platform.go
@@ -59,10 +59,15 @@
 	return kv, c.call("GET", path, nil, &kv, wait+callTimeout)
 }
 
-// Instances reads the lagging list of upstream replicas.
-func (c *Client) Instances() ([]api.Listed, error) {
-	var list []api.Listed
-	return list, c.call("GET", "/v1/instances", nil, &list, callTimeout)
+// Instances reads the lagging list of upstream replicas, and tells how many
+// bytes it took.
+func (c *Client) Instances() (list []api.Listed, size int, err error) {
+	var raw json.RawMessage
+	if err := c.call("GET", "/v1/instances", nil, &raw, callTimeout); err != nil {
+		return nil, 0, err
+	}
+	err = json.Unmarshal(raw, &list)
+	return list, len(raw), err
 }
 
 func (c *Client) call(method, path string, body, out any, timeout time.Duration) error {
