Planner: capacity and outlook by one declared weight; tests of outages

Change: pipelines may declare their peak rate; the plan works out each service's load, the replicas that keep it under a target set by attainment_weight (60% in use for attainment alone, 90% for cost alone), attainment by Erlang's queue and a normal sum, and cost. TestReturnAfterOutage, TestStopDuringOutage, TestRollingRestartWithCrash, TestSlowCaller. The outlook is worked out, not measured against runs.

--- a/cmd/coord/orders.go
+++ b/cmd/coord/orders.go
@@ -14,6 +14,7 @@
 	"quinceroad/protocol/api"
 	"quinceroad/protocol/event"
 	"quinceroad/state/fleet"
+	"quinceroad/transport/web"
 )
 
 const (
@@ -45,10 +46,7 @@
 func newOrders(c *Coord) *orders {
 	return &orders{
 		coord: c,
-		http: &fasthttp.Client{
-			MaxIdemponentCallAttempts: 1,
-			RetryIfErr:                func(*fasthttp.Request, int, error) (bool, bool) { return false, false },
-		},
+		http:  web.NewClient(),
 		lease: lease.New(leaseTTL, leaseMargin),
 		given: make(map[string]given),
 	}
--- a/cmd/coord/plans.go
+++ b/cmd/coord/plans.go
@@ -92,6 +92,12 @@
 			PerSec: s.PerSec, BudgetMS: int(s.Budget.Milliseconds()), Cost: s.Cost,
 		})
 	}
+	for _, n := range p.Needs {
+		out.Needs = append(out.Needs, api.PlannedNeed(n))
+	}
+	for _, o := range p.Outlooks {
+		out.Outlooks = append(out.Outlooks, api.Outlook(o))
+	}
 }
 
 func (p *plans) load(id string) (*api.Plan, error) {
--- a/cmd/ctl/ctl.go
+++ b/cmd/ctl/ctl.go
@@ -16,6 +16,7 @@
 	"quinceroad/cmd/process"
 	"quinceroad/protocol/api"
 	"quinceroad/protocol/settings"
+	"quinceroad/transport/web"
 )
 
 const usage = `usage: quincectl [-operators IP:PORT] [-token TOKEN] [-o text|json] COMMAND
@@ -135,11 +136,7 @@
 	req.SetRequestURI("http://" + c.addr + path)
 	req.Header.Set(api.HeaderKey, "Bearer "+c.token)
 	req.SetBody(body)
-	once := &fasthttp.Client{
-		MaxIdemponentCallAttempts: 1,
-		RetryIfErr:                func(*fasthttp.Request, int, error) (bool, bool) { return false, false },
-	}
-	if err := once.DoTimeout(req, resp, callTimeout); err != nil {
+	if err := web.NewClient().DoTimeout(req, resp, callTimeout); err != nil {
 		return 0, fmt.Errorf("no answer from %s: %w; try another instance", c.addr, err)
 	}
 	status := resp.StatusCode()
--- a/cmd/load/caller.go
+++ b/cmd/load/caller.go
@@ -18,11 +18,13 @@
 	"quinceroad/cmd/check"
 	"quinceroad/coordination/outcome"
 	"quinceroad/protocol/api"
+	"quinceroad/transport/web"
 )
 
 const (
 	answerGrace = 3 * time.Second // over the deadline, before a caller gives up
 	askTimeout  = time.Second
+	maxConns    = 4096 // open loop: as many as there are requests under way
 	// idleFor is how long a caller keeps an idle connection: docs/API.md asks
 	// for less than half of the shortest address lifetime, since the entry may
 	// be another process by then.
@@ -46,12 +48,10 @@
 
 // NewCaller returns a caller that has asked nobody yet.
 func NewCaller(key, hall string, known []string) *Caller {
-	return &Caller{Key: key, Hall: hall, Known: known, http: &fasthttp.Client{
-		MaxIdemponentCallAttempts: 1,
-		RetryIfErr:                func(*fasthttp.Request, int, error) (bool, bool) { return false, false },
-		MaxConnsPerHost:           4096,
-		MaxIdleConnDuration:       idleFor,
-	}}
+	c := &Caller{Key: key, Hall: hall, Known: known, http: web.NewClient()}
+	c.http.MaxConnsPerHost = maxConns
+	c.http.MaxIdleConnDuration = idleFor
+	return c
 }
 
 var errNoAddresses = errors.New("no entry answers with addresses")
--- a/coordination/planner/planner.go
+++ b/coordination/planner/planner.go
@@ -30,6 +30,8 @@
 	Changes  []string
 	Warnings []string
 	Steps    []Step
+	Needs    []Need
+	Outlooks []Outlook
 }
 
 // Make compares the declared fleet with the one in force, which may be nil,
@@ -40,6 +42,17 @@
 	for _, pl := range next.Pipelines {
 		p.addPipeline(next, &pl, capacity)
 	}
+	p.Needs = needs(next, capacity)
+	loads := make(map[string]float64)
+	for _, n := range p.Needs {
+		loads[n.Service] = n.Load
+		if n.Replicas > n.Have && n.Have > 0 {
+			p.Warnings = append(p.Warnings, fmt.Sprintf("service %s has %d replicas, %d would keep it under %.0f%% at the declared peak", n.Service, n.Have, n.Replicas, 100*n.Target))
+		}
+	}
+	for i := range next.Pipelines {
+		p.Outlooks = append(p.Outlooks, outlook(next, &next.Pipelines[i], capacity, loads))
+	}
 	for _, s := range next.Services {
 		if capacity[s.Name].slots == 0 {
 			p.Warnings = append(p.Warnings, fmt.Sprintf("service %s has no live replica", s.Name))
--- /dev/null
+++ b/coordination/planner/planner_test.go
@@ -0,0 +1,59 @@
+package planner
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"quinceroad/coordination/replicas"
+	"quinceroad/state/fleet"
+)
+
+func declared(weight, rate float64) *fleet.Fleet {
+	return &fleet.Fleet{
+		Name: "x", AttainmentWeight: weight,
+		Services: []fleet.Service{{Name: "gen", Kind: fleet.Engine, Slots: 4, Cost: 10}},
+		Pipelines: []fleet.Pipeline{{Name: "p", DeadlineMS: 400, Rate: rate, Repeatable: true,
+			Stages: []fleet.Stage{{Name: "g", Service: "gen", Operation: "generate", ExpectMS: 100}}}},
+	}
+}
+
+func there(n int) []replicas.Replica {
+	var out []replicas.Replica
+	for i := range n {
+		out = append(out, replicas.Replica{ID: fmt.Sprint("gen-", i), Service: "gen", Hall: fmt.Sprint("h", i%2)})
+	}
+	return out
+}
+
+// One declared weight makes the plans differ: more replicas for attainment.
+func TestWeightDecidesCapacity(t *testing.T) {
+	is := is.New(t)
+	attain := Make(declared(1, 240), nil, there(12))
+	cost := Make(declared(0, 240), nil, there(12))
+	is.Equal(attain.Needs[0].Replicas, 10) // 24 slots of load at 60%
+	is.Equal(cost.Needs[0].Replicas, 7)    // at 90%
+	is.Equal(attain.Needs[0].CostSec, 240.0)
+	is.Equal(attain.Steps[0].Halls, []string{"h0", "h1"})
+}
+
+func TestOutlookFallsWithLoad(t *testing.T) {
+	is := is.New(t)
+	light := Make(declared(1, 100), nil, there(12)).Outlooks[0].Attainment
+	heavy := Make(declared(1, 475), nil, there(12)).Outlooks[0].Attainment
+	over := Make(declared(1, 500), nil, there(12))
+	is.True(light > 0.99)
+	is.True(heavy < light && heavy > 0)
+	is.Equal(over.Outlooks[0].Attainment, 0.0)
+	is.True(len(over.Warnings) > 0)
+}
+
+func TestChangesByName(t *testing.T) {
+	is := is.New(t)
+	old, next := declared(1, 1), declared(1, 2)
+	next.Services = append(next.Services, fleet.Service{Name: "new", Slots: 1})
+	is.Equal(Make(next, old, nil).Changes, []string{"+ service new", "~ pipeline p"})
+	is.Equal(len(Make(old, old, nil).Changes), 0)
+	is.Equal(Make(old, next, nil).Changes, []string{"- service new", "~ pipeline p"})
+}
--- /dev/null
+++ b/proctest/outage_test.go
@@ -0,0 +1,154 @@
+package proctest
+
+import (
+	"bufio"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"quinceroad/cmd/check"
+	"quinceroad/cmd/load"
+	"quinceroad/cmd/standin/platform"
+	"quinceroad/coordination/outcome"
+	"quinceroad/proctest/rig"
+	"quinceroad/protocol/api"
+	"quinceroad/transport/upstream"
+)
+
+func platformStats(t *testing.T, r *rig.Rig) platform.Stats {
+	t.Helper()
+	resp, err := http.Get("http://" + r.Platform + "/stats")
+	must(t, err)
+	defer resp.Body.Close()
+	var s platform.Stats
+	must(t, json.NewDecoder(resp.Body).Decode(&s))
+	return s
+}
+
+// After an outage the platform is not overrun: what it gets follows the halls,
+// not the instances, and the readers return at times of their own.
+func TestReturnAfterOutage(t *testing.T) {
+	r := deploy(t, rig.Options{Example: kalahari})
+	must(t, r.FaultPlatform(platform.Faults{Down: true}))
+	res := runLoad(r, 60, 4*time.Second)
+	verdict(t, r, res.Told)
+	for _, v := range check.Unended(res.Told) {
+		t.Error("during the outage:", v)
+	}
+	before := platformStats(t, r)
+	must(t, r.FaultPlatform(platform.Faults{}))
+	const seconds = 10
+	runLoad(r, 60, seconds*time.Second)
+	after := platformStats(t, r)
+	halls := len(r.Fleet.Halls)
+	calls := after.Reads - before.Reads + after.Watches - before.Watches + after.Writes - before.Writes
+	t.Logf("%d calls in the %d s after the outage, %d halls, %d waiting watches", calls, seconds, halls, after.Waiting)
+	// One list a second and a watch or two a hall, twice that for a slow machine.
+	if most := 2 * halls * (seconds + 3); calls > most {
+		t.Errorf("%d calls, want %d at most", calls, most)
+	}
+	if after.Waiting > halls {
+		t.Errorf("%d waiting watches for %d halls", after.Waiting, halls)
+	}
+}
+
+// P4: a home that stops while the platform is down can't hand its ledger on;
+// its numbers are unknown afterwards and none runs twice.
+func TestStopDuringOutage(t *testing.T) {
+	r := deploy(t, rig.Options{Example: kalahari})
+	c := caller(r, 0)
+	home := homeOf(t, r, c)
+	first := c.Do(fieldReport("before"))
+	if first.Outcome != outcome.Done {
+		t.Fatalf("before the stop: %s %s", first.Outcome, first.Code)
+	}
+	must(t, r.FaultPlatform(platform.Faults{Down: true}))
+	home.Entry.Stop()
+	if code := home.Entry.Wait(); code != 0 {
+		t.Errorf("planned stop: exit code %d", code)
+	}
+	told := []check.Told{first}
+	for _, in := range others(r, home) {
+		x := again(c, first, in)
+		if x.Outcome != outcome.Unknown {
+			t.Errorf("a retry after the stop: %s %s, want unknown", x.Outcome, x.Code)
+		}
+		told = append(told, x)
+	}
+	verdict(t, r, told)
+}
+
+// The same rolling restart as P6's with one entry killed and one frozen for a
+// while in it: no promise is broken, though the killed one's requests end.
+func TestRollingRestartWithCrash(t *testing.T) {
+	r := start(t, rig.Options{Example: kalahari})
+	_, err := r.Confirm(shortLives(r))
+	must(t, err)
+	var res *load.Result
+	var wg sync.WaitGroup
+	wg.Go(func() { res = runLoad(r, 60, 16*time.Second) })
+	for i, in := range r.Instances {
+		switch i {
+		case 2:
+			in.Entry.Kill()
+		case 4:
+			in.Entry.Freeze()
+			time.AfterFunc(1500*time.Millisecond, in.Entry.Thaw)
+			fallthrough
+		default:
+			in.Entry.Stop()
+			in.Entry.Wait()
+		}
+		in.Coord.Stop()
+		in.Coord.Wait()
+		must(t, r.StartCoord(in))
+		must(t, r.StartEntry(in))
+		must(t, r.WaitRevision(1))
+	}
+	wg.Wait()
+	sum := res.Summarize()
+	t.Log(sum)
+	verdict(t, r, res.Told)
+	if sum.ByOutcome[outcome.Done] < sum.Sent*9/10 {
+		t.Errorf("%d of %d done, with one of six entries killed and one frozen", sum.ByOutcome[outcome.Done], sum.Sent)
+	}
+}
+
+// P2: a caller that reads its stream slowly gets all of it.
+func TestSlowCaller(t *testing.T) {
+	r := deploy(t, rig.Options{Example: kalahari})
+	p, _ := r.Fleet.Pipeline("safety-summary")
+	body := `{"input":"slowly","stream":true}`
+	req, err := http.NewRequest("POST", fmt.Sprintf("http://%s/v1/pipelines/%s/runs", r.Entries()[0], p.Name), strings.NewReader(body))
+	must(t, err)
+	req.Header.Set(api.HeaderKey, "Bearer key-"+r.Fleet.Customers[0].Name)
+	resp, err := http.DefaultClient.Do(req)
+	must(t, err)
+	defer resp.Body.Close()
+	var output strings.Builder
+	var end api.RunAnswer
+	ended := false
+	sc := bufio.NewScanner(resp.Body)
+	for sc.Scan() {
+		<-time.After(10 * time.Millisecond) // a slow reader
+		data, isData := strings.CutPrefix(sc.Text(), "data: ")
+		switch {
+		case sc.Text() == "event: end":
+			ended = true
+		case isData && ended:
+			must(t, json.Unmarshal([]byte(data), &end))
+		case isData:
+			var tok api.Token
+			must(t, json.Unmarshal([]byte(data), &tok))
+			output.WriteString(tok.Text)
+		}
+	}
+	must(t, sc.Err())
+	if end.Outcome != outcome.Done || output.String() != check.Expect(p, "slowly") || end.Digest != upstream.Digest([]byte(output.String())) {
+		t.Errorf("%s: %q, digest %s", end.Outcome, output.String(), end.Digest)
+	}
+}
--- a/protocol/api/api.go
+++ b/protocol/api/api.go
@@ -103,6 +103,8 @@
 	Changes  []string      `json:"changes"`
 	Warnings []string      `json:"warnings,omitempty"`
 	Stages   []PlannedStep `json:"stages"`
+	Needs    []PlannedNeed `json:"needs"`
+	Outlooks []Outlook     `json:"outlooks"`
 	Inputs   PlanInputs    `json:"inputs"`
 	Text     string        `json:"declaration"`
 }
@@ -125,6 +127,24 @@
 	Cost     float64  `json:"cost_per_request"`
 }
 
+// PlannedNeed is how much capacity a service should get at the declared peak.
+type PlannedNeed struct {
+	Service  string  `json:"service"`
+	Load     float64 `json:"load_slots"`
+	Target   float64 `json:"target_use"` // share of the slots in use at most
+	Replicas int     `json:"replicas"`
+	Have     int     `json:"have"`
+	CostSec  float64 `json:"cost_per_second"`
+}
+
+// Outlook is what a pipeline can expect at the declared peak: worked out from
+// expected times, not measured.
+type Outlook struct {
+	Pipeline   string  `json:"pipeline"`
+	Attainment float64 `json:"attainment"`
+	Cost       float64 `json:"cost_per_request"`
+}
+
 // Confirmed answers a confirmation.
 type Confirmed struct {
 	Plan     string `json:"plan"`
--- a/protocol/settings/declaration.go
+++ b/protocol/settings/declaration.go
@@ -74,6 +74,7 @@
 		names.add(i, p.Name)
 		d.between(key+".deadline_ms", float64(p.DeadlineMS), 1, maxDeadlineMS)
 		d.class(key+".priority", p.Priority)
+		d.between(key+".rate", p.Rate, 0, 1e9)
 		d.between(key+".stage", float64(len(p.Stages)), 1, maxStages)
 		if p.Repeatable == p.HasOnce() {
 			d.Add(key+".repeatable", "is %t, but it has a stage with once = true: %t", p.Repeatable, p.HasOnce())
--- a/state/fleet/fleet.go
+++ b/state/fleet/fleet.go
@@ -58,6 +58,7 @@
 	Name       string  `toml:"name"`
 	DeadlineMS int     `toml:"deadline_ms"` // for the whole request, unless the caller states a shorter one
 	Priority   string  `toml:"priority"`
+	Rate       float64 `toml:"rate"`       // requests a second at the peak, for the planner; 0: not stated
 	Repeatable bool    `toml:"repeatable"` // false: has a stage that runs at most once, and wants tickets
 	Stages     []Stage `toml:"stage"`
 }
--- a/transport/platform/platform.go
+++ b/transport/platform/platform.go
@@ -13,6 +13,7 @@
 	"github.com/valyala/fasthttp"
 
 	"quinceroad/protocol/api"
+	"quinceroad/transport/web"
 )
 
 // The errors of a call.
@@ -31,12 +32,7 @@
 
 // New returns a client of the platform at addr, IP:port.
 func New(addr string) *Client {
-	return &Client{base: "http://" + addr, http: &fasthttp.Client{
-		// The library would send a PUT again whose connection closed
-		// unanswered; all retries are ours.
-		MaxIdemponentCallAttempts: 1,
-		RetryIfErr:                func(*fasthttp.Request, int, error) (bool, bool) { return false, false },
-	}}
+	return &Client{base: "http://" + addr, http: web.NewClient()}
 }
 
 // Get reads a key; an absent key has version 0.
