quincectl: drain, progress of a confirmation, the revision at each instance

Cause: status showed the asked coord's revision only, a confirmation ended before its revision was everywhere, and no operator could empty an instance. An entry that introduces itself anew no longer keeps its old stream open under the new one.

--- a/cmd/coord/config.go
+++ b/cmd/coord/config.go
@@ -187,8 +187,13 @@
 	}
 }
 
-func (c *Coord) servePullConfig() *pb.Config {
+// servePullConfig answers with the configuration in force; who has it already
+// gets its revision only.
+func (c *Coord) servePullConfig(p *pb.PullConfig) *pb.Config {
 	rev, _ := c.config()
+	if p.GetHave() >= rev.Revision {
+		return &pb.Config{Revision: rev.Revision, PlanId: rev.PlanID}
+	}
 	return convert.Config(rev)
 }
 
--- a/cmd/coord/intent.go
+++ b/cmd/coord/intent.go
@@ -33,12 +33,14 @@
 		p.serveConfirm(ctx, path[2], by)
 	case len(path) == 2 && path[1] == "status" && method == "GET":
 		web.JSON(ctx, 200, p.coord.status())
+	case len(path) == 4 && path[1] == "instances" && path[3] == "drain" && method == "POST":
+		p.serveDrain(ctx, path[2])
 	case len(path) == 2 && path[1] == "config" && method == "GET":
 		p.serveConfig(ctx)
 	case len(path) == 2 && path[1] == "state" && method == "GET":
 		web.JSON(ctx, 200, p.coord.state())
 	default:
-		fail(ctx, 404, "no_such_call", "have POST /v1/plans, GET /v1/plans/ID, POST /v1/plans/ID/confirm, GET /v1/status, /v1/config, /v1/state")
+		fail(ctx, 404, "no_such_call", "have POST /v1/plans, GET /v1/plans/ID, POST /v1/plans/ID/confirm, POST /v1/instances/NAME/drain, GET /v1/status, /v1/config, /v1/state")
 	}
 }
 
@@ -120,6 +122,14 @@
 	web.JSON(ctx, 200, s)
 }
 
+func (p *plans) serveDrain(ctx *fasthttp.RequestCtx, name string) {
+	if !p.coord.drainOther(name) {
+		fail(ctx, 404, "no_such_instance", "no instance of this name answers; see GET /v1/status")
+		return
+	}
+	web.JSON(ctx, 200, api.Drained{Instance: name})
+}
+
 func fail(ctx *fasthttp.RequestCtx, status int, code, detail string) {
 	web.Fail(ctx, &api.Error{Status: status, Code: code, Detail: detail, Outcome: outcome.NotRun})
 }
--- a/cmd/coord/plans.go
+++ b/cmd/coord/plans.go
@@ -5,7 +5,6 @@
 	"encoding/json"
 	"errors"
 	"reflect"
-	"strconv"
 	"time"
 
 	"quinceroad/coordination/planner"
@@ -14,7 +13,6 @@
 	"quinceroad/protocol/event"
 	"quinceroad/protocol/pack"
 	"quinceroad/protocol/settings"
-	"quinceroad/state/fleet"
 	"quinceroad/transport/platform"
 )
 
@@ -204,52 +202,3 @@
 	}
 	return s, json.Unmarshal(kv.Value, &s)
 }
-
-// status returns this coord's view of the fleet.
-func (c *Coord) status() api.Status {
-	rev, _ := c.config()
-	s := api.Status{Instance: c.set.Name, Revision: rev.Revision, Plan: rev.PlanID}
-	for _, m := range c.members() {
-		s.Instances = append(s.Instances, api.InstanceStatus{
-			Name: m.Name, Hall: m.Hall, State: stateName(int(m.State)), Leaving: m.Leaving,
-			Incarnation: strconv.FormatUint(m.Incarnation, 16), Entry: m.EntryHTTP,
-		})
-	}
-	for _, r := range c.allReplicas() {
-		s.Replicas = append(s.Replicas, api.ReplicaStatus{ID: r.ID, Service: r.Service, Hall: r.Hall, Leaving: r.Leaving})
-	}
-	return s
-}
-
-func stateName(n int) string { return [...]string{"alive", "suspect", "dead"}[n] }
-
-// dump is the coord's state on request, without secrets.
-type dump struct {
-	Status   api.Status   `json:"status"`
-	Fleet    *fleet.Fleet `json:"fleet"`
-	Slots    any          `json:"slots"`
-	Watchers int          `json:"watchers"`
-	Links    int          `json:"links"`
-	ListAge  string       `json:"list_age"`
-	Readers  readers      `json:"readers"`
-}
-
-// readers names who reads the platform for this hall.
-type readers struct {
-	Config string `json:"config"`
-	List   string `json:"list"`
-}
-
-func (c *Coord) state() any {
-	_, f := c.config()
-	if f != nil {
-		shown := *f
-		shown.Customers = nil // their key digests stay inside
-		f = &shown
-	}
-	return dump{
-		Status: c.status(), Fleet: f, Slots: c.slots.Stats(), Watchers: c.watchers.len(),
-		Links: c.links.Len(), ListAge: c.listAge().String(),
-		Readers: readers{Config: c.readerOf("config"), List: c.readerOf("list")},
-	}
-}
--- a/cmd/coord/serve.go
+++ b/cmd/coord/serve.go
@@ -17,7 +17,7 @@
 	case frame.Beat:
 		answer(first, s, &pb.Beat{}, c.serveBeat)
 	case frame.PullConfig:
-		answer(first, s, &pb.PullConfig{}, func(*pb.PullConfig) *pb.Config { return c.servePullConfig() })
+		answer(first, s, &pb.PullConfig{}, c.servePullConfig)
 	case frame.PullMembers:
 		answer(first, s, &pb.PullMembers{}, c.servePullMembers)
 	case frame.Leaving:
@@ -25,6 +25,11 @@
 			c.mergeLeaving(b.GetLeaving(), "entry")
 			return &pb.Noted{}
 		})
+	case frame.Drain:
+		answer(first, s, &pb.Noted{}, func(*pb.Noted) *pb.Noted {
+			c.drain()
+			return &pb.Noted{}
+		})
 	case frame.Limits:
 		answer(first, s, &pb.Demands{}, c.limits.serve)
 	case frame.Watch:
--- /dev/null
+++ b/cmd/coord/status.go
@@ -0,0 +1,105 @@
+package coord
+
+import (
+	"math"
+	"strconv"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"quinceroad/coordination/membership"
+	"quinceroad/protocol/api"
+	"quinceroad/protocol/frame"
+	"quinceroad/protocol/pb"
+	"quinceroad/state/fleet"
+)
+
+const (
+	askAtOnce  = 16 // coords asked at a time for a status
+	askTimeout = time.Second
+)
+
+// status returns this coord's view of the fleet, with the revision that each
+// instance says is in force there.
+func (c *Coord) status() api.Status {
+	rev, _ := c.config()
+	s := api.Status{Instance: c.set.Name, Revision: rev.Revision, Plan: rev.PlanID}
+	members := c.members()
+	revisions := c.askRevisions(members)
+	for i, m := range members {
+		s.Instances = append(s.Instances, api.InstanceStatus{
+			Name: m.Name, Hall: m.Hall, State: stateName(m.State), Leaving: m.Leaving,
+			Incarnation: strconv.FormatUint(m.Incarnation, 16), Entry: m.EntryHTTP, Revision: revisions[i],
+		})
+	}
+	for _, r := range c.allReplicas() {
+		s.Replicas = append(s.Replicas, api.ReplicaStatus{ID: r.ID, Service: r.Service, Hall: r.Hall, Leaving: r.Leaving})
+	}
+	return s
+}
+
+// askRevisions asks each member's coord, some at a time; 0 stands for no answer.
+func (c *Coord) askRevisions(members []membership.Member) []uint64 {
+	out := make([]uint64, len(members))
+	var g errgroup.Group
+	g.SetLimit(askAtOnce)
+	for i, m := range members {
+		if m.State == membership.Dead {
+			continue
+		}
+		g.Go(func() error {
+			var r pb.Config
+			if c.links.Call(m.CoordLink, frame.PullConfig, &pb.PullConfig{Have: math.MaxUint64}, &r, askTimeout) == nil {
+				out[i] = r.GetRevision()
+			}
+			return nil
+		})
+	}
+	_ = g.Wait() // the calls return no errors
+	return out
+}
+
+func stateName(s membership.State) string { return [...]string{"alive", "suspect", "dead"}[s] }
+
+// drain makes this instance's entry take no new callers until it is started
+// again: peers and address answers leave it out.
+func (c *Coord) drain() { c.watchers.send(&pb.View{Drain: true}) }
+
+// drainOther asks an instance to drain; false when it is not known or silent.
+func (c *Coord) drainOther(name string) bool {
+	c.membersMu.RLock()
+	m, ok := c.view.Get(name)
+	c.membersMu.RUnlock()
+	return ok && c.links.Call(m.CoordLink, frame.Drain, &pb.Noted{}, &pb.Noted{}, askTimeout) == nil
+}
+
+// dump is the coord's state on request, without secrets.
+type dump struct {
+	Status   api.Status   `json:"status"`
+	Fleet    *fleet.Fleet `json:"fleet"`
+	Slots    any          `json:"slots"`
+	Watchers int          `json:"watchers"`
+	Links    int          `json:"links"`
+	ListAge  string       `json:"list_age"`
+	Readers  readers      `json:"readers"`
+}
+
+// readers names who reads the platform for this hall.
+type readers struct {
+	Config string `json:"config"`
+	List   string `json:"list"`
+}
+
+func (c *Coord) state() any {
+	_, f := c.config()
+	if f != nil {
+		shown := *f
+		shown.Customers = nil // their key digests stay inside
+		f = &shown
+	}
+	return dump{
+		Status: c.status(), Fleet: f, Slots: c.slots.Stats(), Watchers: c.watchers.len(),
+		Links: c.links.Len(), ListAge: c.listAge().String(),
+		Readers: readers{Config: c.readerOf("config"), List: c.readerOf("list")},
+	}
+}
--- a/cmd/ctl/ctl.go
+++ b/cmd/ctl/ctl.go
@@ -25,9 +25,10 @@
   check -f FILE      check a declaration here, without asking anybody
   plan -f FILE       state an intent; answers with a plan, changes nothing
   show PLAN          print a plan
-  confirm PLAN       put a plan into force
+  confirm PLAN       put a plan into force, and wait until it is so at every instance
   diff -f FILE       what a declaration would change, without keeping a plan
-  status             instances, replicas and the revision in force
+  status             instances, replicas, and the revision in force at each
+  drain INSTANCE     take an instance out of address answers until it is started again
   history            accepted revisions, newest first
   dump               the coord's state
 
@@ -50,6 +51,8 @@
 
 const (
 	callTimeout = 10 * time.Second
+	followFor   = 15 * time.Second
+	followEvery = 300 * time.Millisecond
 	jsonOut     = "json"
 )
 
@@ -108,6 +111,8 @@
 		return c.confirm(rest[0])
 	case name == "status" && len(rest) == 0:
 		return c.status()
+	case name == "drain" && len(rest) == 1:
+		return c.drain(rest[0])
 	case name == "history" && len(rest) == 0:
 		return c.history()
 	case name == "dump" && len(rest) == 0:
@@ -198,6 +203,8 @@
 	switch {
 	case err != nil:
 		return code, err
+	case done.State == "confirmed":
+		return c.follow(done.Revision)
 	case done.State == "conflict":
 		return exitConflict, nil
 	case done.State == "undetermined":
@@ -206,6 +213,44 @@
 	return code, nil
 }
 
+// follow shows how a revision comes into force, until it is so at every
+// instance that is not dead, or for a while.
+func (c *client) follow(revision uint64) (int, error) {
+	for until := time.Now().Add(followFor); ; time.Sleep(followEvery) {
+		var s api.Status
+		if _, err := c.call("GET", "/v1/status", nil, &s); err != nil {
+			return process.ExitFail, err
+		}
+		there, all := 0, 0
+		for _, i := range s.Instances {
+			if i.State == "dead" {
+				continue
+			}
+			all++
+			if i.Revision >= revision {
+				there++
+			}
+		}
+		fmt.Fprintf(c.errOut, "revision %d is in force at %d of %d instances\n", revision, there, all)
+		if there == all {
+			return process.ExitOK, nil
+		}
+		if time.Now().After(until) {
+			return process.ExitFail, errors.New("not everywhere yet; see quincectl status")
+		}
+	}
+}
+
+func (c *client) drain(name string) (int, error) {
+	var d api.Drained
+	if _, err := c.call("POST", "/v1/instances/"+name+"/drain", nil, &d); err != nil {
+		return process.ExitFail, err
+	}
+	return c.print(d, func() {
+		fmt.Fprintf(c.out, "%s takes no new callers; stop it once the address answers have run out\n", d.Instance)
+	})
+}
+
 func (c *client) status() (int, error) {
 	var s api.Status
 	if _, err := c.call("GET", "/v1/status", nil, &s); err != nil {
--- a/cmd/ctl/print.go
+++ b/cmd/ctl/print.go
@@ -57,9 +57,9 @@
 func (c *client) printStatus(s *api.Status) {
 	fmt.Fprintf(c.out, "as %s sees it: revision %d, plan %s\n\n", s.Instance, s.Revision, s.Plan)
 	t := c.table()
-	fmt.Fprintln(t, "INSTANCE\tHALL\tSTATE\tLEAVING\tINCARNATION\tENTRY")
+	fmt.Fprintln(t, "INSTANCE\tHALL\tSTATE\tLEAVING\tREVISION\tINCARNATION\tENTRY")
 	for _, i := range s.Instances {
-		fmt.Fprintf(t, "%s\t%s\t%s\t%t\t%s\t%s\n", i.Name, i.Hall, i.State, i.Leaving, i.Incarnation, i.Entry)
+		fmt.Fprintf(t, "%s\t%s\t%s\t%t\t%d\t%s\t%s\n", i.Name, i.Hall, i.State, i.Leaving, i.Revision, i.Incarnation, i.Entry)
 	}
 	_ = t.Flush()
 	leaving := 0
--- a/cmd/entry/view.go
+++ b/cmd/entry/view.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -47,6 +48,9 @@
 		if ctx.Err() != nil {
 			return
 		}
+		if errors.Is(err, errAgain) {
+			continue
+		}
 		if err != nil && e.viewErr.Swap(&err) == nil {
 			event.ViewLost.Log(e.log, "error", err.Error())
 		}
@@ -57,8 +61,11 @@
 	}
 }
 
-// watch reads one stream of views until it breaks, or nil when what the coord
-// should know of this entry has changed.
+// errAgain ends a stream because what the coord should know of this entry has
+// changed: it hears so by the next stream's first message.
+var errAgain = errors.New("entry: introduce it again")
+
+// watch reads one stream of views until it breaks.
 func (e *Entry) watch(ctx context.Context) error {
 	s, err := e.links.Open(e.set.Coord.Link, frame.Watch, e.introduce())
 	if err != nil {
@@ -77,9 +84,13 @@
 		}
 		e.viewErr.Store(nil)
 		e.takeView(&m)
+		if m.GetDrain() && !e.leaving.Swap(true) {
+			event.EntryDrained.Log(e.log)
+			return errAgain
+		}
 		select {
 		case <-e.rewatch:
-			return e.watch(ctx)
+			return errAgain
 		default:
 		}
 	}
--- a/protocol/api/api.go
+++ b/protocol/api/api.go
@@ -202,6 +202,12 @@
 	Leaving     bool   `json:"leaving"`
 	Incarnation string `json:"incarnation"`
 	Entry       string `json:"entry"`
+	Revision    uint64 `json:"revision"` // in force there; 0: no answer
+}
+
+// Drained answers POST /v1/instances/NAME/drain.
+type Drained struct {
+	Instance string `json:"instance"`
 }
 
 // ReplicaStatus is one replica in a Status.
--- a/protocol/event/event.go
+++ b/protocol/event/event.go
@@ -31,6 +31,7 @@
 	EntryStarted  = add(1001, hclog.Info, "entry started", "incarnation, http", "The entry listens.", nothing)
 	EntryStopping = add(1002, hclog.Info, "entry stopping", "wait", "A planned stop began: the entry serves on until the longest address answer has run out.", nothing)
 	EntryStopped  = add(1003, hclog.Info, "entry stopped", "in_flight", "The planned stop ended.", "if in_flight is not 0, look why those requests outlived the stop's limit")
+	EntryDrained  = add(1004, hclog.Info, "entry drained", "", "An operator wants this instance empty: address answers leave it out until it is started again.", "stop it when its requests have ended")
 	ViewLost      = add(1010, hclog.Warn, "coord unreachable", "error", "The entry goes on with its last configuration and members.", "see that the coord on this instance runs")
 	ViewAdopted   = add(1011, hclog.Info, "configuration in force", "revision", "The entry took a new revision into force.", nothing)
 	ViewRefused   = add(1012, hclog.Error, "configuration refused", "revision, error", "The entry was sent a configuration that it can't read or that is older than the one in force.", "compare the versions of the binaries; ask every coord for its revision with quincectl status")
--- a/protocol/frame/frame.go
+++ b/protocol/frame/frame.go
@@ -24,6 +24,7 @@
 	Handover                    // Handover -> HandoverReply
 	Leaving                     // Beat with leaving replicas, from an entry -> Noted
 	Limits                      // Demands -> Demands
+	Drain                       // Noted -> Noted
 	Reply                       // the answer to any of them
 )
 
