A number that ran is never called not_run because the declaration has changed

Cause, found by reading: a retry of a numbered request whose pipeline or customer is no longer declared was refused as not_run before its ledger was asked, though it had run; the caller would send it again under another number. The checker did not see it, since such refusals carry no id. Change: refusals that rest on today's declaration are unknown for numbered requests; the checker joins receipts by ticket and input.

--- a/cmd/check/check.go
+++ b/cmd/check/check.go
@@ -50,11 +50,22 @@
 	told  []Told
 	ran   map[string][]api.Execution // by request id
 	found []Violation
+
+	receipts map[receipt][]string // ids that the receipts of a numbered request were told
 }
 
+// receipt names a numbered request.
+type receipt struct{ ticket, input string }
+
 // All checks every row that histories alone can show.
 func All(f *fleet.Fleet, told []Told, journal []api.Execution) []Violation {
-	h := &history{fleet: f, told: told, ran: make(map[string][]api.Execution)}
+	h := &history{fleet: f, told: told, ran: make(map[string][]api.Execution), receipts: make(map[receipt][]string)}
+	for _, t := range told {
+		if t.Ticket != "" && t.ID != "" {
+			key := receipt{t.Ticket, t.Input}
+			h.receipts[key] = append(h.receipts[key], t.ID)
+		}
+	}
 	for _, x := range journal {
 		h.ran[x.Request] = append(h.ran[x.Request], x)
 	}
@@ -126,10 +137,21 @@
 	}
 }
 
-// notRun is P3: what was told not_run has no execution.
+// notRun is P3: what was told not_run has no execution, neither under its own
+// id nor, for a numbered one, under that of another receipt of the same request.
 func (h *history) notRun(t *Told) {
-	if t.Outcome == outcome.NotRun && t.ID != "" && len(h.ran[t.ID]) > 0 {
-		h.add("P3", t.ID, "told not_run (%s), but %d executions began", t.Code, len(h.ran[t.ID]))
+	if t.Outcome != outcome.NotRun {
+		return
+	}
+	if n := len(h.ran[t.ID]); t.ID != "" && n > 0 {
+		h.add("P3", t.ID, "told not_run (%s), but %d executions began", t.Code, n)
+		return
+	}
+	for _, id := range h.receipts[receipt{t.Ticket, t.Input}] {
+		if n := len(h.ran[id]); n > 0 {
+			h.add("P3", id, "one receipt was told not_run (%s), but %d executions began", t.Code, n)
+			return
+		}
 	}
 }
 
--- a/cmd/check/check_test.go
+++ b/cmd/check/check_test.go
@@ -74,6 +74,11 @@
 		{"not_run that ran", "P3", func(t []Told, j []api.Execution) ([]Told, []api.Execution) {
 			return t, append(j, api.Execution{Request: "2", Stage: "a", Op: "x"})
 		}},
+		{"a retry told not_run of a number that ran", "P3", func(t []Told, j []api.Execution) ([]Told, []api.Execution) {
+			again := t[2]
+			again.ID, again.Outcome = "", outcome.NotRun
+			return append(t, again), j
+		}},
 		{"one id twice", "P4", func(t []Told, j []api.Execution) ([]Told, []api.Execution) {
 			return t, append(j, j[2])
 		}},
--- a/cmd/entry/callers.go
+++ b/cmd/entry/callers.go
@@ -24,6 +24,13 @@
 	minDeadlineMS = 1
 )
 
+// The codes of refusals that another declaration would not have brought.
+const (
+	codeNoPipeline = "unknown_pipeline"
+	codeNoCustomer = "unknown_customer"
+	codeNotReady   = "not_ready"
+)
+
 // handler serves callers.
 func (e *Entry) handler(ctx *fasthttp.RequestCtx) {
 	if e.leaving.Load() {
@@ -45,10 +52,20 @@
 	return &api.Error{ID: id, Status: status, Code: code, Detail: fmt.Sprintf(format, args...), Outcome: outcome.NotRun}
 }
 
+// doubt makes unknown of a refusal that rests on the declaration of today: the
+// number may have run under yesterday's, and only its home's ledger can tell.
+func doubt(err *api.Error, ticket string) *api.Error {
+	today := err.Code == codeNoPipeline || err.Code == codeNoCustomer || err.Code == codeNotReady
+	if ticket != "" && today {
+		err.Outcome = outcome.Unknown
+	}
+	return err
+}
+
 // caller returns the customer whose key the request carries.
 func (e *Entry) caller(ctx *fasthttp.RequestCtx, v *view) (*fleet.Customer, *api.Error) {
 	if v == nil || v.fleet == nil {
-		return nil, &api.Error{Status: 503, Code: "not_ready", Detail: "this instance has no configuration yet", Outcome: outcome.NotRun, RetryAfterMS: 1000}
+		return nil, &api.Error{Status: 503, Code: codeNotReady, Detail: "this instance has no configuration yet", Outcome: outcome.NotRun, RetryAfterMS: 1000}
 	}
 	key := web.Bearer(ctx)
 	if key == "" {
@@ -58,8 +75,8 @@
 	// help to find a key.
 	c, ok := v.customers[web.Digest(key)]
 	if !ok {
-		event.Unauthorized.Log(e.log, "code", "unknown_customer", "path", string(ctx.Path()))
-		return nil, bad("", 401, "unknown_customer", "no customer has this key")
+		event.Unauthorized.Log(e.log, "code", codeNoCustomer, "path", string(ctx.Path()))
+		return nil, bad("", 401, codeNoCustomer, "no customer has this key")
 	}
 	return c, nil
 }
@@ -131,16 +148,17 @@
 		return
 	}
 	v := e.view.Load()
+	text := string(ctx.Request.Header.Peek(api.HeaderTicket))
 	c, fail := e.caller(ctx, v)
 	if fail != nil {
-		e.fail(ctx, fail)
+		e.fail(ctx, doubt(fail, text))
 		return
 	}
 	// The body is the library's and is used again after the handler: keep a copy.
 	body := append([]byte(nil), ctx.PostBody()...)
 	r, fail := newRun(v, c, pipeline, body, time.Now())
 	if fail != nil {
-		e.fail(ctx, fail)
+		e.fail(ctx, doubt(fail, text))
 		return
 	}
 	label := string(ctx.Request.Header.Peek(api.HeaderID))
@@ -148,7 +166,6 @@
 		e.fail(ctx, fail)
 		return
 	}
-	text := string(ctx.Request.Header.Peek(api.HeaderTicket))
 	switch {
 	case text != "" && !r.pipeline.Repeatable:
 		e.serveTicket(ctx, r, text)
@@ -163,7 +180,7 @@
 func newRun(v *view, c *fleet.Customer, pipeline string, body []byte, received time.Time) (*run, *api.Error) {
 	p, ok := v.pipelines[pipeline]
 	if !ok {
-		return nil, bad("", 404, "unknown_pipeline", "no pipeline is named %q", pipeline)
+		return nil, bad("", 404, codeNoPipeline, "no pipeline is named %q", pipeline)
 	}
 	var q api.RunRequest
 	dec := json.NewDecoder(strings.NewReader(string(body)))
--- a/cmd/entry/tickets.go
+++ b/cmd/entry/tickets.go
@@ -189,7 +189,7 @@
 func (e *Entry) runForwarded(q *pb.Run) (int, []byte) {
 	v := e.view.Load()
 	if v == nil || v.fleet == nil {
-		return encode(unknown("", "not_ready", "the home has no configuration yet"))
+		return encode(unknown("", codeNotReady, "the home has no configuration yet"))
 	}
 	for i := range v.fleet.Customers {
 		c := &v.fleet.Customers[i]
@@ -198,7 +198,7 @@
 		}
 		r, fail := newRun(v, c, q.GetPipeline(), q.GetBody(), time.Now())
 		if fail != nil {
-			return encode(fail)
+			return encode(doubt(fail, q.GetTicket()))
 		}
 		r.deadline = r.received.Add(convert.FromMicros(q.GetLeftUs()))
 		n, fail := e.parseTicket(r, q.GetTicket())
@@ -207,5 +207,5 @@
 		}
 		return e.runNumbered(n, int(q.GetHops()))
 	}
-	return encode(unknown("", "unknown_customer", "the home does not know the customer"))
+	return encode(unknown("", codeNoCustomer, "the home does not know the customer"))
 }
--- a/proctest/once_test.go
+++ b/proctest/once_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -258,3 +259,25 @@
 		t.Errorf("%d stores of two numbers", n)
 	}
 }
+
+// P3, P4: a number that ran is not called not_run because its pipeline is no
+// longer declared: its caller would send it again under another number.
+func TestOnceAfterPipelineIsGone(t *testing.T) {
+	r := deploy(t, rig.Options{Example: kalahari})
+	c := caller(r, 0)
+	first := c.Do(fieldReport("before"))
+	if first.Outcome != outcome.Done {
+		t.Fatalf("%s %s", first.Outcome, first.Code)
+	}
+	_, err := r.Confirm(strings.Replace(r.Text, `name = "field-report"`, `name = "field-note"`, 1))
+	must(t, err)
+	told := []check.Told{first}
+	for _, in := range r.Instances {
+		x := again(c, first, in)
+		if x.Outcome != outcome.Unknown {
+			t.Errorf("%s: %s %s, want unknown", in.Name, x.Outcome, x.Code)
+		}
+		told = append(told, x)
+	}
+	verdict(t, r, told)
+}
