A caller that goes away costs no later stage

Cause: the HTTP library's server does not tell when a caller closes its connection, so abandoned requests ran to their end. Left: a stage under way is not cancelled; that takes a look while it runs.

--- a/cmd/entry/attempt.go
+++ b/cmd/entry/attempt.go
@@ -219,7 +219,7 @@
 		return e.refuse(s.run, 502, "upstream_failed", fmt.Sprintf("stage %s: %v after %d tries", s.stage.Name, err, s.tries), 0)
 	case s.stage.Once && !free:
 		return e.end(s.run, 502, "upstream_failed", fmt.Sprintf("stage %s: %v", s.stage.Name, err))
-	case s.gone.Load():
+	case s.abandoned():
 		return e.refuse(s.run, 499, "abandoned", "the caller went away", 0)
 	case !free && !e.takeRetry():
 		return e.end(s.run, 502, "upstream_failed", fmt.Sprintf("stage %s: %v; the retry budget is spent", s.stage.Name, err))
--- a/cmd/entry/callers.go
+++ b/cmd/entry/callers.go
@@ -15,6 +15,7 @@
 	"quinceroad/protocol/api"
 	"quinceroad/protocol/event"
 	"quinceroad/state/fleet"
+	"quinceroad/transport/peek"
 	"quinceroad/transport/web"
 )
 
@@ -172,6 +173,8 @@
 	case r.stream:
 		e.serveStream(ctx, r)
 	default:
+		// The library does not tell when a caller goes away.
+		r.look = func() bool { return peek.Look(ctx.Conn()) == peek.Closed }
 		e.answer(ctx, e.admitAndRun(r))
 	}
 }
--- a/cmd/entry/run.go
+++ b/cmd/entry/run.go
@@ -27,6 +27,7 @@
 	record   *outcome.Record
 	onToken  func(string) // nil unless the answer streams
 	gone     atomic.Bool  // the caller went away
+	look     func() bool  // tells whether the caller went away; nil for numbered runs, which go on
 
 	bookings []*booking // by stage; nil: none, or used
 	settled  bool       // the bookings were answered
@@ -38,6 +39,14 @@
 // abandon notes that the caller went away; the next stage does not start.
 func (r *run) abandon() { r.gone.Store(true) }
 
+// abandoned reports whether the caller went away.
+func (r *run) abandoned() bool {
+	if r.look != nil && !r.gone.Load() && r.look() {
+		r.abandon()
+	}
+	return r.gone.Load()
+}
+
 func (r *run) left() time.Duration { return time.Until(r.deadline) }
 
 // final is a run's answer: either is set.
@@ -96,7 +105,7 @@
 	defer e.unbookAll(r)
 	input := r.input
 	for i := range r.pipeline.Stages {
-		if r.gone.Load() {
+		if r.abandoned() {
 			return e.refuse(r, 499, "abandoned", "the caller went away", 0)
 		}
 		out, fail := e.runStage(r, i, input)
--- a/proctest/answers_test.go
+++ b/proctest/answers_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net"
 	"strings"
 	"sync"
 	"testing"
@@ -179,3 +180,28 @@
 		t.Errorf("%d executions of bad requests", n)
 	}
 }
+
+// A caller that goes away in the first stage costs no later one.
+func TestCallerGoesAway(t *testing.T) {
+	r := deploy(t, rig.Options{Example: kalahari, Standin: func(c *upstream.Config) {
+		for i := range c.Services {
+			if c.Services[i].Name == "encoder" {
+				c.Services[i].MeanMS, c.Services[i].Sigma = 300, 0
+			}
+		}
+	}})
+	conn, err := net.Dial("tcp", r.Entries()[0])
+	must(t, err)
+	body := `{"input":"never mind"}`
+	_, err = fmt.Fprintf(conn, "POST /v1/pipelines/bylaw-answer/runs HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer key-town-council\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
+	must(t, err)
+	waitExecutions(t, r, "encode", 1)
+	must(t, conn.Close())
+	must(t, r.Until("nothing in flight", func() bool {
+		s, err := r.EntryState(r.Instances[0])
+		return err == nil && s.InFlight == 0
+	}))
+	if n := executions(t, r, "retrieve") + executions(t, r, "generate"); n != 0 {
+		t.Errorf("%d stages ran for a caller that had gone", n)
+	}
+}
--- a/proctest/rig/rig.go
+++ b/proctest/rig/rig.go
@@ -358,6 +358,7 @@
 	Members  int    `json:"members"`
 	Replicas int    `json:"replicas"`
 	Ledger   int    `json:"ledger_records"`
+	InFlight int    `json:"in_flight"`
 }
 
 // EntryState reads an entry's dump.
--- a/transport/upstream/upstream.go
+++ b/transport/upstream/upstream.go
@@ -11,12 +11,12 @@
 	"errors"
 	"net"
 	"sync"
-	"syscall"
 	"time"
 
 	"github.com/valyala/fasthttp"
 
 	"quinceroad/coordination/outcome"
+	"quinceroad/transport/peek"
 )
 
 // The errors of a call.
@@ -111,24 +111,7 @@
 
 // quiet reports whether an idle connection is open and has nothing to read: a
 // closed one would lose the request, and bytes would be a late answer.
-func quiet(c net.Conn) bool {
-	sc, ok := c.(syscall.Conn)
-	if !ok {
-		return false
-	}
-	raw, err := sc.SyscallConn()
-	if err != nil {
-		return false
-	}
-	idle := false
-	err = raw.Read(func(fd uintptr) bool {
-		var b [1]byte
-		_, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		idle = err == syscall.EAGAIN
-		return true
-	})
-	return err == nil && idle
-}
+func quiet(c net.Conn) bool { return peek.Look(c) == peek.Quiet }
 
 // send writes the request; from here on it may run.
 func (cn *Conn) send(d outcome.Dispatched, req *fasthttp.Request) error {
