Race detector over the process tests; logs are searched for crashes

Change: make race builds the processes with the race detector too; every process test now fails when a log of its processes holds a panic or a data race. Simpler resuming in the upstream client, one less lock in the owner.

--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 GO ?= go
 BIN := bin
 
-.PHONY: build test lint bench capacity demo proto clean
+.PHONY: build test race lint bench capacity demo proto clean
 
 build:
 	$(GO) build -o $(BIN)/ ./cmd/...
@@ -10,16 +10,21 @@
 test: build
 	$(GO) test -count 1 -timeout 280s ./...
 
+# The same tests with the race detector in tests and processes; needs a C compiler.
+race:
+	QUINCE_RACE=1 $(GO) test -race -count 1 -timeout 900s ./...
+
 lint:
 	@out=$$(gofmt -l $$(git ls-files '*.go' 2>/dev/null)); if [ -n "$$out" ]; then echo "gofmt: $$out"; exit 1; fi
 	$(GO) vet ./...
 	$(GO) tool staticcheck ./...
 
 bench: build
-	$(GO) test -run '^$$' -bench . -benchtime 1s -timeout 1200s ./coordination/... ./proctest/...
+	$(GO) test -run '^$$' -bench . ./coordination/... ./protocol/... ./transport/...
+	$(GO) run ./proctest/experiment -bin $(BIN)
 
 capacity: build
-	$(GO) run ./proctest/capacity
+	$(GO) run ./proctest/capacity -bin $(BIN)
 
 demo: build
 	$(GO) run ./proctest/demo -bin $(BIN) -example examples/kalahari
--- a/cmd/coord/owner.go
+++ b/cmd/coord/owner.go
@@ -1,8 +1,10 @@
 package coord
 
 import (
+	"fmt"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"quinceroad/cmd/slots"
@@ -20,8 +22,7 @@
 type owner struct {
 	coord   *Coord
 	holders *table.Table[string, *holder]
-	mu      sync.Mutex
-	nextID  int
+	streams atomic.Int64 // served so far: tells two streams of one address apart
 }
 
 // holder is one entry's stream.
@@ -47,10 +48,7 @@
 // serve handles one entry's stream until it ends; then its permits end too.
 func (o *owner) serve(s net.Conn) {
 	h := &holder{s: s}
-	o.mu.Lock()
-	o.nextID++
-	name := s.RemoteAddr().String() + "/" + time.Duration(o.nextID).String()
-	o.mu.Unlock()
+	name := fmt.Sprintf("%s/%d", s.RemoteAddr(), o.streams.Add(1))
 	o.holders.Put(name, h)
 	defer func() {
 		o.holders.Delete(name)
--- a/cmd/entry/attempt.go
+++ b/cmd/entry/attempt.go
@@ -149,10 +149,8 @@
 	}
 	c := &upstream.Call{
 		Request: s.id, Stage: s.stage.Name, Attempt: s.sent, Op: s.stage.Operation, Class: int(s.class),
-		Input: s.input, Offset: len(s.tokens), Deadline: deadline,
+		Input: s.input, Earlier: slices.Clone(s.tokens), Deadline: deadline,
 	}
-	earlier := slices.Clone(s.tokens)
-	c.Resumed = func() []string { return earlier }
 	if s.streams() {
 		c.OnToken = s.onToken
 	}
--- a/proctest/main_test.go
+++ b/proctest/main_test.go
@@ -33,7 +33,11 @@
 	}
 	defer os.RemoveAll(dir)
 	bin = dir
-	build := exec.Command("go", "build", "-o", dir+"/", "../cmd/...")
+	args := []string{"build", "-o", dir + "/"}
+	if os.Getenv("QUINCE_RACE") != "" { // make race; needs a C compiler
+		args = append(args, "-race")
+	}
+	build := exec.Command("go", append(args, "../cmd/...")...)
 	build.Stderr = os.Stderr
 	if err := build.Run(); err != nil {
 		return 1
@@ -70,6 +74,13 @@
 	}
 	t.Cleanup(func() {
 		r.Close()
+		crashes, err := r.Crashes()
+		if err != nil {
+			t.Error(err)
+		}
+		for _, c := range crashes {
+			t.Error(c)
+		}
 		if t.Failed() {
 			t.Log("logs are in", dir)
 			return
--- a/proctest/rig/proc.go
+++ b/proctest/rig/proc.go
@@ -4,6 +4,8 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
+	"strings"
 	"syscall"
 	"time"
 )
@@ -76,6 +78,31 @@
 
 func (p *Proc) signal(s os.Signal) { _ = p.cmd.Process.Signal(s) }
 
+// crashMarks are what a log holds when a process failed by a fault of its own.
+var crashMarks = []string{"DATA RACE", "panic", "fatal error"}
+
+// Crashes returns the log lines that show a panic or a data race.
+func (r *Rig) Crashes() ([]string, error) {
+	logs, err := filepath.Glob(filepath.Join(r.opts.Dir, "*.log"))
+	if err != nil {
+		return nil, err
+	}
+	var out []string
+	for _, file := range logs {
+		b, err := os.ReadFile(file)
+		if err != nil {
+			return nil, err
+		}
+		for line := range strings.Lines(string(b)) {
+			marked := slices.ContainsFunc(crashMarks, func(m string) bool { return strings.Contains(line, m) })
+			if marked {
+				out = append(out, filepath.Base(file)+": "+strings.TrimSpace(line))
+			}
+		}
+	}
+	return out, nil
+}
+
 // Close ends every process of the rig.
 func (r *Rig) Close() {
 	for _, p := range r.procs {
--- a/transport/upstream/call.go
+++ b/transport/upstream/call.go
@@ -26,10 +26,9 @@
 	Op       string
 	Class    int
 	Input    []byte
-	Offset   int             // tokens of the answer that are here already
-	Deadline time.Time       // of the whole request
-	OnToken  func(t string)  // nil unless the answer streams
-	Resumed  func() []string // the tokens that are here already
+	Earlier  []string       // tokens that earlier attempts brought; this one goes on after them
+	Deadline time.Time      // by when the answer must be whole
+	OnToken  func(t string) // nil unless the answer streams
 }
 
 // Answer is what a replica said.
@@ -107,8 +106,8 @@
 	req.Header.Set(api.HeaderOp, c.Op)
 	req.Header.Set(api.HeaderClass, strconv.Itoa(c.Class))
 	req.Header.Set(api.HeaderLeft, strconv.FormatInt(time.Until(c.Deadline).Milliseconds(), 10))
-	if c.Offset > 0 {
-		req.Header.Set(api.HeaderOffset, strconv.Itoa(c.Offset))
+	if len(c.Earlier) > 0 {
+		req.Header.Set(api.HeaderOffset, strconv.Itoa(len(c.Earlier)))
 	}
 	req.SetBodyRaw(c.Input)
 }
@@ -185,17 +184,13 @@
 // those of earlier attempts included.
 func checkEnd(c *Call, a *Answer, end StreamEnd) error {
 	var all bytes.Buffer
-	n := 0
-	if c.Resumed != nil {
-		for _, t := range c.Resumed() {
-			all.WriteString(t)
-			n++
-		}
+	for _, t := range c.Earlier {
+		all.WriteString(t)
 	}
 	for _, t := range a.Tokens {
 		all.WriteString(t)
-		n++
 	}
+	n := len(c.Earlier) + len(a.Tokens)
 	if n != end.Count || Digest(all.Bytes()) != end.Digest {
 		return fmt.Errorf("%w: %d tokens of %d, or another digest", ErrCut, n, end.Count)
 	}
