Numbered requests through a planned stop: none is refused, unknown or lost

Cause, found by reading: a stopping entry gave out tickets of another entry at that one's time zero, dead on arrival once it had been up for two minutes; and numbers that came between the seal of a home's ledger and its heir's readiness were told unknown or not_run. Change: a stopping entry gives tickets of its own, whose numbers its heir starts after it; the ledger is sealed when new requests are refused; a forwarding entry waits for the heir while nothing was started, also when it becomes the heir itself.

--- a/cmd/entry/callers.go
+++ b/cmd/entry/callers.go
@@ -97,10 +97,9 @@
 	}
 	out := api.AddressAnswer{LifetimeMS: e.lifetime(v).Milliseconds()}
 	out.Addresses = e.choose(v, string(ctx.Request.Header.Peek(api.HeaderHall)))
-	home, incarnation, issued := e.home(v, out.Addresses)
-	out.Home = home.Address
+	out.Home = e.homeAddress(out.Addresses)
 	out.Ticket = e.keys.Mint(ticket.Prefix{
-		Home: home.Instance, Incarnation: incarnation, Nonce: rand.Uint64(), Issued: issued, Customer: c.Name,
+		Home: e.set.Name, Incarnation: e.incarnation, Nonce: rand.Uint64(), Issued: e.now(), Customer: c.Name,
 	})
 	web.JSON(ctx, 200, out)
 }
@@ -123,20 +122,14 @@
 	return out
 }
 
-// home returns the entry whose ledger owns a new ticket: this one, or when it
-// stops the first it names. Only the own ledger's clock is known here; another
-// one's ticket is issued at its time zero and so lives a little shorter.
-func (e *Entry) home(v *view, others []api.Address) (api.Address, uint64, time.Duration) {
-	if e.leaving.Load() {
-		for _, a := range others {
-			for _, m := range v.members {
-				if m.Name == a.Instance && m.EntryIncarnation != 0 {
-					return a, m.EntryIncarnation, 0
-				}
-			}
-		}
+// homeAddress is where a new ticket's numbers should be sent: here, since this
+// entry's ledger owns them, or while it stops to another entry, which will find
+// the heir after the stop.
+func (e *Entry) homeAddress(others []api.Address) string {
+	if e.leaving.Load() && len(others) > 0 {
+		return others[0].Address
 	}
-	return api.Address{Instance: e.set.Name, Address: e.set.Entry.HTTP, Hall: e.set.Hall}, e.incarnation, e.now()
+	return e.set.Entry.HTTP
 }
 
 // serveRun runs a pipeline for a caller.
--- a/cmd/entry/entry.go
+++ b/cmd/entry/entry.go
@@ -193,6 +193,9 @@
 	e.tellCoord()
 	time.Sleep(wait + stopGrace)
 	e.refusing.Store(true)
+	e.ledgerMu.Lock()
+	e.ledger.Seal() // what is pending ends here, new numbers are the heir's
+	e.ledgerMu.Unlock()
 	until := time.Now().Add(stopLimit)
 	for e.inFlight.Load() > 0 && time.Now().Before(until) {
 		time.Sleep(stopPoll)
--- a/cmd/entry/handover.go
+++ b/cmd/entry/handover.go
@@ -43,11 +43,10 @@
 var errNoHeir = errors.New("no other live entry")
 
 // handOver passes the sealed ledger to an heir. The order makes a double start
-// impossible: this entry has sealed its ledger before the heir can begin, and
+// impossible: Stop has sealed this entry's ledger before the heir can begin, and
 // the heir begins only on the platform's word.
 func (e *Entry) handOver() {
 	e.ledgerMu.Lock()
-	e.ledger.Seal()
 	now := e.now()
 	line, entries := e.ledger.Line(now), e.ledger.Export(now)
 	e.ledgerMu.Unlock()
--- a/cmd/entry/tickets.go
+++ b/cmd/entry/tickets.go
@@ -17,12 +17,13 @@
 	"quinceroad/protocol/event"
 	"quinceroad/protocol/frame"
 	"quinceroad/protocol/pb"
+	"quinceroad/transport/link"
 	"quinceroad/transport/web"
 )
 
 const (
 	forwardGrace = 300 * time.Millisecond // over the deadline, for the home's own answer to come back
-	mostHops     = 1
+	heirPause    = 50 * time.Millisecond  // between looks for a stopping home's heir
 )
 
 // numbered is a run under a ticket.
@@ -41,8 +42,8 @@
 		e.fail(ctx, fail)
 		return
 	}
-	status, body := e.runNumbered(n, 0)
-	web.Raw(ctx, status, body)
+	a := e.runNumbered(n, 0)
+	web.Raw(ctx, a.status, a.body)
 }
 
 func (e *Entry) parseTicket(r *run, text string) (*numbered, *api.Error) {
@@ -59,8 +60,15 @@
 	}}, nil
 }
 
-// runNumbered decides on a number and returns the answer's status and JSON.
-func (e *Entry) runNumbered(n *numbered, hops int) (int, []byte) {
+// reply is an answer as it goes out, or word that the ledger was handed on.
+type reply struct {
+	status int
+	body   []byte // JSON
+	moved  bool
+}
+
+// runNumbered decides on a number and returns its answer.
+func (e *Entry) runNumbered(n *numbered, hops int) reply {
 	e.ledgerMu.Lock()
 	verdict, rec := e.ledger.Begin(n.number, e.now())
 	e.ledgerMu.Unlock()
@@ -71,8 +79,16 @@
 	case ledger.Join:
 		e.count.joined.Inc(1)
 		return e.awaitNumbered(n, rec)
-	case ledger.Foreign, ledger.HandedOn:
-		return e.forward(n, hops)
+	case ledger.HandedOn:
+		if hops > 0 {
+			return reply{moved: true}
+		}
+		return encode(unknown(n.id, "handed_on", "this instance has stopped; ask again with the same ticket and number at another address"))
+	case ledger.Foreign:
+		if hops > 0 {
+			return e.homeLost(n)
+		}
+		return e.forward(n)
 	case ledger.Reused:
 		return encode(bad(n.id, 409, "ticket_reused", "this number was used for another request"))
 	case ledger.Full:
@@ -85,12 +101,12 @@
 	return &api.Error{ID: id, Status: 504, Code: code, Detail: detail, Outcome: outcome.Unknown}
 }
 
-func encode(e *api.Error) (int, []byte) {
+func encode(e *api.Error) reply {
 	b, err := json.Marshal(e)
 	if err != nil {
 		panic(err) // a type of ours that can't be marshalled
 	}
-	return e.Status, b
+	return reply{status: e.Status, body: b}
 }
 
 // startNumbered runs the request apart from the caller that brought it: its
@@ -99,22 +115,22 @@
 	e.inFlight.Add(1)
 	go func() {
 		defer e.inFlight.Add(-1)
-		a := ledger.Answer{Status: 504}
+		var a reply
 		defer func() {
 			if v := recover(); v != nil {
 				event.Panicked.Log(e.log, "panic", v)
-				a.Status, a.Body = encode(unknown(n.id, "internal", "internal error; the request may have run"))
+				a = encode(unknown(n.id, "internal", "internal error; the request may have run"))
 			}
 			e.ledgerMu.Lock()
-			e.ledger.Finish(rec, a)
+			e.ledger.Finish(rec, ledger.Answer{Status: a.status, Body: a.body})
 			e.ledgerMu.Unlock()
 		}()
-		a.Status, a.Body = e.finish(e.admitAndRun(n.run))
+		a = e.finish(e.admitAndRun(n.run))
 	}()
 }
 
-// finish counts a final answer and returns its status and JSON.
-func (e *Entry) finish(f *final) (int, []byte) {
+// finish counts a final answer and encodes it.
+func (e *Entry) finish(f *final) reply {
 	e.tally(f.outcome())
 	if f.err != nil {
 		return encode(f.err)
@@ -123,42 +139,73 @@
 	if err != nil {
 		panic(err) // a type of ours that can't be marshalled
 	}
-	return 200, b
+	return reply{status: 200, body: b}
 }
 
 // awaitNumbered waits for the number's answer until the caller's deadline.
-func (e *Entry) awaitNumbered(n *numbered, rec *ledger.Record) (int, []byte) {
+func (e *Entry) awaitNumbered(n *numbered, rec *ledger.Record) reply {
 	t := time.NewTimer(n.left())
 	defer t.Stop()
 	select {
 	case <-rec.Done():
 		a := rec.Answer()
-		return a.Status, a.Body
+		return reply{status: a.Status, body: a.Body}
 	case <-t.C:
 		return encode(unknown(n.id, "still_running", "the request is still running; ask again with the same ticket and number"))
 	}
 }
 
 // forward passes a number to the entry that may start it. Nobody else may, so
-// without that entry the answer is unknown.
-func (e *Entry) forward(n *numbered, hops int) (int, []byte) {
+// without that entry the answer is unknown. While a stopping home hands its
+// ledger on, the heir is waited for.
+func (e *Entry) forward(n *numbered) reply {
 	e.count.forwarded.Inc(1)
+	for {
+		a, wait := e.forwardOnce(n)
+		if !wait {
+			return a
+		}
+		if n.left() < heirPause {
+			return e.homeLost(n)
+		}
+		time.Sleep(heirPause)
+		if e.owns(n) { // this entry is the heir
+			return e.runNumbered(n, 0)
+		}
+	}
+}
+
+func (e *Entry) owns(n *numbered) bool {
+	e.ledgerMu.Lock()
+	defer e.ledgerMu.Unlock()
+	return e.ledger.Owns(n.number.Incarnation)
+}
+
+// forwardOnce asks the entry that is known to own the number; wait is true when
+// nothing was started and an heir is to be expected.
+func (e *Entry) forwardOnce(n *numbered) (a reply, wait bool) {
 	home, ok := e.view.Load().memberOf(n.number.Incarnation)
-	if !ok || hops >= mostHops || home.EntryLink == "" || home.Name == e.set.Name {
-		return e.homeLost(n)
+	if !ok || home.Name == e.set.Name || home.EntryLink == "" {
+		return e.homeLost(n), false
 	}
 	req := &pb.Run{
 		Ticket: n.text, Customer: n.customer.Name, Pipeline: n.pipeline.Name, Body: n.body,
-		LeftUs: convert.Micros(n.left()), Hops: uint32(hops + 1),
+		LeftUs: convert.Micros(n.left()), Hops: 1,
 	}
-	var reply pb.RunReply
-	if err := e.links.Call(home.EntryLink, frame.Run, req, &reply, n.left()+forwardGrace); err != nil {
-		return e.homeLost(n)
+	var r pb.RunReply
+	err := e.links.Call(home.EntryLink, frame.Run, req, &r, n.left()+forwardGrace)
+	switch {
+	case err == nil && r.GetMoved():
+		return reply{}, true
+	case err == nil:
+		return reply{status: int(r.GetStatus()), body: r.GetBody()}, false
+	case home.Leaving && link.NotSent(err):
+		return reply{}, true
 	}
-	return int(reply.GetStatus()), reply.GetBody()
+	return e.homeLost(n), false
 }
 
-func (e *Entry) homeLost(n *numbered) (int, []byte) {
+func (e *Entry) homeLost(n *numbered) reply {
 	event.HomeLost.Log(e.log, "request", n.id, "home", n.prefix.Home)
 	e.tally(outcome.Unknown)
 	return encode(unknown(n.id, "home_unreachable", "only "+n.prefix.Home+" may run this number and it can't be reached; the request may have run"))
@@ -182,11 +229,11 @@
 
 // serveForwarded runs a number that another entry received.
 func (e *Entry) serveForwarded(q *pb.Run) *pb.RunReply {
-	status, body := e.runForwarded(q)
-	return &pb.RunReply{Status: uint32(status), Body: body}
+	a := e.runForwarded(q)
+	return &pb.RunReply{Status: uint32(a.status), Body: a.body, Moved: a.moved}
 }
 
-func (e *Entry) runForwarded(q *pb.Run) (int, []byte) {
+func (e *Entry) runForwarded(q *pb.Run) reply {
 	v := e.view.Load()
 	if v == nil || v.fleet == nil {
 		return encode(unknown("", codeNotReady, "the home has no configuration yet"))
--- a/proctest/once_test.go
+++ b/proctest/once_test.go
@@ -281,3 +281,47 @@
 	}
 	verdict(t, r, told)
 }
+
+// P4, P6: numbers sent all through a planned stop of their home, at other
+// entries, are all done: by the home until it seals its ledger, by the heir
+// from then on; also under a ticket that the home gave out while it stopped.
+func TestOnceThroughPlannedStop(t *testing.T) {
+	r := deploy(t, rig.Options{Example: kalahari})
+	c := caller(r, 0)
+	home := homeOf(t, r, c)
+	a, err := c.Addresses()
+	must(t, err)
+	home.Entry.Stop()
+	stopped := make(chan int, 1)
+	go func() { stopped <- home.Entry.Wait() }()
+	must(t, r.Until("the home leaves", func() bool {
+		late := load.NewCaller(c.Key, "", []string{home.Settings.Entry.HTTP})
+		got, err := late.Addresses()
+		if err == nil && got.Home != home.Settings.Entry.HTTP {
+			a = got // a ticket of the stopping home
+			return true
+		}
+		return err != nil
+	}))
+	var told []check.Told
+	others := others(r, home)
+	after := 0
+	for n := 1; after < 20; n++ {
+		x := again(c, check.Told{Input: fmt.Sprintf("number %d", n), Ticket: fmt.Sprintf("%s.%d", a.Ticket, n)}, others[n%len(others)])
+		if x.Outcome != outcome.Done {
+			t.Errorf("number %d: %s %s, want done", n, x.Outcome, x.Code)
+		}
+		told = append(told, x)
+		select {
+		case code := <-stopped:
+			stopped <- code
+			after++
+		default:
+		}
+	}
+	if code := <-stopped; code != 0 {
+		t.Errorf("exit code %d", code)
+	}
+	t.Logf("%d numbers through the stop, %d after it", len(told), after)
+	verdict(t, r, told)
+}
--- a/transport/link/link.go
+++ b/transport/link/link.go
@@ -77,6 +77,13 @@
 	return s, nil
 }
 
+// NotSent reports whether a call failed before anything could be sent: no
+// connection was made.
+func NotSent(err error) bool {
+	var op *net.OpError
+	return errors.As(err, &op) && op.Op == "dial"
+}
+
 // Call sends one message to addr and waits for its answer.
 func (p *Pool) Call(addr string, k frame.Kind, req, resp proto.Message, timeout time.Duration) error {
 	s, err := p.Open(addr, k, req)
