--- a/cmd/standin/proxy/proxy.go
+++ b/cmd/standin/proxy/proxy.go
@@ -33,8 +33,11 @@
 	DropIn  bool   `json:"drop_in"`  // swallow bytes towards the target
 	DropOut bool   `json:"drop_out"` // swallow bytes from the target: answers are lost
 	DelayMS int    `json:"delay_ms"` // each way
+	Freeze  bool   `json:"freeze"`   // hold all bytes until it is over
 }
 
+const freezePoll = 5 * time.Millisecond
+
 // Load reads and checks a settings file.
 func Load(file string, data []byte) (*Config, error) {
 	var c Config
@@ -169,6 +172,10 @@
 			return
 		}
 		f := r.now()
+		for f.Freeze {
+			time.Sleep(freezePoll)
+			f = r.now()
+		}
 		if (inward && f.DropIn) || (!inward && f.DropOut) {
 			continue
 		}
--- a/cmd/standin/upstream/replica.go
+++ b/cmd/standin/upstream/replica.go
@@ -2,7 +2,6 @@
 
 import (
 	"container/heap"
-	"container/list"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -18,11 +17,9 @@
 )
 
 const (
-	batchSlope  = 0.15 // a full batch makes each request this much slower
-	cacheShare  = 0.25 // of the time saved when the prefix is cached
-	cacheMost   = 64   // prefixes a replica keeps
-	prefixBytes = 64
-	loadTime    = 60 * time.Millisecond // to load a model
+	batchSlope = 0.15                  // a full batch makes each request this much slower
+	cacheShare = 0.25                  // of the time saved when the prefix is cached
+	loadTime   = 60 * time.Millisecond // to load a model
 )
 
 // Fault is what a replica does wrong; set by POST /fault.
@@ -52,8 +49,7 @@
 	fault   Fault
 	running int
 	waiting waitHeap
-	cache   map[string]*list.Element
-	recent  list.List
+	cache   *cache
 	fence   uint64
 	model   string
 	reports []report // by time, the first is the one shown
@@ -88,6 +84,9 @@
 		_ = json.NewEncoder(w).Encode(r.load())
 	case "/v1/orders":
 		r.order(w, q)
+	case "/v1/cache/events":
+		after, _ := strconv.Atoi(q.URL.Query().Get("after"))
+		_ = json.NewEncoder(w).Encode(r.cache.since(after, time.Now()))
 	default:
 		w.WriteHeader(http.StatusNotFound)
 	}
@@ -224,7 +223,7 @@
 	defer r.mu.Unlock()
 	if r.svc.Streams {
 		d += time.Duration(float64(d) * batchSlope * float64(r.running) / float64(r.svc.Slots))
-		if r.cached(string(input[:min(len(input), prefixBytes)])) {
+		if r.cache.use(string(input[:min(len(input), prefixBytes)]), time.Now()) {
 			d -= time.Duration(float64(d) * cacheShare)
 		}
 	}
@@ -234,20 +233,6 @@
 	return d
 }
 
-// cached looks the prefix up and keeps it, dropping the one longest unused.
-func (r *replica) cached(prefix string) bool {
-	if e, ok := r.cache[prefix]; ok {
-		r.recent.MoveToFront(e)
-		return true
-	}
-	r.cache[prefix] = r.recent.PushFront(prefix)
-	if r.recent.Len() > cacheMost {
-		last := r.recent.Back()
-		delete(r.cache, r.recent.Remove(last).(string))
-	}
-	return false
-}
-
 // sleep waits for d unless the caller goes away.
 func sleep(ctx context.Context, d time.Duration) bool {
 	if d <= 0 {
--- a/cmd/standin/upstream/upstream.go
+++ b/cmd/standin/upstream/upstream.go
@@ -2,7 +2,6 @@
 
 import (
 	"bytes"
-	"container/list"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -79,7 +78,7 @@
 					id: id, hall: h.Name, svc: svc, journal: s.journal,
 					addr:        net.JoinHostPort(c.Host, strconv.Itoa(svc.FirstPort+n)),
 					incarnation: uint64(time.Now().UnixNano()),
-					cache:       make(map[string]*list.Element),
+					cache:       newCache(),
 				}
 				n++
 			}
