--- a/cmd/entry/stream.go
+++ b/cmd/entry/stream.go
@@ -8,6 +8,7 @@
 	"github.com/valyala/fasthttp"
 
 	"quinceroad/protocol/api"
+	"quinceroad/protocol/event"
 )
 
 const tokenBuffer = 256 // tokens a slow caller may be behind
@@ -26,7 +27,7 @@
 	}
 	e.inFlight.Add(1) // until the last byte is written, after the handler
 	go func() {
-		f := e.admitAndRun(r)
+		f := e.runGuarded(r)
 		close(tokens)
 		end <- f
 	}()
@@ -55,6 +56,17 @@
 	})
 }
 
+// runGuarded runs a request apart from its handler; its panic ends it alone.
+func (e *Entry) runGuarded(r *run) (f *final) {
+	defer func() {
+		if v := recover(); v != nil {
+			event.Panicked.Log(e.log, "panic", v)
+			f = &final{err: unknown(r.id, "internal", "internal error; the request may have run")}
+		}
+	}()
+	return e.admitAndRun(r)
+}
+
 // endOf drains what an abandoned run still sends, so that its end comes.
 func endOf(end chan *final, tokens chan string) chan *final {
 	for range tokens {
--- a/cmd/entry/tickets.go
+++ b/cmd/entry/tickets.go
@@ -115,17 +115,10 @@
 	e.inFlight.Add(1)
 	go func() {
 		defer e.inFlight.Add(-1)
-		var a reply
-		defer func() {
-			if v := recover(); v != nil {
-				event.Panicked.Log(e.log, "panic", v)
-				a = encode(unknown(n.id, "internal", "internal error; the request may have run"))
-			}
-			e.ledgerMu.Lock()
-			e.ledger.Finish(rec, ledger.Answer{Status: a.status, Body: a.body})
-			e.ledgerMu.Unlock()
-		}()
-		a = e.finish(e.admitAndRun(n.run))
+		a := e.finish(e.runGuarded(n.run))
+		e.ledgerMu.Lock()
+		defer e.ledgerMu.Unlock()
+		e.ledger.Finish(rec, ledger.Answer{Status: a.status, Body: a.body})
 	}()
 }
 
@@ -213,6 +206,11 @@
 
 // serveLink serves one stream of a peer entry.
 func (e *Entry) serveLink(k frame.Kind, first []byte, s net.Conn) {
+	defer func() { // a peer's message ends its own stream at worst
+		if v := recover(); v != nil {
+			event.Panicked.Log(e.log, "panic", v)
+		}
+	}()
 	switch k {
 	case frame.Run:
 		var q pb.Run
--- a/proctest/fleet_test.go
+++ b/proctest/fleet_test.go
@@ -63,6 +63,30 @@
 	}
 }
 
+// P5: the same with every coord cut off from the others: each entry learns from
+// the replica's own answers.
+func TestLeavingReplicaCoordsCut(t *testing.T) {
+	r := deploy(t, rig.Options{Example: kalahari, Proxy: true})
+	must(t, r.FaultPlatform(platform.Faults{ListLagMS: 10_000}))
+	for _, in := range r.Instances {
+		must(t, r.FaultLink(proxy.Fault{Route: in.Name + "/coord", Cut: true}))
+	}
+	left := make(chan time.Time, 1)
+	time.AfterFunc(time.Second, func() {
+		if err := r.FaultUpstream(upstream.Fault{Replica: "encoder-1", Leaving: true}); err != nil {
+			t.Error(err)
+		}
+		left <- time.Now()
+	})
+	res := runLoad(r, 200, 7*time.Second)
+	verdict(t, r, res.Told)
+	journal, err := r.Journal()
+	must(t, err)
+	for _, v := range check.Left(journal, "encoder-1", <-left, leaveGrace) {
+		t.Error(v)
+	}
+}
+
 // shortLives makes callers ask for addresses every second, so that planned
 // stops are short.
 func shortLives(r *rig.Rig) string {
@@ -162,6 +186,38 @@
 	must(t, r.WaitRevision(2))
 }
 
+// P7: an acceptor killed once its swap took effect: the revision reaches the
+// others without it, and the operator learns by asking again elsewhere.
+func TestAcceptorKilledAfterSwap(t *testing.T) {
+	r := deploy(t, rig.Options{Example: kalahari})
+	acceptor, other := r.Instances[3], r.Instances[0]
+	p := plan(t, r, acceptor, changed(r, 1))
+	must(t, r.FaultPlatform(platform.Faults{LoseAnswers: 1}))
+	writes := platformStats(t, r).Writes
+	told := make(chan error, 1)
+	go func() {
+		_, err := confirm(r, acceptor, p.ID)
+		told <- err
+	}()
+	must(t, r.Until("the swap", func() bool { return platformStats(t, r).Writes > writes }))
+	acceptor.Coord.Kill()
+	<-told // an error, or the answer if it was faster
+	d, err := confirm(r, other, p.ID)
+	must(t, err)
+	if d.State != "confirmed" || d.Revision != 2 {
+		t.Errorf("%+v, want revision 2 confirmed", d)
+	}
+	must(t, r.Until("revision 2 at all others", func() bool {
+		for _, in := range r.Instances {
+			s, err := r.EntryState(in)
+			if in != acceptor && (err != nil || s.Revision != 2) {
+				return false
+			}
+		}
+		return true
+	}))
+}
+
 // P7: with the platform down right after a confirmation, the revision still
 // reaches everyone, a process started during the outage takes it from its
 // peers, and no entry ever goes back.
