An entry whose coord hears from nobody asks silent replicas whether they leave

Cause of the known red test: with all coords cut off from each other and the list late, an entry that had sent the leaving replica nothing for 3 s knew nothing of it and sent one more request. Ruled out: telling peer entries (390 links), asking always (at 13 requests a second over 600 replicas nearly every attempt would ask). Change: a coord tells its entry when no partner answers its beats; the entry then asks a replica it has not heard from for a second, by its load report, before it sends work.

--- a/cmd/coord/beats.go
+++ b/cmd/coord/beats.go
@@ -4,6 +4,7 @@
 	"context"
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"quinceroad/coordination/membership"
@@ -75,14 +76,26 @@
 	c.membersMu.RUnlock()
 	beat := c.makeBeat()
 	var wg sync.WaitGroup
+	var heard atomic.Int32
 	for _, m := range partners {
 		wg.Go(func() {
 			if !c.beatTo(m.CoordLink, beat) {
 				c.silent(m.Name)
+				return
 			}
+			heard.Add(1)
 		})
 	}
 	wg.Wait()
+	c.alone.Store(heard.Load() == 0)
+}
+
+// reach tells the local entry whether this coord hears from any other.
+func (c *Coord) reach() pb.View_Reach {
+	if c.alone.Load() {
+		return pb.View_ALONE
+	}
+	return pb.View_TOGETHER
 }
 
 // makeBeat takes the news that is due; each item goes out in a few rounds.
--- a/cmd/coord/coord.go
+++ b/cmd/coord/coord.go
@@ -7,6 +7,7 @@
 	"context"
 	"errors"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	hclog "github.com/hashicorp/go-hclog"
@@ -59,6 +60,7 @@
 	limits   *limits
 
 	kick    chan struct{} // beat now: there is news
+	alone   atomic.Bool   // no partner answered the last beats
 	server  *link.Server
 	api     *web.Server
 	admin   *web.Server
--- a/cmd/coord/watchers.go
+++ b/cmd/coord/watchers.go
@@ -78,7 +78,7 @@
 	beat := time.NewTicker(watchBeat)
 	defer beat.Stop()
 	for {
-		var v proto.Message = &pb.View{}
+		var v proto.Message = &pb.View{Reach: c.reach()}
 		select {
 		case change, ok := <-ch:
 			if !ok {
@@ -97,6 +97,7 @@
 	rev, f := c.config()
 	v := &pb.View{
 		Self:    c.set.Name,
+		Reach:   c.reach(),
 		Members: &pb.Members{Members: convert.Members(c.members())},
 	}
 	if c.hasList() {
--- a/cmd/entry/attempt.go
+++ b/cmd/entry/attempt.go
@@ -7,13 +7,9 @@
 	"slices"
 	"time"
 
-	"quinceroad/coordination/replicas"
 	"quinceroad/coordination/scheduler"
 	"quinceroad/protocol/api"
-	"quinceroad/protocol/convert"
 	"quinceroad/protocol/event"
-	"quinceroad/protocol/frame"
-	"quinceroad/protocol/pb"
 	"quinceroad/state/fleet"
 	"quinceroad/transport/upstream"
 )
@@ -21,7 +17,6 @@
 const (
 	mostAttempts = 4
 	onceGrace    = 5 * time.Second // a stage with an effect may end so long after the deadline
-	signTimeout  = time.Second
 )
 
 // stageRun is one stage of a run, over its attempts.
@@ -103,7 +98,7 @@
 // attempt runs the stage once on the slot's replica.
 func (e *Entry) attempt(s *stageRun, sl *slot) ([]byte, time.Duration, error) {
 	rep, ok := e.view.Load().replicas[sl.replica]
-	if !ok || rep.Leaving {
+	if !ok || rep.Leaving || e.leaves(rep) {
 		sl.done(0, false)
 		return nil, 0, errGone
 	}
@@ -127,7 +122,7 @@
 	s.addCost(took)
 	if ans != nil {
 		s.tokens = append(s.tokens, ans.Tokens...)
-		e.noteLeaving(rep, ans)
+		e.noteAnswer(rep, ans.Leaving, ans.Incarnation)
 	}
 	if err == nil {
 		err = judge(s, ans)
@@ -248,18 +243,3 @@
 		event.LateAnswer.Log(e.log, "request", s.id, "stage", s.stage.Name, "replica", replica, "error", err.Error())
 	}
 }
-
-// noteLeaving passes a replica's own word that it leaves on to the coord.
-func (e *Entry) noteLeaving(r replicas.Replica, a *upstream.Answer) {
-	if !a.Leaving || r.Leaving {
-		return
-	}
-	if a.Incarnation != 0 {
-		r.Incarnation = a.Incarnation
-	}
-	sign := &pb.Beat{Leaving: []*pb.Replica{convert.Replica(r)}}
-	go func() {
-		// Without its coord the entry learns of it from peers or the list.
-		_ = e.links.Call(e.set.Coord.Link, frame.Leaving, sign, &pb.Noted{}, signTimeout)
-	}()
-}
--- a/cmd/entry/entry.go
+++ b/cmd/entry/entry.go
@@ -14,6 +14,7 @@
 
 	hclog "github.com/hashicorp/go-hclog"
 	metrics "github.com/rcrowley/go-metrics"
+	"github.com/valyala/fasthttp"
 	"golang.org/x/sync/errgroup"
 
 	"quinceroad/coordination/estimate"
@@ -41,6 +42,7 @@
 	links       *link.Pool
 	traffic     *link.Traffic
 	upstreams   *upstream.Client
+	probes      *fasthttp.Client // asks replicas whether they leave
 	platform    *platform.Client
 	registry    metrics.Registry
 	count       counters
@@ -62,8 +64,10 @@
 	estimates *table.Table[stageKey, *stageEstimate]
 	slots     *slotClient
 
-	leaving  atomic.Bool // told to peers and address answers
-	refusing atomic.Bool // new requests are refused
+	alone    atomic.Bool                     // the coord hears from no other: replicas' leaving does not spread
+	heard    *table.Table[string, time.Time] // replica -> when it last answered
+	leaving  atomic.Bool                     // told to peers and address answers
+	refusing atomic.Bool                     // new requests are refused
 	inFlight atomic.Int64
 
 	http    *web.Server
@@ -127,6 +131,8 @@
 		rewatch:     make(chan struct{}, 1),
 		heirlooms:   table.New[uint64, *heirloom](table.RankLedger),
 		retries:     retry.NewBudget(retryShare, retryMost),
+		heard:       table.New[string, time.Time](table.RankReplicas),
+		probes:      web.NewClient(),
 		estimates:   table.New[stageKey, *stageEstimate](table.RankReplicas),
 	}
 	e.ledger = ledger.New(e.incarnation)
--- a/cmd/entry/view.go
+++ b/cmd/entry/view.go
@@ -84,6 +84,9 @@
 		}
 		e.viewErr.Store(nil)
 		e.takeView(&m)
+		if m.GetReach() != pb.View_UNSAID {
+			e.alone.Store(m.GetReach() == pb.View_ALONE)
+		}
 		if m.GetDrain() && !e.leaving.Swap(true) {
 			event.EntryDrained.Log(e.log)
 			return errAgain
--- a/cmd/standin/upstream/replica.go
+++ b/cmd/standin/upstream/replica.go
@@ -81,6 +81,7 @@
 	case "/v1/execute":
 		r.execute(w, q)
 	case "/v1/load":
+		r.identify(w.Header(), r.faults())
 		_ = json.NewEncoder(w).Encode(r.load())
 	case "/v1/orders":
 		r.order(w, q)
@@ -136,10 +137,7 @@
 	for _, name := range []string{api.HeaderRequest, api.HeaderStage, api.HeaderAttempt, api.HeaderDigest} {
 		h.Set(name, q.Header.Get(name))
 	}
-	h.Set(api.HeaderIncarnat, strconv.FormatUint(r.incarnation, 10))
-	if f.Leaving {
-		h.Set(api.HeaderLeaving, "1")
-	}
+	r.identify(h, f)
 	if f.Refuse {
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
@@ -171,6 +169,14 @@
 	r.answer(w, q, f, out)
 }
 
+// identify puts the replica's incarnation and its leaving into an answer.
+func (r *replica) identify(h http.Header, f Fault) {
+	h.Set(api.HeaderIncarnat, strconv.FormatUint(r.incarnation, 10))
+	if f.Leaving {
+		h.Set(api.HeaderLeaving, "1")
+	}
+}
+
 // answer writes a whole body, or does the replica's fault.
 func (r *replica) answer(w http.ResponseWriter, q *http.Request, f Fault, out []byte) {
 	sleep(q.Context(), time.Duration(f.Late)*time.Millisecond)
