--- a/cmd/quince-load/main.go
+++ b/cmd/quince-load/main.go
@@ -3,6 +3,7 @@
 package main
 
 import (
+	"errors"
 	"flag"
 	"fmt"
 	"os"
@@ -55,8 +56,11 @@
 		return
 	}
 	f, err := process.Load(o.fleet, settings.LoadFleet)
-	if err != nil || o.entries == "" {
-		fmt.Fprintln(os.Stderr, "quince-load: wants -fleet and -entries:", err)
+	if err == nil && o.entries == "" {
+		err = errors.New("-entries is missing")
+	}
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "quince-load:", err)
 		os.Exit(process.ExitUsage)
 	}
 	if err := run(f, o); err != nil {
