A slots' owner that has just started does not make requests fail

Ruled out as its cause: an entry whose address was given out before it had a configuration; that is mended too (an entry tells callers' address only with a configuration), the failure stayed. Change: no_replicas from an owner makes the entry decide by itself.

--- a/cmd/coord/serve.go
+++ b/cmd/coord/serve.go
@@ -56,6 +56,7 @@
 	me := c.view.Self()
 	c.membersMu.RUnlock()
 	same := me.EntryIncarnation == w.GetEntryIncarnation() && me.Leaving == w.GetLeaving() &&
+		me.EntryHTTP == w.GetEntryHttp() &&
 		slices.Equal(me.Succeeds, w.GetSucceeds())
 	if same {
 		return
--- a/cmd/entry/booking.go
+++ b/cmd/entry/booking.go
@@ -39,15 +39,15 @@
 	return b
 }
 
-// settle returns the answer to a booking. A silent owner counts as yes: the
-// stage will be asked for elsewhere.
+// settle returns the answer to a booking. A silent owner, or one that knows no
+// replica yet, counts as yes: the stage will be asked for elsewhere.
 func (c *slotClient) settle(b *booking) scheduler.Action {
 	yes := scheduler.Action{Admitted: true}
 	t := time.NewTimer(ownerPatience)
 	defer t.Stop()
 	select {
 	case ans := <-b.ch:
-		if ans.lost {
+		if ans.lost || (b.owner != nil && ans.Reason == scheduler.NoReplica) {
 			return yes
 		}
 		return ans.Action
--- a/cmd/entry/slots.go
+++ b/cmd/entry/slots.go
@@ -163,7 +163,8 @@
 		select {
 		case ans := <-ch:
 			switch {
-			case ans.lost:
+			case ans.lost, ans.Reason == scheduler.NoReplica:
+				// An owner that has just started knows no replica yet.
 				return nil, scheduler.Action{}, false
 			case ans.queued:
 				patience.Stop()
--- a/cmd/entry/view.go
+++ b/cmd/entry/view.go
@@ -67,7 +67,8 @@
 
 // watch reads one stream of views until it breaks.
 func (e *Entry) watch(ctx context.Context) error {
-	s, err := e.links.Open(e.set.Coord.Link, frame.Watch, e.introduce())
+	me := e.introduce()
+	s, err := e.links.Open(e.set.Coord.Link, frame.Watch, me)
 	if err != nil {
 		return err
 	}
@@ -87,6 +88,9 @@
 		if m.GetReach() != pb.View_UNSAID {
 			e.alone.Store(m.GetReach() == pb.View_ALONE)
 		}
+		if me.GetEntryHttp() == "" && e.hasFleet() {
+			return errAgain
+		}
 		if m.GetDrain() && !e.leaving.Swap(true) {
 			event.EntryDrained.Log(e.log)
 			return errAgain
@@ -99,13 +103,24 @@
 	}
 }
 
+func (e *Entry) hasFleet() bool {
+	v := e.view.Load()
+	return v != nil && v.fleet != nil
+}
+
+// introduce tells the coord who this entry is. Callers' address is told only
+// once there is a configuration: before that every caller would be refused.
 func (e *Entry) introduce() *pb.Watch {
+	http := ""
+	if e.hasFleet() {
+		http = e.set.Entry.HTTP
+	}
 	e.ledgerMu.Lock()
 	succeeds := append([]uint64(nil), e.succeeds...)
 	e.ledgerMu.Unlock()
 	return &pb.Watch{
 		EntryIncarnation: e.incarnation,
-		EntryHttp:        e.set.Entry.HTTP,
+		EntryHttp:        http,
 		EntryLink:        e.set.Entry.Known,
 		Succeeds:         succeeds,
 		Leaving:          e.leaving.Load(),
