--- /dev/null
+++ b/cmd/node/attempt.go
@@ -0,0 +1,368 @@
+package node
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"quinceroad/coordination/health"
+	"quinceroad/coordination/outcome"
+	"quinceroad/platform"
+	"quinceroad/state/catalog"
+	"quinceroad/transport/upstream"
+)
+
+const (
+	connectFor    = 250 * time.Millisecond
+	connIdle      = 6 * time.Second
+	maxAnswer     = 64 << 20 // bytes
+	patienceShare = 0.6      // of the objective, that a repeatable request waits at one replica
+	patienceTimes = 4        // of the replica's usual time
+	gapTimes      = 1.6      // of the longest pause in time, after which a resumable stream moves on
+	leastGap      = 700 * time.Millisecond
+	clientWrite   = 5 * time.Second // that a client may take to read an event
+)
+
+// attempt is one send of a request to a replica.
+type attempt struct {
+	*serving
+	replica catalog.Replica
+	token   outcome.Dispatched
+	conn    *upstream.Conn
+	x       *upstream.Exchange
+	head    platform.Head
+	silent  atomic.Bool // it was ended for its silence
+	sent    time.Time
+}
+
+// attempt sends the request to a replica and passes the answer on. It returns
+// nil once the client has an answer.
+func (s *serving) attempt(ctx context.Context, r catalog.Replica, fetch string) error {
+	s.replica = r.ID
+	n := s.node
+	conn, err := n.connect(ctx, r.Address, connectFor)
+	if err != nil {
+		if !done(ctx) {
+			s.note(r.ID, health.Unreachable)
+		}
+		return errUnreached
+	}
+	a := &attempt{serving: s, replica: r, conn: conn, sent: time.Now()}
+	token, ok := s.record.Dispatch()
+	if !ok {
+		conn.Close()
+		return errUnreached
+	}
+	a.token = token
+	if len(s.tried) > 0 {
+		n.counters.again.Inc(1)
+	}
+	n.counters.attempts.Inc(1)
+	s.tried[r.ID] = true
+	n.judgeMu.Lock()
+	n.loads.Begin(r.ID)
+	n.judgeMu.Unlock()
+	err = a.exchange(ctx, fetch)
+	a.finish(ctx, err)
+	return err
+}
+
+// finish takes in how the attempt ended.
+func (a *attempt) finish(ctx context.Context, err error) {
+	took := time.Since(a.sent)
+	if err != nil {
+		took = 0
+	}
+	n := a.node
+	n.judgeMu.Lock()
+	n.loads.End(a.replica.ID, took)
+	if a.head.Slots > 0 {
+		n.loads.Told(n.now(), a.replica.ID, a.head.Running+a.head.Waiting-1)
+	}
+	n.judgeMu.Unlock()
+	if a.head.Stranger || a.head.Leaving && a.head.NotRun {
+		n.sawLeaving(a.replica.ID, "answer")
+	}
+	switch {
+	case err == nil:
+		a.note(a.replica.ID, health.Good)
+	case errors.Is(err, errNotRun), errors.Is(err, errInputs):
+		a.record.NotRun(a.token)
+		delete(a.tried, a.replica.ID)
+		if errors.Is(err, errNotRun) {
+			a.note(a.replica.ID, health.Full)
+		}
+	case errors.Is(err, errOwnFault):
+		a.note(a.replica.ID, health.Failure)
+	case errors.Is(err, errSilent):
+		a.note(a.replica.ID, health.Silent)
+	case done(ctx): // says nothing of the replica
+	default:
+		a.note(a.replica.ID, health.Broken)
+	}
+}
+
+// exchange writes the request and passes the answer on.
+func (a *attempt) exchange(ctx context.Context, fetch string) error {
+	_ = a.conn.SetDeadline(a.end.Add(time.Second)) // the context ends it; this is for what the context misses
+	stop := context.AfterFunc(ctx, a.conn.Close)
+	defer stop()
+	watch := a.watch()
+	defer watch.Stop()
+
+	req := fasthttp.AcquireRequest()
+	a.fill(req, fetch)
+	x, err := a.conn.Begin(a.token, req)
+	if err != nil {
+		a.conn.Close()
+		return a.broken(errBroken)
+	}
+	a.x = x
+	defer func() {
+		x.Release(idleOf(&a.head, connIdle))
+	}()
+	if err := x.ReadHead(a.own); err != nil {
+		return a.broken(errBroken)
+	}
+	a.head = headOf(x)
+	return a.answer(watch)
+}
+
+func (a *attempt) broken(err error) error {
+	if a.silent.Load() {
+		return errSilent
+	}
+	return err
+}
+
+// own reports whether an answer is this request's.
+func (a *attempt) own(h *fasthttp.ResponseHeader) bool {
+	id := string(h.Peek(platform.HeaderID))
+	return id == a.req.ID || (id == "" && h.StatusCode() >= http.StatusBadRequest)
+}
+
+func (a *attempt) fill(req *fasthttp.Request, fetch string) {
+	req.Header.DisableNormalizing()
+	req.Header.SetNoDefaultContentType(true)
+	req.Header.SetMethod(a.req.Method)
+	req.SetRequestURI(a.req.Target)
+	req.Header.SetHost(a.req.Host)
+	send := &platform.Send{
+		ReplicaID: a.replica.ID,
+		Customer:  a.customer,
+		Left:      time.Until(a.end),
+		Fetch:     fetch,
+		Urgency:   -1,
+		LastEvent: a.req.LastEvent,
+	}
+	if a.service.Engine != nil {
+		send.Urgency = a.rank / rankStep
+	}
+	if a.job != nil {
+		send.Inputs = a.job.handles
+	}
+	if a.stream.lastEvent != "" {
+		send.LastEvent = a.stream.lastEvent
+	}
+	platform.Fill(a.req, send, req.Header.Add)
+	req.SetBodyRaw(a.req.Body)
+}
+
+// watch ends the attempt after too long a silence, where the request may go
+// on elsewhere; else it never fires.
+func (a *attempt) watch() *time.Timer {
+	wait := a.patience()
+	if wait == 0 {
+		wait = time.Until(a.end) + time.Hour
+	}
+	return time.AfterFunc(wait, func() {
+		a.silent.Store(true)
+		a.conn.Close()
+	})
+}
+
+// patience is how long the attempt waits for its answer to begin; 0: to the end.
+func (a *attempt) patience() time.Duration {
+	if len(a.tried) >= a.route.Attempts || a.route.Objective == 0 {
+		return 0
+	}
+	n := a.node
+	n.judgeMu.Lock()
+	usual := n.loads.Took(a.replica.ID)
+	n.judgeMu.Unlock()
+	switch {
+	case a.route.Kind == catalog.Repeatable:
+		return max(time.Duration(float64(a.route.Objective)*patienceShare), patienceTimes*usual)
+	case a.route.Kind == catalog.Stream && a.route.Resumable:
+		return max(a.route.Objective, time.Second)
+	}
+	return 0
+}
+
+// answer passes an answer on whose head has come.
+func (a *attempt) answer(watch *time.Timer) error {
+	status := a.x.Header.StatusCode()
+	switch {
+	case a.head.NotRun && status == http.StatusConflict:
+		_, _ = io.Copy(io.Discard, a.x)
+		return errInputs
+	case a.head.NotRun:
+		_, _ = io.Copy(io.Discard, a.x)
+		return errNotRun
+	case status < http.StatusMultipleChoices && !a.head.FullSignature():
+		return errBroken
+	case status < http.StatusMultipleChoices && a.route.Kind == catalog.Stream:
+		return a.passStream(watch)
+	}
+	body, err := io.ReadAll(io.LimitReader(a.x, maxAnswer))
+	if err != nil || !a.x.Whole() {
+		return a.broken(errBroken)
+	}
+	watch.Stop()
+	if status >= http.StatusInternalServerError && a.mayMend() {
+		return errOwnFault
+	}
+	if a.stream.headSent {
+		return errCutOff
+	}
+	a.copyHead()
+	a.node.counters.status(status).Inc(1)
+	a.w.WriteHeader(status)
+	_, _ = a.w.Write(body)
+	if status >= http.StatusInternalServerError {
+		a.note(a.replica.ID, health.Failure)
+	}
+	return nil
+}
+
+// mayMend reports whether another replica may be tried after a replica's own failure.
+func (a *attempt) mayMend() bool {
+	return a.route.Kind == catalog.Repeatable && len(a.tried) < a.route.Attempts && a.hasOthers()
+}
+
+func (a *attempt) hasOthers() bool {
+	for _, r := range a.node.world.Load().services[a.service.Name] {
+		if !a.tried[r.ID] && !a.avoid[r.ID] {
+			return true
+		}
+	}
+	return false
+}
+
+// copyHead gives the replica's headers to the client.
+func (a *attempt) copyHead() {
+	h := a.w.Header()
+	for name, value := range a.x.Header.All() {
+		if platform.PassedOn(string(name)) {
+			h.Add(string(name), string(value))
+		}
+	}
+	if _, ok := h["Content-Type"]; !ok {
+		h["Content-Type"] = nil // the library must not guess one
+	}
+}
+
+// streamState is what the client has of a stream, over all attempts.
+type streamState struct {
+	headSent  bool
+	lastEvent string // id of the last whole event
+}
+
+// passStream passes events on as they come, each whole.
+func (a *attempt) passStream(watch *time.Timer) error {
+	control := http.NewResponseController(a.w)
+	events := newEventReader(a.x)
+	for {
+		e, err := events.next()
+		if err == io.EOF {
+			break
+		}
+		if err != nil {
+			return a.streamBroken()
+		}
+		if a.mayMoveOn() {
+			watch.Reset(max(time.Duration(float64(a.route.GapObjective)*gapTimes), leastGap))
+		} else {
+			watch.Stop()
+		}
+		if !a.stream.headSent {
+			a.stream.headSent = true
+			a.copyHead()
+			a.node.counters.status(a.x.Header.StatusCode()).Inc(1)
+			a.w.WriteHeader(a.x.Header.StatusCode())
+			a.endJob()
+		}
+		if e.id != "" {
+			a.stream.lastEvent = e.id
+		}
+		_ = control.SetWriteDeadline(time.Now().Add(clientWrite))
+		if _, err := a.w.Write(e.bytes); err != nil {
+			return errCutOff
+		}
+		if err := control.Flush(); err != nil {
+			return errCutOff
+		}
+	}
+	watch.Stop()
+	_ = control.SetWriteDeadline(time.Time{})
+	if !a.stream.headSent { // a stream without events
+		a.stream.headSent = true
+		a.copyHead()
+		a.w.WriteHeader(a.x.Header.StatusCode())
+	}
+	return nil
+}
+
+func (a *attempt) mayMoveOn() bool {
+	return a.route.Resumable && len(a.tried) < a.route.Attempts
+}
+
+func (a *attempt) streamBroken() error {
+	if a.silent.Load() {
+		return errSilent
+	}
+	return errCutOff
+}
+
+// streamEvent is one event of a stream with the blank line that ends it.
+type streamEvent struct {
+	bytes []byte
+	id    string
+}
+
+// eventReader cuts a stream into whole events.
+type eventReader struct{ r *bufio.Reader }
+
+func newEventReader(r io.Reader) *eventReader { return &eventReader{r: bufio.NewReader(r)} }
+
+var idField = []byte("id:")
+
+// next returns the next whole event; io.EOF after the last one of a whole
+// stream, another error when the stream broke off.
+func (e *eventReader) next() (streamEvent, error) {
+	var ev streamEvent
+	for {
+		line, err := e.r.ReadBytes('\n')
+		ev.bytes = append(ev.bytes, line...)
+		if err != nil {
+			if err == io.EOF && len(ev.bytes) > 0 {
+				return ev, errCutOff // an event without its end
+			}
+			return ev, err
+		}
+		text := bytes.TrimRight(line, "\r\n")
+		if len(text) == 0 {
+			return ev, nil
+		}
+		if id, ok := bytes.CutPrefix(text, idField); ok {
+			ev.id = string(bytes.TrimSpace(id))
+		}
+	}
+}
--- /dev/null
+++ b/cmd/node/counters.go
@@ -0,0 +1,42 @@
+package node
+
+import (
+	"strconv"
+
+	metrics "github.com/rcrowley/go-metrics"
+)
+
+// counters are what the process counts beside its logs.
+type counters struct {
+	registry    metrics.Registry
+	requests    metrics.Counter // taken from clients
+	attempts    metrics.Counter // sent to replicas
+	again       metrics.Counter // attempts after a request's first
+	connections metrics.Counter // opened to replicas
+	calls       metrics.Counter // of pieces
+	pieces      metrics.Counter
+	lostCalls   metrics.Counter
+	jobs        metrics.Counter // admitted by this instance as an owner
+	jobsRefused metrics.Counter
+}
+
+func newCounters(r metrics.Registry) counters {
+	counter := func(name string) metrics.Counter { return metrics.NewRegisteredCounter(name, r) }
+	return counters{
+		registry:    r,
+		requests:    counter("node.requests"),
+		attempts:    counter("node.attempts"),
+		again:       counter("node.attempts_again"),
+		connections: counter("node.connections"),
+		calls:       counter("node.calls"),
+		pieces:      counter("node.pieces"),
+		lostCalls:   counter("node.calls_lost"),
+		jobs:        counter("node.jobs"),
+		jobsRefused: counter("node.jobs_refused"),
+	}
+}
+
+// status returns the counter of answers with that status.
+func (c *counters) status(code int) metrics.Counter {
+	return metrics.GetOrRegisterCounter("node.answers."+strconv.Itoa(code), c.registry)
+}
--- /dev/null
+++ b/cmd/node/front.go
@@ -0,0 +1,210 @@
+package node
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"log"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/gravitational/trace"
+
+	"quinceroad/coordination/gossip"
+	"quinceroad/platform"
+	"quinceroad/protocol/event"
+	"quinceroad/protocol/exchange"
+)
+
+// The limits that hold until a configuration states others.
+const (
+	standardHeader  = 16 << 10
+	standardBody    = 4 << 20
+	standardHeadFor = 3 * time.Second
+	standardIdle    = 15 * time.Second
+	bodyFor         = 10 * time.Second
+	idleSlack       = 1.3 // a client may come just before its idle time is over
+)
+
+// listeners are the process's HTTP listeners.
+type listeners struct {
+	servers []*http.Server
+}
+
+func (l *listeners) close() {
+	for _, s := range l.servers {
+		_ = s.Close()
+	}
+}
+
+// listen opens the listeners for clients, checks, and questions for addresses.
+// net/http serves them: it tells when a client goes away, which the house's
+// library does not (docs/STYLE.md).
+func (n *Node) listen() error {
+	handlers := []struct {
+		addr    string
+		handler http.Handler
+	}{
+		{n.settings.Front, http.HandlerFunc(n.serveClient)},
+		{n.settings.Ready, http.HandlerFunc(n.serveReady)},
+		{n.settings.Directory, http.HandlerFunc(n.serveDirectory)},
+	}
+	for _, h := range handlers {
+		ln, err := net.Listen("tcp4", h.addr)
+		if err != nil {
+			return trace.Wrap(err, "listening on %s", h.addr)
+		}
+		server := &http.Server{
+			Handler:           n.guard(h.handler),
+			ReadHeaderTimeout: standardHeadFor,
+			IdleTimeout:       time.Duration(float64(standardIdle) * idleSlack),
+			MaxHeaderBytes:    2 * standardHeader, // the configuration's own limit is looked at per request
+			ErrorLog:          log.New(io.Discard, "", 0),
+		}
+		n.listeners.servers = append(n.listeners.servers, server)
+		go func() { _ = server.Serve(ln) }()
+	}
+	return nil
+}
+
+// guard keeps a panic to its own request.
+func (n *Node) guard(h http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		defer func() {
+			p := recover()
+			if p == nil {
+				return
+			}
+			if p != http.ErrAbortHandler {
+				event.NodePanicked.Log(n.log, "panic", p)
+			}
+			panic(http.ErrAbortHandler) // ends the connection without an answer that looks whole
+		}()
+		h.ServeHTTP(w, r)
+	})
+}
+
+func (n *Node) serveReady(w http.ResponseWriter, r *http.Request) {
+	if r.URL.Path != platform.PathReady {
+		http.NotFound(w, r)
+		return
+	}
+	if n.stopping.Load() || n.world.Load().config == nil {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	w.WriteHeader(http.StatusOK)
+}
+
+// addressesFor is the life of an answer for addresses: some clients keep it
+// three times as long, and a stopping instance must outlast that.
+const addressesFor = 1500 * time.Millisecond
+
+func (n *Node) serveDirectory(w http.ResponseWriter, r *http.Request) {
+	if r.URL.Path != platform.PathResolve {
+		http.NotFound(w, r)
+		return
+	}
+	question := platform.ParseQuestion(r.URL.Query())
+	answer := platform.Addresses{
+		Addresses: addresses(n.alive(), question.Hall),
+		Life:      min(addressesFor, n.settings.AddressesFor).Seconds(),
+	}
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(answer)
+}
+
+// addresses returns where clients may go: every instance that is heard of and
+// does not leave, those of the client's hall first.
+func addresses(alive []gossip.Instance, hall string) []string {
+	var near, far []string
+	for _, i := range alive {
+		switch {
+		case i.Leaving:
+		case i.Hall == hall:
+			near = append(near, i.Front)
+		default:
+			far = append(far, i.Front)
+		}
+	}
+	all := append(near, far...)
+	return all[:min(len(all), platform.MaxAddresses)]
+}
+
+// answerError is an answer of the system's own to a client.
+type answerError struct {
+	status int
+	after  time.Duration // when the client may come back; 0: not said
+	text   string
+}
+
+// Error implements error.
+func (e *answerError) Error() string { return e.text }
+
+func (n *Node) serveClient(w http.ResponseWriter, r *http.Request) {
+	arrived := time.Now()
+	n.inFlight.Add(1)
+	defer n.inFlight.Add(-1)
+	if n.stopping.Load() {
+		w.Header().Set("Connection", "close")
+	}
+	req, err := n.receive(w, r, arrived)
+	if err != nil {
+		n.answerOwn(w, req, err)
+		return
+	}
+	n.serve(r.Context(), w, req)
+}
+
+func (n *Node) answerOwn(w http.ResponseWriter, req *exchange.Request, err error) {
+	own := &answerError{status: http.StatusBadRequest, text: err.Error()}
+	var as *answerError
+	if errors.As(err, &as) {
+		own = as
+	}
+	platform.SetID(w.Header(), req.ID)
+	if own.after > 0 || own.status == http.StatusServiceUnavailable {
+		platform.SetRetryAfter(w.Header(), own.after)
+	}
+	w.Header().Set("Content-Type", "text/plain; charset=utf-8")
+	n.counters.status(own.status).Inc(1)
+	w.WriteHeader(own.status)
+	_, _ = io.WriteString(w, own.text+"\n")
+}
+
+// receive reads a request and checks that it may be served.
+func (n *Node) receive(w http.ResponseWriter, r *http.Request, arrived time.Time) (*exchange.Request, error) {
+	req, err := platform.ParseRequest(r)
+	req.Arrived = arrived
+	if err != nil {
+		return req, err
+	}
+	limit := int64(standardBody)
+	if c := n.world.Load().config; c != nil && c.Limits.BodyBytes > 0 {
+		limit = c.Limits.BodyBytes
+	}
+	if r.ContentLength > limit {
+		return req, &answerError{status: http.StatusRequestEntityTooLarge, text: "the body is longer than the configuration allows"}
+	}
+	if r.ContentLength == 0 || r.Body == http.NoBody {
+		return req, nil
+	}
+	control := http.NewResponseController(w)
+	_ = control.SetReadDeadline(arrived.Add(bodyFor))
+	req.Body, err = io.ReadAll(io.LimitReader(r.Body, limit+1))
+	_ = control.SetReadDeadline(time.Time{})
+	switch {
+	case err != nil:
+		w.Header().Set("Connection", "close")
+		return req, &answerError{status: http.StatusBadRequest, text: "the body broke off"}
+	case int64(len(req.Body)) > limit:
+		w.Header().Set("Connection", "close")
+		return req, &answerError{status: http.StatusRequestEntityTooLarge, text: "the body is longer than the configuration allows"}
+	}
+	return req, nil
+}
+
+// done reports whether the client has gone or its time is over.
+func done(ctx context.Context) bool { return ctx.Err() != nil }
--- /dev/null
+++ b/cmd/node/members.go
@@ -0,0 +1,227 @@
+package node
+
+import (
+	"context"
+	"errors"
+	"net"
+	"strconv"
+	"strings"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"quinceroad/coordination/gossip"
+	"quinceroad/platform"
+	"quinceroad/protocol/event"
+	"quinceroad/protocol/frame"
+	"quinceroad/protocol/pb"
+	"quinceroad/transport/datagram"
+)
+
+const (
+	beatEach  = 200 * time.Millisecond
+	seedEach  = 2 * time.Second // that the seeds are told beside the known
+	leaseFor  = 5 * time.Minute
+	renewEach = time.Minute
+)
+
+// beat tells others of this instance and what it knows, some times a second.
+func (n *Node) beat(ctx context.Context) {
+	seeded := time.Time{}
+	every(ctx, beatEach, func() {
+		n.tell()
+		if time.Since(seeded) >= seedEach {
+			seeded = time.Now()
+			n.tellSeeds()
+		}
+	})
+}
+
+// tell sends one round of heartbeats.
+func (n *Node) tell() {
+	if n.socket == nil {
+		return
+	}
+	n.gossipMu.Lock()
+	to, news := n.members.Round(n.now(), newRandom())
+	n.gossipMu.Unlock()
+	n.sendNews(to, news)
+}
+
+// tellSeeds tells the instances that the settings name; they may be gone.
+func (n *Node) tellSeeds() {
+	n.gossipMu.Lock()
+	self := n.members.Self()
+	n.gossipMu.Unlock()
+	var to []string
+	for _, seed := range n.settings.Seeds {
+		host, _, err := net.SplitHostPort(seed)
+		if err == nil && host != n.settings.IP {
+			to = append(to, net.JoinHostPort(host, strconv.Itoa(n.settings.DatagramPort)))
+		}
+	}
+	n.sendNews(to, []gossip.Instance{self})
+}
+
+func (n *Node) sendNews(to []string, news []gossip.Instance) {
+	if len(to) == 0 {
+		return
+	}
+	h := &pb.Heartbeat{Leaving: n.recentlyLeaving(), Sick: n.sick()}
+	for _, i := range news {
+		h.News = append(h.News, newsOf(i))
+	}
+	b, err := datagram.Encode(h)
+	if err != nil {
+		return
+	}
+	for _, addr := range to {
+		n.socket.Send(addr, b)
+	}
+}
+
+// mostSickTold bounds a heartbeat.
+const mostSickTold = 16
+
+func (n *Node) sick() []*pb.SickReplica {
+	n.judgeMu.Lock()
+	defer n.judgeMu.Unlock()
+	var out []*pb.SickReplica
+	for id, left := range n.judge.Sick(n.now()) {
+		if len(out) < mostSickTold {
+			out = append(out, &pb.SickReplica{Id: id, LeftMs: uint32(left.Milliseconds())})
+		}
+	}
+	return out
+}
+
+// hear takes in others' heartbeats.
+func (n *Node) hear(ctx context.Context) {
+	for ctx.Err() == nil {
+		h, err := n.socket.Receive()
+		if errors.Is(err, net.ErrClosed) {
+			return
+		}
+		if err != nil {
+			pause(ctx, beatEach)
+			continue
+		}
+		n.takeHeartbeat(h)
+	}
+}
+
+func (n *Node) takeHeartbeat(h *pb.Heartbeat) {
+	now := n.now()
+	n.gossipMu.Lock()
+	have := n.members.Self().Configured
+	for _, news := range h.News {
+		n.members.Merge(now, instanceOf(news))
+	}
+	n.gossipMu.Unlock()
+	if from := h.News[0]; from.Configured > have {
+		go n.pull(from.Link, have)
+	}
+	for _, id := range h.Leaving {
+		n.sawLeaving(id, "peer")
+	}
+	n.judgeMu.Lock()
+	for _, s := range h.Sick {
+		n.judge.Hearsay(now, s.Id, time.Duration(s.LeftMs)*time.Millisecond)
+	}
+	n.judgeMu.Unlock()
+}
+
+func newsOf(i gossip.Instance) *pb.InstanceNews {
+	return &pb.InstanceNews{
+		Name: i.Name, Hall: i.Hall, Incarnation: i.Incarnation, Count: i.Count, Leaving: i.Leaving,
+		Front: i.Front, Link: i.Link, Datagram: i.Datagram, Configured: i.Configured, Share: i.Share,
+	}
+}
+
+func instanceOf(p *pb.InstanceNews) gossip.Instance {
+	return gossip.Instance{
+		Name: p.Name, Hall: p.Hall, Incarnation: p.Incarnation, Count: p.Count, Leaving: p.Leaving,
+		Front: p.Front, Link: p.Link, Datagram: p.Datagram, Configured: p.Configured, Share: p.Share,
+	}
+}
+
+// alive returns the instances heard of lately.
+func (n *Node) alive() []gossip.Instance {
+	n.gossipMu.Lock()
+	defer n.gossipMu.Unlock()
+	return n.members.Alive(n.now())
+}
+
+// register keeps this instance's entry in the store, from which those that
+// start later learn of it, and reads the others' once at the start.
+func (n *Node) register(ctx context.Context) {
+	var lease uint64
+	for ctx.Err() == nil {
+		err := n.renew(&lease)
+		if err == nil {
+			if !pause(ctx, renewEach) {
+				return
+			}
+			continue
+		}
+		if errors.Is(err, platform.ErrNoLease) {
+			lease = 0
+		}
+		if !pause(ctx, retryMost) {
+			return
+		}
+	}
+}
+
+func (n *Node) renew(lease *uint64) error {
+	if *lease != 0 {
+		return n.store.Keep(*lease)
+	}
+	got, err := n.store.Lease(leaseFor)
+	if err != nil {
+		return err
+	}
+	n.gossipMu.Lock()
+	self := n.members.Self()
+	n.gossipMu.Unlock()
+	entry, err := proto.Marshal(newsOf(self))
+	if err != nil {
+		return err
+	}
+	if err := n.store.Register(self.Name, entry, got); err != nil {
+		return err
+	}
+	*lease = got
+	return n.meet()
+}
+
+// meet learns of the instances that the store names.
+func (n *Node) meet() error {
+	items, err := n.store.Instances()
+	if err != nil {
+		return err
+	}
+	n.gossipMu.Lock()
+	defer n.gossipMu.Unlock()
+	for name, data := range items {
+		news := &pb.InstanceNews{}
+		if proto.Unmarshal(data, news) != nil || !strings.EqualFold(news.Name, name) {
+			event.NodeEntryBroken.Log(n.log, "name", name)
+			continue
+		}
+		i := instanceOf(news)
+		i.Count = 0
+		n.members.Merge(n.now(), i)
+	}
+	return nil
+}
+
+// serveLink answers peers.
+func (n *Node) serveLink(k frame.Kind, first []byte, stream net.Conn) {
+	switch k {
+	case frame.PullConfig:
+		_ = frame.Write(stream, frame.Reply, n.answerPull())
+	case frame.Stages:
+		n.owner.serve(first, stream)
+	}
+}
--- /dev/null
+++ b/cmd/node/node.go
@@ -0,0 +1,235 @@
+// Package node is an instance's one process on the users' platform: it answers
+// clients, follows the configuration and the replicas, keeps touch with the
+// other instances, and owns pools when it is their turn. All instances are alike.
+package node
+
+import (
+	"context"
+	"math/rand/v2"
+	"net"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/gravitational/trace"
+	hclog "github.com/hashicorp/go-hclog"
+	metrics "github.com/rcrowley/go-metrics"
+	"golang.org/x/sync/errgroup"
+
+	"quinceroad/coordination/choice"
+	"quinceroad/coordination/gossip"
+	"quinceroad/coordination/health"
+	"quinceroad/platform"
+	"quinceroad/protocol/event"
+	"quinceroad/state/catalog"
+	"quinceroad/transport/datagram"
+	"quinceroad/transport/link"
+	"quinceroad/transport/upstream"
+)
+
+// Node is the process. Locks are taken in the order in which they stand here,
+// and nobody is called while one is held.
+type Node struct {
+	settings *platform.Settings
+	log      hclog.Logger
+	store    *platform.Store
+	links    *link.Pool
+	traffic  link.Traffic
+	clients  *upstream.Client // of replicas
+	registry metrics.Registry
+	counters counters
+	began    time.Time
+
+	world atomic.Pointer[world] // what requests are served from; never changed once set
+
+	followMu  sync.Mutex // guards what is followed, before it becomes a world
+	config    *catalog.Configuration
+	rawConfig []byte
+	replicas  *replicaSet
+
+	gossipMu sync.Mutex
+	members  *gossip.View
+
+	judgeMu sync.Mutex
+	judge   *health.Judge
+	loads   *choice.Table
+	rates   map[string]*serviceRates
+	longest map[string]time.Duration // by route: the longest deadline that a client has stated
+
+	owner *owner
+
+	stopping  atomic.Bool // a stop signal came
+	refusing  atomic.Bool // nothing new is taken
+	inFlight  atomic.Int64
+	socket    *datagram.Socket
+	peers     *link.Server
+	listeners listeners
+	cancel    context.CancelFunc
+	group     *errgroup.Group
+}
+
+// world is a consistent view of the configuration and the replicas.
+type world struct {
+	config   *catalog.Configuration
+	services map[string][]catalog.Replica // those that may get work
+	all      []catalog.Replica            // the leaving ones included
+}
+
+// New returns a process that is not started.
+func New(s *platform.Settings, log hclog.Logger) *Node {
+	n := &Node{
+		settings: s,
+		log:      log,
+		store:    platform.NewStore(s.Store),
+		clients:  upstream.New(),
+		registry: metrics.NewRegistry(),
+		began:    time.Now(),
+		replicas: newReplicaSet(),
+		judge:    health.New(health.Standard()),
+		loads:    choice.NewTable(),
+		rates:    make(map[string]*serviceRates),
+		longest:  make(map[string]time.Duration),
+	}
+	n.links = link.NewPool(&n.traffic)
+	n.counters = newCounters(n.registry)
+	n.members = gossip.New(gossip.Instance{
+		Name:        s.Name,
+		Hall:        s.Hall,
+		Incarnation: uint64(time.Now().UnixNano()),
+		Front:       s.Front,
+		Link:        s.Link,
+		Datagram:    net.JoinHostPort(s.IP, strconv.Itoa(s.DatagramPort)),
+	}, gossip.Standard())
+	n.owner = newOwner(n)
+	n.world.Store(&world{services: make(map[string][]catalog.Replica)})
+	return n
+}
+
+// now is the time since the process began, which the decisions are given.
+func (n *Node) now() time.Duration { return time.Since(n.began) }
+
+// Start listens and begins to follow the store and the peers.
+func (n *Node) Start() error {
+	socket, err := datagram.Listen(n.members.Self().Datagram)
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	n.socket = socket
+	if n.peers, err = link.Listen(n.settings.Link, n.serveLink, &n.traffic); err != nil {
+		return trace.Wrap(err)
+	}
+	if err := n.listen(); err != nil {
+		return trace.Wrap(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	n.cancel = cancel
+	n.group, ctx = errgroup.WithContext(ctx)
+	loops := []func(context.Context){
+		n.followConfiguration, n.followReplicas, n.register, n.beat, n.hear, n.owner.tick, n.housekeeping,
+	}
+	for _, loop := range loops {
+		n.group.Go(func() error {
+			loop(ctx)
+			return nil
+		})
+	}
+	event.NodeStarted.Log(n.log, "front", n.settings.Front, "link", n.settings.Link)
+	return nil
+}
+
+// Reload reads the settings again. Addresses are fixed for a process's life;
+// what may change meanwhile is checked, and a broken file changes nothing.
+func (n *Node) Reload() {
+	s, err := platform.LoadSettings()
+	if err != nil {
+		event.NodeReloadFails.Log(n.log, "error", err)
+		return
+	}
+	event.NodeReloaded.Log(n.log, "seeds", len(s.Seeds))
+}
+
+// The parts of a planned stop, as shares of the time that the platform gives.
+const (
+	takeShare = 0.4  // new requests are still taken
+	endShare  = 0.93 // what runs may end
+)
+
+// Stop is a planned stop: the instance leaves the answers for addresses, takes
+// requests until clients have had time to notice, and ends when nothing is in
+// flight or the time is over.
+func (n *Node) Stop() {
+	start := time.Now()
+	event.NodeStopping.Log(n.log, "in_flight", n.inFlight.Load())
+	n.stopping.Store(true)
+	n.gossipMu.Lock()
+	n.members.SetLeaving()
+	n.gossipMu.Unlock()
+	n.tell()
+	time.Sleep(time.Duration(float64(n.settings.StopFor) * takeShare))
+	n.refusing.Store(true)
+	end := start.Add(time.Duration(float64(n.settings.StopFor) * endShare))
+	for n.inFlight.Load() > 0 && time.Now().Before(end) {
+		time.Sleep(stopPoll)
+	}
+	n.cancel()
+	n.listeners.close()
+	n.socket.Close()
+	n.peers.Stop()
+	n.links.Stop()
+	event.NodeStopped.Log(n.log, "in_flight", n.inFlight.Load())
+}
+
+const stopPoll = 20 * time.Millisecond
+
+// housekeeping forgets what is no longer of use.
+func (n *Node) housekeeping(ctx context.Context) {
+	every(ctx, housekeepingEach, func() {
+		w := n.world.Load()
+		known := make(map[string]bool, len(w.all))
+		addresses := make(map[string]bool, len(w.all))
+		for _, r := range w.all {
+			known[r.ID] = true
+			addresses[r.Address] = true
+		}
+		n.clients.Forget(addresses)
+		n.links.Sweep(time.Now())
+		n.judgeMu.Lock()
+		defer n.judgeMu.Unlock()
+		n.judge.Forget(n.now(), forgetAfter)
+		n.loads.Forget(func(id string) bool { return known[id] })
+	})
+}
+
+const (
+	housekeepingEach = 2 * time.Second
+	forgetAfter      = time.Minute
+)
+
+// every calls f at once and then each interval until ctx ends.
+func every(ctx context.Context, interval time.Duration, f func()) {
+	t := time.NewTicker(interval)
+	defer t.Stop()
+	for {
+		f()
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.C:
+		}
+	}
+}
+
+// pause waits, and reports false when ctx ended first.
+func pause(ctx context.Context, d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-t.C:
+		return true
+	}
+}
+
+func newRandom() *rand.Rand { return rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())) }
--- /dev/null
+++ b/cmd/node/pieces.go
@@ -0,0 +1,128 @@
+package node
+
+import (
+	"context"
+	"errors"
+	"io"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"quinceroad/coordination/outcome"
+	"quinceroad/coordination/pipeline"
+	"quinceroad/platform"
+	"quinceroad/transport/upstream"
+)
+
+const (
+	callConnect = 250 * time.Millisecond
+	callIdle    = 8 * time.Second // that a connection to a pool's replica is kept
+	freeFor     = 500 * time.Millisecond
+	maxResults  = 1 << 20 // bytes of an answer
+)
+
+// runPieces sends a call of pieces to a replica.
+func (n *Node) runPieces(ctx context.Context, c pipeline.Call) ([]pipeline.Result, pipeline.Fate) {
+	path, body, err := platform.RunCall(c.Items)
+	if err != nil {
+		return nil, pipeline.Unreachable
+	}
+	status, head, data, err := n.post(ctx, c.Address, c.Replica, path, body)
+	switch {
+	case errors.Is(err, upstream.ErrConnect):
+		return nil, pipeline.Unreachable
+	case err != nil && ctx.Err() != nil:
+		return nil, pipeline.Overdue
+	case err != nil:
+		return nil, pipeline.Broken
+	case head.Stranger:
+		return nil, pipeline.Stranger
+	case head.NotRun:
+		return nil, pipeline.Refused
+	case status != fasthttp.StatusOK:
+		return nil, pipeline.Broken
+	}
+	results, err := platform.ParseRun(data, len(c.Items))
+	if err != nil {
+		return nil, pipeline.Broken
+	}
+	return results, pipeline.Answered
+}
+
+// freeResults tells a replica what nobody reads any more; a loss costs room
+// until the results end by themselves.
+func (n *Node) freeResults(address string, handles []string) {
+	path, body, err := platform.FreeCall(handles)
+	if err != nil {
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), freeFor)
+	defer cancel()
+	_, _, _, _ = n.post(ctx, address, "", path, body)
+}
+
+// post makes one call of the system's own to a replica.
+func (n *Node) post(ctx context.Context, address, replica, path string, body []byte) (int, platform.Head, []byte, error) {
+	cn, err := n.connect(ctx, address, callConnect)
+	if err != nil {
+		return 0, platform.Head{}, nil, err
+	}
+	stop := context.AfterFunc(ctx, cn.Close)
+	defer stop()
+	req := fasthttp.AcquireRequest()
+	defer fasthttp.ReleaseRequest(req)
+	req.Header.DisableNormalizing()
+	req.Header.SetMethod(fasthttp.MethodPost)
+	req.SetRequestURI(path)
+	req.Header.SetHost(address)
+	req.Header.SetContentType("application/json")
+	if replica != "" {
+		platform.Expect(replica, req.Header.Set)
+	}
+	req.SetBody(body)
+	record := outcome.Accept()
+	token, _ := record.Dispatch()
+	x, err := cn.Begin(token, req)
+	if err != nil {
+		cn.Close()
+		return 0, platform.Head{}, nil, err
+	}
+	if err := x.ReadHead(func(*fasthttp.ResponseHeader) bool { return true }); err != nil {
+		x.Release(0)
+		return 0, platform.Head{}, nil, err
+	}
+	head := headOf(x)
+	data, err := io.ReadAll(io.LimitReader(x, maxResults))
+	if err == nil && !x.Whole() {
+		err = upstream.ErrCut
+	}
+	x.Release(idleOf(&head, callIdle))
+	return x.Header.StatusCode(), head, data, err
+}
+
+// connect returns a connection to a replica, a kept one if there is one.
+func (n *Node) connect(ctx context.Context, address string, within time.Duration) (*upstream.Conn, error) {
+	if cn := n.clients.Kept(address); cn != nil {
+		return cn, nil
+	}
+	n.counters.connections.Inc(1)
+	if deadline, ok := ctx.Deadline(); ok {
+		within = min(within, time.Until(deadline))
+	}
+	return n.clients.Dial(address, max(within, time.Millisecond))
+}
+
+func headOf(x *upstream.Exchange) platform.Head {
+	return platform.ParseHead(x.Header.StatusCode(), func(name string) string { return string(x.Header.Peek(name)) })
+}
+
+// idleOf returns how long a connection may be kept after an answer.
+func idleOf(h *platform.Head, standard time.Duration) time.Duration {
+	if h.Leaving {
+		return 0
+	}
+	if h.Idle > 0 {
+		return min(standard, h.Idle*3/4)
+	}
+	return standard
+}
--- /dev/null
+++ b/cmd/node/serve.go
@@ -0,0 +1,359 @@
+package node
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"time"
+
+	"quinceroad/coordination/health"
+	"quinceroad/coordination/outcome"
+	"quinceroad/coordination/retry"
+	"quinceroad/platform"
+	"quinceroad/protocol/event"
+	"quinceroad/protocol/exchange"
+	"quinceroad/protocol/pb"
+	"quinceroad/state/catalog"
+)
+
+const (
+	standardLeft  = 30 * time.Second // of a request that states no deadline
+	backSoon      = 300 * time.Millisecond
+	mostUnsent    = 4    // sends of one request that reached nobody or were turned away
+	mostRedone    = 2    // times that a request's stages are run again
+	againShare    = 0.97 // of the route's longest deadline: a shorter one is a client's that came back
+	retryPart     = 3    // clients wait at most this part of the time they have left
+	retryMargin   = 0.95
+	shareOfSlack  = 0.6  // of the retries that the deployment allows beside its ratio
+	shareOfRatio  = 0.75 // of the ratio itself
+	failureWeight = 0.05
+)
+
+// serviceRates is what this instance knows of a service as a whole.
+type serviceRates struct {
+	budget *retry.Budget
+	fails  float64 // share of requests that replicas fail
+}
+
+// serving is one request on its way through.
+type serving struct {
+	node     *Node
+	w        http.ResponseWriter
+	req      *exchange.Request
+	world    *world
+	route    *catalog.Route
+	service  *catalog.Service
+	customer string
+	rank     int
+	record   *outcome.Record
+	end      time.Time // by when it must be answered
+
+	job     *stageJob
+	tried   map[string]bool // replicas that may have run it
+	avoid   map[string]bool // replicas that turned it away
+	unsent  int
+	redone  int
+	replica string // the last one it was sent to
+	stream  streamState
+}
+
+// serve takes a request through to its answer.
+func (n *Node) serve(ctx context.Context, w http.ResponseWriter, req *exchange.Request) {
+	n.counters.requests.Inc(1)
+	s, err := n.admit(w, req)
+	if err != nil {
+		n.answerOwn(w, req, err)
+		return
+	}
+	ctx, cancel := context.WithDeadline(ctx, s.end)
+	defer cancel()
+	defer s.endJob()
+	err = s.run(ctx)
+	s.log(err)
+	if err != nil {
+		s.fail(ctx, err)
+	}
+}
+
+// admit finds the request's route, customer and service.
+func (n *Node) admit(w http.ResponseWriter, req *exchange.Request) (*serving, error) {
+	world := n.world.Load()
+	if world.config == nil {
+		return nil, &answerError{status: http.StatusServiceUnavailable, after: backSoon, text: "no configuration is known yet"}
+	}
+	route := world.config.Match(req.Host, req.Path)
+	if route == nil {
+		return nil, &answerError{status: http.StatusNotFound, text: "no route for this host and path"}
+	}
+	s := &serving{
+		node: n, w: w, req: req, world: world, route: route,
+		record: outcome.Accept(),
+		tried:  make(map[string]bool),
+		avoid:  make(map[string]bool),
+		rank:   route.Priority*rankStep + route.Priority,
+	}
+	if !route.Anonymous {
+		customer := world.config.Customers[req.Key]
+		if customer == nil {
+			return nil, &answerError{status: http.StatusUnauthorized, text: "the key is not known"}
+		}
+		s.customer = customer.Name
+		if customer.Priority != platform.NoPriority {
+			s.rank = customer.Priority*rankStep + route.Priority
+		}
+	}
+	if n.refusing.Load() {
+		return nil, &answerError{status: http.StatusServiceUnavailable, text: "this instance is stopping"}
+	}
+	s.service = world.config.Services[route.Pick(platform.Hash(req.ID))]
+	if s.service == nil {
+		return nil, &answerError{status: http.StatusServiceUnavailable, after: backSoon, text: "the route's service is not configured"}
+	}
+	if len(req.Pieces) != len(route.Stages) {
+		return nil, &answerError{status: http.StatusBadRequest, text: "the piece counts don't fit the route's stages"}
+	}
+	s.end = req.Arrived.Add(s.allowed())
+	s.rates(func(r *serviceRates) { r.budget.Success() })
+	return s, nil
+}
+
+// rankStep puts a customer's priority before the route's.
+const rankStep = 10
+
+// allowed is the time that the request may take: the client's, and the route's.
+func (s *serving) allowed() time.Duration {
+	left := s.req.Deadline
+	if left == 0 {
+		left = standardLeft
+	}
+	if s.route.Timeout > 0 {
+		left = min(left, s.route.Timeout)
+	}
+	return left
+}
+
+// rates runs f on what is known of the request's service.
+func (s *serving) rates(f func(*serviceRates)) {
+	n := s.node
+	instances := float64(len(n.alive()))
+	n.judgeMu.Lock()
+	defer n.judgeMu.Unlock()
+	r := n.rates[s.service.Name]
+	if r == nil {
+		slack := n.settings.RetrySlack * shareOfSlack / instances
+		r = &serviceRates{budget: retry.NewBudget(n.settings.RetryRatio*shareOfRatio, max(slack, 1))}
+		n.rates[s.service.Name] = r
+	}
+	f(r)
+}
+
+// mayRepeat reports whether one more arrival of the request at a replica is
+// within the budget that all instances share, and takes it.
+func (s *serving) mayRepeat() bool {
+	ok := false
+	s.rates(func(r *serviceRates) { ok = r.budget.Take() })
+	return ok
+}
+
+// came reports whether the client's deadline says that it came back.
+func (s *serving) came() bool {
+	n := s.node
+	n.judgeMu.Lock()
+	defer n.judgeMu.Unlock()
+	longest := max(n.longest[s.route.Name], s.req.Deadline)
+	n.longest[s.route.Name] = longest
+	return float64(s.req.Deadline) < againShare*float64(longest)
+}
+
+// errors of attempts that another attempt may mend.
+var (
+	errNotRun    = errors.New("the replica turned the request away")
+	errInputs    = errors.New("the replica did not find the request's inputs")
+	errUnreached = errors.New("no replica was reached")
+	errBroken    = errors.New("the answer broke off")
+	errSilent    = errors.New("the replica did not answer in time")
+	errOwnFault  = errors.New("the replica failed the request")
+	errCutOff    = errors.New("the stream broke off midway")
+)
+
+// run sends the request until it is answered or nothing more may be done.
+func (s *serving) run(ctx context.Context) error {
+	for {
+		if err := s.runStages(ctx); err != nil {
+			return err
+		}
+		engine, fetch, ok := s.pick()
+		if !ok {
+			return errUnreached
+		}
+		err := s.attempt(ctx, engine, fetch)
+		if err == nil {
+			return nil
+		}
+		if done(ctx) || !s.again(err) {
+			return err
+		}
+	}
+}
+
+// again decides whether the request is sent once more after an attempt ended so.
+func (s *serving) again(err error) bool {
+	switch {
+	case errors.Is(err, errUnreached):
+		s.avoid[s.replica] = true
+		s.unsent++
+		return s.unsent < mostUnsent
+	case errors.Is(err, errInputs):
+		s.endJob()
+		s.redone++
+		return s.redone <= mostRedone && s.mayRepeat()
+	case errors.Is(err, errNotRun):
+		s.avoid[s.replica] = true
+		s.unsent++
+		return s.unsent < mostUnsent && s.mayRepeat()
+	}
+	repeatable := s.route.Kind == catalog.Repeatable || (s.route.Kind == catalog.Stream && s.route.Resumable)
+	return repeatable && len(s.tried) < s.route.Attempts && s.mayRepeat()
+}
+
+// runStages has the request's stages run, unless it has none or they have run.
+func (s *serving) runStages(ctx context.Context) error {
+	ask := &pb.StagesAsk{
+		RequestId: s.req.ID,
+		Key:       s.req.PieceKey,
+		Rank:      uint32(s.rank),
+		Hall:      s.node.settings.Hall,
+		Cell:      uint32(s.world.cellOf(s.req.ID)),
+	}
+	total := 0
+	for i, st := range s.route.Stages {
+		work := &pb.StageWork{Service: st.Service, Pieces: uint32(s.req.Pieces[i]), Bytes: st.Bytes}
+		for _, a := range st.After {
+			work.After = append(work.After, uint32(a))
+		}
+		ask.Stages = append(ask.Stages, work)
+		total += s.req.Pieces[i]
+	}
+	if total == 0 || s.job != nil {
+		return nil
+	}
+	ask.Again = s.came() || s.redone > 0 || len(s.tried) > 0
+	job, err := s.node.runStages(ctx, ask, s.req.Arrived, s.route.Objective-s.tail(), s.allowed()-s.tail())
+	if err != nil {
+		return err
+	}
+	s.job = job
+	return nil
+}
+
+// What an engine takes to the first event, about.
+const (
+	firstEvent     = 110 * time.Millisecond
+	readPerToken   = 31 * time.Microsecond
+	unreadOfShared = 0.3 // of the shared parts is not kept, about
+)
+
+// tail is the time that the engine should take to the first event.
+func (s *serving) tail() time.Duration {
+	tokens := float64(s.req.TokensIn)
+	for _, p := range s.req.Shared() {
+		tokens -= float64(p.Tokens) * (1 - unreadOfShared)
+	}
+	return firstEvent + time.Duration(max(tokens, 0)*float64(readPerToken))
+}
+
+func (s *serving) endJob() {
+	if s.job != nil {
+		s.job.end()
+		s.job = nil
+	}
+}
+
+// pick chooses the replica for the next attempt.
+func (s *serving) pick() (catalog.Replica, string, bool) {
+	n := s.node
+	world := n.world.Load() // replicas may have left since the request came
+	now := n.now()
+	n.judgeMu.Lock()
+	defer n.judgeMu.Unlock()
+	var fit, sick []catalog.Replica
+	for _, r := range world.services[s.service.Name] {
+		switch {
+		case s.avoid[r.ID] || s.tried[r.ID]:
+		case n.judge.Paused(now, r.ID):
+			sick = append(sick, r)
+		default:
+			fit = append(fit, r)
+		}
+	}
+	if len(fit) < len(sick) && len(fit) < len(world.services[s.service.Name])/2 {
+		fit = append(fit, sick...) // when most seem sick, the cause is elsewhere
+	}
+	if len(fit) == 0 {
+		return catalog.Replica{}, "", false
+	}
+	if s.service.Engine == nil {
+		return n.loads.Plain(now, n.settings.Hall, fit, newRandom()), "", true
+	}
+	e := n.loads.Engines(now, s.req.Shared(), s.req.ID, fit)
+	return e.Replica, e.Fetch, true
+}
+
+// note tells the judge and the load table how an attempt went.
+func (s *serving) note(id string, sign health.Sign) {
+	usual := 0.0
+	s.rates(func(r *serviceRates) {
+		failed := 0.0
+		if sign == health.Failure || sign == health.Broken {
+			failed = 1
+		}
+		r.fails += failureWeight * (failed - r.fails)
+		usual = r.fails
+	})
+	n := s.node
+	n.judgeMu.Lock()
+	defer n.judgeMu.Unlock()
+	n.judge.Note(n.now(), id, sign, usual)
+}
+
+// fail answers a request that could not be served.
+func (s *serving) fail(ctx context.Context, err error) {
+	if s.stream.headSent {
+		panic(http.ErrAbortHandler) // what was sent must not look whole
+	}
+	if errors.Is(ctx.Err(), context.Canceled) {
+		panic(http.ErrAbortHandler) // the client has gone
+	}
+	after := backSoon
+	var refused *refusedError
+	var failed *failedError
+	switch {
+	case errors.As(err, &refused):
+		after = refused.after
+	case errors.As(err, &failed):
+		after = max(failed.after, backSoon)
+	}
+	left := s.req.Deadline - time.Since(s.req.Arrived)
+	after = min(after, time.Duration(float64(left)/retryPart*retryMargin))
+	if refusal, ok := s.record.Refuse(err.Error(), max(after, 0)); ok {
+		s.node.answerOwn(s.w, s.req, &answerError{status: http.StatusServiceUnavailable, after: refusal.RetryAfter(), text: refusal.Reason()})
+		return
+	}
+	status := http.StatusBadGateway
+	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		status = http.StatusGatewayTimeout
+	}
+	s.node.answerOwn(s.w, s.req, &answerError{status: status, text: err.Error()})
+}
+
+func (s *serving) log(err error) {
+	if !s.node.log.IsDebug() {
+		return
+	}
+	why := "served"
+	if err != nil {
+		why = err.Error()
+	}
+	event.NodeRequest.Log(s.node.log, "request", s.req.ID, "route", s.route.Name, "why", why,
+		"attempts", len(s.tried), "replica", s.replica, "took", time.Since(s.req.Arrived))
+}
--- /dev/null
+++ b/cmd/node/stages.go
@@ -0,0 +1,174 @@
+package node
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"sync"
+	"time"
+
+	"quinceroad/coordination/gossip"
+	"quinceroad/protocol/event"
+	"quinceroad/protocol/frame"
+	"quinceroad/protocol/pb"
+)
+
+const (
+	verdictFor  = 300 * time.Millisecond // that an owner may take to admit or refuse
+	watchOwner  = 150 * time.Millisecond // between looks whether it is still heard of
+	mostOwners  = 3                      // asked for one request
+	mostReplies = 2                      // of an owner to one job
+)
+
+// refusedError says that the owner does not take a request's stages.
+type refusedError struct{ after time.Duration }
+
+// Error implements error.
+func (e *refusedError) Error() string { return fmt.Sprintf("stages refused, back in %v", e.after) }
+
+// failedError says that the stages of a request could not be done.
+type failedError struct {
+	why   string
+	after time.Duration
+}
+
+// Error implements error.
+func (e *failedError) Error() string { return "stages failed: " + e.why }
+
+var errOwnerLost = errors.New("the owner is not heard of any more")
+
+// stageJob is a request's stages at their owner; end must be called once its
+// results are read or not wanted.
+type stageJob struct {
+	handles []string
+	end     func()
+}
+
+// runStages has the stages of a request run by the owner of its cell, or by
+// the next in line when that one is lost.
+func (n *Node) runStages(ctx context.Context, ask *pb.StagesAsk, began time.Time, objective, deadline time.Duration) (*stageJob, error) {
+	var err error
+	tried := make(map[string]bool)
+	for range mostOwners {
+		to, ok := n.nextOwner(int(ask.Cell), tried)
+		if !ok {
+			break
+		}
+		tried[to.Name] = true
+		spent := time.Since(began)
+		ask.ObjectiveUs = (objective - spent).Microseconds()
+		ask.DeadlineUs = (deadline - spent).Microseconds()
+		var job *stageJob
+		if job, err = n.askOwner(ctx, to, ask); err == nil {
+			return job, nil
+		}
+		var refused *refusedError
+		var failed *failedError
+		if errors.As(err, &refused) || errors.As(err, &failed) || ctx.Err() != nil {
+			return nil, err
+		}
+		event.NodeOwnerLost.Log(n.log, "owner", to.Name, "request", ask.RequestId, "error", err)
+		n.gossipMu.Lock()
+		n.members.Lost(n.now(), to.Name)
+		n.gossipMu.Unlock()
+		ask.Again = true // its pieces were admitted once
+	}
+	return nil, errors.Join(errOwnerLost, err)
+}
+
+func (n *Node) nextOwner(cell int, tried map[string]bool) (gossip.Instance, bool) {
+	for _, i := range owners(n.alive(), cell) {
+		if !tried[i.Name] {
+			return i, true
+		}
+	}
+	return gossip.Instance{}, false
+}
+
+// askOwner runs a job at one owner: this instance itself, or over a link.
+func (n *Node) askOwner(ctx context.Context, to gossip.Instance, ask *pb.StagesAsk) (*stageJob, error) {
+	if to.Name == n.settings.Name {
+		return n.askSelf(ctx, ask)
+	}
+	stream, err := n.links.Open(to.Link, frame.Stages, ask)
+	if err != nil {
+		return nil, err
+	}
+	replies := make(chan *pb.StagesReply, mostReplies)
+	go func() {
+		defer close(replies)
+		for range mostReplies {
+			r := &pb.StagesReply{}
+			if frame.Read(stream, r) != nil {
+				return
+			}
+			replies <- r
+		}
+	}()
+	end := sync.OnceFunc(func() { _ = stream.Close() })
+	return n.await(ctx, to, replies, end)
+}
+
+func (n *Node) askSelf(ctx context.Context, ask *pb.StagesAsk) (*stageJob, error) {
+	gone := make(chan struct{})
+	replies := make(chan *pb.StagesReply, mostReplies)
+	end := sync.OnceFunc(func() { close(gone) })
+	go n.owner.cell(int(ask.Cell)).run(ask, gone, func(r *pb.StagesReply) error {
+		replies <- r
+		return nil
+	})
+	return n.await(ctx, gossip.Instance{}, replies, end)
+}
+
+// await waits for the verdict and the results of a job, while its owner is heard of.
+func (n *Node) await(ctx context.Context, owner gossip.Instance, replies <-chan *pb.StagesReply, end func()) (*stageJob, error) {
+	verdict := time.NewTimer(verdictFor)
+	defer verdict.Stop()
+	look := time.NewTicker(watchOwner)
+	defer look.Stop()
+	admitted := false
+	for {
+		select {
+		case <-ctx.Done():
+			end()
+			return nil, ctx.Err()
+		case r, open := <-replies:
+			switch {
+			case !open:
+				end()
+				return nil, errOwnerLost
+			case r.Refused:
+				end()
+				return nil, &refusedError{after: time.Duration(r.RetryAfterUs) * time.Microsecond}
+			case r.Failed != "":
+				end()
+				return nil, &failedError{why: r.Failed, after: time.Duration(r.RetryAfterUs) * time.Microsecond}
+			case r.Admitted:
+				admitted = true
+			default:
+				return &stageJob{handles: r.Handles, end: end}, nil
+			}
+		case <-verdict.C:
+			if !admitted {
+				end()
+				return nil, net.ErrClosed
+			}
+		case <-look.C:
+			if owner.Name != "" && !n.heardOf(owner) {
+				end()
+				return nil, errOwnerLost
+			}
+		}
+	}
+}
+
+// heardOf reports whether that life of an instance is still heard of.
+func (n *Node) heardOf(i gossip.Instance) bool {
+	for _, a := range n.alive() {
+		if a.Name == i.Name {
+			return a.Incarnation == i.Incarnation
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/coordination/health/health.go
@@ -0,0 +1,145 @@
+// Package health judges replicas by what became of the requests sent to them.
+//
+// A replica that can't be reached, or whose answers keep breaking off, is left
+// alone for a pause that doubles; then one request tries it again. A replica
+// that fails far more of its requests than the others of its service do is
+// left alone too, however good its own health check looks. Never more than
+// half of a service is left alone on such evidence: when all seem sick, the
+// cause is elsewhere.
+package health
+
+import (
+	"time"
+)
+
+// Sign is what one request tells of a replica.
+type Sign int
+
+// The signs.
+const (
+	Good        Sign = iota // a whole answer that is no failure
+	Failure                 // a whole answer that is a failure of the replica's own
+	Broken                  // the answer broke off or was no answer
+	Unreachable             // no connection
+	Silent                  // no answer within the time it should take
+	Full                    // it says that it is full
+)
+
+// Options are the judge's constants.
+type Options struct {
+	PauseFirst  time.Duration
+	PauseMost   time.Duration
+	Rate        float64 // weight of a new sign in the share of failures
+	MostFails   float64 // share of failures beyond the service's own from which a replica is left alone
+	FullFor     time.Duration
+	HearsayMost time.Duration // longest pause taken over from others
+}
+
+// Standard returns the constants in use.
+func Standard() Options {
+	return Options{
+		PauseFirst:  400 * time.Millisecond,
+		PauseMost:   5 * time.Second,
+		Rate:        0.2,
+		MostFails:   0.35,
+		FullFor:     50 * time.Millisecond,
+		HearsayMost: 2 * time.Second,
+	}
+}
+
+// Judge is not safe for concurrent use.
+type Judge struct {
+	opts Options
+	rows map[string]*row
+}
+
+type row struct {
+	pausedTo time.Duration
+	pause    time.Duration
+	fails    float64 // share of failures, lately
+	mine     bool    // the pause comes from own evidence
+	seen     time.Duration
+}
+
+// New returns a judge that thinks well of everyone.
+func New(o Options) *Judge { return &Judge{opts: o, rows: make(map[string]*row)} }
+
+func (j *Judge) row(id string) *row {
+	r := j.rows[id]
+	if r == nil {
+		r = &row{}
+		j.rows[id] = r
+	}
+	return r
+}
+
+// Note takes in a sign; usual is the share of failures of the whole service.
+func (j *Judge) Note(now time.Duration, id string, s Sign, usual float64) {
+	r := j.row(id)
+	r.seen = now
+	switch s {
+	case Good:
+		r.fails -= j.opts.Rate * r.fails
+		r.pause = 0
+		if r.mine {
+			r.pausedTo = 0
+		}
+	case Failure:
+		r.fails += j.opts.Rate * (1 - r.fails)
+	case Full:
+		r.pausedTo = max(r.pausedTo, now+j.opts.FullFor)
+		return
+	case Broken:
+		r.fails += j.opts.Rate * (1 - r.fails)
+	case Unreachable, Silent:
+		j.pauseFor(now, r)
+		return
+	}
+	if r.fails > usual+j.opts.MostFails {
+		j.pauseFor(now, r)
+		r.fails = usual + j.opts.MostFails/2
+	}
+}
+
+func (j *Judge) pauseFor(now time.Duration, r *row) {
+	r.pause = min(max(2*r.pause, j.opts.PauseFirst), j.opts.PauseMost)
+	r.pausedTo = now + r.pause
+	r.mine = true
+}
+
+// Hearsay takes in that another instance leaves a replica alone for so long.
+func (j *Judge) Hearsay(now time.Duration, id string, left time.Duration) {
+	r := j.row(id)
+	r.seen = now
+	until := now + min(left, j.opts.HearsayMost)
+	if until > r.pausedTo {
+		r.pausedTo = until
+		r.mine = false
+	}
+}
+
+// Paused reports whether a replica is to be left alone.
+func (j *Judge) Paused(now time.Duration, id string) bool {
+	r := j.rows[id]
+	return r != nil && now < r.pausedTo
+}
+
+// Sick returns the replicas left alone by own evidence, and for how much longer.
+func (j *Judge) Sick(now time.Duration) map[string]time.Duration {
+	out := make(map[string]time.Duration)
+	for id, r := range j.rows {
+		if r.mine && now < r.pausedTo {
+			out[id] = r.pausedTo - now
+		}
+	}
+	return out
+}
+
+// Forget drops what was not seen for so long.
+func (j *Judge) Forget(now, after time.Duration) {
+	for id, r := range j.rows {
+		if now-r.seen > after {
+			delete(j.rows, id)
+		}
+	}
+}
--- a/coordination/outcome/outcome.go
+++ b/coordination/outcome/outcome.go
@@ -4,9 +4,9 @@
 //
 // A Record starts accepted. Refuse ends it while nothing was written towards
 // an upstream. Dispatch returns the token that the upstream client demands
-// before it writes; from then on no NotRun can be built from the record, which
-// the compiler and the record hold together: NotRun has no exported fields and
-// only Refuse builds one.
+// before it writes; from then on no Refusal can be built from the record, which
+// the compiler and the record hold together: Refusal has no exported fields and
+// only Refuse builds one. Only an upstream's own word takes a dispatch back.
 package outcome
 
 import (
@@ -45,9 +45,9 @@
 
 // Record is one request's dispatch state.
 type Record struct {
-	mu         sync.Mutex
-	dispatched bool
-	ended      bool
+	mu    sync.Mutex
+	open  int // attempts that nobody has said were not run
+	ended bool
 }
 
 // Accept returns the record of a request that was just received.
@@ -58,7 +58,7 @@
 func (r *Record) Refuse(reason string, retryAfter time.Duration) (Refusal, bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.dispatched || r.ended {
+	if r.open > 0 || r.ended {
 		return Refusal{}, false
 	}
 	r.ended = true
@@ -72,13 +72,27 @@
 	if r.ended {
 		return Dispatched{}, false
 	}
-	r.dispatched = true
+	r.open++
 	return Dispatched{record: r}, true
 }
 
-// Started reports whether dispatching began.
-func (r *Record) Started() bool {
+// NotRun takes in an upstream's own word, or the proof that nothing was
+// written, that a dispatched attempt was not run. Call it once for an attempt.
+func (r *Record) NotRun(d Dispatched) {
+	if d.record != r {
+		return
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.open > 0 {
+		r.open--
+	}
+}
+
+// MayHaveRun reports whether an attempt was dispatched that nobody has said
+// was not run.
+func (r *Record) MayHaveRun() bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.dispatched
+	return r.open > 0
 }
--- /dev/null
+++ b/coordination/pipeline/call.go
@@ -0,0 +1,266 @@
+package pipeline
+
+import (
+	"time"
+)
+
+// call is one call to a replica under way.
+type call struct {
+	id      uint64
+	pool    *pool
+	replica *replica
+	pieces  []*piece
+	sent    time.Duration
+	due     time.Duration // when it should be done
+	bytes   int64         // of room that its results take
+	overdue bool
+}
+
+func (s *Scheduler) dispatchAll(now time.Duration) {
+	for _, p := range s.pools {
+		s.dispatch(now, p)
+	}
+}
+
+// dispatch gives each idle replica a call while pieces wait.
+func (s *Scheduler) dispatch(now time.Duration, p *pool) {
+	sorted := false
+	for len(p.ready) > 0 {
+		if !sorted {
+			p.sort()
+			sorted = true
+		}
+		r := p.pickReplica(now)
+		if r == nil {
+			return
+		}
+		batch := p.pickBatch(r)
+		if len(batch) == 0 {
+			return
+		}
+		s.send(now, p, r, batch)
+	}
+}
+
+// pickReplica returns the idle replica that is best for the first piece that
+// waits: with room, in its hall, fast.
+func (p *pool) pickReplica(now time.Duration) *replica {
+	first := p.ready[0]
+	var best *replica
+	bestScore := 0.0
+	for _, r := range p.replicas {
+		if !r.usable(now) || r.held+first.stage.def.Bytes > p.def.Room {
+			continue
+		}
+		score := r.speed
+		if first.stage.job.Hall != "" && r.Hall != first.stage.job.Hall {
+			score += otherHall
+		}
+		if best == nil || score < bestScore || (score == bestScore && r.ID < best.ID) {
+			best, bestScore = r, score
+		}
+	}
+	return best
+}
+
+// otherHall is how much slower a replica in the job's hall may be and still be taken.
+const otherHall = 0.3
+
+// pickBatch takes the pieces that go into a replica's next call, in order, as
+// many as it may hold and has room for.
+func (p *pool) pickBatch(r *replica) []*piece {
+	room := p.def.Room - r.held
+	var batch []*piece
+	rest := p.ready[:0]
+	for _, x := range p.ready {
+		if len(batch) < p.def.Batch && x.stage.def.Bytes <= room {
+			room -= x.stage.def.Bytes
+			batch = append(batch, x)
+			continue
+		}
+		rest = append(rest, x)
+	}
+	clear(p.ready[len(rest):])
+	p.ready = rest
+	return batch
+}
+
+func (s *Scheduler) send(now time.Duration, p *pool, r *replica, batch []*piece) {
+	s.next++
+	expected := time.Duration(float64(p.callTime(batch)) * r.speed)
+	c := &call{id: s.next, pool: p, replica: r, pieces: batch, sent: now, due: now + expected}
+	items := make([]Item, 0, len(batch))
+	for _, x := range batch {
+		x.state = running
+		x.tries++
+		x.uncount()
+		x.stage.job.started = true
+		c.bytes += x.stage.def.Bytes
+		items = append(items, x.item(now))
+	}
+	r.call = c
+	r.held += c.bytes
+	s.calls[c.id] = c
+	timeout := time.Duration(float64(expected)*2*s.opts.OverdueTimes) + 2*s.opts.OverdueSlack
+	s.act(Call{ID: c.id, Service: p.name, Replica: r.ID, Address: r.Address, Items: items, Timeout: timeout})
+}
+
+// Answer takes in what became of a call.
+func (s *Scheduler) Answer(now time.Duration, id uint64, fate Fate, results []Result) []Action {
+	c := s.calls[id]
+	if c == nil {
+		return s.take()
+	}
+	delete(s.calls, id)
+	r := c.replica
+	if r.call == c {
+		r.call = nil
+	}
+	r.held -= c.bytes
+	if r.gone && r.call == nil {
+		delete(c.pool.replicas, r.ID)
+	}
+	if fate == Answered && len(results) == len(c.pieces) {
+		s.answered(now, c, results)
+	} else {
+		s.lost(now, c, fate)
+	}
+	s.dispatchAll(now)
+	return s.take()
+}
+
+func (s *Scheduler) answered(now time.Duration, c *call, results []Result) {
+	c.pool.learn(c.replica, c, now-c.sent)
+	c.replica.pause = 0
+	touched := make(map[*job]bool)
+	for i, x := range c.pieces {
+		s.result(now, c, x, results[i])
+		touched[x.stage.job] = true
+	}
+	for j := range touched {
+		if s.jobs[j.id] == j {
+			s.proceed(j)
+		}
+	}
+}
+
+// result takes in what became of one piece of an answered call.
+func (s *Scheduler) result(now time.Duration, c *call, x *piece, res Result) {
+	j := x.stage.job
+	wanted := s.jobs[j.id] == j && x.state != done && !x.stage.freed
+	if res.Handle != "" {
+		c.replica.results[res.Handle] = &holding{bytes: x.stage.def.Bytes, until: now + c.pool.def.HoldFor}
+		c.replica.held += x.stage.def.Bytes
+		if !wanted {
+			s.freeResult(c.replica, res.Handle)
+			return
+		}
+		if x.state == ready { // a second call for it waits, which is not needed any more
+			x.uncount()
+			x.stage.pool.unready(x)
+		}
+		x.state, x.handle, x.maker, x.madeAt = done, res.Handle, c.replica, now
+		return
+	}
+	if !wanted || x.state != running {
+		return
+	}
+	switch res.Reason {
+	case Late:
+		s.fail(now, j, "late", 0)
+	case InputGone:
+		s.remake(now, x)
+	case NoRoom:
+		c.replica.pausedTo = now + s.opts.Busy
+		x.tries--
+		s.requeue(now, x)
+	default:
+		s.requeue(now, x)
+	}
+}
+
+// remake runs a piece again together with the results that it reads.
+func (s *Scheduler) remake(now time.Duration, x *piece) {
+	if x.tries >= s.opts.Tries {
+		s.fail(now, x.stage.job, "inputs", s.opts.Unknown)
+		return
+	}
+	x.state = blocked
+	x.count()
+	for _, a := range x.stage.def.After {
+		st := x.stage.job.stages[a]
+		for _, input := range st.pieces {
+			if input.state == done {
+				s.freeResult(input.maker, input.handle)
+				input.state, input.handle = blocked, ""
+				input.count()
+			}
+		}
+	}
+	s.unblock(x.stage.job)
+}
+
+func (s *Scheduler) requeue(now time.Duration, x *piece) {
+	if x.tries >= s.opts.Tries {
+		s.fail(now, x.stage.job, "tries", s.opts.Unknown)
+		return
+	}
+	x.state = ready
+	x.count()
+	x.stage.pool.ready = append(x.stage.pool.ready, x)
+}
+
+// lost takes in the end of a call without results.
+func (s *Scheduler) lost(now time.Duration, c *call, fate Fate) {
+	r := c.replica
+	switch fate {
+	case Refused:
+		r.pausedTo = now + s.opts.Busy
+	case Stranger:
+		r.leaving = true
+	default:
+		r.fail(now, &s.opts)
+	}
+	for _, x := range c.pieces {
+		j := x.stage.job
+		if s.jobs[j.id] != j || x.state != running || c.overdue {
+			continue
+		}
+		if fate == Refused || fate == Stranger || fate == Unreachable {
+			x.tries--
+		}
+		s.requeue(now, x)
+	}
+}
+
+// overdueCalls gives the pieces of calls that take far too long to others too.
+func (s *Scheduler) overdueCalls(now time.Duration) {
+	for _, c := range s.calls {
+		limit := time.Duration(float64(c.due-c.sent)*s.opts.OverdueTimes) + s.opts.OverdueSlack
+		if c.overdue || now-c.sent < limit {
+			continue
+		}
+		c.overdue = true
+		c.replica.speed = max(c.replica.speed, s.opts.OverdueTimes)
+		for _, x := range c.pieces {
+			if j := x.stage.job; s.jobs[j.id] == j && x.state == running {
+				s.requeue(now, x)
+			}
+		}
+	}
+}
+
+// abandonIdleCalls ends calls none of whose pieces is wanted any more. A call
+// at work can't be dropped by its replica; it ends a wait there.
+func (s *Scheduler) abandonIdleCalls() {
+	for _, c := range s.calls {
+		wanted := false
+		for _, x := range c.pieces {
+			j := x.stage.job
+			wanted = wanted || s.jobs[j.id] == j
+		}
+		if !wanted && c.overdue {
+			s.act(Abandon{Call: c.id})
+		}
+	}
+}
--- /dev/null
+++ b/coordination/pipeline/job.go
@@ -0,0 +1,330 @@
+package pipeline
+
+import (
+	"slices"
+	"time"
+)
+
+type pieceState int
+
+const (
+	blocked pieceState = iota // inputs are missing
+	ready
+	running
+	done
+)
+
+// piece is one unit of a stage.
+type piece struct {
+	stage   *stage
+	index   int
+	state   pieceState
+	tries   int
+	handle  string
+	maker   *replica
+	madeAt  time.Duration
+	counted bool // in its pool's pending work
+}
+
+// stage is one stage of a job under way.
+type stage struct {
+	job    *job
+	number int
+	def    Stage
+	pool   *pool
+	cost   float64       // seconds of one replica, of one piece
+	latest time.Duration // when it must start for the job to be in time
+	pieces []*piece
+	freed  bool
+}
+
+// job is one request's stages under way.
+type job struct {
+	Job
+	id        uint64
+	rank      int // Job.Rank, or behind all once it is late
+	due       time.Duration
+	dead      time.Duration
+	stages    []*stage
+	delivered bool
+	started   bool // a piece was given to a replica
+}
+
+// lateRank is added to the rank of jobs that miss their objective.
+const lateRank = 1000
+
+func (s *Scheduler) newJob(now time.Duration, def Job) (*job, bool) {
+	j := &job{Job: def, rank: def.Rank, due: now + def.Objective, dead: now + def.Deadline}
+	for n, d := range def.Stages {
+		p := s.pools[d.Service]
+		if p == nil {
+			return nil, false
+		}
+		st := &stage{job: j, number: n, def: d, pool: p, cost: p.cost(d.Bytes)}
+		for i := range d.Pieces {
+			st.pieces = append(st.pieces, &piece{stage: st, index: i})
+		}
+		j.stages = append(j.stages, st)
+	}
+	rest := j.rests()
+	for n, st := range j.stages {
+		st.latest = j.due - rest[n]
+	}
+	return j, true
+}
+
+// rests returns for each stage the time from its start to the end of the last
+// stage that waits for it, without queues.
+func (j *job) rests() []time.Duration {
+	rest := make([]time.Duration, len(j.stages))
+	for n := len(j.stages) - 1; n >= 0; n-- {
+		rest[n] += j.stages[n].duration()
+		for _, a := range j.stages[n].def.After {
+			rest[a] = max(rest[a], rest[n])
+		}
+	}
+	return rest
+}
+
+// duration is how long a stage takes once its call begins: pieces of others
+// share the call.
+func (st *stage) duration() time.Duration {
+	if len(st.pieces) == 0 {
+		return 0
+	}
+	const sharedPart = 0.6 // of a full call's pieces are before a given one ends, together with its own
+	full := float64(st.pool.batchOf(st.def.Bytes))
+	items := max(full*sharedPart, float64(min(len(st.pieces), st.pool.def.Batch)))
+	t := st.pool.def.CallTime.Seconds() + items*st.pool.def.ItemTime.Seconds()*st.pool.factor(st.def.Bytes)
+	return time.Duration(t * float64(time.Second))
+}
+
+// expect returns the time until the job's stages are done, by what waits now.
+func (s *Scheduler) expect(now time.Duration, j *job) time.Duration {
+	ends := make([]time.Duration, len(j.stages))
+	last := time.Duration(0)
+	for n, st := range j.stages {
+		start := time.Duration(0)
+		for _, a := range st.def.After {
+			start = max(start, ends[a])
+		}
+		ends[n] = start
+		if len(st.pieces) == 0 {
+			continue
+		}
+		wait := max(st.pool.clear(now, j.rank)-start, 0)
+		own := time.Duration(float64(len(st.pieces)) * st.cost / float64(max(len(st.pool.replicas), 1)) * float64(time.Second))
+		ends[n] = start + wait + own + st.duration()
+		last = max(last, ends[n])
+	}
+	return last
+}
+
+// refuses tells whether a job is refused, and when it may come back.
+func (s *Scheduler) refuses(j *job, expected time.Duration) (time.Duration, bool) {
+	limit := time.Duration(float64(j.Objective) * s.opts.Margin)
+	if j.Again {
+		limit = time.Duration(float64(j.Deadline) * s.opts.LastMargin)
+	}
+	if expected <= limit {
+		return 0, false
+	}
+	if expected >= noReplica {
+		return s.opts.Unknown, true
+	}
+	return max(expected-limit, s.opts.LeastRetry), true
+}
+
+// admit counts the job's pieces and readies those without inputs.
+func (s *Scheduler) admit(j *job) {
+	for _, st := range j.stages {
+		for _, x := range st.pieces {
+			x.count()
+		}
+	}
+	s.unblock(j)
+}
+
+func (x *piece) count() {
+	if !x.counted {
+		x.counted = true
+		x.stage.pool.pending[x.stage.job.rank] += x.stage.cost
+	}
+}
+
+func (x *piece) uncount() {
+	if !x.counted {
+		return
+	}
+	x.counted = false
+	pending := x.stage.pool.pending
+	pending[x.stage.job.rank] -= x.stage.cost
+	if pending[x.stage.job.rank] < x.stage.cost/2 { // the last one; leaves no rounding behind
+		delete(pending, x.stage.job.rank)
+	}
+}
+
+// unblock readies every piece whose inputs are there.
+func (s *Scheduler) unblock(j *job) {
+	for _, st := range j.stages {
+		if !st.inputsDone() {
+			continue
+		}
+		for _, x := range st.pieces {
+			if x.state == blocked {
+				x.state = ready
+				x.count()
+				st.pool.ready = append(st.pool.ready, x)
+			}
+		}
+	}
+}
+
+func (st *stage) inputsDone() bool {
+	for _, a := range st.def.After {
+		if !st.job.stages[a].done() {
+			return false
+		}
+	}
+	return true
+}
+
+func (st *stage) done() bool {
+	return !slices.ContainsFunc(st.pieces, func(x *piece) bool { return x.state != done })
+}
+
+// sink reports whether the request itself reads the stage's results.
+func (st *stage) sink() bool {
+	return !slices.ContainsFunc(st.job.stages, func(other *stage) bool { return slices.Contains(other.def.After, st.number) })
+}
+
+func (st *stage) handles(to []string) []string {
+	for _, x := range st.pieces {
+		to = append(to, x.handle)
+	}
+	return to
+}
+
+func (x *piece) item(now time.Duration) Item {
+	j := x.stage.job
+	item := Item{RequestID: j.RequestID, Stage: x.stage.number, Index: x.index, Left: max(j.dead-now, time.Millisecond)}
+	if len(x.stage.def.After) == 0 {
+		item.Key = j.Key
+		return item
+	}
+	for _, a := range x.stage.def.After {
+		item.Inputs = j.stages[a].handles(item.Inputs)
+	}
+	return item
+}
+
+// proceed goes on with a job after a piece of it was done.
+func (s *Scheduler) proceed(j *job) {
+	s.unblock(j)
+	for _, st := range j.stages {
+		if !st.freed && !st.sink() && st.done() && st.readersDone() {
+			s.free(st)
+		}
+	}
+	if j.delivered {
+		return
+	}
+	var handles []string
+	for _, st := range j.stages {
+		if !st.sink() {
+			continue
+		}
+		if !st.done() {
+			return
+		}
+		handles = st.handles(handles)
+	}
+	j.delivered = true
+	s.act(Deliver{Job: j.id, Handles: handles})
+}
+
+func (st *stage) readersDone() bool {
+	for _, other := range st.job.stages {
+		if slices.Contains(other.def.After, st.number) && !other.done() {
+			return false
+		}
+	}
+	return true
+}
+
+// free gives a stage's results up.
+func (s *Scheduler) free(st *stage) {
+	st.freed = true
+	for _, x := range st.pieces {
+		if x.handle != "" {
+			s.freeResult(x.maker, x.handle)
+		}
+	}
+}
+
+func (s *Scheduler) freeResult(r *replica, handle string) {
+	r.drop(handle)
+	for i, a := range s.out { // one call to a replica for all that is freed at once
+		if f, ok := a.(Free); ok && f.Address == r.Address {
+			f.Handles = append(f.Handles, handle)
+			s.out[i] = f
+			return
+		}
+	}
+	s.act(Free{Address: r.Address, Handles: []string{handle}})
+}
+
+// remove ends a job; what is at work of it is freed when it comes.
+func (s *Scheduler) remove(now time.Duration, j *job) {
+	delete(s.jobs, j.id)
+	for _, st := range j.stages {
+		for _, x := range st.pieces {
+			x.uncount()
+			if x.state == ready {
+				st.pool.unready(x)
+			}
+		}
+		if !st.freed {
+			s.free(st)
+		}
+	}
+	s.abandonIdleCalls()
+}
+
+func (s *Scheduler) fail(now time.Duration, j *job, why string, after time.Duration) {
+	s.remove(now, j)
+	s.act(Fail{Job: j.id, Why: why, RetryAfter: after})
+}
+
+// hopelessJobs ends jobs that miss their deadline and puts those that miss
+// their objective behind the others.
+func (s *Scheduler) hopelessJobs(now time.Duration) {
+	for _, j := range s.jobs {
+		if j.delivered {
+			continue
+		}
+		if now >= j.dead {
+			s.fail(now, j, "deadline", 0)
+			continue
+		}
+		if j.rank < lateRank && now > j.due {
+			s.demote(j)
+		}
+	}
+}
+
+func (s *Scheduler) demote(j *job) {
+	var counted []*piece
+	for _, st := range j.stages {
+		for _, x := range st.pieces {
+			if x.counted {
+				x.uncount()
+				counted = append(counted, x)
+			}
+		}
+	}
+	j.rank += lateRank
+	for _, x := range counted {
+		x.count()
+	}
+}
--- /dev/null
+++ b/coordination/pipeline/options.go
@@ -0,0 +1,42 @@
+package pipeline
+
+import "time"
+
+// Options are the scheduler's constants.
+type Options struct {
+	Margin       float64       // share of the objective that a new job's expected end may take
+	LastMargin   float64       // share of the deadline, of one that came back
+	OverdueTimes float64       // a call is overdue after so many times what it should take
+	OverdueSlack time.Duration // and this
+	Tries        int           // of a piece
+	Busy         time.Duration // a replica that refused is left alone for
+	PauseFirst   time.Duration // a replica that failed is left alone for, doubled each time
+	PauseMost    time.Duration
+	Unknown      time.Duration // when a job may come back whose pools are not known or gone
+	LeastRetry   time.Duration
+}
+
+// Option changes the options.
+type Option func(*Options)
+
+func newOptions(opts []Option) Options {
+	o := Options{
+		Margin:       0.95,
+		LastMargin:   0.85,
+		OverdueTimes: 1.8,
+		OverdueSlack: 200 * time.Millisecond,
+		Tries:        4,
+		Busy:         120 * time.Millisecond,
+		PauseFirst:   500 * time.Millisecond,
+		PauseMost:    6 * time.Second,
+		Unknown:      500 * time.Millisecond,
+		LeastRetry:   100 * time.Millisecond,
+	}
+	for _, f := range opts {
+		f(&o)
+	}
+	return o
+}
+
+// Margin sets the share of the objective that a new job's expected end may take.
+func Margin(share float64) Option { return func(o *Options) { o.Margin = share } }
--- /dev/null
+++ b/coordination/pipeline/pipeline.go
@@ -0,0 +1,242 @@
+// Package pipeline decides for the pools of replicas that run the stages of
+// requests: which requests are admitted, which pieces go into which call, to
+// which replica and when.
+//
+// One Scheduler owns the replicas it is given. A call costs a fixed time plus
+// that of its pieces, so pieces of all requests are put together; a replica
+// gets its next call when the last one ends, which makes calls as full as the
+// load asks for and no fuller. Room for results counts like time: a batch
+// holds no more than fits, and a result is freed as soon as its last reader
+// has it.
+//
+// The scheduler is pure: event and time in, actions out.
+package pipeline
+
+import (
+	"time"
+
+	"quinceroad/state/catalog"
+)
+
+// Item is one piece as a call carries it.
+type Item struct {
+	RequestID string
+	Stage     int
+	Index     int
+	Left      time.Duration // until the result is of no use
+	Key       string        // for stages without inputs
+	Inputs    []string      // handles of the results it reads
+}
+
+// Reason tells why a piece has no result.
+type Reason int
+
+// The reasons.
+const (
+	NoReason   Reason = iota
+	Late              // its time was over at its turn
+	InputGone         // a result that it reads is gone
+	NoRoom            // no room for the result
+	PieceError        // it failed
+)
+
+// Result is what became of one item of a call.
+type Result struct {
+	Handle string
+	Reason Reason
+}
+
+// Fate tells what became of a call as a whole.
+type Fate int
+
+// The fates.
+const (
+	Answered    Fate = iota // there are results
+	Refused                 // the replica says that it did not run the call
+	Stranger                // another replica has the address
+	Unreachable             // no connection; nothing was sent
+	Broken                  // sent, and no whole answer came
+	Overdue                 // sent, and no answer came in time
+)
+
+// Stage is one stage of a job.
+type Stage struct {
+	Service string
+	After   []int
+	Pieces  int
+	Bytes   int64 // of one result
+}
+
+// Job is a request's stages.
+type Job struct {
+	RequestID string
+	Key       string
+	Rank      int           // 0 first
+	Hall      string        // where its results are best made; "" for anywhere
+	Objective time.Duration // from now, by when the stages should be done
+	Deadline  time.Duration // from now, after which they are of no use
+	Again     bool          // it came back after a refusal
+	Stages    []Stage
+}
+
+// Verdict is the answer to a submitted job.
+type Verdict struct {
+	ID         uint64 // of the job when it is admitted
+	Admitted   bool
+	RetryAfter time.Duration // when a refused job may come back
+	Expected   time.Duration // until its stages are done
+}
+
+// Action is what the caller must do; one of the types below.
+type Action interface{ action() }
+
+// Call is sent to a replica; its end is told to Answer.
+type Call struct {
+	ID      uint64
+	Service string
+	Replica string
+	Address string
+	Items   []Item
+	Timeout time.Duration
+}
+
+// Deliver hands a job the results that its request reads.
+type Deliver struct {
+	Job     uint64
+	Handles []string
+}
+
+// Fail ends a job that can't be done.
+type Fail struct {
+	Job        uint64
+	Why        string
+	RetryAfter time.Duration
+}
+
+// Free tells a replica which results nobody reads any more.
+type Free struct {
+	Address string
+	Handles []string
+}
+
+// Abandon ends a call whose answer is of no use.
+type Abandon struct{ Call uint64 }
+
+func (Call) action()    {}
+func (Deliver) action() {}
+func (Fail) action()    {}
+func (Free) action()    {}
+func (Abandon) action() {}
+
+// Scheduler owns the pools' replicas. It is not safe for concurrent use.
+type Scheduler struct {
+	opts  Options
+	pools map[string]*pool
+	jobs  map[uint64]*job
+	calls map[uint64]*call
+	next  uint64
+	out   []Action
+}
+
+// New returns a scheduler without pools.
+func New(opts ...Option) *Scheduler {
+	return &Scheduler{
+		opts:  newOptions(opts),
+		pools: make(map[string]*pool),
+		jobs:  make(map[uint64]*job),
+		calls: make(map[uint64]*call),
+	}
+}
+
+// SetPools takes the services and their replicas into force.
+func (s *Scheduler) SetPools(now time.Duration, services map[string]*catalog.Service, replicas []catalog.Replica) []Action {
+	for name, service := range services {
+		if service.Pool == nil {
+			continue
+		}
+		p := s.pools[name]
+		if p == nil {
+			p = newPool(name)
+			s.pools[name] = p
+		}
+		p.def = *service.Pool
+	}
+	listed := make(map[string]bool, len(replicas))
+	for _, r := range replicas {
+		p := s.pools[r.Service]
+		if p == nil {
+			continue
+		}
+		listed[r.ID] = true
+		p.put(r)
+	}
+	for _, p := range s.pools {
+		p.dropUnlisted(listed)
+	}
+	s.dispatchAll(now)
+	return s.take()
+}
+
+// Leaving notes that a replica says, by whatever sign, that it leaves.
+func (s *Scheduler) Leaving(id string) {
+	for _, p := range s.pools {
+		if r := p.replicas[id]; r != nil {
+			r.leaving = true
+		}
+	}
+}
+
+// Submit decides on a job. An admitted one is ended by a Deliver or Fail, and
+// by Release in any case.
+func (s *Scheduler) Submit(now time.Duration, j Job) (Verdict, []Action) {
+	job, ok := s.newJob(now, j)
+	if !ok {
+		return Verdict{RetryAfter: s.opts.Unknown}, nil
+	}
+	expected := s.expect(now, job)
+	if after, refused := s.refuses(job, expected); refused {
+		return Verdict{RetryAfter: after, Expected: expected}, nil
+	}
+	s.next++
+	job.id = s.next
+	s.jobs[job.id] = job
+	s.admit(job)
+	s.dispatchAll(now)
+	return Verdict{ID: job.id, Admitted: true, Expected: expected}, s.take()
+}
+
+// Release ends a job: its request has read the results, or wants none.
+func (s *Scheduler) Release(now time.Duration, id uint64) []Action {
+	if j := s.jobs[id]; j != nil {
+		s.remove(now, j)
+	}
+	s.dispatchAll(now)
+	return s.take()
+}
+
+// Tick does what is due by time alone; call it some times a second.
+func (s *Scheduler) Tick(now time.Duration) []Action {
+	s.overdueCalls(now)
+	s.hopelessJobs(now)
+	for _, p := range s.pools {
+		for _, r := range p.replicas {
+			r.expire(now)
+		}
+	}
+	s.dispatchAll(now)
+	return s.take()
+}
+
+func (s *Scheduler) take() []Action {
+	out := s.out
+	s.out = nil
+	return out
+}
+
+func (s *Scheduler) act(a Action) { s.out = append(s.out, a) }
+
+// Empty reports whether it knows of no pool.
+func (s *Scheduler) Empty() bool { return len(s.pools) == 0 }
+
+// Jobs returns the number of jobs under way.
+func (s *Scheduler) Jobs() int { return len(s.jobs) }
--- /dev/null
+++ b/coordination/pipeline/pool.go
@@ -0,0 +1,205 @@
+package pipeline
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"quinceroad/state/catalog"
+)
+
+// pool is one service's replicas and the pieces that wait for them.
+type pool struct {
+	name     string
+	def      catalog.Pool
+	replicas map[string]*replica
+	ready    []*piece
+	pending  map[int]float64 // by rank: seconds of one replica that admitted pieces will take, those at work excepted
+	factors  map[int64]float64
+}
+
+func newPool(name string) *pool {
+	return &pool{
+		name:     name,
+		replicas: make(map[string]*replica),
+		pending:  make(map[int]float64),
+		factors:  make(map[int64]float64),
+	}
+}
+
+// replica is one replica of a pool.
+type replica struct {
+	catalog.Replica
+	leaving  bool
+	gone     bool
+	call     *call // at work
+	held     int64 // bytes of results that lie there, those of its call included
+	results  map[string]*holding
+	speed    float64 // time taken against time expected
+	pausedTo time.Duration
+	pause    time.Duration // the last pause, doubled by the next
+}
+
+// holding is one result at its maker.
+type holding struct {
+	bytes int64
+	until time.Duration // after which the maker drops it by itself
+}
+
+func (p *pool) put(r catalog.Replica) {
+	old := p.replicas[r.ID]
+	if old == nil {
+		p.replicas[r.ID] = &replica{Replica: r, leaving: r.Leaving, results: make(map[string]*holding), speed: 1}
+		return
+	}
+	old.Replica = r
+	old.leaving = old.leaving || r.Leaving // leaving wins within a replica's life
+	old.gone = false
+}
+
+func (p *pool) dropUnlisted(listed map[string]bool) {
+	for id, r := range p.replicas {
+		if listed[id] {
+			continue
+		}
+		r.gone = true
+		if r.call == nil {
+			delete(p.replicas, id)
+		}
+	}
+}
+
+func (r *replica) usable(now time.Duration) bool {
+	return r.call == nil && !r.leaving && !r.gone && now >= r.pausedTo
+}
+
+// serving reports whether a replica counts as capacity.
+func (r *replica) serving(now time.Duration) bool {
+	return !r.leaving && !r.gone && (now >= r.pausedTo || r.call != nil)
+}
+
+func (r *replica) expire(now time.Duration) {
+	for h, res := range r.results {
+		if now >= res.until {
+			r.drop(h)
+		}
+	}
+}
+
+func (r *replica) drop(handle string) {
+	if h := r.results[handle]; h != nil {
+		r.held -= h.bytes
+		delete(r.results, handle)
+	}
+}
+
+func (r *replica) fail(now time.Duration, o *Options) {
+	r.pause = min(max(2*r.pause, o.PauseFirst), o.PauseMost)
+	r.pausedTo = now + r.pause
+}
+
+// factor is how much work a piece with results of that size is against the
+// pool's usual one; it is learnt from the calls.
+func (p *pool) factor(bytes int64) float64 {
+	if f, ok := p.factors[bytes]; ok {
+		return f
+	}
+	return 1
+}
+
+const (
+	learnRate   = 0.25
+	leastFactor = 0.05
+	mostFactor  = 4
+	speedRate   = 0.3
+	leastSpeed  = 0.5
+	mostSpeed   = 8
+)
+
+// learn takes in how long a call took.
+func (p *pool) learn(r *replica, c *call, took time.Duration) {
+	fixed := p.def.CallTime.Seconds()
+	counts := make(map[int64]float64)
+	for _, x := range c.pieces {
+		counts[x.stage.def.Bytes] += p.def.ItemTime.Seconds()
+	}
+	expected, norm := fixed, 0.0
+	for bytes, n := range counts {
+		expected += n * p.factor(bytes)
+		norm += n * n
+	}
+	ratio := took.Seconds() / expected
+	r.speed = clamp(r.speed+speedRate*(ratio-r.speed), leastSpeed, mostSpeed)
+	if ratio > 1.5*r.speed || norm == 0 {
+		return // it says something of the replica, not of the pieces
+	}
+	fault := took.Seconds()/r.speed - expected
+	for bytes, n := range counts {
+		p.factors[bytes] = clamp(p.factor(bytes)+learnRate*fault*n/norm, leastFactor, mostFactor)
+	}
+}
+
+func clamp(x, least, most float64) float64 { return min(max(x, least), most) }
+
+// batchOf is how many pieces with results of that size a call can hold.
+func (p *pool) batchOf(bytes int64) int {
+	n := p.def.Batch
+	if bytes > 0 && p.def.Room > 0 {
+		n = min(n, int(p.def.Room/bytes))
+	}
+	return max(n, 1)
+}
+
+// cost is the time of one replica that a piece takes in a full call.
+func (p *pool) cost(bytes int64) float64 {
+	return p.def.CallTime.Seconds()/float64(p.batchOf(bytes)) + p.def.ItemTime.Seconds()*p.factor(bytes)
+}
+
+// callTime is what a call with these pieces should take at a replica of speed 1.
+func (p *pool) callTime(pieces []*piece) time.Duration {
+	t := p.def.CallTime.Seconds()
+	for _, x := range pieces {
+		t += p.def.ItemTime.Seconds() * p.factor(x.stage.def.Bytes)
+	}
+	return time.Duration(t * float64(time.Second))
+}
+
+// clear is the time until the pool is through with all that goes before a job
+// of that rank.
+func (p *pool) clear(now time.Duration, rank int) time.Duration {
+	work, rate := 0.0, 0.0
+	for _, r := range p.replicas {
+		if !r.serving(now) {
+			continue
+		}
+		rate += 1 / r.speed
+		if r.call != nil {
+			work += max(0, (r.call.due-now).Seconds()) / r.speed
+		}
+	}
+	for at, w := range p.pending {
+		if at <= rank {
+			work += w
+		}
+	}
+	if rate == 0 {
+		return noReplica
+	}
+	return time.Duration(work / rate * float64(time.Second))
+}
+
+// noReplica stands for the time until a pool without replicas is through.
+const noReplica = time.Hour
+
+func (p *pool) unready(x *piece) {
+	if i := slices.Index(p.ready, x); i >= 0 {
+		p.ready = slices.Delete(p.ready, i, i+1)
+	}
+}
+
+func (p *pool) sort() {
+	slices.SortStableFunc(p.ready, func(a, b *piece) int {
+		return cmp.Or(cmp.Compare(a.stage.job.rank, b.stage.job.rank), cmp.Compare(a.stage.latest, b.stage.latest),
+			cmp.Compare(a.stage.job.id, b.stage.job.id))
+	})
+}
--- a/layers_test.go
+++ b/layers_test.go
@@ -15,7 +15,7 @@
 )
 
 // layers in the order of imports: a package may import its own layer and those after it.
-var layers = []string{"proctest", "cmd", "transport", "protocol", "coordination", "state"}
+var layers = []string{"proctest", "cmd", "platform", "transport", "protocol", "coordination", "state"}
 
 func TestImportsGoDownwards(t *testing.T) {
 	is := is.New(t)
--- a/protocol/event/event.go
+++ b/protocol/event/event.go
@@ -45,6 +45,26 @@
 	Adopted       = add(1072, hclog.Info, "ledger taken over", "from, entries", "This entry starts a stopped entry's numbers.", nothing)
 )
 
+// Events of the node, an instance's one process on the users' platform.
+var (
+	NodeStarted       = add(3001, hclog.Info, "node started", "front, link", "The node listens.", nothing)
+	NodeStopping      = add(3002, hclog.Info, "node stopping", "in_flight", "A planned stop began.", nothing)
+	NodeStopped       = add(3003, hclog.Info, "node stopped", "in_flight", "The planned stop ended.", "if in_flight is not 0, look why those requests outlived the stop's limit")
+	NodeReloaded      = add(3004, hclog.Info, "settings read again", "seeds", "The platform said that the settings changed.", nothing)
+	NodeReloadFails   = add(3005, hclog.Error, "settings can't be read", "error", "The changed settings are broken; the node goes on with those it has.", "mend the settings file")
+	NodeConfigAdopted = add(3010, hclog.Info, "configuration in force", "version, from, routes", "The node took a newer configuration into force.", nothing)
+	NodeConfigBroken  = add(3011, hclog.Error, "configuration has faults", "from, error", "Routes with faults are left out; the others are in force.", "mend the configuration")
+	NodeStoreLost     = add(3020, hclog.Warn, "store unreachable", "topic, error", "What is in force goes on; peers tell of newer configurations.", "see to the platform's store")
+	NodeStoreBack     = add(3021, hclog.Info, "store reachable", "topic, after", "The topic is followed again.", nothing)
+	NodeEntryBroken   = add(3022, hclog.Warn, "instance's entry can't be read", "name", "An entry in the store is not an instance's own.", "see who writes there")
+	NodeReplicaLeaves = add(3030, hclog.Info, "replica leaving", "replica, sign", "The replica gets no new work.", nothing)
+	NodeOwns          = add(3040, hclog.Info, "pools owned", "cell", "Another instance took this one for the owner of these pools.", nothing)
+	NodeCallLost      = add(3041, hclog.Warn, "call of pieces lost", "replica, pieces, fate", "A replica did not run a call of pieces, or its answer did not come; the pieces go to others.", "look at that replica when it repeats")
+	NodeOwnerLost     = add(3042, hclog.Warn, "owner unreachable", "owner, request, error", "The next instance in line is asked.", "see whether that instance crashed")
+	NodeRequest       = add(3050, hclog.Debug, "request", "request, route, status, why, attempts, replica, took", "What became of a request.", nothing)
+	NodePanicked      = add(3060, hclog.Error, "panic in a request", "panic", "One request ended by a fault of the program; others go on.", "report it with the line")
+)
+
 // Events of the coord.
 var (
 	CoordStarted  = add(2001, hclog.Info, "coord started", "incarnation, link", "The coord listens.", nothing)
--- /dev/null
+++ b/protocol/exchange/exchange.go
@@ -0,0 +1,43 @@
+// Package exchange holds a client's request in the product's own terms, as it
+// goes from the front to a replica.
+package exchange
+
+import (
+	"net/http"
+	"time"
+)
+
+// Request is one attempt of a client.
+type Request struct {
+	ID        string
+	Method    string
+	Target    string // as it stood in the request line
+	Host      string
+	Path      string
+	Key       string
+	Headers   http.Header // those that go through to the replica
+	Body      []byte
+	Deadline  time.Duration // that the client waits; 0: not said
+	Pieces    []int         // for each stage of the route
+	PieceKey  string
+	Prompt    []Part
+	TokensIn  int
+	TokensOut int // most that it generates
+	Model     string
+	LastEvent string
+	Arrived   time.Time
+}
+
+// Part is a piece of a prompt that requests may share.
+type Part struct {
+	ID     string
+	Tokens int
+}
+
+// Shared returns the parts of the prompt before the last, which is the request's own.
+func (r *Request) Shared() []Part {
+	if len(r.Prompt) == 0 {
+		return nil
+	}
+	return r.Prompt[:len(r.Prompt)-1]
+}
--- a/protocol/frame/frame.go
+++ b/protocol/frame/frame.go
@@ -26,6 +26,7 @@
 	Limits                      // Demands -> Demands
 	Drain                       // Noted -> Noted
 	Reply                       // the answer to any of them
+	Stages                      // StagesAsk -> StagesReply, StagesReply; its close ends the job
 )
 
 // MaxLen bounds a frame; larger ones end the stream.
--- /dev/null
+++ b/state/catalog/catalog.go
@@ -0,0 +1,170 @@
+// Package catalog holds what an instance serves from: the configuration in
+// force and the replicas of its services, in the product's own terms.
+package catalog
+
+import (
+	"sort"
+	"strings"
+	"time"
+)
+
+// Kind tells what may be repeated of a route's requests.
+type Kind int
+
+// The kinds of routes.
+const (
+	Once       Kind = iota // at most one run for each request
+	Repeatable             // may run more than once
+	Stream                 // answered by a series of events
+)
+
+// Configuration is one accepted configuration. It is never changed once made.
+type Configuration struct {
+	Version   uint64
+	Routes    []Route
+	Services  map[string]*Service
+	Limits    Limits
+	Customers map[string]*Customer // by key
+	hosts     map[string][]*Route  // longest prefix first
+}
+
+// Limits bound what a client may send and how long it may take.
+type Limits struct {
+	HeaderBytes   int
+	BodyBytes     int64
+	HeaderTimeout time.Duration
+	IdleTimeout   time.Duration
+}
+
+// Customer is who a request is served for.
+type Customer struct {
+	Name     string
+	Priority int // 0 first
+}
+
+// Route tells where the requests of one host and path go and how long they may take.
+type Route struct {
+	Name         string
+	Host         string
+	Prefix       string // begins and ends with a slash
+	Kind         Kind
+	Timeout      time.Duration // longest time to an answer; 0: none
+	Objective    time.Duration // within which an answer earns its whole worth
+	GapObjective time.Duration // longest pause between events
+	Priority     int           // 0 first
+	Targets      []Target
+	Attempts     int // most replicas that one request may be sent to
+	Stages       []Stage
+	Anonymous    bool
+	Resumable    bool
+}
+
+// Target is a service that gets a share of a route's requests.
+type Target struct {
+	Service string
+	Weight  int
+}
+
+// Stage is work at a pool before a request can run.
+type Stage struct {
+	Service string
+	After   []int // the stages whose results it needs
+	Bytes   int64 // approximate size of one result
+}
+
+// Service is a named set of replicas.
+type Service struct {
+	Name       string
+	HealthPath string
+	MaxConns   int     // connections that one replica takes from all callers together
+	Engine     *Engine // nil unless it generates
+	Pool       *Pool   // nil unless it runs stages
+}
+
+// Engine tells what one replica of a generating service holds.
+type Engine struct {
+	Slots        int
+	MemoryTokens int64
+	TokenBytes   int64
+}
+
+// Pool tells what one replica of a stage service does.
+type Pool struct {
+	Slots    int           // calls at work at once
+	Queue    int           // calls that may wait
+	Batch    int           // most pieces in a call
+	CallTime time.Duration // of a call, whatever it holds
+	ItemTime time.Duration // of each piece, about
+	Room     int64         // bytes for results
+	HoldFor  time.Duration // how long a result is kept
+	LinkMbps float64
+}
+
+// Index prepares Match; call it once, before the configuration is shared.
+func (c *Configuration) Index() {
+	c.hosts = make(map[string][]*Route)
+	for i := range c.Routes {
+		r := &c.Routes[i]
+		c.hosts[r.Host] = append(c.hosts[r.Host], r)
+	}
+	for _, list := range c.hosts {
+		sort.SliceStable(list, func(i, j int) bool { return len(list[i].Prefix) > len(list[j].Prefix) })
+	}
+}
+
+// Match returns the route of a request, or nil.
+func (c *Configuration) Match(host, path string) *Route {
+	for _, r := range c.hosts[host] {
+		if strings.HasPrefix(path, r.Prefix) {
+			return r
+		}
+	}
+	return nil
+}
+
+// Pick returns the service for a request by the random number n.
+func (r *Route) Pick(n uint64) string {
+	total := 0
+	for _, t := range r.Targets {
+		total += t.Weight
+	}
+	if total <= 0 {
+		return r.Targets[0].Service
+	}
+	at := int(n % uint64(total))
+	for _, t := range r.Targets {
+		if at < t.Weight {
+			return t.Service
+		}
+		at -= t.Weight
+	}
+	return r.Targets[0].Service
+}
+
+// Sinks returns the stages whose results the request itself reads.
+func (r *Route) Sinks() []int {
+	read := make(map[int]bool)
+	for _, s := range r.Stages {
+		for _, a := range s.After {
+			read[a] = true
+		}
+	}
+	var out []int
+	for i := range r.Stages {
+		if !read[i] {
+			out = append(out, i)
+		}
+	}
+	return out
+}
+
+// Replica is one replica of a service, in one of its lives.
+type Replica struct {
+	ID      string
+	Service string
+	Hall    string
+	Address string // IP:port
+	Slots   int
+	Leaving bool
+	Warming time.Duration // how much longer it is slow, when it was last told
+}
--- a/transport/upstream/upstream.go
+++ b/transport/upstream/upstream.go
@@ -51,23 +51,46 @@
 	r      *bufio.Reader
 	w      *bufio.Writer
 	used   time.Time
+	until  time.Time // when the upstream may close it; zero: idleFor after its last use
 }
 
 // Connect returns a connection to addr on which nothing is under way.
 func (c *Client) Connect(addr string) (*Conn, error) {
+	if cn := c.Kept(addr); cn != nil {
+		return cn, nil
+	}
+	return c.Dial(addr, dialTimeout)
+}
+
+// Kept returns a kept connection to addr, or nil.
+func (c *Client) Kept(addr string) *Conn {
 	for cn := c.take(addr); cn != nil; cn = c.take(addr) {
-		if time.Since(cn.used) < idleFor && quiet(cn.net) {
-			return cn, nil
+		if cn.fresh() {
+			return cn
 		}
 		cn.Close()
 	}
-	n, err := net.DialTimeout("tcp", addr, dialTimeout)
+	return nil
+}
+
+// Dial returns a new connection to addr.
+func (c *Client) Dial(addr string, timeout time.Duration) (*Conn, error) {
+	n, err := net.DialTimeout("tcp", addr, timeout)
 	if err != nil {
 		return nil, errors.Join(ErrConnect, err)
 	}
 	return &Conn{client: c, addr: addr, net: n, r: bufio.NewReader(n), w: bufio.NewWriter(n)}, nil
 }
 
+// fresh reports whether an idle connection may carry another request.
+func (cn *Conn) fresh() bool {
+	until := cn.until
+	if until.IsZero() {
+		until = cn.used.Add(idleFor)
+	}
+	return time.Now().Before(until) && cn.r.Buffered() == 0 && quiet(cn.net)
+}
+
 func (c *Client) take(addr string) *Conn {
 	c.mu.Lock()
 	defer c.mu.Unlock()
