--- a/coordination/choice/choice.go
+++ b/coordination/choice/choice.go
@@ -13,7 +13,6 @@
 	"time"
 
 	"quinceroad/coordination/rendezvous"
-	"quinceroad/protocol/exchange"
 	"quinceroad/state/catalog"
 )
 
@@ -147,7 +146,7 @@
 // hash of its longest shared run of parts, so that all instances name the same
 // one and those that share parts meet; an overloaded home passes the request
 // on, and the next one fetches what it lacks.
-func (t *Table) Engines(now time.Duration, shared []exchange.Part, own string, candidates []catalog.Replica) Engine {
+func (t *Table) Engines(now time.Duration, shared []catalog.Part, own string, candidates []catalog.Replica) Engine {
 	key := own
 	if len(shared) > 0 {
 		key = shared[len(shared)-1].ID
@@ -176,7 +175,7 @@
 	return Engine{Replica: chosen, Fetch: fetchFrom(shared, chosen, ranked[0], candidates)}
 }
 
-func fetchFrom(shared []exchange.Part, chosen, home catalog.Replica, candidates []catalog.Replica) string {
+func fetchFrom(shared []catalog.Part, chosen, home catalog.Replica, candidates []catalog.Replica) string {
 	if len(shared) == 0 {
 		return ""
 	}
--- a/protocol/exchange/exchange.go
+++ b/protocol/exchange/exchange.go
@@ -5,6 +5,8 @@
 import (
 	"net/http"
 	"time"
+
+	"quinceroad/state/catalog"
 )
 
 // Request is one attempt of a client.
@@ -20,7 +22,7 @@
 	Deadline  time.Duration // that the client waits; 0: not said
 	Pieces    []int         // for each stage of the route
 	PieceKey  string
-	Prompt    []Part
+	Prompt    []catalog.Part
 	TokensIn  int
 	TokensOut int // most that it generates
 	Model     string
@@ -28,14 +30,8 @@
 	Arrived   time.Time
 }
 
-// Part is a piece of a prompt that requests may share.
-type Part struct {
-	ID     string
-	Tokens int
-}
-
 // Shared returns the parts of the prompt before the last, which is the request's own.
-func (r *Request) Shared() []Part {
+func (r *Request) Shared() []catalog.Part {
 	if len(r.Prompt) == 0 {
 		return nil
 	}
--- a/state/catalog/catalog.go
+++ b/state/catalog/catalog.go
@@ -168,3 +168,9 @@
 	Leaving bool
 	Warming time.Duration // how much longer it is slow, when it was last told
 }
+
+// Part is a piece of a prompt that requests may share.
+type Part struct {
+	ID     string
+	Tokens int
+}
