Pieces run in the hall of what they read; a stopping instance takes no late streams

Ruled out for (1): the front's own hall as the preferred one: the engine that keeps the prompt decides. Change: (1) a piece prefers the hall with most of the bytes that it reads, and makes for the engine; others take it only when it would be late there or more wait than the hall's next calls hold.

--- a/cmd/node/node.go
+++ b/cmd/node/node.go
@@ -20,6 +20,7 @@
 	"quinceroad/coordination/choice"
 	"quinceroad/coordination/gossip"
 	"quinceroad/coordination/health"
+	"quinceroad/coordination/shutdown"
 	"quinceroad/platform"
 	"quinceroad/protocol/event"
 	"quinceroad/state/catalog"
@@ -59,8 +60,9 @@
 
 	owner *owner
 
-	stopping  atomic.Bool // a stop signal came
-	refusing  atomic.Bool // nothing new is taken
+	stopping  atomic.Bool  // a stop signal came
+	stopBegan atomic.Int64 // when, as a time since the process began
+	stopPlan  shutdown.Plan
 	inFlight  atomic.Int64
 	socket    *datagram.Socket
 	peers     *link.Server
@@ -90,6 +92,7 @@
 		loads:    choice.NewTable(),
 		rates:    make(map[string]*serviceRates),
 		longest:  make(map[string]time.Duration),
+		stopPlan: shutdown.For(s.StopFor),
 	}
 	n.links = link.NewPool(&n.traffic)
 	n.counters = newCounters(n.registry)
@@ -149,27 +152,20 @@
 	event.NodeReloaded.Log(n.log, "seeds", len(s.Seeds))
 }
 
-// The parts of a planned stop, as shares of the time that the platform gives.
-const (
-	takeShare = 0.4  // new requests are still taken
-	endShare  = 0.93 // what runs may end
-)
-
 // Stop is a planned stop: the instance leaves the answers for addresses, takes
 // requests until clients have had time to notice, and ends when nothing is in
 // flight or the time is over.
 func (n *Node) Stop() {
-	start := time.Now()
+	start := n.now()
 	event.NodeStopping.Log(n.log, "in_flight", n.inFlight.Load())
+	n.stopBegan.Store(int64(start))
 	n.stopping.Store(true)
 	n.gossipMu.Lock()
 	n.members.SetLeaving()
 	n.gossipMu.Unlock()
 	n.tell()
-	time.Sleep(time.Duration(float64(n.settings.StopFor) * takeShare))
-	n.refusing.Store(true)
-	end := start.Add(time.Duration(float64(n.settings.StopFor) * endShare))
-	for n.inFlight.Load() > 0 && time.Now().Before(end) {
+	time.Sleep(n.stopPlan.TakesUntil)
+	for n.inFlight.Load() > 0 && n.now()-start < n.stopPlan.End {
 		time.Sleep(stopPoll)
 	}
 	n.cancel()
@@ -180,6 +176,11 @@
 	event.NodeStopped.Log(n.log, "in_flight", n.inFlight.Load())
 }
 
+// takes reports whether a request is taken although a stop may be under way.
+func (n *Node) takes(stream bool) bool {
+	return !n.stopping.Load() || n.stopPlan.Takes(n.now()-time.Duration(n.stopBegan.Load()), stream)
+}
+
 const stopPoll = 20 * time.Millisecond
 
 // housekeeping forgets what is no longer of use.
--- a/cmd/node/serve.go
+++ b/cmd/node/serve.go
@@ -102,7 +102,7 @@
 			s.rank = customer.Priority*rankStep + route.Priority
 		}
 	}
-	if n.refusing.Load() {
+	if !n.takes(route.Kind == catalog.Stream) {
 		return nil, &answerError{status: http.StatusServiceUnavailable, text: "this instance is stopping"}
 	}
 	s.service = world.config.Services[route.Pick(platform.Hash(req.ID))]
@@ -222,7 +222,7 @@
 		RequestId: s.req.ID,
 		Key:       s.req.PieceKey,
 		Rank:      uint32(s.rank),
-		Hall:      s.node.settings.Hall,
+		Hall:      s.home(),
 		Cell:      uint32(s.world.cellOf(s.req.ID)),
 	}
 	total := 0
@@ -246,6 +246,15 @@
 	return nil
 }
 
+// home is the hall of the engine that should run the request.
+func (s *serving) home() string {
+	r, _, ok := s.pick()
+	if !ok {
+		return s.node.settings.Hall
+	}
+	return r.Hall
+}
+
 // What an engine takes to the first event, about.
 const (
 	firstEvent     = 110 * time.Millisecond
--- a/coordination/pipeline/call.go
+++ b/coordination/pipeline/call.go
@@ -1,6 +1,8 @@
 package pipeline
 
 import (
+	"cmp"
+	"slices"
 	"time"
 )
 
@@ -22,58 +24,75 @@
 	}
 }
 
-// dispatch gives each idle replica a call while pieces wait.
+// dispatch gives each idle replica a call while pieces wait that it may take.
 func (s *Scheduler) dispatch(now time.Duration, p *pool) {
-	sorted := false
-	for len(p.ready) > 0 {
-		if !sorted {
-			p.sort()
-			sorted = true
-		}
-		r := p.pickReplica(now)
-		if r == nil {
-			return
+	if len(p.ready) == 0 {
+		return
+	}
+	idle := p.idle(now)
+	if len(idle) == 0 {
+		return
+	}
+	p.sort()
+	for _, r := range idle {
+		if batch := p.pickBatch(now, r); len(batch) > 0 {
+			s.send(now, p, r, batch)
 		}
-		batch := p.pickBatch(r)
-		if len(batch) == 0 {
-			return
+	}
+}
+
+// idle returns the replicas that may get a call, the fastest first.
+func (p *pool) idle(now time.Duration) []*replica {
+	var out []*replica
+	for _, r := range p.replicas {
+		if r.usable(now) {
+			out = append(out, r)
 		}
-		s.send(now, p, r, batch)
 	}
+	slices.SortFunc(out, func(a, b *replica) int {
+		return cmp.Or(cmp.Compare(a.speed, b.speed), cmp.Compare(a.held, b.held), cmp.Compare(a.ID, b.ID))
+	})
+	return out
+}
+
+// hallState is what a pool has in one hall.
+type hallState struct {
+	free  time.Duration // when a replica there is next free
+	holds int           // pieces that the next calls there can hold
+	seen  int           // pieces passed over so far that wait for it
 }
 
-// pickReplica returns the idle replica that is best for the first piece that
-// waits: with room, in its hall, fast.
-func (p *pool) pickReplica(now time.Duration) *replica {
-	first := p.ready[0]
-	var best *replica
-	bestScore := 0.0
+func (p *pool) halls(now time.Duration) map[string]*hallState {
+	out := make(map[string]*hallState)
 	for _, r := range p.replicas {
-		if !r.usable(now) || r.held+first.stage.def.Bytes > p.def.Room {
+		if !r.serving(now) {
 			continue
 		}
-		score := r.speed
-		if first.stage.job.Hall != "" && r.Hall != first.stage.job.Hall {
-			score += otherHall
+		free := now
+		if r.call != nil {
+			free = max(r.call.due, now)
 		}
-		if best == nil || score < bestScore || (score == bestScore && r.ID < best.ID) {
-			best, bestScore = r, score
+		h := out[r.Hall]
+		if h == nil {
+			h = &hallState{free: free}
+			out[r.Hall] = h
 		}
+		h.free = min(h.free, free)
+		h.holds += p.def.Batch
 	}
-	return best
+	return out
 }
 
-// otherHall is how much slower a replica in the job's hall may be and still be taken.
-const otherHall = 0.3
-
 // pickBatch takes the pieces that go into a replica's next call, in order, as
-// many as it may hold and has room for.
-func (p *pool) pickBatch(r *replica) []*piece {
+// many as it may hold and has room for. Pieces that belong to another hall are
+// left to it unless they would be late there, or more wait than its next calls hold.
+func (p *pool) pickBatch(now time.Duration, r *replica) []*piece {
 	room := p.def.Room - r.held
+	halls := p.halls(now)
 	var batch []*piece
 	rest := p.ready[:0]
 	for _, x := range p.ready {
-		if len(batch) < p.def.Batch && x.stage.def.Bytes <= room {
+		if len(batch) < p.def.Batch && x.stage.def.Bytes <= room && x.may(r, halls[x.hall]) {
 			room -= x.stage.def.Bytes
 			batch = append(batch, x)
 			continue
@@ -85,6 +104,15 @@
 	return batch
 }
 
+// may reports whether a piece may run at a replica, given its own hall's state.
+func (x *piece) may(r *replica, own *hallState) bool {
+	if x.hall == "" || x.hall == r.Hall || own == nil {
+		return true
+	}
+	own.seen++
+	return own.seen > own.holds || own.free > x.stage.latest
+}
+
 func (s *Scheduler) send(now time.Duration, p *pool, r *replica, batch []*piece) {
 	s.next++
 	expected := time.Duration(float64(p.callTime(batch)) * r.speed)
--- a/coordination/pipeline/job.go
+++ b/coordination/pipeline/job.go
@@ -23,7 +23,8 @@
 	handle  string
 	maker   *replica
 	madeAt  time.Duration
-	counted bool // in its pool's pending work
+	counted bool   // in its pool's pending work
+	hall    string // where it should run, for the bytes that it reads and makes; "" for anywhere
 }
 
 // stage is one stage of a job under way.
@@ -174,12 +175,40 @@
 			if x.state == blocked {
 				x.state = ready
 				x.count()
+				x.hall = x.nearest()
 				st.pool.ready = append(st.pool.ready, x)
 			}
 		}
 	}
 }
 
+// farBytes is how much a piece must read or make for its hall to matter.
+const farBytes = 150_000
+
+// nearest returns the hall between which and the piece most bytes go: those of
+// the results that it reads, and its own when the request reads it, at the
+// place that the job names.
+func (x *piece) nearest() string {
+	bytes := make(map[string]int64)
+	for _, a := range x.stage.def.After {
+		for _, input := range x.stage.job.stages[a].pieces {
+			if input.maker != nil {
+				bytes[input.maker.Hall] += input.stage.def.Bytes
+			}
+		}
+	}
+	if x.stage.sink() && x.stage.job.Hall != "" {
+		bytes[x.stage.job.Hall] += x.stage.def.Bytes
+	}
+	best, most := "", int64(farBytes-1)
+	for hall, n := range bytes {
+		if n > most || (n == most && hall < best) {
+			best, most = hall, n
+		}
+	}
+	return best
+}
+
 func (st *stage) inputsDone() bool {
 	for _, a := range st.def.After {
 		if !st.job.stages[a].done() {
