--- a/proctest/red/run.sh
+++ b/proctest/red/run.sh
@@ -18,8 +18,9 @@
   git archive HEAD | tar -x -C "$tree"
   (cd "$tree" && grep -v '^# ' "proctest/red/$name.patch" | git apply -)
   tests=$(sed -n 's/^# test: //p' "$patch")
+  package=$(sed -n 's/^# package: //p' "$patch")
   out=$scratch/$name.out
-  if (cd "$tree" && go test -count 1 -run "$tests" ./proctest/ >"$out" 2>&1); then
+  if (cd "$tree" && go test -count 1 -run "$tests" "${package:-./proctest/}" >"$out" 2>&1); then
     green=$((green + 1))
     echo "NOT RED  $name ($tests)"
   elif ! grep -q -- '--- FAIL: ' "$out"; then
