--- a/cmd/node/node.go
+++ b/cmd/node/node.go
@@ -27,6 +27,7 @@
 	"quinceroad/transport/datagram"
 	"quinceroad/transport/link"
 	"quinceroad/transport/upstream"
+	"quinceroad/transport/web"
 )
 
 // Node is the process. Locks are taken in the order in which they stand here,
@@ -67,6 +68,7 @@
 	socket    *datagram.Socket
 	peers     *link.Server
 	listeners listeners
+	admin     *web.Server
 	cancel    context.CancelFunc
 	group     *errgroup.Group
 }
@@ -125,6 +127,9 @@
 	if err := n.listen(); err != nil {
 		return trace.Wrap(err)
 	}
+	if err := n.listenAdmin(); err != nil {
+		return trace.Wrap(err)
+	}
 	ctx, cancel := context.WithCancel(context.Background())
 	n.cancel = cancel
 	n.group, ctx = errgroup.WithContext(ctx)
@@ -176,6 +181,9 @@
 func (n *Node) Kill() {
 	n.cancel()
 	n.listeners.close()
+	if n.admin != nil {
+		n.admin.Stop(adminStop)
+	}
 	n.socket.Close()
 	n.peers.Stop()
 	n.links.Stop()
@@ -186,7 +194,10 @@
 	return !n.stopping.Load() || n.stopPlan.Takes(n.now()-time.Duration(n.stopBegan.Load()), stream)
 }
 
-const stopPoll = 20 * time.Millisecond
+const (
+	stopPoll  = 20 * time.Millisecond
+	adminStop = 10 * time.Millisecond
+)
 
 // housekeeping forgets what is no longer of use.
 func (n *Node) housekeeping(ctx context.Context) {
--- /dev/null
+++ b/cmd/node/state.go
@@ -0,0 +1,96 @@
+package node
+
+import (
+	"errors"
+	"net"
+	"strconv"
+	"time"
+
+	"quinceroad/coordination/gossip"
+	"quinceroad/coordination/pipeline"
+	"quinceroad/protocol/event"
+	"quinceroad/transport/web"
+)
+
+// State is the dump of a node's state: what it believes, without keys.
+type State struct {
+	Name      string
+	Uptime    string
+	Stopping  bool
+	InFlight  int64
+	Version   uint64 // of the configuration in force; 0: none
+	Routes    int
+	Replicas  map[string]int // by service, those that may get work
+	Leaving   []string       // replicas, lately
+	LeftAlone []string       // replicas taken for sick
+	Instances []gossip.Instance
+	Cells     []CellState
+	LinkedTo  int
+}
+
+// CellState is a cell that this node has owned.
+type CellState struct {
+	Number  int
+	Jobs    int // admitted, their stages under way or their results not read yet
+	Calls   int // of pieces, under way
+	Streams int // at engines
+	Pools   []pipeline.PoolState
+}
+
+// errNoConfiguration says why a node is not ready.
+var errNoConfiguration = errors.New("no configuration is known yet")
+
+// listenAdmin serves metrics and the dump of state to operators.
+func (n *Node) listenAdmin() error {
+	if n.settings.MetricsPort == 0 {
+		return nil
+	}
+	admin := &web.Admin{Registry: n.registry, Ready: n.readiness, State: func() any { return n.State() }}
+	server, err := web.Listen(net.JoinHostPort(n.settings.IP, strconv.Itoa(n.settings.MetricsPort)), admin.Handler, func(p any) {
+		event.NodePanicked.Log(n.log, "panic", p)
+	})
+	n.admin = server
+	return err
+}
+
+func (n *Node) readiness() error {
+	if n.stopping.Load() {
+		return errors.New("stopping")
+	}
+	if n.world.Load().config == nil {
+		return errNoConfiguration
+	}
+	return nil
+}
+
+// State returns the dump.
+func (n *Node) State() State {
+	w := n.world.Load()
+	s := State{
+		Name:      n.settings.Name,
+		Uptime:    n.now().Round(time.Millisecond).String(),
+		Stopping:  n.stopping.Load(),
+		InFlight:  n.inFlight.Load(),
+		Replicas:  make(map[string]int, len(w.services)),
+		Leaving:   n.recentlyLeaving(),
+		Instances: n.alive(),
+		LinkedTo:  n.links.Len(),
+	}
+	if w.config != nil {
+		s.Version, s.Routes = w.config.Version, len(w.config.Routes)
+	}
+	for service, list := range w.services {
+		s.Replicas[service] = len(list)
+	}
+	for id := range n.pausedReplicas() {
+		s.LeftAlone = append(s.LeftAlone, id)
+	}
+	for _, c := range n.owner.all() {
+		c.mu.Lock()
+		s.Cells = append(s.Cells, CellState{
+			Number: c.number, Jobs: c.scheduler.Jobs(), Calls: len(c.calls), Streams: c.engines.Running(), Pools: c.scheduler.Pools(n.now()),
+		})
+		c.mu.Unlock()
+	}
+	return s
+}
--- a/coordination/pipeline/pipeline.go
+++ b/coordination/pipeline/pipeline.go
@@ -13,6 +13,8 @@
 package pipeline
 
 import (
+	"cmp"
+	"slices"
 	"time"
 
 	"quinceroad/state/catalog"
@@ -257,3 +259,31 @@
 
 // Jobs returns the number of jobs under way.
 func (s *Scheduler) Jobs() int { return len(s.jobs) }
+
+// PoolState is what a scheduler knows of a pool, for the dump of state.
+type PoolState struct {
+	Service string
+	Waiting int           // pieces
+	Clear   time.Duration // until all that is admitted is through
+	AtWork  int           // replicas with a call
+	Serving int           // replicas that count as capacity
+}
+
+// Pools returns the state of the pools, by name.
+func (s *Scheduler) Pools(now time.Duration) []PoolState {
+	var out []PoolState
+	for _, p := range s.pools {
+		st := PoolState{Service: p.name, Waiting: len(p.ready), Clear: p.clear(now, lateRank*2)}
+		for _, r := range p.replicas {
+			if r.call != nil {
+				st.AtWork++
+			}
+			if r.serving(now) {
+				st.Serving++
+			}
+		}
+		out = append(out, st)
+	}
+	slices.SortFunc(out, func(a, b PoolState) int { return cmp.Compare(a.Service, b.Service) })
+	return out
+}
