A log line for each decision about a request, quincectl explain and config

Change: 3050 for each request, 3051 for each failed attempt, 3052 and 3053 at the owner with what decided (expected end, objective, what waits at each pool). transport/logsink: a bounded queue, lines that find it full are dropped, counted and logged (3070). quincectl explain ID FILE... prints a request's lines of any machines in order; quincectl config -f FILE prints all faults of a configuration.

--- a/cmd/ctl/ctl.go
+++ b/cmd/ctl/ctl.go
@@ -31,6 +31,8 @@
   drain INSTANCE     take an instance out of address answers until it is started again
   history            accepted revisions, newest first
   dump               the coord's state
+  explain ID FILE... what the logs of any nodes say of a request, in order
+  config -f FILE     check a configuration as it is written into the platform's store
 
 examples:
   quincectl check -f examples/kalahari/fleet.toml
@@ -115,6 +117,10 @@
 		return c.drain(rest[0])
 	case name == "history" && len(rest) == 0:
 		return c.history()
+	case name == "explain" && len(rest) > 1:
+		return c.explain(rest[0], rest[1:])
+	case name == "config" && c.file != "":
+		return c.checkConfiguration(c.file)
 	case name == "dump" && len(rest) == 0:
 		return c.dump()
 	}
--- a/cmd/node/attempt.go
+++ b/cmd/node/attempt.go
@@ -15,6 +15,7 @@
 	"quinceroad/coordination/health"
 	"quinceroad/coordination/outcome"
 	"quinceroad/platform"
+	"quinceroad/protocol/event"
 	"quinceroad/state/catalog"
 	"quinceroad/transport/upstream"
 )
@@ -77,10 +78,11 @@
 // finish takes in how the attempt ended.
 func (a *attempt) finish(ctx context.Context, err error) {
 	took := time.Since(a.sent)
+	n := a.node
 	if err != nil {
+		event.NodeAttempt.Log(n.log, "request", a.req.ID, "replica", a.replica.ID, "why", err, "took", took, "kept", a.conn.Kept())
 		took = 0
 	}
-	n := a.node
 	n.judgeMu.Lock()
 	n.loads.End(a.replica.ID, took)
 	if a.head.Slots > 0 {
--- a/cmd/node/counters.go
+++ b/cmd/node/counters.go
@@ -18,6 +18,7 @@
 	lostCalls   metrics.Counter
 	jobs        metrics.Counter // admitted by this instance as an owner
 	jobsRefused metrics.Counter
+	logDropped  metrics.Counter
 }
 
 func newCounters(r metrics.Registry) counters {
@@ -33,6 +34,7 @@
 		lostCalls:   counter("node.calls_lost"),
 		jobs:        counter("node.jobs"),
 		jobsRefused: counter("node.jobs_refused"),
+		logDropped:  counter("node.log_dropped"),
 	}
 }
 
--- a/cmd/node/main.go
+++ b/cmd/node/main.go
@@ -8,11 +8,13 @@
 	"os/signal"
 	"runtime/debug"
 	"syscall"
+	"time"
 
 	hclog "github.com/hashicorp/go-hclog"
 
 	"quinceroad/cmd/process"
 	"quinceroad/platform"
+	"quinceroad/transport/logsink"
 )
 
 // memoryShare is the part of an instance's memory that the process may fill
@@ -24,6 +26,11 @@
 
 const bytesPerMB = 1 << 20
 
+const (
+	queuedLines = 2000 // of the log, that wait for their reader
+	closeLogFor = 100 * time.Millisecond
+)
+
 // Main is the main function of quince-node; it returns the exit code.
 func Main(args []string) int {
 	flags := flag.NewFlagSet("quince-node", flag.ContinueOnError)
@@ -55,7 +62,11 @@
 	}
 	debug.SetGCPercent(collectAt)
 	debug.SetMemoryLimit(int64(settings.MemoryMB * memoryShare * bytesPerMB))
-	return run(New(settings, logger(settings, *level, os.Stderr)))
+	sink := logsink.New(os.Stderr, queuedLines)
+	defer sink.Close(closeLogFor)
+	n := New(settings, logger(settings, *level, sink))
+	n.dropped = sink.Dropped
+	return run(n)
 }
 
 func logger(s *platform.Settings, level string, w io.Writer) hclog.Logger {
--- a/cmd/node/node.go
+++ b/cmd/node/node.go
@@ -69,6 +69,8 @@
 	peers     *link.Server
 	listeners listeners
 	admin     *web.Server
+	dropped   func() int64 // log lines, so far; nil: none are
+	told      int64        // dropped lines that were logged
 	cancel    context.CancelFunc
 	group     *errgroup.Group
 }
@@ -209,6 +211,7 @@
 			known[r.ID] = true
 			addresses[r.Address] = true
 		}
+		n.logDropped()
 		n.clients.Forget(addresses)
 		n.links.Sweep(time.Now())
 		n.judgeMu.Lock()
@@ -218,6 +221,20 @@
 	})
 }
 
+// logDropped counts and logs the log lines that were dropped.
+func (n *Node) logDropped() {
+	if n.dropped == nil {
+		return
+	}
+	now := n.dropped()
+	if now == n.told {
+		return
+	}
+	n.counters.logDropped.Inc(now - n.told)
+	event.NodeLogDropped.Log(n.log, "lines", now-n.told)
+	n.told = now
+}
+
 const (
 	housekeepingEach = 2 * time.Second
 	forgetAfter      = time.Minute
--- a/cmd/node/owner.go
+++ b/cmd/node/owner.go
@@ -3,10 +3,12 @@
 import (
 	"cmp"
 	"context"
+	"fmt"
 	"maps"
 	"net"
 	"slices"
 	"strconv"
+	"strings"
 	"sync"
 	"time"
 
@@ -371,6 +373,8 @@
 	c.carryOut(actions)
 	if !verdict.Admitted {
 		n.counters.jobsRefused.Inc(1)
+		event.NodeJobRefused.Log(n.log, "request", job.RequestID, "rank", job.Rank, "again", job.Again, "expected", verdict.Expected,
+			"objective", job.Objective, "deadline", job.Deadline, "pools", c.pools())
 		_ = send(&pb.StagesReply{Refused: true, RetryAfterUs: verdict.RetryAfter.Microseconds(), ExpectedUs: verdict.Expected.Microseconds()})
 		return pipeline.Deliver{}, false
 	}
@@ -386,6 +390,7 @@
 			}
 		case a := <-end:
 			if f, failed := a.(pipeline.Fail); failed {
+				event.NodeJobFailed.Log(n.log, "request", job.RequestID, "why", f.Why, "after", n.now()-r.began)
 				_ = send(&pb.StagesReply{Failed: f.Why, RetryAfterUs: f.RetryAfter.Microseconds()})
 				return pipeline.Deliver{}, false
 			}
@@ -394,6 +399,17 @@
 	}
 }
 
+// pools tells what waits at the pools, for a log line.
+func (c *cell) pools() string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var out []string
+	for _, p := range c.scheduler.Pools(c.owner.node.now()) {
+		out = append(out, fmt.Sprintf("%s:%d waiting, through in %v, %d replicas", p.Service, p.Waiting, p.Clear.Round(time.Millisecond), p.Serving))
+	}
+	return strings.Join(out, "; ")
+}
+
 // place picks the request's engine, now that its results are there.
 func (r *ownedRequest) place(ready pipeline.Deliver) *pb.StagesReply {
 	c, n := r.cell, r.cell.owner.node
--- a/cmd/node/serve.go
+++ b/cmd/node/serve.go
@@ -410,7 +410,7 @@
 }
 
 func (s *serving) log(err error) {
-	if !s.node.log.IsDebug() {
+	if !s.node.log.IsInfo() {
 		return
 	}
 	why := "served"
