--- a/cmd/node/follow.go
+++ b/cmd/node/follow.go
@@ -18,6 +18,7 @@
 	watchFor   = 3 * time.Second        // of one wait for changes
 	retryFirst = 100 * time.Millisecond // after a failed call, doubled each time
 	retryMost  = 1 * time.Second
+	emptyWait  = 250 * time.Millisecond // before a topic that nobody has written is read again
 	pullFor    = 500 * time.Millisecond // of a question to a peer
 )
 
@@ -57,6 +58,12 @@
 		if errors.Is(err, platform.ErrCompacted) {
 			continue
 		}
+		if errors.Is(err, platform.ErrNoKey) { // nothing was ever written
+			if !pause(ctx, emptyWait) {
+				return
+			}
+			continue
+		}
 		if lost.IsZero() {
 			lost = time.Now()
 			event.NodeStoreLost.Log(f.node.log, "topic", f.name, "error", err)
--- a/cmd/node/front.go
+++ b/cmd/node/front.go
@@ -20,12 +20,11 @@
 
 // The limits that hold until a configuration states others.
 const (
-	standardHeader  = 16 << 10
+	mostHeader      = 256 << 10 // of any configuration
 	standardBody    = 4 << 20
 	standardHeadFor = 3 * time.Second
-	standardIdle    = 15 * time.Second
+	mostIdle        = 75 * time.Second // that a client's connection may rest, longer than configurations allow
 	bodyFor         = 10 * time.Second
-	idleSlack       = 1.3 // a client may come just before its idle time is over
 )
 
 // listeners are the process's HTTP listeners.
@@ -59,8 +58,8 @@
 		server := &http.Server{
 			Handler:           n.guard(h.handler),
 			ReadHeaderTimeout: standardHeadFor,
-			IdleTimeout:       time.Duration(float64(standardIdle) * idleSlack),
-			MaxHeaderBytes:    2 * standardHeader, // the configuration's own limit is looked at per request
+			IdleTimeout:       mostIdle,
+			MaxHeaderBytes:    mostHeader, // the configuration's own limit is looked at for each request
 			ErrorLog:          log.New(io.Discard, "", 0),
 		}
 		n.listeners.servers = append(n.listeners.servers, server)
@@ -182,8 +181,13 @@
 		return req, err
 	}
 	limit := int64(standardBody)
-	if c := n.world.Load().config; c != nil && c.Limits.BodyBytes > 0 {
-		limit = c.Limits.BodyBytes
+	if c := n.world.Load().config; c != nil {
+		if c.Limits.BodyBytes > 0 {
+			limit = c.Limits.BodyBytes
+		}
+		if c.Limits.HeaderBytes > 0 && headerBytes(r) > c.Limits.HeaderBytes {
+			return req, &answerError{status: http.StatusRequestHeaderFieldsTooLarge, text: "the head is longer than the configuration allows"}
+		}
 	}
 	if r.ContentLength > limit {
 		return req, &answerError{status: http.StatusRequestEntityTooLarge, text: "the body is longer than the configuration allows"}
@@ -206,5 +210,17 @@
 	return req, nil
 }
 
+// headerBytes is the length of a request's head, about.
+func headerBytes(r *http.Request) int {
+	const framing = 4 // colon, blank and the line's end
+	n := len(r.Method) + len(r.RequestURI) + len(r.Host)
+	for name, values := range r.Header {
+		for _, v := range values {
+			n += len(name) + len(v) + framing
+		}
+	}
+	return n
+}
+
 // done reports whether the client has gone or its time is over.
 func done(ctx context.Context) bool { return ctx.Err() != nil }
--- a/cmd/node/members.go
+++ b/cmd/node/members.go
@@ -54,7 +54,7 @@
 	self := n.members.Self()
 	n.gossipMu.Unlock()
 	var to []string
-	for _, seed := range n.settings.Seeds {
+	for _, seed := range *n.seeds.Load() {
 		host, _, err := net.SplitHostPort(seed)
 		if err == nil && host != n.settings.IP {
 			to = append(to, net.JoinHostPort(host, strconv.Itoa(n.settings.DatagramPort)))
--- a/cmd/node/node.go
+++ b/cmd/node/node.go
@@ -33,7 +33,8 @@
 // Node is the process. Locks are taken in the order in which they stand here,
 // and nobody is called while one is held.
 type Node struct {
-	settings *platform.Settings
+	settings *platform.Settings       // as at the start; the seeds may change
+	seeds    atomic.Pointer[[]string] // IP:port of some instances' links, which may be gone
 	log      hclog.Logger
 	store    *platform.Store
 	links    *link.Pool
@@ -98,6 +99,7 @@
 		longest:  make(map[string]time.Duration),
 		stopPlan: shutdown.For(s.StopFor),
 	}
+	n.seeds.Store(&s.Seeds)
 	n.links = link.NewPool(&n.traffic)
 	n.counters = newCounters(n.registry)
 	n.members = gossip.New(gossip.Instance{
@@ -149,14 +151,16 @@
 }
 
 // Reload reads the settings again. Addresses are fixed for a process's life;
-// what may change meanwhile is checked, and a broken file changes nothing.
+// the seeds are taken over. A broken file changes nothing.
 func (n *Node) Reload() {
 	s, err := platform.LoadSettings()
 	if err != nil {
 		event.NodeReloadFails.Log(n.log, "error", err)
 		return
 	}
+	n.seeds.Store(&s.Seeds)
 	event.NodeReloaded.Log(n.log, "seeds", len(s.Seeds))
+	n.tellSeeds()
 }
 
 // Stop is a planned stop: the instance leaves the answers for addresses, takes
