--- a/cmd/coord/coord.go
+++ b/cmd/coord/coord.go
@@ -14,6 +14,7 @@
 	metrics "github.com/rcrowley/go-metrics"
 	"golang.org/x/sync/errgroup"
 
+	"quinceroad/cmd/process"
 	"quinceroad/cmd/slots"
 	"quinceroad/coordination/membership"
 	"quinceroad/coordination/replicas"
@@ -188,24 +189,10 @@
 	return c.replicas.All()
 }
 
-// every runs f now and then about every d, until ctx ends.
-func every(ctx context.Context, d time.Duration, f func()) {
-	t := time.NewTicker(d)
-	defer t.Stop()
-	for {
-		f()
-		select {
-		case <-ctx.Done():
-			return
-		case <-t.C:
-		}
-	}
-}
-
 const sweepEvery = 5 * time.Second
 
 func (c *Coord) sweepLoop(ctx context.Context) {
-	every(ctx, sweepEvery, func() {
+	process.Every(ctx, sweepEvery, func() {
 		c.links.Sweep(time.Now())
 		c.limits.sweep()
 	})
--- a/cmd/coord/list.go
+++ b/cmd/coord/list.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"quinceroad/cmd/process"
 	"quinceroad/coordination/membership"
 	"quinceroad/coordination/replicas"
 	"quinceroad/protocol/convert"
@@ -23,7 +24,7 @@
 func (c *Coord) listLoop(ctx context.Context) {
 	var following string
 	var next time.Duration // when the platform may be read again
-	every(ctx, listEvery, func() {
+	process.Every(ctx, listEvery, func() {
 		reader := c.readerOf("list")
 		if reader == c.set.Name || c.listAge() > listStale {
 			if c.now() >= next {
--- a/cmd/coord/orders.go
+++ b/cmd/coord/orders.go
@@ -9,6 +9,7 @@
 
 	"github.com/valyala/fasthttp"
 
+	"quinceroad/cmd/process"
 	"quinceroad/coordination/lease"
 	"quinceroad/coordination/replicas"
 	"quinceroad/protocol/api"
@@ -54,7 +55,7 @@
 
 // loop is one goroutine, the only one that touches the lease.
 func (o *orders) loop(ctx context.Context) {
-	every(ctx, leaseEvery, func() {
+	process.Every(ctx, leaseEvery, func() {
 		if !o.wanted() {
 			return
 		}
--- /dev/null
+++ b/cmd/node/cell.go
@@ -0,0 +1,173 @@
+package node
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"sync"
+	"time"
+
+	"quinceroad/coordination/pipeline"
+	"quinceroad/coordination/placement"
+	"quinceroad/protocol/event"
+	"quinceroad/state/catalog"
+)
+
+// cell is one scheduler and those who wait for its jobs.
+type cell struct {
+	owner *owner
+
+	ready     sync.Once
+	mu        sync.Mutex
+	number    int
+	scheduler *pipeline.Scheduler
+	engines   *placement.Table
+	next      uint64                          // number of the next request at an engine
+	waiting   map[uint64]chan pipeline.Action // by job: its Deliver or Fail
+	calls     map[uint64]context.CancelFunc
+	asked     time.Duration // when a request last came
+}
+
+func (c *cell) refresh() {
+	n := c.owner.node
+	w := n.world.Load()
+	if w.config == nil {
+		return
+	}
+	replicas := w.share(c.number)
+	c.do(func(now time.Duration) []pipeline.Action {
+		c.engines.SetEngines(w.config.Services, replicas)
+		return c.scheduler.SetPools(now, w.config.Services, replicas)
+	})
+}
+
+// do runs one event of the scheduler and carries its actions out.
+func (c *cell) do(step func(now time.Duration) []pipeline.Action) {
+	c.mu.Lock()
+	actions := step(c.owner.node.now())
+	c.mu.Unlock()
+	c.carryOut(actions)
+}
+
+func (c *cell) carryOut(actions []pipeline.Action) {
+	for _, a := range actions {
+		switch a := a.(type) {
+		case pipeline.Call:
+			ctx, cancel := context.WithTimeout(context.Background(), a.Timeout)
+			c.mu.Lock()
+			c.calls[a.ID] = cancel
+			c.mu.Unlock()
+			go c.call(ctx, a)
+		case pipeline.Free:
+			go c.free(a)
+		case pipeline.Deliver:
+			c.tell(a.Job, a)
+		case pipeline.Fail:
+			c.tell(a.Job, a)
+		case pipeline.Abandon:
+			c.mu.Lock()
+			cancel := c.calls[a.Call]
+			c.mu.Unlock()
+			if cancel != nil {
+				cancel()
+			}
+		}
+	}
+}
+
+func (c *cell) tell(job uint64, end pipeline.Action) {
+	c.mu.Lock()
+	to := c.waiting[job]
+	c.mu.Unlock()
+	if to == nil {
+		return
+	}
+	select {
+	case to <- end:
+	default: // it has its end
+	}
+}
+
+func (c *cell) call(ctx context.Context, a pipeline.Call) {
+	n := c.owner.node
+	began := time.Now()
+	results, fate := n.runPieces(ctx, a)
+	c.log(a, results, time.Since(began))
+	c.mu.Lock()
+	if cancel := c.calls[a.ID]; cancel != nil {
+		cancel()
+	}
+	delete(c.calls, a.ID)
+	c.mu.Unlock()
+	n.counters.calls.Inc(1)
+	n.counters.pieces.Inc(int64(len(a.Items)))
+	if fate != pipeline.Answered {
+		n.counters.lostCalls.Inc(1)
+		event.NodeCallLost.Log(n.log, "replica", a.Replica, "pieces", len(a.Items), "fate", int(fate))
+	}
+	if fate == pipeline.Stranger {
+		n.sawLeaving(a.Replica, "stranger")
+	}
+	c.do(func(now time.Duration) []pipeline.Action {
+		return c.scheduler.Answer(now, a.ID, fate, results)
+	})
+}
+
+func (c *cell) log(a pipeline.Call, results []pipeline.Result, took time.Duration) {
+	n := c.owner.node
+	if !n.log.IsDebug() || len(results) == 0 {
+		return
+	}
+	counts := make(map[pipeline.Reason]int)
+	for _, r := range results {
+		counts[r.Reason]++
+	}
+	event.NodeCallDone.Log(n.log, "replica", a.Replica, "service", a.Service, "pieces", len(a.Items), "took", took,
+		"no_room", counts[pipeline.NoRoom], "gone", counts[pipeline.InputGone], "late", counts[pipeline.Late], "failed", counts[pipeline.PieceError])
+}
+
+func (c *cell) free(a pipeline.Free) { c.owner.node.freeResults(a.Address, a.Handles) }
+
+// pools tells what waits at the pools, for a log line.
+func (c *cell) pools() string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var out []string
+	for _, p := range c.scheduler.Pools(c.owner.node.now()) {
+		out = append(out, fmt.Sprintf("%s:%d waiting, through in %v, %d replicas", p.Service, p.Waiting, p.Clear.Round(time.Millisecond), p.Serving))
+	}
+	return strings.Join(out, "; ")
+}
+
+// prepare gives a scheduler that has just been made the world in force, and
+// what the replicas tell of themselves: another owner may have left them full.
+func (c *cell) prepare() {
+	c.ready.Do(func() {
+		c.refresh()
+		n := c.owner.node
+		w := n.world.Load()
+		if w.config == nil {
+			return
+		}
+		var asked sync.WaitGroup
+		for _, r := range w.share(c.number) {
+			if w.config.Services[r.Service].Pool == nil || r.Leaving {
+				continue
+			}
+			asked.Go(func() { c.look(r) })
+		}
+		asked.Wait()
+	})
+}
+
+// look takes in what a replica tells of itself.
+func (c *cell) look(r catalog.Replica) {
+	n := c.owner.node
+	free, atWork, err := n.report(r)
+	if err != nil {
+		return
+	}
+	c.mu.Lock()
+	c.scheduler.Seen(n.now(), r.ID, free, atWork)
+	c.mu.Unlock()
+}
--- a/cmd/node/follow.go
+++ b/cmd/node/follow.go
@@ -7,6 +7,7 @@
 
 	"google.golang.org/protobuf/proto"
 
+	"quinceroad/cmd/process"
 	"quinceroad/platform"
 	"quinceroad/protocol/event"
 	"quinceroad/protocol/frame"
@@ -59,7 +60,7 @@
 			continue
 		}
 		if errors.Is(err, platform.ErrNoKey) { // nothing was ever written
-			if !pause(ctx, emptyWait) {
+			if !process.Pause(ctx, emptyWait) {
 				return
 			}
 			continue
@@ -68,7 +69,7 @@
 			lost = time.Now()
 			event.NodeStoreLost.Log(f.node.log, "topic", f.name, "error", err)
 		}
-		if !pause(ctx, wait) {
+		if !process.Pause(ctx, wait) {
 			return
 		}
 		wait = min(2*wait, retryMost)
--- a/cmd/node/members.go
+++ b/cmd/node/members.go
@@ -10,6 +10,7 @@
 
 	"google.golang.org/protobuf/proto"
 
+	"quinceroad/cmd/process"
 	"quinceroad/coordination/gossip"
 	"quinceroad/platform"
 	"quinceroad/protocol/event"
@@ -28,7 +29,7 @@
 // beat tells others of this instance and what it knows, some times a second.
 func (n *Node) beat(ctx context.Context) {
 	seeded := time.Time{}
-	every(ctx, beatEach, func() {
+	process.Every(ctx, beatEach, func() {
 		n.tell()
 		if time.Since(seeded) >= seedEach {
 			seeded = time.Now()
@@ -121,7 +122,7 @@
 			return
 		}
 		if err != nil {
-			pause(ctx, beatEach)
+			process.Pause(ctx, beatEach)
 			continue
 		}
 		n.takeHeartbeat(h)
@@ -188,7 +189,7 @@
 	for ctx.Err() == nil {
 		err := n.renew(&lease)
 		if err == nil {
-			if !pause(ctx, renewEach) {
+			if !process.Pause(ctx, renewEach) {
 				return
 			}
 			continue
@@ -196,7 +197,7 @@
 		if errors.Is(err, platform.ErrNoLease) {
 			lease = 0
 		}
-		if !pause(ctx, retryMost) {
+		if !process.Pause(ctx, retryMost) {
 			return
 		}
 	}
--- a/cmd/node/node.go
+++ b/cmd/node/node.go
@@ -17,6 +17,7 @@
 	metrics "github.com/rcrowley/go-metrics"
 	"golang.org/x/sync/errgroup"
 
+	"quinceroad/cmd/process"
 	"quinceroad/coordination/choice"
 	"quinceroad/coordination/gossip"
 	"quinceroad/coordination/health"
@@ -207,7 +208,7 @@
 
 // housekeeping forgets what is no longer of use.
 func (n *Node) housekeeping(ctx context.Context) {
-	every(ctx, housekeepingEach, func() {
+	process.Every(ctx, housekeepingEach, func() {
 		w := n.world.Load()
 		known := make(map[string]bool, len(w.all))
 		addresses := make(map[string]bool, len(w.all))
@@ -244,30 +245,4 @@
 	forgetAfter      = time.Minute
 )
 
-// every calls f at once and then each interval until ctx ends.
-func every(ctx context.Context, interval time.Duration, f func()) {
-	t := time.NewTicker(interval)
-	defer t.Stop()
-	for {
-		f()
-		select {
-		case <-ctx.Done():
-			return
-		case <-t.C:
-		}
-	}
-}
-
-// pause waits, and reports false when ctx ended first.
-func pause(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-t.C:
-		return true
-	}
-}
-
 func newRandom() *rand.Rand { return rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())) }
--- /dev/null
+++ b/cmd/node/owned.go
@@ -0,0 +1,215 @@
+package node
+
+import (
+	"maps"
+	"net"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"quinceroad/coordination/pipeline"
+	"quinceroad/coordination/placement"
+	"quinceroad/protocol/event"
+	"quinceroad/protocol/frame"
+	"quinceroad/protocol/pb"
+	"quinceroad/state/catalog"
+)
+
+// serve runs one job for a peer; the end of its stream ends the job.
+func (o *owner) serve(first []byte, stream net.Conn) {
+	ask := &pb.StagesAsk{}
+	if proto.Unmarshal(first, ask) != nil {
+		return
+	}
+	news := make(chan *pb.StagesNews)
+	ended := make(chan struct{})
+	defer close(ended)
+	go func() {
+		defer close(news)
+		for {
+			m := &pb.StagesNews{}
+			if frame.Read(stream, m) != nil { // also when the peer closes
+				return
+			}
+			select {
+			case news <- m:
+			case <-ended:
+				return
+			}
+		}
+	}()
+	o.cell(int(ask.Cell)).run(ask, news, func(r *pb.StagesReply) error { return frame.Write(stream, frame.Reply, r) })
+}
+
+// run takes a job through: a verdict, then its results and engine, then the
+// news of its stream; it ends when news is closed.
+func (c *cell) run(ask *pb.StagesAsk, news <-chan *pb.StagesNews, send func(*pb.StagesReply) error) {
+	c.prepare()
+	r := &ownedRequest{cell: c, ask: ask, began: c.owner.node.now(), request: requestOf(ask)}
+	defer r.end()
+	ready, ok := r.stages(news, send)
+	if !ok {
+		return
+	}
+	if send(r.place(ready)) != nil {
+		return
+	}
+	for m := range news {
+		if m.First {
+			r.first()
+		}
+	}
+}
+
+// ownedRequest is a request at its cell's owner.
+type ownedRequest struct {
+	cell    *cell
+	ask     *pb.StagesAsk
+	request *placement.Request
+	began   time.Duration
+	job     uint64 // at the scheduler; 0: none
+}
+
+// stages has the request's stages run, if it has any, and returns their results.
+func (r *ownedRequest) stages(news <-chan *pb.StagesNews, send func(*pb.StagesReply) error) (pipeline.Deliver, bool) {
+	c, n := r.cell, r.cell.owner.node
+	job := jobOf(r.ask)
+	if len(job.Stages) == 0 {
+		return pipeline.Deliver{}, send(&pb.StagesReply{Admitted: true}) == nil
+	}
+	end := make(chan pipeline.Action, 1)
+	c.mu.Lock()
+	if choice, ok := c.engines.Place(n.now(), r.request); ok {
+		job.Hall = choice.Replica.Hall
+	}
+	verdict, actions := c.scheduler.Submit(n.now(), job)
+	if verdict.Admitted {
+		r.job = verdict.ID
+		c.waiting[verdict.ID] = end
+	}
+	c.mu.Unlock()
+	c.carryOut(actions)
+	if !verdict.Admitted {
+		n.counters.jobsRefused.Inc(1)
+		event.NodeJobRefused.Log(n.log, "request", job.RequestID, "rank", job.Rank, "again", job.Again, "expected", verdict.Expected,
+			"objective", job.Objective, "deadline", job.Deadline, "pools", c.pools())
+		_ = send(&pb.StagesReply{Refused: true, RetryAfterUs: verdict.RetryAfter.Microseconds(), ExpectedUs: verdict.Expected.Microseconds()})
+		return pipeline.Deliver{}, false
+	}
+	n.counters.jobs.Inc(1)
+	if send(&pb.StagesReply{Admitted: true, ExpectedUs: verdict.Expected.Microseconds()}) != nil {
+		return pipeline.Deliver{}, false
+	}
+	for {
+		select {
+		case _, open := <-news:
+			if !open {
+				return pipeline.Deliver{}, false
+			}
+		case a := <-end:
+			if f, failed := a.(pipeline.Fail); failed {
+				event.NodeJobFailed.Log(n.log, "request", job.RequestID, "why", f.Why, "after", n.now()-r.began)
+				_ = send(&pb.StagesReply{Failed: f.Why, RetryAfterUs: f.RetryAfter.Microseconds()})
+				return pipeline.Deliver{}, false
+			}
+			return a.(pipeline.Deliver), true
+		}
+	}
+}
+
+// place picks the request's engine, now that its results are there.
+func (r *ownedRequest) place(ready pipeline.Deliver) *pb.StagesReply {
+	c, n := r.cell, r.cell.owner.node
+	reply := &pb.StagesReply{Handles: ready.Handles}
+	sick := n.pausedReplicas()
+	now := n.now()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.next++
+	r.request.ID = c.next
+	r.request.Near = ready.Near
+	r.request.Slack -= now - r.began
+	avoid := r.request.Avoid
+	r.request.Avoid = maps.Clone(avoid)
+	maps.Copy(r.request.Avoid, sick)
+	choice, ok := c.engines.Place(now, r.request)
+	if !ok { // rather a sick one than none
+		r.request.Avoid = avoid
+		choice, ok = c.engines.Place(now, r.request)
+	}
+	if !ok {
+		return reply
+	}
+	c.engines.Begin(now, r.request, choice.Replica.ID)
+	reply.Engine, reply.Fetch = choice.Replica.ID, choice.Fetch
+	return reply
+}
+
+// first notes the first event: the results are read and can go.
+func (r *ownedRequest) first() {
+	c := r.cell
+	c.mu.Lock()
+	c.engines.First(c.owner.node.now(), r.request.ID)
+	c.mu.Unlock()
+	r.release()
+}
+
+func (r *ownedRequest) release() {
+	if r.job == 0 {
+		return
+	}
+	job := r.job
+	r.job = 0
+	c := r.cell
+	c.mu.Lock()
+	delete(c.waiting, job)
+	c.mu.Unlock()
+	c.do(func(now time.Duration) []pipeline.Action { return c.scheduler.Release(now, job) })
+}
+
+func (r *ownedRequest) end() {
+	r.release()
+	r.cell.mu.Lock()
+	defer r.cell.mu.Unlock()
+	r.cell.engines.End(r.cell.owner.node.now(), r.request.ID)
+}
+
+func requestOf(ask *pb.StagesAsk) *placement.Request {
+	r := &placement.Request{
+		Service: ask.Engine,
+		Out:     int(ask.TokensOut),
+		Slack:   time.Duration(ask.SlackUs) * time.Microsecond,
+		Avoid:   make(map[string]bool),
+	}
+	for _, p := range ask.Parts {
+		r.Parts = append(r.Parts, catalog.Part{ID: p.Id, Tokens: int(p.Tokens)})
+	}
+	for _, id := range ask.Avoid {
+		r.Avoid[id] = true
+	}
+	return r
+}
+
+func jobOf(ask *pb.StagesAsk) pipeline.Job {
+	j := pipeline.Job{
+		RequestID: ask.RequestId,
+		Key:       ask.Key,
+		Rank:      int(ask.Rank),
+		Objective: time.Duration(ask.ObjectiveUs) * time.Microsecond,
+		Deadline:  time.Duration(ask.DeadlineUs) * time.Microsecond,
+		Again:     ask.Again,
+	}
+	total := 0
+	for _, w := range ask.Stages {
+		total += int(w.Pieces)
+		st := pipeline.Stage{Service: w.Service, Pieces: int(w.Pieces), Bytes: w.Bytes}
+		for _, a := range w.After {
+			st.After = append(st.After, int(a))
+		}
+		j.Stages = append(j.Stages, st)
+	}
+	if total == 0 {
+		j.Stages = nil
+	}
+	return j
+}
--- /dev/null
+++ b/cmd/node/pick.go
@@ -0,0 +1,143 @@
+package node
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"quinceroad/coordination/health"
+	"quinceroad/protocol/pb"
+	"quinceroad/state/catalog"
+)
+
+// prepare has the request's stages run and its engine chosen by their owner,
+// unless that has been done.
+func (s *serving) prepare(ctx context.Context) error {
+	if s.job != nil || (s.service.Engine == nil && len(s.route.Stages) == 0) {
+		return nil
+	}
+	ask, pieces := s.ask()
+	objective := s.route.Objective - s.tail()
+	job, err := s.node.runStages(ctx, ask, s.req.Arrived, objective, s.allowed()-s.tail())
+	if errors.Is(err, errOwnerLost) && pieces == 0 && !done(ctx) {
+		return nil // this instance chooses by itself
+	}
+	if err != nil {
+		return err
+	}
+	s.job = job
+	s.staged = time.Since(s.req.Arrived)
+	return nil
+}
+
+// ask returns what the owner is asked, and how many pieces that is.
+func (s *serving) ask() (*pb.StagesAsk, int) {
+	ask := &pb.StagesAsk{
+		RequestId: s.req.ID,
+		Key:       s.req.PieceKey,
+		Rank:      uint32(s.rank),
+		Cell:      uint32(s.world.cellOf(s.req)),
+		Engine:    s.service.Name,
+		TokensOut: uint32(s.req.TokensOut),
+		SlackUs:   (s.route.Objective - time.Since(s.req.Arrived)).Microseconds(),
+		Again:     s.came() || s.redone > 0 || len(s.tried) > 0,
+	}
+	for _, p := range s.req.Prompt {
+		ask.Parts = append(ask.Parts, &pb.PromptPart{Id: p.ID, Tokens: uint32(p.Tokens)})
+	}
+	for id := range s.tried {
+		ask.Avoid = append(ask.Avoid, id)
+	}
+	for id := range s.avoid {
+		ask.Avoid = append(ask.Avoid, id)
+	}
+	total := 0
+	for i, st := range s.route.Stages {
+		work := &pb.StageWork{Service: st.Service, Pieces: uint32(s.req.Pieces[i]), Bytes: st.Bytes}
+		for _, a := range st.After {
+			work.After = append(work.After, uint32(a))
+		}
+		ask.Stages = append(ask.Stages, work)
+		total += s.req.Pieces[i]
+	}
+	return ask, total
+}
+
+// tail is the time that the engine should take to the first event.
+func (s *serving) tail() time.Duration {
+	tokens := float64(s.req.TokensIn)
+	for _, p := range s.req.Shared() {
+		tokens -= float64(p.Tokens) * (1 - unreadOfShared)
+	}
+	return firstEvent + time.Duration(max(tokens, 0)*float64(readPerToken))
+}
+
+func (s *serving) endJob() {
+	if s.job != nil {
+		s.job.end()
+		s.job = nil
+	}
+}
+
+// pick chooses the replica for the next attempt: the owner's choice, or this
+// instance's own where there is none or it was tried.
+func (s *serving) pick() (catalog.Replica, string, bool) {
+	if r, ok := s.ownersChoice(); ok {
+		return r, s.job.fetch, true
+	}
+	n := s.node
+	world := n.world.Load() // replicas may have left since the request came
+	now := n.now()
+	n.judgeMu.Lock()
+	defer n.judgeMu.Unlock()
+	var fit, sick []catalog.Replica
+	for _, r := range world.services[s.service.Name] {
+		switch {
+		case s.avoid[r.ID] || s.tried[r.ID]:
+		case n.judge.Paused(now, r.ID):
+			sick = append(sick, r)
+		default:
+			fit = append(fit, r)
+		}
+	}
+	if len(fit) < len(sick) && len(fit) < len(world.services[s.service.Name])/2 {
+		fit = append(fit, sick...) // when most seem sick, the cause is elsewhere
+	}
+	if len(fit) == 0 {
+		return catalog.Replica{}, "", false
+	}
+	if s.service.Engine == nil {
+		return n.loads.Plain(now, n.settings.Hall, fit, newRandom()), "", true
+	}
+	e := n.loads.Engines(now, s.req.Shared(), s.req.ID, fit)
+	return e.Replica, e.Fetch, true
+}
+
+func (s *serving) ownersChoice() (catalog.Replica, bool) {
+	if s.job == nil || s.job.engine == "" || s.tried[s.job.engine] || s.avoid[s.job.engine] {
+		return catalog.Replica{}, false
+	}
+	for _, r := range s.node.world.Load().services[s.service.Name] {
+		if r.ID == s.job.engine {
+			return r, true
+		}
+	}
+	return catalog.Replica{}, false
+}
+
+// note tells the judge and the load table how an attempt went.
+func (s *serving) note(id string, sign health.Sign) {
+	usual := 0.0
+	s.rates(func(r *serviceRates) {
+		failed := 0.0
+		if sign == health.Failure || sign == health.Broken {
+			failed = 1
+		}
+		r.fails += failureWeight * (failed - r.fails)
+		usual = r.fails
+	})
+	n := s.node
+	n.judgeMu.Lock()
+	defer n.judgeMu.Unlock()
+	n.judge.Note(n.now(), id, sign, usual)
+}
--- a/cmd/standin/upstream/replica.go
+++ b/cmd/standin/upstream/replica.go
@@ -11,6 +11,7 @@
 	"sync"
 	"time"
 
+	"quinceroad/cmd/process"
 	"quinceroad/cmd/standin/work"
 	"quinceroad/protocol/api"
 	"quinceroad/transport/upstream"
@@ -161,7 +162,7 @@
 		r.stream(w, q, f, input, line)
 		return
 	}
-	if !sleep(q.Context(), r.duration(q, f, input)) {
+	if !process.Pause(q.Context(), r.duration(q, f, input)) {
 		return
 	}
 	out := work.Output(q.Header.Get(api.HeaderOp), input)
@@ -179,7 +180,7 @@
 
 // answer writes a whole body, or does the replica's fault.
 func (r *replica) answer(w http.ResponseWriter, q *http.Request, f Fault, out []byte) {
-	sleep(q.Context(), time.Duration(f.Late)*time.Millisecond)
+	process.Pause(q.Context(), time.Duration(f.Late)*time.Millisecond)
 	switch {
 	case f.HangUp:
 		panic(http.ErrAbortHandler)
@@ -202,7 +203,7 @@
 	gap := r.duration(q, f, input) / time.Duration(len(tokens))
 	flush := http.NewResponseController(w)
 	for i := min(offset, len(tokens)); i < len(tokens); i++ {
-		if !sleep(q.Context(), gap) {
+		if !process.Pause(q.Context(), gap) {
 			return
 		}
 		if f.CutAt > 0 && i >= f.CutAt {
@@ -239,21 +240,6 @@
 	return d
 }
 
-// sleep waits for d unless the caller goes away.
-func sleep(ctx context.Context, d time.Duration) bool {
-	if d <= 0 {
-		return ctx.Err() == nil
-	}
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-t.C:
-		return true
-	}
-}
-
 // waiter is a request that waits for a slot.
 type waiter struct {
 	class int
