--- a/cmd/node/follow.go
+++ b/cmd/node/follow.go
@@ -17,6 +17,10 @@
 
 const (
 	watchFor   = 3 * time.Second        // of one wait for changes
+	watchLong  = 8 * time.Second        // in a large fleet, where peers tell of most changes
+	watchList  = 5 * time.Second        // of the replicas, which peers tell of only when they leave
+	largeFleet = 16                     // instances, above which calls to the store are spared
+	gather     = 250 * time.Millisecond // after a change of the replicas, for others that come with it
 	retryFirst = 100 * time.Millisecond // after a failed call, doubled each time
 	retryMost  = 1 * time.Second
 	emptyWait  = 250 * time.Millisecond // before a topic that nobody has written is read again
@@ -39,6 +43,8 @@
 	node  *Node
 	name  string
 	topic platform.Topic
+	long  time.Duration                 // of one wait in a large fleet
+	rest  time.Duration                 // after changes, before the next wait
 	read  func() (at uint64, err error) // takes the whole topic in
 	take  func(platform.Item)           // takes a change in
 }
@@ -54,7 +60,7 @@
 				lost = time.Time{}
 			}
 			wait = retryFirst
-			at, err = f.changes(at)
+			at, err = f.changes(ctx, at)
 		}
 		if errors.Is(err, platform.ErrCompacted) {
 			continue
@@ -76,8 +82,12 @@
 	}
 }
 
-func (f *follow) changes(after uint64) (uint64, error) {
-	items, at, err := f.node.store.Watch(f.topic, after, watchFor)
+func (f *follow) changes(ctx context.Context, after uint64) (uint64, error) {
+	wait := watchFor
+	if f.node.known() > largeFleet {
+		wait = f.long
+	}
+	items, at, err := f.node.store.Watch(f.topic, after, wait)
 	if err != nil {
 		return 0, err
 	}
@@ -86,12 +96,13 @@
 	}
 	if len(items) > 0 {
 		f.node.publish()
+		process.Pause(ctx, f.rest)
 	}
 	return max(at, after), nil
 }
 
 func (n *Node) followConfiguration(ctx context.Context) {
-	f := follow{node: n, name: "configuration", topic: platform.TopicConfiguration}
+	f := follow{node: n, name: "configuration", topic: platform.TopicConfiguration, long: watchLong}
 	f.read = func() (uint64, error) {
 		data, at, err := n.store.Configuration()
 		if err == nil {
@@ -156,7 +167,7 @@
 }
 
 func (n *Node) followReplicas(ctx context.Context) {
-	f := follow{node: n, name: "replicas", topic: platform.TopicReplicas}
+	f := follow{node: n, name: "replicas", topic: platform.TopicReplicas, long: watchList, rest: gather}
 	f.read = func() (uint64, error) {
 		items, at, err := n.store.Replicas()
 		if err != nil {
--- a/cmd/node/members.go
+++ b/cmd/node/members.go
@@ -182,6 +182,13 @@
 	return n.members.Alive(n.now())
 }
 
+// known returns the number of instances known, this one included.
+func (n *Node) known() int {
+	n.gossipMu.Lock()
+	defer n.gossipMu.Unlock()
+	return n.members.Known()
+}
+
 // register keeps this instance's entry in the store, from which those that
 // start later learn of it, and reads the others' once at the start.
 func (n *Node) register(ctx context.Context) {
