--- a/cmd/node/members.go
+++ b/cmd/node/members.go
@@ -164,14 +164,14 @@
 func newsOf(i gossip.Instance) *pb.InstanceNews {
 	return &pb.InstanceNews{
 		Name: i.Name, Hall: i.Hall, Incarnation: i.Incarnation, Count: i.Count, Leaving: i.Leaving,
-		Front: i.Front, Link: i.Link, Datagram: i.Datagram, Configured: i.Configured, Owns: i.Owns,
+		Front: i.Front, Link: i.Link, Datagram: i.Datagram, Configured: i.Configured, Owns: i.Owns, Share: i.Share,
 	}
 }
 
 func instanceOf(p *pb.InstanceNews) gossip.Instance {
 	return gossip.Instance{
 		Name: p.Name, Hall: p.Hall, Incarnation: p.Incarnation, Count: p.Count, Leaving: p.Leaving,
-		Front: p.Front, Link: p.Link, Datagram: p.Datagram, Configured: p.Configured, Owns: p.Owns,
+		Front: p.Front, Link: p.Link, Datagram: p.Datagram, Configured: p.Configured, Owns: p.Owns, Share: p.Share,
 	}
 }
 
--- a/cmd/node/node.go
+++ b/cmd/node/node.go
@@ -109,6 +109,7 @@
 		Incarnation: uint64(time.Now().UnixNano()),
 		Front:       s.Front,
 		Link:        s.Link,
+		Share:       uint32(s.ProcessorShare * 1000),
 		Datagram:    net.JoinHostPort(s.IP, strconv.Itoa(s.DatagramPort)),
 	}, gossip.Standard())
 	n.owner = newOwner(n)
--- a/cmd/node/owner.go
+++ b/cmd/node/owner.go
@@ -21,6 +21,7 @@
 
 const (
 	cellReplicas = 30 // of one pool that one owner has at most
+	shareSteps   = 4  // in which processors' shares are told apart
 	settledBeats = 8  // heartbeats after which an instance may own pools
 	tickEach     = 50 * time.Millisecond
 	claimFor     = 2 * time.Second // after the last request, an instance still owns a cell
@@ -55,15 +56,18 @@
 	if len(settled) == 0 {
 		settled = slices.Clone(alive)
 	}
-	slices.SortFunc(settled, func(a, b gossip.Instance) int {
-		ownsA, ownsB := slices.Contains(a.Owns, uint32(cell)), slices.Contains(b.Owns, uint32(cell))
-		if ownsA != ownsB {
-			if ownsA {
-				return -1
-			}
-			return 1
+	most := uint32(1)
+	for _, i := range settled {
+		most = max(most, i.Share)
+	}
+	rank := func(i gossip.Instance) int { // who owns it, then those with most of a processor
+		if slices.Contains(i.Owns, uint32(cell)) {
+			return 0
 		}
-		return cmp.Compare(rendezvous.Weight(key, b.Name), rendezvous.Weight(key, a.Name))
+		return 1 + shareSteps - int(i.Share*shareSteps/most)
+	}
+	slices.SortFunc(settled, func(a, b gossip.Instance) int {
+		return cmp.Or(cmp.Compare(rank(a), rank(b)), cmp.Compare(rendezvous.Weight(key, b.Name), rendezvous.Weight(key, a.Name)))
 	})
 	return settled
 }
--- a/cmd/node/stages.go
+++ b/cmd/node/stages.go
@@ -15,7 +15,7 @@
 )
 
 const (
-	verdictFor  = 300 * time.Millisecond // that an owner may take to admit or refuse
+	verdictFor  = 500 * time.Millisecond // that an owner may take to admit or refuse
 	watchOwner  = 150 * time.Millisecond // between looks whether it is still heard of
 	mostOwners  = 3                      // asked for one request
 	mostReplies = 2                      // of an owner to one job
--- a/coordination/gossip/gossip.go
+++ b/coordination/gossip/gossip.go
@@ -30,6 +30,7 @@
 	Datagram    string   // IP:port for heartbeats
 	Configured  uint64   // version of the configuration in force there
 	Owns        []uint32 // cells whose pools it owns
+	Share       uint32   // of a processor, in thousandths
 }
 
 // View is not safe for concurrent use.
--- a/coordination/placement/placement.go
+++ b/coordination/placement/placement.go
@@ -90,6 +90,7 @@
 type Table struct {
 	opts    Options
 	engines map[string]*engine
+	order   map[string][]*engine // by service, by id
 	runs    map[uint64]*run
 }
 
@@ -148,6 +149,13 @@
 			delete(t.engines, id)
 		}
 	}
+	t.order = make(map[string][]*engine)
+	for _, e := range t.engines {
+		t.order[e.Service] = append(t.order[e.Service], e)
+	}
+	for _, list := range t.order {
+		slices.SortFunc(list, func(a, b *engine) int { return cmp.Compare(a.ID, b.ID) })
+	}
 }
 
 // chain returns a key for each part that names it and all before it.
@@ -201,20 +209,23 @@
 	return c, true
 }
 
-// candidates returns the engines that may take a request, in a stable order
-// that differs by request so that equals share the load.
+// candidates returns the engines that may take a request, beginning at another
+// one for each request so that equals share the load.
 func (t *Table) candidates(r *Request) []*engine {
-	var out []*engine
-	for _, e := range t.engines {
-		if e.Service == r.Service && !e.Leaving && !r.Avoid[e.ID] {
+	all := t.order[r.Service]
+	out := make([]*engine, 0, len(all))
+	for i := range all {
+		e := all[(uint64(i)+r.ID*spread)%uint64(len(all))]
+		if !e.Leaving && !r.Avoid[e.ID] {
 			out = append(out, e)
 		}
 	}
-	weight := func(e *engine) uint64 { return xxhash.Sum64String(e.ID + strconv.FormatUint(r.ID, 10)) }
-	slices.SortFunc(out, func(a, b *engine) int { return cmp.Compare(weight(a), weight(b)) })
 	return out
 }
 
+// spread takes requests that follow each other far apart.
+const spread = 0x9e3779b1
+
 // cost is what a request costs everybody at an engine that keeps so many
 // tokens of its prompt, where the best keeps most.
 func (t *Table) cost(now time.Duration, r *Request, e *engine, kept, most int) float64 {
--- a/coordination/placement/placement_test.go
+++ b/coordination/placement/placement_test.go
@@ -124,3 +124,20 @@
 	is.True(table.engines["e0"].tokens <= 70_000)
 	is.Equal(table.Running(), 0)
 }
+
+func BenchmarkPlace(b *testing.B) {
+	table := newTable(90)
+	for i := range uint64(600) {
+		r := request(i, 500, 100, fmt.Sprint("doc", i%150), fmt.Sprint("part", i%300))
+		c := table.begin(time.Duration(i)*time.Millisecond, r)
+		if i%3 != 0 {
+			table.First(time.Duration(i)*time.Millisecond, i)
+		}
+		_ = c
+	}
+	r := request(1000, 500, 100, "doc7", "part7")
+	b.ReportAllocs()
+	for b.Loop() {
+		table.Place(time.Second, r)
+	}
+}
