--- a/cmd/node/stages.go
+++ b/cmd/node/stages.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"net"
 	"sync"
 	"time"
 
@@ -157,9 +156,9 @@
 				return job, nil
 			}
 		case <-verdict.C:
-			if !admitted {
+			if !admitted && owner.Name != "" { // nobody comes after this instance itself
 				job.end()
-				return nil, net.ErrClosed
+				return nil, errOwnerLost
 			}
 		case <-look.C:
 			if owner.Name != "" && !n.heardOf(owner) {
