--- a/coordination/gossip/gossip.go
+++ b/coordination/gossip/gossip.go
@@ -65,9 +65,13 @@
 	return Options{Silent: 1100 * time.Millisecond, Each: 15 * time.Millisecond, Small: 30, Forget: 5 * time.Minute, Fanout: 4, Sample: 10, Beats: 64}
 }
 
+// turns is among how many the instances' first turns are spread: if all told
+// the same entry in the same round, some would miss it for a whole cycle.
+const turns = 1024
+
 // New returns a view that knows only self.
 func New(self Instance, opts Options) *View {
-	return &View{opts: opts, self: self, rows: make(map[string]*row), byKey: make(map[uint32]*row)}
+	return &View{opts: opts, self: self, rows: make(map[string]*row), byKey: make(map[uint32]*row), turn: int(self.Key() % turns)}
 }
 
 // Self returns the instance's own entry.
--- a/coordination/gossip/gossip_test.go
+++ b/coordination/gossip/gossip_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"fmt"
+	"maps"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -19,8 +21,10 @@
 	now    time.Duration
 }
 
-func newFleet(n int) *fleet {
-	f := &fleet{views: make(map[string]*View), cut: make(map[string]bool), random: rand.New(rand.NewPCG(1, 2))}
+func newFleet(n int) *fleet { return newSeededFleet(n, 1) }
+
+func newSeededFleet(n int, seed uint64) *fleet {
+	f := &fleet{views: make(map[string]*View), cut: make(map[string]bool), random: rand.New(rand.NewPCG(seed, 2))}
 	for i := range n {
 		name := fmt.Sprintf("i%03d", i)
 		f.views[name] = New(Instance{Name: name, Incarnation: 1, Datagram: name}, Standard())
@@ -32,8 +36,10 @@
 }
 
 func (f *fleet) run(d time.Duration) {
+	names := slices.Sorted(maps.Keys(f.views)) // the same run for the same seed
 	for end := f.now + d; f.now < end; f.now += round {
-		for name, v := range f.views {
+		for _, name := range names {
+			v := f.views[name]
 			to, m := v.Round(f.now, f.random)
 			for _, peer := range to {
 				if f.cut[name] != f.cut[peer] || f.views[peer] == nil {
@@ -51,17 +57,46 @@
 }
 
 func TestAllLearnOfAllThroughOneSeed(t *testing.T) {
-	for _, n := range []int{2, 8, 74} {
-		f := newFleet(n)
-		f.run(20 * time.Second) // the store's entries make it faster
-		for name, v := range f.views {
-			if v.Known() != n {
-				t.Fatalf("%d instances: %s knows %d", n, name, v.Known())
-			}
-			if alive := len(v.Alive(f.now)); alive < n*97/100 {
-				t.Fatalf("%d instances: %s hears of %d", n, name, alive)
-			}
+	for seed := range uint64(8) {
+		learnOfAll(t, 74, seed)
+	}
+	for _, n := range []int{2, 8} {
+		learnOfAll(t, n, 1)
+	}
+}
+
+func learnOfAll(t *testing.T, n int, seed uint64) {
+	t.Helper()
+	f := newSeededFleet(n, seed)
+	f.run(20 * time.Second) // the store's entries make it faster
+	for name, v := range f.views {
+		if v.Known() != n {
+			t.Fatalf("%d instances, seed %d: %s knows %d", n, seed, name, v.Known())
 		}
+		if alive := len(v.Alive(f.now)); alive < n*97/100 {
+			t.Fatalf("%d instances, seed %d: %s hears of %d", n, seed, name, alive)
+		}
+	}
+}
+
+// All turns once went in step: every instance told the same entry in the same
+// round, and whom nobody told in that round did not learn of it for 15 s.
+func TestInstancesTellDifferentEntriesInARound(t *testing.T) {
+	const n = 40
+	told := make(map[string]bool)
+	for i := range n {
+		v := New(Instance{Name: fmt.Sprintf("i%03d", i), Incarnation: 1}, Standard())
+		for j := range n {
+			v.Merge(0, Instance{Name: fmt.Sprintf("i%03d", j), Incarnation: 1})
+		}
+		for range n * tellTimes { // until nothing is new
+			v.Tell(0)
+		}
+		m := v.Tell(0)
+		told[m.News[len(m.News)-1].Name] = true
+	}
+	if len(told) < n/4 {
+		t.Errorf("%d instances tell only %d in a round", n, len(told))
 	}
 }
 
