One reader of the store a hall; peers tell the others what changed; a replica's failure is passed on as it was

Change: coordination/readers picks who follows the store (one a hall, three at least; who reaches it, reads already, has most of a processor); coordination/changes keeps the list of replicas with its changes by the store's revisions, so that who is behind pulls just those; one pull at a time, own hall first; readers' entries only in the store; not ready before the replicas are known; an instance that has just started hears its peers before it owns pools. A replica's own 500 is passed on when no retry is left (it was answered 502). Log lines for each change of belief: replicas left alone, taken back, changed; instances heard of or not; who reads.

--- a/cmd/node/attempt.go
+++ b/cmd/node/attempt.go
@@ -245,9 +245,10 @@
 	return nil
 }
 
-// mayMend reports whether another replica may be tried after a replica's own failure.
+// mayMend reports whether another replica is tried after a replica's own
+// failure; where it may not, the client gets that answer.
 func (a *attempt) mayMend() bool {
-	return a.route.Kind == catalog.Repeatable && len(a.tried) < a.route.Attempts && a.hasOthers()
+	return a.route.Kind == catalog.Repeatable && len(a.tried) < a.route.Attempts && a.hasOthers() && a.mayRepeat()
 }
 
 func (a *attempt) hasOthers() bool {
--- a/cmd/node/front.go
+++ b/cmd/node/front.go
@@ -90,7 +90,7 @@
 		http.NotFound(w, r)
 		return
 	}
-	if n.stopping.Load() || n.world.Load().config == nil {
+	if n.readiness() != nil {
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
--- a/cmd/node/members.go
+++ b/cmd/node/members.go
@@ -24,12 +24,18 @@
 	seedEach  = 2 * time.Second // that the seeds are told beside the known
 	leaseFor  = 5 * time.Minute
 	renewEach = time.Minute
+
+	registerAfter = time.Second // from the start: until then heartbeats tell who else there is
 )
 
 // beat tells others of this instance and what it knows, some times a second.
 func (n *Node) beat(ctx context.Context) {
 	seeded := time.Time{}
+	heard := make(map[string]gossip.Instance)
 	process.Every(ctx, beatEach, func() {
+		alive := n.alive()
+		n.logHeard(heard, alive)
+		n.takeRole(alive)
 		n.tell()
 		if time.Since(seeded) >= seedEach {
 			seeded = time.Now()
@@ -38,6 +44,24 @@
 	})
 }
 
+// logHeard logs what changed of who is heard of since the last look, and keeps it.
+func (n *Node) logHeard(heard map[string]gossip.Instance, alive []gossip.Instance) {
+	now := make(map[string]bool, len(alive))
+	for _, i := range alive {
+		now[i.Name] = true
+		if old, ok := heard[i.Name]; !ok || old.Incarnation != i.Incarnation {
+			event.NodeHears.Log(n.log, "name", i.Name, "hall", i.Hall, "incarnation", i.Incarnation)
+		}
+		heard[i.Name] = i
+	}
+	for name, i := range heard {
+		if !now[name] {
+			event.NodeMisses.Log(n.log, "name", name, "hall", i.Hall, "incarnation", i.Incarnation, "leaving", i.Leaving)
+			delete(heard, name)
+		}
+	}
+}
+
 // tell sends one round of heartbeats.
 func (n *Node) tell() {
 	if n.socket == nil {
@@ -49,6 +73,24 @@
 	n.send(to, m)
 }
 
+// tellHall tells every instance of the own hall what this one knows.
+func (n *Node) tellHall() {
+	if n.socket == nil {
+		return
+	}
+	now := n.now()
+	n.gossipMu.Lock()
+	m := n.members.Tell(now)
+	var to []string
+	for _, i := range n.members.Alive(now) {
+		if i.Hall == n.settings.Hall && i.Name != n.settings.Name {
+			to = append(to, i.Datagram)
+		}
+	}
+	n.gossipMu.Unlock()
+	n.send(to, m)
+}
+
 // tellSeeds tells the instances that the settings name; they may be gone.
 func (n *Node) tellSeeds() {
 	n.gossipMu.Lock()
@@ -68,7 +110,7 @@
 	if len(to) == 0 {
 		return
 	}
-	h := &pb.Heartbeat{Leaving: n.recentlyLeaving(), Sick: n.sick()}
+	h := &pb.Heartbeat{Leaving: n.recentlyLeaving(), Sick: n.sick(), Changed: n.listChanged()}
 	for _, i := range m.News {
 		h.News = append(h.News, newsOf(i))
 	}
@@ -132,7 +174,6 @@
 func (n *Node) takeHeartbeat(h *pb.Heartbeat) {
 	now := n.now()
 	n.gossipMu.Lock()
-	have := n.members.Self().Configured
 	var fresh []string
 	for _, news := range h.News {
 		if n.members.Merge(now, instanceOf(news)) {
@@ -148,23 +189,35 @@
 	}
 	n.gossipMu.Unlock()
 	n.send(fresh, known) // who has just started learns of the others at once
-	if from := h.News[0]; from.Configured > have {
-		go n.pull(from.Link, have)
-	}
+	n.catchUp(now, h)
 	for _, id := range h.Leaving {
 		n.sawLeaving(id, "peer")
 	}
+	n.takeHearsay(now, h)
+}
+
+// takeHearsay takes in which replicas a peer leaves alone.
+func (n *Node) takeHearsay(now time.Duration, h *pb.Heartbeat) {
+	var fresh []string
 	n.judgeMu.Lock()
 	for _, s := range h.Sick {
+		before := n.judge.Paused(now, s.Id)
 		n.judge.Hearsay(now, s.Id, time.Duration(s.LeftMs)*time.Millisecond)
+		if !before && n.judge.Paused(now, s.Id) {
+			fresh = append(fresh, s.Id)
+		}
 	}
 	n.judgeMu.Unlock()
+	for _, id := range fresh {
+		event.NodeLeavesAlone.Log(n.log, "replica", id, "why", "hearsay", "by", h.News[0].Name)
+	}
 }
 
 func newsOf(i gossip.Instance) *pb.InstanceNews {
 	return &pb.InstanceNews{
 		Name: i.Name, Hall: i.Hall, Incarnation: i.Incarnation, Count: i.Count, Leaving: i.Leaving,
 		Front: i.Front, Link: i.Link, Datagram: i.Datagram, Configured: i.Configured, Owns: i.Owns, Share: i.Share,
+		Reads: i.Reads, Blind: i.Blind,
 	}
 }
 
@@ -172,6 +225,7 @@
 	return gossip.Instance{
 		Name: p.Name, Hall: p.Hall, Incarnation: p.Incarnation, Count: p.Count, Leaving: p.Leaving,
 		Front: p.Front, Link: p.Link, Datagram: p.Datagram, Configured: p.Configured, Owns: p.Owns, Share: p.Share,
+		Reads: p.Reads, Blind: p.Blind,
 	}
 }
 
@@ -182,18 +236,18 @@
 	return n.members.Alive(n.now())
 }
 
-// known returns the number of instances known, this one included.
-func (n *Node) known() int {
-	n.gossipMu.Lock()
-	defer n.gossipMu.Unlock()
-	return n.members.Known()
-}
-
-// register keeps this instance's entry in the store, from which those that
-// start later learn of it, and reads the others' once at the start.
+// register keeps the entry of an instance that reads in the store, from which
+// those that start later learn of it, and reads the others' once.
 func (n *Node) register(ctx context.Context) {
 	var lease uint64
+	if !process.Pause(ctx, registerAfter) {
+		return
+	}
 	for ctx.Err() == nil {
+		if lease == 0 && !n.reads.Load() {
+			process.Pause(ctx, roleLook)
+			continue
+		}
 		err := n.renew(&lease)
 		if err == nil {
 			if !process.Pause(ctx, renewEach) {
@@ -259,6 +313,8 @@
 	switch k {
 	case frame.PullConfig:
 		_ = frame.Write(stream, frame.Reply, n.answerPull())
+	case frame.PullReplicas:
+		_ = frame.Write(stream, frame.Reply, n.answerReplicas(first))
 	case frame.Stages:
 		n.owner.serve(first, stream)
 	}
--- a/cmd/node/node.go
+++ b/cmd/node/node.go
@@ -52,6 +52,10 @@
 	rawConfig []byte
 	replicas  *replicaSet
 
+	reads      atomic.Bool // this instance follows the store for others
+	configPull pull
+	listPull   pull
+
 	gossipMu sync.Mutex
 	members  *gossip.View
 
@@ -77,13 +81,6 @@
 	group     *errgroup.Group
 }
 
-// world is a consistent view of the configuration and the replicas.
-type world struct {
-	config   *catalog.Configuration
-	services map[string][]catalog.Replica // those that may get work
-	all      []catalog.Replica            // the leaving ones included
-}
-
 // New returns a process that is not started.
 func New(s *platform.Settings, log hclog.Logger) *Node {
 	n := &Node{
--- a/cmd/node/pick.go
+++ b/cmd/node/pick.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"quinceroad/coordination/health"
+	"quinceroad/protocol/event"
 	"quinceroad/protocol/pb"
 	"quinceroad/state/catalog"
 )
@@ -137,7 +138,17 @@
 		usual = r.fails
 	})
 	n := s.node
+	now := n.now()
 	n.judgeMu.Lock()
-	defer n.judgeMu.Unlock()
-	n.judge.Note(n.now(), id, sign, usual)
+	before := n.judge.Paused(now, id)
+	n.judge.Note(now, id, sign, usual)
+	after := n.judge.Paused(now, id)
+	n.judgeMu.Unlock()
+	switch {
+	case sign == health.Full: // said by the replica with each request
+	case after && !before:
+		event.NodeLeavesAlone.Log(n.log, "replica", id, "why", sign, "usual", usual, "by", n.settings.Name)
+	case before && !after:
+		event.NodeTakesBack.Log(n.log, "replica", id)
+	}
 }
--- a/cmd/node/serve.go
+++ b/cmd/node/serve.go
@@ -84,7 +84,7 @@
 func (n *Node) admit(w http.ResponseWriter, req *exchange.Request) (*serving, error) {
 	world := n.world.Load()
 	if world.config == nil {
-		return nil, &answerError{status: http.StatusServiceUnavailable, after: backSoon, text: "no configuration is known yet"}
+		return nil, &answerError{status: http.StatusServiceUnavailable, after: backSoon, text: errNoConfiguration.Error()}
 	}
 	route := world.config.Match(req.Host, req.Path)
 	if route == nil {
@@ -108,9 +108,12 @@
 		}
 	}
 	if !n.takes(route.Kind == catalog.Stream) {
-		return nil, &answerError{status: http.StatusServiceUnavailable, text: "this instance is stopping"}
+		return nil, &answerError{status: http.StatusServiceUnavailable, text: errStopping.Error()}
 	}
 	s.service = world.config.Services[route.Pick(platform.Hash(req.ID))]
+	if !world.listed {
+		return nil, &answerError{status: http.StatusServiceUnavailable, after: backSoon, text: errNoReplicas.Error()}
+	}
 	if s.service == nil {
 		return nil, &answerError{status: http.StatusServiceUnavailable, after: backSoon, text: "the route's service is not configured"}
 	}
@@ -235,6 +238,9 @@
 	if s.job != nil && (len(s.job.handles) == 0 || s.stream.headSent) {
 		s.endJob() // its results are gone, or it has none: the owner chooses anew
 	}
+	if errors.Is(err, errOwnFault) {
+		return true // the answer was given up for another attempt, which was paid for
+	}
 	repeatable := s.route.Kind == catalog.Repeatable || (s.route.Kind == catalog.Stream && s.route.Resumable)
 	return repeatable && len(s.tried) < s.route.Attempts && s.mayRepeat()
 }
--- a/cmd/node/stages.go
+++ b/cmd/node/stages.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"quinceroad/cmd/process"
 	"quinceroad/coordination/gossip"
 	"quinceroad/protocol/event"
 	"quinceroad/protocol/frame"
@@ -16,8 +17,10 @@
 const (
 	verdictFor  = 500 * time.Millisecond // that an owner may take to admit or refuse
 	watchOwner  = 150 * time.Millisecond // between looks whether it is still heard of
-	mostOwners  = 3                      // asked for one request
-	mostReplies = 2                      // of an owner to one job
+	meetFor     = 300 * time.Millisecond // from the start, that an instance waits to hear of others before it owns pools itself
+	meetLook    = 20 * time.Millisecond
+	mostOwners  = 3 // asked for one request
+	mostReplies = 2 // of an owner to one job
 )
 
 // refusedError says that the owner does not take a request's stages.
@@ -52,6 +55,7 @@
 // runStages has the stages of a request run by the owner of its cell, or by
 // the next in line when that one is lost.
 func (n *Node) runStages(ctx context.Context, ask *pb.StagesAsk, began time.Time, objective, deadline time.Duration) (*stageJob, error) {
+	n.awaitPeers(ctx)
 	var err error
 	tried := make(map[string]bool)
 	for range mostOwners {
@@ -81,6 +85,15 @@
 	return nil, errors.Join(errOwnerLost, err)
 }
 
+// awaitPeers waits, right after the start, until another instance is heard of:
+// one that owned pools for want of better would share their replicas with the
+// owner that all others know.
+func (n *Node) awaitPeers(ctx context.Context) {
+	for n.now() < meetFor && len(n.alive()) == 1 && ctx.Err() == nil {
+		process.Pause(ctx, meetLook)
+	}
+}
+
 func (n *Node) nextOwner(cell int, tried map[string]bool) (gossip.Instance, bool) {
 	for _, i := range owners(n.alive(), cell) {
 		if !tried[i.Name] {
--- a/cmd/node/state.go
+++ b/cmd/node/state.go
@@ -18,6 +18,8 @@
 	Uptime    string
 	Stopping  bool
 	InFlight  int64
+	Reads     bool   // follows the store for its hall
+	ListedAt  uint64 // store's revision up to which the replicas are known
 	Version   uint64 // of the configuration in force; 0: none
 	Routes    int
 	Replicas  map[string]int // by service, those that may get work
@@ -37,8 +39,12 @@
 	Pools   []pipeline.PoolState
 }
 
-// errNoConfiguration says why a node is not ready.
-var errNoConfiguration = errors.New("no configuration is known yet")
+// These say why a node is not ready.
+var (
+	errNoConfiguration = errors.New("no configuration is known yet")
+	errNoReplicas      = errors.New("no list of replicas is known yet")
+	errStopping        = errors.New("this instance is stopping")
+)
 
 // listenAdmin serves metrics and the dump of state to operators.
 func (n *Node) listenAdmin() error {
@@ -55,11 +61,15 @@
 
 func (n *Node) readiness() error {
 	if n.stopping.Load() {
-		return errors.New("stopping")
+		return errStopping
 	}
-	if n.world.Load().config == nil {
+	w := n.world.Load()
+	if w.config == nil {
 		return errNoConfiguration
 	}
+	if !w.listed {
+		return errNoReplicas
+	}
 	return nil
 }
 
@@ -71,6 +81,8 @@
 		Uptime:    n.now().Round(time.Millisecond).String(),
 		Stopping:  n.stopping.Load(),
 		InFlight:  n.inFlight.Load(),
+		Reads:     n.reads.Load(),
+		ListedAt:  n.listAt(),
 		Replicas:  make(map[string]int, len(w.services)),
 		Leaving:   n.recentlyLeaving(),
 		Instances: n.alive(),
--- /dev/null
+++ b/cmd/node/world.go
@@ -0,0 +1,135 @@
+package node
+
+import (
+	"bytes"
+	"time"
+
+	"quinceroad/coordination/changes"
+	"quinceroad/platform"
+	"quinceroad/protocol/event"
+	"quinceroad/state/catalog"
+)
+
+// world is a consistent view of the configuration and the replicas.
+type world struct {
+	config   *catalog.Configuration
+	listed   bool                         // the replicas are known
+	services map[string][]catalog.Replica // those that may get work
+	all      []catalog.Replica            // the leaving ones included
+}
+
+// replicaSet is what the store says of the replicas, with what was seen of
+// their leaving, which wins.
+type replicaSet struct {
+	log     *changes.Log
+	rows    map[string]replicaRow
+	leaving map[string]time.Duration // by id: when it was seen
+}
+
+type replicaRow struct {
+	value   []byte // as the store has it
+	replica catalog.Replica
+}
+
+func newReplicaSet() *replicaSet {
+	return &replicaSet{
+		log:     changes.New(platform.SameReplica),
+		rows:    make(map[string]replicaRow),
+		leaving: make(map[string]time.Duration),
+	}
+}
+
+// refresh reads the rows that have changed.
+func (s *replicaSet) refresh() {
+	rows := make(map[string]replicaRow, len(s.rows))
+	s.log.Each(func(id string, value []byte) {
+		if row, ok := s.rows[id]; ok && bytes.Equal(row.value, value) {
+			rows[id] = row
+			return
+		}
+		if r, err := platform.ParseReplica(id, value); err == nil {
+			rows[id] = replicaRow{value: value, replica: r}
+		}
+	})
+	s.rows = rows
+}
+
+// publish makes a new world of what is followed.
+func (n *Node) publish() {
+	n.followMu.Lock()
+	n.replicas.refresh()
+	w := &world{config: n.config, listed: n.replicas.log.Known(), services: make(map[string][]catalog.Replica)}
+	for id, row := range n.replicas.rows {
+		r := row.replica
+		if _, ok := n.replicas.leaving[id]; ok {
+			r.Leaving = true
+		}
+		w.all = append(w.all, r)
+		if !r.Leaving {
+			w.services[r.Service] = append(w.services[r.Service], r)
+		}
+	}
+	n.world.Store(w)
+	n.followMu.Unlock()
+	n.owner.refresh()
+}
+
+// listKnown reports whether the list of replicas was ever read.
+func (n *Node) listKnown() bool {
+	n.followMu.Lock()
+	defer n.followMu.Unlock()
+	return n.replicas.log.Known()
+}
+
+// listAt is the store's revision up to which the replicas' changes are known.
+func (n *Node) listAt() uint64 {
+	n.followMu.Lock()
+	defer n.followMu.Unlock()
+	return n.replicas.log.At()
+}
+
+// listChanged is the store's revision of the newest change of the replicas known.
+func (n *Node) listChanged() uint64 {
+	n.followMu.Lock()
+	defer n.followMu.Unlock()
+	return n.replicas.log.Changed()
+}
+
+// leavingFor is how long a sign of leaving is kept.
+const leavingFor = 2 * time.Minute
+
+// sawLeaving notes that a replica leaves, by its own or a peer's word.
+func (n *Node) sawLeaving(id, sign string) {
+	n.followMu.Lock()
+	_, known := n.replicas.leaving[id]
+	if !known {
+		n.replicas.leaving[id] = n.now()
+	}
+	n.followMu.Unlock()
+	if known {
+		return
+	}
+	event.NodeReplicaLeaves.Log(n.log, "replica", id, "sign", sign)
+	n.publish()
+}
+
+// recentlyLeaving returns the replicas whose leaving is worth telling others.
+func (n *Node) recentlyLeaving() []string {
+	n.followMu.Lock()
+	defer n.followMu.Unlock()
+	var out []string
+	for id, at := range n.replicas.leaving {
+		switch age := n.now() - at; {
+		case age > leavingFor:
+			delete(n.replicas.leaving, id)
+		case age < tellLeavingFor && len(out) < mostLeavingTold:
+			out = append(out, id)
+		}
+	}
+	return out
+}
+
+const (
+	tellLeavingFor  = 3 * time.Second
+	mostLeavingTold = 16
+)
--- /dev/null
+++ b/coordination/changes/changes.go
@@ -0,0 +1,162 @@
+// Package changes keeps what a topic of the platform's store holds, together
+// with the changes that led there, so that an instance can tell another that is
+// behind just what it lacks.
+//
+// Revisions are the store's: a single counter that rises with every change of
+// anything, so two instances that read at different times hold the same
+// content under different revisions. Who is behind is told by the revision of
+// the newest change that somebody knows of, not by when it was read.
+package changes
+
+// Entry is one key of the topic, or its end.
+type Entry struct {
+	ID       string
+	Value    []byte
+	Revision uint64
+	Gone     bool
+}
+
+// Log is a topic's content and its latest changes. It is not safe for
+// concurrent use.
+type Log struct {
+	same    func(a, b []byte) bool
+	values  map[string][]byte
+	latest  []Entry // changes, oldest first
+	since   uint64  // revision from which on latest is complete
+	at      uint64  // up to this revision all is known
+	changed uint64  // revision of the newest change known
+}
+
+// mostLatest bounds the changes that are kept; who is further behind is told all.
+const mostLatest = 256
+
+// unchanged is a revision that is news only to who knows nothing.
+const unchanged = 1
+
+// New returns an empty log. same tells whether two values of a key say the
+// same: some change with every write.
+func New(same func(a, b []byte) bool) *Log {
+	return &Log{same: same, values: make(map[string][]byte)}
+}
+
+// Known reports whether the topic was ever read.
+func (l *Log) Known() bool { return l.at > 0 }
+
+// Changed is the revision of the newest change that the log knows of; 0 when it
+// knows nothing, unchanged when nothing has changed since it was first read.
+func (l *Log) Changed() uint64 { return l.changed }
+
+// At is the revision up to which the log knows all.
+func (l *Log) At() uint64 { return l.at }
+
+// Behind reports whether somebody who knows of a change at that revision knows more.
+func (l *Log) Behind(changed uint64) bool { return changed > l.at }
+
+// Each calls f with every key and value.
+func (l *Log) Each(f func(id string, value []byte)) {
+	for id, value := range l.values {
+		f(id, value)
+	}
+}
+
+// Replace takes in the whole topic as it was read at a revision. What differs
+// from before is a change that others may have missed as well; since changes
+// may have come and gone in between, who is behind is then told all. An older
+// read than what is known changes nothing.
+func (l *Log) Replace(values map[string][]byte, at uint64) {
+	if at < l.at {
+		return
+	}
+	if !l.Known() {
+		l.changed = unchanged
+	} else if l.differs(values) {
+		l.changed = at
+	}
+	l.values, l.at, l.since = values, at, at
+	l.latest = nil
+}
+
+func (l *Log) differs(values map[string][]byte) bool {
+	if len(values) != len(l.values) {
+		return true
+	}
+	for id, value := range values {
+		before, ok := l.values[id]
+		if !ok || !l.same(before, value) {
+			return true
+		}
+	}
+	return false
+}
+
+// Apply takes in changes, in their order, after which all up to a revision is
+// known. It returns how many were news.
+func (l *Log) Apply(entries []Entry, at uint64) int {
+	news := 0
+	for _, e := range entries {
+		if e.Revision <= l.at {
+			continue
+		}
+		news++
+		if e.Gone {
+			delete(l.values, e.ID)
+		} else {
+			l.values[e.ID] = e.Value
+		}
+		l.note(e)
+	}
+	l.at = max(l.at, at)
+	return news
+}
+
+func (l *Log) note(e Entry) {
+	l.changed = max(l.changed, e.Revision)
+	if len(l.latest) == mostLatest {
+		l.since = l.latest[0].Revision
+		l.latest = append(l.latest[:0], l.latest[1:]...)
+	}
+	l.latest = append(l.latest, e)
+}
+
+// Answer is what an instance that is behind is told.
+type Answer struct {
+	Whole   bool // the entries are all there are
+	Entries []Entry
+	At      uint64
+	Changed uint64
+}
+
+// After returns what an instance lacks that knows all up to a revision.
+func (l *Log) After(have uint64) Answer {
+	a := Answer{At: l.at, Changed: l.changed}
+	if have >= l.since && have > 0 {
+		for _, e := range l.latest {
+			if e.Revision > have {
+				a.Entries = append(a.Entries, e)
+			}
+		}
+		return a
+	}
+	a.Whole = true
+	for id, value := range l.values {
+		a.Entries = append(a.Entries, Entry{ID: id, Value: value, Revision: l.at})
+	}
+	return a
+}
+
+// Take takes in what another instance answered.
+func (l *Log) Take(a Answer) {
+	if a.At < l.at {
+		return
+	}
+	if !a.Whole {
+		l.Apply(a.Entries, a.At)
+		return
+	}
+	values := make(map[string][]byte, len(a.Entries))
+	for _, e := range a.Entries {
+		values[e.ID] = e.Value
+	}
+	l.Replace(values, a.At)
+	l.changed = max(l.changed, a.Changed)
+}
--- /dev/null
+++ b/coordination/changes/changes_test.go
@@ -0,0 +1,129 @@
+package changes
+
+import (
+	"bytes"
+	"fmt"
+	"maps"
+	"testing"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+)
+
+func content(l *Log) map[string]string {
+	out := make(map[string]string)
+	l.Each(func(id string, value []byte) { out[id] = string(value) })
+	return out
+}
+
+// store is a model of the platform's: a counter, values and their history.
+type store struct {
+	revision uint64
+	values   map[string][]byte
+	history  []Entry
+}
+
+func (s *store) change(id string, value []byte) {
+	s.revision++
+	e := Entry{ID: id, Value: value, Revision: s.revision, Gone: value == nil}
+	if e.Gone {
+		if _, ok := s.values[id]; !ok {
+			return
+		}
+		delete(s.values, id)
+	} else {
+		s.values[id] = value
+	}
+	s.history = append(s.history, e)
+}
+
+func (s *store) after(revision uint64) []Entry {
+	var out []Entry
+	for _, e := range s.history {
+		if e.Revision > revision {
+			out = append(out, e)
+		}
+	}
+	return out
+}
+
+// Whatever instances read, watch and tell each other in whatever order, each
+// holds what the store held at the revision that it claims, and who pulls from
+// one that knows of a newer change knows it too.
+func TestAllHoldWhatTheStoreHeld(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s := &store{values: make(map[string][]byte), revision: 1}
+		past := map[uint64]map[string][]byte{1: {}}
+		logs := make([]*Log, 4)
+		for i := range logs {
+			logs[i] = New(bytes.Equal)
+		}
+		steps := rapid.IntRange(1, 400).Draw(t, "steps")
+		for range steps {
+			l := logs[rapid.IntRange(0, len(logs)-1).Draw(t, "instance")]
+			from := logs[rapid.IntRange(0, len(logs)-1).Draw(t, "from")]
+			switch rapid.IntRange(0, 7).Draw(t, "step") {
+			case 0, 1, 2, 3:
+				id := fmt.Sprint(rapid.IntRange(0, 5).Draw(t, "id"))
+				value := []byte(fmt.Sprint(s.revision))
+				if rapid.Bool().Draw(t, "gone") {
+					value = nil
+				}
+				s.change(id, value)
+				past[s.revision] = maps.Clone(s.values)
+			case 4: // a whole read, which may be an old one
+				at := uint64(rapid.IntRange(1, int(s.revision)).Draw(t, "at"))
+				l.Replace(maps.Clone(past[at]), at)
+			case 5: // a watch
+				if l.Known() {
+					l.Apply(s.after(l.At()), s.revision)
+				}
+			case 6, 7: // a pull from a peer, whose answer may be lost
+				answer := from.After(l.At())
+				if from.Known() && rapid.IntRange(0, 3).Draw(t, "lost") > 0 {
+					l.Take(answer)
+					if l.Behind(from.Changed()) {
+						t.Fatalf("behind %d at %d after a pull", from.Changed(), l.At())
+					}
+				}
+			}
+			for i, l := range logs {
+				if want := past[l.At()]; l.Known() && !maps.EqualFunc(l.values, want, bytes.Equal) {
+					t.Fatalf("instance %d at %d holds %v, the store held %v", i, l.At(), content(l), want)
+				}
+			}
+		}
+	})
+}
+
+func TestEqualContentIsNoChange(t *testing.T) {
+	is := is.New(t)
+	sameHead := func(a, b []byte) bool { return a[0] == b[0] }
+	l := New(sameHead)
+	l.Replace(map[string][]byte{"a": []byte("x1")}, 10)
+	is.Equal(l.Changed(), uint64(unchanged))   // the first read is no change
+	is.True(New(sameHead).Behind(l.Changed())) // but news to who knows nothing
+	l.Replace(map[string][]byte{"a": []byte("x2")}, 20)
+	is.Equal(l.Changed(), uint64(unchanged)) // it says the same
+	l.Replace(map[string][]byte{"a": []byte("y3")}, 30)
+	is.Equal(l.Changed(), uint64(30))
+	other := New(sameHead)
+	other.Replace(map[string][]byte{"a": []byte("x1")}, 15)
+	is.True(other.Behind(l.Changed()))
+	answer := l.After(other.At())
+	is.True(answer.Whole) // what came and went between two reads is not known
+	is.Equal(len(answer.Entries), 1)
+}
+
+func TestWhoIsFarBehindIsToldAll(t *testing.T) {
+	is := is.New(t)
+	l := New(bytes.Equal)
+	l.Replace(map[string][]byte{}, 1)
+	for i := range 2 * mostLatest {
+		l.Apply([]Entry{{ID: "a", Value: []byte{byte(i)}, Revision: uint64(i + 2)}}, uint64(i+2))
+	}
+	is.True(l.After(3).Whole)
+	is.True(!l.After(l.At() - 10).Whole)
+	is.Equal(len(l.After(l.At()-10).Entries), 10)
+	is.True(l.After(0).Whole)
+}
--- a/coordination/gossip/gossip.go
+++ b/coordination/gossip/gossip.go
@@ -31,6 +31,8 @@
 	Configured  uint64   // version of the configuration in force there
 	Owns        []uint32 // cells whose pools it owns
 	Share       uint32   // of a processor, in thousandths
+	Reads       bool     // it follows the store for others
+	Blind       bool     // it did not reach the store when it last tried
 }
 
 // View is not safe for concurrent use.
@@ -83,6 +85,12 @@
 // SetConfigured notes the version of the configuration in force.
 func (v *View) SetConfigured(version uint64) { v.self.Configured = version }
 
+// SetReads notes whether this instance follows the store for others.
+func (v *View) SetReads(reads bool) { v.self.Reads = reads }
+
+// SetBlind notes whether this instance reached the store when it last tried.
+func (v *View) SetBlind(blind bool) { v.self.Blind = blind }
+
 // SetOwns notes the cells that this instance owns.
 func (v *View) SetOwns(cells []uint32) { v.self.Owns = cells }
 
@@ -116,7 +124,8 @@
 
 // sameInfo reports whether two entries differ by their counters only.
 func (r *row) sameInfo(i *Instance) bool {
-	return r.Incarnation == i.Incarnation && r.Leaving == i.Leaving && r.Configured == i.Configured && slices.Equal(r.Owns, i.Owns)
+	return r.Incarnation == i.Incarnation && r.Leaving == i.Leaving && r.Configured == i.Configured &&
+		r.Reads == i.Reads && r.Blind == i.Blind && slices.Equal(r.Owns, i.Owns)
 }
 
 // Lost notes that a connection to an instance failed: it is not heard of until
--- a/coordination/health/health.go
+++ b/coordination/health/health.go
@@ -25,6 +25,11 @@
 	Full                    // it says that it is full
 )
 
+// String returns the sign's name for logs.
+func (s Sign) String() string {
+	return [...]string{"good", "failure", "broken", "unreachable", "silent", "full"}[s]
+}
+
 // Options are the judge's constants.
 type Options struct {
 	PauseFirst  time.Duration
--- a/protocol/frame/frame.go
+++ b/protocol/frame/frame.go
@@ -15,18 +15,19 @@
 
 // The kinds; a stream opens with one of them.
 const (
-	Beat        Kind = iota + 1 // Beat -> BeatReply
-	PullConfig                  // PullConfig -> Config
-	PullMembers                 // PullMembers -> Members
-	Watch                       // Watch -> View, View, ...
-	Permits                     // PermitFrame both ways
-	Run                         // Run -> RunReply
-	Handover                    // Handover -> HandoverReply
-	Leaving                     // Beat with leaving replicas, from an entry -> Noted
-	Limits                      // Demands -> Demands
-	Drain                       // Noted -> Noted
-	Reply                       // the answer to any of them
-	Stages                      // StagesAsk -> StagesReply, StagesReply; its close ends the job
+	Beat         Kind = iota + 1 // Beat -> BeatReply
+	PullConfig                   // PullConfig -> Config
+	PullMembers                  // PullMembers -> Members
+	Watch                        // Watch -> View, View, ...
+	Permits                      // PermitFrame both ways
+	Run                          // Run -> RunReply
+	Handover                     // Handover -> HandoverReply
+	Leaving                      // Beat with leaving replicas, from an entry -> Noted
+	Limits                       // Demands -> Demands
+	Drain                        // Noted -> Noted
+	Reply                        // the answer to any of them
+	Stages                       // StagesAsk -> StagesReply, StagesReply; its close ends the job
+	PullReplicas                 // PullReplicas -> ReplicaChanges
 )
 
 // MaxLen bounds a frame; larger ones end the stream.
