A start of all: seeds told each round while alone, owners chosen by a clear view, configurations compressed for peers

Three causes, one behind the other: the seeds were the last to start and were told again only after 2 s, so all chose by a view of themselves; an owner that had just started was replaced by whoever had settled first; the one owner that all then agreed on did not answer for 0.7 s, its link of 10 Mbit/s being full of configurations (1,953 routes) that peers pulled from it while they also read the store. Change: gossip.SeedsDue; coordination/ownership (moved out of cmd/node) ranks who owns before who has settled, and says whether a view is clear, for which a request waits 0.7 s after the start at most; an instance that reads the store asks no peer for a second; peers are sent the configuration compressed. Tried on the way: waiting only while nobody is heard of (12 owners still), waiting for a clear view without telling the seeds again (12).

--- a/cmd/node/follow.go
+++ b/cmd/node/follow.go
@@ -63,6 +63,7 @@
 		if lost.IsZero() {
 			lost = time.Now()
 			event.NodeStoreLost.Log(n.log, "topic", f.name, "error", err)
+			n.storeFailed.Store(true)
 			n.sees(false)
 		}
 		process.Pause(ctx, wait)
@@ -148,7 +149,7 @@
 	n.followMu.Lock()
 	newer := n.config == nil || c.Version > n.config.Version
 	if newer {
-		n.config, n.rawConfig = c, data
+		n.config, n.rawConfig = c, &rawConfig{text: data}
 	}
 	n.followMu.Unlock()
 	if !newer {
--- a/cmd/node/members.go
+++ b/cmd/node/members.go
@@ -21,24 +21,25 @@
 
 const (
 	beatEach  = 200 * time.Millisecond
-	seedEach  = 2 * time.Second // that the seeds are told beside the known
 	leaseFor  = 5 * time.Minute
 	renewEach = time.Minute
 
-	registerAfter = time.Second // from the start: until then heartbeats tell who else there is
+	aloneFor      = 250 * time.Millisecond // from the start, until an instance that hears of nobody asks the store
+	registerAfter = 750 * time.Millisecond // from then on: heartbeats tell who else there is
 )
 
 // beat tells others of this instance and what it knows, some times a second.
 func (n *Node) beat(ctx context.Context) {
-	seeded := time.Time{}
 	heard := make(map[string]gossip.Instance)
 	process.Every(ctx, beatEach, func() {
 		alive := n.alive()
 		n.logHeard(heard, alive)
 		n.takeRole(alive)
 		n.tell()
-		if time.Since(seeded) >= seedEach {
-			seeded = time.Now()
+		n.gossipMu.Lock()
+		seeds := n.members.SeedsDue(n.now())
+		n.gossipMu.Unlock()
+		if seeds {
 			n.tellSeeds()
 		}
 	})
@@ -240,9 +241,11 @@
 // those that start later learn of it, and reads the others' once.
 func (n *Node) register(ctx context.Context) {
 	var lease uint64
-	if !process.Pause(ctx, registerAfter) {
-		return
+	process.Pause(ctx, aloneFor)
+	if len(n.alive()) == 1 {
+		_ = n.meet() // the seeds may be gone; those that read before may be back
 	}
+	process.Pause(ctx, registerAfter)
 	for ctx.Err() == nil {
 		if lease == 0 && !n.reads.Load() {
 			process.Pause(ctx, roleLook)
--- a/cmd/node/node.go
+++ b/cmd/node/node.go
@@ -49,12 +49,13 @@
 
 	followMu  sync.Mutex // guards what is followed, before it becomes a world
 	config    *catalog.Configuration
-	rawConfig []byte
+	rawConfig *rawConfig
 	replicas  *replicaSet
 
-	reads      atomic.Bool // this instance follows the store for others
-	configPull pull
-	listPull   pull
+	reads       atomic.Bool // this instance follows the store for others
+	storeFailed atomic.Bool // a call to the store has failed since the start
+	configPull  pull
+	listPull    pull
 
 	gossipMu sync.Mutex
 	members  *gossip.View
--- a/cmd/node/owner.go
+++ b/cmd/node/owner.go
@@ -4,15 +4,12 @@
 	"cmp"
 	"context"
 	"slices"
-	"strconv"
 	"sync"
 	"time"
 
 	"quinceroad/cmd/process"
-	"quinceroad/coordination/gossip"
 	"quinceroad/coordination/pipeline"
 	"quinceroad/coordination/placement"
-	"quinceroad/coordination/rendezvous"
 	"quinceroad/platform"
 	"quinceroad/protocol/event"
 	"quinceroad/protocol/exchange"
@@ -21,8 +18,6 @@
 
 const (
 	cellReplicas = 30 // of one pool that one owner has at most
-	shareSteps   = 4  // in which processors' shares are told apart
-	settledBeats = 8  // heartbeats after which an instance may own pools
 	tickEach     = 50 * time.Millisecond
 	claimFor     = 2 * time.Second // after the last request, an instance still owns a cell
 )
@@ -42,36 +37,6 @@
 	return max((most+cellReplicas-1)/cellReplicas, 1)
 }
 
-// owners returns the instances that may own a cell, the first one first: who
-// owns it already goes before those that only may, so that an instance that
-// comes back does not take it over.
-func owners(alive []gossip.Instance, cell int) []gossip.Instance {
-	key := "stages/" + strconv.Itoa(cell)
-	var settled []gossip.Instance
-	for _, i := range alive {
-		if i.Count >= settledBeats && !i.Leaving {
-			settled = append(settled, i)
-		}
-	}
-	if len(settled) == 0 {
-		settled = slices.Clone(alive)
-	}
-	most := uint32(1)
-	for _, i := range settled {
-		most = max(most, i.Share)
-	}
-	rank := func(i gossip.Instance) int { // who owns it, then those with most of a processor
-		if slices.Contains(i.Owns, uint32(cell)) {
-			return 0
-		}
-		return 1 + shareSteps - int(i.Share*shareSteps/most)
-	}
-	slices.SortFunc(settled, func(a, b gossip.Instance) int {
-		return cmp.Or(cmp.Compare(rank(a), rank(b)), cmp.Compare(rendezvous.Weight(key, b.Name), rendezvous.Weight(key, a.Name)))
-	})
-	return settled
-}
-
 // owner runs the schedulers of the cells that others take this instance to own.
 type owner struct {
 	node *Node
--- a/cmd/node/owner_test.go
+++ b/cmd/node/owner_test.go
@@ -5,38 +5,9 @@
 
 	"github.com/matryer/is"
 
-	"quinceroad/coordination/gossip"
 	"quinceroad/state/catalog"
 )
 
-func names(list []gossip.Instance) []string {
-	var out []string
-	for _, i := range list {
-		out = append(out, i.Name)
-	}
-	return out
-}
-
-func TestWhoOwnsACellStaysItsOwner(t *testing.T) {
-	is := is.New(t)
-	alive := []gossip.Instance{
-		{Name: "a", Count: 100, Share: 400},
-		{Name: "b", Count: 100, Share: 400, Owns: []uint32{0}},
-		{Name: "c", Count: 100, Share: 800},
-	}
-	is.Equal(names(owners(alive, 0))[0], "b")
-	alive[1].Leaving = true
-	is.Equal(names(owners(alive, 0)), []string{"c", "a"}) // the one with most of a processor is next
-}
-
-func TestAnInstanceThatJustStartedOwnsNothingYet(t *testing.T) {
-	is := is.New(t)
-	alive := []gossip.Instance{{Name: "a", Count: 2}, {Name: "b", Count: 100}}
-	is.Equal(names(owners(alive, 0)), []string{"b"})
-	alive[1].Count = 3
-	is.Equal(len(owners(alive, 0)), 2) // unless all have
-}
-
 func TestCellsPartLargePoolsAndEachReplicaOnce(t *testing.T) {
 	is := is.New(t)
 	w := &world{
--- a/cmd/node/pull.go
+++ b/cmd/node/pull.go
@@ -9,13 +9,15 @@
 	"quinceroad/coordination/changes"
 	"quinceroad/protocol/event"
 	"quinceroad/protocol/frame"
+	"quinceroad/protocol/pack"
 	"quinceroad/protocol/pb"
 )
 
 const (
-	pullFor     = time.Second            // of a question to a peer
-	farPatience = 300 * time.Millisecond // before a peer of another hall is asked: one of the own hall may soon know, too
-	staleWish   = 2 * time.Second        // after which a wish is a new one
+	pullFor       = time.Second            // of a question to a peer
+	farPatience   = 300 * time.Millisecond // before a peer of another hall is asked: one of the own hall may soon know, too
+	firstPatience = time.Second            // of an instance that knows nothing yet
+	staleWish     = 2 * time.Second        // after which a wish is a new one
 )
 
 // pull asks peers for what this instance lacks of one topic, one at a time.
@@ -65,7 +67,10 @@
 // patience is how long this instance waits before it asks a peer of that hall:
 // who reads the store should soon hear from it, and bytes between halls are dear.
 func (n *Node) patience(hall string, has bool) time.Duration {
-	if !has || hall == n.settings.Hall && !n.reads.Load() {
+	switch {
+	case !has && !n.storeFailed.Load():
+		return firstPatience // it is reading the store
+	case !has, hall == n.settings.Hall && !n.reads.Load():
 		return 0
 	}
 	return farPatience
@@ -77,19 +82,40 @@
 	if err := n.links.Call(addr, frame.PullConfig, &pb.PullConfig{Have: have}, answer, pullFor); err != nil {
 		return
 	}
-	if len(answer.Declaration) > 0 {
-		n.offer(answer.Declaration, "peer")
+	if len(answer.Declaration) == 0 {
+		return
+	}
+	text, err := pack.Open(answer.Declaration)
+	if err != nil {
+		event.NodeConfigBroken.Log(n.log, "from", addr, "error", err)
+		return
 	}
+	n.offer(text, "peer")
+}
+
+// rawConfig is a configuration as the store has it.
+type rawConfig struct {
+	text   []byte
+	once   sync.Once
+	packed []byte // for peers; empty when it can't be compressed
+}
+
+// forPeers returns the configuration compressed: a large one, sent to every
+// instance of a hall, would fill a small machine's link for seconds.
+func (r *rawConfig) forPeers() []byte {
+	r.once.Do(func() { r.packed, _ = pack.Fast(r.text) })
+	return r.packed
 }
 
 // answerPull gives the configuration in force.
 func (n *Node) answerPull() proto.Message {
 	n.followMu.Lock()
-	defer n.followMu.Unlock()
-	if n.config == nil {
+	config, raw := n.config, n.rawConfig
+	n.followMu.Unlock()
+	if config == nil {
 		return &pb.Config{}
 	}
-	return &pb.Config{Revision: n.config.Version, Declaration: n.rawConfig}
+	return &pb.Config{Revision: config.Version, Declaration: raw.forPeers()}
 }
 
 func (n *Node) pullReplicas(addr string, have uint64) {
--- a/cmd/node/stages.go
+++ b/cmd/node/stages.go
@@ -9,6 +9,7 @@
 
 	"quinceroad/cmd/process"
 	"quinceroad/coordination/gossip"
+	"quinceroad/coordination/ownership"
 	"quinceroad/protocol/event"
 	"quinceroad/protocol/frame"
 	"quinceroad/protocol/pb"
@@ -17,7 +18,7 @@
 const (
 	verdictFor  = 500 * time.Millisecond // that an owner may take to admit or refuse
 	watchOwner  = 150 * time.Millisecond // between looks whether it is still heard of
-	meetFor     = 300 * time.Millisecond // from the start, that an instance waits to hear of others before it owns pools itself
+	meetFor     = 700 * time.Millisecond // from the start, that an instance waits to hear who owns pools
 	meetLook    = 20 * time.Millisecond
 	mostOwners  = 3 // asked for one request
 	mostReplies = 2 // of an owner to one job
@@ -55,7 +56,7 @@
 // runStages has the stages of a request run by the owner of its cell, or by
 // the next in line when that one is lost.
 func (n *Node) runStages(ctx context.Context, ask *pb.StagesAsk, began time.Time, objective, deadline time.Duration) (*stageJob, error) {
-	n.awaitPeers(ctx)
+	n.awaitView(ctx, int(ask.Cell))
 	var err error
 	tried := make(map[string]bool)
 	for range mostOwners {
@@ -85,17 +86,16 @@
 	return nil, errors.Join(errOwnerLost, err)
 }
 
-// awaitPeers waits, right after the start, until another instance is heard of:
-// one that owned pools for want of better would share their replicas with the
-// owner that all others know.
-func (n *Node) awaitPeers(ctx context.Context) {
-	for n.now() < meetFor && len(n.alive()) == 1 && ctx.Err() == nil {
+// awaitView waits, right after the start, until it is heard who owns a cell:
+// those that choose by a view of some of the others make many owners at once.
+func (n *Node) awaitView(ctx context.Context, cell int) {
+	for n.now() < meetFor && !ownership.Clear(n.alive(), cell) && ctx.Err() == nil {
 		process.Pause(ctx, meetLook)
 	}
 }
 
 func (n *Node) nextOwner(cell int, tried map[string]bool) (gossip.Instance, bool) {
-	for _, i := range owners(n.alive(), cell) {
+	for _, i := range ownership.Rank(n.alive(), cell) {
 		if !tried[i.Name] {
 			return i, true
 		}
--- a/coordination/gossip/gossip.go
+++ b/coordination/gossip/gossip.go
@@ -41,7 +41,8 @@
 	self  Instance
 	rows  map[string]*row
 	byKey map[uint32]*row
-	turn  int // whose turn it is to be told in full
+	turn  int           // whose turn it is to be told in full
+	seeds time.Duration // when the seeds were last told
 }
 
 type row struct {
@@ -60,11 +61,12 @@
 	Fanout int           // instances told in a round
 	Sample int           // entries told in full in a message, beside the sender's own
 	Beats  int           // counters in a message
+	Seeds  time.Duration // between messages to the seeds
 }
 
 // Standard returns the constants for heartbeats sent each 200 ms.
 func Standard() Options {
-	return Options{Silent: 1100 * time.Millisecond, Each: 15 * time.Millisecond, Small: 30, Forget: 5 * time.Minute, Fanout: 4, Sample: 10, Beats: 64}
+	return Options{Silent: 1100 * time.Millisecond, Each: 15 * time.Millisecond, Small: 30, Forget: 5 * time.Minute, Fanout: 4, Sample: 10, Beats: 64, Seeds: 2 * time.Second}
 }
 
 // turns is among how many the instances' first turns are spread: if all told
@@ -213,6 +215,17 @@
 	return to, m
 }
 
+// SeedsDue reports whether the seeds are to be told in this round: in each while
+// nobody is heard of, since they may start later than this instance, and now
+// and then beside the others, so that islands meet.
+func (v *View) SeedsDue(now time.Duration) bool {
+	if v.seeds != 0 && now-v.seeds < v.opts.Seeds && len(v.Alive(now)) > 1 {
+		return false
+	}
+	v.seeds = max(now, 1)
+	return true
+}
+
 func (v *View) split(now time.Duration, names []string) (alive, dead []string) {
 	for _, n := range names {
 		r := v.rows[n]
--- a/coordination/gossip/gossip_test.go
+++ b/coordination/gossip/gossip_test.go
@@ -168,3 +168,25 @@
 	v.Merge(0, Instance{Name: "a", Incarnation: 1, Count: 6})
 	is.Equal(len(v.Alive(0)), 2)
 }
+
+// The seeds may start later: an instance that hears of nobody tells them again and again.
+func TestSeedsAreToldUntilSomebodyIsHeardOf(t *testing.T) {
+	is := is.New(t)
+	v := New(Instance{Name: "a", Incarnation: 1}, Standard())
+	round := 200 * time.Millisecond
+	now := time.Duration(0)
+	for range 5 {
+		is.True(v.SeedsDue(now))
+		now += round
+	}
+	v.Merge(now, Instance{Name: "b", Incarnation: 1, Count: 1})
+	told := 0
+	for range 20 {
+		now += round
+		v.MergeBeat(now, Beat{Key: v.rows["b"].key, Count: uint64(now)})
+		if v.SeedsDue(now) {
+			told++
+		}
+	}
+	is.Equal(told, 2) // each two seconds
+}
--- a/protocol/pack/pack.go
+++ b/protocol/pack/pack.go
@@ -16,14 +16,19 @@
 // ErrTooLarge is returned for what would open to more than MaxText.
 var ErrTooLarge = errors.New("pack: the text is too large")
 
-// Text compresses a text.
-func Text(text string) ([]byte, error) {
+// Text compresses a text as small as can be, for what is kept.
+func Text(text string) ([]byte, error) { return compress([]byte(text), gzip.BestCompression) }
+
+// Fast compresses a text with little processor time, for what is sent once.
+func Fast(text []byte) ([]byte, error) { return compress(text, gzip.BestSpeed) }
+
+func compress(text []byte, level int) ([]byte, error) {
 	var b bytes.Buffer
-	w, err := gzip.NewWriterLevel(&b, gzip.BestCompression)
+	w, err := gzip.NewWriterLevel(&b, level)
 	if err != nil {
 		return nil, err
 	}
-	if _, err := io.WriteString(w, text); err != nil {
+	if _, err := w.Write(text); err != nil {
 		return nil, err
 	}
 	err = w.Close()
