Stages: a job that can't be in time any more is given up at once, or stands back when it has begun

Change: as soon as a stage whose pieces wait should have begun, a job that has not begun is given up at once, with when to come back; one that has begun goes behind the others. Red first: both new tests fail on the code before.

--- a/coordination/pipeline/job.go
+++ b/coordination/pipeline/job.go
@@ -331,24 +331,39 @@
 
 // hopelessJobs ends jobs that miss their deadline, and those that miss their
 // objective before any work was done on them: what waits there takes the time
-// of others. The rest of the late goes on behind the others, for a while.
+// of others. Jobs that will be late, and those that are, go on behind the
+// others, the latter for a while.
 func (s *Scheduler) hopelessJobs(now time.Duration) {
 	for _, j := range s.jobs {
-		if j.delivered || now <= j.due {
+		if j.delivered {
 			continue
 		}
 		lateFor := time.Duration(float64(j.Objective) * s.opts.LateShare)
 		switch {
 		case now >= j.dead:
 			s.fail(now, j, "deadline", 0)
-		case !j.started, now > j.due+lateFor:
+		case now > j.due && (!j.started || now > j.due+lateFor):
 			s.fail(now, j, "late", s.opts.Unknown)
-		case j.rank < lateRank:
+		case j.rank < lateRank && j.willBeLate(now):
+			if !j.started {
+				s.fail(now, j, "late", s.opts.Unknown)
+				continue
+			}
 			s.demote(j)
 		}
 	}
 }
 
+// willBeLate reports whether a stage whose pieces still wait should have begun.
+func (j *job) willBeLate(now time.Duration) bool {
+	for _, st := range j.stages {
+		if now > st.latest && slices.ContainsFunc(st.pieces, func(x *piece) bool { return x.state == ready || x.state == blocked }) {
+			return true
+		}
+	}
+	return false
+}
+
 func (s *Scheduler) demote(j *job) {
 	var counted []*piece
 	for _, st := range j.stages {
--- a/coordination/pipeline/pipeline_test.go
+++ b/coordination/pipeline/pipeline_test.go
@@ -241,6 +241,42 @@
 
 // After all instances were killed, replicas still held the results of an owner
 // that was gone: calls of eight pieces found room for one.
+// A job whose stages have not begun by the time at which they must is given up
+// at once: its client is told before its time is over.
+func TestAJobThatCanNotBeInTimeAnyMoreIsGivenUpAtOnce(t *testing.T) {
+	is := is.New(t)
+	b := newBench(t)
+	b.submit(newTestJob("a", 1))
+	b.submit(newTestJob("b", 1)) // both replicas are at work, and never answer
+	waits := b.submit(newTestJob("waits", 1))
+	is.True(waits.Admitted)
+	latest := 2*time.Second - b.s.jobs[waits.ID].stages[0].duration()
+	b.tick(latest)
+	is.Equal(b.failed[waits.ID].Why, "")
+	b.tick(10 * ms)
+	is.Equal(b.failed[waits.ID].Why, "late")
+	is.True(b.failed[waits.ID].RetryAfter > 0)
+}
+
+// One that has begun goes on behind those that can still be in time.
+func TestAJobUnderWayThatWillBeLateStandsBack(t *testing.T) {
+	is := is.New(t)
+	b := newBench(t)
+	late := newTestJob("late", 1)
+	late.Stages = append(late.Stages, Stage{Service: "rank", After: []int{0}, Pieces: 1, Bytes: 10_000})
+	v := b.submit(late)
+	is.True(v.Admitted)
+	first := "read-a"
+	if _, ok := b.calls[first]; !ok {
+		first = "read-b"
+	}
+	b.tick(1900 * ms) // its second stage can't end in time, though the job is not due yet
+	is.Equal(b.s.jobs[v.ID].rank, lateRank)
+	is.Equal(b.failed[v.ID].Why, "")
+	b.answer(first, Answered)
+	is.True(len(b.calls) > 0) // it goes on while nobody else waits
+}
+
 func TestRoomThatOthersHoldIsLearnt(t *testing.T) {
 	is := is.New(t)
 	b := newBench(t)
