--- a/coordination/gossip/gossip.go
+++ b/coordination/gossip/gossip.go
@@ -35,6 +35,27 @@
 	Blind       bool     // it did not reach the store when it last tried
 }
 
+const (
+	settledBeats = 8 // heartbeats after which others may rely on an instance
+	shareSteps   = 4 // in which processors' shares are told apart
+)
+
+// ShareRanks is the number of ranks that ByShare tells apart.
+const ShareRanks = shareSteps + 1
+
+// Settled reports whether an instance runs for long enough to be relied on.
+func (i *Instance) Settled() bool { return i.Count >= settledBeats }
+
+// ByShare returns the rank of each instance by its share of a processor: 0 for
+// those with about the most of all given.
+func ByShare(all []Instance) func(Instance) int {
+	most := uint32(1)
+	for _, i := range all {
+		most = max(most, i.Share)
+	}
+	return func(i Instance) int { return shareSteps - int(i.Share*shareSteps/most) }
+}
+
 // View is not safe for concurrent use.
 type View struct {
 	opts  Options
--- a/coordination/ownership/ownership.go
+++ b/coordination/ownership/ownership.go
@@ -13,11 +13,6 @@
 	"quinceroad/coordination/rendezvous"
 )
 
-const (
-	shareSteps   = 4 // in which processors' shares are told apart
-	settledBeats = 8 // heartbeats after which an instance may own pools
-)
-
 // Rank returns the instances that may own a cell, the first one first: who
 // owns it already goes before those that only may, so that an instance that
 // comes back does not take it over; then those with most of a processor.
@@ -25,22 +20,19 @@
 	key := "stages/" + strconv.Itoa(cell)
 	var able []gossip.Instance
 	for _, i := range alive {
-		if !i.Leaving && (settled(i) || owns(i, cell)) {
+		if !i.Leaving && (i.Settled() || owns(i, cell)) {
 			able = append(able, i)
 		}
 	}
 	if len(able) == 0 {
 		able = slices.Clone(alive)
 	}
-	most := uint32(1)
-	for _, i := range able {
-		most = max(most, i.Share)
-	}
+	share := gossip.ByShare(able)
 	rank := func(i gossip.Instance) int {
 		if owns(i, cell) {
 			return 0
 		}
-		return 1 + shareSteps - int(i.Share*shareSteps/most)
+		return 1 + share(i)
 	}
 	slices.SortFunc(able, func(a, b gossip.Instance) int {
 		return cmp.Or(cmp.Compare(rank(a), rank(b)), cmp.Compare(rendezvous.Weight(key, b.Name), rendezvous.Weight(key, a.Name)))
@@ -52,9 +44,7 @@
 // all have started each knows some of the others only, and all would choose
 // differently.
 func Clear(alive []gossip.Instance, cell int) bool {
-	return slices.ContainsFunc(alive, func(i gossip.Instance) bool { return !i.Leaving && (settled(i) || owns(i, cell)) })
+	return slices.ContainsFunc(alive, func(i gossip.Instance) bool { return !i.Leaving && (i.Settled() || owns(i, cell)) })
 }
 
-func settled(i gossip.Instance) bool { return i.Count >= settledBeats }
-
 func owns(i gossip.Instance, cell int) bool { return slices.Contains(i.Owns, uint32(cell)) }
--- a/coordination/ownership/ownership_test.go
+++ b/coordination/ownership/ownership_test.go
@@ -51,7 +51,7 @@
 	alive[0].Owns = []uint32{0}
 	is.True(Clear(alive, 0))
 	is.True(!Clear(alive, 1))
-	alive[1].Count = settledBeats
+	alive[1].Count = 100
 	is.True(Clear(alive, 1))
 	alive[1].Leaving = true
 	is.True(!Clear(alive, 1))
--- a/coordination/readers/readers.go
+++ b/coordination/readers/readers.go
@@ -17,8 +17,6 @@
 
 const (
 	leastReaders = 3 // in a fleet, however few halls it has
-	settledBeats = 8 // heartbeats after which an instance may read for others
-	shareSteps   = 4 // in which processors' shares are told apart
 	key          = "store"
 )
 
@@ -48,20 +46,13 @@
 // of a processor.
 func ranked(hall []gossip.Instance) []gossip.Instance {
 	out := slices.Clone(hall)
-	most := uint32(1)
-	for _, i := range out {
-		most = max(most, i.Share)
-	}
-	rank := func(i gossip.Instance) int {
-		r := shareSteps - int(i.Share*shareSteps/most)
-		if !i.Reads {
-			r += 2 * shareSteps
-		}
-		if i.Leaving || i.Count < settledBeats {
-			r += 4 * shareSteps
-		}
-		if i.Blind {
-			r += 8 * shareSteps
+	share := gossip.ByShare(out)
+	rank := func(i gossip.Instance) int { // each reason goes before all that follow it
+		r := share(i)
+		for n, reason := range []bool{!i.Reads, i.Leaving || !i.Settled(), i.Blind} {
+			if reason {
+				r += gossip.ShareRanks << n
+			}
 		}
 		return r
 	}
