Replicas that are full or at work for another owner count as capacity; the request's line says what bound it

Change: a replica that is left alone for 0.4 s or less counts from when it is free. The request's log line (3050) states objective, deadline, configuration's version and the owner asked. Red first: both new tests fail on the code before.

--- a/cmd/node/pick.go
+++ b/cmd/node/pick.go
@@ -19,7 +19,7 @@
 	}
 	ask, pieces := s.ask()
 	objective := s.route.Objective - s.tail()
-	job, err := s.node.runStages(ctx, ask, s.req.Arrived, objective, s.allowed()-s.tail())
+	job, err := s.node.runStages(ctx, ask, s.req.Arrived, objective, s.allowed()-s.tail(), func(owner string) { s.owner = owner })
 	if errors.Is(err, errOwnerLost) && pieces == 0 && !done(ctx) {
 		return nil // this instance chooses by itself
 	}
--- a/cmd/node/serve.go
+++ b/cmd/node/serve.go
@@ -55,6 +55,7 @@
 	redone  int
 	waits   int    // for stages of a stream that broke off
 	replica string // the last one it was sent to
+	owner   string // of the pools that its stages were asked of last
 	stream  streamState
 	staged  time.Duration // that its stages took
 	first   time.Duration // from its arrival to the first event
@@ -291,6 +292,7 @@
 		why = err.Error()
 	}
 	event.NodeRequest.Log(s.node.log, "request", s.req.ID, "route", s.route.Name, "why", why,
+		"objective", s.route.Objective, "deadline", s.req.Deadline, "version", s.world.config.Version, "owner", s.owner,
 		"attempts", len(s.tried), "replica", s.replica, "took", time.Since(s.req.Arrived), "staged", s.staged,
 		"first", s.first, "gap", s.gap, "tokens", s.req.TokensIn, "fetch", s.fetch, "pieces", s.req.Pieces)
 }
--- a/cmd/node/stages.go
+++ b/cmd/node/stages.go
@@ -55,7 +55,7 @@
 
 // runStages has the stages of a request run by the owner of its cell, or by
 // the next in line when that one is lost.
-func (n *Node) runStages(ctx context.Context, ask *pb.StagesAsk, began time.Time, objective, deadline time.Duration) (*stageJob, error) {
+func (n *Node) runStages(ctx context.Context, ask *pb.StagesAsk, began time.Time, objective, deadline time.Duration, asked func(owner string)) (*stageJob, error) {
 	n.awaitView(ctx, int(ask.Cell))
 	var err error
 	tried := make(map[string]bool)
@@ -65,6 +65,7 @@
 			break
 		}
 		tried[to.Name] = true
+		asked(to.Name)
 		spent := time.Since(began)
 		ask.ObjectiveUs = (objective - spent).Microseconds()
 		ask.DeadlineUs = (deadline - spent).Microseconds()
--- a/coordination/pipeline/call.go
+++ b/coordination/pipeline/call.go
@@ -68,10 +68,7 @@
 		if !r.serving(now) {
 			continue
 		}
-		free := now
-		if r.call != nil {
-			free = max(r.call.due, now)
-		}
+		free := r.free(now)
 		h := out[r.Hall]
 		if h == nil {
 			h = &hallState{free: free}
--- a/coordination/pipeline/pipeline_test.go
+++ b/coordination/pipeline/pipeline_test.go
@@ -400,3 +400,41 @@
 	b.tick(210 * ms)
 	is.True(len(b.calls["read-b"].Items) > 0)
 }
+
+// When the owner changed on a rolling restart, the new one saw every replica at
+// work for the last one and refused all requests for want of replicas.
+func TestReplicasAtWorkForAnotherOwnerAreCapacity(t *testing.T) {
+	is := is.New(t)
+	b := newBench(t)
+	for _, r := range replicas() {
+		b.s.Seen(b.now, r.ID, 4_000_000, true)
+	}
+	v := b.submit(newTestJob("r", 1))
+	is.True(v.Admitted)
+	is.True(v.Expected > 200*ms) // they are waited for
+	is.Equal(len(b.calls), 0)
+	b.tick(250 * ms)
+	is.Equal(len(b.calls), 1)
+}
+
+// A pool whose replicas have all just said that they are full has room soon;
+// one whose replicas all fail has none.
+func TestFullReplicasAreCapacityFailingOnesAreNot(t *testing.T) {
+	is := is.New(t)
+	for _, c := range []struct {
+		fate     Fate
+		admitted bool
+	}{{Refused, true}, {Broken, false}} {
+		b := newBench(t)
+		for _, r := range []string{"read-a", "read-b"} {
+			for range 2 { // its second failure makes a longer pause
+				b.submit(newTestJob("a", 1))
+				b.submit(newTestJob("b", 1))
+				if _, ok := b.calls[r]; ok {
+					b.answer(r, c.fate)
+				}
+			}
+		}
+		is.Equal(b.submit(newTestJob("next", 1)).Admitted, c.admitted)
+	}
+}
--- a/coordination/pipeline/pool.go
+++ b/coordination/pipeline/pool.go
@@ -75,9 +75,21 @@
 	return r.call == nil && !r.leaving && !r.gone && now >= r.pausedTo
 }
 
+// soon is how long a replica may be left alone and still count as capacity: it
+// is full or at work for another owner, and will be free.
+const soon = 400 * time.Millisecond
+
 // serving reports whether a replica counts as capacity.
 func (r *replica) serving(now time.Duration) bool {
-	return !r.leaving && !r.gone && (now >= r.pausedTo || r.call != nil)
+	return !r.leaving && !r.gone && (now+soon >= r.pausedTo || r.call != nil)
+}
+
+// free is when a replica can take its next call.
+func (r *replica) free(now time.Duration) time.Duration {
+	if r.call != nil {
+		return max(r.call.due, now)
+	}
+	return max(r.pausedTo, now)
 }
 
 func (r *replica) expire(now time.Duration) {
@@ -188,9 +200,7 @@
 			continue
 		}
 		rate += 1 / r.speed
-		if r.call != nil {
-			work += max(0, (r.call.due-now).Seconds()) / r.speed
-		}
+		work += (r.free(now) - now).Seconds() / r.speed
 	}
 	for at, w := range p.pending {
 		if at <= rank {
