--- /dev/null
+++ b/cmd/ctl/story.go
@@ -0,0 +1,133 @@
+package ctl
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+	"time"
+
+	"quinceroad/protocol/event"
+)
+
+// story is what the logs of any instances say of one request.
+type story struct {
+	id        string
+	own       []*logLine      // name the request
+	others    []*logLine      // tell of those that it met, about that time
+	replicas  map[string]bool // that it was sent to
+	instances map[string]bool // that took it, or own its pools
+	from, to  time.Time       // that the others are looked for
+}
+
+// before is how long before the request what befell others is of interest;
+// clocks of instances differ by some of it.
+const before = 10 * time.Second
+
+func newStory(id string) *story {
+	return &story{id: id, replicas: make(map[string]bool), instances: make(map[string]bool)}
+}
+
+// takeOwn keeps a line that names the request.
+func (s *story) takeOwn(l *logLine) {
+	if !l.names(s.id) {
+		return
+	}
+	s.own = append(s.own, l)
+	s.instances[l.instance] = true
+	if owner := l.field("owner"); owner != "" {
+		s.instances[owner] = true
+	}
+	if replica := l.field("replica"); replica != "" {
+		s.replicas[replica] = true
+	}
+	at := l.time()
+	began := at.Add(-l.duration("took")).Add(-before)
+	if s.from.IsZero() || began.Before(s.from) {
+		s.from = began
+	}
+	if at.After(s.to) {
+		s.to = at
+	}
+}
+
+// Events that tell of a replica, of an instance by its name, and of the
+// instance that logs them.
+var (
+	ofReplicas  = []*event.Event{event.NodeReplicaLeaves, event.NodeLeavesAlone, event.NodeTakesBack, event.NodeCallLost}
+	ofInstances = []*event.Event{event.NodeMisses, event.NodeOwnerLost}
+	ofItself    = []*event.Event{event.NodeStarted, event.NodeStopping, event.NodeConfigAdopted, event.NodeStoreLost, event.NodeStoreBack, event.NodeOwns}
+)
+
+// takeOthers keeps a line that tells of what the request met.
+func (s *story) takeOthers(l *logLine) {
+	at := l.time()
+	if l.names(s.id) || at.Before(s.from) || at.After(s.to) {
+		return
+	}
+	is := func(e *event.Event) bool { return e.Number == l.event }
+	switch {
+	case slices.ContainsFunc(ofReplicas, is) && s.replicas[l.field("replica")]:
+	case slices.ContainsFunc(ofInstances, is) && (s.instances[l.field("name")] || s.instances[l.field("owner")]):
+	case slices.ContainsFunc(ofItself, is) && s.instances[l.instance]:
+	default:
+		return
+	}
+	s.others = append(s.others, l)
+}
+
+// last returns the request's last line of an event.
+func (s *story) last(e *event.Event) *logLine {
+	for _, l := range slices.Backward(s.own) {
+		if l.event == e.Number {
+			return l
+		}
+	}
+	return nil
+}
+
+// verdict says in a sentence where the request's worth went.
+func (s *story) verdict() string {
+	end := s.last(event.NodeRequest)
+	if end == nil {
+		return "No instance logged the request's end: who had taken it was killed, or is still at work on it."
+	}
+	refused, failed, attempt := s.last(event.NodeJobRefused), s.last(event.NodeJobFailed), s.last(event.NodeAttempt)
+	switch why := end.field("why"); {
+	case why == "served":
+		return served(end)
+	case strings.HasPrefix(why, "stages refused") && refused != nil:
+		return fmt.Sprintf("Refused by %s, the owner of its pools: its stages would have ended after %s against %s left; %s.",
+			refused.instance, refused.field("expected"), limit(refused), refused.field("pools"))
+	case strings.HasPrefix(why, "stages failed") && failed != nil:
+		return fmt.Sprintf("Admitted, then given up by %s after %s: %s.", failed.instance, failed.field("after"), failed.field("why"))
+	case attempt != nil:
+		return fmt.Sprintf("Lost at replica %s after %s: %s; %s attempts in all, on a connection used before: %s.",
+			attempt.field("replica"), attempt.field("took"), attempt.field("why"), end.field("attempts"), attempt.field("kept"))
+	default:
+		return fmt.Sprintf("Ended by %s after %s: %s.", end.instance, end.field("took"), why)
+	}
+}
+
+// limit names the time that a refused job had.
+func limit(refused *logLine) string {
+	if refused.field("again") == "true" {
+		return refused.field("deadline") + " of its deadline (it came back)"
+	}
+	return refused.field("objective") + " of its objective"
+}
+
+// served says whether an answer came in time, and what took long.
+func served(end *logLine) string {
+	objective, staged, first := end.duration("objective"), end.duration("staged"), end.duration("first")
+	if first == 0 {
+		first = end.duration("took")
+	}
+	where := "its engine or service"
+	if staged > first/2 {
+		where = "its stages, at " + end.field("owner")
+	}
+	if objective > 0 && first > objective {
+		return fmt.Sprintf("Served late: it began after %s against an objective of %s; most of that went to %s.", first, objective, where)
+	}
+	return fmt.Sprintf("Served in time: it began after %s against an objective of %s; its longest pause was %s.", first, objective, end.field("gap"))
+}
