Admission foresees more urgent work that still arrives; late jobs go on for less long

Change: a pool averages the work admitted for each rank over 2 s; a job's wait is reckoned with what that leaves of the pool, 0.3 of it at least. Late jobs end 0.3 of their objective after it. Red first: TestAdmissionForeseesThatItIsOvertaken fails without the rate of arrivals.

--- a/coordination/pipeline/job.go
+++ b/coordination/pipeline/job.go
@@ -137,8 +137,9 @@
 }
 
 // admit counts the job's pieces and readies those without inputs.
-func (s *Scheduler) admit(j *job) {
+func (s *Scheduler) admit(now time.Duration, j *job) {
 	for _, st := range j.stages {
+		st.pool.arrives(now, j.rank, st.cost*float64(len(st.pieces)))
 		for _, x := range st.pieces {
 			x.count()
 		}
--- a/coordination/pipeline/options.go
+++ b/coordination/pipeline/options.go
@@ -25,7 +25,7 @@
 	o := Options{
 		Margin:       1,
 		LastMargin:   0.85,
-		LateShare:    0.8,
+		LateShare:    0.3,
 		Backlog:      1.15,
 		OverdueTimes: 1.8,
 		OverdueSlack: 200 * time.Millisecond,
--- a/coordination/pipeline/pipeline.go
+++ b/coordination/pipeline/pipeline.go
@@ -219,7 +219,7 @@
 	s.next++
 	job.id = s.next
 	s.jobs[job.id] = job
-	s.admit(job)
+	s.admit(now, job)
 	s.dispatchAll(now)
 	return Verdict{ID: job.id, Admitted: true, Expected: expected}, s.take()
 }
--- a/coordination/pipeline/pipeline_test.go
+++ b/coordination/pipeline/pipeline_test.go
@@ -438,3 +438,36 @@
 		is.Equal(b.submit(newTestJob("next", 1)).Admitted, c.admitted)
 	}
 }
+
+// What is less urgent is overtaken by what is more urgent and arrives later:
+// what arrived lately tells how much of that there will be.
+func TestAdmissionForeseesThatItIsOvertaken(t *testing.T) {
+	is := is.New(t)
+	urgentEach := func(each time.Duration) Verdict {
+		b := newBench(t)
+		for b.now = 0; b.now < 4*time.Second; b.now += 50 * ms {
+			if each > 0 && b.now%each == 0 {
+				j := newTestJob(fmt.Sprint(b.now), 3)
+				j.Rank = 1
+				b.submit(j)
+			}
+			for replica, c := range b.calls {
+				if b.now-b.s.calls[c.ID].sent >= 250*ms {
+					b.answer(replica, Answered)
+				}
+			}
+			b.tick(0)
+		}
+		for range 3 { // what waits there already
+			j := newTestJob("waits", 4)
+			j.Rank = 2
+			b.submit(j)
+		}
+		j := newTestJob("asks", 2)
+		j.Rank = 2
+		return b.submit(j)
+	}
+	quiet, busy := urgentEach(0), urgentEach(200*ms)
+	is.True(quiet.Admitted)
+	is.True(busy.Expected > quiet.Expected*3/2)
+}
--- a/coordination/pipeline/pool.go
+++ b/coordination/pipeline/pool.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"time"
 
@@ -16,6 +17,45 @@
 	ready    []*piece
 	pending  map[int]float64 // by rank: seconds of one replica that admitted pieces will take, those at work excepted
 	factors  map[int64]float64
+	arrivals map[int]*arrival // by rank
+}
+
+// arrival is the work of one rank that is admitted, lately.
+type arrival struct {
+	work float64 // seconds of one replica, halved and halved again with time
+	at   time.Duration
+}
+
+// arrivalFor is over which time arriving work is averaged.
+const arrivalFor = 2 * time.Second
+
+func (a *arrival) decay(now time.Duration) {
+	a.work *= math.Exp(-(now - a.at).Seconds() / arrivalFor.Seconds())
+	a.at = now
+}
+
+// arrives notes work that is admitted.
+func (p *pool) arrives(now time.Duration, rank int, work float64) {
+	a := p.arrivals[rank]
+	if a == nil {
+		a = &arrival{at: now}
+		p.arrivals[rank] = a
+	}
+	a.decay(now)
+	a.work += work
+}
+
+// overtaking is how many replicas the work that goes before a rank and still
+// arrives keeps busy.
+func (p *pool) overtaking(now time.Duration, rank int) float64 {
+	busy := 0.0
+	for at, a := range p.arrivals {
+		if at < rank {
+			a.decay(now)
+			busy += a.work / arrivalFor.Seconds()
+		}
+	}
+	return busy
 }
 
 func newPool(name string) *pool {
@@ -24,6 +64,7 @@
 		replicas: make(map[string]*replica),
 		pending:  make(map[int]float64),
 		factors:  make(map[int64]float64),
+		arrivals: make(map[int]*arrival),
 	}
 }
 
@@ -210,9 +251,13 @@
 	if rate == 0 {
 		return noReplica
 	}
+	rate = max(rate-p.overtaking(now, rank), rate*leastLeft)
 	return time.Duration(work / rate * float64(time.Second))
 }
 
+// leastLeft is the share of a pool that is taken for left to a rank at least.
+const leastLeft = 0.3
+
 // noReplica stands for the time until a pool without replicas is through.
 const noReplica = time.Hour
 
