A client that leaves midway is not held against the replica, and the log says that it left

The write to the client fails before the request's context ends, which was taken for the replica's fault; in both orders the log blamed the replica. Change: a failed write to the client, or a cancelled request, is "the client has gone"; it says nothing of the replica.

--- a/cmd/node/attempt.go
+++ b/cmd/node/attempt.go
@@ -77,6 +77,9 @@
 func (a *attempt) finish(ctx context.Context, err error) {
 	took := time.Since(a.sent)
 	n := a.node
+	if err != nil && errors.Is(ctx.Err(), context.Canceled) {
+		err = errLeft
+	}
 	if err != nil {
 		event.NodeAttempt.Log(n.log, "request", a.req.ID, "replica", a.replica.ID, "why", err, "took", took, "kept", a.conn.Kept())
 		took = 0
@@ -103,7 +106,7 @@
 		a.note(a.replica.ID, health.Failure)
 	case errors.Is(err, errSilent):
 		a.note(a.replica.ID, health.Silent)
-	case done(ctx): // says nothing of the replica
+	case done(ctx), errors.Is(err, errLeft): // says nothing of the replica
 	default:
 		a.note(a.replica.ID, health.Broken)
 	}
--- a/cmd/node/serve.go
+++ b/cmd/node/serve.go
@@ -75,6 +75,9 @@
 	defer cancel()
 	defer s.endJob()
 	err = s.run(ctx)
+	if err != nil && errors.Is(ctx.Err(), context.Canceled) {
+		err = errLeft // whatever it looked like
+	}
 	s.log(err)
 	if err != nil {
 		s.fail(ctx, err)
@@ -183,6 +186,7 @@
 	errSilent    = errors.New("the replica did not answer in time")
 	errOwnFault  = errors.New("the replica failed the request")
 	errCutOff    = errors.New("the stream broke off midway")
+	errLeft      = errors.New("the client has gone")
 )
 
 // run sends the request until it is answered or nothing more may be done.
@@ -202,7 +206,7 @@
 		if err == nil {
 			return nil
 		}
-		if done(ctx) || !s.again(err) {
+		if done(ctx) || errors.Is(err, errLeft) || !s.again(err) {
 			return err
 		}
 	}
@@ -258,8 +262,8 @@
 	if s.stream.headSent {
 		panic(http.ErrAbortHandler) // what was sent must not look whole
 	}
-	if errors.Is(ctx.Err(), context.Canceled) {
-		panic(http.ErrAbortHandler) // the client has gone
+	if errors.Is(err, errLeft) {
+		panic(http.ErrAbortHandler)
 	}
 	after := backSoon
 	var refused *refusedError
--- a/cmd/node/stream.go
+++ b/cmd/node/stream.go
@@ -52,10 +52,10 @@
 		}
 		_ = control.SetWriteDeadline(time.Now().Add(clientWrite))
 		if _, err := a.w.Write(e.bytes); err != nil {
-			return errCutOff
+			return errLeft
 		}
 		if err := control.Flush(); err != nil {
-			return errCutOff
+			return errLeft
 		}
 	}
 	watch.Stop()
