--- a/cmd/ctl/ctl.go
+++ b/cmd/ctl/ctl.go
@@ -33,6 +33,7 @@
   dump               the coord's state
   explain ID FILE... what the logs of any nodes say of a request, in order
   config -f FILE     check a configuration as it is written into the platform's store
+  rules              what such a configuration is held against
 
 examples:
   quincectl check -f examples/kalahari/fleet.toml
@@ -121,6 +122,8 @@
 		return c.explain(rest[0], rest[1:])
 	case name == "config" && c.file != "":
 		return c.checkConfiguration(c.file)
+	case name == "rules" && len(rest) == 0:
+		return c.rules()
 	case name == "dump" && len(rest) == 0:
 		return c.dump()
 	}
--- a/cmd/ctl/explain.go
+++ b/cmd/ctl/explain.go
@@ -7,6 +7,7 @@
 	"slices"
 
 	"quinceroad/cmd/process"
+	"quinceroad/coordination/review"
 	"quinceroad/platform"
 )
 
@@ -51,6 +52,21 @@
 	if err != nil {
 		return process.ExitUsage, err
 	}
-	fmt.Fprintf(c.out, "version %d: %d routes, %d services, %d keys; no faults\n", config.Version, len(config.Routes), len(config.Services), len(config.Customers))
+	findings := review.Configuration(config)
+	for _, f := range findings {
+		fmt.Fprintf(c.out, "%s: %s: %s (%s)\n", name, f.Place, f.Text, f.Rule)
+	}
+	fmt.Fprintf(c.out, "version %d: %d routes, %d services, %d keys; %d findings\n", config.Version, len(config.Routes), len(config.Services), len(config.Customers), len(findings))
+	if len(findings) > 0 {
+		return process.ExitFail, nil
+	}
+	return process.ExitOK, nil
+}
+
+// rules prints what a configuration is held against.
+func (c *client) rules() (int, error) {
+	for _, r := range review.Rules() {
+		fmt.Fprintf(c.out, "%-16s %s\n", r.Name, r.Meaning)
+	}
 	return process.ExitOK, nil
 }
