A start of all waits for a still view, not for a settled instance

Ruled out: the store and the list of replicas (15 ms), links. Change: an instance that hears of nobody greets its seeds each 30 ms for 0.25 s; a view that hears of others and of nobody new for 60 ms is taken for whole (gossip.Still, ownership.Clear). Test: TestAViewIsStillOnceNobodyNewIsHeardOf.

--- a/cmd/node/members.go
+++ b/cmd/node/members.go
@@ -25,6 +25,7 @@
 	renewEach = time.Minute
 
 	aloneFor      = 250 * time.Millisecond // from the start, until an instance that hears of nobody asks the store
+	greetEach     = 30 * time.Millisecond  // until then, between messages to the seeds, which may start some ms later
 	registerAfter = 750 * time.Millisecond // from then on: heartbeats tell who else there is
 )
 
@@ -241,7 +242,7 @@
 // those that start later learn of it, and reads the others' once.
 func (n *Node) register(ctx context.Context) {
 	var lease uint64
-	process.Pause(ctx, aloneFor)
+	n.greet(ctx)
 	if len(n.alive()) == 1 {
 		_ = n.meet() // the seeds may be gone; those that read before may be back
 	}
@@ -267,6 +268,17 @@
 	}
 }
 
+// greet tells the seeds of this instance until somebody is heard of or aloneFor
+// is over: where all start at once, what they can serve waits for their meeting.
+func (n *Node) greet(ctx context.Context) {
+	for n.now() < aloneFor && len(n.alive()) == 1 {
+		n.tellSeeds()
+		if !process.Pause(ctx, greetEach) {
+			return
+		}
+	}
+}
+
 func (n *Node) renew(lease *uint64) error {
 	if *lease != 0 {
 		return n.store.Keep(*lease)
--- a/cmd/node/stages.go
+++ b/cmd/node/stages.go
@@ -90,11 +90,19 @@
 // awaitView waits, right after the start, until it is heard who owns a cell:
 // those that choose by a view of some of the others make many owners at once.
 func (n *Node) awaitView(ctx context.Context, cell int) {
-	for n.now() < meetFor && !ownership.Clear(n.alive(), cell) && ctx.Err() == nil {
+	for n.now() < meetFor && !n.clear(cell) && ctx.Err() == nil {
 		process.Pause(ctx, meetLook)
 	}
 }
 
+// clear reports whether it is heard who owns a cell, or may.
+func (n *Node) clear(cell int) bool {
+	n.gossipMu.Lock()
+	defer n.gossipMu.Unlock()
+	now := n.now()
+	return ownership.Clear(n.members.Alive(now), cell, n.members.Still(now))
+}
+
 func (n *Node) nextOwner(cell int, tried map[string]bool) (gossip.Instance, bool) {
 	for _, i := range ownership.Rank(n.alive(), cell) {
 		if !tried[i.Name] {
--- a/coordination/gossip/gossip.go
+++ b/coordination/gossip/gossip.go
@@ -64,6 +64,7 @@
 	byKey map[uint32]*row
 	turn  int           // whose turn it is to be told in full
 	seeds time.Duration // when the seeds were last told
+	fresh time.Duration // when an incarnation was last heard of for the first time
 }
 
 type row struct {
@@ -83,11 +84,13 @@
 	Sample int           // entries told in full in a message, beside the sender's own
 	Beats  int           // counters in a message
 	Seeds  time.Duration // between messages to the seeds
+	Still  time.Duration // without a new incarnation, after which the view is taken for whole
 }
 
 // Standard returns the constants for heartbeats sent each 200 ms.
 func Standard() Options {
-	return Options{Silent: 1100 * time.Millisecond, Each: 15 * time.Millisecond, Small: 30, Forget: 5 * time.Minute, Fanout: 4, Sample: 10, Beats: 64, Seeds: 2 * time.Second}
+	return Options{Silent: 1100 * time.Millisecond, Each: 15 * time.Millisecond, Small: 30, Forget: 5 * time.Minute, Fanout: 4, Sample: 10, Beats: 64, Seeds: 2 * time.Second,
+		Still: 60 * time.Millisecond}
 }
 
 // turns is among how many the instances' first turns are spread: if all told
@@ -128,12 +131,16 @@
 	if r == nil {
 		r = &row{Instance: i, heard: now, key: i.Key()}
 		v.rows[i.Name], v.byKey[r.key] = r, r
+		v.fresh = now
 		return true
 	}
 	if i.Incarnation < r.Incarnation || (i.Incarnation == r.Incarnation && i.Count <= r.Count) {
 		return false
 	}
 	isNew := i.Incarnation > r.Incarnation
+	if isNew {
+		v.fresh = now
+	}
 	if i.Incarnation == r.Incarnation {
 		i.Leaving = i.Leaving || r.Leaving
 	}
@@ -296,5 +303,11 @@
 	return out
 }
 
+// Still reports whether others are heard of and nobody new has been for a
+// while: after a start of all, the view is then as good as it gets soon.
+func (v *View) Still(now time.Duration) bool {
+	return len(v.Alive(now)) > 1 && now-v.fresh >= v.opts.Still
+}
+
 // Known returns the number of instances that are not forgotten, oneself included.
 func (v *View) Known() int { return len(v.rows) + 1 }
--- a/coordination/gossip/gossip_test.go
+++ b/coordination/gossip/gossip_test.go
@@ -198,3 +198,20 @@
 	v.SetConfigured(5)
 	is.Equal(v.Self().Configured, uint64(7))
 }
+
+// After a start of all nobody has settled; what a view is good for then shows
+// in that nobody new is heard of.
+func TestAViewIsStillOnceNobodyNewIsHeardOf(t *testing.T) {
+	is := is.New(t)
+	o := Standard()
+	v := New(Instance{Name: "a", Incarnation: 1}, o)
+	is.True(!v.Still(time.Second)) // it hears of nobody
+	v.Merge(time.Second, Instance{Name: "b", Incarnation: 1, Count: 1})
+	is.True(!v.Still(time.Second + o.Still - 1))
+	v.Merge(time.Second+o.Still-1, Instance{Name: "c", Incarnation: 1, Count: 1})
+	is.True(!v.Still(time.Second + o.Still)) // c is new
+	v.Merge(time.Second+o.Still, Instance{Name: "c", Incarnation: 1, Count: 2})
+	is.True(v.Still(time.Second + 2*o.Still - 1)) // known ones may go on speaking
+	v.Merge(time.Second+2*o.Still, Instance{Name: "b", Incarnation: 2, Count: 1})
+	is.True(!v.Still(time.Second + 2*o.Still)) // another life of b
+}
--- a/coordination/ownership/ownership.go
+++ b/coordination/ownership/ownership.go
@@ -42,9 +42,9 @@
 
 // Clear reports whether the view tells who owns a cell, or may: right after
 // all have started each knows some of the others only, and all would choose
-// differently.
-func Clear(alive []gossip.Instance, cell int) bool {
-	return slices.ContainsFunc(alive, func(i gossip.Instance) bool { return !i.Leaving && (i.Settled() || owns(i, cell)) })
+// differently, until the view is still.
+func Clear(alive []gossip.Instance, cell int, still bool) bool {
+	return still || slices.ContainsFunc(alive, func(i gossip.Instance) bool { return !i.Leaving && (i.Settled() || owns(i, cell)) })
 }
 
 func owns(i gossip.Instance, cell int) bool { return slices.Contains(i.Owns, uint32(cell)) }
--- a/coordination/ownership/ownership_test.go
+++ b/coordination/ownership/ownership_test.go
@@ -47,12 +47,13 @@
 func TestAViewIsClearOnceSomebodyOwnsOrIsSettled(t *testing.T) {
 	is := is.New(t)
 	alive := []gossip.Instance{{Name: "a", Count: 2}, {Name: "b", Count: 3}}
-	is.True(!Clear(alive, 0))
+	is.True(!Clear(alive, 0, false))
+	is.True(Clear(alive, 0, true)) // nobody else is to be expected
 	alive[0].Owns = []uint32{0}
-	is.True(Clear(alive, 0))
-	is.True(!Clear(alive, 1))
+	is.True(Clear(alive, 0, false))
+	is.True(!Clear(alive, 1, false))
 	alive[1].Count = 100
-	is.True(Clear(alive, 1))
+	is.True(Clear(alive, 1, false))
 	alive[1].Leaving = true
-	is.True(!Clear(alive, 1))
+	is.True(!Clear(alive, 1, false))
 }
