Who came back is told by 70 ms, not by 0.2% of the deadline

Cause: a client that came back after a refusal is admitted up to 0.85 of its deadline, and it was told by a deadline under 0.998 of its route's longest: 12 ms of 6 s, less than a connection takes. Change: deadlines.cameBack, by an absolute 70 ms: refused clients wait 100 ms at least.

--- a/cmd/node/node.go
+++ b/cmd/node/node.go
@@ -60,11 +60,11 @@
 	gossipMu sync.Mutex
 	members  *gossip.View
 
-	judgeMu sync.Mutex
-	judge   *health.Judge
-	loads   *choice.Table
-	rates   map[string]*serviceRates
-	longest map[string]time.Duration // by route: the longest deadline that a client has stated
+	judgeMu   sync.Mutex
+	judge     *health.Judge
+	loads     *choice.Table
+	rates     map[string]*serviceRates
+	deadlines deadlines
 
 	owner *owner
 
@@ -85,18 +85,18 @@
 // New returns a process that is not started.
 func New(s *platform.Settings, log hclog.Logger) *Node {
 	n := &Node{
-		settings: s,
-		log:      log,
-		store:    platform.NewStore(s.Store),
-		clients:  upstream.New(),
-		registry: metrics.NewRegistry(),
-		began:    time.Now(),
-		replicas: newReplicaSet(),
-		judge:    health.New(health.Standard()),
-		loads:    choice.NewTable(),
-		rates:    make(map[string]*serviceRates),
-		longest:  make(map[string]time.Duration),
-		stopPlan: shutdown.For(s.StopFor),
+		settings:  s,
+		log:       log,
+		store:     platform.NewStore(s.Store),
+		clients:   upstream.New(),
+		registry:  metrics.NewRegistry(),
+		began:     time.Now(),
+		replicas:  newReplicaSet(),
+		judge:     health.New(health.Standard()),
+		loads:     choice.NewTable(),
+		rates:     make(map[string]*serviceRates),
+		deadlines: make(deadlines),
+		stopPlan:  shutdown.For(s.StopFor),
 	}
 	n.seeds.Store(&s.Seeds)
 	n.links = link.NewPool(&n.traffic)
--- a/cmd/node/serve.go
+++ b/cmd/node/serve.go
@@ -20,9 +20,8 @@
 	backSoon      = 300 * time.Millisecond
 	mostUnsent    = 4 // sends of one request that reached nobody or were turned away
 	mostWaits     = 6
-	mostRedone    = 2     // times that a request's stages are run again
-	againShare    = 0.998 // of the route's longest deadline: a shorter one is a client's that came back
-	retryPart     = 3     // clients wait at most this part of the time they have left
+	mostRedone    = 2 // times that a request's stages are run again
+	retryPart     = 3 // clients wait at most this part of the time they have left
 	retryMargin   = 0.95
 	shareOfSlack  = 0.6  // of the retries that the deployment allows beside its ratio
 	shareOfRatio  = 0.75 // of the ratio itself
@@ -172,9 +171,7 @@
 	n := s.node
 	n.judgeMu.Lock()
 	defer n.judgeMu.Unlock()
-	longest := max(n.longest[s.route.Name], s.req.Deadline)
-	n.longest[s.route.Name] = longest
-	return float64(s.req.Deadline) < againShare*float64(longest)
+	return n.deadlines.cameBack(s.route.Name, s.req.Deadline)
 }
 
 // errors of attempts that another attempt may mend.
