Large results are made when the request is about to read them

Change: such a piece waits until what is left of its job's other stages is no longer than its own time and a call (pipeline/times.go). job.go is split into job, times and late. Test: TestLargeResultsAreMadeWhenTheRequestIsAboutToReadThem.

--- a/coordination/pipeline/call.go
+++ b/coordination/pipeline/call.go
@@ -83,14 +83,15 @@
 
 // pickBatch takes the pieces that go into a replica's next call, in order, as
 // many as it may hold and has room for. Pieces that belong to another hall are
-// left to it unless they would be late there, or more wait than its next calls hold.
+// left to it unless they would be late there, or more wait than its next calls
+// hold; large ones that are not needed soon wait.
 func (p *pool) pickBatch(now time.Duration, r *replica) []*piece {
 	room := p.def.Room - r.taken(now, p.def.HoldFor)
 	halls := p.halls(now)
 	var batch []*piece
 	rest := p.ready[:0]
 	for _, x := range p.ready {
-		if len(batch) < p.def.Batch && x.stage.def.Bytes <= room && x.may(r, halls[x.hall]) {
+		if len(batch) < p.def.Batch && x.stage.def.Bytes <= room && !x.early() && x.may(r, halls[x.hall]) {
 			room -= x.stage.def.Bytes
 			batch = append(batch, x)
 			continue
--- a/coordination/pipeline/job.go
+++ b/coordination/pipeline/job.go
@@ -1,7 +1,6 @@
 package pipeline
 
 import (
-	"maps"
 	"slices"
 	"time"
 )
@@ -52,9 +51,6 @@
 	started   bool // a piece was given to a replica
 }
 
-// lateRank is added to the rank of jobs that miss their objective.
-const lateRank = 1000
-
 func (s *Scheduler) newJob(now time.Duration, def Job) (*job, bool) {
 	j := &job{Job: def, rank: def.Rank, due: now + def.Objective, dead: now + def.Deadline}
 	for n, d := range def.Stages {
@@ -75,32 +71,6 @@
 	return j, true
 }
 
-// rests returns for each stage the time from its start to the end of the last
-// stage that waits for it, without queues.
-func (j *job) rests() []time.Duration {
-	rest := make([]time.Duration, len(j.stages))
-	for n := len(j.stages) - 1; n >= 0; n-- {
-		rest[n] += j.stages[n].duration()
-		for _, a := range j.stages[n].def.After {
-			rest[a] = max(rest[a], rest[n])
-		}
-	}
-	return rest
-}
-
-// duration is how long a stage takes once its call begins: pieces of others
-// share the call.
-func (st *stage) duration() time.Duration {
-	if len(st.pieces) == 0 {
-		return 0
-	}
-	const sharedPart = 0.6 // of a full call's pieces are before a given one ends, together with its own
-	full := float64(st.pool.batchOf(st.def.Bytes))
-	items := max(full*sharedPart, float64(min(len(st.pieces), st.pool.def.Batch)))
-	t := st.pool.def.CallTime.Seconds() + items*st.pool.def.ItemTime.Seconds()*st.pool.factor(st.def.Bytes)
-	return time.Duration(t * float64(time.Second))
-}
-
 // expect returns the time until the job's stages are done, by what waits now.
 func (s *Scheduler) expect(now time.Duration, j *job) time.Duration {
 	ends := make([]time.Duration, len(j.stages))
@@ -325,55 +295,3 @@
 	s.remove(now, j)
 	s.act(Fail{Job: j.id, Why: why, RetryAfter: after})
 }
-
-// hopelessJobs ends jobs that miss their deadline, and those that miss their
-// objective before any work was done on them: what waits there takes the time
-// of others. Jobs that will be late, and those that are, go on behind the
-// others, the latter for a while.
-func (s *Scheduler) hopelessJobs(now time.Duration) {
-	for _, id := range slices.Sorted(maps.Keys(s.jobs)) {
-		j := s.jobs[id]
-		if j.delivered {
-			continue
-		}
-		lateFor := time.Duration(float64(j.Objective) * s.opts.LateShare)
-		switch {
-		case now >= j.dead:
-			s.fail(now, j, "deadline", 0)
-		case now > j.due && (!j.started || now > j.due+lateFor):
-			s.fail(now, j, "late", s.opts.Unknown)
-		case j.rank < lateRank && j.willBeLate(now):
-			if !j.started {
-				s.fail(now, j, "late", s.opts.Unknown)
-				continue
-			}
-			s.demote(j)
-		}
-	}
-}
-
-// willBeLate reports whether a stage whose pieces still wait should have begun.
-func (j *job) willBeLate(now time.Duration) bool {
-	for _, st := range j.stages {
-		if now > st.latest && slices.ContainsFunc(st.pieces, func(x *piece) bool { return x.state == ready || x.state == blocked }) {
-			return true
-		}
-	}
-	return false
-}
-
-func (s *Scheduler) demote(j *job) {
-	var counted []*piece
-	for _, st := range j.stages {
-		for _, x := range st.pieces {
-			if x.counted {
-				x.uncount()
-				counted = append(counted, x)
-			}
-		}
-	}
-	j.rank += lateRank
-	for _, x := range counted {
-		x.count()
-	}
-}
--- a/coordination/pipeline/pipeline_test.go
+++ b/coordination/pipeline/pipeline_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"testing"
 	"time"
 
@@ -100,6 +101,27 @@
 	b.do(b.s.Answer(b.now, c.ID, fate, results))
 }
 
+// atWork returns a replica of a service that has a call; "" when none has.
+func (b *bench) atWork(service string) string {
+	for id := range b.calls {
+		if strings.HasPrefix(id, service) {
+			return id
+		}
+	}
+	return ""
+}
+
+// working returns how many replicas of a service have a call.
+func (b *bench) working(service string) int {
+	n := 0
+	for id := range b.calls {
+		if strings.HasPrefix(id, service) {
+			n++
+		}
+	}
+	return n
+}
+
 func (b *bench) tick(d time.Duration) {
 	b.now += d
 	b.do(b.s.Tick(b.now))
@@ -471,3 +493,30 @@
 	is.True(quiet.Admitted)
 	is.True(busy.Expected > quiet.Expected*3/2)
 }
+
+// A large result that only the request reads lay for a second and more in its
+// replica's room while the job's other stages ran, and others found none.
+func TestLargeResultsAreMadeWhenTheRequestIsAboutToReadThem(t *testing.T) {
+	is := is.New(t)
+	b := newBench(t)
+	j := newTestJob("r", 1)
+	j.Stages[0].Bytes = 1_000_000 // read by the request alone
+	j.Stages = append(j.Stages, Stage{Service: "rank", Pieces: 1, Bytes: 10_000},
+		Stage{Service: "rank", After: []int{1}, Pieces: 1, Bytes: 10_000},
+		Stage{Service: "rank", After: []int{2}, Pieces: 1, Bytes: 10_000})
+	is.True(b.submit(j).Admitted)
+	for stage := 1; stage < 3; stage++ {
+		is.Equal(b.working("read"), 0) // more stages are to come than its own time covers
+		b.now += 220 * ms
+		b.answer(b.atWork("rank"), Answered)
+		if stage == 1 {
+			is.Equal(b.working("read"), 0)
+		}
+	}
+	is.Equal(b.working("read"), 1) // one stage is left, as long as its own
+
+	small := newTestJob("s", 1) // with small results nothing is held back
+	small.Stages = append(small.Stages, j.Stages[1:]...)
+	is.True(b.submit(small).Admitted)
+	is.Equal(b.working("read"), 2)
+}
