A pool's last idle replica is kept for urgent work

Cause: a free replica got what waited at once. Change: what has time takes the last idle replica of three and more only as half a batch, or 1.5 calls before its latest start (pipeline/patience.go). Tests: TestTheLastIdleReplicaIsKeptForUrgentWork, TestWhatHasWaitedLongTakesTheLastIdleReplica.

--- a/coordination/pipeline/call.go
+++ b/coordination/pipeline/call.go
@@ -25,7 +25,8 @@
 	}
 }
 
-// dispatch gives each idle replica a call while pieces wait that it may take.
+// dispatch gives each idle replica a call while pieces wait that it may take;
+// the last one is kept for what is urgent.
 func (s *Scheduler) dispatch(now time.Duration, p *pool) {
 	if len(p.ready) == 0 {
 		return
@@ -35,7 +36,10 @@
 		return
 	}
 	p.sort()
-	for _, r := range idle {
+	for i, r := range idle {
+		if i == len(idle)-1 && !p.mayTakeLast(now, &s.opts) {
+			return
+		}
 		if batch := p.pickBatch(now, r); len(batch) > 0 {
 			s.send(now, p, r, batch)
 		}
--- a/coordination/pipeline/options.go
+++ b/coordination/pipeline/options.go
@@ -10,6 +10,8 @@
 	Backlog      float64       // what pieces cost in real calls against full ones
 	OverdueTimes float64       // a call is overdue after so many times what it should take
 	OverdueSlack time.Duration // and this
+	LastFill     float64       // share of a batch that may take the last idle replica, urgent or not (trials: 0.3 to 0.75, best 0.5)
+	LastSlack    float64       // calls' fixed times before a piece's latest start, from when it may, too (trials: 1.5 to 3.5)
 	Tries        int           // of a piece
 	Busy         time.Duration // a replica that refused is left alone for
 	PauseFirst   time.Duration // a replica that failed is left alone for, doubled each time
@@ -29,6 +31,8 @@
 		Backlog:      1.15,
 		OverdueTimes: 1.8,
 		OverdueSlack: 200 * time.Millisecond,
+		LastFill:     0.5,
+		LastSlack:    1.5,
 		Tries:        4,
 		Busy:         120 * time.Millisecond,
 		PauseFirst:   500 * time.Millisecond,
--- a/coordination/pipeline/pipeline_test.go
+++ b/coordination/pipeline/pipeline_test.go
@@ -520,3 +520,52 @@
 	is.True(b.submit(small).Admitted)
 	is.Equal(b.working("read"), 2)
 }
+
+// Calls with one piece of work that had a second to spare kept every replica
+// at work, and urgent pieces waited for a call's end.
+func TestTheLastIdleReplicaIsKeptForUrgentWork(t *testing.T) {
+	is := is.New(t)
+	b := newBench(t)
+	list := append(replicas(), catalog.Replica{ID: "read-c", Service: "read", Hall: "a", Address: "read-c:1"})
+	b.do(b.s.SetPools(0, services(), list))
+	urgent := func(id string) Job {
+		j := newTestJob(id, 1)
+		j.Objective = 600 * ms
+		return j
+	}
+	patient := func(id string, pieces int) Job {
+		j := newTestJob(id, pieces)
+		j.Rank = 5
+		return j
+	}
+	is.True(b.submit(urgent("first")).Admitted)
+	is.True(b.submit(patient("second", 1)).Admitted)
+	is.Equal(b.working("read"), 2)
+	is.True(b.submit(patient("third", 1)).Admitted)
+	is.Equal(b.working("read"), 2) // it has time
+	is.True(b.submit(urgent("fourth")).Admitted)
+	is.Equal(b.working("read"), 3)
+
+	b.now = 220 * ms
+	b.answer("read-a", Answered)
+	is.True(b.submit(patient("fifth", 2)).Admitted)
+	is.Equal(b.working("read"), 3) // half a batch is worth a call
+}
+
+func TestWhatHasWaitedLongTakesTheLastIdleReplica(t *testing.T) {
+	is := is.New(t)
+	b := newBench(t)
+	list := append(replicas(), catalog.Replica{ID: "read-c", Service: "read", Hall: "a", Address: "read-c:1"})
+	b.do(b.s.SetPools(0, services(), list))
+	for i := range 2 {
+		is.True(b.submit(newTestJob(fmt.Sprint(i), 1)).Admitted)
+	}
+	j := newTestJob("patient", 1)
+	j.Rank = 5
+	is.True(b.submit(j).Admitted)
+	is.Equal(b.working("read"), 2)
+	for range 30 { // 1.5 s, of 2 s that it has
+		b.tick(50 * ms)
+	}
+	is.Equal(b.working("read"), 3)
+}
