A new owner asks the engines which prompts they keep

Cause: the table of what engines keep lives at the cell's owner alone. Change: a new owner asks each engine once what it keeps (platform.ParseKept), without waiting for it; what is told is believed for 30 s (placement.Told).

--- a/cmd/node/cell.go
+++ b/cmd/node/cell.go
@@ -139,8 +139,9 @@
 	return strings.Join(out, "; ")
 }
 
-// prepare gives a scheduler that has just been made the world in force, and
-// what the replicas tell of themselves: another owner may have left them full.
+// prepare gives a cell that has just been made the world in force and what the
+// replicas tell of themselves: another owner may have left pools full and
+// prompts at engines.
 func (c *cell) prepare() {
 	c.ready.Do(func() {
 		c.refresh()
@@ -151,10 +152,13 @@
 		}
 		var asked sync.WaitGroup
 		for _, r := range w.share(c.number) {
-			if w.config.Services[r.Service].Pool == nil || r.Leaving {
-				continue
+			switch {
+			case r.Leaving:
+			case w.config.Services[r.Service].Pool != nil:
+				asked.Go(func() { c.look(r) })
+			default:
+				go c.askKept(r) // which the first requests need not wait for
 			}
-			asked.Go(func() { c.look(r) })
 		}
 		asked.Wait()
 	})
@@ -171,3 +175,17 @@
 	c.scheduler.Seen(n.now(), r.ID, free, atWork)
 	c.mu.Unlock()
 }
+
+// askKept takes in which parts of prompts an engine keeps. A loss costs
+// prompts that are read again.
+func (c *cell) askKept(r catalog.Replica) {
+	n := c.owner.node
+	parts, err := n.keptParts(r)
+	if err != nil {
+		event.NodeKeptUnknown.Log(n.log, "replica", r.ID, "error", err)
+		return
+	}
+	c.mu.Lock()
+	c.engines.Told(n.now(), r.ID, parts)
+	c.mu.Unlock()
+}
--- a/cmd/node/pieces.go
+++ b/cmd/node/pieces.go
@@ -78,6 +78,24 @@
 	return platform.ParseReport(data)
 }
 
+// keptFor is how long an engine may take to tell what it keeps: it does so
+// between two steps of its work.
+const keptFor = time.Second
+
+// keptParts asks an engine which parts of prompts it keeps.
+func (n *Node) keptParts(r catalog.Replica) ([]catalog.Part, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), keptFor)
+	defer cancel()
+	status, _, data, err := n.call(ctx, ownCall{address: r.Address, replica: r.ID, method: fasthttp.MethodGet, path: platform.PathKept})
+	if err != nil {
+		return nil, err
+	}
+	if status != fasthttp.StatusOK {
+		return nil, upstream.ErrCut
+	}
+	return platform.ParseKept(data)
+}
+
 // ownCall is a call of the system's own to a replica.
 type ownCall struct {
 	address string
--- a/coordination/placement/placement.go
+++ b/coordination/placement/placement.go
@@ -41,6 +41,7 @@
 	UsualFor     time.Duration // over which an engine's usual reading is averaged
 	KeptShare    float64       // of an engine's memory that is taken to keep parts
 	KeptFor      time.Duration // after which a part is taken for gone
+	ToldFor      time.Duration // for which what an engine said that it keeps is believed
 	Crowded      float64       // share of an engine's slots from which more streams cost
 	CrowdedCosts float64
 }
@@ -64,6 +65,7 @@
 		UsualFor:     8 * time.Second,
 		KeptShare:    0.7,
 		KeptFor:      60 * time.Second,
+		ToldFor:      30 * time.Second, // half of KeptFor: a part not asked for since is the first to give way
 		Crowded:      0.6,
 		CrowdedCosts: 2,
 	}
@@ -105,6 +107,8 @@
 	usualAt time.Duration
 	speed   float64 // time to a first event against the expected
 	kept    map[uint64]*part
+	listed  map[string]int // by part: tokens that it kept when it was asked
+	askedAt time.Duration
 	tokens  int
 }
 
@@ -173,8 +177,7 @@
 func (e *engine) keeps(now time.Duration, o *Options, parts []catalog.Part, keys []uint64) int {
 	n := 0
 	for i, k := range keys {
-		p := e.kept[k]
-		if p == nil || now-p.used > o.KeptFor {
+		if !e.holds(now, o, parts[i], k) {
 			break
 		}
 		n += parts[i].Tokens
@@ -182,6 +185,29 @@
 	return n
 }
 
+// holds reports whether an engine keeps a part: it ran a request with it
+// lately, or said so itself.
+func (e *engine) holds(now time.Duration, o *Options, p catalog.Part, key uint64) bool {
+	if kept := e.kept[key]; kept != nil {
+		return now-kept.used <= o.KeptFor
+	}
+	return now-e.askedAt <= o.ToldFor && e.listed[p.ID] >= p.Tokens
+}
+
+// Told takes in which parts an engine says that it keeps: what requests of an
+// earlier owner left there.
+func (t *Table) Told(now time.Duration, replica string, parts []catalog.Part) {
+	e := t.engines[replica]
+	if e == nil {
+		return
+	}
+	e.listed = make(map[string]int, len(parts))
+	for _, p := range parts {
+		e.listed[p.ID] = p.Tokens
+	}
+	e.askedAt = now
+}
+
 // Place returns the cheapest engine for a request.
 func (t *Table) Place(now time.Duration, r *Request) (Choice, bool) {
 	keys := chain(r.Parts)
--- a/coordination/placement/placement_test.go
+++ b/coordination/placement/placement_test.go
@@ -141,3 +141,24 @@
 		table.Place(time.Second, r)
 	}
 }
+
+// After a change of owner every shared prompt was read again at whichever
+// engine came next, although most engines kept it.
+func TestWhatAnEngineSaysThatItKeepsIsNotReadAgain(t *testing.T) {
+	is := is.New(t)
+	table := newTable(3)
+	kept := []catalog.Part{{ID: "system", Tokens: 2000}, {ID: "case", Tokens: 2000}}
+	table.Told(time.Second, "e1", kept)
+	c, ok := table.Place(time.Second, request(1, 100, 20, "system", "case"))
+	is.True(ok)
+	is.Equal(c.Replica.ID, "e1")
+	is.Equal(c.Fetch, "")
+
+	e := table.engines["e1"]
+	o := &table.opts
+	parts := func(ids ...string) []catalog.Part { return request(2, 100, 20, ids...).Parts }
+	keeps := func(now time.Duration, p []catalog.Part) int { return e.keeps(now, o, p, chain(p)) }
+	is.Equal(keeps(time.Second, parts("system", "case")), 4000)
+	is.Equal(keeps(time.Second, parts("other", "case")), 0) // what goes before is not there
+	is.Equal(keeps(time.Second+o.ToldFor+1, parts("system", "case")), 0)
+}
--- a/protocol/event/event.go
+++ b/protocol/event/event.go
@@ -68,6 +68,7 @@
 	NodeCallLost      = add(3041, hclog.Warn, "call of pieces lost", "replica, pieces, fate", "A replica did not run a call of pieces, or its answer did not come; the pieces go to others.", "look at that replica when it repeats")
 	NodeCallDone      = add(3043, hclog.Debug, "call of pieces done", "replica, service, pieces, took, no_room, gone, late, failed", "A replica answered a call of pieces.", nothing)
 	NodeOwnerLost     = add(3042, hclog.Warn, "owner unreachable", "owner, request, error", "The next instance in line is asked.", "see whether that instance crashed")
+	NodeKeptUnknown   = add(3044, hclog.Info, "kept prompts unknown", "replica, error", "A new owner asked an engine which parts of prompts it keeps, and was not told; prompts are read again there.", "look at that replica when it repeats")
 	NodeRequest       = add(3050, hclog.Info, "request", "request, route, why, objective, deadline, version, owner, attempts, replica, took, staged, first, gap, tokens, fetch, pieces", "What became of a request.", nothing)
 	NodeAttempt       = add(3051, hclog.Info, "attempt failed", "request, replica, why, took, kept", "An attempt at a replica did not bring the answer; kept: on a connection used before.", "look at that replica when it repeats")
 	NodeJobRefused    = add(3052, hclog.Info, "job refused", "request, rank, again, expected, objective, deadline, pools", "The owner of the pools refused a request's stages: what waits there and its own work would end too late.", "when it lasts, the pools named have too few replicas")
