Calls that a silent store missed are not waited for

A watch that a reader began during the outage, on a connection from before, waits its whole 8.7 s; the log shows yaba-hall-1 'store unreachable' at 29.73 s, 3.7 s after the return. No other reader had a newer watch by luck only: the code before has the same fault. Change: a topic of which nothing is known is asked for again each 0.3 s while calls wait, five at most; who reads for others asks the store each 1.5 s, by a stale read, whether it answers, and after a silence its watches begin anew. The store's topics move from follow.go to topics.go. Ruled out for (1): to shorten the call: a slow store (60 times 4 ms) would then never answer.

--- a/cmd/node/follow.go
+++ b/cmd/node/follow.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"quinceroad/cmd/process"
-	"quinceroad/coordination/changes"
 	"quinceroad/coordination/gossip"
 	"quinceroad/coordination/readers"
 	"quinceroad/platform"
@@ -20,16 +19,22 @@
 	retryMost  = 1 * time.Second
 	emptyWait  = 250 * time.Millisecond // before a topic that nobody has written is read again
 	roleLook   = 100 * time.Millisecond // between looks whether this instance is to read
+	askEach    = 300 * time.Millisecond // between reads of a topic of which nothing is known: 75 times a usual answer
+	mostAsks   = 5                      // of these under way, of one topic; the first ends with its time-out then
 )
 
+// errMissed says that a call was given up: the store has been silent since it began.
+var errMissed = errors.New("the store missed the call")
+
 // follow keeps a topic of the store: it reads it whole once, and then waits for
 // its changes while this instance is one of those that read for others.
 type follow struct {
 	node    *Node
+	back    func() <-chan struct{} // closed when the store answers again after a silence
 	name    string
-	known   func() bool  // the topic was read, or learnt from a peer
-	read    func() error // takes the whole topic in
-	changes func() error // waits for changes and takes them in
+	known   func() bool                     // the topic was read, or learnt from a peer
+	read    func() (take func(), err error) // reads the whole topic; take takes it in
+	changes func() (take func(), err error) // waits for changes
 }
 
 func (f *follow) run(ctx context.Context) {
@@ -53,6 +58,8 @@
 				n.sees(true)
 			}
 			continue
+		case errors.Is(err, errMissed):
+			continue
 		case errors.Is(err, platform.ErrCompacted):
 			whole = true
 			continue
@@ -72,10 +79,74 @@
 }
 
 func (f *follow) step(whole bool) error {
-	if whole || !f.known() {
-		return f.read()
+	if !f.known() {
+		return f.learn()
+	}
+	call := f.changes
+	if whole {
+		call = f.read
+	}
+	return f.await(call)
+}
+
+// answer is what became of a call to the store; take takes its news in.
+type answer struct {
+	take func()
+	err  error
+}
+
+func ask(call func() (func(), error), to chan<- answer) {
+	take, err := call()
+	to <- answer{take, err}
+}
+
+// await makes a call and takes its news in, unless the store was silent
+// meanwhile and answers again: it won't answer what it missed.
+func (f *follow) await(call func() (func(), error)) error {
+	back := f.back()
+	answers := make(chan answer, 1)
+	go ask(call, answers)
+	select {
+	case a := <-answers:
+		if a.err == nil {
+			a.take()
+		}
+		return a.err
+	case <-back:
+		return errMissed
+	}
+}
+
+// learn reads a topic of which nothing is known. It asks again while earlier
+// calls wait: a store that was away never answers those that it missed, and
+// nothing can be served until it has.
+func (f *follow) learn() error {
+	answers := make(chan answer, mostAsks)
+	again := time.NewTicker(askEach)
+	defer again.Stop()
+	asked, ended := 1, 0
+	go ask(f.read, answers)
+	for {
+		select {
+		case a := <-answers:
+			ended++
+			if a.err == nil {
+				a.take() // the first one; later ones may be older
+				return nil
+			}
+			if ended == asked {
+				return a.err
+			}
+		case <-again.C:
+			if f.known() { // a peer told it
+				return nil
+			}
+			if asked < mostAsks {
+				asked++
+				go ask(f.read, answers)
+			}
+		}
 	}
-	return f.changes()
 }
 
 // sees notes whether the store is reached; who does not reach it reads for
@@ -97,108 +168,3 @@
 	n.gossipMu.Unlock()
 	event.NodeReads.Log(n.log, "reads", reads)
 }
-
-func (n *Node) followConfiguration(ctx context.Context) {
-	at := uint64(0)
-	f := follow{node: n, name: "configuration", known: func() bool { return n.version() > 0 }}
-	f.read = func() error {
-		data, revision, err := n.store.Configuration()
-		if err != nil {
-			return err
-		}
-		at = revision
-		n.offer(data, "store")
-		return nil
-	}
-	f.changes = func() error {
-		items, revision, err := n.store.Watch(platform.TopicConfiguration, at, watchFor)
-		if err != nil {
-			return err
-		}
-		at = max(at, revision)
-		for i := range items {
-			if items[i].IsConfiguration() && !items[i].Gone {
-				n.offer(items[i].Value, "store")
-			}
-		}
-		return nil
-	}
-	f.run(ctx)
-}
-
-// version is that of the configuration in force; 0: none.
-func (n *Node) version() uint64 {
-	n.followMu.Lock()
-	defer n.followMu.Unlock()
-	if n.config == nil {
-		return 0
-	}
-	return n.config.Version
-}
-
-// offer takes a configuration into force if it is newer than the one in force;
-// a version never falls within a process's life.
-func (n *Node) offer(data []byte, from string) {
-	c, err := platform.ParseConfiguration(data)
-	if err != nil {
-		event.NodeConfigBroken.Log(n.log, "from", from, "error", err)
-		if c == nil {
-			return
-		}
-	}
-	n.followMu.Lock()
-	newer := n.config == nil || c.Version > n.config.Version
-	if newer {
-		n.config, n.rawConfig = c, &rawConfig{text: data}
-	}
-	n.followMu.Unlock()
-	if !newer {
-		return
-	}
-	n.publish()
-	n.gossipMu.Lock()
-	n.members.SetConfigured(c.Version)
-	n.gossipMu.Unlock()
-	event.NodeConfigAdopted.Log(n.log, "version", c.Version, "from", from, "routes", len(c.Routes))
-	n.tell()
-	if from == "store" {
-		n.tellHall()
-	}
-}
-
-func (n *Node) followReplicas(ctx context.Context) {
-	f := follow{node: n, name: "replicas", known: n.listKnown}
-	f.read = func() error {
-		items, at, err := n.store.Replicas()
-		if err != nil {
-			return err
-		}
-		n.followMu.Lock()
-		n.replicas.log.Replace(items, at)
-		n.followMu.Unlock()
-		event.NodeReplicas.Log(n.log, "from", "store", "at", at, "known", len(items))
-		n.publish()
-		return nil
-	}
-	f.changes = func() error {
-		items, at, err := n.store.Watch(platform.TopicReplicas, n.listAt(), watchFor)
-		if err != nil {
-			return err
-		}
-		entries := make([]changes.Entry, 0, len(items))
-		for _, i := range items {
-			entries = append(entries, changes.Entry{ID: i.ReplicaID(), Value: i.Value, Revision: i.Revision, Gone: i.Gone})
-		}
-		n.followMu.Lock()
-		news := n.replicas.log.Apply(entries, at)
-		n.followMu.Unlock()
-		if news > 0 {
-			event.NodeReplicas.Log(n.log, "from", "store", "changes", news, "at", at)
-			n.publish()
-			n.tellHall()
-			process.Pause(ctx, gather)
-		}
-		return nil
-	}
-	f.run(ctx)
-}
--- a/cmd/node/node.go
+++ b/cmd/node/node.go
@@ -54,6 +54,7 @@
 
 	reads       atomic.Bool // this instance follows the store for others
 	storeFailed atomic.Bool // a call to the store has failed since the start
+	pulse       *pulse
 	configPull  pull
 	listPull    pull
 
@@ -92,6 +93,7 @@
 		registry:  metrics.NewRegistry(),
 		began:     time.Now(),
 		replicas:  newReplicaSet(),
+		pulse:     newPulse(),
 		judge:     health.New(health.Standard()),
 		loads:     choice.NewTable(),
 		rates:     make(map[string]*serviceRates),
@@ -138,7 +140,7 @@
 	n.cancel = cancel
 	n.group, ctx = errgroup.WithContext(ctx)
 	loops := []func(context.Context){
-		n.followConfiguration, n.followReplicas, n.register, n.beat, n.hear, n.owner.tick, n.housekeeping,
+		n.followConfiguration, n.followReplicas, n.register, n.feelPulse, n.beat, n.hear, n.owner.tick, n.housekeeping,
 	}
 	for _, loop := range loops {
 		n.group.Go(func() error {
--- /dev/null
+++ b/cmd/node/pulse.go
@@ -0,0 +1,55 @@
+package node
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"quinceroad/cmd/process"
+)
+
+const (
+	// pulseEach is how often a reader asks whether the store answers. A watch
+	// that the store missed is so given up 1.5 s after the store's return at
+	// most, within the 2 s in which a configuration must be in force; watches
+	// of 1.5 s instead would cost ten times as many calls.
+	pulseEach = 1500 * time.Millisecond
+	pulseFor  = 700 * time.Millisecond // that an answer may take: 175 times the usual
+)
+
+// pulse knows whether the store has been silent. A store that was away never
+// answers the calls that it missed, and a watch would wait for its whole time.
+type pulse struct {
+	mu       sync.Mutex
+	silent   bool
+	returned chan struct{} // closed when it answers again
+}
+
+func newPulse() *pulse { return &pulse{returned: make(chan struct{})} }
+
+// back returns what is closed when the store answers again after a silence.
+func (p *pulse) back() <-chan struct{} {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.returned
+}
+
+// note takes in whether the store has just answered.
+func (p *pulse) note(answered bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.silent && answered {
+		close(p.returned)
+		p.returned = make(chan struct{})
+	}
+	p.silent = !answered
+}
+
+// feelPulse asks the store now and then while this instance reads it for others.
+func (n *Node) feelPulse(ctx context.Context) {
+	process.Every(ctx, pulseEach, func() {
+		if n.reads.Load() {
+			n.pulse.note(n.store.Answers(pulseFor) == nil)
+		}
+	})
+}
--- /dev/null
+++ b/cmd/node/topics.go
@@ -0,0 +1,111 @@
+package node
+
+import (
+	"context"
+	"sync/atomic"
+
+	"quinceroad/cmd/process"
+	"quinceroad/coordination/changes"
+	"quinceroad/platform"
+	"quinceroad/protocol/event"
+)
+
+func (n *Node) followConfiguration(ctx context.Context) {
+	var at atomic.Uint64
+	f := follow{node: n, back: n.pulse.back, name: "configuration", known: func() bool { return n.version() > 0 }}
+	f.read = func() (func(), error) {
+		data, revision, err := n.store.Configuration()
+		return func() {
+			at.Store(revision)
+			n.offer(data, "store")
+		}, err
+	}
+	f.changes = func() (func(), error) {
+		items, revision, err := n.store.Watch(platform.TopicConfiguration, at.Load(), watchFor)
+		return func() {
+			at.Store(max(at.Load(), revision))
+			for i := range items {
+				if items[i].IsConfiguration() && !items[i].Gone {
+					n.offer(items[i].Value, "store")
+				}
+			}
+		}, err
+	}
+	f.run(ctx)
+}
+
+// version is that of the configuration in force; 0: none.
+func (n *Node) version() uint64 {
+	n.followMu.Lock()
+	defer n.followMu.Unlock()
+	if n.config == nil {
+		return 0
+	}
+	return n.config.Version
+}
+
+// offer takes a configuration into force if it is newer than the one in force;
+// a version never falls within a process's life.
+func (n *Node) offer(data []byte, from string) {
+	c, err := platform.ParseConfiguration(data)
+	if err != nil {
+		event.NodeConfigBroken.Log(n.log, "from", from, "error", err)
+		if c == nil {
+			return
+		}
+	}
+	n.followMu.Lock()
+	newer := n.config == nil || c.Version > n.config.Version
+	if newer {
+		n.config, n.rawConfig = c, &rawConfig{text: data}
+	}
+	n.followMu.Unlock()
+	if !newer {
+		return
+	}
+	n.publish()
+	n.gossipMu.Lock()
+	n.members.SetConfigured(c.Version)
+	n.gossipMu.Unlock()
+	event.NodeConfigAdopted.Log(n.log, "version", c.Version, "from", from, "routes", len(c.Routes))
+	n.tell()
+	if from == "store" {
+		n.tellHall()
+	}
+}
+
+func (n *Node) followReplicas(ctx context.Context) {
+	f := follow{node: n, back: n.pulse.back, name: "replicas", known: n.listKnown}
+	f.read = func() (func(), error) {
+		items, at, err := n.store.Replicas()
+		return func() {
+			n.followMu.Lock()
+			n.replicas.log.Replace(items, at)
+			n.followMu.Unlock()
+			event.NodeReplicas.Log(n.log, "from", "store", "at", at, "known", len(items))
+			n.publish()
+		}, err
+	}
+	f.changes = func() (func(), error) {
+		items, at, err := n.store.Watch(platform.TopicReplicas, n.listAt(), watchFor)
+		return func() { n.takeReplicas(ctx, items, at) }, err
+	}
+	f.run(ctx)
+}
+
+// takeReplicas takes in what a watch brought of the list of replicas.
+func (n *Node) takeReplicas(ctx context.Context, items []platform.Item, at uint64) {
+	entries := make([]changes.Entry, 0, len(items))
+	for _, i := range items {
+		entries = append(entries, changes.Entry{ID: i.ReplicaID(), Value: i.Value, Revision: i.Revision, Gone: i.Gone})
+	}
+	n.followMu.Lock()
+	news := n.replicas.log.Apply(entries, at)
+	n.followMu.Unlock()
+	if news > 0 {
+		event.NodeReplicas.Log(n.log, "from", "store", "changes", news, "at", at)
+		n.publish()
+		n.tellHall()
+		process.Pause(ctx, gather)
+	}
+}
