quincectl losses: what was not served in time, by cause and by time; each command's own usage

Change: quincectl losses FILE... sums the ends of requests (3050) by cause, the pool that bound a refusal (3052), two-second window and route, with ids for explain, and tells how far the stages' expected times were from the taken ones; 3050 gains expected, 3053 expected, rank and again. What is late, and by what, is told in one place for explain and losses. A command called wrongly prints its usage and an example. Tests: TestLossesAreSummedByCauseAndTime, TestLossesOfNoRequestAreAnError, TestAWrongCallShowsTheCommandsOwnUsage.

--- a/cmd/ctl/ctl.go
+++ b/cmd/ctl/ctl.go
@@ -32,6 +32,7 @@
   history            accepted revisions, newest first
   dump               the coord's state
   explain ID FILE... what the logs of any nodes say of a request, in order
+  losses FILE...     what logs say of requests not served in time, by cause and time
   config -f FILE     check a configuration as it is written into the platform's store
   rules              what such a configuration is held against
 
@@ -120,6 +121,8 @@
 		return c.history()
 	case name == "explain" && len(rest) > 1:
 		return c.explain(rest[0], rest[1:])
+	case name == "losses" && len(rest) > 0:
+		return c.losses(rest)
 	case name == "config" && c.file != "":
 		return c.checkConfiguration(c.file)
 	case name == "rules" && len(rest) == 0:
@@ -127,7 +130,29 @@
 	case name == "dump" && len(rest) == 0:
 		return c.dump()
 	}
-	return process.ExitUsage, errUsage
+	return process.ExitUsage, usageOf(name)
+}
+
+// calls tells how each command that takes arguments is called, with an example.
+var calls = map[string][2]string{
+	"check":   {"-f FILE", "quincectl check -f examples/kalahari/fleet.toml"},
+	"plan":    {"-f FILE", "quincectl -operators 127.0.0.1:21014 -token demo-operator plan -f examples/kalahari/fleet.toml"},
+	"diff":    {"-f FILE", "quincectl -operators 127.0.0.1:21014 -token demo-operator diff -f examples/kalahari/fleet.toml"},
+	"show":    {"PLAN", "quincectl -operators 127.0.0.1:21014 -token demo-operator show p-1"},
+	"confirm": {"PLAN", "quincectl -operators 127.0.0.1:21014 -token demo-operator confirm p-1"},
+	"drain":   {"INSTANCE", "quincectl -operators 127.0.0.1:21014 -token demo-operator drain entry-1"},
+	"explain": {"ID FILE...", "quincectl explain 9c41d07be2a35f68 node-1.log node-2.log"},
+	"losses":  {"FILE...", "quincectl losses node-1.log node-2.log"},
+	"config":  {"-f FILE", "quincectl config -f configuration.json"},
+}
+
+// usageOf is the error of a command that was called wrongly.
+func usageOf(name string) error {
+	call, ok := calls[name]
+	if !ok {
+		return errUsage
+	}
+	return fmt.Errorf("%w\nusage: quincectl %s %s\nexample: %s", errUsage, name, call[0], call[1])
 }
 
 func (c *client) check() (int, error) {
--- a/cmd/ctl/logline.go
+++ b/cmd/ctl/logline.go
@@ -95,3 +95,20 @@
 	}
 	return time.Time{}
 }
+
+// began is the time until a served request's answer began.
+func (l *logLine) began() time.Duration {
+	if first := l.duration("first"); first > 0 {
+		return first
+	}
+	return l.duration("took") // no stream
+}
+
+// late reports whether a served request's answer began after its objective.
+func (l *logLine) late() bool {
+	objective := l.duration("objective")
+	return objective > 0 && l.began() > objective
+}
+
+// mostlyStages reports whether a served request's stages took most of its time.
+func (l *logLine) mostlyStages() bool { return l.duration("staged") > l.began()/2 }
--- a/cmd/ctl/story.go
+++ b/cmd/ctl/story.go
@@ -95,7 +95,7 @@
 	}
 	refused, failed, attempt := s.last(event.NodeJobRefused), s.last(event.NodeJobFailed), s.last(event.NodeAttempt)
 	switch why := end.field("why"); {
-	case why == "served":
+	case why == whyServed:
 		return served(end)
 	case strings.HasPrefix(why, "stages refused") && refused != nil:
 		return fmt.Sprintf("Refused by %s, the owner of its pools: its stages would have ended after %s against %s left; %s.",
@@ -113,22 +113,19 @@
 // limit names the time that a refused job had.
 func limit(refused *logLine) string {
 	if refused.field("again") == "true" {
-		return refused.field("deadline") + " of its deadline (it came back)"
+		return refused.field("objective") + " of its objective, " + refused.field("deadline") + " of its deadline (it came back)"
 	}
 	return refused.field("objective") + " of its objective"
 }
 
 // served says whether an answer came in time, and what took long.
 func served(end *logLine) string {
-	objective, staged, first := end.duration("objective"), end.duration("staged"), end.duration("first")
-	if first == 0 {
-		first = end.duration("took")
-	}
+	objective, first := end.duration("objective"), end.began()
 	where := "its engine or service"
-	if staged > first/2 {
+	if end.mostlyStages() {
 		where = "its stages, at " + end.field("owner")
 	}
-	if objective > 0 && first > objective {
+	if end.late() {
 		return fmt.Sprintf("Served late: it began after %s against an objective of %s; most of that went to %s.", first, objective, where)
 	}
 	return fmt.Sprintf("Served in time: it began after %s against an objective of %s; its longest pause was %s.", first, objective, end.field("gap"))
--- a/cmd/node/owned.go
+++ b/cmd/node/owned.go
@@ -108,7 +108,8 @@
 			}
 		case a := <-end:
 			if f, failed := a.(pipeline.Fail); failed {
-				event.NodeJobFailed.Log(n.log, "request", job.RequestID, "why", f.Why, "after", n.now()-r.began)
+				event.NodeJobFailed.Log(n.log, "request", job.RequestID, "why", f.Why, "after", n.now()-r.began,
+					"expected", verdict.Expected, "rank", job.Rank, "again", job.Again)
 				_ = send(&pb.StagesReply{Failed: f.Why, RetryAfterUs: f.RetryAfter.Microseconds()})
 				return pipeline.Deliver{}, false
 			}
--- a/cmd/node/pick.go
+++ b/cmd/node/pick.go
@@ -27,7 +27,7 @@
 		return err
 	}
 	s.job = job
-	s.staged = time.Since(s.req.Arrived)
+	s.staged, s.expects = time.Since(s.req.Arrived), job.expects
 	return nil
 }
 
--- a/cmd/node/serve.go
+++ b/cmd/node/serve.go
@@ -57,6 +57,7 @@
 	owner   string // of the pools that its stages were asked of last
 	stream  streamState
 	staged  time.Duration // that its stages took
+	expects time.Duration // that they were reckoned to take
 	first   time.Duration // from its arrival to the first event
 	gap     time.Duration // longest pause between events
 	fetch   string        // from where the last engine was to fetch
@@ -294,6 +295,6 @@
 	}
 	event.NodeRequest.Log(s.node.log, "request", s.req.ID, "route", s.route.Name, "why", why,
 		"objective", s.route.Objective, "deadline", s.req.Deadline, "version", s.world.config.Version, "owner", s.owner,
-		"attempts", len(s.tried), "replica", s.replica, "took", time.Since(s.req.Arrived), "staged", s.staged,
+		"attempts", len(s.tried), "replica", s.replica, "took", time.Since(s.req.Arrived), "staged", s.staged, "expected", s.expects,
 		"first", s.first, "gap", s.gap, "tokens", s.req.TokensIn, "fetch", s.fetch, "pieces", s.req.Pieces)
 }
--- a/cmd/node/stages.go
+++ b/cmd/node/stages.go
@@ -47,6 +47,7 @@
 	handles []string
 	engine  string // replica that should run it; "" when the owner knows none
 	fetch   string
+	expects time.Duration // that the owner reckoned the stages to take
 	news    func(*pb.StagesNews)
 	end     func()
 }
@@ -173,6 +174,7 @@
 				return nil, &failedError{why: r.Failed, after: time.Duration(r.RetryAfterUs) * time.Microsecond}
 			case r.Admitted:
 				admitted = true
+				job.expects = time.Duration(r.ExpectedUs) * time.Microsecond
 			default:
 				job.handles, job.engine, job.fetch = r.Handles, r.Engine, r.Fetch
 				return job, nil
