Constants say their unit and where they come from; side calls that fail leave a line

Change: each has its unit and one line; those that were chosen without a measurement say so. No figure was changed.

--- a/cmd/node/attempt.go
+++ b/cmd/node/attempt.go
@@ -19,14 +19,14 @@
 )
 
 const (
-	connectFor    = 250 * time.Millisecond
-	connIdle      = 6 * time.Second
-	maxAnswer     = 64 << 20 // bytes
-	patienceShare = 0.6      // of the objective, that a repeatable request waits at one replica
-	patienceTimes = 4        // of the replica's usual time
-	gapTimes      = 5        // of the longest pause in time, after which a resumable stream moves on
-	leastGap      = 2500 * time.Millisecond
-	clientWrite   = 5 * time.Second // that a client may take to read an event
+	connectFor    = 250 * time.Millisecond  // a replica that lives takes a connection in a few ms; chosen, below the shortest wait of a client
+	connIdle      = 6 * time.Second         // that a connection to a replica is kept where it states no time itself; chosen
+	maxAnswer     = 64 << 20                // bytes
+	patienceShare = 0.6                     // of the objective, that a repeatable request waits at one replica
+	patienceTimes = 4                       // of the replica's usual time
+	gapTimes      = 5                       // of the longest pause in time, after which a resumable stream moves on
+	leastGap      = 2500 * time.Millisecond // clients give a silent stream up after 2 s or more; a resumable one moves on when it would be lost anyway
+	clientWrite   = 5 * time.Second         // that a client may take to read an event
 )
 
 // attempt is one send of a request to a replica.
--- a/cmd/node/cell.go
+++ b/cmd/node/cell.go
@@ -169,6 +169,7 @@
 	n := c.owner.node
 	free, atWork, err := n.report(r)
 	if err != nil {
+		n.logAside("report", r.ID, err)
 		return
 	}
 	c.mu.Lock()
--- a/cmd/node/follow.go
+++ b/cmd/node/follow.go
@@ -16,7 +16,7 @@
 	watchFor   = 8 * time.Second        // of one wait for changes
 	gather     = 250 * time.Millisecond // after a change of the replicas, for others that come with it
 	retryFirst = 100 * time.Millisecond // after a failed call, doubled each time
-	retryMost  = 1 * time.Second
+	retryMost  = 1 * time.Second        // an outage's end is seen within the 2 s in which a configuration must be in force
 	emptyWait  = 250 * time.Millisecond // before a topic that nobody has written is read again
 	roleLook   = 100 * time.Millisecond // between looks whether this instance is to read
 	askEach    = 300 * time.Millisecond // between reads of a topic of which nothing is known: 75 times a usual answer
--- a/cmd/node/front.go
+++ b/cmd/node/front.go
@@ -22,9 +22,9 @@
 const (
 	mostHeader      = 256 << 10 // of any configuration
 	standardBody    = 4 << 20
-	standardHeadFor = 3 * time.Second
+	standardHeadFor = 3 * time.Second  // the limit that the deployments state so far
 	mostIdle        = 75 * time.Second // that a client's connection may rest, longer than configurations allow
-	bodyFor         = 10 * time.Second
+	bodyFor         = 10 * time.Second // that a body may take; longer than the deadlines of short requests
 )
 
 // listeners are the process's HTTP listeners.
--- a/cmd/node/main.go
+++ b/cmd/node/main.go
@@ -27,8 +27,8 @@
 const bytesPerMB = 1 << 20
 
 const (
-	queuedLines = 2000 // of the log, that wait for their reader
-	closeLogFor = 100 * time.Millisecond
+	queuedLines = 2000                   // of the log, that wait for their reader
+	closeLogFor = 100 * time.Millisecond // that the last lines of the log may take; chosen
 )
 
 // Main is the main function of quince-node; it returns the exit code.
--- a/cmd/node/members.go
+++ b/cmd/node/members.go
@@ -20,8 +20,8 @@
 )
 
 const (
-	beatEach  = 200 * time.Millisecond
-	leaseFor  = 5 * time.Minute
+	beatEach  = 200 * time.Millisecond // five rounds reach 390 instances (log to the base 4) in a second; docs/CAPACITY.md has its cost
+	leaseFor  = 5 * time.Minute        // of an instance's entry: longer than outages of the store, after which it is still to be found
 	renewEach = time.Minute
 
 	aloneFor      = 250 * time.Millisecond // from the start, until an instance that hears of nobody asks the store
@@ -122,6 +122,7 @@
 	}
 	b, err := datagram.Encode(h)
 	if err != nil {
+		event.NodeMessageBroken.Log(n.log, "what", "heartbeat", "from", n.settings.Name, "error", err)
 		return
 	}
 	for _, addr := range to {
@@ -244,7 +245,7 @@
 	var lease uint64
 	n.greet(ctx)
 	if len(n.alive()) == 1 {
-		_ = n.meet() // the seeds may be gone; those that read before may be back
+		n.logAside("instances", "store", n.meet()) // the seeds may be gone; those that read before may be back
 	}
 	process.Pause(ctx, registerAfter)
 	for ctx.Err() == nil {
--- a/cmd/node/node.go
+++ b/cmd/node/node.go
@@ -203,8 +203,8 @@
 }
 
 const (
-	stopPoll  = 20 * time.Millisecond
-	adminStop = 10 * time.Millisecond
+	stopPoll  = 20 * time.Millisecond // between looks whether a stop may end
+	adminStop = 10 * time.Millisecond // that a question for figures may still take
 )
 
 // housekeeping forgets what is no longer of use.
@@ -242,7 +242,7 @@
 }
 
 const (
-	housekeepingEach = 2 * time.Second
+	housekeepingEach = 2 * time.Second // rare against all that it forgets
 	forgetAfter      = time.Minute
 )
 
--- a/cmd/node/owned.go
+++ b/cmd/node/owned.go
@@ -18,7 +18,8 @@
 // serve runs one job for a peer; the end of its stream ends the job.
 func (o *owner) serve(first []byte, stream net.Conn) {
 	ask := &pb.StagesAsk{}
-	if proto.Unmarshal(first, ask) != nil {
+	if err := proto.Unmarshal(first, ask); err != nil {
+		event.NodeMessageBroken.Log(o.node.log, "what", "ask for stages", "from", stream.RemoteAddr().String(), "error", err)
 		return
 	}
 	news := make(chan *pb.StagesNews)
--- a/cmd/node/owner.go
+++ b/cmd/node/owner.go
@@ -17,9 +17,9 @@
 )
 
 const (
-	cellReplicas = 30 // of one pool that one owner has at most
-	tickEach     = 50 * time.Millisecond
-	claimFor     = 2 * time.Second // after the last request, an instance still owns a cell
+	cellReplicas = 30                    // of one pool that one owner has at most
+	tickEach     = 50 * time.Millisecond // of a scheduler: a quarter of the shortest call seen
+	claimFor     = 2 * time.Second       // after the last request, an instance still owns a cell
 )
 
 // cells returns into how many parts the pools are cut: each has its own owner,
--- a/cmd/node/pieces.go
+++ b/cmd/node/pieces.go
@@ -11,21 +11,23 @@
 	"quinceroad/coordination/outcome"
 	"quinceroad/coordination/pipeline"
 	"quinceroad/platform"
+	"quinceroad/protocol/event"
 	"quinceroad/state/catalog"
 	"quinceroad/transport/upstream"
 )
 
 const (
-	callConnect = 250 * time.Millisecond
-	callIdle    = 8 * time.Second // that a connection to a pool's replica is kept
-	freeFor     = 500 * time.Millisecond
-	maxResults  = 1 << 20 // bytes of an answer
+	callConnect = 250 * time.Millisecond // a replica that lives takes a connection in a few ms; chosen, below a call's fixed time
+	callIdle    = 8 * time.Second        // that a connection to a pool's replica is kept
+	freeFor     = 500 * time.Millisecond // a loss costs room until results end by themselves; chosen
+	maxResults  = 1 << 20                // bytes of an answer
 )
 
 // runPieces sends a call of pieces to a replica.
 func (n *Node) runPieces(ctx context.Context, c pipeline.Call) ([]pipeline.Result, pipeline.Fate) {
 	path, body, err := platform.RunCall(c.Items)
 	if err != nil {
+		event.NodeMessageBroken.Log(n.log, "what", "call of pieces", "from", n.settings.Name, "error", err)
 		return nil, pipeline.Unreachable
 	}
 	status, head, data, err := n.call(ctx, ownCall{address: c.Address, replica: c.Replica, method: fasthttp.MethodPost, path: path, body: body})
@@ -45,6 +47,7 @@
 	}
 	results, err := platform.ParseRun(data, len(c.Items))
 	if err != nil {
+		event.NodeMessageBroken.Log(n.log, "what", "results of pieces", "from", c.Replica, "error", err)
 		return nil, pipeline.Broken
 	}
 	return results, pipeline.Answered
@@ -55,11 +58,20 @@
 func (n *Node) freeResults(address string, handles []string) {
 	path, body, err := platform.FreeCall(handles)
 	if err != nil {
+		event.NodeMessageBroken.Log(n.log, "what", "results to free", "from", n.settings.Name, "error", err)
 		return
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), freeFor)
 	defer cancel()
-	_, _, _, _ = n.call(ctx, ownCall{address: address, method: fasthttp.MethodPost, path: path, body: body})
+	_, _, _, err = n.call(ctx, ownCall{address: address, method: fasthttp.MethodPost, path: path, body: body})
+	n.logAside("free results", address, err)
+}
+
+// logAside logs a call beside a request's way that failed.
+func (n *Node) logAside(what, to string, err error) {
+	if err != nil {
+		event.NodeAsideFails.Log(n.log, "what", what, "to", to, "error", err)
+	}
 }
 
 const reportFor = 60 * time.Millisecond
--- a/cmd/node/pull.go
+++ b/cmd/node/pull.go
@@ -80,6 +80,7 @@
 	defer n.configPull.done()
 	answer := &pb.Config{}
 	if err := n.links.Call(addr, frame.PullConfig, &pb.PullConfig{Have: have}, answer, pullFor); err != nil {
+		n.logAside("configuration", addr, err)
 		return
 	}
 	if len(answer.Declaration) == 0 {
@@ -122,6 +123,7 @@
 	defer n.listPull.done()
 	answer := &pb.ReplicaChanges{}
 	if err := n.links.Call(addr, frame.PullReplicas, &pb.PullReplicas{Have: have}, answer, pullFor); err != nil {
+		n.logAside("replicas", addr, err)
 		return
 	}
 	told := changes.Answer{Whole: answer.Whole, At: answer.At, Changed: answer.Changed}
--- a/cmd/node/serve.go
+++ b/cmd/node/serve.go
@@ -16,16 +16,16 @@
 )
 
 const (
-	standardLeft  = 30 * time.Second // of a request that states no deadline
-	backSoon      = 300 * time.Millisecond
-	mostUnsent    = 4 // sends of one request that reached nobody or were turned away
-	mostWaits     = 6
-	mostRedone    = 2 // times that a request's stages are run again
-	retryPart     = 3 // clients wait at most this part of the time they have left
-	retryMargin   = 0.95
-	shareOfSlack  = 0.6  // of the retries that the deployment allows beside its ratio
-	shareOfRatio  = 0.75 // of the ratio itself
-	failureWeight = 0.05
+	standardLeft  = 30 * time.Second       // of a request that states no deadline
+	backSoon      = 300 * time.Millisecond // when a client may come back where nothing is known of when; chosen, one heartbeat and a half
+	mostUnsent    = 4                      // sends of one request that reached nobody or were turned away
+	mostWaits     = 6                      // for stages of a stream that broke off: with backSoon 1.8 s, less than clients wait for an event
+	mostRedone    = 2                      // times that a request's stages are run again
+	retryPart     = 3                      // clients wait at most this part of the time they have left
+	retryMargin   = 0.95                   // of that part, so that a client's clock may differ a little
+	shareOfSlack  = 0.6                    // of the retries that the deployment allows beside its ratio
+	shareOfRatio  = 0.75                   // of the ratio itself
+	failureWeight = 0.05                   // of a new sign in a service's share of failures: the last 20 or so count
 )
 
 // serviceRates is what this instance knows of a service as a whole.
@@ -250,9 +250,9 @@
 
 // What an engine takes to the first event, about.
 const (
-	firstEvent     = 110 * time.Millisecond
-	readPerToken   = 31 * time.Microsecond
-	unreadOfShared = 0.3 // of the shared parts is not kept, about
+	firstEvent     = 110 * time.Millisecond // first less staged on two played days: half of the short prompts under 35 ms, one in ten over 75; with a margin
+	readPerToken   = 31 * time.Microsecond  // 1 / 32.4 tokens a ms, as the first deployments' engines read
+	unreadOfShared = 0.3                    // of the shared parts is not kept, about
 )
 
 // fail answers a request that could not be served.
--- a/cmd/node/stages.go
+++ b/cmd/node/stages.go
@@ -19,9 +19,9 @@
 	verdictFor  = 500 * time.Millisecond // that an owner may take to admit or refuse
 	watchOwner  = 150 * time.Millisecond // between looks whether it is still heard of
 	meetFor     = 700 * time.Millisecond // from the start, that an instance waits to hear who owns pools
-	meetLook    = 20 * time.Millisecond
-	mostOwners  = 3 // asked for one request
-	mostReplies = 2 // of an owner to one job
+	meetLook    = 20 * time.Millisecond  // between looks at the view while it is not clear
+	mostOwners  = 3                      // asked for one request
+	mostReplies = 2                      // of an owner to one job
 )
 
 // refusedError says that the owner does not take a request's stages.
--- a/cmd/node/world.go
+++ b/cmd/node/world.go
@@ -130,6 +130,6 @@
 }
 
 const (
-	tellLeavingFor  = 3 * time.Second
-	mostLeavingTold = 16
+	tellLeavingFor  = 3 * time.Second // after which the list of replicas has told it too: the platform's list lags by up to 3 s
+	mostLeavingTold = 16              // replicas in a heartbeat, which is to stay one datagram
 )
--- a/coordination/choice/choice.go
+++ b/coordination/choice/choice.go
@@ -76,7 +76,7 @@
 	}
 }
 
-const rate = 0.15
+const rate = 0.15 // weight of a new answer's time: the last seven or so count
 
 func blend(old, x float64) float64 {
 	if old == 0 {
@@ -138,8 +138,8 @@
 // boundFactor is how much above the average load an engine may be and still
 // get the requests whose prompt it keeps.
 const (
-	boundFactor = 1.5
-	boundSlack  = 4
+	boundFactor = 1.5 // consistent hashing with bounded loads: 1.25 to 2 are usual
+	boundSlack  = 4   // requests, so that few of them are not spread for nothing
 )
 
 // Engines picks the engine for a request. The homes of a prompt are ranked by
--- a/coordination/pipeline/pool.go
+++ b/coordination/pipeline/pool.go
@@ -141,12 +141,12 @@
 }
 
 const (
-	learnRate   = 0.25
-	leastFactor = 0.05
-	mostFactor  = 4
-	speedRate   = 0.3
-	leastSpeed  = 0.5
-	mostSpeed   = 8
+	learnRate   = 0.25 // of a call's error that is laid on its pieces' factors: some five calls settle it; chosen
+	leastFactor = 0.05 // of a pool's usual piece; a bound against a wrong measurement
+	mostFactor  = 4    // the same above
+	speedRate   = 0.3  // weight of the last call: a slow replica shows within three
+	leastSpeed  = 0.5  // time taken against expected; a bound against a wrong measurement
+	mostSpeed   = 8    // slower ones than this are taken for as slow
 )
 
 // learn takes in how long a call took.
--- a/coordination/placement/placement.go
+++ b/coordination/placement/placement.go
@@ -352,9 +352,9 @@
 }
 
 const (
-	speedRate  = 0.2
-	leastSpeed = 0.5
-	mostSpeed  = 8
+	speedRate  = 0.2 // weight of the last first event: a slow engine shows within five; chosen
+	leastSpeed = 0.5 // time taken against expected; a bound against a wrong measurement
+	mostSpeed  = 8   // slower ones than this are taken for as slow
 )
 
 // First notes a request's first event: its prompt is read.
--- a/coordination/shutdown/shutdown.go
+++ b/coordination/shutdown/shutdown.go
@@ -15,9 +15,9 @@
 
 // Shares of the time that the platform gives.
 const (
-	streamsShare = 0.25
-	takesShare   = 0.45
-	endMargin    = 250 * time.Millisecond
+	streamsShare = 0.25                   // streams last seconds: they are taken until clients had time to notice, 2 s of 8
+	takesShare   = 0.45                   // short requests end within the rest; clients keep addresses for up to 5 s of 8
+	endMargin    = 250 * time.Millisecond // before the platform kills, for the last answers to leave
 )
 
 // For returns the plan for a platform that kills after grace.
