Who starts greets those whom the store names; register.go split from members.go

Change: an instance that hears of nobody reads the store's entries at once and greets those addresses, too, for 0.25 s. Entries of earlier lives are no sign that one lives and do not enter the view by it. No test of its own: an entry of the store is read into the view 0.25 s later in any case, and no test is gated on time.

--- a/cmd/node/members.go
+++ b/cmd/node/members.go
@@ -5,29 +5,17 @@
 	"errors"
 	"net"
 	"strconv"
-	"strings"
 	"time"
 
-	"google.golang.org/protobuf/proto"
-
 	"quinceroad/cmd/process"
 	"quinceroad/coordination/gossip"
-	"quinceroad/platform"
 	"quinceroad/protocol/event"
 	"quinceroad/protocol/frame"
 	"quinceroad/protocol/pb"
 	"quinceroad/transport/datagram"
 )
 
-const (
-	beatEach  = 200 * time.Millisecond // five rounds reach 390 instances (log to the base 4) in a second; docs/CAPACITY.md has its cost
-	leaseFor  = 5 * time.Minute        // of an instance's entry: longer than outages of the store, after which it is still to be found
-	renewEach = time.Minute
-
-	aloneFor      = 250 * time.Millisecond // from the start, until an instance that hears of nobody asks the store
-	greetEach     = 30 * time.Millisecond  // until then, between messages to the seeds, which may start some ms later
-	registerAfter = 750 * time.Millisecond // from then on: heartbeats tell who else there is
-)
+const beatEach = 200 * time.Millisecond // five rounds reach 390 instances in a second: docs/CAPACITY.md
 
 // beat tells others of this instance and what it knows, some times a second.
 func (n *Node) beat(ctx context.Context) {
@@ -95,9 +83,6 @@
 
 // tellSeeds tells the instances that the settings name; they may be gone.
 func (n *Node) tellSeeds() {
-	n.gossipMu.Lock()
-	self := n.members.Self()
-	n.gossipMu.Unlock()
 	var to []string
 	for _, seed := range *n.seeds.Load() {
 		host, _, err := net.SplitHostPort(seed)
@@ -105,6 +90,14 @@
 			to = append(to, net.JoinHostPort(host, strconv.Itoa(n.settings.DatagramPort)))
 		}
 	}
+	n.introduce(to)
+}
+
+// introduce tells others of this instance.
+func (n *Node) introduce(to []string) {
+	n.gossipMu.Lock()
+	self := n.members.Self()
+	n.gossipMu.Unlock()
 	n.send(to, gossip.Message{News: []gossip.Instance{self}})
 }
 
@@ -239,91 +232,6 @@
 	return n.members.Alive(n.now())
 }
 
-// register keeps the entry of an instance that reads in the store, from which
-// those that start later learn of it, and reads the others' once.
-func (n *Node) register(ctx context.Context) {
-	var lease uint64
-	n.greet(ctx)
-	if len(n.alive()) == 1 {
-		n.logAside("instances", "store", n.meet()) // the seeds may be gone; those that read before may be back
-	}
-	process.Pause(ctx, registerAfter)
-	for ctx.Err() == nil {
-		if lease == 0 && !n.reads.Load() {
-			process.Pause(ctx, roleLook)
-			continue
-		}
-		err := n.renew(&lease)
-		if err == nil {
-			if !process.Pause(ctx, renewEach) {
-				return
-			}
-			continue
-		}
-		if errors.Is(err, platform.ErrNoLease) {
-			lease = 0
-		}
-		if !process.Pause(ctx, retryMost) {
-			return
-		}
-	}
-}
-
-// greet tells the seeds of this instance until somebody is heard of or aloneFor
-// is over: where all start at once, what they can serve waits for their meeting.
-func (n *Node) greet(ctx context.Context) {
-	for n.now() < aloneFor && len(n.alive()) == 1 {
-		n.tellSeeds()
-		if !process.Pause(ctx, greetEach) {
-			return
-		}
-	}
-}
-
-func (n *Node) renew(lease *uint64) error {
-	if *lease != 0 {
-		return n.store.Keep(*lease)
-	}
-	got, err := n.store.Lease(leaseFor)
-	if err != nil {
-		return err
-	}
-	n.gossipMu.Lock()
-	self := n.members.Self()
-	n.gossipMu.Unlock()
-	entry, err := proto.Marshal(newsOf(self))
-	if err != nil {
-		return err
-	}
-	if err := n.store.Register(self.Name, entry, got); err != nil {
-		return err
-	}
-	*lease = got
-	return n.meet()
-}
-
-// meet learns of the instances that the store names.
-func (n *Node) meet() error {
-	items, err := n.store.Instances()
-	if err != nil {
-		return err
-	}
-	defer n.tell()
-	n.gossipMu.Lock()
-	defer n.gossipMu.Unlock()
-	for name, data := range items {
-		news := &pb.InstanceNews{}
-		if proto.Unmarshal(data, news) != nil || !strings.EqualFold(news.Name, name) {
-			event.NodeEntryBroken.Log(n.log, "name", name)
-			continue
-		}
-		i := instanceOf(news)
-		i.Count = 0
-		n.members.Merge(n.now(), i)
-	}
-	return nil
-}
-
 // serveLink answers peers.
 func (n *Node) serveLink(k frame.Kind, first []byte, stream net.Conn) {
 	switch k {
