--- a/cmd/node/register.go
+++ b/cmd/node/register.go
@@ -16,8 +16,8 @@
 )
 
 const (
-	leaseFor  = 5 * time.Minute        // of an instance's entry: longer than outages of the store, after which it is still to be found
-	renewEach = time.Minute
+	leaseFor      = 5 * time.Minute // of an instance's entry: longer than outages of the store, after which it is still to be found
+	renewEach     = time.Minute
 	aloneFor      = 250 * time.Millisecond // from the start, until an instance that hears of nobody asks the store
 	greetEach     = 30 * time.Millisecond  // until then, between messages to the seeds, which may start some ms later
 	registerAfter = 750 * time.Millisecond // from then on: heartbeats tell who else there is
