Pieces leave their hall when they could be late there

Pieces waited for their hall, while others stood idle, until no wait was left: any longer call made them late. Change: a piece leaves its hall once its start there would be under two calls' fixed times before its latest start (LeaveHall). Test: TestAPieceLeavesItsHallWhenItCouldBeLateThere.

--- a/coordination/pipeline/call.go
+++ b/coordination/pipeline/call.go
@@ -40,7 +40,7 @@
 		if i == len(idle)-1 && !p.mayTakeLast(now, &s.opts) {
 			return
 		}
-		if batch := p.pickBatch(now, r); len(batch) > 0 {
+		if batch := p.pickBatch(now, r, &s.opts); len(batch) > 0 {
 			s.send(now, p, r, batch)
 		}
 	}
@@ -87,15 +87,16 @@
 
 // pickBatch takes the pieces that go into a replica's next call, in order, as
 // many as it may hold and has room for. Pieces that belong to another hall are
-// left to it unless they would be late there, or more wait than its next calls
+// left to it unless they could be late there, or more wait than its next calls
 // hold; large ones that are not needed soon wait.
-func (p *pool) pickBatch(now time.Duration, r *replica) []*piece {
+func (p *pool) pickBatch(now time.Duration, r *replica, o *Options) []*piece {
 	room := p.def.Room - r.taken(now, p.def.HoldFor)
 	halls := p.halls(now)
+	leave := time.Duration(o.LeaveHall * float64(p.def.CallTime))
 	var batch []*piece
 	rest := p.ready[:0]
 	for _, x := range p.ready {
-		if len(batch) < p.def.Batch && x.stage.def.Bytes <= room && !x.early() && x.may(r, halls[x.hall]) {
+		if len(batch) < p.def.Batch && x.stage.def.Bytes <= room && !x.early() && x.may(r, halls[x.hall], leave) {
 			room -= x.stage.def.Bytes
 			batch = append(batch, x)
 			continue
@@ -107,13 +108,14 @@
 	return batch
 }
 
-// may reports whether a piece may run at a replica, given its own hall's state.
-func (x *piece) may(r *replica, own *hallState) bool {
+// may reports whether a piece may run at a replica, given its own hall's state
+// and the time before its latest start from which it need not wait for it.
+func (x *piece) may(r *replica, own *hallState, leave time.Duration) bool {
 	if x.hall == "" || x.hall == r.Hall || own == nil {
 		return true
 	}
 	own.seen++
-	return own.seen > own.holds || own.free > x.stage.latest
+	return own.seen > own.holds || own.free+leave > x.stage.latest
 }
 
 func (s *Scheduler) send(now time.Duration, p *pool, r *replica, batch []*piece) {
--- a/coordination/pipeline/options.go
+++ b/coordination/pipeline/options.go
@@ -13,6 +13,7 @@
 	OverdueSlack time.Duration // and this
 	LastFill     float64       // share of a batch that may take the last idle replica, urgent or not (trials: 0.3 to 0.75, best 0.5)
 	LastSlack    float64       // calls' fixed times before a piece's latest start, from when it may, too (trials: 1.5 to 3.5)
+	LeaveHall    float64       // calls' fixed times between a piece's start in its hall and its latest start, under which it goes elsewhere (trials: 0 to 3; 2 and 3 best)
 	Tries        int           // of a piece
 	Busy         time.Duration // a replica that refused is left alone for
 	PauseFirst   time.Duration // a replica that failed is left alone for, doubled each time
@@ -35,6 +36,7 @@
 		OverdueSlack: 200 * time.Millisecond,
 		LastFill:     0.5,
 		LastSlack:    1.5,
+		LeaveHall:    2,
 		Tries:        4,
 		Busy:         120 * time.Millisecond,
 		PauseFirst:   500 * time.Millisecond,
--- a/coordination/pipeline/pipeline_test.go
+++ b/coordination/pipeline/pipeline_test.go
@@ -588,3 +588,29 @@
 	is.True(!b.submit(back(500 * ms)).Admitted)
 	is.True(b.submit(back(900 * ms)).Admitted) // late perhaps, not by much
 }
+
+// Pieces waited for a replica of their own hall, while others stood idle, until
+// no wait at all was left: any longer call made them late.
+func TestAPieceLeavesItsHallWhenItCouldBeLateThere(t *testing.T) {
+	is := is.New(t)
+	var b *bench
+	near := func(id string, objective time.Duration) Job {
+		j := newTestJob(id, 4)
+		j.Stages[0].Bytes = 1_000_000 // worth its hall
+		j.Hall, j.Objective = "a", objective
+		return j
+	}
+	for _, c := range []struct {
+		objective time.Duration // of which 280 ms are its own call
+		working   int
+	}{
+		{2 * time.Second, 1}, // its hall is free long before it must begin
+		{900 * ms, 2},        // it could begin in time there, but not by much
+	} {
+		b = newBench(t)
+		is.True(b.submit(near("first", 2*time.Second)).Admitted)
+		is.Equal(len(b.calls["read-a"].Items), 4) // until 280 ms
+		is.True(b.submit(near("second", c.objective)).Admitted)
+		is.Equal(b.working("read"), c.working)
+	}
+}
