--- a/proctest/lossplot/main.go
+++ b/proctest/lossplot/main.go
@@ -76,7 +76,7 @@
 
 func run(out, journal string, ids []string) error {
 	if len(ids) == 0 {
-		return errors.New("no entry is named; usage: lossplot -o FILE ENTRY...")
+		return errors.New("no entry of the journal is named")
 	}
 	entries := make([][]day, 0, len(ids))
 	for _, id := range ids {
