--- a/proctest/rig/rig.go
+++ b/proctest/rig/rig.go
@@ -22,7 +22,6 @@
 )
 
 const (
-	firstPort  = 21000 // of the examples
 	portStep   = 1000
 	portSteps  = 11
 	guardPort  = 999 // within a step: held while a rig lives
@@ -81,13 +80,17 @@
 	return r, nil
 }
 
+// FirstPort is the first port of the examples and of the first rig; further
+// rigs take those above. Other tests that run beside keep below it.
+const FirstPort = 21000
+
 // reserve finds a range of ports that no other rig uses.
 func (r *Rig) reserve() error {
 	for i := range portSteps {
 		if r.opts.AsIs && i > 0 {
 			break
 		}
-		ln, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", firstPort+i*portStep+guardPort))
+		ln, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", FirstPort+i*portStep+guardPort))
 		if err == nil {
 			r.shift, r.guard = i*portStep, ln
 			return nil
@@ -174,7 +177,7 @@
 
 // manyAddr is a port of the i-th made instance, laid out as in the examples.
 func (r *Rig) manyAddr(i, port int) string {
-	return fmt.Sprintf("127.0.0.1:%d", firstPort+r.shift+10+10*i+port)
+	return fmt.Sprintf("127.0.0.1:%d", FirstPort+r.shift+10+10*i+port)
 }
 
 func (r *Rig) loadFleet() error {
@@ -235,7 +238,7 @@
 
 // proxied adds a route before target and returns where it listens.
 func (r *Rig) proxied(name, target string, n int) string {
-	listen := fmt.Sprintf("127.0.0.1:%d", firstPort+r.shift+proxyPort+n)
+	listen := fmt.Sprintf("127.0.0.1:%d", FirstPort+r.shift+proxyPort+n)
 	r.routes = append(r.routes, proxy.Route{Name: name, Listen: listen, Target: target})
 	return listen
 }
@@ -251,7 +254,7 @@
 			}
 		}
 	}
-	r.proxy = fmt.Sprintf("127.0.0.1:%d", firstPort+r.shift+proxyPort-1)
+	r.proxy = fmt.Sprintf("127.0.0.1:%d", FirstPort+r.shift+proxyPort-1)
 	file, err := r.write("proxy.toml", proxy.Config{Control: r.proxy, Routes: r.routes})
 	if err != nil {
 		return err
