--- a/coordination/pipeline/options.go
+++ b/coordination/pipeline/options.go
@@ -4,22 +4,22 @@
 
 // Options are the scheduler's constants.
 type Options struct {
-	Margin       float64       // share of the objective that a new job's expected end may take
-	LastMargin   float64       // share of the deadline, of one that came back
+	Margin       float64       // share of the objective that a new job's expected end may take (trials: 0.85 to 1.25, no gain over 1)
+	LastMargin   float64       // share of the deadline, of one that came back; the engine needs the rest; chosen
 	LastTimes    float64       // and times of its objective: what ends much later is given up on the way (trials: 1.3 to 2.4, best 1.8)
-	LateShare    float64       // of the objective, for which a late job goes on
-	Backlog      float64       // what pieces cost in real calls against full ones
-	OverdueTimes float64       // a call is overdue after so many times what it should take
+	LateShare    float64       // of the objective, for which a late job goes on (trials: 0 to 0.8, best 0.3)
+	Backlog      float64       // what pieces cost in real calls against full ones (trials: 1.4 is worse); chosen
+	OverdueTimes float64       // a call is overdue after so many times what it should take; chosen, beyond what calls vary by
 	OverdueSlack time.Duration // and this
 	LastFill     float64       // share of a batch that may take the last idle replica, urgent or not (trials: 0.3 to 0.75, best 0.5)
 	LastSlack    float64       // calls' fixed times before a piece's latest start, from when it may, too (trials: 1.5 to 3.5)
 	LeaveHall    float64       // calls' fixed times between a piece's start in its hall and its latest start, under which it goes elsewhere (trials: 0 to 3; 2 and 3 best)
-	Tries        int           // of a piece
-	Busy         time.Duration // a replica that refused is left alone for
-	PauseFirst   time.Duration // a replica that failed is left alone for, doubled each time
-	PauseMost    time.Duration
-	Unknown      time.Duration // when a job may come back whose pools are not known or gone
-	LeastRetry   time.Duration
+	Tries        int           // of a piece; chosen: more cost others more than a job is worth
+	Busy         time.Duration // a replica that refused is left alone for; chosen, half of a short call
+	PauseFirst   time.Duration // a replica that failed is left alone for, doubled each time; chosen, two calls
+	PauseMost    time.Duration // at most; chosen: who is back is missed for no longer
+	Unknown      time.Duration // when a job may come back whose pools are not known or gone, or that was given up; chosen (trials: 1 s is no gain)
+	LeastRetry   time.Duration // until a refused job may come back (trials: 300 ms is no gain)
 }
 
 // Option changes the options.
--- a/coordination/placement/placement.go
+++ b/coordination/placement/placement.go
@@ -23,7 +23,7 @@
 	"quinceroad/state/catalog"
 )
 
-// Options are the costs and times that decide, costs against a usual request's worth.
+// Options are the costs and times that decide, costs against a usual request's worth: chosen from the first deployments' prices.
 type Options struct {
 	Base         time.Duration // to the first event of an empty prompt
 	PerToken     time.Duration // to read one token
