The logs say how long a call to the store waited, when the store fell silent, and what was given up

Events 3027 to 3029, 'waited' in 3020, two counters, a field of the dump; explain shows them beside a request. No logic is changed.

--- a/cmd/ctl/story.go
+++ b/cmd/ctl/story.go
@@ -55,7 +55,10 @@
 var (
 	ofReplicas  = []*event.Event{event.NodeReplicaLeaves, event.NodeLeavesAlone, event.NodeTakesBack, event.NodeCallLost}
 	ofInstances = []*event.Event{event.NodeMisses, event.NodeOwnerLost}
-	ofItself    = []*event.Event{event.NodeStarted, event.NodeStopping, event.NodeConfigAdopted, event.NodeStoreLost, event.NodeStoreBack, event.NodeOwns}
+	ofItself    = []*event.Event{
+		event.NodeStarted, event.NodeStopping, event.NodeConfigAdopted, event.NodeStoreLost, event.NodeStoreBack,
+		event.NodeStoreSilent, event.NodeStoreAnswers, event.NodeStoreGivenUp, event.NodeOwns,
+	}
 )
 
 // takeOthers keeps a line that tells of what the request met.
--- a/cmd/node/counters.go
+++ b/cmd/node/counters.go
@@ -19,6 +19,8 @@
 	jobs        metrics.Counter // admitted by this instance as an owner
 	jobsRefused metrics.Counter
 	logDropped  metrics.Counter
+	silences    metrics.Counter // of the store, as this instance heard it
+	givenUp     metrics.Counter // calls that a silent store had missed
 }
 
 func newCounters(r metrics.Registry) counters {
@@ -35,6 +37,8 @@
 		jobs:        counter("node.jobs"),
 		jobsRefused: counter("node.jobs_refused"),
 		logDropped:  counter("node.log_dropped"),
+		silences:    counter("node.store_silences"),
+		givenUp:     counter("node.store_calls_given_up"),
 	}
 }
 
--- a/cmd/node/follow.go
+++ b/cmd/node/follow.go
@@ -47,7 +47,9 @@
 			process.Pause(ctx, roleLook)
 			continue
 		}
+		began := n.now()
 		err := f.step(whole)
+		waited := n.now() - began
 		switch {
 		case err == nil:
 			whole = false
@@ -59,6 +61,8 @@
 			}
 			continue
 		case errors.Is(err, errMissed):
+			n.counters.givenUp.Inc(1)
+			event.NodeStoreGivenUp.Log(n.log, "topic", f.name, "waited", waited)
 			continue
 		case errors.Is(err, platform.ErrCompacted):
 			whole = true
@@ -69,7 +73,7 @@
 		}
 		if lost.IsZero() {
 			lost = time.Now()
-			event.NodeStoreLost.Log(n.log, "topic", f.name, "error", err)
+			event.NodeStoreLost.Log(n.log, "topic", f.name, "waited", waited, "error", err)
 			n.storeFailed.Store(true)
 			n.sees(false)
 		}
--- a/cmd/node/pulse.go
+++ b/cmd/node/pulse.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"quinceroad/cmd/process"
+	"quinceroad/protocol/event"
 )
 
 const (
@@ -34,22 +35,42 @@
 	return p.returned
 }
 
-// note takes in whether the store has just answered.
-func (p *pulse) note(answered bool) {
+// note takes in whether the store has just answered, and reports whether that
+// is news.
+func (p *pulse) note(answered bool) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.silent && answered {
+	news := p.silent == answered
+	if news && answered {
 		close(p.returned)
 		p.returned = make(chan struct{})
 	}
 	p.silent = !answered
+	return news
+}
+
+// isSilent reports whether the last question had no answer.
+func (p *pulse) isSilent() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.silent
 }
 
 // feelPulse asks the store now and then while this instance reads it for others.
 func (n *Node) feelPulse(ctx context.Context) {
+	var since time.Duration // when the silence began
 	process.Every(ctx, pulseEach, func() {
-		if n.reads.Load() {
-			n.pulse.note(n.store.Answers(pulseFor) == nil)
+		if !n.reads.Load() {
+			return
+		}
+		err := n.store.Answers(pulseFor)
+		switch news := n.pulse.note(err == nil); {
+		case news && err != nil:
+			since = n.now()
+			n.counters.silences.Inc(1)
+			event.NodeStoreSilent.Log(n.log, "error", err)
+		case news:
+			event.NodeStoreAnswers.Log(n.log, "after", n.now()-since)
 		}
 	})
 }
--- a/cmd/node/pulse_test.go
+++ b/cmd/node/pulse_test.go
@@ -42,3 +42,14 @@
 	is.NoErr(f.await(func() (func(), error) { return func() { taken = true }, nil }))
 	is.True(taken)
 }
+
+// Silences and returns are logged once each, not with every question.
+func TestOnlyAChangeOfTheStoresSilenceIsNews(t *testing.T) {
+	is := is.New(t)
+	p := newPulse()
+	var news []bool
+	for _, answered := range []bool{true, false, false, true, true} {
+		news = append(news, p.note(answered))
+	}
+	is.Equal(news, []bool{false, true, false, true, false})
+}
--- a/cmd/node/state.go
+++ b/cmd/node/state.go
@@ -19,6 +19,7 @@
 	Stopping  bool
 	InFlight  int64
 	Reads     bool   // follows the store for its hall
+	Silent    bool   // the store did not answer when this instance last asked it
 	ListedAt  uint64 // store's revision up to which the replicas are known
 	Version   uint64 // of the configuration in force; 0: none
 	Routes    int
@@ -82,6 +83,7 @@
 		Stopping:  n.stopping.Load(),
 		InFlight:  n.inFlight.Load(),
 		Reads:     n.reads.Load(),
+		Silent:    n.pulse.isSilent(),
 		ListedAt:  n.listAt(),
 		Replicas:  make(map[string]int, len(w.services)),
 		Leaving:   n.recentlyLeaving(),
