--- a/cmd/node/node.go
+++ b/cmd/node/node.go
@@ -37,7 +37,7 @@
 	settings *platform.Settings       // as at the start; the seeds may change
 	seeds    atomic.Pointer[[]string] // IP:port of some instances' links, which may be gone
 	log      hclog.Logger
-	store    *platform.Store
+	store    store
 	links    *link.Pool
 	traffic  link.Traffic
 	clients  *upstream.Client // of replicas
