--- a/cmd/node/silence_test.go
+++ b/cmd/node/silence_test.go
@@ -83,11 +83,11 @@
 func (s *fakeStore) Watch(t platform.Topic, after uint64, wait time.Duration) ([]platform.Item, uint64, error) {
 	end := time.NewTimer(wait)
 	lost := time.NewTimer(wait + platform.WatchGrace)
-	version, silent, cut, changed := s.look()
-	known := !silent
+	version, silent, _, changed := s.look()
+	known, cut := !silent, false
 	for {
 		if known && !silent && t == platform.TopicConfiguration && version > after {
-			return []platform.Item{{Key: "op/config", Value: text(version), Revision: version}}, version, nil
+			return []platform.Item{platform.ConfigurationItem(text(version), version)}, version, nil
 		}
 		select {
 		case <-changed:
