A wait for the store's changes ends early enough for what it missed to be in force in time

If all readers' watches were hit, the configuration was late. Ruled out: to learn it from the pulse, which asks on other connections; to compare revisions, as a stale read says nothing of one topic's but by reading all of it.

--- a/cmd/node/follow.go
+++ b/cmd/node/follow.go
@@ -13,7 +13,6 @@
 )
 
 const (
-	watchFor   = 8 * time.Second        // of one wait for changes
 	gather     = 250 * time.Millisecond // after a change of the replicas, for others that come with it
 	retryFirst = 100 * time.Millisecond // after a failed call, doubled each time
 	retryMost  = 1 * time.Second        // an outage's end is seen within the 2 s in which a configuration must be in force
@@ -23,6 +22,23 @@
 	mostAsks   = 5                      // of these under way, of one topic; the first ends with its time-out then
 )
 
+// Bounds of one wait for changes, and what is left of a deployment's time for
+// the news when it has ended.
+const (
+	leastWatch = 1 * time.Second // chosen; shorter ones would cost more than all other calls
+	mostWatch  = 8 * time.Second // as before; longer ones spare little
+	newsFor    = 1 * time.Second // for the next call, its pause before, and what peers need to hear of it: 0.6 s in plays
+)
+
+// watchFor returns how long a wait for changes may last. A connection may fall
+// silent for good while the store answers on others, and nothing tells it from
+// one on which there is no news. So a wait ends early enough for what it has
+// missed to be in force when the deployment wants it.
+func watchFor(s *platform.Settings) time.Duration {
+	wanted := s.ContactFor + min(s.ApplyFor, s.DrainFor)
+	return min(max(wanted-platform.WatchGrace-newsFor, leastWatch), mostWatch)
+}
+
 // errMissed says that a call was given up: the store has been silent since it began.
 var errMissed = errors.New("the store missed the call")
 
@@ -95,7 +111,7 @@
 	case whole:
 		return f.await(f.read)
 	case heard:
-		return f.await(func() (func(), error) { return f.changes(watchFor) })
+		return f.await(func() (func(), error) { return f.changes(watchFor(f.node.settings)) })
 	}
 	return f.await(func() (func(), error) { return f.changes(0) })
 }
--- a/cmd/node/silence_test.go
+++ b/cmd/node/silence_test.go
@@ -15,10 +15,13 @@
 	"quinceroad/platform"
 )
 
-// inForceWithin is the time from the end of a disturbance until what was
-// acknowledged since must be in force: contact_ms and config_apply_ms, the
-// least that a deployment has stated.
-const inForceWithin = 5 * time.Second
+// The least that deployments have stated, and so the time from the end of a
+// disturbance until what was acknowledged since must be in force.
+const (
+	contactFor    = 3 * time.Second
+	applyFor      = 2 * time.Second
+	inForceWithin = contactFor + applyFor
+)
 
 var errNoAnswer = errors.New("time-out")
 
@@ -119,7 +122,10 @@
 func follower(t *testing.T, f func(t *testing.T, n *Node, s *fakeStore)) {
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
-		n := New(&platform.Settings{Name: "n", Hall: "h", Store: "127.0.0.1:1"}, hclog.NewNullLogger())
+		settings := &platform.Settings{
+			Name: "n", Hall: "h", Store: "127.0.0.1:1", ContactFor: contactFor, ApplyFor: applyFor, DrainFor: applyFor,
+		}
+		n := New(settings, hclog.NewNullLogger())
 		s := newFakeStore()
 		n.store = s
 		ctx, cancel := context.WithCancel(context.Background())
@@ -194,6 +200,17 @@
 	}
 }
 
+func TestAWaitIsBoundByWhatTheDeploymentWants(t *testing.T) {
+	is := is.New(t)
+	wait := func(contact, apply, drain time.Duration) time.Duration {
+		return watchFor(&platform.Settings{ContactFor: contact, ApplyFor: apply, DrainFor: drain})
+	}
+	is.Equal(wait(3*time.Second, 2*time.Second, 2*time.Second), 3300*time.Millisecond)
+	is.Equal(wait(4*time.Second, 3*time.Second, 2*time.Second), 4300*time.Millisecond) // the list of replicas, too
+	is.Equal(wait(time.Minute, time.Second, time.Second), mostWatch)
+	is.Equal(wait(0, 0, 0), leastWatch)
+}
+
 // A reader to whom the store is silent hands over only when it says so, and who
 // has handed over is taken for one that reaches the store only when it says that.
 func TestAReaderSaysSoonThatTheStoreIsSilentAndWhenItAnswers(t *testing.T) {
