A reader says at once that the store is silent to it, and again that it answers

Change: the question each 1.5 s tells the others what came of it; who was not reached goes on asking.

--- a/cmd/node/follow.go
+++ b/cmd/node/follow.go
@@ -184,6 +184,13 @@
 	n.gossipMu.Unlock()
 }
 
+// blind reports whether this instance last failed to reach the store.
+func (n *Node) blind() bool {
+	n.gossipMu.Lock()
+	defer n.gossipMu.Unlock()
+	return n.members.Self().Blind
+}
+
 // takeRole finds out whether this instance is one of those that follow the store.
 func (n *Node) takeRole(alive []gossip.Instance) {
 	reads := readers.Chosen(n.settings.Name, alive)
--- a/cmd/node/pulse.go
+++ b/cmd/node/pulse.go
@@ -56,14 +56,18 @@
 	return p.silent
 }
 
-// feelPulse asks the store now and then while this instance reads it for others.
+// feelPulse asks the store now and then while this instance reads it for others,
+// and tells the others whether it answers: a wait for changes shows a silence
+// only at its end. Who did not reach the store goes on asking until it does, as
+// it would else be passed over as a reader for good.
 func (n *Node) feelPulse(ctx context.Context) {
 	var since time.Duration // when the silence began
 	process.Every(ctx, pulseEach, func() {
-		if !n.reads.Load() {
+		if !n.reads.Load() && !n.blind() {
 			return
 		}
 		err := n.store.Answers(pulseFor)
+		n.sees(err == nil)
 		switch news := n.pulse.note(err == nil); {
 		case news && err != nil:
 			since = n.now()
--- a/cmd/node/silence_test.go
+++ b/cmd/node/silence_test.go
@@ -218,9 +218,7 @@
 		is := is.New(t)
 		blind := func() bool {
 			synctest.Wait()
-			n.gossipMu.Lock()
-			defer n.gossipMu.Unlock()
-			return n.members.Self().Blind
+			return n.blind()
 		}
 		is.True(!blind())
 		s.setSilent(true)
