--- a/cmd/node/follow.go
+++ b/cmd/node/follow.go
@@ -25,8 +25,8 @@
 // Bounds of one wait for changes, and what is left of a deployment's time for
 // the news when it has ended.
 const (
-	leastWatch = 1 * time.Second // chosen; shorter ones would cost more than all other calls
-	mostWatch  = 8 * time.Second // as before; longer ones spare little
+	leastWatch = 1 * time.Second // chosen: two calls a second of a reader at most, with the grace
+	mostWatch  = 8 * time.Second // as before bounds were read from the settings
 	newsFor    = 1 * time.Second // for the next call, its pause before, and what peers need to hear of it: 0.6 s in plays
 )
 
--- a/cmd/node/pulse_test.go
+++ b/cmd/node/pulse_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"testing/synctest"
 
 	"github.com/matryer/is"
 )
@@ -9,30 +10,33 @@
 // A reader's watch that the store had missed in an outage waited 8.7 s in all,
 // past the time in which a configuration must be in force.
 func TestACallThatTheStoreMissedIsGivenUpWhenItIsBack(t *testing.T) {
-	is := is.New(t)
-	p := newPulse()
-	missed := make(chan struct{})
-	defer close(missed)
-	f := &follow{back: p.back}
-	began := make(chan struct{})
-	ended := make(chan error)
-	go func() {
-		ended <- f.await(func() (func(), error) {
-			close(began)
-			<-missed
-			return nil, nil
-		})
-	}()
-	<-began
-	p.note(true) // it answers as before
-	select {
-	case err := <-ended:
-		t.Fatalf("given up without a silence: %v", err)
-	default:
-	}
-	p.note(false)
-	p.note(true)
-	is.Equal(<-ended, errMissed)
+	synctest.Test(t, func(t *testing.T) { // a call that waits for good fails the test at once
+		is := is.New(t)
+		p := newPulse()
+		missed := make(chan struct{})
+		defer close(missed)
+		f := &follow{back: p.back}
+		began := make(chan struct{})
+		ended := make(chan error)
+		go func() {
+			ended <- f.await(func() (func(), error) {
+				close(began)
+				<-missed
+				return nil, nil
+			})
+		}()
+		<-began
+		p.note(true) // it answers as before
+		synctest.Wait()
+		select {
+		case err := <-ended:
+			t.Fatalf("given up without a silence: %v", err)
+		default:
+		}
+		p.note(false)
+		p.note(true)
+		is.Equal(<-ended, errMissed)
+	})
 }
 
 func TestAnAnswerIsTakenIn(t *testing.T) {
--- a/cmd/node/silence_test.go
+++ b/cmd/node/silence_test.go
@@ -165,7 +165,7 @@
 			time.Sleep(silence)
 			s.setSilent(false)
 			s.write(3)
-			inForce(t, n, 3, inForceWithin, silence.String())
+			inForce(t, n, 3, pulseEach+pulseFor, silence.String()) // a question is answered
 		})
 	}
 }
