--- a/deploy/days/copies.sh
+++ b/deploy/days/copies.sh
@@ -22,6 +22,7 @@
 machines 's/cpu_share = [0-9.]+/cpu_share = 0.1/; s/memory_mb = [0-9]+/memory_mb = 96/' >"$out/cores-0.1.toml"
 machines 's/cpu_share = [0-9.]+/cpu_share = 1.0/; s/cores = [0-9]+/cores = 4/' >"$out/cores-4.toml"
 machines 's/count = [0-9]+/count = 1/' >"$out/machines-1.toml"
+machines 's/count = [0-9]+/count = 2/' >"$out/machines-2.toml" # each hall's reader has one to hand over to
 machines 's/count = [0-9]+/count = 4/' >"$out/machines-4.toml"
 machines 's/link_mbps = [0-9.]+/link_mbps = 20.0/' >"$out/link-20.toml"
 sed -E "/stage = /s/servers = \[[^]]*\]/servers = [{ zone = \"$first\", count = 1 }, { zone = \"$second\", count = 1 }]/" "$site" >"$out/pools-2.toml"
