--- a/cmd/node/pulse.go
+++ b/cmd/node/pulse.go
@@ -10,10 +10,10 @@
 )
 
 const (
-	// pulseEach is how often a reader asks whether the store answers. A watch
-	// that the store missed is so given up 1.5 s after the store's return at
-	// most, within the 2 s in which a configuration must be in force; watches
-	// of 1.5 s instead would cost ten times as many calls.
+	// pulseEach is how often a reader asks whether the store answers. Chosen: a
+	// watch that the store missed is so given up 1.5 s after its return, within
+	// the 2 s in which the settings want a configuration in force. The question
+	// is a stale read, at a tenth of the price of a shorter watch's call.
 	pulseEach = 1500 * time.Millisecond
 	pulseFor  = 700 * time.Millisecond // that an answer may take: 175 times the usual
 )
--- a/cmd/node/register.go
+++ b/cmd/node/register.go
@@ -26,7 +26,7 @@
 // register keeps the entry of an instance that reads in the store, from which
 // those that start later learn of it, and reads the others' once.
 func (n *Node) register(ctx context.Context) {
-	var lease uint64
+	var lease uint64 // the store's number of it; 0: none is held
 	n.greet(ctx)
 	if len(n.alive()) == 1 {
 		n.logAside("instances", "store", n.meet()) // the seeds may be gone; those that read before may be back
--- a/cmd/node/silence_test.go
+++ b/cmd/node/silence_test.go
@@ -18,8 +18,8 @@
 // The least that deployments have stated, and so the time from the end of a
 // disturbance until what was acknowledged since must be in force.
 const (
-	contactFor    = 3 * time.Second
-	applyFor      = 2 * time.Second
+	contactFor    = 3 * time.Second // until an instance is held to bounds again: kld-windhoek's and mfma-route's settings
+	applyFor      = 2 * time.Second // until a configuration is in force: the same settings
 	inForceWithin = contactFor + applyFor
 )
 
--- a/coordination/pipeline/options.go
+++ b/coordination/pipeline/options.go
@@ -26,7 +26,7 @@
 type Option func(*Options)
 
 func newOptions(opts []Option) Options {
-	o := Options{
+	o := Options{ // the fields say each one's unit and source
 		Margin:       1,
 		LastMargin:   0.85,
 		LastTimes:    1.8,
