A hall that is being emptied gets nothing new, by the newest word of the store

Cause: op/evacuate/ZONE was read nowhere.

Change: coordination/evacuation keeps which halls are emptied as of one revision of the store. A view is whole, so of two the higher revision wins whoever tells it, and an older word neither empties a hall nor gives one back. Readers read it with the configuration in one call (a range of what operators write in place of one key) and in the same watch; it stands in every heartbeat and beside every configuration that a peer pulls, so who starts knows it before it takes requests. It is in force at once: plain services, engines, pools, retries and resumed streams choose without the hall's replicas, an owner counts no capacity there and asks nothing of them; whether a replica takes is asked again right before the send, which holds for leaving replicas too. What is under way ends by itself, results there are read and freed. The number of cells follows all replicas, emptied or not: else an evacuation would move owners.

Ruled out: a second topic with a log of its own changes (coordination/changes): its answers "what changed since" are needed for lists of thousands; a set of a few halls is smaller than the question.

--- a/cmd/node/attempt.go
+++ b/cmd/node/attempt.go
@@ -53,6 +53,10 @@
 		}
 		return errUnreached
 	}
+	if !n.replicaTakes(r.ID) {
+		conn.Close()
+		return errUnreached
+	}
 	a := &attempt{serving: s, replica: r, conn: conn, sent: time.Now()}
 	token, ok := s.record.Dispatch()
 	if !ok {
--- a/cmd/node/counters.go
+++ b/cmd/node/counters.go
@@ -18,6 +18,7 @@
 	lostCalls   metrics.Counter
 	jobs        metrics.Counter // admitted by this instance as an owner
 	jobsRefused metrics.Counter
+	emptied     metrics.Counter // halls, as this instance learnt it
 	logDropped  metrics.Counter
 	silences    metrics.Counter // of the store, as this instance heard it
 	givenUp     metrics.Counter // calls that a silent store had missed
@@ -36,6 +37,7 @@
 		lostCalls:   counter("node.calls_lost"),
 		jobs:        counter("node.jobs"),
 		jobsRefused: counter("node.jobs_refused"),
+		emptied:     counter("node.halls_emptied"),
 		logDropped:  counter("node.log_dropped"),
 		silences:    counter("node.store_silences"),
 		givenUp:     counter("node.store_calls_given_up"),
--- a/cmd/node/members.go
+++ b/cmd/node/members.go
@@ -105,7 +105,7 @@
 	if len(to) == 0 {
 		return
 	}
-	h := &pb.Heartbeat{Leaving: n.recentlyLeaving(), Sick: n.sick(), Changed: n.listChanged()}
+	h := &pb.Heartbeat{Leaving: n.recentlyLeaving(), Sick: n.sick(), Changed: n.listChanged(), Evacuations: n.emptiedNews()}
 	for _, i := range m.News {
 		h.News = append(h.News, newsOf(i))
 	}
@@ -185,6 +185,7 @@
 	}
 	n.gossipMu.Unlock()
 	n.send(fresh, known) // who has just started learns of the others at once
+	n.takeEmptied(senderOf(h), h.Evacuations)
 	n.catchUp(now, h)
 	for _, id := range h.Leaving {
 		n.sawLeaving(id, "peer")
@@ -192,6 +193,14 @@
 	n.takeHearsay(now, h)
 }
 
+// senderOf names who sent a heartbeat.
+func senderOf(h *pb.Heartbeat) string {
+	if len(h.News) == 0 {
+		return ""
+	}
+	return h.News[0].Name
+}
+
 // takeHearsay takes in which replicas a peer leaves alone.
 func (n *Node) takeHearsay(now time.Duration, h *pb.Heartbeat) {
 	var fresh []string
--- a/cmd/node/node.go
+++ b/cmd/node/node.go
@@ -19,6 +19,7 @@
 
 	"quinceroad/cmd/process"
 	"quinceroad/coordination/choice"
+	"quinceroad/coordination/evacuation"
 	"quinceroad/coordination/gossip"
 	"quinceroad/coordination/health"
 	"quinceroad/coordination/shutdown"
@@ -51,6 +52,7 @@
 	config    *catalog.Configuration
 	rawConfig *rawConfig
 	replicas  *replicaSet
+	emptied   *evacuation.View
 
 	reads       atomic.Bool // this instance follows the store for others
 	storeFailed atomic.Bool // a call to the store has failed since the start
@@ -93,6 +95,7 @@
 		registry:  metrics.NewRegistry(),
 		began:     time.Now(),
 		replicas:  newReplicaSet(),
+		emptied:   evacuation.New(),
 		pulse:     newPulse(),
 		judge:     health.New(health.Standard()),
 		loads:     choice.NewTable(),
@@ -140,7 +143,7 @@
 	n.cancel = cancel
 	n.group, ctx = errgroup.WithContext(ctx)
 	loops := []func(context.Context){
-		n.followConfiguration, n.followReplicas, n.register, n.feelPulse, n.beat, n.hear, n.owner.tick, n.housekeeping,
+		n.followIntent, n.followReplicas, n.register, n.feelPulse, n.beat, n.hear, n.owner.tick, n.housekeeping,
 	}
 	for _, loop := range loops {
 		n.group.Go(func() error {
--- a/cmd/node/owner.go
+++ b/cmd/node/owner.go
@@ -31,7 +31,7 @@
 	}
 	for name, s := range w.config.Services {
 		if s.Pool != nil {
-			most = max(most, len(w.services[name]))
+			most = max(most, w.sizes[name])
 		}
 	}
 	return max((most+cellReplicas-1)/cellReplicas, 1)
--- a/cmd/node/owner_test.go
+++ b/cmd/node/owner_test.go
@@ -11,13 +11,13 @@
 func TestCellsPartLargePoolsAndEachReplicaOnce(t *testing.T) {
 	is := is.New(t)
 	w := &world{
-		config:   &catalog.Configuration{Services: map[string]*catalog.Service{"read": {Pool: &catalog.Pool{}}}},
-		services: map[string][]catalog.Replica{},
+		config: &catalog.Configuration{Services: map[string]*catalog.Service{"read": {Pool: &catalog.Pool{}}}},
+		sizes:  map[string]int{},
 	}
 	for i := range 100 {
 		r := catalog.Replica{ID: string(rune('A' + i)), Service: "read"}
 		w.all = append(w.all, r)
-		w.services["read"] = append(w.services["read"], r)
+		w.sizes["read"]++ // also of those whose hall is being emptied: the cells stay as they are
 	}
 	is.Equal(w.cells(), 4)
 	seen := make(map[string]int)
--- a/cmd/node/pieces.go
+++ b/cmd/node/pieces.go
@@ -30,6 +30,9 @@
 		event.NodeMessageBroken.Log(n.log, "what", "call of pieces", "from", n.settings.Name, "error", err)
 		return nil, pipeline.Unreachable
 	}
+	if !n.replicaTakes(c.Replica) {
+		return nil, pipeline.Refused
+	}
 	status, head, data, err := n.call(ctx, ownCall{address: c.Address, replica: c.Replica, method: fasthttp.MethodPost, path: path, body: body})
 	switch {
 	case errors.Is(err, upstream.ErrConnect):
--- a/cmd/node/pull.go
+++ b/cmd/node/pull.go
@@ -83,6 +83,7 @@
 		n.logAside("configuration", addr, err)
 		return
 	}
+	n.takeEmptied(addr, answer.Evacuations) // before what may be sent where is known
 	if len(answer.Declaration) == 0 {
 		return
 	}
@@ -116,7 +117,7 @@
 	if config == nil {
 		return &pb.Config{}
 	}
-	return &pb.Config{Revision: config.Version, Declaration: raw.forPeers()}
+	return &pb.Config{Revision: config.Version, Declaration: raw.forPeers(), Evacuations: n.emptiedNews()}
 }
 
 func (n *Node) pullReplicas(addr string, have uint64) {
--- a/cmd/node/silence_test.go
+++ b/cmd/node/silence_test.go
@@ -73,12 +73,12 @@
 	return nil
 }
 
-func (s *fakeStore) Configuration() ([]byte, uint64, error) {
+func (s *fakeStore) Intent() (platform.Intent, error) {
 	if err := s.Answers(platform.CallTimeout); err != nil {
-		return nil, 0, err
+		return platform.Intent{}, err
 	}
 	version, _, _, _ := s.look()
-	return text(version), version, nil
+	return platform.Intent{Configuration: text(version), At: version}, nil
 }
 
 // Watch is answered, when the store knows of it, with the next change or at the
@@ -89,7 +89,7 @@
 	version, silent, _, changed := s.look()
 	known, cut := !silent, false
 	for {
-		if known && !silent && t == platform.TopicConfiguration && version > after {
+		if known && !silent && t == platform.TopicIntent && version > after {
 			return []platform.Item{platform.ConfigurationItem(text(version), version)}, version, nil
 		}
 		select {
@@ -131,7 +131,7 @@
 		ctx, cancel := context.WithCancel(context.Background())
 		n.reads.Store(true)
 		var loops sync.WaitGroup
-		for _, loop := range []func(context.Context){n.followConfiguration, n.followReplicas, n.feelPulse} {
+		for _, loop := range []func(context.Context){n.followIntent, n.followReplicas, n.feelPulse} {
 			loops.Go(func() { loop(ctx) })
 		}
 		defer func() {
@@ -202,13 +202,14 @@
 
 func TestAWaitIsBoundByWhatTheDeploymentWants(t *testing.T) {
 	is := is.New(t)
-	wait := func(contact, apply, drain time.Duration) time.Duration {
-		return watchFor(&platform.Settings{ContactFor: contact, ApplyFor: apply, DrainFor: drain})
+	wait := func(contact, apply, drain, empty time.Duration) time.Duration {
+		return watchFor(&platform.Settings{ContactFor: contact, ApplyFor: apply, DrainFor: drain, EmptyFor: empty})
 	}
-	is.Equal(wait(3*time.Second, 2*time.Second, 2*time.Second), 3300*time.Millisecond)
-	is.Equal(wait(4*time.Second, 3*time.Second, 2*time.Second), 4300*time.Millisecond) // the list of replicas, too
-	is.Equal(wait(time.Minute, time.Second, time.Second), mostWatch)
-	is.Equal(wait(0, 0, 0), leastWatch)
+	is.Equal(wait(3*time.Second, 2*time.Second, 2*time.Second, 5*time.Second), 3300*time.Millisecond)
+	is.Equal(wait(4*time.Second, 3*time.Second, 2*time.Second, 5*time.Second), 4300*time.Millisecond) // the list of replicas, too
+	is.Equal(wait(3*time.Second, 2*time.Second, 2*time.Second, time.Second), 2300*time.Millisecond)   // and an evacuation
+	is.Equal(wait(time.Minute, time.Second, time.Second, time.Second), mostWatch)
+	is.Equal(wait(0, 0, 0, 0), leastWatch)
 }
 
 // A reader to whom the store is silent hands over only when it says so, and who
--- a/cmd/node/state.go
+++ b/cmd/node/state.go
@@ -25,6 +25,7 @@
 	Routes    int
 	Replicas  map[string]int // by service, those that may get work
 	Leaving   []string       // replicas, lately
+	Emptied   []string       // halls whose replicas get nothing new
 	LeftAlone []string       // replicas taken for sick
 	Instances []gossip.Instance
 	Cells     []CellState
@@ -90,6 +91,9 @@
 		Instances: n.alive(),
 		LinkedTo:  n.links.Len(),
 	}
+	n.followMu.Lock()
+	s.Emptied = n.emptied.Halls()
+	n.followMu.Unlock()
 	if w.config != nil {
 		s.Version, s.Routes = w.config.Version, len(w.config.Routes)
 	}
--- a/cmd/node/store.go
+++ b/cmd/node/store.go
@@ -10,7 +10,7 @@
 // that tests can let a store fall silent in their own time.
 type store interface {
 	Answers(within time.Duration) error
-	Configuration() (data []byte, at uint64, err error)
+	Intent() (platform.Intent, error)
 	Replicas() (items map[string][]byte, at uint64, err error)
 	Watch(t platform.Topic, after uint64, wait time.Duration) (items []platform.Item, at uint64, err error)
 	Instances() (items map[string][]byte, err error)
--- a/cmd/node/topics.go
+++ b/cmd/node/topics.go
@@ -7,34 +7,64 @@
 
 	"quinceroad/cmd/process"
 	"quinceroad/coordination/changes"
+	"quinceroad/coordination/evacuation"
 	"quinceroad/platform"
 	"quinceroad/protocol/event"
 )
 
-func (n *Node) followConfiguration(ctx context.Context) {
+// followIntent follows what operators write: the configuration, and which halls
+// are being emptied.
+func (n *Node) followIntent(ctx context.Context) {
 	var at atomic.Uint64
-	f := follow{node: n, back: n.pulse.back, name: "configuration", known: func() bool { return n.version() > 0 }}
+	f := follow{node: n, back: n.pulse.back, name: "intent", known: func() bool { return n.version() > 0 }}
 	f.read = func() (func(), error) {
-		data, revision, err := n.store.Configuration()
+		intent, err := n.store.Intent()
 		return func() {
-			at.Store(revision)
-			n.offer(data, "store")
+			at.Store(intent.At)
+			n.takeIntent(intent)
 		}, err
 	}
 	f.changes = func(wait time.Duration) (func(), error) {
-		items, revision, err := n.store.Watch(platform.TopicConfiguration, at.Load(), wait)
+		items, revision, err := n.store.Watch(platform.TopicIntent, at.Load(), wait)
 		return func() {
 			at.Store(max(at.Load(), revision))
-			for i := range items {
-				if items[i].IsConfiguration() && !items[i].Gone {
-					n.offer(items[i].Value, "store")
-				}
-			}
+			n.takeIntentChanges(items, at.Load())
 		}, err
 	}
 	f.run(ctx)
 }
 
+// takeIntent takes in what operators want as it was read whole. The halls come
+// first: nothing is sent before a configuration is in force.
+func (n *Node) takeIntent(i platform.Intent) {
+	n.empty(fromStore, func(now time.Duration, v *evacuation.View) []evacuation.Change {
+		return v.Replace(now, i.Emptied, i.At)
+	})
+	n.offer(i.Configuration, fromStore)
+}
+
+// takeIntentChanges takes in what a watch brought, after which all up to a
+// revision is known.
+func (n *Node) takeIntentChanges(items []platform.Item, at uint64) {
+	var entries []evacuation.Entry
+	for i := range items {
+		if hall, ok := items[i].EmptiedHall(); ok {
+			entries = append(entries, evacuation.Entry{Hall: hall, Revision: items[i].Revision, Gone: items[i].Gone})
+		}
+	}
+	n.empty(fromStore, func(now time.Duration, v *evacuation.View) []evacuation.Change {
+		return v.Apply(now, entries, at)
+	})
+	for i := range items {
+		if items[i].IsConfiguration() && !items[i].Gone {
+			n.offer(items[i].Value, fromStore)
+		}
+	}
+}
+
+// fromStore names the store as whom news come from.
+const fromStore = "store"
+
 // version is that of the configuration in force; 0: none.
 func (n *Node) version() uint64 {
 	n.followMu.Lock()
@@ -70,7 +100,7 @@
 	n.gossipMu.Unlock()
 	event.NodeConfigAdopted.Log(n.log, "version", c.Version, "from", from, "routes", len(c.Routes))
 	n.tell()
-	if from == "store" {
+	if from == fromStore {
 		n.tellHall()
 	}
 }
@@ -83,7 +113,7 @@
 			n.followMu.Lock()
 			n.replicas.log.Replace(items, at)
 			n.followMu.Unlock()
-			event.NodeReplicas.Log(n.log, "from", "store", "at", at, "known", len(items))
+			event.NodeReplicas.Log(n.log, "from", fromStore, "at", at, "known", len(items))
 			n.publish()
 		}, err
 	}
@@ -104,7 +134,7 @@
 	news := n.replicas.log.Apply(entries, at)
 	n.followMu.Unlock()
 	if news > 0 {
-		event.NodeReplicas.Log(n.log, "from", "store", "changes", news, "at", at)
+		event.NodeReplicas.Log(n.log, "from", fromStore, "changes", news, "at", at)
 		n.publish()
 		n.tellHall()
 		process.Pause(ctx, gather)
--- a/cmd/node/world.go
+++ b/cmd/node/world.go
@@ -15,6 +15,7 @@
 	config   *catalog.Configuration
 	listed   bool                         // the replicas are known
 	services map[string][]catalog.Replica // those that may get work
+	sizes    map[string]int               // of the services, those included whose hall is being emptied
 	all      []catalog.Replica            // the leaving ones included
 }
 
@@ -58,14 +59,20 @@
 func (n *Node) publish() {
 	n.followMu.Lock()
 	n.replicas.refresh()
-	w := &world{config: n.config, listed: n.replicas.log.Known(), services: make(map[string][]catalog.Replica)}
+	w := &world{
+		config: n.config, listed: n.replicas.log.Known(), services: make(map[string][]catalog.Replica), sizes: make(map[string]int),
+	}
 	for id, row := range n.replicas.rows {
 		r := row.replica
 		if _, ok := n.replicas.leaving[id]; ok {
 			r.Leaving = true
 		}
+		r.Emptied = n.emptied.Emptied(r.Hall)
 		w.all = append(w.all, r)
 		if !r.Leaving {
+			w.sizes[r.Service]++
+		}
+		if r.Takes() {
 			w.services[r.Service] = append(w.services[r.Service], r)
 		}
 	}
--- a/coordination/pipeline/pool.go
+++ b/coordination/pipeline/pool.go
@@ -77,8 +77,11 @@
 	p.order = slices.SortedFunc(maps.Values(p.replicas), func(a, b *replica) int { return cmp.Compare(a.ID, b.ID) })
 }
 
+// takes reports whether a replica may get new work at all.
+func (r *replica) takes() bool { return !r.leaving && !r.gone && !r.Emptied }
+
 func (r *replica) usable(now time.Duration) bool {
-	return r.call == nil && !r.leaving && !r.gone && now >= r.pausedTo
+	return r.call == nil && r.takes() && now >= r.pausedTo
 }
 
 // soon is how long a replica may be left alone and still count as capacity: it
@@ -87,7 +90,7 @@
 
 // serving reports whether a replica counts as capacity.
 func (r *replica) serving(now time.Duration) bool {
-	return !r.leaving && !r.gone && (now+soon >= r.pausedTo || r.call != nil)
+	return r.takes() && (now+soon >= r.pausedTo || r.call != nil)
 }
 
 // free is when a replica can take its next call.
--- a/coordination/placement/placement.go
+++ b/coordination/placement/placement.go
@@ -242,7 +242,7 @@
 	out := make([]*engine, 0, len(all))
 	for i := range all {
 		e := all[(uint64(i)+r.ID*spread)%uint64(len(all))]
-		if !e.Leaving && !r.Avoid[e.ID] {
+		if e.Takes() && !r.Avoid[e.ID] {
 			out = append(out, e)
 		}
 	}
--- a/protocol/event/event.go
+++ b/protocol/event/event.go
@@ -66,6 +66,8 @@
 	NodeStoreGivenUp  = add(3029, hclog.Info, "call to the store given up", "topic, waited", "The store was silent since the call began and won't answer it.", nothing)
 	NodeReplicaLeaves = add(3030, hclog.Info, "replica leaving", "replica, sign", "The replica gets no new work.", nothing)
 	NodeLeavesAlone   = add(3031, hclog.Warn, "replica left alone", "replica, why, usual, by", "The replica gets no new work for a while, by own evidence or a peer's.", "look at that replica when it repeats")
+	NodeHallEmptied   = add(3033, hclog.Warn, "hall emptied", "hall, from, revision", "An operator wants a data hall empty: its replicas get nothing new, what is under way there ends by itself.", nothing)
+	NodeHallReturned  = add(3034, hclog.Info, "hall taken back", "hall, from, revision", "Its replicas get work again.", nothing)
 	NodeTakesBack     = add(3032, hclog.Info, "replica taken back", "replica", "A replica that was left alone has answered well.", nothing)
 	NodeOwns          = add(3040, hclog.Info, "pools owned", "cell", "Another instance took this one for the owner of these pools.", nothing)
 	NodeCallLost      = add(3041, hclog.Warn, "call of pieces lost", "replica, pieces, fate", "A replica did not run a call of pieces, or its answer did not come; the pieces go to others.", "look at that replica when it repeats")
--- a/state/catalog/catalog.go
+++ b/state/catalog/catalog.go
@@ -167,8 +167,14 @@
 	Slots   int
 	Leaving bool
 	Warming time.Duration // how much longer it is slow, when it was last told
+
+	// What the process knows besides.
+	Emptied bool // its hall is being emptied: it gets nothing new
 }
 
+// Takes reports whether the replica may get new work.
+func (r *Replica) Takes() bool { return !r.Leaving && !r.Emptied }
+
 // Part is a piece of a prompt that requests may share.
 type Part struct {
 	ID     string
