A cold replica gets what it carries, counted where it is decided

Cause: warmup_left_ms of a replica's entry was a tie-break among plain services, what a service states that its cold replicas carry (warmup_s, warmup_per_s) was not parsed, and nothing knew that the replicas of a hall that is taken back are cold.

Change: a replica is cold by its own word, from when it is heard, and for warmup_s after its hall was taken back, as it may have turned cold just before and says so up to a heartbeat later; the newest heartbeats tell who starts when that was. coordination/warmup parts what it may get: owners of cells count their engines and pools in a sliding second, as much as a replica carries and no more than half of what is allowed, as two may take themselves for the owner; for plain services rendezvous names as many instances as it may get requests a second, each of which sends one. A request is counted right before the send. When no replica may take it, it is refused at once, with a second to come back: 503 "all replicas are cold" or "every hall that has replicas is being emptied", which quincectl losses shows as causes.

Weighed for plain services, which have no owner: a share for each instance (86 instances, 6.7 requests a second: one in 13 s each; buckets that start empty and fill up together let 86 go at once), tokens asked of an owner (exact; a call more for each request, and nothing while the owner is lost), few named instances (chosen: no message, adds up under any one view and under two, and is never zero). Health answers tell coldness too; they cost probes and say what the entry says.

--- a/cmd/node/attempt.go
+++ b/cmd/node/attempt.go
@@ -53,7 +53,7 @@
 		}
 		return errUnreached
 	}
-	if !n.replicaTakes(r.ID) {
+	if !n.mayGet(s.service, r.ID) {
 		conn.Close()
 		return errUnreached
 	}
--- a/cmd/node/node.go
+++ b/cmd/node/node.go
@@ -63,6 +63,8 @@
 	gossipMu sync.Mutex
 	members  *gossip.View
 
+	cold *coldness // has a lock of its own, which is taken last
+
 	judgeMu   sync.Mutex
 	judge     *health.Judge
 	loads     *choice.Table
@@ -96,6 +98,7 @@
 		began:     time.Now(),
 		replicas:  newReplicaSet(),
 		emptied:   evacuation.New(),
+		cold:      newColdness(s),
 		pulse:     newPulse(),
 		judge:     health.New(health.Standard()),
 		loads:     choice.NewTable(),
--- a/cmd/node/owner.go
+++ b/cmd/node/owner.go
@@ -54,8 +54,8 @@
 		c = &cell{
 			owner:     o,
 			number:    number,
-			scheduler: pipeline.New(),
-			engines:   placement.New(placement.Standard()),
+			scheduler: pipeline.New(pipeline.Cold(o.node.cold.limit)),
+			engines:   placement.New(placement.Standard(), o.node.cold.limit),
 			waiting:   make(map[uint64]chan pipeline.Action),
 			calls:     make(map[uint64]context.CancelFunc),
 		}
--- a/cmd/node/pick.go
+++ b/cmd/node/pick.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"time"
 
 	"quinceroad/coordination/health"
@@ -82,17 +83,18 @@
 
 // pick chooses the replica for the next attempt: the owner's choice, or this
 // instance's own where there is none or it was tried.
-func (s *serving) pick() (catalog.Replica, string, bool) {
+func (s *serving) pick() (catalog.Replica, string, error) {
 	if r, ok := s.ownersChoice(); ok {
-		return r, s.job.fetch, true
+		return r, s.job.fetch, nil
 	}
 	n := s.node
 	world := n.world.Load() // replicas may have left since the request came
 	now := n.now()
+	able := s.able(now, world.services[s.service.Name])
 	n.judgeMu.Lock()
 	defer n.judgeMu.Unlock()
 	var fit, sick []catalog.Replica
-	for _, r := range world.services[s.service.Name] {
+	for _, r := range able {
 		switch {
 		case s.avoid[r.ID] || s.tried[r.ID]:
 		case n.judge.Paused(now, r.ID):
@@ -105,13 +107,40 @@
 		fit = append(fit, sick...) // when most seem sick, the cause is elsewhere
 	}
 	if len(fit) == 0 {
-		return catalog.Replica{}, "", false
+		return catalog.Replica{}, "", s.none(world, able)
 	}
 	if s.service.Engine == nil {
-		return n.loads.Plain(now, n.settings.Hall, fit, newRandom()), "", true
+		return n.loads.Plain(now, n.settings.Hall, fit, newRandom()), "", nil
 	}
 	e := n.loads.Engines(now, s.req.Shared(), s.req.ID, fit)
-	return e.Replica, e.Fetch, true
+	return e.Replica, e.Fetch, nil
+}
+
+// none says why there is no replica for the request.
+func (s *serving) none(w *world, able []catalog.Replica) error {
+	switch listed := len(w.services[s.service.Name]); {
+	case listed > 0 && len(able) == 0:
+		return errCold
+	case listed == 0 && w.sizes[s.service.Name] > 0:
+		return errEmptied
+	}
+	return errUnreached
+}
+
+// able returns the replicas that this instance may choose by itself: not the
+// cold ones beyond its part of what they carry, which for engines is none.
+func (s *serving) able(now time.Duration, all []catalog.Replica) []catalog.Replica {
+	if s.service.WarmUp == nil || !slices.ContainsFunc(all, func(r catalog.Replica) bool { return r.ColdUntil > now }) {
+		return all
+	}
+	instances := s.node.taking()
+	var out []catalog.Replica
+	for _, r := range all {
+		if r.ColdUntil <= now || s.service.Engine == nil && s.node.allowsCold(now, s.service, r.ID, instances, false) {
+			out = append(out, r)
+		}
+	}
+	return out
 }
 
 func (s *serving) ownersChoice() (catalog.Replica, bool) {
--- a/cmd/node/serve.go
+++ b/cmd/node/serve.go
@@ -18,6 +18,7 @@
 const (
 	standardLeft  = 30 * time.Second       // of a request that states no deadline
 	backSoon      = 300 * time.Millisecond // when a client may come back where nothing is known of when; chosen, one heartbeat and a half
+	backLater     = time.Second            // the same while no replica may take it: what cold ones get is counted by the second
 	mostUnsent    = 4                      // sends of one request that reached nobody or were turned away
 	mostWaits     = 6                      // for stages of a stream that broke off: with backSoon 1.8 s, less than clients wait for an event
 	mostRedone    = 2                      // times that a request's stages are run again
@@ -180,6 +181,8 @@
 	errNotRun    = errors.New("the replica turned the request away")
 	errInputs    = errors.New("the replica did not find the request's inputs")
 	errUnreached = errors.New("no replica was reached")
+	errEmptied   = errors.New("every hall that has replicas is being emptied")
+	errCold      = errors.New("all replicas are cold and get as much as they carry")
 	errBroken    = errors.New("the answer broke off")
 	errSilent    = errors.New("the replica did not answer in time")
 	errOwnFault  = errors.New("the replica failed the request")
@@ -196,11 +199,11 @@
 			}
 			return err
 		}
-		engine, fetch, ok := s.pick()
-		if !ok {
-			return errUnreached
+		engine, fetch, err := s.pick()
+		if err != nil {
+			return err
 		}
-		err := s.attempt(ctx, engine, fetch)
+		err = s.attempt(ctx, engine, fetch)
 		if err == nil {
 			return nil
 		}
@@ -271,6 +274,8 @@
 		after = refused.after
 	case errors.As(err, &failed):
 		after = max(failed.after, backSoon)
+	case errors.Is(err, errEmptied), errors.Is(err, errCold):
+		after = backLater
 	}
 	left := s.req.Deadline - time.Since(s.req.Arrived)
 	after = min(after, time.Duration(float64(left)/retryPart*retryMargin))
--- a/cmd/node/state.go
+++ b/cmd/node/state.go
@@ -26,6 +26,7 @@
 	Replicas  map[string]int // by service, those that may get work
 	Leaving   []string       // replicas, lately
 	Emptied   []string       // halls whose replicas get nothing new
+	Cold      []string       // replicas that get little
 	LeftAlone []string       // replicas taken for sick
 	Instances []gossip.Instance
 	Cells     []CellState
@@ -94,6 +95,11 @@
 	n.followMu.Lock()
 	s.Emptied = n.emptied.Halls()
 	n.followMu.Unlock()
+	for _, r := range w.all {
+		if r.ColdUntil > n.now() {
+			s.Cold = append(s.Cold, r.ID)
+		}
+	}
 	if w.config != nil {
 		s.Version, s.Routes = w.config.Version, len(w.config.Routes)
 	}
--- a/cmd/node/world.go
+++ b/cmd/node/world.go
@@ -25,11 +25,13 @@
 	log     *changes.Log
 	rows    map[string]replicaRow
 	leaving map[string]time.Duration // by id: when it was seen
+	cold    map[string]time.Duration // by id: until when a log line has said that it is
 }
 
 type replicaRow struct {
 	value   []byte // as the store has it
 	replica catalog.Replica
+	cold    time.Duration // until when it is, by its own word
 }
 
 func newReplicaSet() *replicaSet {
@@ -41,7 +43,7 @@
 }
 
 // refresh reads the rows that have changed.
-func (s *replicaSet) refresh() {
+func (s *replicaSet) refresh(now time.Duration) {
 	rows := make(map[string]replicaRow, len(s.rows))
 	s.log.Each(func(id string, value []byte) {
 		if row, ok := s.rows[id]; ok && bytes.Equal(row.value, value) {
@@ -49,7 +51,7 @@
 			return
 		}
 		if r, err := platform.ParseReplica(id, value); err == nil {
-			rows[id] = replicaRow{value: value, replica: r}
+			rows[id] = replicaRow{value: value, replica: r, cold: now + r.Warming}
 		}
 	})
 	s.rows = rows
@@ -58,16 +60,26 @@
 // publish makes a new world of what is followed.
 func (n *Node) publish() {
 	n.followMu.Lock()
-	n.replicas.refresh()
+	n.replicas.refresh(n.now())
 	w := &world{
 		config: n.config, listed: n.replicas.log.Known(), services: make(map[string][]catalog.Replica), sizes: make(map[string]int),
 	}
+	now := n.now()
+	var cold []catalog.Replica // news
+	saidCold := make(map[string]time.Duration)
 	for id, row := range n.replicas.rows {
 		r := row.replica
 		if _, ok := n.replicas.leaving[id]; ok {
 			r.Leaving = true
 		}
 		r.Emptied = n.emptied.Emptied(r.Hall)
+		r.ColdUntil = n.coldUntil(w.config, &row)
+		if r.ColdUntil > now {
+			saidCold[id] = r.ColdUntil
+			if n.replicas.cold[id] <= now {
+				cold = append(cold, r)
+			}
+		}
 		w.all = append(w.all, r)
 		if !r.Leaving {
 			w.sizes[r.Service]++
@@ -76,8 +88,12 @@
 			w.services[r.Service] = append(w.services[r.Service], r)
 		}
 	}
+	n.replicas.cold = saidCold
 	n.world.Store(w)
 	n.followMu.Unlock()
+	for _, r := range cold {
+		event.NodeReplicaCold.Log(n.log, "replica", r.ID, "hall", r.Hall, "for", r.ColdUntil-now)
+	}
 	n.owner.refresh()
 }
 
--- a/coordination/pipeline/call.go
+++ b/coordination/pipeline/call.go
@@ -50,7 +50,7 @@
 func (p *pool) idle(now time.Duration) []*replica {
 	var out []*replica
 	for _, r := range p.order {
-		if r.usable(now) {
+		if r.usable(now) && p.warm(now, r) {
 			out = append(out, r)
 		}
 	}
@@ -131,6 +131,9 @@
 		c.bytes += x.stage.def.Bytes
 		items = append(items, x.item(now))
 	}
+	if p.most > 0 && now < r.ColdUntil {
+		p.sent.Sent(now, r.ID)
+	}
 	r.call = c
 	r.held += c.bytes
 	s.calls[c.id] = c
--- a/coordination/pipeline/options.go
+++ b/coordination/pipeline/options.go
@@ -1,6 +1,10 @@
 package pipeline
 
-import "time"
+import (
+	"time"
+
+	"quinceroad/coordination/warmup"
+)
 
 // Options are the scheduler's constants.
 type Options struct {
@@ -19,6 +23,7 @@
 	PauseFirst   time.Duration // a replica that failed is left alone for, doubled each time; chosen, two calls
 	PauseMost    time.Duration // at most; chosen: who is back is missed for no longer
 	Unknown      time.Duration // when a job may come back whose pools are not known or gone, or that was given up; chosen (trials: 1 s is no gain)
+	Cold         warmup.Limit  // of calls to a cold replica
 	LeastRetry   time.Duration // until a refused job may come back (trials: 300 ms is no gain)
 }
 
@@ -50,5 +55,8 @@
 	return o
 }
 
+// Cold bounds what replicas get while they are cold.
+func Cold(l warmup.Limit) Option { return func(o *Options) { o.Cold = l } }
+
 // Margin sets the share of the objective that a new job's expected end may take.
 func Margin(share float64) Option { return func(o *Options) { o.Margin = share } }
--- a/coordination/pipeline/pipeline.go
+++ b/coordination/pipeline/pipeline.go
@@ -165,6 +165,10 @@
 			s.order = append(s.order, p)
 		}
 		p.def = *service.Pool
+		p.most = 0
+		if service.WarmUp != nil {
+			p.most = s.opts.Cold.Most(service.WarmUp.PerSecond)
+		}
 	}
 	slices.SortFunc(s.order, func(a, b *pool) int { return cmp.Compare(a.name, b.name) })
 	listed := make(map[string]bool, len(replicas))
--- a/coordination/pipeline/pool.go
+++ b/coordination/pipeline/pool.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"quinceroad/coordination/warmup"
 	"quinceroad/state/catalog"
 )
 
@@ -18,6 +19,8 @@
 	ready    []*piece
 	load     load
 	factors  map[int64]float64
+	most     int            // calls in a second to a cold replica; 0: no bound
+	sent     *warmup.Window // to cold replicas
 }
 
 func newPool(name string) *pool {
@@ -25,6 +28,7 @@
 		name:     name,
 		replicas: make(map[string]*replica),
 		factors:  make(map[int64]float64),
+		sent:     warmup.NewWindow(),
 	}
 }
 
@@ -84,6 +88,11 @@
 	return r.call == nil && r.takes() && now >= r.pausedTo
 }
 
+// warm reports whether a replica is, or may get one more call while it is cold.
+func (p *pool) warm(now time.Duration, r *replica) bool {
+	return p.most == 0 || now >= r.ColdUntil || p.sent.Free(now, r.ID, p.most) <= now
+}
+
 // soon is how long a replica may be left alone and still count as capacity: it
 // is full or at work for another owner, and will be free.
 const soon = 400 * time.Millisecond
--- a/coordination/placement/placement.go
+++ b/coordination/placement/placement.go
@@ -20,6 +20,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"quinceroad/coordination/warmup"
 	"quinceroad/state/catalog"
 )
 
@@ -94,10 +95,13 @@
 	engines map[string]*engine
 	order   map[string][]*engine // by service, by id
 	runs    map[uint64]*run
+	cold    warmup.Limit
+	sent    *warmup.Window // to cold engines
 }
 
 type engine struct {
 	catalog.Replica
+	most    int // requests in a second while it is cold; 0: no bound
 	slots   int
 	memory  int
 	runs    int // that generate
@@ -124,9 +128,9 @@
 	read     bool
 }
 
-// New returns an empty table.
-func New(o Options) *Table {
-	return &Table{opts: o, engines: make(map[string]*engine), runs: make(map[uint64]*run)}
+// New returns an empty table; cold bounds what engines get while they are cold.
+func New(o Options, cold warmup.Limit) *Table {
+	return &Table{opts: o, engines: make(map[string]*engine), runs: make(map[uint64]*run), cold: cold, sent: warmup.NewWindow()}
 }
 
 // SetEngines takes the services and their replicas into force.
@@ -146,6 +150,10 @@
 		r.Leaving = r.Leaving || e.Leaving
 		e.Replica = r
 		e.slots = s.Engine.Slots
+		e.most = 0
+		if s.WarmUp != nil {
+			e.most = t.cold.Most(s.WarmUp.PerSecond)
+		}
 		e.memory = int(s.Engine.MemoryTokens)
 	}
 	for id := range t.engines {
@@ -211,7 +219,7 @@
 // Place returns the cheapest engine for a request.
 func (t *Table) Place(now time.Duration, r *Request) (Choice, bool) {
 	keys := chain(r.Parts)
-	all := t.candidates(r)
+	all := t.candidates(now, r)
 	if len(all) == 0 {
 		return Choice{}, false
 	}
@@ -237,18 +245,23 @@
 
 // candidates returns the engines that may take a request, beginning at another
 // one for each request so that equals share the load.
-func (t *Table) candidates(r *Request) []*engine {
+func (t *Table) candidates(now time.Duration, r *Request) []*engine {
 	all := t.order[r.Service]
 	out := make([]*engine, 0, len(all))
 	for i := range all {
 		e := all[(uint64(i)+r.ID*spread)%uint64(len(all))]
-		if e.Takes() && !r.Avoid[e.ID] {
+		if e.Takes() && !r.Avoid[e.ID] && t.warm(now, e) {
 			out = append(out, e)
 		}
 	}
 	return out
 }
 
+// warm reports whether an engine is, or may get one more request while it is cold.
+func (t *Table) warm(now time.Duration, e *engine) bool {
+	return e.most == 0 || now >= e.ColdUntil || t.sent.Free(now, e.ID, e.most) <= now
+}
+
 // spread takes requests that follow each other far apart.
 const spread = 0x9e3779b1
 
@@ -316,6 +329,9 @@
 	e.busyTo = max(e.busyTo, now) + reads
 	e.usual = e.usually(now, o) + reads.Seconds()/o.UsualFor.Seconds()
 	e.reading++
+	if e.most > 0 && now < e.ColdUntil {
+		t.sent.Sent(now, e.ID)
+	}
 	t.runs[r.ID] = &run{engine: e, began: now, expected: e.busyTo - now + time.Duration(float64(o.Base)*e.speed)}
 }
 
--- a/coordination/placement/placement_test.go
+++ b/coordination/placement/placement_test.go
@@ -7,11 +7,12 @@
 
 	"github.com/matryer/is"
 
+	"quinceroad/coordination/warmup"
 	"quinceroad/state/catalog"
 )
 
 func newTable(engines int) *Table {
-	t := New(Standard())
+	t := New(Standard(), warmup.Limit{})
 	services := map[string]*catalog.Service{"llm": {Engine: &catalog.Engine{Slots: 128, MemoryTokens: 100_000}}}
 	var list []catalog.Replica
 	for i := range engines {
--- a/coordination/placement/random_test.go
+++ b/coordination/placement/random_test.go
@@ -7,6 +7,7 @@
 
 	"pgregory.net/rapid"
 
+	"quinceroad/coordination/warmup"
 	"quinceroad/state/catalog"
 )
 
@@ -23,7 +24,7 @@
 		return out
 	}
 	rapid.Check(t, func(t *rapid.T) {
-		table := New(Standard())
+		table := New(Standard(), warmup.Limit{})
 		table.SetEngines(services, engines(4))
 		now, next := time.Duration(0), uint64(0)
 		open := make([]uint64, 0)
--- /dev/null
+++ b/coordination/warmup/warmup_test.go
@@ -0,0 +1,91 @@
+package warmup
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+)
+
+// most returns the largest number of sends within any second.
+func most(sent []time.Duration) int {
+	out := 0
+	for i := range sent {
+		n := 0
+		for _, later := range sent[i:] {
+			if later-sent[i] < time.Second {
+				n++
+			}
+		}
+		out = max(out, n)
+	}
+	return out
+}
+
+// Whatever one who counts is asked, and whoever else counts for a moment: a
+// replica gets no more in any second than the deployment allows.
+func TestNoSecondHoldsMore(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		l := Limit{Overrun: rapid.Float64Range(1.2, 3).Draw(t, "overrun"), Slack: rapid.Float64Range(2, 20).Draw(t, "slack")}
+		carries := rapid.Float64Range(0.5, 200).Draw(t, "carries")
+		owners := []*Window{NewWindow(), NewWindow()}
+		now := time.Duration(0)
+		var sent []time.Duration
+		for range rapid.IntRange(1, 400).Draw(t, "requests") {
+			now += time.Duration(rapid.IntRange(0, 60).Draw(t, "pause")) * time.Millisecond
+			w := rapid.SampledFrom(owners).Draw(t, "owner")
+			free := w.Free(now, "r", l.Most(carries))
+			if free > now {
+				if w.Free(free, "r", l.Most(carries)) > free {
+					t.Fatalf("not free at %v, when it said that it would be", free)
+				}
+				continue
+			}
+			w.Sent(now, "r")
+			sent = append(sent, now)
+		}
+		if got, allowed := most(sent), carries*l.Overrun+l.Slack; float64(got) > allowed {
+			t.Fatalf("%d in a second where %.1f are allowed", got, allowed)
+		}
+	})
+}
+
+// What the instances may send by themselves adds up to no more than all may,
+// also while some still count an instance that others don't.
+func TestQuotasAddUp(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		l := Limit{Overrun: 1.5, Slack: 5}
+		carries := rapid.Float64Range(0.5, 200).Draw(t, "carries")
+		n := rapid.IntRange(1, 100).Draw(t, "instances")
+		var names []string
+		for i := range n {
+			names = append(names, fmt.Sprint("i", i))
+		}
+		others := names[rapid.IntRange(0, n/2).Draw(t, "lost"):]
+		all := l.Most(carries)
+		sum, either := 0, 0
+		for _, name := range names {
+			q := Quota(name, names, "r", all)
+			sum += q
+			either += max(q, Quota(name, others, "r", all))
+		}
+		if sum > all || sum < all/2 || sum == 0 {
+			t.Fatalf("%d of %d are given out", sum, all)
+		}
+		if float64(either) > carries*l.Overrun+l.Slack {
+			t.Fatalf("%d where %.1f are allowed", either, carries*l.Overrun+l.Slack)
+		}
+	})
+}
+
+func TestAServiceIsNeverShutOut(t *testing.T) {
+	is := is.New(t)
+	is.Equal(Limit{}.Most(0.1), 1)
+	is.Equal(Limit{Overrun: 1.5, Slack: 5}.Most(6.7), 6)
+	is.Equal(Limit{Overrun: 1.5, Slack: 5}.Most(100), 77)
+	is.Equal(Quota("a", []string{"a"}, "r", 6), 6)
+	is.Equal(Quota("x", []string{"a"}, "r", 6), 0)
+	is.Equal(Quota("a", nil, "r", 6), 0)
+}
--- a/state/catalog/catalog.go
+++ b/state/catalog/catalog.go
@@ -79,6 +79,13 @@
 	MaxConns   int     // connections that one replica takes from all callers together
 	Engine     *Engine // nil unless it generates
 	Pool       *Pool   // nil unless it runs stages
+	WarmUp     *WarmUp // nil unless its replicas carry little while they are cold
+}
+
+// WarmUp tells what a cold replica of a service carries.
+type WarmUp struct {
+	For       time.Duration // that a replica stays cold
+	PerSecond float64       // requests that it carries meanwhile; it collapses well above
 }
 
 // Engine tells what one replica of a generating service holds.
@@ -169,7 +176,8 @@
 	Warming time.Duration // how much longer it is slow, when it was last told
 
 	// What the process knows besides.
-	Emptied bool // its hall is being emptied: it gets nothing new
+	Emptied   bool          // its hall is being emptied: it gets nothing new
+	ColdUntil time.Duration // by the process's clock; until then it carries little
 }
 
 // Takes reports whether the replica may get new work.
