--- a/deploy/days/make.sh
+++ b/deploy/days/make.sh
@@ -152,4 +152,49 @@
 for how in silent busy reset; do
   day "special-store-down-$how" "" "$(entry 2.0 "kind = \"platform_down\", for_s = 28.0, how = \"$how lapse\"")"
 done
+
+# Where halls may be emptied: one, two, overlapping, for a moment, all; taken back while the store is away, while replicas
+# are replaced, in a start of all; replicas that turn cold under a burst; clients that leave while replicas are slow.
+if grep -qE '^contracts = .*"places"' "$site"; then
+  first=$(sed -n 1p <<<"$zones")
+  second=$(sed -n 2p <<<"$zones")
+  last=$(tail -1 <<<"$zones")
+  plain=$(awk '/^services = \[/{p=1;next} p&&/^\]/{exit} p&&!/llm = |stage = /' "$site" | sed -E 's/.*\{ name = "([^"]+)".*/\1/' | head -1)
+  evacuate() { entry "$1" "kind = \"evacuate\", zone = \"$2\", for_s = $3${4:+, how = \"$4\"}"; }
+  burst=$(entry 11.0 'kind = "burst", x = 2.5, for_s = 6.0')
+  day "place-one" "$(evacuate 6.0 "$first" 6.0)" "$burst"
+  day "place-one-warm" "$(evacuate 6.0 "$first" 6.0 warm)" "$burst"
+  day "place-two" "$(evacuate 6.0 "$first" 6.0)
+$(evacuate 6.0 "$second" 6.0)" "$burst"
+  day "place-overlapping" "$(evacuate 5.0 "$first" 8.0)
+$(evacuate 8.0 "$second" 8.0)" "$burst"
+  day "place-moments" "$(for at in 4 7 10 13 16 19 22; do evacuate $at.0 "$first" 1.0; done)" "$burst"
+  day "place-all" "$(for z in $zones; do evacuate 8.0 "$z" 5.0; done)" ""
+  for how in silent busy reset; do
+    day "place-back-$how" "$(evacuate 4.0 "$first" 6.0)" "$(entry 8.0 "kind = \"platform_down\", for_s = 5.0, how = \"$how\"")"
+    day "place-begin-$how" "$(evacuate 9.0 "$first" 8.0)" "$(entry 7.0 "kind = \"platform_down\", for_s = 5.0, how = \"$how lapse\"")"
+  done
+  day "place-nodes" "$(evacuate 8.0 "$first" 8.0)" "$(entry 6.0 'kind = "platform_down", for_s = 8.0, share = 0.4, how = "nodes silent leader"')"
+  day "place-compact" "$(evacuate 6.0 "$first" 9.0)" "$(entry 5.0 'kind = "platform_compact", x = 5.0, for_s = 12.0')"
+  day "place-slow" "$(evacuate 6.0 "$first" 6.0)" "$(entry 5.0 'kind = "platform_slow", x = 60.0, for_s = 9.0')"
+  day "place-cut" "$(evacuate 6.0 "$first" 6.0)" "$(entry 5.0 'kind = "node_cut", share = 0.35, for_s = 6.0, how = "all"')"
+  day "place-release" "$(evacuate 6.0 "$first" 6.0)
+$(entry 5.0 'kind = "release", share = 0.5, gap_s = 0.8')" "$burst"
+  day "place-roll" "$(evacuate 6.0 "$first" 8.0)
+$(entry 5.0 'kind = "roll_term", share = 1.0, gap_s = 1.2')" ""
+  day "place-herd" "$(evacuate 6.0 "$first" 8.0)" "$(entry 9.0 'kind = "herd_kill", share = 1.0, for_s = 1.0')"
+  for z in $first $last; do
+    day "place-cold-$z" "" "$(entry 6.0 "kind = \"cold_return\", zone = \"$z\", for_s = 3.0")
+$burst"
+  done
+  day "place-cold-plain" "" "$(entry 6.0 "kind = \"srv_crash\", service = \"$plain\", share = 0.8, for_s = 4.0, how = \"across\"")
+$burst"
+  day "place-cold-twice" "" "$(entry 5.0 "kind = \"cold_return\", zone = \"$first\", for_s = 2.0")
+$(entry 12.0 "kind = \"cold_return\", zone = \"$first\", for_s = 2.0, how = \"dark\"")
+$(entry 14.0 "kind = \"herd_kill\", share = 1.0, for_s = 1.0")"
+  day "place-leavers" "" "$(entry 5.0 'kind = "give_up", share = 0.6, for_s = 20.0')
+$(for s in $engines $pools $plain; do entry 8.0 "kind = \"srv_slow\", service = \"$s\", share = 0.5, x = 5.0, for_s = 10.0"; done)"
+  day "place-leavers-x" "" "$(entry 5.0 'kind = "give_up", share = 0.6, x = 300.0, for_s = 20.0')
+$(entry 9.0 'kind = "burst", x = 3.0, for_s = 8.0')"
+fi
 echo "$(ls "$out" | wc -l) days in $out"
