explain begins with the request, and every command prints its usage

Cause: explain sorted what stood beside a request among its own lines, with every configuration that came into force within ten seconds before; 'quincectl losses -h' answered 'open -h: no such file or directory'. The test that looked for '(beside it)' looks for the heading and the line under it instead, which is as strict. Tests: TestExplainBeginsWithTheRequest, TestEachCommandPrintsItsUsage, both red before (other order; open -h).

--- a/cmd/ctl/ctl.go
+++ b/cmd/ctl/ctl.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"io"
 	"os"
+	"slices"
 	"strings"
 	"time"
 
@@ -100,6 +101,10 @@
 		return process.ExitUsage, errUsage
 	}
 	name, rest := args[0], args[1:]
+	if slices.ContainsFunc(rest, isHelp) {
+		fmt.Fprintln(c.out, callOf(name))
+		return process.ExitOK, nil
+	}
 	if len(rest) == 2 && rest[0] == "-f" {
 		c.file = rest[1]
 		rest = nil
@@ -148,13 +153,24 @@
 
 // usageOf is the error of a command that was called wrongly.
 func usageOf(name string) error {
+	if _, ok := calls[name]; !ok {
+		return errUsage
+	}
+	return fmt.Errorf("%w\n%s", errUsage, callOf(name))
+}
+
+// callOf tells how a command is called.
+func callOf(name string) string {
 	call, ok := calls[name]
 	if !ok {
-		return errUsage
+		return "usage: quincectl " + name
 	}
-	return fmt.Errorf("%w\nusage: quincectl %s %s\nexample: %s", errUsage, name, call[0], call[1])
+	return fmt.Sprintf("usage: quincectl %s %s\nexample: %s", name, call[0], call[1])
 }
 
+// isHelp reports whether an argument asks how a command is called.
+func isHelp(arg string) bool { return arg == "-h" || arg == "-help" || arg == "--help" }
+
 func (c *client) check() (int, error) {
 	if _, err := process.Load(c.file, settings.LoadFleet); err != nil {
 		return process.ExitUsage, err
--- a/cmd/ctl/explain.go
+++ b/cmd/ctl/explain.go
@@ -11,8 +11,8 @@
 	"quinceroad/platform"
 )
 
-// explain reads logs and prints the story of one request in order: its own
-// lines, what was logged meanwhile of those that it met, and a verdict.
+// explain reads logs and prints the story of one request: its own lines in
+// order, a verdict, and what was logged meanwhile of those that it met.
 func (c *client) explain(id string, files []string) (int, error) {
 	s := newStory(id)
 	for _, take := range []func(*logLine){s.takeOwn, s.takeOthers} {
@@ -25,20 +25,24 @@
 	if len(s.own) == 0 {
 		return process.ExitFail, fmt.Errorf("no line of these logs names request %s; an instance that is killed logs no end of what it had taken", id)
 	}
-	lines := slices.Concat(s.own, s.others)
+	c.printLines(s.own)
+	fmt.Fprintf(c.out, "\n%s\n", s.verdict())
+	if len(s.others) > 0 {
+		fmt.Fprintf(c.out, "\nBeside it, from %v before it:\n\n", before)
+		c.printLines(s.others)
+	}
+	return process.ExitOK, nil
+}
+
+// printLines prints lines of logs in the order of their times.
+func (c *client) printLines(lines []*logLine) {
 	slices.SortStableFunc(lines, func(a, b *logLine) int { return cmp.Compare(a.at, b.at) })
 	for _, l := range lines {
-		mark := ""
-		if !l.names(id) {
-			mark = "  (beside it)"
-		}
-		fmt.Fprintf(c.out, "%s  %-18s %s%s\n", l.at, l.instance, l.what, mark)
+		fmt.Fprintf(c.out, "%s  %-18s %s\n", l.at, l.instance, l.what)
 		for _, f := range l.fields {
 			fmt.Fprintf(c.out, "    %-12s %s\n", f.name, f.value)
 		}
 	}
-	fmt.Fprintf(c.out, "\n%s\n", s.verdict())
-	return process.ExitOK, nil
 }
 
 // checkConfiguration prints all faults of a configuration as the operator
--- a/cmd/ctl/explain_test.go
+++ b/cmd/ctl/explain_test.go
@@ -45,7 +45,7 @@
 	is.NoErr(os.WriteFile(name, []byte(threeLogs), 0o600))
 	for id, want := range map[string][]string{
 		"refused": {"Refused by i2", "after 4s against 3.2s of its objective", "read:9 waiting"},
-		"lost":    {"Lost at replica d7 after 40ms", "replica left alone  (beside it)"},
+		"lost":    {"Lost at replica d7 after 40ms", "Beside it, from 10s before it:\n\n2026-01-01T00:00:00.000Z  i2                 replica left alone"},
 		"late":    {"Served late: it began after 2.8s against an objective of 2s", "its stages, at i2", "[1, 6]"},
 	} {
 		var out, errOut bytes.Buffer
@@ -59,6 +59,42 @@
 	}
 }
 
+// A request's own lines come first, and of the configurations only the one that it was served by.
+func TestExplainBeginsWithTheRequest(t *testing.T) {
+	is := is.New(t)
+	name := filepath.Join(t.TempDir(), "all.log")
+	is.NoErr(os.WriteFile(name, []byte(`2026-01-01T00:00:00.100Z [INFO]  node: configuration in force: instance=i1 event=3010 version=7 from=store routes=9
+2026-01-01T00:00:00.200Z [INFO]  node: configuration in force: instance=i1 event=3010 version=8 from=store routes=9
+2026-01-01T00:00:00.250Z [WARN]  node: hall emptied: instance=i1 event=3033 hall=h from=store revision=44
+2026-01-01T00:00:00.300Z [INFO]  node: request: instance=i1 event=3050 request=r1 why=served objective=2s version=8 took=40ms replica=d7
+2026-01-01T00:00:00.300Z [INFO]  node: replica cold: instance=i1 event=3035 replica=d7 hall=h for=3s
+2026-01-01T00:00:00.310Z [INFO]  node: configuration in force: instance=i1 event=3010 version=9 from=store routes=9
+`), 0o600))
+	var out, errOut bytes.Buffer
+	is.Equal(Main([]string{"explain", "r1", name}, &out, &errOut), 0)
+	text := out.String()
+	is.True(strings.HasPrefix(text, "2026-01-01T00:00:00.300Z  i1                 request\n"))
+	is.Equal(strings.Count(text, "configuration in force"), 1)
+	is.Equal(strings.Count(text, "hall emptied"), 1)
+	is.Equal(strings.Count(text, "replica cold"), 1)
+	is.True(strings.Index(text, "Served in time") < strings.Index(text, "Beside it"))
+}
+
+// Every command tells how it is called; -h is nobody's file.
+func TestEachCommandPrintsItsUsage(t *testing.T) {
+	is := is.New(t)
+	for name, call := range calls {
+		for _, help := range []string{"-h", "--help"} {
+			var out, errOut bytes.Buffer
+			is.Equal(Main([]string{name, help}, &out, &errOut), 0)
+			is.True(strings.Contains(out.String(), "usage: quincectl "+name+" "+call[0]))
+		}
+	}
+	var out, errOut bytes.Buffer
+	is.Equal(Main([]string{"status", "-h"}, &out, &errOut), 0)
+	is.True(strings.Contains(out.String(), "usage: quincectl status"))
+}
+
 func TestConfigPrintsAllFaults(t *testing.T) {
 	is := is.New(t)
 	name := filepath.Join(t.TempDir(), "c.json")
--- a/cmd/ctl/story.go
+++ b/cmd/ctl/story.go
@@ -16,6 +16,7 @@
 	others    []*logLine      // tell of those that it met, about that time
 	replicas  map[string]bool // that it was sent to
 	instances map[string]bool // that took it, or own its pools
+	versions  map[string]bool // of the configuration, that it was served by
 	from, to  time.Time       // that the others are looked for
 }
 
@@ -24,7 +25,7 @@
 const before = 10 * time.Second
 
 func newStory(id string) *story {
-	return &story{id: id, replicas: make(map[string]bool), instances: make(map[string]bool)}
+	return &story{id: id, replicas: make(map[string]bool), instances: make(map[string]bool), versions: make(map[string]bool)}
 }
 
 // takeOwn keeps a line that names the request.
@@ -40,6 +41,9 @@
 	if replica := l.field("replica"); replica != "" {
 		s.replicas[replica] = true
 	}
+	if version := l.field("version"); version != "" {
+		s.versions[version] = true
+	}
 	at := l.time()
 	began := at.Add(-l.duration("took")).Add(-before)
 	if s.from.IsZero() || began.Before(s.from) {
@@ -53,10 +57,10 @@
 // Events that tell of a replica, of an instance by its name, and of the
 // instance that logs them.
 var (
-	ofReplicas  = []*event.Event{event.NodeReplicaLeaves, event.NodeLeavesAlone, event.NodeTakesBack, event.NodeCallLost}
+	ofReplicas  = []*event.Event{event.NodeReplicaLeaves, event.NodeReplicaCold, event.NodeLeavesAlone, event.NodeTakesBack, event.NodeCallLost}
 	ofInstances = []*event.Event{event.NodeMisses, event.NodeOwnerLost}
 	ofItself    = []*event.Event{
-		event.NodeStarted, event.NodeStopping, event.NodeConfigAdopted, event.NodeStoreLost, event.NodeStoreBack,
+		event.NodeStarted, event.NodeStopping, event.NodeHallEmptied, event.NodeHallReturned, event.NodeStoreLost, event.NodeStoreBack,
 		event.NodeStoreSilent, event.NodeStoreAnswers, event.NodeStoreGivenUp, event.NodeOwns,
 	}
 )
@@ -74,6 +78,7 @@
 	case slices.ContainsFunc(ofReplicas, is) && s.replicas[l.field("replica")]:
 	case slices.ContainsFunc(ofInstances, is) && (s.instances[l.field("name")] || s.instances[l.field("owner")]):
 	case slices.ContainsFunc(ofItself, is) && s.instances[l.instance]:
+	case is(event.NodeConfigAdopted) && s.instances[l.instance] && s.versions[l.field("version")]:
 	default:
 		return
 	}
