Prompts kept in an emptied hall are fetched from there

Two ways for prompts whose engines get nothing any more: read them again at another engine (as it was since the hall's engines are no candidates), or have the new engine fetch what the old one keeps, which is no request to it. Kept: fetching.

--- a/coordination/placement/placement.go
+++ b/coordination/placement/placement.go
@@ -229,7 +229,10 @@
 		kept[i] = e.keeps(now, &t.opts, r.Parts, keys)
 		most = max(most, kept[i])
 	}
-	holder := slices.Index(kept, most)
+	holder := all[slices.Index(kept, most)]
+	if e, n := t.emptiedHolder(now, r, keys); n > most {
+		holder, most = e, n
+	}
 	best, least := -1, 0.0
 	for i, e := range all {
 		if c := t.cost(now, r, e, kept[i], most); best < 0 || c < least {
@@ -238,11 +241,26 @@
 	}
 	c := Choice{Replica: all[best].Replica}
 	if kept[best] < most {
-		c.Fetch = all[holder].Address
+		c.Fetch = holder.Address
 	}
 	return c, true
 }
 
+// emptiedHolder returns the engine that keeps most of a prompt in the halls that
+// are being emptied, and how much: it gets no request, but what it keeps can
+// still be fetched.
+func (t *Table) emptiedHolder(now time.Duration, r *Request, keys []uint64) (holder *engine, most int) {
+	for _, e := range t.order[r.Service] {
+		if !e.Emptied || e.Leaving {
+			continue
+		}
+		if n := e.keeps(now, &t.opts, r.Parts, keys); n > most {
+			holder, most = e, n
+		}
+	}
+	return holder, most
+}
+
 // candidates returns the engines that may take a request, beginning at another
 // one for each request so that equals share the load.
 func (t *Table) candidates(now time.Duration, r *Request) []*engine {
