Lists come through peers when all start: compressed, made once, within a share of the link

Cause, by the timeline of a start of all at 300 machines before 2,900 replicas (our own logs, trial): the configuration was known 10 to 200 ms after the start, the list of replicas 5.0 to 6.0 s after it. Every instance read the whole list from the store, a megabyte each, and asked again each 0.3 s while it waited: 300 MB and more over the store's one link, calls past its rate, time-outs. Then, 1.0 s after the start, about 90 instances became readers and read it whole again: each sees its own heartbeats first, so each took itself for the only one that runs for long enough. Who was behind asked few, each of whom made a copy of the whole list for each asker: 140 MB of memory and 4.5 MB a second at the busiest.

Change: - who starts leaves the first read to those that read for their hall, which it knows once it has met the others (60 ms without anybody new, 0.25 s alone); it reads by itself after 1.5 to 2.5 s without news, each at its own time; - a reader is not displaced by who runs for longer, only by one that reads as well; TestABlindOrLeavingReaderHandsOver said of one that has just started that it reads: a new process does not, until it is chosen. Two tests more take its place; - what a peer that is behind lacks is compressed above a packet's size and made once until the next change; it spends a quarter of the link at most, who comes beyond that is told to ask another, of whom there are more with each answer; - who begins to read goes on with changes from what it has learnt, in place of reading all; - a whole read tells others its differences; only who knows some of what lay between the two reads is told all.

Ruled out: a still view that never comes (all had met 0.2 s after the start), seeds, the owners' choice (pools are owned 20 to 60 ms after the list is known), the store's rate for the configuration.

Tests: gaps between whole reads by random steps (30,000 sequences; the first form of it failed there: who passes differences on must pass on that they have a gap), answers made once, the link's share, who starts beside readers, a start of all.

--- a/cmd/node/counters.go
+++ b/cmd/node/counters.go
@@ -19,6 +19,7 @@
 	jobs        metrics.Counter // admitted by this instance as an owner
 	jobsRefused metrics.Counter
 	emptied     metrics.Counter // halls, as this instance learnt it
+	toldBusy    metrics.Counter // peers that were told to ask somebody else
 	logDropped  metrics.Counter
 	silences    metrics.Counter // of the store, as this instance heard it
 	givenUp     metrics.Counter // calls that a silent store had missed
@@ -38,6 +39,7 @@
 		jobs:        counter("node.jobs"),
 		jobsRefused: counter("node.jobs_refused"),
 		emptied:     counter("node.halls_emptied"),
+		toldBusy:    counter("node.told_busy"),
 		logDropped:  counter("node.log_dropped"),
 		silences:    counter("node.store_silences"),
 		givenUp:     counter("node.store_calls_given_up"),
--- a/cmd/node/follow.go
+++ b/cmd/node/follow.go
@@ -49,6 +49,7 @@
 	back    func() <-chan struct{} // closed when the store answers again after a silence
 	name    string
 	known   func() bool                                       // the topic was read, or learnt from a peer
+	resumes bool                                              // what a peer told goes on with its changes
 	read    func() (take func(), err error)                   // reads the whole topic; take takes it in
 	changes func(wait time.Duration) (take func(), err error) // asks for changes, and waits so long for the first
 }
@@ -57,13 +58,17 @@
 	n := f.node
 	wait := retryFirst
 	lost := time.Time{}
-	whole := true
-	heard := false // the store has answered this reader, and has not failed it since
+	whole := !f.resumes // the next call reads the whole topic
+	heard := false      // the store has answered this reader, and has not failed it since
 	for ctx.Err() == nil {
-		if f.known() && !n.reads.Load() {
+		switch {
+		case f.known() && !n.reads.Load():
 			heard = false
 			process.Pause(ctx, roleLook)
 			continue
+		case !f.known() && n.leavesFirstRead():
+			process.Pause(ctx, meetLook)
+			continue
 		}
 		began := n.now()
 		err := f.step(whole, heard)
@@ -191,8 +196,29 @@
 	return n.members.Self().Blind
 }
 
-// takeRole finds out whether this instance is one of those that follow the store.
+// leavesFirstRead reports whether this instance, which has just started and
+// knows nothing, waits for the news of those that read for others.
+func (n *Node) leavesFirstRead() bool {
+	n.takeRole(n.alive())
+	start := readers.Start{Age: n.now(), Met: n.met(), Chosen: n.reads.Load(), Spread: n.spread}
+	return !start.Reads()
+}
+
+// met reports whether this instance knows who else there is, as far as can be
+// told: nobody new was heard of for a moment, or nobody at all for a while.
+func (n *Node) met() bool {
+	n.gossipMu.Lock()
+	defer n.gossipMu.Unlock()
+	now := n.now()
+	return now >= meetFor || n.members.Still(now) || now >= aloneFor && len(n.members.Alive(now)) == 1
+}
+
+// takeRole finds out whether this instance is one of those that follow the
+// store, once it has met the others.
 func (n *Node) takeRole(alive []gossip.Instance) {
+	if !n.met() {
+		return
+	}
 	reads := readers.Chosen(n.settings.Name, alive)
 	if n.reads.Swap(reads) == reads {
 		return
--- a/cmd/node/node.go
+++ b/cmd/node/node.go
@@ -54,11 +54,13 @@
 	replicas  *replicaSet
 	emptied   *evacuation.View
 
+	spread      float64     // 0 to 1, by its name: for what not all instances should do at the same moment
 	reads       atomic.Bool // this instance follows the store for others
 	storeFailed atomic.Bool // a call to the store has failed since the start
 	pulse       *pulse
 	configPull  pull
 	listPull    pull
+	telling     telling
 
 	gossipMu sync.Mutex
 	members  *gossip.View
@@ -100,6 +102,7 @@
 		emptied:   evacuation.New(),
 		cold:      newColdness(s),
 		pulse:     newPulse(),
+		spread:    float64(platform.Hash(s.Name)%1000) / 1000,
 		judge:     health.New(health.Standard()),
 		loads:     choice.NewTable(),
 		rates:     make(map[string]*serviceRates),
--- a/cmd/node/pull.go
+++ b/cmd/node/pull.go
@@ -50,6 +50,13 @@
 	p.busy, p.since = false, 0
 }
 
+// again ends a question to a peer that was busy: another one is asked at once.
+func (p *pull) again() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.busy = false
+}
+
 // catchUp asks the sender of a heartbeat for what it knows more of.
 func (n *Node) catchUp(now time.Duration, h *pb.Heartbeat) {
 	from := h.News[0]
@@ -68,21 +75,26 @@
 // who reads the store should soon hear from it, and bytes between halls are dear.
 func (n *Node) patience(hall string, has bool) time.Duration {
 	switch {
-	case !has && !n.storeFailed.Load():
-		return firstPatience // it is reading the store
-	case !has, hall == n.settings.Hall && !n.reads.Load():
+	case !has && n.storeFailed.Load(), hall == n.settings.Hall && !n.reads.Load():
 		return 0
+	case !has && n.reads.Load():
+		return firstPatience // it is reading the store
 	}
 	return farPatience
 }
 
 func (n *Node) pullConfig(addr string, have uint64) {
-	defer n.configPull.done()
 	answer := &pb.Config{}
 	if err := n.links.Call(addr, frame.PullConfig, &pb.PullConfig{Have: have}, answer, pullFor); err != nil {
+		n.configPull.done()
 		n.logAside("configuration", addr, err)
 		return
 	}
+	if answer.Busy {
+		n.configPull.again()
+		return
+	}
+	defer n.configPull.done()
 	n.takeEmptied(addr, answer.Evacuations) // before what may be sent where is known
 	if len(answer.Declaration) == 0 {
 		return
@@ -117,17 +129,31 @@
 	if config == nil {
 		return &pb.Config{}
 	}
-	return &pb.Config{Revision: config.Version, Declaration: raw.forPeers(), Evacuations: n.emptiedNews()}
+	packed := raw.forPeers()
+	if !n.telling.may(n.now(), len(packed), n.settings.LinkBytes) {
+		n.counters.toldBusy.Inc(1)
+		return &pb.Config{Busy: true}
+	}
+	return &pb.Config{Revision: config.Version, Declaration: packed, Evacuations: n.emptiedNews()}
 }
 
 func (n *Node) pullReplicas(addr string, have uint64) {
-	defer n.listPull.done()
 	answer := &pb.ReplicaChanges{}
-	if err := n.links.Call(addr, frame.PullReplicas, &pb.PullReplicas{Have: have}, answer, pullFor); err != nil {
+	err := n.links.Call(addr, frame.PullReplicas, &pb.PullReplicas{Have: have}, answer, pullFor)
+	if err == nil {
+		answer, err = openChanges(answer)
+	}
+	if err != nil {
+		n.listPull.done()
 		n.logAside("replicas", addr, err)
 		return
 	}
-	told := changes.Answer{Whole: answer.Whole, At: answer.At, Changed: answer.Changed}
+	if answer.Busy {
+		n.listPull.again()
+		return
+	}
+	defer n.listPull.done()
+	told := changes.Answer{Whole: answer.Whole, Gapped: answer.Gapped, At: answer.At, Changed: answer.Changed}
 	for _, e := range answer.Entries {
 		told.Entries = append(told.Entries, changes.Entry{ID: e.Id, Value: e.Value, Revision: e.Revision, Gone: e.Gone})
 	}
@@ -136,20 +162,67 @@
 	n.followMu.Unlock()
 	event.NodeReplicas.Log(n.log, "from", addr, "changes", len(told.Entries), "at", told.At)
 	n.publish()
+	if have == 0 {
+		n.tell() // others may have started with this one
+	}
 }
 
 // answerReplicas tells a peer what changed of the replicas.
 func (n *Node) answerReplicas(first []byte) proto.Message {
 	ask := &pb.PullReplicas{}
-	if proto.Unmarshal(first, ask) != nil {
+	if err := proto.Unmarshal(first, ask); err != nil {
+		event.NodeMessageBroken.Log(n.log, "what", "question for replicas", "from", "", "error", err)
 		return &pb.ReplicaChanges{}
 	}
 	n.followMu.Lock()
-	a := n.replicas.log.After(ask.Have)
+	changed := n.replicas.log.Changed()
+	n.followMu.Unlock()
+	answer, size := n.telling.made(ask.Have, changed)
+	if answer == nil {
+		answer, size = n.makeAnswer(ask.Have)
+		n.telling.keep(ask.Have, changed, answer, size)
+	}
+	if !n.telling.may(n.now(), size, n.settings.LinkBytes) {
+		n.counters.toldBusy.Inc(1)
+		return &pb.ReplicaChanges{Busy: true}
+	}
+	return answer
+}
+
+// makeAnswer returns what a peer lacks that knows all up to a revision, and its
+// size in bytes; a long answer is compressed.
+func (n *Node) makeAnswer(have uint64) (*pb.ReplicaChanges, int) {
+	n.followMu.Lock()
+	a := n.replicas.log.After(have)
 	n.followMu.Unlock()
-	out := &pb.ReplicaChanges{Whole: a.Whole, At: a.At, Changed: a.Changed}
+	out := &pb.ReplicaChanges{Whole: a.Whole, Gapped: a.Gapped, At: a.At, Changed: a.Changed}
 	for _, e := range a.Entries {
 		out.Entries = append(out.Entries, &pb.ReplicaEntry{Id: e.ID, Value: e.Value, Revision: e.Revision, Gone: e.Gone})
 	}
-	return out
+	size := proto.Size(out)
+	if size < packFrom {
+		return out, size
+	}
+	text, err := proto.Marshal(out)
+	if err == nil {
+		text, err = pack.Fast(text)
+	}
+	if err != nil {
+		event.NodeMessageBroken.Log(n.log, "what", "changes of replicas", "from", n.settings.Name, "error", err)
+		return out, size
+	}
+	return &pb.ReplicaChanges{Packed: text}, len(text)
+}
+
+// openChanges returns the message that an answer stands for.
+func openChanges(answer *pb.ReplicaChanges) (*pb.ReplicaChanges, error) {
+	if len(answer.Packed) == 0 {
+		return answer, nil
+	}
+	text, err := pack.Open(answer.Packed)
+	if err != nil {
+		return nil, err
+	}
+	opened := &pb.ReplicaChanges{}
+	return opened, proto.Unmarshal(text, opened)
 }
--- a/cmd/node/topics.go
+++ b/cmd/node/topics.go
@@ -106,15 +106,19 @@
 }
 
 func (n *Node) followReplicas(ctx context.Context) {
-	f := follow{node: n, back: n.pulse.back, name: "replicas", known: n.listKnown}
+	f := follow{node: n, back: n.pulse.back, name: "replicas", known: n.listKnown, resumes: true}
 	f.read = func() (func(), error) {
 		items, at, err := n.store.Replicas()
 		return func() {
 			n.followMu.Lock()
+			first := !n.replicas.log.Known()
 			n.replicas.log.Replace(items, at)
 			n.followMu.Unlock()
 			event.NodeReplicas.Log(n.log, "from", fromStore, "at", at, "known", len(items))
 			n.publish()
+			if first {
+				n.tellHall() // others may wait for it
+			}
 		}, err
 	}
 	f.changes = func(wait time.Duration) (func(), error) {
--- a/coordination/changes/changes.go
+++ b/coordination/changes/changes.go
@@ -8,6 +8,8 @@
 // the newest change that somebody knows of, not by when it was read.
 package changes
 
+import "slices"
+
 // Entry is one key of the topic, or its end.
 type Entry struct {
 	ID       string
@@ -23,12 +25,20 @@
 	values  map[string][]byte
 	latest  []Entry // changes, oldest first
 	since   uint64  // revision from which on latest is complete
+	gaps    []gap   // but for who knows all up to a revision within one of these
 	at      uint64  // up to this revision all is known
 	changed uint64  // revision of the newest change known
 }
 
-// mostLatest bounds the changes that are kept; who is further behind is told all.
-const mostLatest = 256
+// gap lies between two reads of the whole topic, both ends left out: what came
+// and went in it is not known.
+type gap struct{ from, to uint64 }
+
+// What is kept at most; who is further behind is told all.
+const (
+	mostLatest = 1024 // changes: a third of a fleet's 3,000 replicas
+	mostGaps   = 16   // chosen
+)
 
 // unchanged is a revision that is news only to who knows nothing.
 const unchanged = 1
@@ -60,33 +70,57 @@
 }
 
 // Replace takes in the whole topic as it was read at a revision. What differs
-// from before is a change that others may have missed as well; since changes
-// may have come and gone in between, who is behind is then told all. An older
-// read than what is known changes nothing.
+// from before is a change that others may have missed as well. Changes may have
+// come and gone in between: who knows some of what was between the two reads is
+// told all, not just the differences. An older read than what is known changes
+// nothing.
 func (l *Log) Replace(values map[string][]byte, at uint64) {
 	if at < l.at {
 		return
 	}
-	if !l.Known() {
+	before := l.at
+	differences := l.differences(values, at)
+	known := l.Known()
+	l.values, l.at = values, at
+	if !known {
 		l.changed = unchanged
-	} else if l.differs(values) {
-		l.changed = at
 	}
-	l.values, l.at, l.since = values, at, at
-	l.latest = nil
+	if !known || len(differences) > mostLatest {
+		if known && len(differences) > 0 {
+			l.changed = at
+		}
+		l.since, l.latest, l.gaps = at, nil, nil
+		return
+	}
+	l.miss(gap{before, at})
+	for _, e := range differences {
+		l.note(e)
+	}
 }
 
-func (l *Log) differs(values map[string][]byte) bool {
-	if len(values) != len(l.values) {
-		return true
+// miss notes a gap; the oldest ones become one when there are many.
+func (l *Log) miss(g gap) {
+	if len(l.gaps) == mostGaps {
+		l.gaps[1].from = l.gaps[0].from
+		l.gaps = slices.Delete(l.gaps, 0, 1)
 	}
+	l.gaps = append(l.gaps, g)
+}
+
+// differences returns what leads from the content to other values.
+func (l *Log) differences(values map[string][]byte, at uint64) []Entry {
+	var out []Entry
 	for id, value := range values {
-		before, ok := l.values[id]
-		if !ok || !l.same(before, value) {
-			return true
+		if before, ok := l.values[id]; !ok || !l.same(before, value) {
+			out = append(out, Entry{ID: id, Value: value, Revision: at})
 		}
 	}
-	return false
+	for id := range l.values {
+		if _, ok := values[id]; !ok {
+			out = append(out, Entry{ID: id, Revision: at, Gone: true})
+		}
+	}
+	return out
 }
 
 // Apply takes in changes, in their order, after which all up to a revision is
@@ -114,6 +148,7 @@
 	if len(l.latest) == mostLatest {
 		l.since = l.latest[0].Revision
 		l.latest = append(l.latest[:0], l.latest[1:]...)
+		l.gaps = slices.DeleteFunc(l.gaps, func(g gap) bool { return g.to <= l.since })
 	}
 	l.latest = append(l.latest, e)
 }
@@ -121,6 +156,7 @@
 // Answer is what an instance that is behind is told.
 type Answer struct {
 	Whole   bool // the entries are all there are
+	Gapped  bool // else: what came and went meanwhile is not among them
 	Entries []Entry
 	At      uint64
 	Changed uint64
@@ -129,12 +165,13 @@
 // After returns what an instance lacks that knows all up to a revision.
 func (l *Log) After(have uint64) Answer {
 	a := Answer{At: l.at, Changed: l.changed}
-	if have >= l.since && have > 0 {
+	if have >= l.since && have > 0 && !slices.ContainsFunc(l.gaps, func(g gap) bool { return g.from < have && have < g.to }) {
 		for _, e := range l.latest {
 			if e.Revision > have {
 				a.Entries = append(a.Entries, e)
 			}
 		}
+		a.Gapped = slices.ContainsFunc(l.gaps, func(g gap) bool { return g.to > have })
 		return a
 	}
 	a.Whole = true
@@ -150,6 +187,9 @@
 		return
 	}
 	if !a.Whole {
+		if a.Gapped {
+			l.miss(gap{l.at, a.At})
+		}
 		l.Apply(a.Entries, a.At)
 		return
 	}
--- a/coordination/readers/readers.go
+++ b/coordination/readers/readers.go
@@ -42,14 +42,16 @@
 }
 
 // ranked returns the instances of a hall, the one that should read first in
-// front: one that reaches the store and stays, that reads already, with most
-// of a processor.
+// front: one that reaches the store and stays, that reads already, that runs for
+// a while, with most of a processor. Who reads already goes before who runs for
+// longer: each hears of its own heartbeats first, and when all have started at
+// once everyone would take its turn as soon as it has run for long enough.
 func ranked(hall []gossip.Instance) []gossip.Instance {
 	out := slices.Clone(hall)
 	share := gossip.ByShare(out)
 	rank := func(i gossip.Instance) int { // each reason goes before all that follow it
 		r := share(i)
-		for n, reason := range []bool{!i.Reads, i.Leaving || !i.Settled(), i.Blind} {
+		for n, reason := range []bool{!i.Settled(), !i.Reads, i.Leaving, i.Blind} {
 			if reason {
 				r += gossip.ShareRanks << n
 			}
--- /dev/null
+++ b/coordination/readers/start.go
@@ -0,0 +1,27 @@
+package readers
+
+import "time"
+
+// Start is what an instance knows that has just started and has read nothing.
+type Start struct {
+	Age    time.Duration // of the process
+	Met    bool          // it knows who else there is, as far as can be told so soon
+	Chosen bool          // it reads for others
+	Spread float64       // 0 to 1, another one for each instance
+}
+
+const (
+	peersFor   = 1500 * time.Millisecond // that who does not read for others waits for their news; chosen: ten times what the news takes in plays of 300
+	spreadOver = 1 * time.Second         // after which all have asked the store by themselves; chosen, as its rate is a second's
+)
+
+// Reads reports whether the instance asks the store by itself now. When all
+// start at once, whole lists for hundreds fill the store's link for seconds; so
+// those that read for others ask first, and tell the rest. Nobody waits for
+// news for good: the store may be away from those that read.
+func (s Start) Reads() bool {
+	if s.Age >= peersFor+time.Duration(s.Spread*float64(spreadOver)) {
+		return true
+	}
+	return s.Met && s.Chosen
+}
