What configuration is in force elsewhere is no news of an instance

Cause: an instance's entry is told in full, four times by each, when it changes, and the version in force was part of it: each change of the configuration, and each start of all, told 300 entries of some 100 bytes everywhere again. Only the sender's own version is acted on, which heads every message. Change: another version alone is no change of an entry. Test: entries in full after a configuration as many as before it, twice as many after new owners (red before: run with the version compared).

--- a/coordination/gossip/gossip.go
+++ b/coordination/gossip/gossip.go
@@ -153,9 +153,11 @@
 	return isNew
 }
 
-// sameInfo reports whether two entries differ by their counters only.
+// sameInfo reports whether two entries differ by nothing that others act on. The
+// configuration in force is such a thing at the sender only: with each change of
+// it, all entries of a fleet would be told in full again.
 func (r *row) sameInfo(i *Instance) bool {
-	return r.Incarnation == i.Incarnation && r.Leaving == i.Leaving && r.Configured == i.Configured &&
+	return r.Incarnation == i.Incarnation && r.Leaving == i.Leaving &&
 		r.Reads == i.Reads && r.Blind == i.Blind && slices.Equal(r.Owns, i.Owns)
 }
 
--- a/coordination/gossip/gossip_test.go
+++ b/coordination/gossip/gossip_test.go
@@ -118,6 +118,38 @@
 }
 
 // A message's size does not grow with the fleet once the entries are told.
+// A configuration that comes into force everywhere is no reason to tell all
+// entries again; who owns what is.
+func TestAConfigurationIsNotToldForOthers(t *testing.T) {
+	f := newFleet(60)
+	f.run(30 * time.Second)
+	entries := func() int {
+		n := 0
+		for range 5 {
+			for _, name := range slices.Sorted(maps.Keys(f.views)) {
+				n += len(f.views[name].Tell(f.now).News)
+			}
+			f.run(round)
+		}
+		return n
+	}
+	calm := entries()
+	for _, v := range f.views {
+		v.SetConfigured(7)
+	}
+	f.run(2 * round)
+	if changed := entries(); changed > calm+calm/10 {
+		t.Errorf("%d entries in full after a configuration, %d before", changed, calm)
+	}
+	for _, v := range f.views {
+		v.SetOwns([]uint32{3})
+	}
+	f.run(2 * round)
+	if changed := entries(); changed < 2*calm {
+		t.Errorf("%d entries in full after new owners, %d before", changed, calm)
+	}
+}
+
 // Of large halls each instance tells mostly its own; all hear of all as soon, and
 // of the loss of one, wherever it was.
 func TestFewMessagesLeaveALargeHall(t *testing.T) {
