A replica that turns cold is news in a whole read, and an entry that can't be read has its line

Cause: two entries that differ by how much longer a replica is cold said the same, so after the store forgot its history a reader's whole read told its peers nothing of a replica that had turned cold meanwhile. Found by reading. Now cold and warm differ; how much longer does not. An entry of a replica that can't be read was passed over without a line (3022). publish is parted: rows, what is newly cold, the world. Test: TestAnEntryThatTurnsColdIsNews.

--- a/cmd/node/cold.go
+++ b/cmd/node/cold.go
@@ -32,7 +32,7 @@
 	if s == nil || s.WarmUp == nil {
 		return 0
 	}
-	until := row.cold
+	until := row.coldUntil
 	if at, ok := n.emptied.Returned(row.replica.Hall); ok {
 		until = max(until, at+s.WarmUp.For)
 	}
--- a/cmd/node/world.go
+++ b/cmd/node/world.go
@@ -22,16 +22,16 @@
 // replicaSet is what the store says of the replicas, with what was seen of
 // their leaving, which wins.
 type replicaSet struct {
-	log     *changes.Log
-	rows    map[string]replicaRow
-	leaving map[string]time.Duration // by id: when it was seen
-	cold    map[string]time.Duration // by id: until when a log line has said that it is
+	log      *changes.Log
+	rows     map[string]replicaRow
+	leaving  map[string]time.Duration // by id: when it was seen
+	saidCold map[string]time.Duration // by id: until when a log line has said that it is cold
 }
 
 type replicaRow struct {
-	value   []byte // as the store has it
-	replica catalog.Replica
-	cold    time.Duration // until when it is, by its own word
+	value     []byte // as the store has it
+	replica   catalog.Replica
+	coldUntil time.Duration // by its own word
 }
 
 func newReplicaSet() *replicaSet {
@@ -42,31 +42,67 @@
 	}
 }
 
-// refresh reads the rows that have changed.
-func (s *replicaSet) refresh(now time.Duration) {
+// refresh reads the rows that have changed, and returns the ids of those that
+// can't be read.
+func (s *replicaSet) refresh(now time.Duration) (broken []string) {
 	rows := make(map[string]replicaRow, len(s.rows))
 	s.log.Each(func(id string, value []byte) {
 		if row, ok := s.rows[id]; ok && bytes.Equal(row.value, value) {
 			rows[id] = row
 			return
 		}
-		if r, err := platform.ParseReplica(id, value); err == nil {
-			rows[id] = replicaRow{value: value, replica: r, cold: now + r.Warming}
+		r, err := platform.ParseReplica(id, value)
+		if err != nil {
+			broken = append(broken, id)
+			return
 		}
+		rows[id] = replicaRow{value: value, replica: r, coldUntil: now + r.Warming}
 	})
 	s.rows = rows
+	return broken
+}
+
+// newlyCold returns the replicas that are cold and were not when it was called last.
+func (s *replicaSet) newlyCold(now time.Duration, all []catalog.Replica) []catalog.Replica {
+	var out []catalog.Replica
+	cold := make(map[string]time.Duration)
+	for _, r := range all {
+		if r.ColdUntil <= now {
+			continue
+		}
+		cold[r.ID] = r.ColdUntil
+		if s.saidCold[r.ID] <= now {
+			out = append(out, r)
+		}
+	}
+	s.saidCold = cold
+	return out
 }
 
 // publish makes a new world of what is followed.
 func (n *Node) publish() {
 	n.followMu.Lock()
-	n.replicas.refresh(n.now())
+	now := n.now()
+	broken := n.replicas.refresh(now)
+	w := n.makeWorld()
+	cold := n.replicas.newlyCold(now, w.all)
+	n.world.Store(w)
+	n.followMu.Unlock()
+	for _, id := range broken {
+		event.NodeEntryBroken.Log(n.log, "name", id)
+	}
+	for _, r := range cold {
+		event.NodeReplicaCold.Log(n.log, "replica", r.ID, "hall", r.Hall, "for", r.ColdUntil-now)
+	}
+	n.owner.refresh()
+}
+
+// makeWorld returns what is known of the configuration, the replicas and the
+// halls. It needs followMu.
+func (n *Node) makeWorld() *world {
 	w := &world{
 		config: n.config, listed: n.replicas.log.Known(), services: make(map[string][]catalog.Replica), sizes: make(map[string]int),
 	}
-	now := n.now()
-	var cold []catalog.Replica // news
-	saidCold := make(map[string]time.Duration)
 	for id, row := range n.replicas.rows {
 		r := row.replica
 		if _, ok := n.replicas.leaving[id]; ok {
@@ -74,12 +110,6 @@
 		}
 		r.Emptied = n.emptied.Emptied(r.Hall)
 		r.ColdUntil = n.coldUntil(w.config, &row)
-		if r.ColdUntil > now {
-			saidCold[id] = r.ColdUntil
-			if n.replicas.cold[id] <= now {
-				cold = append(cold, r)
-			}
-		}
 		w.all = append(w.all, r)
 		if !r.Leaving {
 			w.sizes[r.Service]++
@@ -88,13 +118,7 @@
 			w.services[r.Service] = append(w.services[r.Service], r)
 		}
 	}
-	n.replicas.cold = saidCold
-	n.world.Store(w)
-	n.followMu.Unlock()
-	for _, r := range cold {
-		event.NodeReplicaCold.Log(n.log, "replica", r.ID, "hall", r.Hall, "for", r.ColdUntil-now)
-	}
-	n.owner.refresh()
+	return w
 }
 
 // listKnown reports whether the list of replicas was ever read.
--- a/protocol/event/event.go
+++ b/protocol/event/event.go
@@ -56,7 +56,7 @@
 	NodeConfigBroken  = add(3011, hclog.Error, "configuration has faults", "from, error", "Routes with faults are left out; the others are in force.", "mend the configuration")
 	NodeStoreLost     = add(3020, hclog.Warn, "store unreachable", "topic, waited, error", "A call failed after so long; what is in force goes on, peers tell of newer configurations.", "see to the platform's store")
 	NodeStoreBack     = add(3021, hclog.Info, "store reachable", "topic, after", "The topic is followed again.", nothing)
-	NodeEntryBroken   = add(3022, hclog.Warn, "instance's entry can't be read", "name", "An entry in the store is not an instance's own.", "see who writes there")
+	NodeEntryBroken   = add(3022, hclog.Warn, "entry can't be read", "name", "An entry in the store is not an instance's or a replica's own; it is passed over.", "see who writes there")
 	NodeReads         = add(3023, hclog.Info, "reads the store", "reads", "This instance follows the store for its hall, or no longer does.", nothing)
 	NodeHears         = add(3024, hclog.Info, "instance heard of", "name, hall, incarnation", "Another instance is taken for alive.", nothing)
 	NodeMisses        = add(3025, hclog.Info, "instance not heard of", "name, hall, incarnation, leaving", "Another instance has been silent for too long, or a connection to it failed; it is left out of addresses and ownership.", "for many at once look at the network between halls")
