placement.go parted: its options, what engines keep, and the choice

Change: Options and Standard to options.go, parts of prompts and what engines keep to kept.go; a comment on part.

--- a/coordination/placement/placement.go
+++ b/coordination/placement/placement.go
@@ -15,63 +15,12 @@
 import (
 	"cmp"
 	"slices"
-	"strconv"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"quinceroad/coordination/warmup"
 	"quinceroad/state/catalog"
 )
 
-// Options are the costs and times that decide, costs against a usual request's worth: chosen from the first deployments' prices.
-type Options struct {
-	Base         time.Duration // to the first event of an empty prompt
-	PerToken     time.Duration // to read one token
-	PerMoved     time.Duration // to move one token from another engine
-	Second       float64       // cost of a second until the first event
-	Late         float64       // of a first event after the objective
-	Stall        float64       // of holding one stream up for long
-	StallFrom    time.Duration // a hold-up begins to cost
-	StallTo      time.Duration // and costs all
-	Beside       float64       // of generating for a second beside an engine's usual reading
-	PerEvent     time.Duration // of generating, per token
-	ReadAgain    float64       // of reading a shared token that is kept somewhere
-	Moved        float64       // of moving one
-	FarByte      float64       // of a byte of results that crosses halls
-	UsualFor     time.Duration // over which an engine's usual reading is averaged
-	KeptShare    float64       // of an engine's memory that is taken to keep parts
-	KeptFor      time.Duration // after which a part is taken for gone
-	ToldFor      time.Duration // for which what an engine said that it keeps is believed
-	Crowded      float64       // share of an engine's slots from which more streams cost
-	CrowdedCosts float64
-}
-
-// Standard returns the constants in use.
-func Standard() Options {
-	return Options{
-		Base:         70 * time.Millisecond,
-		PerToken:     31 * time.Microsecond,
-		PerMoved:     9 * time.Microsecond,
-		Second:       0.15,
-		Late:         0.8,
-		Stall:        0.3,
-		StallFrom:    150 * time.Millisecond,
-		StallTo:      600 * time.Millisecond,
-		Beside:       0.3,
-		PerEvent:     8 * time.Millisecond,
-		ReadAgain:    0.29e-3,
-		Moved:        0.025e-3,
-		FarByte:      82e-9,
-		UsualFor:     8 * time.Second,
-		KeptShare:    0.7,
-		KeptFor:      60 * time.Second,
-		ToldFor:      30 * time.Second, // half of KeptFor: a part not asked for since is the first to give way
-		Crowded:      0.6,
-		CrowdedCosts: 2,
-	}
-}
-
 // Request is a stream that looks for its engine.
 type Request struct {
 	ID      uint64 // unique in the table while the request runs
@@ -116,11 +65,6 @@
 	tokens  int
 }
 
-type part struct {
-	tokens int
-	used   time.Duration
-}
-
 type run struct {
 	engine   *engine
 	began    time.Duration
@@ -170,52 +114,6 @@
 	}
 }
 
-// chain returns a key for each part that names it and all before it.
-func chain(parts []catalog.Part) []uint64 {
-	d := xxhash.New()
-	keys := make([]uint64, 0, len(parts))
-	for _, p := range parts {
-		_, _ = d.WriteString(p.ID + ":" + strconv.Itoa(p.Tokens) + ",")
-		keys = append(keys, d.Sum64())
-	}
-	return keys
-}
-
-// keeps returns how many tokens of a prompt an engine keeps from its start.
-func (e *engine) keeps(now time.Duration, o *Options, parts []catalog.Part, keys []uint64) int {
-	n := 0
-	for i, k := range keys {
-		if !e.holds(now, o, parts[i], k) {
-			break
-		}
-		n += parts[i].Tokens
-	}
-	return n
-}
-
-// holds reports whether an engine keeps a part: it ran a request with it
-// lately, or said so itself.
-func (e *engine) holds(now time.Duration, o *Options, p catalog.Part, key uint64) bool {
-	if kept := e.kept[key]; kept != nil {
-		return now-kept.used <= o.KeptFor
-	}
-	return now-e.askedAt <= o.ToldFor && e.listed[p.ID] >= p.Tokens
-}
-
-// Told takes in which parts an engine says that it keeps: what requests of an
-// earlier owner left there.
-func (t *Table) Told(now time.Duration, replica string, parts []catalog.Part) {
-	e := t.engines[replica]
-	if e == nil {
-		return
-	}
-	e.listed = make(map[string]int, len(parts))
-	for _, p := range parts {
-		e.listed[p.ID] = p.Tokens
-	}
-	e.askedAt = now
-}
-
 // Place returns the cheapest engine for a request.
 func (t *Table) Place(now time.Duration, r *Request) (Choice, bool) {
 	keys := chain(r.Parts)
@@ -353,38 +251,6 @@
 	t.runs[r.ID] = &run{engine: e, began: now, expected: e.busyTo - now + time.Duration(float64(o.Base)*e.speed)}
 }
 
-func (e *engine) keep(now time.Duration, key uint64, tokens int) {
-	if p := e.kept[key]; p != nil {
-		p.used = now
-		return
-	}
-	e.kept[key] = &part{tokens: tokens, used: now}
-	e.tokens += tokens
-}
-
-// evict forgets the parts unused longest until the rest fits.
-func (e *engine) evict(fits int) {
-	if e.tokens <= fits {
-		return
-	}
-	type row struct {
-		key  uint64
-		used time.Duration
-	}
-	rows := make([]row, 0, len(e.kept))
-	for k, p := range e.kept {
-		rows = append(rows, row{k, p.used})
-	}
-	slices.SortFunc(rows, func(a, b row) int { return cmp.Or(cmp.Compare(a.used, b.used), cmp.Compare(a.key, b.key)) })
-	for _, r := range rows {
-		if e.tokens <= fits*9/10 {
-			return
-		}
-		e.tokens -= e.kept[r.key].tokens
-		delete(e.kept, r.key)
-	}
-}
-
 const (
 	speedRate  = 0.2 // weight of the last first event: a slow engine shows within five; chosen
 	leastSpeed = 0.5 // time taken against expected; a bound against a wrong measurement
