Versions of replicas, regions of halls, routes and customers are read

Cause: two new customers state terms that nothing reads: the software version of each replica (roll-outs), the region of each hall, allowed_regions of routes and customers, and the bounds of roll-outs. Ruled out: reading them in each part that needs them: three parts are built side by side on the same types. Nothing decides by them yet.

--- a/cmd/node/node.go
+++ b/cmd/node/node.go
@@ -115,6 +115,7 @@
 	n.members = gossip.New(gossip.Instance{
 		Name:        s.Name,
 		Hall:        s.Hall,
+		Region:      s.Region,
 		Incarnation: uint64(time.Now().UnixNano()),
 		Front:       s.Front,
 		Link:        s.Link,
--- a/cmd/node/world.go
+++ b/cmd/node/world.go
@@ -111,6 +111,7 @@
 		if _, ok := n.replicas.leaving[id]; ok {
 			r.Leaving = true
 		}
+		r.Region = n.settings.Regions[r.Hall]
 		r.Emptied = n.emptied.Emptied(r.Hall)
 		r.ColdUntil = n.coldUntil(w.config, &row)
 		w.all = append(w.all, r)
--- a/coordination/gossip/gossip.go
+++ b/coordination/gossip/gossip.go
@@ -22,6 +22,7 @@
 type Instance struct {
 	Name        string
 	Hall        string
+	Region      string   // of the hall; "" where it is not known
 	Incarnation uint64   // rises with every start
 	Count       uint64   // heartbeats of this incarnation
 	Leaving     bool     // a planned stop began
--- a/state/catalog/catalog.go
+++ b/state/catalog/catalog.go
@@ -39,7 +39,8 @@
 // Customer is who a request is served for.
 type Customer struct {
 	Name     string
-	Priority int // 0 first
+	Priority int      // 0 first
+	Regions  []string // the only ones that may serve and keep its requests; none: all
 }
 
 // Route tells where the requests of one host and path go and how long they may take.
@@ -57,6 +58,7 @@
 	Stages       []Stage
 	Anonymous    bool
 	Resumable    bool
+	Regions      []string // the only ones that may serve and keep its requests; none: all
 }
 
 // Target is a service that gets a share of a route's requests.
@@ -172,10 +174,12 @@
 	Hall    string
 	Address string // IP:port
 	Slots   int
+	Version string // of its software; "" where it tells none
 	Leaving bool
 	Warming time.Duration // how much longer it is slow, when it was last told
 
 	// What the process knows besides.
+	Region    string        // of its hall; "" where nobody can place the hall
 	Emptied   bool          // its hall is being emptied: it gets nothing new
 	ColdUntil time.Duration // by the process's clock; until then it carries little
 }
