The view of instances is kept in order, not sorted for each question

Cause: who is alive is asked several times a request (owner, budget, addresses, whether an owner is still heard of), and each question sorted all entries: 146 us and 182 KB at 390 instances. Ruled out: a cached answer: it depends on the moment, as entries fall silent. Change: entries stand in order by name as they come and go; Size and Hears answer what needed no list.

--- a/cmd/node/members.go
+++ b/cmd/node/members.go
@@ -241,6 +241,13 @@
 	return n.members.Alive(n.now())
 }
 
+// size returns the number of instances heard of lately.
+func (n *Node) size() int {
+	n.gossipMu.Lock()
+	defer n.gossipMu.Unlock()
+	return n.members.Size(n.now())
+}
+
 // serveLink answers peers.
 func (n *Node) serveLink(k frame.Kind, first []byte, stream net.Conn) {
 	switch k {
--- a/cmd/node/register.go
+++ b/cmd/node/register.go
@@ -28,7 +28,7 @@
 func (n *Node) register(ctx context.Context) {
 	var lease uint64 // the store's number of it; 0: none is held
 	n.greet(ctx)
-	if len(n.alive()) == 1 {
+	if n.size() == 1 {
 		n.logAside("instances", "store", n.meet()) // the seeds may be gone; those that read before may be back
 	}
 	process.Pause(ctx, registerAfter)
@@ -61,7 +61,7 @@
 	registered := make(chan []string, 1)
 	go func() { registered <- n.registered() }()
 	var others []string
-	for n.now() < aloneFor && len(n.alive()) == 1 {
+	for n.now() < aloneFor && n.size() == 1 {
 		select {
 		case others = <-registered:
 		default:
--- a/cmd/node/serve.go
+++ b/cmd/node/serve.go
@@ -148,7 +148,7 @@
 // rates runs f on what is known of the request's service.
 func (s *serving) rates(f func(*serviceRates)) {
 	n := s.node
-	instances := float64(len(n.alive()))
+	instances := float64(n.size())
 	n.judgeMu.Lock()
 	defer n.judgeMu.Unlock()
 	r := n.rates[s.service.Name]
--- a/cmd/node/stages.go
+++ b/cmd/node/stages.go
@@ -195,10 +195,7 @@
 
 // heardOf reports whether that life of an instance is still heard of.
 func (n *Node) heardOf(i gossip.Instance) bool {
-	for _, a := range n.alive() {
-		if a.Name == i.Name {
-			return a.Incarnation == i.Incarnation
-		}
-	}
-	return false
+	n.gossipMu.Lock()
+	defer n.gossipMu.Unlock()
+	return n.members.Hears(n.now(), i.Name, i.Incarnation)
 }
--- a/coordination/gossip/gossip.go
+++ b/coordination/gossip/gossip.go
@@ -62,6 +62,7 @@
 	opts  Options
 	self  Instance
 	rows  map[string]*row
+	order []*row // the same, by name: sorted when one comes or goes, as a view is asked several times for each request
 	byKey map[uint32]*row
 	turn  int           // whose turn it is to be told in full
 	seeds time.Duration // when the seeds were last told
@@ -131,7 +132,7 @@
 	r := v.rows[i.Name]
 	if r == nil {
 		r = &row{Instance: i, heard: now, key: i.Key()}
-		v.rows[i.Name], v.byKey[r.key] = r, r
+		v.insert(r)
 		v.fresh = now
 		return true
 	}
@@ -154,6 +155,12 @@
 	return isNew
 }
 
+func (v *View) insert(r *row) {
+	v.rows[r.Name], v.byKey[r.key] = r, r
+	at, _ := slices.BinarySearchFunc(v.order, r.Name, func(o *row, name string) int { return cmp.Compare(o.Name, name) })
+	v.order = slices.Insert(v.order, at, r)
+}
+
 // sameInfo reports whether two entries differ by nothing that others act on. The
 // configuration in force is such a thing at the sender only: with each change of
 // it, all entries of a fleet would be told in full again.
@@ -192,15 +199,16 @@
 // in its turn, the counters of those heard of last and of others in turn.
 func (v *View) Tell(now time.Duration) Message {
 	m := Message{News: []Instance{v.self}}
-	names := v.names()
-	if len(names) == 0 {
+	known := len(v.order)
+	if known == 0 {
 		return m
 	}
 	v.turn++
-	v.rows[names[v.turn%len(names)]].told = min(v.rows[names[v.turn%len(names)]].told, tellTimes-1)
-	rows := make([]*row, 0, len(names))
-	for i := range names {
-		r := v.rows[names[(v.turn+i)%len(names)]]
+	next := v.order[v.turn%known]
+	next.told = min(next.told, tellTimes-1)
+	rows := make([]*row, 0, known)
+	for i := range known {
+		r := v.order[(v.turn+i)%known]
 		if r.told < tellTimes && len(m.News) <= v.opts.Sample {
 			r.told++
 			m.News = append(m.News, r.Instance)
@@ -238,7 +246,7 @@
 	v.self.Count++
 	v.forget(now)
 	m = v.Tell(now)
-	near, far, dead := v.split(now, v.names())
+	near, far, dead := v.split(now)
 	to = v.targets(near, far, random)
 	if len(dead) > 0 { // a partition heals from either side
 		to = append(to, dead[random.IntN(len(dead))])
@@ -250,7 +258,7 @@
 // nobody is heard of, since they may start later than this instance, and now
 // and then beside the others, so that islands meet.
 func (v *View) SeedsDue(now time.Duration) bool {
-	if v.seeds != 0 && now-v.seeds < v.opts.Seeds && len(v.Alive(now)) > 1 {
+	if v.seeds != 0 && now-v.seeds < v.opts.Seeds && v.Size(now) > 1 {
 		return false
 	}
 	v.seeds = max(now, 1)
@@ -272,9 +280,8 @@
 
 // split returns where the instances of the own hall that are alive take
 // heartbeats, those of other halls, and those that are not heard of.
-func (v *View) split(now time.Duration, names []string) (near, far, dead []string) {
-	for _, n := range names {
-		r := v.rows[n]
+func (v *View) split(now time.Duration) (near, far, dead []string) {
+	for _, r := range v.order {
 		switch {
 		case !v.alive(now, r):
 			dead = append(dead, r.Datagram)
@@ -294,39 +301,58 @@
 }
 
 func (v *View) forget(now time.Duration) {
-	for n, r := range v.rows {
-		if now-r.heard > v.opts.Forget {
-			delete(v.rows, n)
+	old := func(r *row) bool { return now-r.heard > v.opts.Forget }
+	for _, r := range v.order {
+		if old(r) {
+			delete(v.rows, r.Name)
 			delete(v.byKey, r.key)
 		}
 	}
-}
-
-func (v *View) names() []string {
-	out := make([]string, 0, len(v.rows))
-	for n := range v.rows {
-		out = append(out, n)
-	}
-	slices.Sort(out)
-	return out
+	v.order = slices.DeleteFunc(v.order, old)
 }
 
 // Alive returns the instances heard of lately, oneself included, by name.
 func (v *View) Alive(now time.Duration) []Instance {
-	out := []Instance{v.self}
-	for _, r := range v.rows {
+	out := make([]Instance, 0, len(v.order)+1)
+	before, _ := slices.BinarySearchFunc(v.order, v.self.Name, func(r *row, name string) int { return cmp.Compare(r.Name, name) })
+	for i, r := range v.order {
+		if i == before {
+			out = append(out, v.self)
+		}
 		if v.alive(now, r) {
 			out = append(out, r.Instance)
 		}
 	}
-	slices.SortFunc(out, func(a, b Instance) int { return cmp.Compare(a.Name, b.Name) })
+	if before == len(v.order) {
+		out = append(out, v.self)
+	}
 	return out
 }
 
+// Size returns the number of instances heard of lately, oneself included.
+func (v *View) Size(now time.Duration) int {
+	n := 1
+	for _, r := range v.order {
+		if v.alive(now, r) {
+			n++
+		}
+	}
+	return n
+}
+
+// Hears reports whether an incarnation of an instance is heard of.
+func (v *View) Hears(now time.Duration, name string, incarnation uint64) bool {
+	if name == v.self.Name {
+		return incarnation == v.self.Incarnation
+	}
+	r := v.rows[name]
+	return r != nil && r.Incarnation == incarnation && v.alive(now, r)
+}
+
 // Still reports whether others are heard of and nobody new has been for a
 // while: after a start of all, the view is then as good as it gets soon.
 func (v *View) Still(now time.Duration) bool {
-	return len(v.Alive(now)) > 1 && now-v.fresh >= v.opts.Still
+	return v.Size(now) > 1 && now-v.fresh >= v.opts.Still
 }
 
 // Known returns the number of instances that are not forgotten, oneself included.
--- a/coordination/gossip/gossip_test.go
+++ b/coordination/gossip/gossip_test.go
@@ -288,3 +288,42 @@
 	v.Merge(time.Second+2*o.Still, Instance{Name: "b", Incarnation: 2, Count: 1})
 	is.True(!v.Still(time.Second + 2*o.Still)) // another life of b
 }
+
+// The view was sorted for each question, several times a request: 390 entries each.
+func TestQuestionsOfOneViewAgree(t *testing.T) {
+	is := is.New(t)
+	v := New(Instance{Name: "m", Incarnation: 7}, Standard())
+	for _, name := range []string{"z", "a", "n", "l", "m2"} {
+		v.Merge(0, Instance{Name: name, Incarnation: 1, Count: 1})
+	}
+	v.Merge(2*time.Second, Instance{Name: "z", Incarnation: 2, Count: 1})
+	v.Merge(2*time.Second, Instance{Name: "a", Incarnation: 1, Count: 2})
+	names := func(now time.Duration) string {
+		out := ""
+		for _, i := range v.Alive(now) {
+			out += i.Name + " "
+		}
+		return out
+	}
+	is.Equal(names(0), "a l m m2 n z ")
+	is.Equal(names(2*time.Second), "a m z ") // the others are silent
+	is.Equal(v.Size(2*time.Second), 3)
+	is.True(!v.Hears(2*time.Second, "z", 1)) // an earlier life
+	is.True(v.Hears(2*time.Second, "z", 2))
+	is.True(!v.Hears(2*time.Second, "l", 1))
+	is.True(v.Hears(2*time.Second, "m", 7))
+	v.Round(2*time.Second+Standard().Forget, rand.New(rand.NewPCG(1, 1)))
+	is.Equal(v.Known(), 3) // those silent since are forgotten, the two heard of later not yet
+	is.Equal(names(2*time.Second), "a m z ")
+}
+
+func BenchmarkAlive(b *testing.B) {
+	v := New(Instance{Name: "i000"}, Standard())
+	for i := 1; i < 390; i++ {
+		v.Merge(0, Instance{Name: fmt.Sprintf("i%03d", i), Incarnation: 1, Count: 1})
+	}
+	b.ReportAllocs()
+	for b.Loop() {
+		v.Alive(0)
+	}
+}
