losses tells by size and rank, and what bound a refusal

Cause: a refusal was put down to the pool with the longest time of all that its owner knows: a request with one stage was told as refused by a pool that it never asks for. Sizes were not shown, so that a constant that refuses the longest prompts hid in the route's mean.

Change: a verdict says what its expectation is made of (own, wait, the pool bound, the limit); 3052 logs that, and only the job's own pools; 3050 logs the route's rank. losses names what bound a refusal: a pool, the engine's part, the slack left at arrival, the stages alone; and sums by rank and by tenths of tokens within each route. explain tells the parts. No decision changes.

Tests red first: TestLossesTellWhatBoundARefusal, TestLossesAreSummedBySizeAndRank, TestExplainTellsWhereTheWorthWent.

--- a/cmd/ctl/explain_test.go
+++ b/cmd/ctl/explain_test.go
@@ -31,11 +31,11 @@
 // story of three requests: the lines are as nodes write them.
 const threeLogs = `2026-01-01T00:00:00.000Z [INFO]  node: replica left alone: instance=i2 event=3031 replica=d7 why=unreachable usual=0 by=i2
 2026-01-01T00:00:00.500Z [INFO]  node: node stopping: instance=i9 event=3002 in_flight=0
-2026-01-01T00:00:01.000Z [INFO]  node: job refused: instance=i2 event=3052 request=refused rank=1 again=false expected=4s objective=3.2s deadline=8s pools="read:9 waiting, through in 3s, 2 replicas"
+2026-01-01T00:00:01.000Z [INFO]  node: job refused: instance=i2 event=3052 request=refused rank=1 again=false expected=4s wait=3s own=1s bound=read limit=3.1s objective=3.2s deadline=8s pools="read:9 waiting, through in 3s, 2 replicas"
 2026-01-01T00:00:01.001Z [INFO]  node: request: instance=i1 event=3050 request=refused why="stages refused, back in 1s" objective=3.6s owner=i2 took=2ms
 2026-01-01T00:00:01.500Z [INFO]  node: attempt failed: instance=i1 event=3051 request=lost replica=d7 why="the answer broke off" took=40ms kept=true
 2026-01-01T00:00:01.501Z [INFO]  node: request: instance=i1 event=3050 request=lost why="the answer broke off" objective=100ms owner="" attempts=1 replica=d7 took=41ms pieces=[]
-2026-01-01T00:00:05.000Z [INFO]  node: request: instance=i1 event=3050 request=late why=served objective=2s owner=i2 attempts=1 replica=e3 took=4s staged=2.5s first=2.8s gap=90ms pieces=[1, 6]
+2026-01-01T00:00:05.000Z [INFO]  node: request: instance=i1 event=3050 request=late why=served objective=2s owner=i2 attempts=1 replica=e3 took=4s staged=2.5s first=2.8s expected=700ms gap=90ms pieces=[1, 6]
 2026-01-01T00:00:06.000Z [INFO]  node: node stopping: instance=i2 event=3002 in_flight=3
 `
 
@@ -44,9 +44,9 @@
 	name := filepath.Join(t.TempDir(), "all.log")
 	is.NoErr(os.WriteFile(name, []byte(threeLogs), 0o600))
 	for id, want := range map[string][]string{
-		"refused": {"Refused by i2", "after 4s against 3.2s of its objective", "read:9 waiting"},
+		"refused": {"Refused by i2", "after 4s against 3.2s of its objective", "read:9 waiting", "1s by themselves and 3s of waiting, longest for read", "400ms of its objective were taken before, 398ms of it for its engine", "refused, pool read"},
 		"lost":    {"Lost at replica d7 after 40ms", "Beside it, from 10s before it:\n\n2026-01-01T00:00:00.000Z  i2                 replica left alone"},
-		"late":    {"Served late: it began after 2.8s against an objective of 2s", "its stages, at i2", "[1, 6]"},
+		"late":    {"Served late: it began after 2.8s against an objective of 2s", "its stages, at i2", "[1, 6]", "its stages were expected to take 700ms and took 2.5s"},
 	} {
 		var out, errOut bytes.Buffer
 		is.Equal(Main([]string{"explain", id, name}, &out, &errOut), 0)
--- a/cmd/ctl/logline.go
+++ b/cmd/ctl/logline.go
@@ -86,6 +86,12 @@
 	return d
 }
 
+// number returns a field that is a whole number; 0 when it is none.
+func (l *logLine) number(name string) int {
+	n, _ := strconv.Atoi(l.field(name))
+	return n
+}
+
 // time is when the line was written, by its instance's clock.
 func (l *logLine) time() time.Time {
 	for _, layout := range []string{time.RFC3339Nano, "2006-01-02T15:04:05.000Z0700"} {
--- a/cmd/ctl/losses.go
+++ b/cmd/ctl/losses.go
@@ -4,7 +4,6 @@
 	"cmp"
 	"fmt"
 	"maps"
-	"regexp"
 	"slices"
 	"strings"
 	"time"
@@ -24,8 +23,9 @@
 	asked    int
 	causes   map[string]*cause
 	windows  map[time.Time]*window
-	bound    map[string]string // by request: the pool that refused it
-	errors   []time.Duration   // taken less expected, of stages that were run
+	refusals map[string]*refusal // by request: the last one
+	routes   map[string]*routeAccount
+	errors   []time.Duration // taken less expected, of stages that were run
 	restarts int
 }
 
@@ -44,24 +44,11 @@
 }
 
 func newAccount() *account {
-	return &account{causes: make(map[string]*cause), windows: make(map[time.Time]*window), bound: make(map[string]string)}
-}
-
-// poolPattern finds in a refusal's line each pool and the time until it is through.
-var poolPattern = regexp.MustCompile(`(\S+):\d+ waiting, through in (\S+?), `)
-
-// takeRefusal notes which pool bound a refused request: the one that is
-// through last.
-func (a *account) takeRefusal(l *logLine) {
-	if l.event != event.NodeJobRefused.Number {
-		return
-	}
-	longest := time.Duration(-1)
-	for _, m := range poolPattern.FindAllStringSubmatch(l.field("pools"), -1) {
-		if d, err := time.ParseDuration(m[2]); err == nil && d > longest {
-			longest = d
-			a.bound[l.request] = m[1]
-		}
+	return &account{
+		causes:   make(map[string]*cause),
+		windows:  make(map[time.Time]*window),
+		refusals: make(map[string]*refusal),
+		routes:   make(map[string]*routeAccount),
 	}
 }
 
@@ -88,6 +75,7 @@
 	}
 	w.asked++
 	name := a.why(l)
+	a.takeSize(l, name)
 	if name == "" {
 		return
 	}
@@ -111,7 +99,10 @@
 	case why == whyServed:
 		return lateness(l)
 	case strings.HasPrefix(why, "stages refused"):
-		return "refused, pool " + cmp.Or(a.bound[l.request], "not told")
+		if r := a.refusals[l.request]; r != nil {
+			return r.cause(l)
+		}
+		return "refused, not told why"
 	case strings.HasPrefix(why, "stages failed"):
 		return "given up, " + strings.TrimPrefix(why, "stages failed: ")
 	}
@@ -161,14 +152,12 @@
 	for _, x := range causes {
 		fmt.Fprintf(c.out, "%-34s %6d  %-40s %s\n", x.name, x.count, counts(x.kinds), strings.Join(x.ids, " "))
 	}
+	a.printRanks(c.out)
+	a.printSizes(c.out)
 	fmt.Fprintf(c.out, "\n%-26s %6s %6s  %s\n", "from", "asked", "lost", "causes")
 	for _, at := range slices.SortedFunc(maps.Keys(a.windows), time.Time.Compare) {
 		w := a.windows[at]
-		sum := 0
-		for _, n := range w.losses {
-			sum += n
-		}
-		fmt.Fprintf(c.out, "%-26s %6d %6d  %s\n", at.Format(time.RFC3339), w.asked, sum, counts(w.losses))
+		fmt.Fprintf(c.out, "%-26s %6d %6d  %s\n", at.Format(time.RFC3339), w.asked, sum(w.losses), counts(w.losses))
 	}
 	if len(a.errors) > 0 {
 		slices.Sort(a.errors)
--- a/cmd/ctl/losses_test.go
+++ b/cmd/ctl/losses_test.go
@@ -2,9 +2,11 @@
 
 import (
 	"bytes"
+	"fmt"
 	"os"
 	"path/filepath"
 	"regexp"
+	"strings"
 	"testing"
 
 	"github.com/matryer/is"
@@ -13,7 +15,7 @@
 // What a day's logs say of requests that were served, refused by the pool that
 // bound, given up, late by their stages and by their engine, and lost.
 const dayLogs = `2026-01-01T00:00:00.100Z [INFO]  node: node started: instance=i1 event=3001 front=a link=b
-2026-01-01T00:00:01.000Z [INFO]  node: job refused: instance=i2 event=3052 request=r1 expected=4s pools="read:0 waiting, through in 900ms, 2 replicas; rank:9 waiting, through in 3s, 2 replicas"
+2026-01-01T00:00:01.000Z [INFO]  node: job refused: instance=i2 event=3052 request=r1 expected=4s own=1s bound=rank limit=3s objective=3s pools="rank:9 waiting, through in 3s, 2 replicas"
 2026-01-01T00:00:01.001Z [INFO]  node: request: instance=i1 event=3050 request=r1 route=x why="stages refused, back in 1s" objective=3.6s took=2ms
 2026-01-01T00:00:01.100Z [INFO]  node: request: instance=i1 event=3050 request=r2 route=y why=served objective=1s took=900ms staged=500ms first=800ms expected=700ms
 2026-01-01T00:00:02.100Z [INFO]  node: request: instance=i1 event=3050 request=r3 route=y why="stages failed: late" objective=1s took=600ms
@@ -24,12 +26,7 @@
 `
 
 func TestLossesAreSummedByCauseAndTime(t *testing.T) {
-	is := is.New(t)
-	name := filepath.Join(t.TempDir(), "all.log")
-	is.NoErr(os.WriteFile(name, []byte(dayLogs), 0o600))
-	var out, errOut bytes.Buffer
-	is.Equal(Main([]string{"losses", name}, &out, &errOut), 0)
-	for _, want := range []string{
+	wantLosses(t, dayLogs,
 		`7 attempts of clients ended, 6 of them not served in time; 1 starts of processes`,
 		`refused, pool rank +1  x 1 +r1`,
 		`given up, late +1  y 1 +r3`,
@@ -40,7 +37,67 @@
 		`2026-01-01T00:00:00Z +2 +1  refused, pool rank 1`,
 		`2026-01-01T00:00:02Z +5 +5  `,
 		`of 3 admitted: one in ten under -200ms, half under -200ms`,
-	} {
+	)
+}
+
+// Four refusals: all name the pools of their own stages, and each what bound
+// it. A pool that the request never uses, however long it takes, is none.
+const refusals = `2026-01-01T00:00:01.000Z [INFO]  node: job refused: instance=i2 event=3052 request=pool expected=2.6s wait=2s own=600ms bound=portal limit=2.4s objective=2.5s pools="portal:40 waiting, through in 2s, 2 replicas"
+2026-01-01T00:00:01.001Z [INFO]  node: request: instance=i1 event=3050 request=pool route=x why="stages refused, back in 200ms" objective=3s took=2ms
+2026-01-01T00:00:01.100Z [INFO]  node: job refused: instance=i2 event=3052 request=engine expected=600ms wait=0s own=600ms bound="" limit=16ms objective=16ms pools="portal:0 waiting, through in 0s, 2 replicas"
+2026-01-01T00:00:01.101Z [INFO]  node: request: instance=i1 event=3050 request=engine route=x why="stages refused, back in 600ms" objective=1.2s took=2ms
+2026-01-01T00:00:01.200Z [INFO]  node: job refused: instance=i2 event=3052 request=slack expected=700ms wait=100ms own=600ms bound=portal limit=100ms objective=110ms pools="portal:1 waiting, through in 100ms, 2 replicas"
+2026-01-01T00:00:01.201Z [INFO]  node: request: instance=i1 event=3050 request=slack route=x why="stages refused, back in 600ms" objective=1.2s took=1s
+2026-01-01T00:00:01.300Z [INFO]  node: job refused: instance=i2 event=3052 request=alone expected=2s wait=0s own=2s bound="" limit=1s objective=1.1s pools="portal:0 waiting, through in 0s, 2 replicas"
+2026-01-01T00:00:01.301Z [INFO]  node: request: instance=i1 event=3050 request=alone route=x why="stages refused, back in 1s" objective=1.2s took=2ms
+2026-01-01T00:00:01.400Z [INFO]  node: job refused: instance=i2 event=3052 request=none expected=0s wait=0s own=0s bound="" limit=0s objective=1.1s pools=""
+2026-01-01T00:00:01.401Z [INFO]  node: request: instance=i1 event=3050 request=none route=x why="stages refused, back in 1s" objective=1.2s took=2ms
+`
+
+func TestLossesTellWhatBoundARefusal(t *testing.T) {
+	wantLosses(t, refusals,
+		`refused, pool portal +1  x 1 +pool\n`,
+		`refused, engine +1  x 1 +engine\n`,
+		`refused, slack at arrival +1  x 1 +slack\n`,
+		`refused, stages alone +1  x 1 +alone\n`,
+		`refused, pool not known +1  x 1 +none\n`,
+	)
+}
+
+// Twenty requests of a route, the two with the longest prompts refused, and ten
+// of a more urgent one: the account shows them by the tenth of their size, and
+// by rank.
+func TestLossesAreSummedBySizeAndRank(t *testing.T) {
+	var logs strings.Builder
+	line := func(id string, route string, rank, tokens int, why string) {
+		fmt.Fprintf(&logs, "2026-01-01T00:00:01.000Z [INFO]  node: request: instance=i1 event=3050 request=%s route=%s rank=%d why=%q objective=1s took=2ms tokens=%d\n", id, route, rank, why, tokens)
+	}
+	for n := range 20 {
+		why := whyServed
+		if n >= 18 {
+			why = "no replica was reached"
+		}
+		line(fmt.Sprint("l", n), "long", 2, 5000-n, whyServed)
+		line(fmt.Sprint("u", n), "urgent", 0, 100*n, why)
+	}
+	wantLosses(t, logs.String(),
+		`urgent +0 +20 +2  +0/2 0/2 0/2 0/2 0/2 0/2 0/2 0/2 0/2 2/2  no replica was reached 2\n`,
+		`long +2 +20 +0  +0/2 0/2 0/2 0/2 0/2 0/2 0/2 0/2 0/2 0/2 *\n`,
+		`rank +asked +lost +causes\n0 +20 +2  no replica was reached 2\n2 +20 +0`,
+	)
+}
+
+func wantLosses(t *testing.T, logs string, patterns ...string) {
+	t.Helper()
+	name := filepath.Join(t.TempDir(), "all.log")
+	if err := os.WriteFile(name, []byte(logs), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	var out, errOut bytes.Buffer
+	if code := Main([]string{"losses", name}, &out, &errOut); code != 0 {
+		t.Fatalf("exit code %d: %s", code, errOut.String())
+	}
+	for _, want := range patterns {
 		if !regexp.MustCompile(want).MatchString(out.String()) {
 			t.Errorf("%q is not in\n%s", want, out.String())
 		}
--- a/cmd/ctl/story.go
+++ b/cmd/ctl/story.go
@@ -106,8 +106,7 @@
 	case why == whyServed:
 		return served(end)
 	case strings.HasPrefix(why, "stages refused") && refused != nil:
-		return fmt.Sprintf("Refused by %s, the owner of its pools: its stages would have ended after %s against %s left; %s.",
-			refused.instance, refused.field("expected"), limit(refused), refused.field("pools"))
+		return refusedBy(refused, end)
 	case strings.HasPrefix(why, "stages failed") && failed != nil:
 		return fmt.Sprintf("Admitted, then given up by %s after %s: %s.", failed.instance, failed.field("after"), failed.field("why"))
 	case attempt != nil:
@@ -118,6 +117,19 @@
 	}
 }
 
+// refusedBy tells what an owner expected of a refused request, and what bound it.
+func refusedBy(refused, end *logLine) string {
+	r := refusalOf(refused)
+	waiting := fmt.Sprintf("%v by themselves and %v of waiting", r.own, r.expected-r.own)
+	if r.bound != "" {
+		waiting += ", longest for " + r.bound
+	}
+	spent, engine := r.before(end)
+	return fmt.Sprintf("Refused by %s, the owner of its pools (%s): its stages would have ended after %v against %s left: %s. "+
+		"%v of its objective were taken before, %v of it for its engine. Its pools: %s.",
+		refused.instance, r.cause(end), r.expected, limit(refused), waiting, spent+engine, engine, refused.field("pools"))
+}
+
 // limit names the time that a refused job had.
 func limit(refused *logLine) string {
 	if refused.field("again") == "true" {
@@ -131,7 +143,7 @@
 	objective, first := end.duration("objective"), end.began()
 	where := "its engine or service"
 	if end.mostlyStages() {
-		where = "its stages, at " + end.field("owner")
+		where = fmt.Sprintf("its stages, at %s (its stages were expected to take %s and took %s)", end.field("owner"), end.field("expected"), end.field("staged"))
 	}
 	if end.late() {
 		return fmt.Sprintf("Served late: it began after %s against an objective of %s; most of that went to %s.", first, objective, where)
--- a/cmd/node/cell.go
+++ b/cmd/node/cell.go
@@ -128,12 +128,15 @@
 
 func (c *cell) free(a pipeline.Free) { c.owner.node.freeResults(a.Address, a.Handles) }
 
-// pools tells what waits at the pools, for a log line.
-func (c *cell) pools() string {
+// pools tells what waits at the pools that a job asks for, for a log line.
+func (c *cell) pools(job pipeline.Job) string {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	var out []string
 	for _, p := range c.scheduler.Pools(c.owner.node.now()) {
+		if !job.Asks(p.Service) {
+			continue
+		}
 		out = append(out, fmt.Sprintf("%s:%d waiting, through in %v, %d replicas", p.Service, p.Waiting, p.Clear.Round(time.Millisecond), p.Serving))
 	}
 	return strings.Join(out, "; ")
--- a/cmd/node/owned.go
+++ b/cmd/node/owned.go
@@ -92,8 +92,9 @@
 	c.carryOut(actions)
 	if !verdict.Admitted {
 		n.counters.jobsRefused.Inc(1)
-		event.NodeJobRefused.Log(n.log, "request", job.RequestID, "rank", job.Rank, "again", job.Again, "expected", verdict.Expected,
-			"objective", job.Objective, "deadline", job.Deadline, "pools", c.pools())
+		event.NodeJobRefused.Log(n.log, "request", job.RequestID, "rank", job.Rank, "again", job.Again,
+			"expected", verdict.Expected, "wait", verdict.Expected-verdict.Own, "own", verdict.Own, "bound", verdict.Bound, "limit", verdict.Limit,
+			"objective", job.Objective, "deadline", job.Deadline, "pools", c.pools(job))
 		_ = send(&pb.StagesReply{Refused: true, RetryAfterUs: verdict.RetryAfter.Microseconds(), ExpectedUs: verdict.Expected.Microseconds()})
 		return pipeline.Deliver{}, false
 	}
--- a/cmd/node/serve.go
+++ b/cmd/node/serve.go
@@ -298,7 +298,7 @@
 	if err != nil {
 		why = err.Error()
 	}
-	event.NodeRequest.Log(s.node.log, "request", s.req.ID, "route", s.route.Name, "why", why,
+	event.NodeRequest.Log(s.node.log, "request", s.req.ID, "route", s.route.Name, "rank", s.route.Priority, "why", why,
 		"objective", s.route.Objective, "deadline", s.req.Deadline, "version", s.world.config.Version, "owner", s.owner,
 		"attempts", len(s.tried), "replica", s.replica, "took", time.Since(s.req.Arrived), "staged", s.staged, "expected", s.expects,
 		"first", s.first, "gap", s.gap, "tokens", s.req.TokensIn, "fetch", s.fetch, "pieces", s.req.Pieces)
--- a/coordination/pipeline/job.go
+++ b/coordination/pipeline/job.go
@@ -35,6 +35,7 @@
 	pool   *pool
 	cost   float64       // seconds of one replica, of one piece
 	latest time.Duration // when it must start for the job to be in time
+	wait   time.Duration // for its pool, as expected when the job came
 	pieces []*piece
 	freed  bool
 }
@@ -84,27 +85,48 @@
 		if len(st.pieces) == 0 {
 			continue
 		}
-		wait := max(st.pool.clear(now, j.rank)-start, 0)
+		st.wait = max(st.pool.clear(now, j.rank)-start, 0)
 		own := time.Duration(float64(len(st.pieces)) * st.cost / float64(max(len(st.pool.replicas), 1)) * float64(time.Second))
-		ends[n] = start + wait + own + st.duration()
+		ends[n] = start + st.wait + own + st.duration()
 		last = max(last, ends[n])
 	}
 	return last
 }
 
-// refuses tells whether a job is refused, and when it may come back.
-func (s *Scheduler) refuses(j *job, expected time.Duration) (time.Duration, bool) {
-	limit := time.Duration(float64(j.Objective) * s.opts.Margin)
+// limit is the time that a job's stages may be expected to take.
+func (s *Scheduler) limit(j *job) time.Duration {
 	if j.Again {
-		limit = min(time.Duration(float64(j.Deadline)*s.opts.LastMargin), time.Duration(float64(j.Objective)*s.opts.LastTimes))
+		return min(time.Duration(float64(j.Deadline)*s.opts.LastMargin), time.Duration(float64(j.Objective)*s.opts.LastTimes))
 	}
-	if expected <= limit {
-		return 0, false
+	return time.Duration(float64(j.Objective) * s.opts.Margin)
+}
+
+// retryAfter is when a refused job may come back.
+func (s *Scheduler) retryAfter(v Verdict) time.Duration {
+	if v.Expected >= noReplica {
+		return s.opts.Unknown
+	}
+	return max(v.Expected-v.Limit, s.opts.LeastRetry)
+}
+
+// own is what a job's stages take where nothing waits.
+func (j *job) own() time.Duration {
+	longest := time.Duration(0)
+	for _, rest := range j.rests() {
+		longest = max(longest, rest)
 	}
-	if expected >= noReplica {
-		return s.opts.Unknown, true
+	return longest
+}
+
+// bound names the service whose pool a job waits for longest.
+func (j *job) bound() string {
+	name, longest := "", time.Duration(0)
+	for _, st := range j.stages {
+		if st.wait > longest {
+			name, longest = st.def.Service, st.wait
+		}
 	}
-	return max(expected-limit, s.opts.LeastRetry), true
+	return name
 }
 
 // admit counts the job's pieces and readies those without inputs.
--- a/coordination/pipeline/pipeline.go
+++ b/coordination/pipeline/pipeline.go
@@ -81,12 +81,20 @@
 	Stages    []Stage
 }
 
+// Asks reports whether a job has pieces for a service.
+func (j Job) Asks(service string) bool {
+	return slices.ContainsFunc(j.Stages, func(st Stage) bool { return st.Service == service && st.Pieces > 0 })
+}
+
 // Verdict is the answer to a submitted job.
 type Verdict struct {
 	ID         uint64 // of the job when it is admitted
 	Admitted   bool
 	RetryAfter time.Duration // when a refused job may come back
 	Expected   time.Duration // until its stages are done
+	Own        time.Duration // of Expected: what they take where nothing waits
+	Limit      time.Duration // that Expected was held against
+	Bound      string        // service whose pool it waits for longest; "" for none
 }
 
 // Action is what the caller must do; one of the types below.
@@ -219,16 +227,18 @@
 	if !ok {
 		return Verdict{RetryAfter: s.opts.Unknown}, nil
 	}
-	expected := s.expect(now, job)
-	if after, refused := s.refuses(job, expected); refused {
-		return Verdict{RetryAfter: after, Expected: expected}, nil
+	verdict := Verdict{Expected: s.expect(now, job), Own: job.own(), Limit: s.limit(job), Bound: job.bound()}
+	if verdict.Expected > verdict.Limit {
+		verdict.RetryAfter = s.retryAfter(verdict)
+		return verdict, nil
 	}
 	s.next++
 	job.id = s.next
 	s.jobs[job.id] = job
 	s.admit(now, job)
 	s.dispatchAll(now)
-	return Verdict{ID: job.id, Admitted: true, Expected: expected}, s.take()
+	verdict.ID, verdict.Admitted = job.id, true
+	return verdict, s.take()
 }
 
 // Release ends a job: its request has read the results, or wants none.
--- /dev/null
+++ b/coordination/pipeline/verdict_test.go
@@ -0,0 +1,31 @@
+package pipeline
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// A verdict names what its expectation is made of, and of the pools only those
+// that the job asks for: the other one, far behind, has nothing to do with it.
+func TestAVerdictNamesThePoolThatBoundIt(t *testing.T) {
+	is := is.New(t)
+	b := newBench(t)
+	for range 20 {
+		b.submit(Job{Objective: time.Minute, Deadline: time.Minute, Stages: []Stage{{Service: "rank", Pieces: 8, Bytes: 1}}})
+	}
+	for range 3 {
+		b.submit(Job{Objective: time.Minute, Deadline: time.Minute, Stages: []Stage{{Service: "read", Pieces: 8, Bytes: 1}}})
+	}
+	job := Job{Objective: 500 * ms, Deadline: time.Second, Stages: []Stage{{Service: "read", Pieces: 1, Bytes: 1}, {Service: "rank"}}}
+	is.True(job.Asks("read"))
+	is.True(!job.Asks("rank")) // the stage has no pieces
+	v := b.submit(job)
+	is.True(!v.Admitted)
+	is.Equal(v.Bound, "read")
+	is.Equal(v.Own, 248*ms) // a call with 0.6 of its four pieces
+	is.True(v.Expected > v.Limit)
+	is.True(v.Own < v.Limit) // alone it would have been in time
+	is.Equal(b.submit(Job{Objective: time.Minute, Deadline: time.Minute, Stages: []Stage{{Service: "rank", Pieces: 1, Bytes: 1}}}).Bound, "rank")
+}
--- a/deploy/days/make.sh
+++ b/deploy/days/make.sh
@@ -197,4 +197,60 @@
   day "place-leavers-x" "" "$(entry 5.0 'kind = "give_up", share = 0.6, x = 300.0, for_s = 20.0')
 $(entry 9.0 'kind = "burst", x = 3.0, for_s = 8.0')"
 fi
+# Kinds that standard days seldom or never have, several in one day, so that a large site is hunted in few plays: addresses
+# used again, cuts between replicas and instances, instances that stand still or go slow, clocks that jump, connections
+# forgotten as they are used, a start of all while the store is slow, leavers while all replicas are slow, more replicas.
+slow=$(for s in $engines $pools; do entry 8.0 "kind = \"srv_slow\", service = \"$s\", share = 0.5, x = 5.0, for_s = 12.0"; done)
+day "rare-reuse" "" "$(entry 4.0 'kind = "replace_with_reuse", share = 0.15')
+$(entry 12.0 'kind = "replace_with_reuse", share = 0.15, how = "drain"')
+$(entry 20.0 'kind = "replace_with_reuse", share = 0.15, how = "dark"')"
+day "rare-reuse-outage" "" "$(entry 6.0 'kind = "replace_with_reuse", share = 0.2, how = "side"')
+$(entry 5.0 'kind = "platform_down", for_s = 7.0, how = "silent lapse"')
+$(entry 20.0 'kind = "replace_with_reuse", share = 0.2, how = "dark"')
+$(entry 19.0 'kind = "platform_slow", x = 60.0, for_s = 6.0')"
+day "rare-cut" "" "$(entry 4.0 'kind = "srv_cut", share = 0.25, for_s = 4.0')
+$(entry 12.0 'kind = "srv_cut", share = 0.25, for_s = 4.0, how = "fronts"')
+$(entry 20.0 'kind = "srv_cut", share = 0.25, for_s = 4.0, how = "some"')"
+day "rare-cut-reborn" "" "$(entry 4.0 'kind = "srv_cut", share = 0.25, for_s = 4.0, how = "reborn"')
+$(entry 12.0 'kind = "srv_cut", share = 0.25, for_s = 4.0, how = "one_way"')
+$(entry 20.0 'kind = "srv_cut", share = 0.25, for_s = 4.0, how = "some lossy"')"
+day "rare-cut-reset" "$(entry 5.0 'kind = "release", share = 0.5, x = 4.0, gap_s = 0.8')" "$(entry 6.0 'kind = "srv_cut", share = 0.25, for_s = 5.0, how = "reset"')
+$(entry 16.0 'kind = "node_cut", share = 0.2, for_s = 5.0, how = "servers reborn"')"
+day "rare-freeze" "" "$(entry 4.0 'kind = "node_freeze", share = 0.2, for_s = 4.0')
+$(entry 13.0 'kind = "node_freeze", share = 0.2, for_s = 3.0, how = "renewed"')
+$(entry 21.0 'kind = "node_freeze", share = 0.3, for_s = 1.0')"
+day "rare-freeze-release" "$(entry 5.0 'kind = "release", share = 0.5, x = 4.0, gap_s = 0.8')
+$(entry 18.0 'kind = "scale_in", share = 0.15')" "$(entry 7.0 'kind = "node_freeze", share = 0.3, for_s = 5.0')
+$(entry 18.0 'kind = "node_freeze", share = 0.3, for_s = 4.0')"
+day "rare-clock" "" "$(entry 4.0 'kind = "clock_step", share = 0.5, x = 3000.0, for_s = 5.0')
+$(entry 12.0 'kind = "clock_step", share = 0.5, x = 5000.0, for_s = 5.0, how = "back"')
+$(entry 20.0 'kind = "clock_step", share = 0.4, x = 60000.0, for_s = 4.0, how = "ahead"')
+$(entry 21.0 'kind = "platform_down", for_s = 4.0, how = "reset lapse"')"
+day "rare-node-slow" "" "$(entry 5.0 'kind = "node_slow", share = 0.25, x = 5.0, for_s = 6.0')
+$(entry 16.0 'kind = "node_slow", share = 0.25, x = 10.0, for_s = 5.0')
+$(entry 16.0 'kind = "burst", x = 1.8, for_s = 5.0')"
+day "rare-idle" "$(entry 14.0 'kind = "roll_term", share = 0.5, x = 4.0, gap_s = 1.0')" "$(entry 4.0 'kind = "idle_race", share = 0.5, x = 300.0, for_s = 10.0')
+$(entry 16.0 'kind = "idle_race", share = 1.0, x = 100.0, for_s = 10.0')"
+day "rare-herd-slow" "" "$(entry 5.0 'kind = "platform_slow", x = 60.0, for_s = 12.0')
+$(entry 7.0 'kind = "herd_kill", share = 1.0, for_s = 1.0')"
+day "rare-herd-slow-power" "" "$(entry 5.0 'kind = "platform_slow", x = 100.0, for_s = 10.0')
+$(entry 8.0 'kind = "herd_kill", share = 1.0, for_s = 2.0, how = "power"')
+$(entry 9.0 'kind = "platform_lost", x = 0.3, for_s = 6.0, how = "late"')"
+day "rare-leavers" "" "$(entry 5.0 'kind = "give_up", share = 0.6, for_s = 20.0')
+$slow"
+day "rare-leavers-prompt" "" "$(entry 5.0 'kind = "give_up", share = 0.6, x = 300.0, for_s = 20.0, how = "prompt"')
+$slow
+$(entry 10.0 'kind = "burst", x = 2.0, for_s = 6.0')"
+day "rare-scale-out" "$(entry 6.0 'kind = "scale_out", share = 0.4, gap_s = 0.3')
+$(entry 18.0 'kind = "scale_in", share = 0.25, how = "spot"')" "$(entry 5.0 'kind = "burst", x = 2.0, for_s = 8.0')"
+# Where the loss of a hall is to be borne.
+if awk '/^\[tolerate\]/{p=1;next} /^\[/{p=0} p&&/^zones = [1-9]/{found=1} END{exit !found}' "$site"; then
+  z=$(head -1 <<<"$zones")
+  day "rare-hall-lost" "" "$(entry 6.0 "kind = \"zone_loss\", zone = \"$z\", for_s = 6.0")
+$(entry 18.0 'kind = "zone_loss", for_s = 3.0')"
+  day "rare-hall-cut" "" "$(entry 6.0 "kind = \"zone_cut\", zone = \"$z\", for_s = 6.0")
+$(entry 18.0 'kind = "zone_cut", for_s = 5.0')"
+  day "rare-hall-cut-release" "$(entry 5.0 'kind = "release", share = 0.5, x = 4.0, gap_s = 0.8')" "$(entry 6.0 "kind = \"zone_cut\", zone = \"$z\", for_s = 6.0")
+$(entry 18.0 "kind = \"zone_loss\", zone = \"$z\", for_s = 3.0")"
+fi
 echo "$(ls "$out" | wc -l) days in $out"
