--- a/cmd/ctl/losses_test.go
+++ b/cmd/ctl/losses_test.go
@@ -80,14 +80,18 @@
 		line(fmt.Sprint("l", n), "long", 2, 5000-n, whyServed)
 		line(fmt.Sprint("u", n), "urgent", 0, 100*n, why)
 	}
-	wantLosses(t, logs.String(),
+	line("p", "post", 1, 0, whyServed) // no prompt: it has a rank and no size
+	out := wantLosses(t, logs.String(),
 		`urgent +0 +20 +2  +0/2 0/2 0/2 0/2 0/2 0/2 0/2 0/2 0/2 2/2  no replica was reached 2\n`,
 		`long +2 +20 +0  +0/2 0/2 0/2 0/2 0/2 0/2 0/2 0/2 0/2 0/2 *\n`,
-		`rank +asked +lost +causes\n0 +20 +2  no replica was reached 2\n2 +20 +0`,
+		`rank +asked +lost +causes\n0 +20 +2  no replica was reached 2\n1 +1 +0  \n2 +20 +0`,
 	)
+	if strings.Contains(out, "post") {
+		t.Errorf("a route without prompts is parted by size:\n%s", out)
+	}
 }
 
-func wantLosses(t *testing.T, logs string, patterns ...string) {
+func wantLosses(t *testing.T, logs string, patterns ...string) string {
 	t.Helper()
 	name := filepath.Join(t.TempDir(), "all.log")
 	if err := os.WriteFile(name, []byte(logs), 0o600); err != nil {
@@ -102,6 +106,7 @@
 			t.Errorf("%q is not in\n%s", want, out.String())
 		}
 	}
+	return out.String()
 }
 
 func TestLossesOfNoRequestAreAnError(t *testing.T) {
--- a/cmd/ctl/sizes.go
+++ b/cmd/ctl/sizes.go
@@ -63,11 +63,15 @@
 }
 
 // printSizes prints what was lost of each tenth of a route's requests by their
-// tokens, the smallest first, and why of the largest.
+// tokens, the smallest first, and why of the largest. Routes without prompts
+// have no sizes.
 func (a *account) printSizes(out io.Writer) {
 	fmt.Fprintf(out, "\n%-20s %4s %6s %6s  %s\n", "route", "rank", "asked", "lost", "lost of asked by tenth of tokens, the smallest first; causes in the largest")
 	for _, r := range a.byRank() {
 		groups := inTenths(r.attempts)
+		if !slices.ContainsFunc(r.attempts, func(x attempt) bool { return x.tokens > 0 }) {
+			continue
+		}
 		cells := make([]string, 0, tenths)
 		for _, g := range groups {
 			cells = append(cells, fmt.Sprintf("%d/%d", sum(causesOf(g)), len(g)))
