--- a/cmd/node/attempt.go
+++ b/cmd/node/attempt.go
@@ -12,6 +12,7 @@
 
 	"quinceroad/coordination/health"
 	"quinceroad/coordination/outcome"
+	"quinceroad/coordination/regions"
 	"quinceroad/platform"
 	"quinceroad/protocol/event"
 	"quinceroad/state/catalog"
@@ -68,6 +69,9 @@
 		n.counters.again.Inc(1)
 	}
 	n.counters.attempts.Inc(1)
+	if n.distance(r.Hall) == regions.Far {
+		n.counters.farAttempts.Inc(1)
+	}
 	s.tried[r.ID] = true
 	n.judgeMu.Lock()
 	n.loads.Begin(r.ID)
@@ -259,7 +263,7 @@
 }
 
 func (a *attempt) hasOthers() bool {
-	for _, r := range a.node.world.Load().services[a.service.Name] {
+	for _, r := range permitted(a.homes(), a.node.world.Load().services[a.service.Name]) {
 		if !a.tried[r.ID] && !a.avoid[r.ID] {
 			return true
 		}
--- a/cmd/node/counters.go
+++ b/cmd/node/counters.go
@@ -18,6 +18,11 @@
 	lostCalls   metrics.Counter
 	jobs        metrics.Counter // admitted by this instance as an owner
 	jobsRefused metrics.Counter
+	lentAsks    metrics.Counter // of owners in other regions, for requests that the own one did not take
+	lentRefused metrics.Counter // of these
+	keptAsks    metrics.Counter // of owners in other regions, what is kept there of a prompt
+	keptFar     metrics.Counter // of these, that named an engine
+	farAttempts metrics.Counter // sent to replicas in other regions
 	emptied     metrics.Counter // halls, as this instance learnt it
 	toldBusy    metrics.Counter // peers that were told to ask somebody else
 	logDropped  metrics.Counter
@@ -38,6 +43,11 @@
 		lostCalls:   counter("node.calls_lost"),
 		jobs:        counter("node.jobs"),
 		jobsRefused: counter("node.jobs_refused"),
+		lentAsks:    counter("node.regions.asks"),
+		lentRefused: counter("node.regions.asks_refused"),
+		keptAsks:    counter("node.regions.kept_asks"),
+		keptFar:     counter("node.regions.kept_found"),
+		farAttempts: counter("node.regions.attempts"),
 		emptied:     counter("node.halls_emptied"),
 		toldBusy:    counter("node.told_busy"),
 		logDropped:  counter("node.log_dropped"),
--- a/cmd/node/front.go
+++ b/cmd/node/front.go
@@ -1,21 +1,16 @@
 package node
 
 import (
-	"cmp"
 	"context"
-	"encoding/json"
 	"errors"
 	"io"
 	"log"
 	"net"
 	"net/http"
-	"slices"
 	"time"
 
 	"github.com/gravitational/trace"
 
-	"quinceroad/coordination/gossip"
-	"quinceroad/coordination/rendezvous"
 	"quinceroad/platform"
 	"quinceroad/protocol/event"
 	"quinceroad/protocol/exchange"
@@ -100,63 +95,6 @@
 	w.WriteHeader(http.StatusOK)
 }
 
-// addressesFor is the life of an answer for addresses: some clients keep it
-// three times as long, and a stopping instance must outlast that.
-const addressesFor = 1500 * time.Millisecond
-
-func (n *Node) serveDirectory(w http.ResponseWriter, r *http.Request) {
-	if r.URL.Path != platform.PathResolve {
-		http.NotFound(w, r)
-		return
-	}
-	question := platform.ParseQuestion(r.URL.Query())
-	answer := platform.Addresses{
-		Addresses: addresses(n.alive(), question.Hall, callerOf(r)),
-		Life:      min(addressesFor, n.settings.AddressesFor).Seconds(),
-	}
-	w.Header().Set("Content-Type", "application/json")
-	_ = json.NewEncoder(w).Encode(answer)
-}
-
-// callerOf names who asks, always the same way.
-func callerOf(r *http.Request) string {
-	host, _, err := net.SplitHostPort(r.RemoteAddr)
-	if err != nil {
-		return r.RemoteAddr
-	}
-	return host
-}
-
-// addresses returns where a client may go: instances that are heard of and do
-// not leave, those of its hall first. An answer holds so many at most; which
-// ones of a larger fleet differs from caller to caller, so that all get their
-// part, and stays the same for one, which gives up its connections to others.
-func addresses(alive []gossip.Instance, hall, caller string) []string {
-	var near, far []gossip.Instance
-	for _, i := range alive {
-		switch {
-		case i.Leaving:
-		case i.Hall == hall:
-			near = append(near, i)
-		default:
-			far = append(far, i)
-		}
-	}
-	var out []string
-	for _, list := range [][]gossip.Instance{near, far} {
-		if len(out)+len(list) > platform.MaxAddresses {
-			slices.SortFunc(list, func(a, b gossip.Instance) int {
-				return cmp.Compare(rendezvous.Weight(caller, b.Name), rendezvous.Weight(caller, a.Name))
-			})
-			list = list[:platform.MaxAddresses-len(out)]
-		}
-		for _, i := range list {
-			out = append(out, i.Front)
-		}
-	}
-	return out
-}
-
 // answerError is an answer of the system's own to a client.
 type answerError struct {
 	status int
--- a/cmd/node/front_test.go
+++ b/cmd/node/front_test.go
@@ -26,9 +26,9 @@
 	told := make(map[string]int)
 	for c := range callers {
 		caller := fmt.Sprint("10.0.0.", c)
-		got := addresses(alive, "a", caller)
+		got := addresses(alive, client{hall: "a", name: caller})
 		is.Equal(len(got), platform.MaxAddresses)
-		is.Equal(got, addresses(alive, "a", caller))
+		is.Equal(got, addresses(alive, client{hall: "a", name: caller}))
 		for _, a := range got {
 			is.Equal(a[:1], "a")
 			told[a]++
@@ -41,8 +41,32 @@
 		}
 	}
 	few := alive[:20]
-	is.Equal(len(addresses(few, "a", "x")), 18)
-	is.True(slices.Equal(addresses(few, "a", "x"), addresses(few, "a", "y"))) // all fit
-	mixed := addresses(append(slices.Clone(few), alive[100:]...), "c", "x")
+	is.Equal(len(addresses(few, client{hall: "a", name: "x"})), 18)
+	is.True(slices.Equal(addresses(few, client{hall: "a", name: "x"}), addresses(few, client{hall: "a", name: "y"}))) // all fit
+	mixed := addresses(append(slices.Clone(few), alive[100:]...), client{hall: "c", name: "x"})
 	is.Equal(len(mixed), platform.MaxAddresses)
 }
+
+// Clients choose by chance among what they are told, so a region's are told its
+// own instances alone, until these are too few.
+func TestARegionsClientsAreToldItsOwnInstancesWhileTheseServe(t *testing.T) {
+	is := is.New(t)
+	var alive []gossip.Instance
+	for _, region := range []string{"n", "s", "w"} {
+		for i := range 15 {
+			name := fmt.Sprintf("%s%02d", region, i)
+			alive = append(alive, gossip.Instance{Name: name, Front: name, Region: region, Hall: fmt.Sprint(region, i%2)})
+		}
+	}
+	c := client{hall: "n0", region: "n", name: "x"}
+	got := addresses(alive, c)
+	is.Equal(len(got), 15)
+	is.Equal(got[:3], []string{"n00", "n02", "n04"}) // of its hall
+	for i := range alive[3:15] {
+		alive[3+i].Leaving = true
+	}
+	is.Equal(len(addresses(alive, c)), 33) // three for a region's clients are too few
+	is.Equal(len(addresses(alive[15:], c)), 30)
+	is.Equal(len(addresses(alive[15:], client{hall: "s0", region: "s", name: "x"})), 15)
+	is.Equal(len(addresses(alive[15:], client{hall: "q", name: "x"})), 30) // whom nobody can place
+}
--- a/cmd/node/members.go
+++ b/cmd/node/members.go
@@ -171,8 +171,9 @@
 	now := n.now()
 	n.gossipMu.Lock()
 	var fresh []string
-	for _, news := range h.News {
-		if n.members.Merge(now, instanceOf(news)) {
+	for i, news := range h.News {
+		isNew := n.members.Merge(now, instanceOf(news))
+		if isNew && (i == 0 || news.Region == n.home) { // one of another region learns from those whom it tells
 			fresh = append(fresh, news.Datagram)
 		}
 	}
@@ -255,6 +256,8 @@
 		_ = frame.Write(stream, frame.Reply, n.answerPull())
 	case frame.PullReplicas:
 		_ = frame.Write(stream, frame.Reply, n.answerReplicas(first))
+	case frame.Kept:
+		_ = frame.Write(stream, frame.Reply, n.answerKept(first))
 	case frame.Stages:
 		n.owner.serve(first, stream)
 	}
--- a/cmd/node/node.go
+++ b/cmd/node/node.go
@@ -22,6 +22,7 @@
 	"quinceroad/coordination/evacuation"
 	"quinceroad/coordination/gossip"
 	"quinceroad/coordination/health"
+	"quinceroad/coordination/regions"
 	"quinceroad/coordination/shutdown"
 	"quinceroad/platform"
 	"quinceroad/protocol/event"
@@ -45,6 +46,8 @@
 	registry metrics.Registry
 	counters counters
 	began    time.Time
+	places   *regions.Map
+	home     string // this instance's region
 
 	world atomic.Pointer[world] // what requests are served from; never changed once set
 
@@ -71,6 +74,7 @@
 	judge     *health.Judge
 	loads     *choice.Table
 	rates     map[string]*serviceRates
+	lending   lending
 	deadlines deadlines
 
 	owner *owner
@@ -98,6 +102,7 @@
 		clients:   upstream.New(),
 		registry:  metrics.NewRegistry(),
 		began:     time.Now(),
+		places:    regions.New(s.Regions),
 		replicas:  newReplicaSet(),
 		emptied:   evacuation.New(),
 		cold:      newColdness(s),
@@ -107,15 +112,17 @@
 		loads:     choice.NewTable(),
 		rates:     make(map[string]*serviceRates),
 		deadlines: make(deadlines),
+		lending:   newLending(),
 		stopPlan:  shutdown.For(s.StopFor),
 	}
 	n.seeds.Store(&s.Seeds)
 	n.links = link.NewPool(&n.traffic)
 	n.counters = newCounters(n.registry)
+	n.home = n.places.Of(s.Hall)
 	n.members = gossip.New(gossip.Instance{
 		Name:        s.Name,
 		Hall:        s.Hall,
-		Region:      s.Region,
+		Region:      n.home,
 		Incarnation: uint64(time.Now().UnixNano()),
 		Front:       s.Front,
 		Link:        s.Link,
@@ -123,7 +130,7 @@
 		Datagram:    net.JoinHostPort(s.IP, strconv.Itoa(s.DatagramPort)),
 	}, gossip.Standard())
 	n.owner = newOwner(n)
-	n.world.Store(&world{services: make(map[string][]catalog.Replica)})
+	n.world.Store(&world{places: n.places, services: make(map[string][]catalog.Replica)})
 	return n
 }
 
--- a/cmd/node/owned.go
+++ b/cmd/node/owned.go
@@ -68,7 +68,8 @@
 	ask     *pb.StagesAsk
 	request *placement.Request
 	began   time.Duration
-	job     uint64 // at the scheduler; 0: none
+	job     uint64                // at the scheduler; 0: none
+	far     <-chan placement.Kept // nil: nobody was asked
 }
 
 // stages has the request's stages run, if it has any, and returns their results.
@@ -76,6 +77,7 @@
 	c, n := r.cell, r.cell.owner.node
 	job := jobOf(r.ask)
 	if len(job.Stages) == 0 {
+		r.askFar()
 		return pipeline.Deliver{}, send(&pb.StagesReply{Admitted: true}) == nil
 	}
 	end := make(chan pipeline.Action, 1)
@@ -99,6 +101,7 @@
 		return pipeline.Deliver{}, false
 	}
 	n.counters.jobs.Inc(1)
+	r.askFar()
 	if send(&pb.StagesReply{Admitted: true, ExpectedUs: verdict.Expected.Microseconds()}) != nil {
 		return pipeline.Deliver{}, false
 	}
@@ -124,6 +127,7 @@
 func (r *ownedRequest) place(ready pipeline.Deliver) *pb.StagesReply {
 	c, n := r.cell, r.cell.owner.node
 	reply := &pb.StagesReply{Handles: ready.Handles}
+	r.request.Far = r.heardFar()
 	sick := n.pausedReplicas()
 	now := n.now()
 	c.mu.Lock()
--- a/cmd/node/owner_test.go
+++ b/cmd/node/owner_test.go
@@ -1,10 +1,12 @@
 package node
 
 import (
+	"strconv"
 	"testing"
 
 	"github.com/matryer/is"
 
+	"quinceroad/coordination/regions"
 	"quinceroad/state/catalog"
 )
 
@@ -12,16 +14,15 @@
 	is := is.New(t)
 	w := &world{
 		config: &catalog.Configuration{Services: map[string]*catalog.Service{"read": {Pool: &catalog.Pool{}}}},
-		sizes:  map[string]int{},
+		places: regions.New(nil),
 	}
 	for i := range 100 {
-		r := catalog.Replica{ID: string(rune('A' + i)), Service: "read"}
+		r := catalog.Replica{ID: string(rune('A' + i)), Service: "read", Emptied: i%2 == 0} // the cells stay as they are
 		w.all = append(w.all, r)
-		w.sizes["read"]++ // also of those whose hall is being emptied: the cells stay as they are
 	}
-	is.Equal(w.cells(), 4)
+	is.Equal(w.cells(""), 4)
 	seen := make(map[string]int)
-	for cell := range w.cells() {
+	for cell := range w.cells("") {
 		for _, r := range w.share(cell) {
 			seen[r.ID]++
 		}
@@ -31,3 +32,36 @@
 		is.Equal(n, 1)
 	}
 }
+
+// Each region's replicas are cut by themselves, so that no owner sends work to
+// another region, and none are lost that nobody can place.
+func TestCellsAreCutWithinRegions(t *testing.T) {
+	is := is.New(t)
+	w := &world{
+		config: &catalog.Configuration{Services: map[string]*catalog.Service{"read": {Pool: &catalog.Pool{}}, "llm": {Engine: &catalog.Engine{}}}},
+		places: regions.New(map[string]string{"a": "n", "b": "s"}),
+	}
+	for i := range 200 {
+		r := catalog.Replica{ID: strconv.Itoa(i), Service: "read", Hall: []string{"a", "a", "b", "x"}[i%4]}
+		if i%8 == 0 {
+			r.Service = "llm"
+		}
+		r.Region = w.places.Of(r.Hall)
+		w.all = append(w.all, r)
+	}
+	is.Equal(w.cells("n"), 3) // 75 of the pool
+	is.Equal(w.cells("s"), 2)
+	seen := make(map[string]bool)
+	for _, region := range w.places.Names() {
+		for local := range w.cells(region) {
+			share := w.share(w.places.Cell(region, local))
+			is.True(len(share) <= cellReplicas+9) // of the pool, and a third of 25 engines
+			for _, r := range share {
+				is.Equal(r.Region, region)
+				is.True(!seen[r.ID])
+				seen[r.ID] = true
+			}
+		}
+	}
+	is.Equal(len(seen), len(w.all))
+}
--- a/cmd/node/pick.go
+++ b/cmd/node/pick.go
@@ -15,12 +15,14 @@
 // prepare has the request's stages run and its engine chosen by their owner,
 // unless that has been done.
 func (s *serving) prepare(ctx context.Context) error {
+	if s.job != nil && !s.homes().Has(s.job.region) {
+		s.endJob()
+	}
 	if s.job != nil || (s.service.Engine == nil && len(s.route.Stages) == 0) {
 		return nil
 	}
 	ask, pieces := s.ask()
-	objective := s.route.Objective - s.tail()
-	job, err := s.node.runStages(ctx, ask, s.req.Arrived, objective, s.allowed()-s.tail(), func(owner string) { s.owner = owner })
+	job, err := s.stages(ctx, ask)
 	if errors.Is(err, errOwnerLost) && pieces == 0 && !done(ctx) {
 		return nil // this instance chooses by itself
 	}
@@ -38,8 +40,8 @@
 		RequestId: s.req.ID,
 		Key:       s.req.PieceKey,
 		Rank:      uint32(s.rank),
-		Cell:      uint32(s.world.cellOf(s.req)),
 		Engine:    s.service.Name,
+		Regions:   s.homes().Names(),
 		TokensOut: uint32(s.req.TokensOut),
 		SlackUs:   (s.route.Objective - time.Since(s.req.Arrived)).Microseconds(),
 		Again:     s.came() || s.redone > 0 || len(s.tried) > 0,
@@ -90,7 +92,11 @@
 	n := s.node
 	world := n.world.Load() // replicas may have left since the request came
 	now := n.now()
-	able := s.able(now, world.services[s.service.Name])
+	listed := permitted(s.homes(), world.services[s.service.Name])
+	if len(listed) == 0 && len(world.services[s.service.Name]) > 0 {
+		return catalog.Replica{}, "", errNoRegion
+	}
+	able := s.able(now, listed)
 	n.judgeMu.Lock()
 	defer n.judgeMu.Unlock()
 	var fit, sick []catalog.Replica
@@ -103,16 +109,16 @@
 			fit = append(fit, r)
 		}
 	}
-	if len(fit) < len(sick) && len(fit) < len(world.services[s.service.Name])/2 {
+	if len(fit) < len(sick) && len(fit) < len(listed)/2 {
 		fit = append(fit, sick...) // when most seem sick, the cause is elsewhere
 	}
 	if len(fit) == 0 {
 		return catalog.Replica{}, "", s.none(world, able)
 	}
 	if s.service.Engine == nil {
-		return n.loads.Plain(now, n.settings.Hall, fit, newRandom()), "", nil
+		return n.loads.Plain(now, n.distance, fit, newRandom()), "", nil
 	}
-	e := n.loads.Engines(now, s.req.Shared(), s.req.ID, fit)
+	e := n.loads.Engines(now, s.req.Shared(), s.req.ID, s.nearest(fit))
 	return e.Replica, e.Fetch, nil
 }
 
--- /dev/null
+++ b/cmd/node/places.go
@@ -0,0 +1,183 @@
+package node
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"quinceroad/coordination/regions"
+	"quinceroad/protocol/event"
+	"quinceroad/protocol/pb"
+	"quinceroad/state/catalog"
+)
+
+// errNoRegion says that no region that may serve a request has what it needs.
+var (
+	errNoRegion = errors.New("no region that may serve the request can")
+	errNarrowed = errors.New("the region that served the request no longer may")
+)
+
+// lending is what an instance knows of other regions.
+type lending struct {
+	short *regions.Lending
+	trips *regions.Trips
+}
+
+func newLending() lending { return lending{short: regions.NewLending(), trips: regions.NewTrips()} }
+
+// homes returns the regions that may serve the request, by the configuration in
+// force: it may have changed since the request came.
+func (s *serving) homes() regions.Allowed {
+	w := s.node.world.Load()
+	route := w.config.Match(s.req.Host, s.req.Path)
+	if route == nil {
+		route = s.route
+	}
+	if route.Anonymous {
+		return regions.Bind(route.Regions)
+	}
+	customer := w.config.Customers[s.req.Key]
+	if customer == nil {
+		customer = s.world.config.Customers[s.req.Key]
+	}
+	return regions.Bind(route.Regions, customer.Regions)
+}
+
+// permitted returns the replicas in regions that may serve the request.
+func permitted(homes regions.Allowed, all []catalog.Replica) []catalog.Replica {
+	if !homes.Bound() {
+		return all
+	}
+	var out []catalog.Replica
+	for _, r := range all {
+		if homes.Has(r.Region) {
+			out = append(out, r)
+		}
+	}
+	return out
+}
+
+// nearest returns the replicas of the region that has run the request's stages,
+// or of the own one; all where it has none.
+func (s *serving) nearest(all []catalog.Replica) []catalog.Replica {
+	region := s.node.home
+	if s.job != nil {
+		region = s.job.region
+	}
+	var near []catalog.Replica
+	for _, r := range all {
+		if r.Region == region {
+			near = append(near, r)
+		}
+	}
+	if len(near) == 0 {
+		return all
+	}
+	return near
+}
+
+// inTurn returns the regions whose owners may be asked for the request's
+// stages, the first one first.
+func (s *serving) inTurn() []string {
+	n, w, homes := s.node, s.node.world.Load(), s.homes()
+	manned := make(map[string]bool)
+	for _, i := range n.alive() {
+		manned[i.Region] = true
+	}
+	var all []regions.Candidate
+	for _, region := range w.places.Names() {
+		if homes.Has(region) {
+			all = append(all, regions.Candidate{Region: region, Serves: w.serves(region, s.route, s.service.Name), Manned: manned[region]})
+		}
+	}
+	return regions.Turn(n.home, all, s.req.ID)
+}
+
+// stages has the request's stages run in the own region or, where that refuses,
+// in another one that has the time to.
+func (s *serving) stages(ctx context.Context, ask *pb.StagesAsk) (job *stageJob, err error) {
+	turn := s.inTurn()
+	if len(turn) == 0 {
+		return nil, errNoRegion
+	}
+	for i, region := range turn {
+		if i > 0 && !s.worthAsking(region) {
+			continue
+		}
+		asked := time.Now()
+		var failure error
+		job, failure = s.stagesIn(ctx, ask, region)
+		s.noteLending(region, failure, time.Since(asked))
+		if failure == nil {
+			return job, nil
+		}
+		if err == nil {
+			err = failure // what the nearest one says is what the client is told
+		}
+		var refused *refusedError
+		if ctx.Err() != nil || !errors.As(failure, &refused) && !errors.Is(failure, errOwnerLost) && !errors.Is(failure, errNarrowed) {
+			return nil, failure
+		}
+	}
+	return nil, err
+}
+
+// stagesIn has the request's stages run in one region.
+func (s *serving) stagesIn(ctx context.Context, ask *pb.StagesAsk, region string) (*stageJob, error) {
+	n := s.node
+	ask.Cell = uint32(n.world.Load().cellOf(s.req, region))
+	trip := n.trip(region)
+	j := &stageWork{
+		ask: ask, region: region, began: s.req.Arrived, homes: s.homes,
+		objective: s.route.Objective - s.tail() - trip,
+		deadline:  s.allowed() - s.tail() - trip,
+		asked:     func(owner string) { s.owner = owner },
+	}
+	return n.runStages(ctx, j)
+}
+
+// worthAsking reports whether another region may be asked: it did not refuse
+// lately, and there is time for the way there and back, twice: for the question,
+// and for the request itself.
+func (s *serving) worthAsking(region string) bool {
+	n := s.node
+	n.judgeMu.Lock()
+	short := n.lending.short.Short(n.now(), region, s.rank)
+	n.judgeMu.Unlock()
+	left := s.route.Objective - s.tail() - time.Since(s.req.Arrived)
+	return !short && left > 2*n.trip(region)
+}
+
+// distance returns how far a hall is from this instance.
+func (n *Node) distance(hall string) regions.Distance { return n.places.Between(n.settings.Hall, hall) }
+
+// trip is the time to a region and back.
+func (n *Node) trip(region string) time.Duration {
+	if region == n.home {
+		return 0
+	}
+	n.judgeMu.Lock()
+	defer n.judgeMu.Unlock()
+	return n.lending.trips.Round(region)
+}
+
+// noteLending takes in what a region said to a request's stages.
+func (s *serving) noteLending(region string, failure error, took time.Duration) {
+	n := s.node
+	var refused *refusedError
+	isRefused := errors.As(failure, &refused)
+	n.judgeMu.Lock()
+	if isRefused {
+		n.lending.short.Refused(n.now(), region, s.rank)
+		n.lending.trips.Note(region, took)
+	}
+	n.judgeMu.Unlock()
+	if region == n.home {
+		return
+	}
+	n.counters.lentAsks.Inc(1)
+	if isRefused {
+		n.counters.lentRefused.Inc(1)
+	}
+	event.NodeRegionAsked.Log(n.log, "request", s.req.ID, "region", region, "refused", isRefused, "error", failure, "took", took)
+}
--- a/cmd/node/pull.go
+++ b/cmd/node/pull.go
@@ -15,7 +15,8 @@
 
 const (
 	pullFor       = time.Second            // of a question to a peer
-	farPatience   = 300 * time.Millisecond // before a peer of another hall is asked: one of the own hall may soon know, too
+	hallPatience  = 300 * time.Millisecond // before a peer of another hall is asked: one of the own hall may soon know, too
+	farPatience   = 900 * time.Millisecond // before a peer of another region is asked, for the same reason: with a pull of a second well below the shortest bound of configurations
 	firstPatience = time.Second            // of an instance that knows nothing yet
 	staleWish     = 2 * time.Second        // after which a wish is a new one
 )
@@ -60,27 +61,31 @@
 // catchUp asks the sender of a heartbeat for what it knows more of.
 func (n *Node) catchUp(now time.Duration, h *pb.Heartbeat) {
 	from := h.News[0]
-	if have := n.version(); from.Configured > have && n.configPull.due(now, n.patience(from.Hall, have > 0)) {
+	if have := n.version(); from.Configured > have && n.configPull.due(now, n.patience(from, have > 0)) {
 		go n.pullConfig(from.Link, have)
 	}
 	n.followMu.Lock()
 	behind, have := n.replicas.log.Behind(h.Changed), n.replicas.log.At()
 	n.followMu.Unlock()
-	if behind && n.listPull.due(now, n.patience(from.Hall, have > 0)) {
+	if behind && n.listPull.due(now, n.patience(from, have > 0)) {
 		go n.pullReplicas(from.Link, have)
 	}
 }
 
-// patience is how long this instance waits before it asks a peer of that hall:
-// who reads the store should soon hear from it, and bytes between halls are dear.
-func (n *Node) patience(hall string, has bool) time.Duration {
+// patience is how long this instance waits before it asks a peer: who reads the
+// store should soon hear from it, and bytes between halls are dear, those between
+// regions dearer.
+func (n *Node) patience(from *pb.InstanceNews, has bool) time.Duration {
 	switch {
-	case !has && n.storeFailed.Load(), hall == n.settings.Hall && !n.reads.Load():
+	case !has && n.storeFailed.Load(), from.Hall == n.settings.Hall && !n.reads.Load():
 		return 0
 	case !has && n.reads.Load():
 		return firstPatience // it is reading the store
 	}
-	return farPatience
+	if from.Region != n.home {
+		return farPatience
+	}
+	return hallPatience
 }
 
 func (n *Node) pullConfig(addr string, have uint64) {
--- a/cmd/node/pull_test.go
+++ b/cmd/node/pull_test.go
@@ -28,15 +28,15 @@
 func TestAFarPeerIsAskedLater(t *testing.T) {
 	is := is.New(t)
 	p := &pull{}
-	is.True(!p.due(1000*ms, farPatience))
-	is.True(!p.due(1200*ms, farPatience))
-	is.True(p.due(1300*ms, farPatience))
+	is.True(!p.due(1000*ms, hallPatience))
+	is.True(!p.due(1200*ms, hallPatience))
+	is.True(p.due(1300*ms, hallPatience))
 	p.done()
-	is.True(!p.due(1400*ms, farPatience)) // the next news waits again
-	is.True(p.due(1450*ms, 0))            // unless a near one tells it
+	is.True(!p.due(1400*ms, hallPatience)) // the next news waits again
+	is.True(p.due(1450*ms, 0))             // unless a near one tells it
 	p.done()
-	is.True(!p.due(5000*ms, farPatience))
-	is.True(!p.due(9000*ms, farPatience)) // a wish that was met otherwise does not count
+	is.True(!p.due(5000*ms, hallPatience))
+	is.True(!p.due(9000*ms, hallPatience)) // a wish that was met otherwise does not count
 }
 
 func TestPeersAreToldACompressedConfiguration(t *testing.T) {
--- a/cmd/node/serve.go
+++ b/cmd/node/serve.go
@@ -274,7 +274,7 @@
 		after = refused.after
 	case errors.As(err, &failed):
 		after = max(failed.after, backSoon)
-	case errors.Is(err, errEmptied), errors.Is(err, errCold):
+	case errors.Is(err, errEmptied), errors.Is(err, errCold), errors.Is(err, errNoRegion):
 		after = backLater
 	}
 	left := s.req.Deadline - time.Since(s.req.Arrived)
--- a/cmd/node/stages.go
+++ b/cmd/node/stages.go
@@ -10,6 +10,7 @@
 	"quinceroad/cmd/process"
 	"quinceroad/coordination/gossip"
 	"quinceroad/coordination/ownership"
+	"quinceroad/coordination/regions"
 	"quinceroad/protocol/event"
 	"quinceroad/protocol/frame"
 	"quinceroad/protocol/pb"
@@ -47,6 +48,7 @@
 	handles []string
 	engine  string // replica that should run it; "" when the owner knows none
 	fetch   string
+	region  string        // whose replicas do its work
 	expects time.Duration // that the owner reckoned the stages to take
 	news    func(*pb.StagesNews)
 	end     func()
@@ -54,29 +56,42 @@
 
 func (j *stageJob) first() { j.news(&pb.StagesNews{First: true}) }
 
+// stageWork is what the owner of one region's cell is asked.
+type stageWork struct {
+	ask       *pb.StagesAsk
+	region    string                 // of the cell
+	homes     func() regions.Allowed // as of now
+	began     time.Time              // when the request came
+	objective time.Duration          // from then
+	deadline  time.Duration          // the same
+	asked     func(owner string)
+}
+
 // runStages has the stages of a request run by the owner of its cell, or by
 // the next in line when that one is lost.
-func (n *Node) runStages(ctx context.Context, ask *pb.StagesAsk, began time.Time, objective, deadline time.Duration, asked func(owner string)) (*stageJob, error) {
-	n.awaitView(ctx, int(ask.Cell))
+func (n *Node) runStages(ctx context.Context, w *stageWork) (*stageJob, error) {
+	ask := w.ask
+	n.awaitView(ctx, int(ask.Cell), w.region)
 	var err error
 	tried := make(map[string]bool)
 	for range mostOwners {
-		to, ok := n.nextOwner(int(ask.Cell), tried)
+		to, ok := n.nextOwner(w, tried)
 		if !ok {
 			break
 		}
 		tried[to.Name] = true
-		asked(to.Name)
-		spent := time.Since(began)
-		ask.ObjectiveUs = (objective - spent).Microseconds()
-		ask.DeadlineUs = (deadline - spent).Microseconds()
+		w.asked(to.Name)
+		spent := time.Since(w.began)
+		ask.ObjectiveUs = (w.objective - spent).Microseconds()
+		ask.DeadlineUs = (w.deadline - spent).Microseconds()
 		var job *stageJob
-		if job, err = n.askOwner(ctx, to, ask); err == nil {
+		if job, err = n.askOwner(ctx, to, w); err == nil {
+			job.region = w.region
 			return job, nil
 		}
 		var refused *refusedError
 		var failed *failedError
-		if errors.As(err, &refused) || errors.As(err, &failed) || ctx.Err() != nil {
+		if errors.As(err, &refused) || errors.As(err, &failed) || errors.Is(err, errNarrowed) || ctx.Err() != nil {
 			return nil, err
 		}
 		event.NodeOwnerLost.Log(n.log, "owner", to.Name, "request", ask.RequestId, "error", err)
@@ -90,35 +105,43 @@
 
 // awaitView waits, right after the start, until it is heard who owns a cell:
 // those that choose by a view of some of the others make many owners at once.
-func (n *Node) awaitView(ctx context.Context, cell int) {
-	for n.now() < meetFor && !n.clear(cell) && ctx.Err() == nil {
+func (n *Node) awaitView(ctx context.Context, cell int, region string) {
+	for n.now() < meetFor && !n.clear(cell, region) && ctx.Err() == nil {
 		process.Pause(ctx, meetLook)
 	}
 }
 
 // clear reports whether it is heard who owns a cell, or may.
-func (n *Node) clear(cell int) bool {
+func (n *Node) clear(cell int, region string) bool {
 	n.gossipMu.Lock()
 	defer n.gossipMu.Unlock()
 	now := n.now()
-	return ownership.Clear(n.members.Alive(now), cell, n.members.Still(now))
+	return ownership.Clear(n.members.Alive(now), cell, region, n.members.Still(now))
 }
 
-func (n *Node) nextOwner(cell int, tried map[string]bool) (gossip.Instance, bool) {
-	for _, i := range ownership.Rank(n.alive(), cell) {
-		if !tried[i.Name] {
+// nextOwner returns the next instance in line that may own a cell. An owner
+// keeps what it is told of a request and its prompt, so it is in a region that
+// may; where none is, this instance, whom the client chose, owns the cell.
+func (n *Node) nextOwner(w *stageWork, tried map[string]bool) (gossip.Instance, bool) {
+	homes := w.homes()
+	for _, i := range ownership.Rank(n.alive(), int(w.ask.Cell), w.region) {
+		if !tried[i.Name] && homes.Has(i.Region) {
 			return i, true
 		}
 	}
+	self := n.settings.Name
+	if homes.Bound() && !tried[self] {
+		return gossip.Instance{Name: self}, true
+	}
 	return gossip.Instance{}, false
 }
 
 // askOwner runs a job at one owner: this instance itself, or over a link.
-func (n *Node) askOwner(ctx context.Context, to gossip.Instance, ask *pb.StagesAsk) (*stageJob, error) {
+func (n *Node) askOwner(ctx context.Context, to gossip.Instance, w *stageWork) (*stageJob, error) {
 	if to.Name == n.settings.Name {
-		return n.askSelf(ctx, ask)
+		return n.askSelf(ctx, w)
 	}
-	stream, err := n.links.Open(to.Link, frame.Stages, ask)
+	stream, err := n.links.Open(to.Link, frame.Stages, w.ask)
 	if err != nil {
 		return nil, err
 	}
@@ -135,22 +158,23 @@
 	}()
 	end := sync.OnceFunc(func() { _ = stream.Close() })
 	job := &stageJob{end: end, news: func(m *pb.StagesNews) { _ = frame.Write(stream, frame.Stages, m) }}
-	return n.await(ctx, to, replies, job)
+	return n.await(ctx, to, w, replies, job)
 }
 
-func (n *Node) askSelf(ctx context.Context, ask *pb.StagesAsk) (*stageJob, error) {
+func (n *Node) askSelf(ctx context.Context, w *stageWork) (*stageJob, error) {
 	news := make(chan *pb.StagesNews, 1)
 	replies := make(chan *pb.StagesReply, mostReplies)
 	job := &stageJob{end: sync.OnceFunc(func() { close(news) }), news: func(m *pb.StagesNews) { news <- m }}
-	go n.owner.cell(int(ask.Cell)).run(ask, news, func(r *pb.StagesReply) error {
+	go n.owner.cell(int(w.ask.Cell)).run(w.ask, news, func(r *pb.StagesReply) error {
 		replies <- r
 		return nil
 	})
-	return n.await(ctx, gossip.Instance{}, replies, job)
+	return n.await(ctx, gossip.Instance{}, w, replies, job)
 }
 
-// await waits for the verdict and the results of a job, while its owner is heard of.
-func (n *Node) await(ctx context.Context, owner gossip.Instance, replies <-chan *pb.StagesReply, job *stageJob) (*stageJob, error) {
+// await waits for the verdict and the results of a job, while its owner is
+// heard of and the cell's region may serve the request.
+func (n *Node) await(ctx context.Context, owner gossip.Instance, w *stageWork, replies <-chan *pb.StagesReply, job *stageJob) (*stageJob, error) {
 	verdict := time.NewTimer(verdictFor)
 	defer verdict.Stop()
 	look := time.NewTicker(watchOwner)
@@ -185,6 +209,10 @@
 				return nil, errOwnerLost
 			}
 		case <-look.C:
+			if !w.homes().Has(w.region) {
+				job.end()
+				return nil, errNarrowed
+			}
 			if owner.Name != "" && !n.heardOf(owner) {
 				job.end()
 				return nil, errOwnerLost
--- a/cmd/node/telling_test.go
+++ b/cmd/node/telling_test.go
@@ -77,10 +77,10 @@
 	is.True(float64(sent) >= 4*slowLink*tellShare-2*size)
 	is.True(told.may(4*time.Second, tellingFree, slowLink))
 	p := &pull{}
-	is.True(!p.due(time.Second, farPatience))
-	is.True(p.due(2*time.Second, farPatience))
+	is.True(!p.due(time.Second, hallPatience))
+	is.True(p.due(2*time.Second, hallPatience))
 	p.again()
-	is.True(p.due(2*time.Second, farPatience)) // without another wait
+	is.True(p.due(2*time.Second, hallPatience)) // without another wait
 }
 
 // Who starts beside one that reads for its hall does not read the lists from the
--- a/cmd/node/world.go
+++ b/cmd/node/world.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"quinceroad/coordination/changes"
+	"quinceroad/coordination/regions"
 	"quinceroad/platform"
 	"quinceroad/protocol/event"
 	"quinceroad/state/catalog"
@@ -19,7 +20,8 @@
 	sizes    map[string]int               // of the services, those included whose hall is being emptied
 	all      []catalog.Replica            // the leaving ones included
 	parting  sync.Once
-	parts    [][]catalog.Replica // of pools and engines, by cell; made when it is asked for
+	parts    parts // of pools and engines; made when they are asked for
+	places   *regions.Map
 }
 
 // replicaSet is what the store says of the replicas, with what was seen of
@@ -104,14 +106,14 @@
 // halls. It needs followMu.
 func (n *Node) makeWorld() *world {
 	w := &world{
-		config: n.config, listed: n.replicas.log.Known(), services: make(map[string][]catalog.Replica), sizes: make(map[string]int),
+		config: n.config, listed: n.replicas.log.Known(), places: n.places, services: make(map[string][]catalog.Replica), sizes: make(map[string]int),
 	}
 	for id, row := range n.replicas.rows {
 		r := row.replica
 		if _, ok := n.replicas.leaving[id]; ok {
 			r.Leaving = true
 		}
-		r.Region = n.settings.Regions[r.Hall]
+		r.Region = n.places.Of(r.Hall)
 		r.Emptied = n.emptied.Emptied(r.Hall)
 		r.ColdUntil = n.coldUntil(w.config, &row)
 		w.all = append(w.all, r)
--- a/coordination/choice/choice.go
+++ b/coordination/choice/choice.go
@@ -12,6 +12,7 @@
 	"slices"
 	"time"
 
+	"quinceroad/coordination/regions"
 	"quinceroad/coordination/rendezvous"
 	"quinceroad/state/catalog"
 )
@@ -93,13 +94,36 @@
 	return max(float64(r.own), float64(r.reported)*math.Exp2(-age))
 }
 
-// Plain picks a replica of a plain service among candidates: of two at random,
-// the one with the shorter expected time. Nearer ones come first when equal.
-func (t *Table) Plain(now time.Duration, hall string, candidates []catalog.Replica, random *rand.Rand) catalog.Replica {
+// Plain picks a replica of a plain service among candidates: of three at
+// random, the one with the shortest expected time. Nearer ones come first when
+// equal; those of other regions are looked at while those of the own are full.
+func (t *Table) Plain(now time.Duration, distance func(hall string) regions.Distance, candidates []catalog.Replica, random *rand.Rand) catalog.Replica {
+	var near, far []catalog.Replica
+	for _, r := range candidates {
+		if distance(r.Hall) == regions.Far {
+			far = append(far, r)
+		} else {
+			near = append(near, r)
+		}
+	}
+	if len(near) == 0 {
+		return t.best(now, distance, far, random)
+	}
+	best := t.best(now, distance, near, random)
+	if len(far) == 0 || t.row(best.ID).load(now) < float64(max(best.Slots, 1)) {
+		return best
+	}
+	if other := t.best(now, distance, far, random); t.expected(now, distance, other) < t.expected(now, distance, best) {
+		return other
+	}
+	return best
+}
+
+func (t *Table) best(now time.Duration, distance func(hall string) regions.Distance, candidates []catalog.Replica, random *rand.Rand) catalog.Replica {
 	best := candidates[random.IntN(len(candidates))]
 	for range min(len(candidates)-1, 2) {
 		other := candidates[random.IntN(len(candidates))]
-		if t.expected(now, hall, other) < t.expected(now, hall, best) {
+		if t.expected(now, distance, other) < t.expected(now, distance, best) {
 			best = other
 		}
 	}
@@ -109,9 +133,10 @@
 const (
 	unknownTime = 0.02  // seconds, of a replica that has not answered yet
 	otherHall   = 0.002 // seconds
+	otherRegion = 0.06  // seconds there and back, and as much again for the bytes: chosen
 )
 
-func (t *Table) expected(now time.Duration, hall string, r catalog.Replica) float64 {
+func (t *Table) expected(now time.Duration, distance func(hall string) regions.Distance, r catalog.Replica) float64 {
 	x := t.row(r.ID)
 	took := x.took
 	if took == 0 {
@@ -120,8 +145,11 @@
 	slots := float64(max(r.Slots, 1))
 	waits := x.load(now) / slots
 	e := took * (1 + waits*waits*2)
-	if r.Hall != hall {
+	switch distance(r.Hall) {
+	case regions.SameRegion:
 		e += otherHall
+	case regions.Far:
+		e += otherRegion
 	}
 	if r.Warming > 0 {
 		e *= 2
--- a/coordination/gossip/gossip.go
+++ b/coordination/gossip/gossip.go
@@ -10,7 +10,6 @@
 
 import (
 	"cmp"
-	"math/rand/v2"
 	"slices"
 	"strconv"
 	"time"
@@ -83,6 +82,8 @@
 	Small  int
 	Forget time.Duration // after which a dead one is forgotten
 	Fanout int           // instances told in a round
+	Across float64       // messages that all instances of a region send to others in a round, about
+	FarFor time.Duration // longer than Silent and Each say, for instances of other regions
 	Sample int           // entries told in full in a message, beside the sender's own
 	Beats  int           // counters in a message
 	Seeds  time.Duration // between messages to the seeds
@@ -92,7 +93,7 @@
 // Standard returns the constants for heartbeats sent each 200 ms.
 func Standard() Options {
 	return Options{Silent: 1100 * time.Millisecond, Each: 15 * time.Millisecond, Small: 30, Forget: 5 * time.Minute, Fanout: 4, Sample: 10, Beats: 64, Seeds: 2 * time.Second,
-		Still: 60 * time.Millisecond}
+		Still: 60 * time.Millisecond, Across: 3, FarFor: time.Second}
 }
 
 // turns is among how many the instances' first turns are spread: if all told
@@ -173,7 +174,7 @@
 // its counter rises again.
 func (v *View) Lost(now time.Duration, name string) {
 	if r := v.rows[name]; r != nil {
-		r.heard = min(r.heard, now-v.silent())
+		r.heard = min(r.heard, now-v.silent()-v.opts.FarFor)
 	}
 }
 
@@ -241,61 +242,14 @@
 	}
 }
 
-// Round raises the own counter and returns whom to tell and what.
-func (v *View) Round(now time.Duration, random *rand.Rand) (to []string, m Message) {
-	v.self.Count++
-	v.forget(now)
-	m = v.Tell(now)
-	near, far, dead := v.split(now)
-	to = v.targets(near, far, random)
-	if len(dead) > 0 { // a partition heals from either side
-		to = append(to, dead[random.IntN(len(dead))])
+func (v *View) alive(now time.Duration, r *row) bool {
+	silent := v.silent()
+	if v.isFar(r) {
+		silent += v.opts.FarFor
 	}
-	return to, m
+	return now-r.heard < silent
 }
 
-// SeedsDue reports whether the seeds are to be told in this round: in each while
-// nobody is heard of, since they may start later than this instance, and now
-// and then beside the others, so that islands meet.
-func (v *View) SeedsDue(now time.Duration) bool {
-	if v.seeds != 0 && now-v.seeds < v.opts.Seeds && v.Size(now) > 1 {
-		return false
-	}
-	v.seeds = max(now, 1)
-	return true
-}
-
-// targets returns whom to tell in a round. Bytes between halls are dear, so each
-// instance of a large hall tells one of another, and the rest at home; in small
-// halls it is left to chance.
-func (v *View) targets(near, far []string, random *rand.Rand) []string {
-	if len(near) < v.opts.Fanout || len(far) == 0 {
-		all := slices.Concat(near, far)
-		random.Shuffle(len(all), func(i, j int) { all[i], all[j] = all[j], all[i] })
-		return all[:min(v.opts.Fanout, len(all))]
-	}
-	random.Shuffle(len(near), func(i, j int) { near[i], near[j] = near[j], near[i] })
-	return append(near[:v.opts.Fanout-1], far[random.IntN(len(far))])
-}
-
-// split returns where the instances of the own hall that are alive take
-// heartbeats, those of other halls, and those that are not heard of.
-func (v *View) split(now time.Duration) (near, far, dead []string) {
-	for _, r := range v.order {
-		switch {
-		case !v.alive(now, r):
-			dead = append(dead, r.Datagram)
-		case r.Hall == v.self.Hall:
-			near = append(near, r.Datagram)
-		default:
-			far = append(far, r.Datagram)
-		}
-	}
-	return near, far, dead
-}
-
-func (v *View) alive(now time.Duration, r *row) bool { return now-r.heard < v.silent() }
-
 func (v *View) silent() time.Duration {
 	return v.opts.Silent + time.Duration(max(len(v.rows)-v.opts.Small, 0))*v.opts.Each
 }
--- a/coordination/ownership/ownership_test.go
+++ b/coordination/ownership/ownership_test.go
@@ -1,9 +1,12 @@
 package ownership
 
 import (
+	"slices"
+	"strconv"
 	"testing"
 
 	"github.com/matryer/is"
+	"pgregory.net/rapid"
 
 	"quinceroad/coordination/gossip"
 )
@@ -23,37 +26,93 @@
 		{Name: "b", Count: 100, Share: 400, Owns: []uint32{0}},
 		{Name: "c", Count: 100, Share: 800},
 	}
-	is.Equal(names(Rank(alive, 0))[0], "b")
+	is.Equal(names(Rank(alive, 0, ""))[0], "b")
 	alive[1].Leaving = true
-	is.Equal(names(Rank(alive, 0)), []string{"c", "a"}) // the one with most of a processor is next
+	is.Equal(names(Rank(alive, 0, "")), []string{"c", "a"}) // the one with most of a processor is next
 }
 
 func TestAnInstanceThatJustStartedOwnsNothingYet(t *testing.T) {
 	is := is.New(t)
 	alive := []gossip.Instance{{Name: "a", Count: 2}, {Name: "b", Count: 100}}
-	is.Equal(names(Rank(alive, 0)), []string{"b"})
+	is.Equal(names(Rank(alive, 0, "")), []string{"b"})
 	alive[1].Count = 3
-	is.Equal(len(Rank(alive, 0)), 2) // unless all have
+	is.Equal(len(Rank(alive, 0, "")), 2) // unless all have
 }
 
 // After a start of all, who took a cell first keeps it when others settle.
 func TestAnEarlyOwnerIsNotReplacedByWhoSettlesFirst(t *testing.T) {
 	is := is.New(t)
 	alive := []gossip.Instance{{Name: "a", Count: 7, Share: 400, Owns: []uint32{0}}, {Name: "b", Count: 8, Share: 800}}
-	is.Equal(names(Rank(alive, 0))[0], "a")
-	is.Equal(names(Rank(alive, 1)), []string{"b"}) // another cell is not its own
+	is.Equal(names(Rank(alive, 0, ""))[0], "a")
+	is.Equal(names(Rank(alive, 1, "")), []string{"b"}) // another cell is not its own
 }
 
 func TestAViewIsClearOnceSomebodyOwnsOrIsSettled(t *testing.T) {
 	is := is.New(t)
 	alive := []gossip.Instance{{Name: "a", Count: 2}, {Name: "b", Count: 3}}
-	is.True(!Clear(alive, 0, false))
-	is.True(Clear(alive, 0, true)) // nobody else is to be expected
+	is.True(!Clear(alive, 0, "", false))
+	is.True(Clear(alive, 0, "", true)) // nobody else is to be expected
 	alive[0].Owns = []uint32{0}
-	is.True(Clear(alive, 0, false))
-	is.True(!Clear(alive, 1, false))
+	is.True(Clear(alive, 0, "", false))
+	is.True(!Clear(alive, 1, "", false))
 	alive[1].Count = 100
-	is.True(Clear(alive, 1, false))
+	is.True(Clear(alive, 1, "", false))
 	alive[1].Leaving = true
-	is.True(!Clear(alive, 1, false))
+	is.True(!Clear(alive, 1, "", false))
+}
+
+// A region's pools are owned where they are; when all instances there are gone
+// another region's owns them, and gives them back.
+func TestARegionsCellIsOwnedThereAndElsewhereWhileItHasNobody(t *testing.T) {
+	is := is.New(t)
+	alive := []gossip.Instance{
+		{Name: "a", Region: "n", Count: 100, Share: 400},
+		{Name: "b", Region: "s", Count: 100, Share: 800, Owns: []uint32{0}}, // since the north was lost
+	}
+	is.Equal(names(Rank(alive, 0, "n")), []string{"a", "b"})
+	is.Equal(names(Rank(alive, 0, "w")), []string{"b", "a"}) // nobody there
+	alive[0].Count = 1
+	is.Equal(names(Rank(alive, 0, "n")), []string{"b"}) // it has just come back
+	is.True(!Clear(alive, 1, "n", false))
+	alive[0].Leaving, alive[0].Count = true, 100
+	is.Equal(names(Rank(alive, 0, "n")), []string{"b"})
+}
+
+// Whatever is lost or cut off, an instance that sees one of the cell's region
+// that may own it goes nowhere else, and all with the same view agree.
+func TestOwnersOfCutAndLostRegions(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var alive []gossip.Instance
+		for i := range rapid.IntRange(1, 12).Draw(t, "instances") {
+			seen := rapid.Bool().Draw(t, "seen")
+			x := gossip.Instance{
+				Name:    strconv.Itoa(i),
+				Region:  rapid.SampledFrom([]string{"n", "s", "w", ""}).Draw(t, "region"),
+				Count:   rapid.SampledFrom([]uint64{1, 100}).Draw(t, "count"),
+				Leaving: rapid.Bool().Draw(t, "leaving"),
+				Share:   rapid.SampledFrom([]uint32{200, 800}).Draw(t, "share"),
+			}
+			if rapid.Bool().Draw(t, "owns") {
+				x.Owns = []uint32{7}
+			}
+			if seen || i == 0 {
+				alive = append(alive, x)
+			}
+		}
+		ranked := Rank(alive, 7, "n")
+		if len(ranked) == 0 {
+			t.Fatal("nobody owns the cell")
+		}
+		there := slices.ContainsFunc(alive, func(i gossip.Instance) bool {
+			return i.Region == "n" && !i.Leaving && (i.Settled() || owns(i, 7))
+		})
+		if there && ranked[0].Region != "n" {
+			t.Fatalf("%s of %q is chosen", ranked[0].Name, ranked[0].Region)
+		}
+		other := slices.Clone(alive)
+		slices.Reverse(other)
+		if got := Rank(other, 7, "n")[0].Name; got != ranked[0].Name {
+			t.Fatalf("%s and %s are chosen with the same view", got, ranked[0].Name)
+		}
+	})
 }
--- a/coordination/placement/kept.go
+++ b/coordination/placement/kept.go
@@ -49,6 +49,21 @@
 	return now-e.askedAt <= o.ToldFor && e.listed[p.ID] >= p.Tokens
 }
 
+// Kept returns which engine of a service keeps most of a prompt; a leaving one
+// may go before it is asked.
+func (t *Table) Kept(now time.Duration, service string, parts []catalog.Part) (most Kept) {
+	keys := chain(parts)
+	for _, e := range t.order[service] {
+		if e.Leaving {
+			continue
+		}
+		if n := e.keeps(now, &t.opts, parts, keys); n > most.Tokens {
+			most = Kept{Address: e.Address, Tokens: n}
+		}
+	}
+	return most
+}
+
 // Told takes in which parts an engine says that it keeps: what requests of an
 // earlier owner left there.
 func (t *Table) Told(now time.Duration, replica string, parts []catalog.Part) {
--- a/coordination/placement/placement.go
+++ b/coordination/placement/placement.go
@@ -30,6 +30,13 @@
 	Slack   time.Duration    // until its first event is late
 	Near    map[string]int64 // by hall: bytes of results that it reads
 	Avoid   map[string]bool  // engines not to be taken
+	Far     Kept             // what engines of other regions keep of it
+}
+
+// Kept is how much of a prompt an engine keeps, and where.
+type Kept struct {
+	Address string // IP:port
+	Tokens  int    // from the prompt's start
 }
 
 // Choice is where a request runs and from where its engine fetches what it lacks.
@@ -127,9 +134,12 @@
 		kept[i] = e.keeps(now, &t.opts, r.Parts, keys)
 		most = max(most, kept[i])
 	}
-	holder := all[slices.Index(kept, most)]
+	fetch := all[slices.Index(kept, most)].Address
 	if e, n := t.emptiedHolder(now, r, keys); n > most {
-		holder, most = e, n
+		fetch, most = e.Address, n
+	}
+	if r.Far.Tokens > most {
+		fetch, most = r.Far.Address, r.Far.Tokens
 	}
 	best, least := -1, 0.0
 	for i, e := range all {
@@ -139,7 +149,7 @@
 	}
 	c := Choice{Replica: all[best].Replica}
 	if kept[best] < most {
-		c.Fetch = holder.Address
+		c.Fetch = fetch
 	}
 	return c, true
 }
--- a/coordination/placement/placement_test.go
+++ b/coordination/placement/placement_test.go
@@ -163,3 +163,19 @@
 	is.Equal(keeps(time.Second, parts("other", "case")), 0) // what goes before is not there
 	is.Equal(keeps(time.Second+o.ToldFor+1, parts("system", "case")), 0)
 }
+
+// Shared parts that another region's engine keeps are moved from there: to read
+// them again costs ten times as much. What is kept here goes first.
+func TestAPromptIsFetchedFromAnotherRegion(t *testing.T) {
+	is := is.New(t)
+	table := newTable(3)
+	r := request(1, 100, 20, "s")
+	r.Far = Kept{Address: "far:1", Tokens: 2000}
+	is.Equal(table.begin(0, r).Fetch, "far:1")
+	again := request(2, 100, 20, "s")
+	again.Far = r.Far
+	c, _ := table.Place(time.Second, again)
+	is.True(c.Fetch != "far:1")
+	is.Equal(table.Kept(time.Second, "llm", request(3, 100, 20, "s").Parts[:1]).Tokens, 2000)
+	is.Equal(table.Kept(time.Second, "llm", request(3, 100, 20, "t").Parts[:1]).Tokens, 0)
+}
--- /dev/null
+++ b/coordination/regions/lending.go
@@ -0,0 +1,77 @@
+package regions
+
+import "time"
+
+// shortFor is how long a region that refused is not asked again for requests
+// that go no sooner: a call of a pool takes a quarter of a second, and before
+// one has ended its queue has hardly changed. Chosen.
+const shortFor = 250 * time.Millisecond
+
+// Lending remembers which regions refused lately. It is not safe for concurrent use.
+type Lending struct {
+	short map[string][]refusal
+}
+
+type refusal struct {
+	rank  int
+	until time.Duration
+}
+
+// NewLending returns a memory of no refusals.
+func NewLending() *Lending { return &Lending{short: make(map[string][]refusal)} }
+
+// Refused notes that a region refused a request of a rank, 0 the most urgent.
+func (l *Lending) Refused(now time.Duration, region string, rank int) {
+	kept := l.short[region][:0]
+	for _, r := range l.short[region] {
+		if r.until > now && r.rank != rank {
+			kept = append(kept, r)
+		}
+	}
+	l.short[region] = append(kept, refusal{rank: rank, until: now + shortFor})
+}
+
+// Short reports whether a region is likely to refuse a request of a rank: it
+// refused one as urgent, or more, a moment ago.
+func (l *Lending) Short(now time.Duration, region string, rank int) bool {
+	for _, r := range l.short[region] {
+		if r.until > now && r.rank <= rank {
+			return true
+		}
+	}
+	return false
+}
+
+// Trips knows how long a question to a region and its answer take. It is not
+// safe for concurrent use.
+type Trips struct{ took map[string]time.Duration }
+
+// NewTrips returns what knows of no trip.
+func NewTrips() *Trips { return &Trips{took: make(map[string]time.Duration)} }
+
+const (
+	unknownTrip = 60 * time.Millisecond // to a region that has not answered yet: between cities of one country; chosen
+	tripRate    = 0.2                   // weight of the last answer: the last five or so count
+	mostTrip    = time.Second           // a longer one tells of a loss, not of the distance
+)
+
+// Note takes in a question's time to its answer.
+func (t *Trips) Note(region string, took time.Duration) {
+	if took > mostTrip {
+		return
+	}
+	old, known := t.took[region]
+	if !known {
+		t.took[region] = took
+		return
+	}
+	t.took[region] = old + time.Duration(tripRate*float64(took-old))
+}
+
+// Round returns the time there and back.
+func (t *Trips) Round(region string) time.Duration {
+	if took, known := t.took[region]; known {
+		return took
+	}
+	return unknownTrip
+}
--- a/protocol/event/event.go
+++ b/protocol/event/event.go
@@ -82,6 +82,7 @@
 	NodeJobRefused    = add(3052, hclog.Info, "job refused", "request, rank, again, expected, wait, own, bound, limit, objective, deadline, pools", "The owner of the pools refused a request's stages: expected is over limit. own: what they take where nothing waits; wait: the rest of expected, longest for the pool bound; objective: what is left of it for the stages; pools: those that the request asks for.", "wait over own: when it lasts, the pool bound has too few replicas; own over limit: too little time was left, see quincectl losses")
 	NodeJobFailed     = add(3053, hclog.Info, "job failed", "request, why, after, expected, rank, again", "The stages of an admitted request could not be done.", "late or deadline: too few replicas; tries or inputs: look at the pools' replicas")
 	NodeLogDropped    = add(3070, hclog.Warn, "log lines dropped", "lines", "Whoever reads the log was too slow.", "see to the reader; the counter node.log_dropped goes on")
+	NodeRegionAsked   = add(3160, hclog.Info, "region asked", "request, region, refused, error, took", "The own region did not take a request's stages, so the owner in another one was asked.", "when it lasts, the own region has too few replicas")
 	NodePanicked      = add(3060, hclog.Error, "panic in a request", "panic", "One request ended by a fault of the program; others go on.", "report it with the line")
 )
 
--- a/protocol/frame/frame.go
+++ b/protocol/frame/frame.go
@@ -28,6 +28,7 @@
 	Reply                        // the answer to any of them
 	Stages                       // StagesAsk -> StagesReply, StagesReply; its close ends the job
 	PullReplicas                 // PullReplicas -> ReplicaChanges
+	Kept                         // KeptAsk -> KeptReply
 )
 
 // MaxLen bounds a frame; larger ones end the stream.
