Engines' speeds are learnt by their owner

Cause: what an engine takes to a first event was reckoned with four constants of the first engines (110 ms and 31 us a token where a request is served, 70 ms and 31 us in the placement). Engines of later deployments read 112 and 125 tokens a ms: their longest prompts were refused for time that there was, and the engines stood at a tenth of their speed.

Ruled out: a second constant (the next deployment has a third engine); an estimate at each serving instance (it can't see what is kept, what is fetched, what else reads there, and sees a fraction of the requests).

Change: coordination/speed learns by service the usual and the likely time to a first event by tokens read and the time of a generated token, and a factor of each replica; the owner takes what its best engine will need off the whole objective, which the serving instance hands over; owners tell what they observed in heartbeats, and a new one begins with it. The time to move a token follows from the configuration's links.

--- a/cmd/node/cell.go
+++ b/cmd/node/cell.go
@@ -149,6 +149,7 @@
 	c.ready.Do(func() {
 		c.refresh()
 		n := c.owner.node
+		c.knowSpeeds(n.knownSpeeds())
 		w := n.world.Load()
 		if w.config == nil {
 			return
--- a/cmd/node/members.go
+++ b/cmd/node/members.go
@@ -24,6 +24,7 @@
 		alive := n.alive()
 		n.logHeard(heard, alive)
 		n.takeRole(alive)
+		n.noteSpeeds()
 		n.tell()
 		n.gossipMu.Lock()
 		seeds := n.members.SeedsDue(n.now())
@@ -60,7 +61,7 @@
 	n.gossipMu.Lock()
 	to, m := n.members.Round(n.now(), newRandom())
 	n.gossipMu.Unlock()
-	n.send(to, m)
+	n.send(to, m, n.speedsToTell(false))
 }
 
 // tellHall tells every instance of the own hall what this one knows.
@@ -78,7 +79,7 @@
 		}
 	}
 	n.gossipMu.Unlock()
-	n.send(to, m)
+	n.send(to, m, nil)
 }
 
 // tellSeeds tells the instances that the settings name; they may be gone.
@@ -98,14 +99,14 @@
 	n.gossipMu.Lock()
 	self := n.members.Self()
 	n.gossipMu.Unlock()
-	n.send(to, gossip.Message{News: []gossip.Instance{self}})
+	n.send(to, gossip.Message{News: []gossip.Instance{self}}, nil)
 }
 
-func (n *Node) send(to []string, m gossip.Message) {
+func (n *Node) send(to []string, m gossip.Message, speeds []*pb.EngineSpeed) {
 	if len(to) == 0 {
 		return
 	}
-	h := &pb.Heartbeat{Leaving: n.recentlyLeaving(), Sick: n.sick(), Changed: n.listChanged(), Evacuations: n.emptiedNews()}
+	h := &pb.Heartbeat{Leaving: n.recentlyLeaving(), Sick: n.sick(), Changed: n.listChanged(), Evacuations: n.emptiedNews(), Speeds: speeds}
 	for _, i := range m.News {
 		h.News = append(h.News, newsOf(i))
 	}
@@ -185,13 +186,14 @@
 		known = n.members.Tell(now)
 	}
 	n.gossipMu.Unlock()
-	n.send(fresh, known) // who has just started learns of the others at once
+	n.send(fresh, known, n.speedsToTell(true)) // who has just started learns of the others at once
 	n.takeEmptied(senderOf(h), h.Evacuations)
 	n.catchUp(now, h)
 	for _, id := range h.Leaving {
 		n.sawLeaving(id, "peer")
 	}
 	n.takeHearsay(now, h)
+	n.takeSpeeds(h.Speeds)
 }
 
 // senderOf names who sent a heartbeat.
--- a/cmd/node/node.go
+++ b/cmd/node/node.go
@@ -68,6 +68,8 @@
 	gossipMu sync.Mutex
 	members  *gossip.View
 
+	speeds speeds // has a lock of its own
+
 	cold *coldness // has a lock of its own, which is taken last
 
 	judgeMu   sync.Mutex
--- a/cmd/node/owned.go
+++ b/cmd/node/owned.go
@@ -82,9 +82,7 @@
 	}
 	end := make(chan pipeline.Action, 1)
 	c.mu.Lock()
-	if choice, ok := c.engines.Place(n.now(), r.request); ok {
-		job.Hall = choice.Replica.Hall
-	}
+	reply := r.leaveToEngine(&job)
 	verdict, actions := c.scheduler.Submit(n.now(), job)
 	if verdict.Admitted {
 		r.job = verdict.ID
@@ -96,13 +94,16 @@
 		n.counters.jobsRefused.Inc(1)
 		event.NodeJobRefused.Log(n.log, "request", job.RequestID, "rank", job.Rank, "again", job.Again,
 			"expected", verdict.Expected, "wait", verdict.Expected-verdict.Own, "own", verdict.Own, "bound", verdict.Bound, "limit", verdict.Limit,
+			"engine_expected", time.Duration(reply.EngineUs)*time.Microsecond, "reads", reply.Reads, "moves", reply.Moves,
 			"objective", job.Objective, "deadline", job.Deadline, "pools", c.pools(job))
-		_ = send(&pb.StagesReply{Refused: true, RetryAfterUs: verdict.RetryAfter.Microseconds(), ExpectedUs: verdict.Expected.Microseconds()})
+		reply.Refused, reply.RetryAfterUs, reply.ExpectedUs = true, verdict.RetryAfter.Microseconds(), verdict.Expected.Microseconds()
+		_ = send(reply)
 		return pipeline.Deliver{}, false
 	}
 	n.counters.jobs.Inc(1)
 	r.askFar()
-	if send(&pb.StagesReply{Admitted: true, ExpectedUs: verdict.Expected.Microseconds()}) != nil {
+	reply.Admitted, reply.ExpectedUs = true, verdict.Expected.Microseconds()
+	if send(reply) != nil {
 		return pipeline.Deliver{}, false
 	}
 	for {
@@ -123,6 +124,21 @@
 	}
 }
 
+// leaveToEngine takes off a job's time what its engine will need after it, by
+// what that one keeps of the prompt, and names the hall that is nearest to it.
+// The cell's lock is held.
+func (r *ownedRequest) leaveToEngine(job *pipeline.Job) *pb.StagesReply {
+	c := r.cell
+	choice, ok := c.engines.Place(c.owner.node.now(), r.request)
+	if ok {
+		job.Hall = choice.Replica.Hall
+	}
+	ahead := c.engines.Ahead(r.request, choice)
+	job.Objective -= ahead
+	job.Deadline -= ahead
+	return &pb.StagesReply{EngineUs: ahead.Microseconds(), Reads: uint32(choice.Reads), Moves: uint32(choice.Moves)}
+}
+
 // place picks the request's engine, now that its results are there.
 func (r *ownedRequest) place(ready pipeline.Deliver) *pb.StagesReply {
 	c, n := r.cell, r.cell.owner.node
@@ -147,7 +163,7 @@
 	if !ok {
 		return reply
 	}
-	c.engines.Begin(now, r.request, choice.Replica.ID)
+	c.engines.Begin(now, r.request, choice)
 	reply.Engine, reply.Fetch = choice.Replica.ID, choice.Fetch
 	return reply
 }
--- a/cmd/node/pick.go
+++ b/cmd/node/pick.go
@@ -67,15 +67,6 @@
 	return ask, total
 }
 
-// tail is the time that the engine should take to the first event.
-func (s *serving) tail() time.Duration {
-	tokens := float64(s.req.TokensIn)
-	for _, p := range s.req.Shared() {
-		tokens -= float64(p.Tokens) * (1 - unreadOfShared)
-	}
-	return firstEvent + time.Duration(max(tokens, 0)*float64(readPerToken))
-}
-
 func (s *serving) endJob() {
 	if s.job != nil {
 		s.job.end()
--- a/cmd/node/places.go
+++ b/cmd/node/places.go
@@ -115,6 +115,9 @@
 			err = failure // what the nearest one says is what the client is told
 		}
 		var refused *refusedError
+		if errors.As(failure, &refused) {
+			s.expects = refused.expects
+		}
 		if ctx.Err() != nil || !errors.As(failure, &refused) && !errors.Is(failure, errOwnerLost) && !errors.Is(failure, errNarrowed) {
 			return nil, failure
 		}
@@ -129,8 +132,8 @@
 	trip := n.trip(region)
 	j := &stageWork{
 		ask: ask, region: region, began: s.req.Arrived, homes: s.homes,
-		objective: s.route.Objective - s.tail() - trip,
-		deadline:  s.allowed() - s.tail() - trip,
+		objective: s.route.Objective - trip,
+		deadline:  s.allowed() - trip,
 		asked:     func(owner string) { s.owner = owner },
 	}
 	return n.runStages(ctx, j)
@@ -144,7 +147,7 @@
 	n.judgeMu.Lock()
 	short := n.lending.short.Short(n.now(), region, s.rank)
 	n.judgeMu.Unlock()
-	left := s.route.Objective - s.tail() - time.Since(s.req.Arrived)
+	left := s.route.Objective - s.expects.engine - time.Since(s.req.Arrived)
 	return !short && left > 2*n.trip(region)
 }
 
--- a/cmd/node/serve.go
+++ b/cmd/node/serve.go
@@ -58,7 +58,7 @@
 	owner   string // of the pools that its stages were asked of last
 	stream  streamState
 	staged  time.Duration // that its stages took
-	expects time.Duration // that they were reckoned to take
+	expects expectation   // of the owner
 	first   time.Duration // from its arrival to the first event
 	gap     time.Duration // longest pause between events
 	fetch   string        // from where the last engine was to fetch
@@ -251,13 +251,6 @@
 	return repeatable && len(s.tried) < s.route.Attempts && s.mayRepeat()
 }
 
-// What an engine takes to the first event, about.
-const (
-	firstEvent     = 110 * time.Millisecond // first less staged on two played days: half of the short prompts under 35 ms, one in ten over 75; with a margin
-	readPerToken   = 31 * time.Microsecond  // 1 / 32.4 tokens a ms, as the first deployments' engines read
-	unreadOfShared = 0.3                    // of the shared parts is not kept, about
-)
-
 // fail answers a request that could not be served.
 func (s *serving) fail(ctx context.Context, err error) {
 	if s.stream.headSent {
@@ -300,6 +293,7 @@
 	}
 	event.NodeRequest.Log(s.node.log, "request", s.req.ID, "route", s.route.Name, "rank", s.route.Priority, "why", why,
 		"objective", s.route.Objective, "deadline", s.req.Deadline, "version", s.world.config.Version, "owner", s.owner,
-		"attempts", len(s.tried), "replica", s.replica, "took", time.Since(s.req.Arrived), "staged", s.staged, "expected", s.expects,
+		"attempts", len(s.tried), "replica", s.replica, "took", time.Since(s.req.Arrived), "staged", s.staged, "expected", s.expects.stages,
+		"engine_expected", s.expects.engine, "reads", s.expects.reads, "moves", s.expects.moves,
 		"first", s.first, "gap", s.gap, "tokens", s.req.TokensIn, "fetch", s.fetch, "pieces", s.req.Pieces)
 }
--- a/cmd/node/stages.go
+++ b/cmd/node/stages.go
@@ -26,7 +26,10 @@
 )
 
 // refusedError says that the owner does not take a request's stages.
-type refusedError struct{ after time.Duration }
+type refusedError struct {
+	after   time.Duration
+	expects expectation
+}
 
 // Error implements error.
 func (e *refusedError) Error() string { return fmt.Sprintf("stages refused, back in %v", e.after) }
@@ -48,12 +51,27 @@
 	handles []string
 	engine  string // replica that should run it; "" when the owner knows none
 	fetch   string
-	region  string        // whose replicas do its work
-	expects time.Duration // that the owner reckoned the stages to take
+	region  string // whose replicas do its work
+	expects expectation
 	news    func(*pb.StagesNews)
 	end     func()
 }
 
+// expectation is what an owner reckons that a request takes: its stages, then
+// its engine to the first event.
+type expectation struct {
+	stages, engine time.Duration
+	reads, moves   uint32 // tokens of its prompt that the engine reads, and fetches
+}
+
+func expectationOf(r *pb.StagesReply) expectation {
+	return expectation{
+		stages: time.Duration(r.ExpectedUs) * time.Microsecond,
+		engine: time.Duration(r.EngineUs) * time.Microsecond,
+		reads:  r.Reads, moves: r.Moves,
+	}
+}
+
 func (j *stageJob) first() { j.news(&pb.StagesNews{First: true}) }
 
 // stageWork is what the owner of one region's cell is asked.
@@ -192,13 +210,13 @@
 				return nil, errOwnerLost
 			case r.Refused:
 				job.end()
-				return nil, &refusedError{after: time.Duration(r.RetryAfterUs) * time.Microsecond}
+				return nil, &refusedError{after: time.Duration(r.RetryAfterUs) * time.Microsecond, expects: expectationOf(r)}
 			case r.Failed != "":
 				job.end()
 				return nil, &failedError{why: r.Failed, after: time.Duration(r.RetryAfterUs) * time.Microsecond}
 			case r.Admitted:
 				admitted = true
-				job.expects = time.Duration(r.ExpectedUs) * time.Microsecond
+				job.expects = expectationOf(r)
 			default:
 				job.handles, job.engine, job.fetch = r.Handles, r.Engine, r.Fetch
 				return job, nil
--- a/cmd/node/state.go
+++ b/cmd/node/state.go
@@ -8,6 +8,7 @@
 
 	"quinceroad/coordination/gossip"
 	"quinceroad/coordination/pipeline"
+	"quinceroad/coordination/speed"
 	"quinceroad/protocol/event"
 	"quinceroad/transport/web"
 )
@@ -40,6 +41,7 @@
 	Calls   int // of pieces, under way
 	Streams int // at engines
 	Pools   []pipeline.PoolState
+	Engines map[string]speed.Figures // by service, as observed and told
 }
 
 // These say why a node is not ready.
@@ -111,8 +113,13 @@
 	}
 	for _, c := range n.owner.all() {
 		c.mu.Lock()
+		engines := make(map[string]speed.Figures)
+		for service, known := range c.engines.Speeds() {
+			engines[service] = known.Figures()
+		}
 		s.Cells = append(s.Cells, CellState{
 			Number: c.number, Jobs: c.scheduler.Jobs(), Calls: len(c.calls), Streams: c.engines.Running(), Pools: c.scheduler.Pools(n.now()),
+			Engines: engines,
 		})
 		c.mu.Unlock()
 	}
--- a/coordination/placement/options.go
+++ b/coordination/placement/options.go
@@ -4,16 +4,12 @@
 
 // Options are the costs and times that decide, costs against a usual request's worth: chosen from the first deployments' prices.
 type Options struct {
-	Base         time.Duration // to the first event of an empty prompt
-	PerToken     time.Duration // to read one token
-	PerMoved     time.Duration // to move one token from another engine
 	Second       float64       // cost of a second until the first event
 	Late         float64       // of a first event after the objective
 	Stall        float64       // of holding one stream up for long
 	StallFrom    time.Duration // a hold-up begins to cost
 	StallTo      time.Duration // and costs all
 	Beside       float64       // of generating for a second beside an engine's usual reading
-	PerEvent     time.Duration // of generating, per token
 	ReadAgain    float64       // of reading a shared token that is kept somewhere
 	Moved        float64       // of moving one
 	FarByte      float64       // of a byte of results that crosses halls
@@ -28,16 +24,12 @@
 // Standard returns the constants in use.
 func Standard() Options {
 	return Options{
-		Base:         70 * time.Millisecond,
-		PerToken:     31 * time.Microsecond,
-		PerMoved:     9 * time.Microsecond,
 		Second:       0.15,
 		Late:         0.8,
 		Stall:        0.3,
 		StallFrom:    150 * time.Millisecond,
 		StallTo:      600 * time.Millisecond,
 		Beside:       0.3,
-		PerEvent:     8 * time.Millisecond,
 		ReadAgain:    0.29e-3,
 		Moved:        0.025e-3,
 		FarByte:      82e-9,
--- a/coordination/placement/placement.go
+++ b/coordination/placement/placement.go
@@ -6,7 +6,8 @@
 // streams that its prompt would hold up, the shared parts that would be read
 // again or moved, and the results that would cross halls. Streams that
 // generate long keep away from engines that often read long prompts, which
-// parts the two kinds by themselves.
+// parts the two kinds by themselves. How fast the engines are is learnt from
+// what they do (package speed).
 //
 // One Table sees all requests of its engines. It is pure: event and time in,
 // decision out. It is soft state: a new owner starts with an empty one.
@@ -17,6 +18,7 @@
 	"slices"
 	"time"
 
+	"quinceroad/coordination/speed"
 	"quinceroad/coordination/warmup"
 	"quinceroad/state/catalog"
 )
@@ -43,6 +45,8 @@
 type Choice struct {
 	Replica catalog.Replica
 	Fetch   string // IP:port; "" for nowhere
+	Reads   int    // tokens of its prompt that its engine has to read
+	Moves   int    // and to fetch
 }
 
 // Table is not safe for concurrent use.
@@ -50,6 +54,7 @@
 	opts    Options
 	engines map[string]*engine
 	order   map[string][]*engine // by service, by id
+	speeds  map[string]*speed.Service
 	runs    map[uint64]*run
 	cold    warmup.Limit
 	sent    *warmup.Window // to cold engines
@@ -57,31 +62,29 @@
 
 type engine struct {
 	catalog.Replica
-	most    int // requests in a second while it is cold; 0: no bound
-	slots   int
-	memory  int
-	runs    int // that generate
-	reading int // that read their prompts
-	busyTo  time.Duration
-	usual   float64 // share of the time that it reads, lately
-	usualAt time.Duration
-	speed   float64 // time to a first event against the expected
-	kept    map[uint64]*part
-	listed  map[string]int // by part: tokens that it kept when it was asked
-	askedAt time.Duration
-	tokens  int
-}
-
-type run struct {
-	engine   *engine
-	began    time.Duration
-	expected time.Duration
-	read     bool
+	most     int // requests in a second while it is cold; 0: no bound
+	slots    int
+	memory   int
+	runs     int // that generate
+	reading  int // that read their prompts
+	busyTo   time.Duration
+	usual    float64 // share of the time that it reads, lately
+	usualAt  time.Duration
+	speed    *speed.Service
+	own      speed.Replica // how its times differ from those of the service's others
+	perMoved time.Duration // to move one token from another engine
+	kept     map[uint64]*part
+	listed   map[string]int // by part: tokens that it kept when it was asked
+	askedAt  time.Duration
+	tokens   int
 }
 
 // New returns an empty table; cold bounds what engines get while they are cold.
 func New(o Options, cold warmup.Limit) *Table {
-	return &Table{opts: o, engines: make(map[string]*engine), runs: make(map[uint64]*run), cold: cold, sent: warmup.NewWindow()}
+	return &Table{
+		opts: o, engines: make(map[string]*engine), speeds: make(map[string]*speed.Service),
+		runs: make(map[uint64]*run), cold: cold, sent: warmup.NewWindow(),
+	}
 }
 
 // SetEngines takes the services and their replicas into force.
@@ -95,7 +98,7 @@
 		listed[r.ID] = true
 		e := t.engines[r.ID]
 		if e == nil {
-			e = &engine{speed: 1, kept: make(map[uint64]*part)}
+			e = &engine{kept: make(map[uint64]*part)}
 			t.engines[r.ID] = e
 		}
 		r.Leaving = r.Leaving || e.Leaving
@@ -106,6 +109,8 @@
 			e.most = t.cold.Most(s.WarmUp.PerSecond)
 		}
 		e.memory = int(s.Engine.MemoryTokens)
+		e.speed = t.speed(r.Service)
+		e.perMoved = perMoved(s.Engine)
 	}
 	for id := range t.engines {
 		if !listed[id] {
@@ -147,8 +152,8 @@
 			best, least = i, c
 		}
 	}
-	c := Choice{Replica: all[best].Replica}
-	if kept[best] < most {
+	c := Choice{Replica: all[best].Replica, Reads: r.tokens() - most, Moves: most - kept[best]}
+	if c.Moves > 0 {
 		c.Fetch = fetch
 	}
 	return c, true
@@ -195,21 +200,17 @@
 // tokens of its prompt, where the best keeps most.
 func (t *Table) cost(now time.Duration, r *Request, e *engine, kept, most int) float64 {
 	o := &t.opts
-	total := 0
-	for _, p := range r.Parts {
-		total += p.Tokens
-	}
-	moved := max(most-kept, 0)
-	reads := time.Duration(float64(total-kept-moved) * float64(o.PerToken) * e.speed)
+	moved := most - kept
+	reads := e.readTime(r.tokens() - most)
 	queue := max(e.busyTo-now, 0)
-	first := queue + reads + time.Duration(moved)*o.PerMoved + time.Duration(float64(o.Base)*e.speed)
+	first := queue + reads + e.moveTime(moved) + e.emptyTime()
 
 	c := o.Second*first.Seconds() + o.Moved*float64(moved)
 	if r.Slack > 0 {
 		c += o.Late * ramp(first.Seconds(), 0.6*r.Slack.Seconds(), 1.1*r.Slack.Seconds())
 	}
 	c += o.Stall * float64(e.runs) * ramp((queue+reads).Seconds(), o.StallFrom.Seconds(), o.StallTo.Seconds())
-	c += o.Beside * e.usually(now, o) * float64(r.Out) * o.PerEvent.Seconds()
+	c += o.Beside * e.usually(now, o) * float64(r.Out) * e.speed.Figures().PerOut.Seconds()
 	for hall, bytes := range r.Near {
 		if hall != e.Hall {
 			c += o.FarByte * float64(bytes)
@@ -235,71 +236,3 @@
 	e.usualAt = now
 	return e.usual
 }
-
-// Begin counts a request at its engine and takes its prompt for kept there.
-func (t *Table) Begin(now time.Duration, r *Request, replica string) {
-	e := t.engines[replica]
-	if e == nil {
-		return
-	}
-	o := &t.opts
-	keys := chain(r.Parts)
-	kept := e.keeps(now, o, r.Parts, keys)
-	total := 0
-	for i, p := range r.Parts {
-		total += p.Tokens
-		e.keep(now, keys[i], p.Tokens)
-	}
-	e.evict(int(float64(e.memory) * o.KeptShare))
-	reads := time.Duration(float64(max(total-kept, 0)) * float64(o.PerToken) * e.speed)
-	e.busyTo = max(e.busyTo, now) + reads
-	e.usual = e.usually(now, o) + reads.Seconds()/o.UsualFor.Seconds()
-	e.reading++
-	if e.most > 0 && now < e.ColdUntil {
-		t.sent.Sent(now, e.ID)
-	}
-	t.runs[r.ID] = &run{engine: e, began: now, expected: e.busyTo - now + time.Duration(float64(o.Base)*e.speed)}
-}
-
-const (
-	speedRate  = 0.2 // weight of the last first event: a slow engine shows within five; chosen
-	leastSpeed = 0.5 // time taken against expected; a bound against a wrong measurement
-	mostSpeed  = 8   // slower ones than this are taken for as slow
-)
-
-// First notes a request's first event: its prompt is read.
-func (t *Table) First(now time.Duration, id uint64) {
-	r := t.runs[id]
-	if r == nil || r.read {
-		return
-	}
-	r.read = true
-	e := r.engine
-	e.reading--
-	e.runs++
-	if e.reading == 0 {
-		e.busyTo = now
-	}
-	ratio := (now - r.began).Seconds() / max(r.expected.Seconds(), 0.001)
-	e.speed = min(max(e.speed+speedRate*(ratio-1)*e.speed, leastSpeed), mostSpeed)
-}
-
-// End notes the end of a request, whole or not.
-func (t *Table) End(now time.Duration, id uint64) {
-	r := t.runs[id]
-	if r == nil {
-		return
-	}
-	delete(t.runs, id)
-	if r.read {
-		r.engine.runs--
-		return
-	}
-	r.engine.reading--
-	if r.engine.reading == 0 {
-		r.engine.busyTo = now
-	}
-}
-
-// Running returns the number of requests that the table counts.
-func (t *Table) Running() int { return len(t.runs) }
--- a/coordination/placement/placement_test.go
+++ b/coordination/placement/placement_test.go
@@ -32,9 +32,11 @@
 	return r
 }
 
+func at(replica string) Choice { return Choice{Replica: catalog.Replica{ID: replica}, Reads: 1000} }
+
 func (t *Table) begin(now time.Duration, r *Request) Choice {
 	c, _ := t.Place(now, r)
-	t.Begin(now, r, c.Replica.ID)
+	t.Begin(now, r, c)
 	return c
 }
 
@@ -50,7 +52,7 @@
 				busy = id
 			}
 		}
-		table.Begin(0, r, busy)
+		table.Begin(0, r, at(busy))
 		table.First(80*time.Millisecond, i)
 	}
 	for i := range uint64(4) {
@@ -94,7 +96,7 @@
 	table := newTable(2)
 	for i := range uint64(20) {
 		r := request(i, 1000, 20)
-		table.Begin(0, r, "e0")
+		table.Begin(0, r, at("e0"))
 		table.First(2*time.Second, i)
 		table.End(2*time.Second, i)
 	}
@@ -119,7 +121,7 @@
 	is := is.New(t)
 	table := newTable(1)
 	for i := range uint64(100) {
-		table.Begin(time.Duration(i)*time.Second, request(i, 5000, 10), "e0")
+		table.Begin(time.Duration(i)*time.Second, request(i, 5000, 10), at("e0"))
 		table.End(time.Duration(i)*time.Second, i)
 	}
 	is.True(table.engines["e0"].tokens <= 70_000)
--- a/coordination/placement/places_test.go
+++ b/coordination/placement/places_test.go
@@ -22,7 +22,7 @@
 func TestAnEmptiedEngineIsOnlyFetchedFrom(t *testing.T) {
 	is := is.New(t)
 	table := newTable(2)
-	table.Begin(0, request(1, 100, 10, "manual"), "e1")
+	table.Begin(0, request(1, 100, 10, "manual"), at("e1"))
 	withHall(table, nil, func(r *catalog.Replica) { r.Emptied = true })
 	for id := range uint64(10) {
 		c, ok := table.Place(time.Second, request(id+2, 100, 10, "manual"))
@@ -30,7 +30,7 @@
 		is.Equal(c.Replica.ID, "e0")
 		is.Equal(c.Fetch, "e1:1")
 	}
-	table.Begin(time.Second, request(20, 100, 10, "manual"), "e0")
+	table.Begin(time.Second, request(20, 100, 10, "manual"), at("e0"))
 	c, _ := table.Place(time.Second, request(21, 100, 10, "manual"))
 	is.Equal(c.Fetch, "") // it has come by now
 	withHall(table, nil, func(r *catalog.Replica) { r.Emptied, r.Leaving = true, true })
@@ -48,7 +48,7 @@
 		r := request(i+1, 10, 1)
 		c, ok := table.Place(time.Duration(i)*10*time.Millisecond, r)
 		is.True(ok)
-		table.Begin(time.Duration(i)*10*time.Millisecond, r, c.Replica.ID)
+		table.Begin(time.Duration(i)*10*time.Millisecond, r, c)
 		at[c.Replica.ID]++
 	}
 	is.Equal(at["e1"], 3)
--- a/coordination/placement/random_test.go
+++ b/coordination/placement/random_test.go
@@ -50,7 +50,7 @@
 				if choice.Fetch == choice.Replica.Address {
 					t.Fatalf("%s fetches from itself", choice.Replica.ID)
 				}
-				table.Begin(now, r, choice.Replica.ID)
+				table.Begin(now, r, choice)
 				open = append(open, next)
 			case step <= 3 && len(open) > 0:
 				i := rapid.IntRange(0, len(open)-1).Draw(t, "which")
--- /dev/null
+++ b/coordination/placement/speeds_test.go
@@ -0,0 +1,70 @@
+package placement
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"quinceroad/coordination/warmup"
+	"quinceroad/state/catalog"
+)
+
+// serveFast brings requests of all sizes up to 30,000 tokens to a table's
+// engines, which read 110 tokens a ms.
+func serveFast(t *Table, requests uint64) {
+	now := time.Duration(0)
+	for id := range requests {
+		r := request(id, 100<<(id%9), 30)
+		t.begin(now, r)
+		now += 90*time.Millisecond + time.Duration(r.tokens())*9*time.Microsecond
+		t.First(now, id)
+		now += time.Second
+		t.End(now, id)
+	}
+}
+
+// Prompts of 33,000 to 61,000 tokens were refused with 16 ms left for their
+// stages, of 1.2 s, at engines that read them in half a second.
+func TestAPromptOfFiftyThousandTokensIsInTimeAtEnginesThatReadFast(t *testing.T) {
+	is := is.New(t)
+	table := newTable(4)
+	long := request(1000, 50_000, 40)
+	c, _ := table.Place(0, long)
+	is.True(table.Ahead(long, c) > 1200*time.Millisecond) // nothing is known yet
+	serveFast(table, 200)
+	c, _ = table.Place(time.Hour, long)
+	is.True(table.Ahead(long, c) < 700*time.Millisecond)
+	is.Equal(c.Reads, 50_000)
+
+	fresh := newTable(4) // of another owner
+	is.True(fresh.Know(0, "llm", table.Speeds()["llm"].Figures()))
+	is.True(fresh.Ahead(long, c) < 700*time.Millisecond)
+}
+
+// What is kept of a prompt is not read: its stages have that time.
+func TestTheStagesGetTheTimeThatAKeptPromptSaves(t *testing.T) {
+	is := is.New(t)
+	table := newTable(4)
+	serveFast(table, 200)
+	r := request(1000, 100, 40, "manual", "case")
+	unread, _ := table.Place(time.Hour, r)
+	table.begin(time.Hour, request(1001, 100, 40, "manual", "case"))
+	kept, _ := table.Place(time.Hour, r)
+	is.Equal(unread.Reads-kept.Reads, 4000)
+	is.True(table.Ahead(r, unread)-table.Ahead(r, kept) > 30*time.Millisecond)
+}
+
+// A part that another engine keeps is fetched in the time that the links which
+// the configuration states take.
+func TestAMoveTakesWhatTheConfigurationStates(t *testing.T) {
+	is := is.New(t)
+	e := &catalog.Engine{Slots: 64, MemoryTokens: 100_000, TokenBytes: 35_136, LinkMbps: 550_000}
+	is.Equal(perMoved(e), 511*time.Nanosecond)
+	table := New(Standard(), warmup.Limit{})
+	table.SetEngines(map[string]*catalog.Service{"llm": {Engine: e}}, []catalog.Replica{{ID: "e0", Service: "llm"}})
+	r := request(1, 100, 10)
+	fetched := Choice{Replica: catalog.Replica{ID: "e0"}, Reads: 100, Moves: 1000}
+	read := Choice{Replica: catalog.Replica{ID: "e0"}, Reads: 100}
+	is.Equal(table.Ahead(r, fetched)-table.Ahead(r, read), 511*time.Microsecond)
+}
--- /dev/null
+++ b/coordination/speed/speed_test.go
@@ -0,0 +1,207 @@
+package speed
+
+import (
+	"math"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+)
+
+// engines are generated observations of 60 replicas: times by what was read,
+// with noise, now and then a pause, and some replicas that are slower.
+type engines struct {
+	base, perToken, square float64 // seconds, for a token, for a token squared
+	noise                  float64
+	slow                   int // replicas
+	times                  float64
+	replicas               [60]Replica
+}
+
+func (e *engines) usual(tokens int) float64 {
+	x := float64(tokens)
+	return e.base + e.perToken*x + e.square*x*x
+}
+
+// median is the time that half of the first events of a sound replica take.
+func (e *engines) median(tokens int) float64 { return e.usual(tokens) * math.Exp(0.67*e.noise) }
+
+// observe brings n observations, ten milliseconds apart, of prompts of some
+// hundred tokens in the middle and 50,000 at most.
+func (e *engines) observe(s *Service, from time.Duration, n int, seed uint64) time.Duration {
+	random := rand.New(rand.NewPCG(seed, 1))
+	for range n {
+		from += 10 * time.Millisecond
+		tokens := min(int(math.Exp(6.5+1.4*random.NormFloat64())), 50_000)
+		replica := random.IntN(len(e.replicas))
+		took := e.usual(tokens) * math.Exp(e.noise*math.Abs(random.NormFloat64()))
+		if replica < e.slow {
+			took *= e.times
+		}
+		if random.IntN(50) == 0 {
+			took += 2 * random.Float64()
+		}
+		s.Observe(from, &e.replicas[replica], tokens, time.Duration(took*float64(time.Second)), false)
+	}
+	return from
+}
+
+func off(got time.Duration, want float64) float64 { return math.Abs(math.Log(got.Seconds() / want)) }
+
+// Engines that read 112 tokens a ms were reckoned to read 32, and the longest
+// prompts were refused for time that there was.
+func TestEnginesSpeedsAreLearntFromFewRequests(t *testing.T) {
+	for name, c := range map[string]struct {
+		first, then *engines // nil: as first
+		long        float64  // bound on the error of a prompt of 30,000 tokens
+	}{
+		"fast":             {&engines{base: 0.09, perToken: 9e-6, square: 77e-12, noise: 0.15}, nil, 0.2},
+		"slow":             {&engines{base: 0.1, perToken: 31e-6, noise: 0.15}, nil, 0.1},
+		"uneven":           {&engines{base: 0.09, perToken: 9e-6, noise: 0.5}, nil, 0.25},
+		"a sixth is slow":  {&engines{base: 0.09, perToken: 9e-6, noise: 0.15, slow: 10, times: 5}, nil, 0.15},
+		"a third by a bit": {&engines{base: 0.09, perToken: 9e-6, noise: 0.15, slow: 20, times: 1.3}, nil, 0.25},
+		"turn slow":        {&engines{base: 0.09, perToken: 9e-6, noise: 0.15}, &engines{base: 0.1, perToken: 31e-6, noise: 0.15}, 0.15},
+		"turn fast":        {&engines{base: 0.1, perToken: 31e-6, noise: 0.15}, &engines{base: 0.09, perToken: 9e-6, noise: 0.15}, 0.15},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			for seed := range uint64(10) {
+				s, e := New(Standard()), c.first
+				at := e.observe(s, 0, 100, seed)
+				is.True(off(s.Usual(1000), e.median(1000)) < 0.15) // after a hundred requests
+				at = e.observe(s, at, 900, seed+100)
+				if c.then != nil {
+					e = c.then
+					e.observe(s, at, 1500, seed+200)
+				}
+				is.True(off(s.Usual(1000), e.median(1000)) < 0.15)
+				is.True(off(s.Usual(30_000), e.median(30_000)) < c.long)
+				most := e.usual(30_000) * math.Exp(1.28*e.noise) // four fifths of them
+				is.True(off(s.Likely(30_000), most) < c.long+0.1)
+			}
+		})
+	}
+}
+
+func TestPromptsFarLongerThanAnySeenAreNotBelievedFast(t *testing.T) {
+	is := is.New(t)
+	s := New(Standard())
+	for i := range 200 {
+		s.Observe(time.Duration(i)*10*time.Millisecond, &Replica{}, 100*(i%20+1), time.Duration(50+i%20)*time.Millisecond, false)
+	}
+	is.True(s.Usual(4000) < 150*time.Millisecond) // twice the longest
+	unknown := 46_000 * Standard().Prior.Usual.PerToken
+	is.True(s.Usual(50_000) >= unknown)
+	s.Observe(3*time.Second, &Replica{}, 60_000, time.Millisecond, false) // one may be a wrong measurement
+	is.True(s.Usual(50_000) >= unknown)
+}
+
+// A replica that answers in a moment, or hardly at all, or is cold moves what is
+// known of the others little.
+func TestAWrongReplicaDoesNotSpoilTheServicesSpeed(t *testing.T) {
+	for _, c := range []struct {
+		took time.Duration
+		cold bool
+	}{{time.Millisecond, false}, {20 * time.Second, false}, {500 * time.Millisecond, true}} {
+		is := is.New(t)
+		s, e, wrong := New(Standard()), &engines{base: 0.09, perToken: 9e-6, noise: 0.15}, &Replica{}
+		at := e.observe(s, 0, 400, 1)
+		for i := range uint64(40) {
+			for range 6 { // more than its part
+				s.Observe(at, wrong, 1000, c.took, c.cold)
+			}
+			at = e.observe(s, at, 10, i)
+		}
+		is.True(off(s.Usual(1000), e.median(1000)) < 0.1)
+		is.True(off(s.Likely(1000), e.usual(1000)*math.Exp(1.28*e.noise)) < 0.25)
+		is.True(off(s.Usual(30_000), e.median(30_000)) < 0.2)
+		is.True((s.Factor(wrong) > 1) == (c.took > 100*time.Millisecond))
+	}
+}
+
+func TestANewOwnerBeginsWithWhatPeersObserved(t *testing.T) {
+	is := is.New(t)
+	old, e := New(Standard()), &engines{base: 0.09, perToken: 9e-6, noise: 0.15}
+	e.observe(old, 0, 500, 1)
+	var records Records
+	is.True(records.Observed(0, 7, "llm", old.Figures()))
+	told, ok := records.Known(time.Second, "llm")
+	is.True(ok)
+	s := New(Standard())
+	is.True(s.Begin(0, told))
+	is.True(off(s.Usual(30_000), e.median(30_000)) < 0.15)
+	e.observe(s, 0, 50, 2)
+	is.True(off(s.Usual(30_000), e.median(30_000)) < 0.2)
+	is.True(!s.Begin(0, Standard().Prior)) // it knows better by now
+}
+
+// Messages are lost, late, repeated and out of order.
+func TestWhatPeersTellComesInAnyOrder(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var all []Record
+		for origin := range uint32(4) {
+			for count := range rapid.IntRange(1, 4).Draw(t, "records") {
+				f := Standard().Prior
+				f.Count = 24 * (count + 1)
+				f.Usual.PerToken = time.Duration(rapid.IntRange(1000, 40_000).Draw(t, "per token"))
+				all = append(all, Record{Origin: origin, Service: "llm", Figures: f})
+			}
+		}
+		var a, b Records
+		for _, r := range all {
+			a.Merge(0, r)
+		}
+		for _, i := range rapid.Permutation(indexes(len(all))).Draw(t, "order") {
+			b.Merge(0, all[i])
+			if rapid.Bool().Draw(t, "again") {
+				b.Merge(0, all[i])
+			}
+		}
+		fromA, _ := a.Known(0, "llm")
+		fromB, _ := b.Known(0, "llm")
+		if fromA != fromB {
+			t.Fatalf("%v and %v", fromA, fromB)
+		}
+	})
+}
+
+func indexes(n int) []int {
+	out := make([]int, n)
+	for i := range out {
+		out[i] = i
+	}
+	return out
+}
+
+func TestOneMistakenPeerMovesLittle(t *testing.T) {
+	is := is.New(t)
+	var records Records
+	tell := func(origin uint32, perToken time.Duration, age time.Duration) bool {
+		f := Standard().Prior
+		f.Usual.PerToken, f.Count = perToken, 200
+		return records.Merge(time.Hour, Record{Origin: origin, Service: "llm", Figures: f, Age: age})
+	}
+	is.True(tell(1, 9000, 0))
+	is.True(tell(2, 10_000, time.Second))
+	is.True(tell(3, time.Second, 0))
+	is.True(!tell(4, 100, recordLife)) // too old
+	is.True(!tell(5, -1, 0))           // no engine's
+	known, _ := records.Known(time.Hour, "llm")
+	is.Equal(known.Usual.PerToken, time.Duration(10_000))
+	for origin := range uint32(100) {
+		tell(10+origin, 9000, 0)
+	}
+	is.True(len(records.rows) <= mostOrigins)
+	is.True(len(records.All(time.Hour)) <= mostTold)
+}
+
+func BenchmarkObserve(b *testing.B) {
+	s, e := New(Standard()), &engines{base: 0.09, perToken: 9e-6, noise: 0.15}
+	at := e.observe(s, 0, 5000, 1)
+	b.ReportAllocs()
+	for i := 0; b.Loop(); i++ {
+		s.Observe(at, &e.replicas[i%60], 100+i%5000, 100*time.Millisecond, false)
+	}
+}
--- a/state/catalog/catalog.go
+++ b/state/catalog/catalog.go
@@ -94,7 +94,8 @@
 type Engine struct {
 	Slots        int
 	MemoryTokens int64
-	TokenBytes   int64
+	TokenBytes   int64   // of memory that a token of a prompt takes
+	LinkMbps     float64 // over which engines move it; 0: not stated
 }
 
 // Pool tells what one replica of a stage service does.
