Prices and the first guess of engines' speed are settings

Prices of memory moved and of results between halls were the first deployments'; an operator knows his own. The price of reading again was used nowhere and goes.

--- a/cmd/node/owner.go
+++ b/cmd/node/owner.go
@@ -9,6 +9,7 @@
 	"quinceroad/cmd/process"
 	"quinceroad/coordination/pipeline"
 	"quinceroad/coordination/placement"
+	"quinceroad/coordination/speed"
 	"quinceroad/protocol/event"
 )
 
@@ -27,6 +28,14 @@
 
 func newOwner(n *Node) *owner { return &owner{node: n, cells: make(map[int]*cell)} }
 
+// placing returns what the settings state of engines and prices.
+func (n *Node) placing() placement.Options {
+	o := placement.Standard()
+	o.Moved, o.FarByte = n.settings.PriceMoved, n.settings.PriceFarByte
+	o.Speeds.Prior = speed.Prior(time.Duration(float64(time.Millisecond) / n.settings.TokensPerMs))
+	return o
+}
+
 func (o *owner) cell(number int) *cell {
 	o.mu.Lock()
 	c := o.cells[number]
@@ -35,7 +44,7 @@
 			owner:     o,
 			number:    number,
 			scheduler: pipeline.New(pipeline.Cold(o.node.cold.limit)),
-			engines:   placement.New(placement.Standard(), o.node.cold.limit),
+			engines:   placement.New(o.node.placing(), o.node.cold.limit),
 			waiting:   make(map[uint64]chan pipeline.Action),
 			calls:     make(map[uint64]context.CancelFunc),
 		}
--- a/coordination/placement/options.go
+++ b/coordination/placement/options.go
@@ -1,8 +1,12 @@
 package placement
 
-import "time"
+import (
+	"time"
 
-// Options are the costs and times that decide, costs against a usual request's worth: chosen from the first deployments' prices.
+	"quinceroad/coordination/speed"
+)
+
+// Options are the costs and times that decide, costs against a usual request's worth.
 type Options struct {
 	Second       float64       // cost of a second until the first event
 	Late         float64       // of a first event after the objective
@@ -10,9 +14,9 @@
 	StallFrom    time.Duration // a hold-up begins to cost
 	StallTo      time.Duration // and costs all
 	Beside       float64       // of generating for a second beside an engine's usual reading
-	ReadAgain    float64       // of reading a shared token that is kept somewhere
-	Moved        float64       // of moving one
-	FarByte      float64       // of a byte of results that crosses halls
+	Moved        float64       // of moving a token of a prompt from one engine to another; a setting
+	FarByte      float64       // of a byte of results that crosses halls; a setting
+	Speeds       speed.Options // of what is learnt of the engines
 	UsualFor     time.Duration // over which an engine's usual reading is averaged
 	KeptShare    float64       // of an engine's memory that is taken to keep parts
 	KeptFor      time.Duration // after which a part is taken for gone
@@ -30,9 +34,9 @@
 		StallFrom:    150 * time.Millisecond,
 		StallTo:      600 * time.Millisecond,
 		Beside:       0.3,
-		ReadAgain:    0.29e-3,
-		Moved:        0.025e-3,
+		Moved:        25e-6,
 		FarByte:      82e-9,
+		Speeds:       speed.Standard(),
 		UsualFor:     8 * time.Second,
 		KeptShare:    0.7,
 		KeptFor:      60 * time.Second,
--- a/coordination/placement/speeds.go
+++ b/coordination/placement/speeds.go
@@ -11,7 +11,7 @@
 func (t *Table) speed(service string) *speed.Service {
 	s := t.speeds[service]
 	if s == nil {
-		s = speed.New(speed.Standard())
+		s = speed.New(t.opts.Speeds)
 		t.speeds[service] = s
 	}
 	return s
--- a/coordination/speed/speed.go
+++ b/coordination/speed/speed.go
@@ -31,14 +31,21 @@
 	Unusual float64       // factor from or under (1/x) which a replica does not count for the service
 }
 
+// Prior is what is taken for known before anything was observed or told, where
+// engines read a token in so long: it is on the slow side, as too fast a guess
+// takes requests that end late, and too slow a one is mended within a second.
+func Prior(perToken time.Duration) Figures {
+	return Figures{
+		Usual:  Line{Base: 100 * time.Millisecond, PerToken: perToken},
+		Likely: Line{Base: 150 * time.Millisecond, PerToken: perToken + perToken/4},
+		PerOut: 8 * time.Millisecond, // chosen, twice an idle engine's
+	}
+}
+
 // Standard returns the constants in use.
 func Standard() Options {
 	return Options{
-		Prior: Figures{
-			Usual:  Line{Base: 100 * time.Millisecond, PerToken: 32 * time.Microsecond}, // the slowest engine known so far reads 32 tokens a ms
-			Likely: Line{Base: 150 * time.Millisecond, PerToken: 40 * time.Microsecond}, // the same, a quarter more
-			PerOut: 8 * time.Millisecond,                                                // a token of a full batch of that engine
-		},
+		Prior:   Prior(31 * time.Microsecond),
 		Enough:  24,
 		Each:    8,
 		Likely:  0.8,
