--- a/cmd/node/owner.go
+++ b/cmd/node/owner.go
@@ -32,7 +32,9 @@
 func (n *Node) placing() placement.Options {
 	o := placement.Standard()
 	o.Moved, o.FarByte = n.settings.PriceMoved, n.settings.PriceFarByte
-	o.Speeds.Prior = speed.Prior(time.Duration(float64(time.Millisecond) / n.settings.TokensPerMs))
+	if n.settings.PerToken > 0 {
+		o.Speeds.Prior = speed.Prior(n.settings.PerToken)
+	}
 	return o
 }
 
--- a/coordination/speed/speed.go
+++ b/coordination/speed/speed.go
@@ -85,7 +85,6 @@
 	sizes   sizes
 	outs    outs
 	typical float64 // factor of the replica in the middle
-	judged  int     // times that went into it
 	due     int     // count at which the next fit is due
 }
 
@@ -166,19 +165,16 @@
 	ratio = min(ratio, mostStep*r.factor)
 	r.factor += s.opts.Rate * (ratio - r.factor)
 	r.factor = min(max(r.factor, s.opts.Least*s.typical), s.opts.Most*s.typical)
-	s.judged++
-	step := 1 + max(typicalStep, firstStep/float64(s.judged))
 	if r.factor > s.typical {
-		s.typical *= step
+		s.typical *= 1 + typicalStep
 	} else {
-		s.typical /= step
+		s.typical /= 1 + typicalStep
 	}
 }
 
 const (
 	mostStep    = 4    // times its factor that one measurement may show: a pause of one request is no slow replica
-	typicalStep = 0.01 // by which the typical factor follows each measurement, up or down: it finds their median
-	firstStep   = 0.3  // the same at first, less with each: all may be far from what was known before
+	typicalStep = 0.02 // by which the typical factor follows each measurement, up or down: it finds their median
 )
 
 func (s *Service) unusual(r *Replica) bool {
