What crosses regions is counted by kind, shown and explained

Cause: an operator of three regions could not see what crosses, who served a request, or a hall that nobody can place. Ruled out: counting bytes on the links: a link carries all kinds at once.

--- a/cmd/ctl/story.go
+++ b/cmd/ctl/story.go
@@ -97,6 +97,22 @@
 
 // verdict says in a sentence where the request's worth went.
 func (s *story) verdict() string {
+	return s.outcome() + s.lent()
+}
+
+// lent says where the request went beside its own region.
+func (s *story) lent() string {
+	asked := s.last(event.NodeRegionAsked)
+	if asked == nil {
+		return ""
+	}
+	if asked.field("refused") == "true" {
+		return fmt.Sprintf(" Its own region did not take it; region %s was asked and refused after %s.", asked.field("region"), asked.field("took"))
+	}
+	return fmt.Sprintf(" Its own region did not take it; region %s was asked.", asked.field("region"))
+}
+
+func (s *story) outcome() string {
 	end := s.last(event.NodeRequest)
 	if end == nil {
 		return "No instance logged the request's end: who had taken it was killed, or is still at work on it."
--- a/cmd/node/attempt.go
+++ b/cmd/node/attempt.go
@@ -45,7 +45,7 @@
 // attempt sends the request to a replica and passes the answer on. It returns
 // nil once the client has an answer.
 func (s *serving) attempt(ctx context.Context, r catalog.Replica, fetch string) error {
-	s.replica, s.fetch = r.ID, fetch
+	s.replica, s.region, s.fetch = r.ID, r.Region, fetch
 	n := s.node
 	conn, err := n.connect(ctx, r.Address, connectFor)
 	if err != nil {
@@ -71,6 +71,7 @@
 	n.counters.attempts.Inc(1)
 	if n.distance(r.Hall) == regions.Far {
 		n.counters.farAttempts.Inc(1)
+		n.counters.farBytes.requests.Inc(int64(len(s.req.Body)))
 	}
 	s.tried[r.ID] = true
 	n.judgeMu.Lock()
@@ -81,6 +82,13 @@
 	return err
 }
 
+// countAnswer counts what comes from another region.
+func (a *attempt) countAnswer(bytes int) {
+	if a.node.distance(a.replica.Hall) == regions.Far {
+		a.node.counters.farBytes.answers.Inc(int64(bytes))
+	}
+}
+
 // finish takes in how the attempt ended.
 func (a *attempt) finish(ctx context.Context, err error) {
 	took := time.Since(a.sent)
@@ -250,6 +258,7 @@
 	a.node.counters.status(status).Inc(1)
 	a.w.WriteHeader(status)
 	_, _ = a.w.Write(body)
+	a.countAnswer(len(body))
 	if status >= http.StatusInternalServerError {
 		a.note(a.replica.ID, health.Failure)
 	}
--- a/cmd/node/counters.go
+++ b/cmd/node/counters.go
@@ -22,6 +22,8 @@
 	lentRefused metrics.Counter // of these
 	keptAsks    metrics.Counter // of owners in other regions, what is kept there of a prompt
 	keptFar     metrics.Counter // of these, that named an engine
+	farMoves    metrics.Counter // prompts that engines here fetch from other regions
+	farBytes    farBytes
 	farAttempts metrics.Counter // sent to replicas in other regions
 	emptied     metrics.Counter // halls, as this instance learnt it
 	toldBusy    metrics.Counter // peers that were told to ask somebody else
@@ -30,6 +32,17 @@
 	givenUp     metrics.Counter // calls that a silent store had missed
 }
 
+// farBytes counts what this instance sends to other regions, and what it asks
+// for and gets from there, by kind: bodies of messages and answers.
+type farBytes struct {
+	heartbeats metrics.Counter
+	stages     metrics.Counter // questions to owners
+	kept       metrics.Counter // questions for kept prompts
+	pulls      metrics.Counter // configurations and lists of replicas, as received
+	requests   metrics.Counter // bodies sent to replicas
+	answers    metrics.Counter // bytes of answers passed on from there
+}
+
 func newCounters(r metrics.Registry) counters {
 	counter := func(name string) metrics.Counter { return metrics.NewRegisteredCounter(name, r) }
 	return counters{
@@ -47,6 +60,15 @@
 		lentRefused: counter("node.regions.asks_refused"),
 		keptAsks:    counter("node.regions.kept_asks"),
 		keptFar:     counter("node.regions.kept_found"),
+		farMoves:    counter("node.regions.moves"),
+		farBytes: farBytes{
+			heartbeats: counter("node.regions.bytes.heartbeats"),
+			stages:     counter("node.regions.bytes.stages"),
+			kept:       counter("node.regions.bytes.kept"),
+			pulls:      counter("node.regions.bytes.pulls"),
+			requests:   counter("node.regions.bytes.requests"),
+			answers:    counter("node.regions.bytes.answers"),
+		},
 		farAttempts: counter("node.regions.attempts"),
 		emptied:     counter("node.halls_emptied"),
 		toldBusy:    counter("node.told_busy"),
--- a/cmd/node/far.go
+++ b/cmd/node/far.go
@@ -103,6 +103,7 @@
 		ask.Parts = append(ask.Parts, &pb.PromptPart{Id: p.ID, Tokens: uint32(p.Tokens)})
 	}
 	n.counters.keptAsks.Inc(1)
+	n.counters.farBytes.kept.Inc(int64(proto.Size(ask)))
 	reply := &pb.KeptReply{}
 	if err := n.links.Call(owners[0].Link, frame.Kept, ask, reply, farFor); err != nil {
 		n.logAside("kept prompts of "+region, owners[0].Name, err)
--- a/cmd/node/members.go
+++ b/cmd/node/members.go
@@ -23,6 +23,7 @@
 	process.Every(ctx, beatEach, func() {
 		alive := n.alive()
 		n.logHeard(heard, alive)
+		n.noteFar(alive)
 		n.takeRole(alive)
 		n.noteSpeeds()
 		n.tell()
@@ -121,6 +122,9 @@
 	}
 	for _, addr := range to {
 		n.socket.Send(addr, b)
+		if n.isFarAddress(addr) {
+			n.counters.farBytes.heartbeats.Inc(int64(len(b)))
+		}
 	}
 }
 
--- a/cmd/node/node.go
+++ b/cmd/node/node.go
@@ -47,7 +47,9 @@
 	counters counters
 	began    time.Time
 	places   *regions.Map
-	home     string // this instance's region
+	home     string                          // this instance's region
+	unplaced sync.Map                        // halls that a log line has said to be of no region
+	farHosts atomic.Pointer[map[string]bool] // of instances in other regions; nil: none is known
 
 	world atomic.Pointer[world] // what requests are served from; never changed once set
 
--- a/cmd/node/owned.go
+++ b/cmd/node/owned.go
@@ -164,6 +164,9 @@
 		return reply
 	}
 	c.engines.Begin(now, r.request, choice)
+	if choice.Fetch != "" && choice.Fetch == r.request.Far.Address {
+		n.counters.farMoves.Inc(1)
+	}
 	reply.Engine, reply.Fetch = choice.Replica.ID, choice.Fetch
 	return reply
 }
--- a/cmd/node/places.go
+++ b/cmd/node/places.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 	"errors"
+	"net"
 	"time"
 
+	"quinceroad/coordination/gossip"
 	"quinceroad/coordination/regions"
 	"quinceroad/protocol/event"
 	"quinceroad/protocol/pb"
@@ -184,3 +186,42 @@
 	}
 	event.NodeRegionAsked.Log(n.log, "request", s.req.ID, "region", region, "refused", isRefused, "error", failure, "took", took)
 }
+
+// logUnplaced says once of each hall that nobody can place it.
+func (n *Node) logUnplaced(all []catalog.Replica) {
+	if !n.places.Stated() {
+		return
+	}
+	replicas := make(map[string]int)
+	for _, r := range all {
+		if r.Region == "" {
+			replicas[r.Hall]++
+		}
+	}
+	for hall, count := range replicas {
+		if _, said := n.unplaced.LoadOrStore(hall, true); !said {
+			event.NodeHallUnplaced.Log(n.log, "hall", hall, "replicas", count)
+		}
+	}
+}
+
+// noteFar keeps which hosts are in other regions, as far as is known.
+func (n *Node) noteFar(alive []gossip.Instance) {
+	far := make(map[string]bool)
+	for _, i := range alive {
+		if host, _, err := net.SplitHostPort(i.Datagram); err == nil && i.Region != n.home {
+			far[host] = true
+		}
+	}
+	n.farHosts.Store(&far)
+}
+
+// isFarAddress reports whether an instance's address is in another region.
+func (n *Node) isFarAddress(addr string) bool {
+	far := n.farHosts.Load()
+	if far == nil || len(*far) == 0 {
+		return false
+	}
+	host, _, err := net.SplitHostPort(addr)
+	return err == nil && (*far)[host]
+}
--- a/cmd/node/pull.go
+++ b/cmd/node/pull.go
@@ -95,6 +95,7 @@
 		n.logAside("configuration", addr, err)
 		return
 	}
+	n.countPull(addr, answer)
 	if answer.Busy {
 		n.configPull.again()
 		return
@@ -112,6 +113,13 @@
 	n.offer(text, "peer")
 }
 
+// countPull counts what a peer of another region has told.
+func (n *Node) countPull(addr string, answer proto.Message) {
+	if n.isFarAddress(addr) {
+		n.counters.farBytes.pulls.Inc(int64(proto.Size(answer)))
+	}
+}
+
 // rawConfig is a configuration as the store has it.
 type rawConfig struct {
 	text   []byte
@@ -146,6 +154,7 @@
 	answer := &pb.ReplicaChanges{}
 	err := n.links.Call(addr, frame.PullReplicas, &pb.PullReplicas{Have: have}, answer, pullFor)
 	if err == nil {
+		n.countPull(addr, answer)
 		answer, err = openChanges(answer)
 	}
 	if err != nil {
--- a/cmd/node/serve.go
+++ b/cmd/node/serve.go
@@ -55,6 +55,7 @@
 	redone  int
 	waits   int    // for stages of a stream that broke off
 	replica string // the last one it was sent to
+	region  string // of that
 	owner   string // of the pools that its stages were asked of last
 	stream  streamState
 	staged  time.Duration // that its stages took
@@ -295,5 +296,5 @@
 		"objective", s.route.Objective, "deadline", s.req.Deadline, "version", s.world.config.Version, "owner", s.owner,
 		"attempts", len(s.tried), "replica", s.replica, "took", time.Since(s.req.Arrived), "staged", s.staged, "expected", s.expects.stages,
 		"engine_expected", s.expects.engine, "reads", s.expects.reads, "moves", s.expects.moves,
-		"first", s.first, "gap", s.gap, "tokens", s.req.TokensIn, "fetch", s.fetch, "pieces", s.req.Pieces)
+		"first", s.first, "gap", s.gap, "tokens", s.req.TokensIn, "fetch", s.fetch, "pieces", s.req.Pieces, "region", s.region)
 }
--- a/cmd/node/stages.go
+++ b/cmd/node/stages.go
@@ -7,6 +7,8 @@
 	"sync"
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
 	"quinceroad/cmd/process"
 	"quinceroad/coordination/gossip"
 	"quinceroad/coordination/ownership"
@@ -159,6 +161,9 @@
 	if to.Name == n.settings.Name {
 		return n.askSelf(ctx, w)
 	}
+	if to.Region != n.home {
+		n.counters.farBytes.stages.Inc(int64(proto.Size(w.ask)))
+	}
 	stream, err := n.links.Open(to.Link, frame.Stages, w.ask)
 	if err != nil {
 		return nil, err
--- a/cmd/node/state.go
+++ b/cmd/node/state.go
@@ -31,9 +31,19 @@
 	LeftAlone []string       // replicas taken for sick
 	Instances []gossip.Instance
 	Cells     []CellState
+	Region    string                 // this node's; "" where nobody can place its hall
+	Regions   map[string]RegionState // by name; "" of halls that nobody can place
 	LinkedTo  int
 }
 
+// RegionState is what a node knows of a region.
+type RegionState struct {
+	Instances int
+	Replicas  map[string]int // by service, those that may get work
+	Cells     int
+	Trip      string // of a question there and back, as it was lately
+}
+
 // CellState is a cell that this node has owned.
 type CellState struct {
 	Number  int
@@ -108,6 +118,7 @@
 	for service, list := range w.services {
 		s.Replicas[service] = len(list)
 	}
+	s.Region, s.Regions = n.home, n.regionStates(w, s.Instances)
 	for id := range n.pausedReplicas() {
 		s.LeftAlone = append(s.LeftAlone, id)
 	}
@@ -125,3 +136,17 @@
 	}
 	return s
 }
+
+func (n *Node) regionStates(w *world, alive []gossip.Instance) map[string]RegionState {
+	out := make(map[string]RegionState)
+	for _, region := range w.places.Names() {
+		r := RegionState{Cells: w.cells(region), Replicas: w.parts.takes[region], Trip: n.trip(region).String()}
+		for _, i := range alive {
+			if i.Region == region {
+				r.Instances++
+			}
+		}
+		out[region] = r
+	}
+	return out
+}
--- a/cmd/node/stream.go
+++ b/cmd/node/stream.go
@@ -51,6 +51,7 @@
 			a.stream.lastEvent = e.id
 		}
 		_ = control.SetWriteDeadline(time.Now().Add(clientWrite))
+		a.countAnswer(len(e.bytes))
 		if _, err := a.w.Write(e.bytes); err != nil {
 			return errLeft
 		}
--- a/cmd/node/world.go
+++ b/cmd/node/world.go
@@ -93,6 +93,7 @@
 	cold := n.replicas.newlyCold(now, w.all)
 	n.world.Store(w)
 	n.followMu.Unlock()
+	n.logUnplaced(w.all)
 	for _, id := range broken {
 		event.NodeEntryBroken.Log(n.log, "name", id)
 	}
