--- a/cmd/node/attempt.go
+++ b/cmd/node/attempt.go
@@ -40,6 +40,7 @@
 	head    platform.Head
 	silent  atomic.Bool // it was ended for its silence
 	sent    time.Time
+	began   time.Time // the answer; of a stream its first event
 }
 
 // attempt sends the request to a replica and passes the answer on. It returns
@@ -54,7 +55,8 @@
 		}
 		return errUnreached
 	}
-	if !n.mayGet(s.service, r.ID) {
+	defer n.rollouts.enter(&r, !s.movable())() // before it is asked whether the replica may get it
+	if !n.mayGet(s.service, r.ID) || !n.rollouts.maySend(n.world.Load().moves[s.service.Name], s.route.Name, r.ID, 1) {
 		conn.Close()
 		return errUnreached
 	}
@@ -96,6 +98,7 @@
 	if err != nil && errors.Is(ctx.Err(), context.Canceled) {
 		err = errLeft
 	}
+	a.tellRollout(ctx, err, took)
 	if err != nil {
 		event.NodeAttempt.Log(n.log, "request", a.req.ID, "replica", a.replica.ID, "why", err, "took", took, "kept", a.conn.Kept())
 		took = 0
@@ -151,6 +154,7 @@
 		return a.broken(errBroken)
 	}
 	a.head = headOf(x)
+	a.began = time.Now()
 	return a.answer(watch)
 }
 
--- a/cmd/node/cell.go
+++ b/cmd/node/cell.go
@@ -91,7 +91,11 @@
 func (c *cell) call(ctx context.Context, a pipeline.Call) {
 	n := c.owner.node
 	began := time.Now()
+	replica := catalog.Replica{ID: a.Replica, Service: a.Service, Version: n.versionOf(a.Replica)}
+	leave := n.rollouts.enter(&replica, false) // its pieces go to another replica
 	results, fate := n.runPieces(ctx, a)
+	leave()
+	n.tellRolloutCall(&replica, fate, results, time.Since(began))
 	c.log(a, results, time.Since(began))
 	c.mu.Lock()
 	if cancel := c.calls[a.ID]; cancel != nil {
--- a/cmd/node/members.go
+++ b/cmd/node/members.go
@@ -107,7 +107,10 @@
 	if len(to) == 0 {
 		return
 	}
-	h := &pb.Heartbeat{Leaving: n.recentlyLeaving(), Sick: n.sick(), Changed: n.listChanged(), Evacuations: n.emptiedNews(), Speeds: speeds}
+	h := &pb.Heartbeat{
+		Leaving: n.recentlyLeaving(), Sick: n.sick(), Changed: n.listChanged(), Evacuations: n.emptiedNews(),
+		Rollouts: n.rolloutNews(), Speeds: speeds,
+	}
 	for _, i := range m.News {
 		h.News = append(h.News, newsOf(i))
 	}
@@ -192,6 +195,7 @@
 	n.gossipMu.Unlock()
 	n.send(fresh, known, n.speedsToTell(true)) // who has just started learns of the others at once
 	n.takeEmptied(senderOf(h), h.Evacuations)
+	n.takeRollouts(h)
 	n.catchUp(now, h)
 	for _, id := range h.Leaving {
 		n.sawLeaving(id, "peer")
--- a/cmd/node/node.go
+++ b/cmd/node/node.go
@@ -72,7 +72,8 @@
 
 	speeds speeds // has a lock of its own
 
-	cold *coldness // has a lock of its own, which is taken last
+	cold     *coldness // has a lock of its own, which is taken last
+	rollouts *rollouts // the same
 
 	judgeMu   sync.Mutex
 	judge     *health.Judge
@@ -110,6 +111,7 @@
 		replicas:  newReplicaSet(),
 		emptied:   evacuation.New(),
 		cold:      newColdness(s),
+		rollouts:  newRollouts(s),
 		pulse:     newPulse(),
 		spread:    float64(platform.Hash(s.Name)%1000) / 1000,
 		judge:     health.New(health.Standard()),
@@ -161,7 +163,7 @@
 	n.cancel = cancel
 	n.group, ctx = errgroup.WithContext(ctx)
 	loops := []func(context.Context){
-		n.followIntent, n.followReplicas, n.register, n.feelPulse, n.beat, n.hear, n.owner.tick, n.housekeeping,
+		n.followIntent, n.followReplicas, n.register, n.feelPulse, n.beat, n.hear, n.owner.tick, n.housekeeping, n.followRollouts,
 	}
 	for _, loop := range loops {
 		n.group.Go(func() error {
@@ -239,6 +241,7 @@
 			addresses[r.Address] = true
 		}
 		n.logDropped()
+		n.rollouts.forget()
 		n.clients.Forget(addresses)
 		n.links.Sweep(time.Now())
 		n.judgeMu.Lock()
--- a/cmd/node/owned.go
+++ b/cmd/node/owned.go
@@ -145,6 +145,7 @@
 	reply := &pb.StagesReply{Handles: ready.Handles}
 	r.request.Far = r.heardFar()
 	sick := n.pausedReplicas()
+	w := n.world.Load()
 	now := n.now()
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -152,13 +153,9 @@
 	r.request.ID = c.next
 	r.request.Near = ready.Near
 	r.request.Slack -= now - r.began
-	avoid := r.request.Avoid
-	r.request.Avoid = maps.Clone(avoid)
-	maps.Copy(r.request.Avoid, sick)
-	choice, ok := c.engines.Place(now, r.request)
-	if !ok { // rather a sick one than none
-		r.request.Avoid = avoid
-		choice, ok = c.engines.Place(now, r.request)
+	choice, ok := r.choose(now, sick, w.aside(r.request.Service, r.ask.Newer))
+	if !ok && r.ask.Newer {
+		choice, ok = r.choose(now, sick, w.aside(r.request.Service, false))
 	}
 	if !ok {
 		return reply
@@ -171,6 +168,25 @@
 	return reply
 }
 
+// choose picks an engine, none of those that a roll-out keeps the request from.
+// It needs the cell's lock.
+func (r *ownedRequest) choose(now time.Duration, sick map[string]bool, aside []string) (placement.Choice, bool) {
+	engines := r.cell.engines
+	avoid := r.request.Avoid
+	defer func() { r.request.Avoid = avoid }()
+	kept := maps.Clone(avoid)
+	for _, id := range aside {
+		kept[id] = true
+	}
+	r.request.Avoid = maps.Clone(kept)
+	maps.Copy(r.request.Avoid, sick)
+	if choice, ok := engines.Place(now, r.request); ok {
+		return choice, true
+	}
+	r.request.Avoid = kept // rather a sick one than none
+	return engines.Place(now, r.request)
+}
+
 // first notes the first event: the results are read and can go.
 func (r *ownedRequest) first() {
 	c := r.cell
--- a/cmd/node/pick.go
+++ b/cmd/node/pick.go
@@ -45,6 +45,7 @@
 		TokensOut: uint32(s.req.TokensOut),
 		SlackUs:   (s.route.Objective - time.Since(s.req.Arrived)).Microseconds(),
 		Again:     s.came() || s.redone > 0 || len(s.tried) > 0,
+		Newer:     s.mayNewer(s.node.world.Load()),
 	}
 	for _, p := range s.req.Prompt {
 		ask.Parts = append(ask.Parts, &pb.PromptPart{Id: p.ID, Tokens: uint32(p.Tokens)})
@@ -87,30 +88,41 @@
 	if len(listed) == 0 && len(world.services[s.service.Name]) > 0 {
 		return catalog.Replica{}, "", errNoRegion
 	}
-	able := s.able(now, listed)
+	newer, older := s.sides(world, listed)
+	ableNew, ableOld := s.able(now, newer), s.able(now, older)
 	n.judgeMu.Lock()
 	defer n.judgeMu.Unlock()
+	fit := s.fit(now, ableNew, len(newer))
+	if len(fit) == 0 {
+		fit = s.fit(now, ableOld, len(older))
+	}
+	if len(fit) == 0 {
+		return catalog.Replica{}, "", s.none(world, append(ableNew, ableOld...))
+	}
+	if s.service.Engine == nil {
+		return n.loads.Plain(now, n.distance, fit, newRandom()), "", nil
+	}
+	e := n.loads.Engines(now, s.req.Shared(), s.req.ID, s.nearest(fit))
+	return e.Replica, e.Fetch, nil
+}
+
+// fit returns those of the replicas that the request may go to which are well,
+// of so many that there are. It needs judgeMu.
+func (s *serving) fit(now time.Duration, able []catalog.Replica, listed int) []catalog.Replica {
 	var fit, sick []catalog.Replica
 	for _, r := range able {
 		switch {
 		case s.avoid[r.ID] || s.tried[r.ID]:
-		case n.judge.Paused(now, r.ID):
+		case s.node.judge.Paused(now, r.ID):
 			sick = append(sick, r)
 		default:
 			fit = append(fit, r)
 		}
 	}
-	if len(fit) < len(sick) && len(fit) < len(listed)/2 {
+	if len(fit) < len(sick) && len(fit) < listed/2 {
 		fit = append(fit, sick...) // when most seem sick, the cause is elsewhere
 	}
-	if len(fit) == 0 {
-		return catalog.Replica{}, "", s.none(world, able)
-	}
-	if s.service.Engine == nil {
-		return n.loads.Plain(now, n.distance, fit, newRandom()), "", nil
-	}
-	e := n.loads.Engines(now, s.req.Shared(), s.req.ID, s.nearest(fit))
-	return e.Replica, e.Fetch, nil
+	return fit
 }
 
 // none says why there is no replica for the request.
--- a/cmd/node/pull.go
+++ b/cmd/node/pull.go
@@ -102,6 +102,7 @@
 	}
 	defer n.configPull.done()
 	n.takeEmptied(addr, answer.Evacuations) // before what may be sent where is known
+	n.takeRolloutOrders(addr, answer.Rollouts)
 	if len(answer.Declaration) == 0 {
 		return
 	}
@@ -147,7 +148,7 @@
 		n.counters.toldBusy.Inc(1)
 		return &pb.Config{Busy: true}
 	}
-	return &pb.Config{Revision: config.Version, Declaration: packed, Evacuations: n.emptiedNews()}
+	return &pb.Config{Revision: config.Version, Declaration: packed, Evacuations: n.emptiedNews(), Rollouts: n.rolloutNews()}
 }
 
 func (n *Node) pullReplicas(addr string, have uint64) {
--- /dev/null
+++ b/cmd/node/rollout.go
@@ -0,0 +1,254 @@
+package node
+
+import (
+	"maps"
+	"sync"
+	"time"
+
+	"quinceroad/coordination/rollout"
+	"quinceroad/platform"
+	"quinceroad/protocol/event"
+	"quinceroad/protocol/pb"
+)
+
+// rollouts is what this instance knows of the roll-outs that are ordered, what
+// it sends in them, and what it has seen of the versions.
+type rollouts struct {
+	canary float64 // share of a version that is not trusted
+	slack  float64 // requests beside that
+
+	mu     sync.Mutex
+	view   *rollout.View
+	ledger *rollout.Ledger
+	orders map[uint64]*orderSeen // by revision
+	others map[string]bool       // services that replicas of another version than the ordered one could serve
+	moved  map[string]bool       // services whose requests all go to the new version, in the world in force
+	open   map[string]bool       // services whose new pool replicas may get a call
+	held   map[string]*held      // by replica
+}
+
+// orderSeen is what is seen of one order.
+type orderSeen struct {
+	own     rollout.Report // rows of this life
+	reports *rollout.Reports
+	judge   *rollout.Judge
+	status  rollout.Status
+	calling bool          // a call to the store is under way
+	due     time.Duration // since when the same step is due
+	wait    time.Duration // after the last failed call, doubled by each
+	pause   time.Duration // until the next call
+	step    rollout.Step
+	logged  time.Duration // the judgement, last
+	rank    int           // among those who judge
+}
+
+func newRollouts(s *platform.Settings) *rollouts {
+	return &rollouts{
+		canary: s.CanaryShare,
+		slack:  s.CanarySlack,
+		view:   rollout.NewView(),
+		ledger: rollout.NewLedger(newRandom().Float64()),
+		orders: make(map[uint64]*orderSeen),
+		others: make(map[string]bool),
+		moved:  make(map[string]bool),
+		open:   make(map[string]bool),
+		held:   make(map[string]*held),
+	}
+}
+
+// seen returns what is seen of an order. It needs mu.
+func (r *rollouts) seen(order uint64) *orderSeen {
+	o := r.orders[order]
+	if o == nil {
+		o = &orderSeen{
+			own:     rollout.Report{Rows: make(map[rollout.Row]*rollout.Tally)},
+			reports: rollout.NewReports(),
+			judge:   rollout.NewJudge(),
+			rank:    -1,
+		}
+		r.orders[order] = o
+	}
+	return o
+}
+
+// forget drops what was seen of orders that are no longer known.
+func (r *rollouts) forget() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.ledger.Forget(r.view.Knows)
+	maps.DeleteFunc(r.orders, func(order uint64, _ *orderSeen) bool { return !r.view.Knows(order) })
+}
+
+// replaceRollouts takes in the orders as they were read whole at a revision. One
+// that can't be read stands as it was known before.
+func (n *Node) replaceRollouts(items []platform.Item, at uint64) {
+	orders := make([]rollout.Order, 0, len(items))
+	for i := range items {
+		o, err := items[i].Rollout()
+		if err == nil {
+			orders = append(orders, o)
+			continue
+		}
+		service, _ := items[i].RolloutService()
+		event.RolloutBroken.Log(n.log, "service", service, "error", err)
+		n.rollouts.mu.Lock()
+		if s, ok := n.rollouts.view.Current(service); ok {
+			orders = append(orders, s.Order)
+		}
+		n.rollouts.mu.Unlock()
+	}
+	n.order(fromStore, func(now time.Duration, v *rollout.View) []rollout.Change { return v.Replace(now, orders, at) })
+}
+
+// applyRollouts takes in what a watch brought, after which all up to a revision
+// is known.
+func (n *Node) applyRollouts(items []platform.Item, at uint64) {
+	var entries []rollout.Entry
+	for i := range items {
+		service, ok := items[i].RolloutService()
+		if !ok {
+			continue
+		}
+		e := rollout.Entry{Order: rollout.Order{Service: service, Revision: items[i].Revision}, Gone: items[i].Gone}
+		if !e.Gone {
+			var err error
+			if e.Order, err = items[i].Rollout(); err != nil {
+				event.RolloutBroken.Log(n.log, "service", service, "error", err)
+				continue
+			}
+		}
+		entries = append(entries, e)
+	}
+	n.order(fromStore, func(now time.Duration, v *rollout.View) []rollout.Change { return v.Apply(now, entries, at) })
+}
+
+// order takes in news of roll-outs and puts what they change into force at once.
+func (n *Node) order(from string, take func(now time.Duration, v *rollout.View) []rollout.Change) {
+	r := n.rollouts
+	now := n.now()
+	r.mu.Lock()
+	changes := take(now, r.view)
+	r.mu.Unlock()
+	if len(changes) == 0 {
+		return
+	}
+	n.publish()
+	for _, c := range changes {
+		n.logRollout(now, from, &c)
+	}
+	n.tell()
+	n.tellHall()
+}
+
+func (n *Node) logRollout(now time.Duration, from string, c *rollout.Change) {
+	switch {
+	case c.New:
+		event.RolloutOrdered.Log(n.log, "service", c.Service, "target", c.Target, "order", c.Revision, "for", c.For, "from", from)
+	case c.Ended:
+		event.RolloutEnded.Log(n.log, "service", c.Service, "target", c.Target, "order", c.Revision, "word", c.Word, "from", from)
+	default:
+		n.rolloutCounter(c.Service, c.Target, "word_"+c.Word.String()).Inc(1)
+		event.RolloutWord.Log(n.log, "service", c.Service, "target", c.Target, "order", c.Revision, "word", c.Word, "from", from, "age", now-c.Begun)
+	}
+}
+
+// rolloutNews is what this instance tells others of the roll-outs; nil until one
+// was ordered.
+func (n *Node) rolloutNews() *pb.Rollouts {
+	r := n.rollouts
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.view.Empty() {
+		return nil
+	}
+	now := n.now()
+	news := r.view.News(now)
+	out := &pb.Rollouts{Revision: news.Revision}
+	for _, s := range news.Standing {
+		out.Orders = append(out.Orders, &pb.RolloutOrder{
+			Service: s.Service, Target: s.Target, Revision: s.Revision, ForMs: s.For.Milliseconds(), AgeMs: uint32(s.Begun.Milliseconds()),
+			Word: uint32(s.Word), WordMs: uint32(s.Since.Milliseconds()), Ended: s.Ended,
+		})
+	}
+	for _, s := range r.view.Standing() {
+		if s.Word < rollout.Bad {
+			out.Reports = append(out.Reports, reportNews(s.Revision, r.report(&s)))
+		}
+	}
+	return out
+}
+
+// takeRollouts takes in what a peer tells of the roll-outs.
+func (n *Node) takeRollouts(h *pb.Heartbeat) {
+	if h.Rollouts == nil {
+		return
+	}
+	n.takeRolloutOrders(senderOf(h), h.Rollouts)
+	if len(h.News) == 0 {
+		return
+	}
+	r := n.rollouts
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, p := range h.Rollouts.Reports {
+		r.seen(p.Order).reports.Take(h.News[0].Name, h.News[0].Incarnation, reportOf(p))
+	}
+}
+
+// takeRolloutOrders takes in which roll-outs are ordered, and what is said of them.
+func (n *Node) takeRolloutOrders(from string, p *pb.Rollouts) {
+	if p == nil {
+		return
+	}
+	news := rollout.News{Revision: p.Revision}
+	for _, o := range p.Orders {
+		news.Standing = append(news.Standing, rollout.Standing{
+			Order: rollout.Order{Service: o.Service, Target: o.Target, Revision: o.Revision, For: time.Duration(o.ForMs) * time.Millisecond},
+			Begun: time.Duration(o.AgeMs) * time.Millisecond,
+			Word:  rollout.Word(o.Word),
+			Since: time.Duration(o.WordMs) * time.Millisecond,
+			Ended: o.Ended,
+		})
+	}
+	n.order(from, func(now time.Duration, v *rollout.View) []rollout.Change { return v.Take(now, news) })
+}
+
+// mostRows of a report are told: some 40 bytes each, and a heartbeat is to stay
+// one datagram where a service has few routes.
+const mostRows = 64
+
+func reportNews(order uint64, rep rollout.Report) *pb.RolloutReport {
+	out := &pb.RolloutReport{
+		Order: order, Count: rep.Count, Moved: rep.Moved, Bound: uint32(rep.Bound), InFlight: uint32(rep.InFlight),
+		LongestMs: uint32(rep.Longest.Milliseconds()), Sent: uint32(rep.Sent),
+	}
+	for k, t := range rep.Rows {
+		if len(out.Rows) == mostRows {
+			break
+		}
+		row := &pb.RolloutRow{Route: k.Route, Replica: k.Replica, Failed: t.Failed}
+		last := 0
+		for b, c := range t.Times {
+			if c > 0 {
+				last = b + 1
+			}
+		}
+		row.Times = append(row.Times, t.Times[:last]...)
+		out.Rows = append(out.Rows, row)
+	}
+	return out
+}
+
+func reportOf(p *pb.RolloutReport) rollout.Report {
+	out := rollout.Report{
+		Count: p.Count, Moved: p.Moved, Bound: int(p.Bound), InFlight: int(p.InFlight),
+		Longest: time.Duration(p.LongestMs) * time.Millisecond, Sent: int(p.Sent),
+		Rows: make(map[rollout.Row]*rollout.Tally, len(p.Rows)),
+	}
+	for _, row := range p.Rows {
+		t := &rollout.Tally{Failed: row.Failed}
+		copy(t.Times[:], row.Times)
+		out.Rows[rollout.Row{Route: row.Route, Replica: row.Replica}] = t
+	}
+	return out
+}
--- /dev/null
+++ b/cmd/node/rollout_gate.go
@@ -0,0 +1,297 @@
+package node
+
+import (
+	"context"
+	"errors"
+	"maps"
+	"net/http"
+	"slices"
+	"time"
+
+	"quinceroad/coordination/pipeline"
+	"quinceroad/coordination/rollout"
+	"quinceroad/state/catalog"
+)
+
+// move is a roll-out as requests are parted by it. It is never changed once made.
+type move struct {
+	order  uint64
+	target string
+	share  float64         // of this instance's requests, that the version gets
+	newer  map[string]bool // replicas of the version
+	chosen map[string]bool // those of them that get requests
+	older  int             // replicas of other versions that are listed
+}
+
+// held is what this instance has under way at a replica.
+type held struct {
+	service string
+	version string
+	all     int
+	bound   int // that can't go on elsewhere
+}
+
+// part puts the roll-outs into a world that is being made: what each service's
+// version gets, and which replicas get nothing.
+func (r *rollouts) part(now time.Duration, w *world) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.view.Empty() {
+		return
+	}
+	w.moves = make(map[string]*move)
+	clear(r.others)
+	clear(r.moved)
+	for _, s := range r.view.Standing() {
+		if s.Over(now) {
+			continue
+		}
+		m := &move{order: s.Revision, target: s.Target, share: s.Share(now, r.canary), newer: make(map[string]bool)}
+		var ready []string
+		for _, x := range w.all {
+			switch {
+			case x.Service != s.Service:
+			case x.Version != s.Target:
+				m.older++
+				r.others[s.Service] = r.others[s.Service] || x.Takes() && !r.view.Withheld(x.Service, x.Version, false, false)
+			default:
+				m.newer[x.ID] = true
+				if x.Takes() {
+					ready = append(ready, x.ID)
+				}
+			}
+		}
+		m.chosen = s.Chosen(now, r.canary, ready)
+		w.moves[s.Service] = m
+		r.moved[s.Service] = m.share >= 1
+	}
+	for i := range w.all {
+		x := &w.all[i]
+		x.Withheld = r.view.Withheld(x.Service, x.Version, r.others[x.Service], r.moved[x.Service]) || r.poolHeld(w, x)
+	}
+}
+
+// poolHeld reports whether a pool's scheduler is to pass over a new replica for now.
+func (r *rollouts) poolHeld(w *world, x *catalog.Replica) bool {
+	m := w.moves[x.Service]
+	if m == nil || m.older == 0 || m.share >= 1 || !m.newer[x.ID] || w.config == nil {
+		return false
+	}
+	s := w.config.Services[x.Service]
+	return s != nil && s.Pool != nil && (!m.chosen[x.ID] || !r.open[x.Service])
+}
+
+// withholds reports whether a replica gets nothing by a roll-out.
+func (r *rollouts) withholds(x *catalog.Replica) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return !r.view.Empty() && r.view.Withheld(x.Service, x.Version, r.others[x.Service], r.moved[x.Service])
+}
+
+// mayNewer reports whether so many requests on a route may go to a service's new
+// version now.
+func (r *rollouts) mayNewer(m *move, route string, n int) bool {
+	if m == nil || len(m.chosen) == 0 {
+		return false
+	}
+	if m.older == 0 {
+		return true // there is nothing else
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.ledger.May(m.order, route, m.share, n)
+}
+
+// maySend reports, right before the send, whether requests on a route may go to
+// a replica, and counts them.
+func (r *rollouts) maySend(m *move, route, replica string, n int) bool {
+	if m == nil {
+		return true
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	newer := m.newer[replica]
+	if newer && m.older > 0 && !r.ledger.May(m.order, route, m.share, n) {
+		return false
+	}
+	r.ledger.Sent(m.order, route, m.share, n, newer)
+	r.seen(m.order).own.Sent += n
+	return true
+}
+
+// enter counts a request that is about to be sent to a replica; the function
+// that it returns must be called when it has ended.
+func (r *rollouts) enter(x *catalog.Replica, bound bool) (leave func()) {
+	id, service, version := x.ID, x.Service, x.Version
+	add := func(x int) {
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		h := r.held[id]
+		if h == nil {
+			h = &held{service: service, version: version}
+			r.held[id] = h
+		}
+		h.all += x
+		if bound {
+			h.bound += x
+		}
+		if h.all == 0 {
+			delete(r.held, id)
+		}
+	}
+	add(1)
+	return func() { add(-1) }
+}
+
+// rolloutAnswer is what became of a request in a roll-out.
+type rolloutAnswer struct {
+	route   string
+	replica *catalog.Replica
+	took    time.Duration // until the answer began
+	lasted  time.Duration // of one that can't go on elsewhere; 0: it can
+	failed  bool
+}
+
+// answered counts an answer in its service's roll-out, if there is one. A cold
+// replica is slow whatever its version.
+func (r *rollouts) answered(now time.Duration, a *rolloutAnswer) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	s, ok := r.view.Current(a.replica.Service)
+	if !ok || s.Word >= rollout.Bad || !a.failed && a.replica.ColdUntil > now {
+		return
+	}
+	own := &r.seen(s.Revision).own
+	k := rollout.Row{Route: a.route}
+	if a.replica.Version == s.Target {
+		k.Replica = a.replica.ID
+	} else {
+		own.Longest = max(own.Longest, a.lasted)
+	}
+	t := own.Rows[k]
+	if t == nil {
+		t = &rollout.Tally{}
+		own.Rows[k] = t
+	}
+	t.Add(a.took, a.failed)
+}
+
+// report returns what this life has to tell of an order. It needs mu.
+func (r *rollouts) report(s *rollout.Standing) rollout.Report {
+	o := r.seen(s.Revision)
+	o.own.Count++
+	rep := o.own
+	rep.Moved = r.moved[s.Service]
+	for _, h := range r.held {
+		if h.service == s.Service && h.version != s.Target {
+			rep.InFlight += h.all
+			rep.Bound += h.bound
+		}
+	}
+	rep.Rows = maps.Clone(o.own.Rows)
+	for k, t := range rep.Rows {
+		c := *t
+		rep.Rows[k] = &c
+	}
+	return rep
+}
+
+// sides parts replicas of the request's service in a roll-out: the new ones that
+// it may go to, and the old ones.
+func (s *serving) sides(w *world, all []catalog.Replica) (newer, older []catalog.Replica) {
+	m := w.moves[s.service.Name]
+	if m == nil {
+		return nil, all
+	}
+	may := s.mayNewer(w)
+	for _, r := range all {
+		switch {
+		case !m.newer[r.ID]:
+			older = append(older, r)
+		case may && m.chosen[r.ID]:
+			newer = append(newer, r)
+		}
+	}
+	return newer, older
+}
+
+// mayNewer reports whether the request may go to its service's new version. One
+// that comes again goes to an old replica, where there is one.
+func (s *serving) mayNewer(w *world) bool {
+	m := w.moves[s.service.Name]
+	if m == nil {
+		return false
+	}
+	if m.share < 1 && m.older > 0 && len(s.tried)+len(s.avoid) > 0 {
+		return false
+	}
+	return s.node.rollouts.mayNewer(m, s.route.Name, 1)
+}
+
+// movable reports whether the request, broken off at its replica, goes on at
+// another one.
+func (s *serving) movable() bool {
+	return s.route.Kind == catalog.Repeatable || s.route.Kind == catalog.Stream && s.route.Resumable
+}
+
+// tellRollout counts how the attempt went in its service's roll-out. A client
+// that left, a replica that turned the request away and one that was not
+// reached say nothing of a version.
+func (a *attempt) tellRollout(ctx context.Context, err error, took time.Duration) {
+	out := &rolloutAnswer{route: a.route.Name, replica: &a.replica, took: took}
+	if !a.movable() {
+		out.lasted = took
+	}
+	if !a.began.IsZero() {
+		out.took = a.began.Sub(a.sent)
+	}
+	switch {
+	case err == nil:
+		out.failed = a.x.Header.StatusCode() >= http.StatusInternalServerError
+	case errors.Is(err, errNotRun), errors.Is(err, errInputs), errors.Is(err, errLeft):
+		return
+	case done(ctx) && !errors.Is(err, errOwnFault): // its time ran out: it counts as slow as it was
+	default:
+		out.failed = true
+	}
+	a.node.rollouts.answered(a.node.now(), out)
+}
+
+// versionOf returns the version of a replica's software, "" when it is not known.
+func (n *Node) versionOf(id string) string {
+	n.followMu.Lock()
+	defer n.followMu.Unlock()
+	return n.replicas.rows[id].replica.Version
+}
+
+// tellRolloutCall counts how a call of pieces went in its pool's roll-out.
+func (n *Node) tellRolloutCall(r *catalog.Replica, fate pipeline.Fate, results []pipeline.Result, took time.Duration) {
+	out := &rolloutAnswer{replica: r, took: took}
+	switch fate {
+	case pipeline.Answered:
+		out.failed = slices.ContainsFunc(results, func(x pipeline.Result) bool { return x.Reason == pipeline.PieceError })
+	case pipeline.Broken, pipeline.Overdue:
+		out.failed = true
+	default:
+		return
+	}
+	n.rollouts.answered(n.now(), out)
+}
+
+// aside returns the engines of a service that a request is kept from by a roll-out.
+func (w *world) aside(service string, newer bool) []string {
+	m := w.moves[service]
+	if m == nil || m.older == 0 {
+		return nil
+	}
+	if !newer {
+		return slices.Collect(maps.Keys(m.newer))
+	}
+	var out []string
+	for _, r := range w.services[service] {
+		if !m.chosen[r.ID] {
+			out = append(out, r.ID)
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/cmd/node/rollout_lead.go
@@ -0,0 +1,274 @@
+package node
+
+import (
+	"cmp"
+	"context"
+	"errors"
+	"slices"
+	"time"
+
+	"quinceroad/cmd/process"
+	"quinceroad/coordination/gossip"
+	"quinceroad/coordination/rendezvous"
+	"quinceroad/coordination/rollout"
+	"quinceroad/platform"
+	"quinceroad/protocol/event"
+)
+
+const (
+	lookEach     = 100 * time.Millisecond // between looks at the roll-outs: a quarter of a step of their shares
+	judges       = 3                      // instances that judge an order; two may be lost at once and it goes on at the next heartbeat
+	leadPatience = 700 * time.Millisecond // that the next in line waits for the one before it: three heartbeats
+	logJudged    = time.Second            // between log lines of a judgement
+)
+
+// followRollouts keeps the roll-outs going while any is ordered: shares that
+// change with time, reports to those who judge, judgement, and the next step.
+func (n *Node) followRollouts(ctx context.Context) {
+	look := 0
+	shares := make(map[string]rolloutShare)
+	process.Every(ctx, lookEach, func() {
+		n.rollouts.mu.Lock()
+		standing := n.rollouts.view.Standing()
+		led := n.rollouts.view.Led(n.now())
+		n.rollouts.mu.Unlock()
+		if len(standing)+len(led) == 0 {
+			return
+		}
+		if n.openPools(standing) || n.sharesChange(standing, shares) {
+			n.publish()
+			n.logShares(standing, shares)
+		}
+		look++
+		alive := n.alive()
+		for i := range led {
+			s := &led[i]
+			ranked := rankJudges(s.Service, alive)
+			if look%int(beatEach/lookEach) == 0 && s.Word < rollout.Bad {
+				n.reportTo(ranked)
+			}
+			n.lead(s, ranked)
+		}
+	})
+}
+
+// rolloutShare is how a service's requests are parted.
+type rolloutShare struct {
+	order  uint64
+	share  float64
+	chosen int
+}
+
+// sharesChange reports whether the world in force parts requests by older shares.
+func (n *Node) sharesChange(standing []rollout.Standing, shares map[string]rolloutShare) bool {
+	now, w := n.now(), n.world.Load()
+	for i := range standing {
+		m := w.moves[standing[i].Service]
+		if standing[i].Over(now) {
+			if m != nil {
+				return true
+			}
+			continue
+		}
+		if m == nil || m.order != standing[i].Revision || m.share != standing[i].Share(now, n.rollouts.canary) {
+			return true
+		}
+		if old := shares[standing[i].Service]; old.order != m.order || old.share != m.share || old.chosen != len(m.chosen) {
+			return true
+		}
+	}
+	return false
+}
+
+func (n *Node) logShares(standing []rollout.Standing, shares map[string]rolloutShare) {
+	w := n.world.Load()
+	for i := range standing {
+		m := w.moves[standing[i].Service]
+		if m == nil {
+			continue
+		}
+		now := rolloutShare{order: m.order, share: m.share, chosen: len(m.chosen)}
+		if shares[standing[i].Service] != now {
+			shares[standing[i].Service] = now
+			event.RolloutShare.Log(n.log, "service", standing[i].Service, "target", m.target, "order", m.order, "share", m.share, "replicas", len(m.chosen))
+		}
+	}
+}
+
+// openPools finds out for which pools their new version may get a whole call,
+// and reports whether that has changed.
+func (n *Node) openPools(standing []rollout.Standing) bool {
+	w := n.world.Load()
+	if w.config == nil {
+		return false
+	}
+	r := n.rollouts
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	changed := false
+	for _, s := range standing {
+		service, m := w.config.Services[s.Service], w.moves[s.Service]
+		if service == nil || service.Pool == nil || m == nil {
+			continue
+		}
+		open := r.ledger.May(m.order, "", m.share, service.Pool.Batch)
+		changed = changed || open != r.open[s.Service]
+		r.open[s.Service] = open
+	}
+	return changed
+}
+
+// rankJudges returns the instances that judge a service's roll-outs, the one that leads first.
+func rankJudges(service string, alive []gossip.Instance) []gossip.Instance {
+	out := slices.DeleteFunc(slices.Clone(alive), func(i gossip.Instance) bool { return i.Leaving })
+	slices.SortFunc(out, func(a, b gossip.Instance) int {
+		return cmp.Compare(rendezvous.Weight(service, b.Name), rendezvous.Weight(service, a.Name))
+	})
+	return out[:min(len(out), judges)]
+}
+
+// reportTo tells those who judge what this instance has seen.
+func (n *Node) reportTo(ranked []gossip.Instance) {
+	n.gossipMu.Lock()
+	self := n.members.Self()
+	n.gossipMu.Unlock()
+	var to []string
+	for _, i := range ranked {
+		if i.Name != n.settings.Name {
+			to = append(to, i.Datagram)
+		}
+	}
+	n.send(to, gossip.Message{News: []gossip.Instance{self}}, nil)
+}
+
+// lead judges an order and takes its next step, if this instance is one of those
+// who do. Two that believe to lead do no harm: words only rise, and a status is
+// written under a condition.
+func (n *Node) lead(s *rollout.Standing, ranked []gossip.Instance) {
+	r := n.rollouts
+	now := n.now()
+	rank := slices.IndexFunc(ranked, func(i gossip.Instance) bool { return i.Name == n.settings.Name })
+	r.mu.Lock()
+	o := r.seen(s.Revision)
+	isNew := rank != o.rank
+	o.rank = rank
+	r.mu.Unlock()
+	if isNew {
+		event.RolloutLeads.Log(n.log, "service", s.Service, "order", s.Revision, "rank", rank)
+	}
+	if rank < 0 {
+		return
+	}
+	facts := n.rolloutFacts(now, s)
+	step := rollout.Decide(now, facts)
+	if step.Say == rollout.Bad { // whoever sees it says so
+		n.say(s, rollout.Bad)
+	}
+	r.mu.Lock()
+	if step.Read != o.step.Read || step.Say != o.step.Say || step.Write != o.step.Write {
+		o.due = now
+	}
+	waits := step.Why != o.step.Why && step.Why != ""
+	o.step = step
+	acts := now-o.due >= max(time.Duration(rank)*leadPatience, o.pause) && !o.calling
+	calls := acts && (step.Read || step.Write != rollout.None)
+	o.calling = o.calling || calls
+	r.mu.Unlock()
+	if waits && rank == 0 {
+		event.RolloutWaits.Log(n.log, "service", s.Service, "target", s.Target, "order", s.Revision, "why", step.Why, "age", now-s.Begun)
+	}
+	if acts && step.Say > s.Word {
+		n.say(s, step.Say)
+	}
+	if calls {
+		go n.callRollout(*s, facts.Status, step)
+	}
+}
+
+func (n *Node) say(s *rollout.Standing, w rollout.Word) {
+	n.order(n.settings.Name, func(now time.Duration, v *rollout.View) []rollout.Change { return v.Say(now, s.Revision, w) })
+}
+
+// rolloutFacts gathers what is known of an order, and judges it.
+func (n *Node) rolloutFacts(now time.Duration, s *rollout.Standing) *rollout.Facts {
+	w := n.world.Load()
+	r := n.rollouts
+	alive := n.alive()
+	f := &rollout.Facts{Standing: *s, Slack: r.slack}
+	f.Configured = w.config != nil && w.config.Services[s.Service] != nil
+	for _, x := range w.all {
+		switch {
+		case x.Service != s.Service || x.Leaving || x.Emptied:
+		case x.Version != s.Target:
+			f.OldReady++
+		case x.ColdUntil <= now:
+			f.NewReady++
+		}
+	}
+	n.gossipMu.Lock()
+	self := n.members.Self()
+	n.gossipMu.Unlock()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	o := r.seen(s.Revision)
+	o.reports.Take(self.Name, self.Incarnation, r.report(s))
+	rows, sent, longest := o.reports.Sums()
+	f.Status, f.Sent, f.Longest = o.status, sent, longest
+	for _, i := range alive {
+		rep, ok := o.reports.Of(i.Name, i.Incarnation)
+		if !ok || !rep.Moved {
+			f.Behind++
+		}
+		f.Bound += rep.Bound
+		f.InFlight += rep.InFlight
+	}
+	before := o.judge.Latest()
+	f.Judgement = o.judge.Look(now, rows)
+	if f.Judgement.Verdict != before.Verdict || now-o.logged >= logJudged && s.Word < rollout.Bad {
+		o.logged = now
+		n.logJudgement(now, s, &f.Judgement)
+	}
+	return f
+}
+
+func (n *Node) logJudgement(now time.Duration, s *rollout.Standing, j *rollout.Judgement) {
+	x := j.Worst()
+	event.RolloutJudged.Log(n.log, "service", s.Service, "target", s.Target, "order", s.Revision, "verdict", j.Verdict, "why", j.Why,
+		"route", x.Route, "new", x.New, "new_bad", x.NewBad, "old", x.Old, "old_bad", x.OldBad, "granted", x.GrantedRate,
+		"against", x.Against, "accepted", x.Accepted, "age", now-s.Begun)
+}
+
+// callRollout reads or writes an order's status. After a write it is read
+// again, whatever became of it, before anything else is decided.
+func (n *Node) callRollout(s rollout.Standing, status rollout.Status, step rollout.Step) {
+	did := "read"
+	var err error
+	if step.Read {
+		status, err = n.store.RolloutStatus(s.Order)
+	} else {
+		did = "write " + step.Write.String()
+		err = n.store.WriteRollout(s, status, step.Write)
+		if err != nil && !errors.Is(err, platform.ErrConflict) {
+			n.logRolloutCall(&s, did, status, err)
+		}
+		status, err = n.store.RolloutStatus(s.Order)
+	}
+	n.logRolloutCall(&s, did, status, err)
+	r := n.rollouts
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	o := r.seen(s.Revision)
+	o.status, o.calling = status, false
+	o.due, o.pause = n.now(), 0
+	if err != nil {
+		o.wait = min(max(2*o.wait, retryFirst), retryMost)
+		o.pause = o.wait
+		return
+	}
+	o.wait = 0
+}
+
+func (n *Node) logRolloutCall(s *rollout.Standing, did string, status rollout.Status, err error) {
+	event.RolloutStatus.Log(n.log, "service", s.Service, "target", s.Target, "order", s.Revision, "did", did,
+		"state", status.State, "revision", status.Revision, "error", err)
+}
--- a/cmd/node/silence_test.go
+++ b/cmd/node/silence_test.go
@@ -12,6 +12,7 @@
 	hclog "github.com/hashicorp/go-hclog"
 	"github.com/matryer/is"
 
+	"quinceroad/coordination/rollout"
 	"quinceroad/platform"
 )
 
@@ -114,6 +115,12 @@
 }
 func (s *fakeStore) Lease(time.Duration) (uint64, error) { return 1, s.Answers(platform.CallTimeout) }
 func (s *fakeStore) Keep(uint64) error                   { return s.Answers(platform.CallTimeout) }
+func (s *fakeStore) RolloutStatus(rollout.Order) (rollout.Status, error) {
+	return rollout.Status{Known: true}, s.Answers(platform.CallTimeout)
+}
+func (s *fakeStore) WriteRollout(rollout.Standing, rollout.Status, rollout.State) error {
+	return s.Answers(platform.CallTimeout)
+}
 func (s *fakeStore) Register(string, []byte, uint64) error {
 	return s.Answers(platform.CallTimeout)
 }
--- a/cmd/node/state.go
+++ b/cmd/node/state.go
@@ -29,6 +29,7 @@
 	Emptied   []string       // halls whose replicas get nothing new
 	Cold      []string       // replicas that get little
 	LeftAlone []string       // replicas taken for sick
+	Rollouts  []RolloutState // that stand
 	Instances []gossip.Instance
 	Cells     []CellState
 	Region    string                 // this node's; "" where nobody can place its hall
@@ -107,6 +108,7 @@
 	n.followMu.Lock()
 	s.Emptied = n.emptied.Halls()
 	n.followMu.Unlock()
+	s.Rollouts = n.rolloutStates()
 	for _, r := range w.all {
 		if r.ColdUntil > n.now() {
 			s.Cold = append(s.Cold, r.ID)
--- a/cmd/node/store.go
+++ b/cmd/node/store.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"quinceroad/coordination/rollout"
 	"quinceroad/platform"
 )
 
@@ -17,4 +18,6 @@
 	Lease(life time.Duration) (lease uint64, err error)
 	Keep(lease uint64) error
 	Register(name string, entry []byte, lease uint64) error
+	RolloutStatus(o rollout.Order) (rollout.Status, error)
+	WriteRollout(o rollout.Standing, read rollout.Status, state rollout.State) error
 }
--- a/cmd/node/stream.go
+++ b/cmd/node/stream.go
@@ -37,6 +37,9 @@
 			a.gap = max(a.gap, time.Since(last))
 		}
 		last = time.Now()
+		if first {
+			a.began = last
+		}
 		if !a.stream.headSent {
 			a.stream.headSent = true
 			a.first = time.Since(a.req.Arrived)
--- a/cmd/node/topics.go
+++ b/cmd/node/topics.go
@@ -12,8 +12,8 @@
 	"quinceroad/protocol/event"
 )
 
-// followIntent follows what operators write: the configuration, and which halls
-// are being emptied.
+// followIntent follows what operators write: the configuration, which halls are
+// being emptied, and which roll-outs are ordered.
 func (n *Node) followIntent(ctx context.Context) {
 	var at atomic.Uint64
 	f := follow{node: n, back: n.pulse.back, name: "intent", known: func() bool { return n.version() > 0 }}
@@ -34,12 +34,13 @@
 	f.run(ctx)
 }
 
-// takeIntent takes in what operators want as it was read whole. The halls come
-// first: nothing is sent before a configuration is in force.
+// takeIntent takes in what operators want as it was read whole. The halls and
+// the roll-outs come first: nothing is sent before a configuration is in force.
 func (n *Node) takeIntent(i platform.Intent) {
 	n.empty(fromStore, func(now time.Duration, v *evacuation.View) []evacuation.Change {
 		return v.Replace(now, i.Emptied, i.At)
 	})
+	n.replaceRollouts(i.Rollouts, i.At)
 	n.offer(i.Configuration, fromStore)
 }
 
@@ -55,6 +56,7 @@
 	n.empty(fromStore, func(now time.Duration, v *evacuation.View) []evacuation.Change {
 		return v.Apply(now, entries, at)
 	})
+	n.applyRollouts(items, at)
 	for i := range items {
 		if items[i].IsConfiguration() && !items[i].Gone {
 			n.offer(items[i].Value, fromStore)
--- a/cmd/node/world.go
+++ b/cmd/node/world.go
@@ -19,6 +19,7 @@
 	services map[string][]catalog.Replica // those that may get work
 	sizes    map[string]int               // of the services, those included whose hall is being emptied
 	all      []catalog.Replica            // the leaving ones included
+	moves    map[string]*move             // by service: roll-outs
 	parting  sync.Once
 	parts    parts // of pools and engines; made when they are asked for
 	places   *regions.Map
@@ -103,8 +104,8 @@
 	n.owner.refresh()
 }
 
-// makeWorld returns what is known of the configuration, the replicas and the
-// halls. It needs followMu.
+// makeWorld returns what is known of the configuration, the replicas, the halls
+// and the roll-outs. It needs followMu.
 func (n *Node) makeWorld() *world {
 	w := &world{
 		config: n.config, listed: n.replicas.log.Known(), places: n.places, services: make(map[string][]catalog.Replica), sizes: make(map[string]int),
@@ -121,6 +122,9 @@
 		if !r.Leaving {
 			w.sizes[r.Service]++
 		}
+	}
+	n.rollouts.part(n.now(), w)
+	for _, r := range w.all {
 		if r.Takes() {
 			w.services[r.Service] = append(w.services[r.Service], r)
 		}
--- a/coordination/pipeline/pool.go
+++ b/coordination/pipeline/pool.go
@@ -82,7 +82,7 @@
 }
 
 // takes reports whether a replica may get new work at all.
-func (r *replica) takes() bool { return !r.leaving && !r.gone && !r.Emptied }
+func (r *replica) takes() bool { return !r.leaving && !r.gone && !r.Emptied && !r.Withheld }
 
 func (r *replica) usable(now time.Duration) bool {
 	return r.call == nil && r.takes() && now >= r.pausedTo
--- /dev/null
+++ b/coordination/rollout/orders.go
@@ -0,0 +1,245 @@
+// Package rollout decides how the traffic of a service moves to replicas of a
+// new software version, and whether it does.
+//
+// An operator orders it for a time. Until the version is trusted, each instance
+// sends a small part of its own requests there and tells what became of them;
+// a few of the instances judge the sums. Its parts: the orders and what is said
+// of each (this file), shares (share.go), what was seen (counts.go), the
+// judgement (judge.go) and what whoever leads does next (plan.go). All are
+// pure: news and time in, decisions out. None is safe for concurrent use.
+package rollout
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+)
+
+// Order is an operator's wish to move a service to a version.
+type Order struct {
+	Service  string
+	Target   string // the version
+	Revision uint64 // of the store, at which it was written; names the order
+	For      time.Duration
+}
+
+// Word is what is said of an order by those who judge it. It only rises.
+type Word uint8
+
+// The words.
+const (
+	Waits   Word = iota // the order's status is not known: the version gets nothing yet
+	Open                // the version gets a small part of the requests
+	Trusted             // all requests move there, in steps
+	Bad                 // the version gets nothing any more, or the order was taken back
+	Done                // the store says that it is completed: the old replicas stop
+)
+
+// String returns the word's name for logs.
+func (w Word) String() string {
+	return [...]string{"waits", "open", "trusted", "bad", "done"}[min(w, Done)]
+}
+
+// Entry is an order as a watch brings it, or its end.
+type Entry struct {
+	Order
+	Gone bool
+}
+
+// Standing is an order and what is known of it.
+type Standing struct {
+	Order
+	Begun time.Duration // by the own clock, when it was first heard of
+	Word  Word
+	Since time.Duration // that the word is known
+	Ended bool          // it was taken back, or another came for its service
+}
+
+// News is a view as instances tell it each other.
+type News struct {
+	Revision uint64     // of the store, at which the orders were true; 0: nothing is known
+	Standing []Standing // Begun and Since hold ages instead of times
+}
+
+// Change is a new order, a new word, or an order's end.
+type Change struct {
+	Standing
+	New bool
+}
+
+// View is what an instance knows of the orders.
+type View struct {
+	revision uint64
+	current  map[string]*Standing // by service
+	all      map[uint64]*Standing // by revision, those that have ended included
+}
+
+// NewView returns a view that knows nothing.
+func NewView() *View {
+	return &View{current: make(map[string]*Standing), all: make(map[uint64]*Standing)}
+}
+
+// Revision is that of the store at which the orders were true.
+func (v *View) Revision() uint64 { return v.revision }
+
+// Empty reports whether no order was ever heard of.
+func (v *View) Empty() bool { return len(v.all) == 0 }
+
+// Current returns the order that stands for a service.
+func (v *View) Current(service string) (Standing, bool) {
+	s := v.current[service]
+	if s == nil {
+		return Standing{}, false
+	}
+	return *s, true
+}
+
+// Standing returns all orders that stand, by service.
+func (v *View) Standing() []Standing {
+	var out []Standing
+	for _, service := range slices.Sorted(maps.Keys(v.current)) {
+		out = append(out, *v.current[service])
+	}
+	return out
+}
+
+// Led returns the orders that somebody has to lead: those that stand and are not
+// over, and those that were taken back, by service.
+func (v *View) Led(now time.Duration) []Standing {
+	var out []Standing
+	for _, revision := range slices.Sorted(maps.Keys(v.all)) {
+		s := v.all[revision]
+		current := v.current[s.Service]
+		if current == s && !s.Over(now) || current == nil && s.Word != Done {
+			out = append(out, *s)
+		}
+	}
+	return out
+}
+
+// Knows reports whether an order is known, or was.
+func (v *View) Knows(revision uint64) bool { return v.all[revision] != nil }
+
+// Replace takes in the orders as they were read whole at a revision.
+func (v *View) Replace(now time.Duration, orders []Order, revision uint64) []Change {
+	if revision <= v.revision {
+		return nil
+	}
+	next := make(map[string]Order, len(orders))
+	for _, o := range orders {
+		next[o.Service] = o
+	}
+	return v.become(now, next, revision)
+}
+
+// Apply takes in what a watch brought, in its order, after which all up to a
+// revision is known.
+func (v *View) Apply(now time.Duration, entries []Entry, at uint64) []Change {
+	next := make(map[string]Order, len(v.current))
+	for service, s := range v.current {
+		next[service] = s.Order
+	}
+	for _, e := range entries {
+		switch {
+		case e.Revision <= v.revision:
+		case e.Gone:
+			delete(next, e.Service)
+		default:
+			next[e.Service] = e.Order
+		}
+	}
+	return v.become(now, next, max(at, v.revision))
+}
+
+// Take takes in what another instance tells: the newest set of orders, and the
+// highest word on each.
+func (v *View) Take(now time.Duration, n News) []Change {
+	var orders []Order
+	for _, s := range n.Standing {
+		if !s.Ended {
+			orders = append(orders, s.Order)
+		}
+	}
+	changes := v.Replace(now, orders, n.Revision)
+	for _, s := range n.Standing {
+		changes = append(changes, v.hear(now, s)...)
+	}
+	return changes
+}
+
+// hear takes in what is said of one order; ages are in the place of times.
+func (v *View) hear(now time.Duration, s Standing) []Change {
+	known := v.all[s.Revision]
+	if known == nil {
+		if !s.Ended {
+			return nil // of a set of orders that is older than the own one
+		}
+		known = &Standing{Order: s.Order, Begun: now - s.Begun, Ended: true}
+		v.all[s.Revision] = known
+	}
+	known.Begun = min(known.Begun, now-s.Begun)
+	return v.say(now-s.Since, s.Revision, s.Word)
+}
+
+// Say takes in a word on an order; a lower one than is known changes nothing.
+func (v *View) Say(now time.Duration, revision uint64, w Word) []Change {
+	return v.say(now, revision, w)
+}
+
+func (v *View) say(since time.Duration, revision uint64, w Word) []Change {
+	s := v.all[revision]
+	if s == nil || w <= s.Word {
+		return nil
+	}
+	s.Word, s.Since = w, since
+	return []Change{{Standing: *s}}
+}
+
+func (v *View) become(now time.Duration, next map[string]Order, revision uint64) []Change {
+	var out []Change
+	for service, s := range v.current {
+		if next[service].Revision == s.Revision {
+			continue
+		}
+		s.Ended = true
+		delete(v.current, service)
+		if s.Word < Bad {
+			s.Word, s.Since = Bad, now
+		}
+		out = append(out, Change{Standing: *s})
+	}
+	for service, o := range next {
+		if v.current[service] != nil {
+			continue
+		}
+		s := &Standing{Order: o, Begun: now, Since: now}
+		v.current[service], v.all[o.Revision] = s, s
+		out = append(out, Change{Standing: *s, New: true})
+	}
+	v.revision = revision
+	slices.SortFunc(out, func(a, b Change) int { return cmp.Compare(a.Revision, b.Revision) })
+	return out
+}
+
+// mostEnded orders that have ended are kept and told, the newest; a heartbeat
+// has to stay one datagram.
+const mostEnded = 8
+
+// News returns the view for others.
+func (v *View) News(now time.Duration) News {
+	n := News{Revision: v.revision}
+	ended := 0
+	for _, revision := range slices.Backward(slices.Sorted(maps.Keys(v.all))) {
+		s := *v.all[revision]
+		if s.Ended {
+			if ended++; ended > mostEnded {
+				delete(v.all, revision)
+				continue
+			}
+		}
+		s.Begun, s.Since = now-s.Begun, now-s.Since
+		n.Standing = append(n.Standing, s)
+	}
+	return n
+}
--- /dev/null
+++ b/coordination/rollout/plan.go
@@ -0,0 +1,147 @@
+package rollout
+
+import (
+	"fmt"
+	"time"
+)
+
+// State is what an order's status says.
+type State int
+
+// The states.
+const (
+	None State = iota // nothing of this order
+	Running
+	Completed
+	RolledBack
+)
+
+// String returns the state's name for logs.
+func (s State) String() string {
+	return [...]string{"none", "running", "completed", "rolled back"}[s]
+}
+
+// Status is an order's status in the store.
+type Status struct {
+	Known    bool   // it was read
+	Revision uint64 // of the status, whichever order it is of; 0: there is none
+	State    State  // of this order
+}
+
+// Ended reports whether nothing may be written any more.
+func (s Status) Ended() bool { return s.State >= Completed }
+
+// Facts are what whoever leads an order knows of it.
+type Facts struct {
+	Standing   Standing
+	Status     Status
+	Judgement  Judgement
+	Configured bool // the service is in the configuration
+	NewReady   int  // replicas of the version that may get work and are not cold
+	OldReady   int  // replicas of other versions that may get work
+	Sent       int  // requests to the service since the order
+	Longest    time.Duration
+	Behind     int     // instances that still send to old replicas
+	Bound      int     // requests at old replicas that can't go on elsewhere
+	InFlight   int     // requests at old replicas
+	Slack      float64 // requests that a version may get beside its share
+}
+
+// Step is what is to be done now; Why says why nothing more is.
+type Step struct {
+	Read  bool
+	Say   Word
+	Write State
+	Why   string
+}
+
+// The plan, reckoned back from the end of the order's time. Until a version is
+// trusted its share binds, and what turns bad after it is trusted gets more. So
+// it is trusted as late as what follows allows.
+const (
+	watchedPart = 0.6                    // of the order's time, that a version is watched at least
+	toldFor     = 1 * time.Second        // for the word to all and their reports back: five heartbeats
+	writtenFor  = 500 * time.Millisecond // for the last word at the store
+	drainTimes  = 1.2                    // of the longest old request seen
+	leastDrain  = 300 * time.Millisecond // where none was seen
+	lastCall    = 2 * writtenFor         // before the end: what can go on elsewhere is then not waited for
+	slackPart   = 0.5                    // of the slack, that a version may get without a verdict
+	rampFor     = 2 * rampStep           // until all requests go there
+	lookBack    = 100 * time.Millisecond // a step more than the look that finds it
+)
+
+// Decide returns what whoever leads an order does next.
+func Decide(now time.Duration, f *Facts) Step {
+	s := &f.Standing
+	age := now - s.Begun
+	switch {
+	case !f.Status.Known:
+		return Step{Read: true, Why: "its status is not read yet"}
+	case s.Word == Done:
+		return Step{}
+	case f.Status.State == Completed:
+		return Step{Say: Done}
+	case f.Status.State == RolledBack:
+		return Step{Say: Bad}
+	case s.Ended:
+		return Step{Write: RolledBack, Why: "it was taken back"}
+	case s.For <= 0:
+		return Step{Say: Bad, Write: RolledBack, Why: "its time is nothing"}
+	case s.Word == Bad, f.Judgement.Verdict == Harmful:
+		return Step{Say: Bad, Write: RolledBack, Why: f.Judgement.Why}
+	case f.Status.State == None:
+		return Step{Write: Running, Why: "its status is not written yet"}
+	case !f.Configured && age >= s.For:
+		return Step{Say: Bad, Write: RolledBack, Why: "the service is not configured"}
+	case f.NewReady == 0 && s.Word <= Open && age >= s.For:
+		return Step{Say: Bad, Write: RolledBack, Why: "no replica of the version came"}
+	case s.Word < Open:
+		return Step{Say: Open}
+	case s.Word == Open:
+		return f.trust(age)
+	}
+	return f.complete(now, age)
+}
+
+// trust decides whether the version gets everything from now on.
+func (f *Facts) trust(age time.Duration) Step {
+	s := &f.Standing
+	left := s.For - age
+	need := rampFor + toldFor + writtenFor + max(time.Duration(drainTimes*float64(f.Longest)), leastDrain)
+	watched := time.Duration(watchedPart * float64(s.For))
+	rest := float64(f.Sent) / max(age, lookBack).Seconds() * max(left, 0).Seconds() // requests that are still to come
+	worst := f.Judgement.Worst()
+	switch {
+	case f.NewReady < max(f.OldReady, 1):
+		return Step{Why: fmt.Sprintf("%d replicas of the version are ready for %d", f.NewReady, f.OldReady)}
+	case age < watched:
+		return Step{Why: fmt.Sprintf("it is watched for %v more", (watched - age).Round(lookBack))}
+	case left > need:
+		return Step{Why: fmt.Sprintf("all moves in %v", (left - need).Round(lookBack))}
+	case f.Judgement.Verdict == Good:
+		return Step{Say: Trusted, Why: "answers are good"}
+	case worst.Against >= doubt:
+		return Step{Why: "in doubt of route " + worst.Route}
+	case rest <= slackPart*f.Slack:
+		return Step{Say: Trusted, Why: "what is still to come is within the slack"}
+	}
+	return Step{Why: "not enough is seen: " + f.Judgement.Why}
+}
+
+// complete decides whether the old replicas may stop.
+func (f *Facts) complete(now, age time.Duration) Step {
+	left := f.Standing.For - age
+	switch {
+	case !f.Standing.Moved(now):
+		return Step{Why: "requests move in steps"}
+	case f.NewReady < max(f.OldReady, 1):
+		return Step{Why: fmt.Sprintf("%d replicas of the version are ready for %d", f.NewReady, f.OldReady)}
+	case f.Behind > 0:
+		return Step{Why: fmt.Sprintf("%d instances still send to old replicas", f.Behind)}
+	case f.Bound > 0:
+		return Step{Why: fmt.Sprintf("%d requests at old replicas can't go on elsewhere", f.Bound)}
+	case f.InFlight > 0 && left > lastCall:
+		return Step{Why: fmt.Sprintf("%d requests are at old replicas", f.InFlight)}
+	}
+	return Step{Write: Completed}
+}
--- a/state/catalog/catalog.go
+++ b/state/catalog/catalog.go
@@ -182,11 +182,12 @@
 	// What the process knows besides.
 	Region    string        // of its hall; "" where nobody can place the hall
 	Emptied   bool          // its hall is being emptied: it gets nothing new
+	Withheld  bool          // a roll-out gives it nothing
 	ColdUntil time.Duration // by the process's clock; until then it carries little
 }
 
 // Takes reports whether the replica may get new work.
-func (r *Replica) Takes() bool { return !r.Leaving && !r.Emptied }
+func (r *Replica) Takes() bool { return !r.Leaving && !r.Emptied && !r.Withheld }
 
 // Part is a piece of a prompt that requests may share.
 type Part struct {
