Far addresses are those of regions that may serve

Cause: where a region is short, its clients are told all others, also of hosts whose routes may be served in some only: their bodies would go through there. Ruled out: leaving out the client's own region: it is the client's own choice. Change: the answer's far part holds the instances of the host's homes.

--- a/cmd/node/directory.go
+++ b/cmd/node/directory.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"quinceroad/coordination/gossip"
+	"quinceroad/coordination/regions"
 	"quinceroad/coordination/rendezvous"
 	"quinceroad/platform"
 )
@@ -23,8 +24,12 @@
 		return
 	}
 	question := platform.ParseQuestion(r.URL.Query())
+	c := client{hall: question.Hall, region: cmp.Or(question.Region, n.places.Of(question.Hall)), name: callerOf(r)}
+	if config := n.world.Load().config; config != nil {
+		c.homes = regions.Bind(config.Regions(question.Host))
+	}
 	answer := platform.Addresses{
-		Addresses: addresses(n.alive(), client{hall: question.Hall, region: cmp.Or(question.Region, n.places.Of(question.Hall)), name: callerOf(r)}),
+		Addresses: addresses(n.alive(), c),
 		Life:      min(addressesFor, n.settings.AddressesFor).Seconds(),
 	}
 	w.Header().Set("Content-Type", "application/json")
@@ -45,6 +50,7 @@
 	hall   string
 	region string // "" where nobody can place it
 	name   string
+	homes  regions.Allowed // that may serve some of what it asks for
 }
 
 // addresses returns where a client may go: instances that are heard of and do
@@ -57,13 +63,13 @@
 // that goes to another crosses twice, and its body with it.
 func addresses(alive []gossip.Instance, c client) []string {
 	var lists [3][]gossip.Instance // of the hall, of the region, of others
-	taking, regions := 0, make(map[string]bool)
+	taking, places := 0, make(map[string]bool)
 	for _, i := range alive {
 		if i.Leaving {
 			continue
 		}
 		taking++
-		regions[i.Region] = true
+		places[i.Region] = true
 		switch {
 		case i.Hall == c.hall:
 			lists[0] = append(lists[0], i)
@@ -73,7 +79,8 @@
 			lists[2] = append(lists[2], i)
 		}
 	}
-	if home := len(lists[0]) + len(lists[1]); c.region != "" && home >= leastHome && home*len(regions)*shortShare >= taking {
+	lists[2] = homesFirst(lists[2], c.homes)
+	if home := len(lists[0]) + len(lists[1]); c.region != "" && home >= leastHome && home*len(places)*shortShare >= taking {
 		lists[2] = nil
 	}
 	var out []string
@@ -91,6 +98,20 @@
 	return out
 }
 
+// homesFirst returns the instances of regions that may serve, or all where none may.
+func homesFirst(far []gossip.Instance, homes regions.Allowed) []gossip.Instance {
+	var out []gossip.Instance
+	for _, i := range far {
+		if homes.Has(i.Region) {
+			out = append(out, i)
+		}
+	}
+	if len(out) == 0 {
+		return far
+	}
+	return out
+}
+
 // A region's clients are told its own instances alone while there are at least
 // so many, and at least this part of what regions have on average: with fewer,
 // these would take on thrice their usual load. Both chosen.
--- a/cmd/node/front_test.go
+++ b/cmd/node/front_test.go
@@ -8,6 +8,7 @@
 	"github.com/matryer/is"
 
 	"quinceroad/coordination/gossip"
+	"quinceroad/coordination/regions"
 	"quinceroad/platform"
 )
 
@@ -70,3 +71,20 @@
 	is.Equal(len(addresses(alive[15:], client{hall: "s0", region: "s", name: "x"})), 15)
 	is.Equal(len(addresses(alive[15:], client{hall: "q", name: "x"})), 30) // whom nobody can place
 }
+
+// HOME: clients of a host whose routes are bound to regions are not sent through
+// others when their own region is short.
+func TestFarAddressesAreThoseOfHomes(t *testing.T) {
+	is := is.New(t)
+	config, err := platform.ParseConfiguration([]byte(`{"version":1,"services":[{"name":"s"}],"routes":[
+		{"name":"a","host":"h","path_prefix":"/a/","service":"s","allowed_regions":["s"]},
+		{"name":"b","host":"i","path_prefix":"/b/","service":"s","allowed_regions":["s"]},
+		{"name":"c","host":"i","path_prefix":"/c/","service":"s"}]}`))
+	is.NoErr(err)
+	alive := []gossip.Instance{{Name: "n", Front: "n", Region: "n"}, {Name: "s", Front: "s", Region: "s"}, {Name: "w", Front: "w", Region: "w"}}
+	c := client{region: "n", name: "x", hall: "n0", homes: regions.Bind(config.Regions("h"))}
+	is.Equal(addresses(alive, c), []string{"n", "s"})
+	c.homes = regions.Bind(config.Regions("i")) // one of its routes may be served anywhere
+	is.Equal(len(addresses(alive, c)), 3)
+	is.Equal(len(addresses(alive[2:], c)), 1) // rather there than nowhere
+}
--- a/state/catalog/catalog.go
+++ b/state/catalog/catalog.go
@@ -132,6 +132,19 @@
 	return nil
 }
 
+// Regions returns the regions that may serve some route of a host; nil where
+// one of its routes, or a host that is not known, may be served anywhere.
+func (c *Configuration) Regions(host string) []string {
+	var out []string
+	for _, r := range c.hosts[host] {
+		if len(r.Regions) == 0 {
+			return nil
+		}
+		out = append(out, r.Regions...)
+	}
+	return out
+}
+
 // Pick returns the service for a request by the random number n.
 func (r *Route) Pick(n uint64) string {
 	total := 0
