Halls that nobody can place are asked only where they have replicas

Cause: where no region has what a request needs, the owner of the halls of no region was asked too, also in a fleet of one region that has no such hall: a question that can only be refused. Change: it is left out unless such halls have replicas of pools or engines.

--- a/cmd/node/parts.go
+++ b/cmd/node/parts.go
@@ -88,6 +88,16 @@
 	return takes[service] > 0
 }
 
+// holds reports whether a region has replicas of pools or engines.
+func (w *world) holds(region string) bool {
+	for local := range w.cells(region) {
+		if len(w.parts.cells[w.places.Cell(region, local)]) > 0 {
+			return true
+		}
+	}
+	return false
+}
+
 // share returns the replicas of pools and engines that belong to a cell.
 func (w *world) share(cell int) []catalog.Replica {
 	region, local := w.places.Home(cell)
--- a/cmd/node/places.go
+++ b/cmd/node/places.go
@@ -88,7 +88,7 @@
 	}
 	var all []regions.Candidate
 	for _, region := range w.places.Names() {
-		if homes.Has(region) {
+		if homes.Has(region) && (region != "" || n.home == "" || w.holds("")) {
 			all = append(all, regions.Candidate{Region: region, Serves: w.serves(region, s.route, s.service.Name), Manned: manned[region]})
 		}
 	}
