--- a/cmd/node/attempt.go
+++ b/cmd/node/attempt.go
@@ -56,7 +56,7 @@
 		return errUnreached
 	}
 	defer n.rollouts.enter(&r, !s.movable())() // before it is asked whether the replica may get it
-	if !n.mayGet(s.service, r.ID) || !n.rollouts.maySend(n.world.Load().moves[s.service.Name], s.route.Name, r.ID, 1) {
+	if !s.homes().Has(r.Region) || !n.mayGet(s.service, r.ID) || !n.rollouts.maySend(n.world.Load().moves[s.service.Name], s.route.Name, r.ID, 1) {
 		conn.Close()
 		return errUnreached
 	}
