losses takes a refusal for that of its attempt, explain tells the engine's expectation

Cause: a request that its own region refuses is asked of another, so that two owners refuse one attempt, and one that comes back is refused again: the last line read was taken, whichever instance's log came last. Now the first since the attempt came, which is what the client was told. What was kept for the engine is told by its owner (engine_expected) and no longer worked out from the time left.

--- a/cmd/ctl/losses.go
+++ b/cmd/ctl/losses.go
@@ -23,7 +23,7 @@
 	asked    int
 	causes   map[string]*cause
 	windows  map[time.Time]*window
-	refusals map[string]*refusal // by request: the last one
+	refusals map[string][]*refusal // by request
 	routes   map[string]*routeAccount
 	errors   []time.Duration // taken less expected, of stages that were run
 	restarts int
@@ -47,7 +47,7 @@
 	return &account{
 		causes:   make(map[string]*cause),
 		windows:  make(map[time.Time]*window),
-		refusals: make(map[string]*refusal),
+		refusals: make(map[string][]*refusal),
 		routes:   make(map[string]*routeAccount),
 	}
 }
@@ -99,7 +99,7 @@
 	case why == whyServed:
 		return lateness(l)
 	case strings.HasPrefix(why, "stages refused"):
-		if r := a.refusals[l.request]; r != nil {
+		if r := a.refusalOf(l); r != nil {
 			return r.cause(l)
 		}
 		return "refused, not told why"
--- a/cmd/ctl/losses_test.go
+++ b/cmd/ctl/losses_test.go
@@ -64,6 +64,26 @@
 	)
 }
 
+// A request that its own region refuses may be asked of another: the client is
+// told what the first one said, and so is the operator. Its refusal of an
+// earlier attempt is not taken for it.
+const refusedTwice = `2026-01-01T00:00:09.500Z [INFO]  node: job refused: instance=i3 event=3052 request=r expected=2s own=600ms bound=far limit=1s objective=1s
+2026-01-01T00:00:09.400Z [INFO]  node: job refused: instance=i2 event=3052 request=r expected=2s own=600ms bound=near limit=1s objective=1s
+2026-01-01T00:00:05.000Z [INFO]  node: job refused: instance=i2 event=3052 request=r expected=2s own=600ms bound=earlier limit=1s objective=1s
+2026-01-01T00:00:09.501Z [INFO]  node: request: instance=i1 event=3050 request=r route=x why="stages refused, back in 1s" objective=3s took=120ms
+2026-01-01T00:00:05.001Z [INFO]  node: request: instance=i1 event=3050 request=r route=x why="stages refused, back in 1s" objective=3s took=2ms
+2026-01-01T00:00:07.000Z [INFO]  node: job refused: instance=i2 event=3052 request=known expected=600ms own=600ms limit=50ms engine_expected=40ms objective=50ms
+2026-01-01T00:00:07.001Z [INFO]  node: request: instance=i1 event=3050 request=known route=x why="stages refused, back in 1s" objective=1s took=2ms
+`
+
+func TestARefusalIsThatOfItsAttempt(t *testing.T) {
+	wantLosses(t, refusedTwice,
+		`refused, pool near +1 `,
+		`refused, pool earlier +1 `,
+		`refused, slack at arrival +1  x 1 +known\n`, // the engine needed 40 ms of the 950 that were gone
+	)
+}
+
 // Twenty requests of a route, the two with the longest prompts refused, and ten
 // of a more urgent one: the account shows them by the tenth of their size, and
 // by rank.
--- a/cmd/ctl/story.go
+++ b/cmd/ctl/story.go
@@ -158,6 +158,10 @@
 func served(end *logLine) string {
 	objective, first := end.duration("objective"), end.began()
 	where := "its engine or service"
+	if end.duration("engine_expected") > 0 {
+		where = fmt.Sprintf("its engine (expected to take %s to the first event, reading %s tokens and fetching %s; took %v)",
+			end.field("engine_expected"), end.field("reads"), end.field("moves"), first-end.duration("staged"))
+	}
 	if end.mostlyStages() {
 		where = fmt.Sprintf("its stages, at %s (its stages were expected to take %s and took %s)", end.field("owner"), end.field("expected"), end.field("staged"))
 	}
