A version that a later order brought in is not withheld, and a request without a key has regions

Withheld looked at all orders that have ended: one that was taken back or replaced leaves the word bad, and its version was withheld from all requests for good, also after the same version was ordered again and took over. Once that order was removed, or the next one came, no replica that ran got anything. Now the newest order of a version decides.

homes() looked for the customer of a request that was admitted without a key after a configuration in force asks for one: a nil pointer, and the client's connection ended. Such a request is bound by its route alone.

--- a/cmd/node/places.go
+++ b/cmd/node/places.go
@@ -42,6 +42,9 @@
 	if customer == nil {
 		customer = s.world.config.Customers[s.req.Key]
 	}
+	if customer == nil { // the route asked for no key as the request came
+		return regions.Bind(route.Regions)
+	}
 	return regions.Bind(route.Regions, customer.Regions)
 }
 
--- a/coordination/rollout/share.go
+++ b/coordination/rollout/share.go
@@ -52,12 +52,20 @@
 	case s != nil && moved && s.Word != Bad:
 		return true
 	}
-	for _, e := range v.all {
-		if e.Ended && e.Service == service && e.Target == version && e.Word == Bad {
-			return true
+	last := v.last(service, version)
+	return last != nil && last.Ended && last.Word == Bad
+}
+
+// last returns the newest order that is known for a version of a service: one
+// that ended earlier says nothing of a version that came in by a later one.
+func (v *View) last(service, version string) *Standing {
+	var last *Standing
+	for _, s := range v.all {
+		if s.Service == service && s.Target == version && (last == nil || s.Revision > last.Revision) {
+			last = s
 		}
 	}
-	return false
+	return last
 }
 
 // Chosen returns which of an order's new replicas get requests at a share: so
--- /dev/null
+++ b/coordination/rollout/withheld_test.go
@@ -0,0 +1,51 @@
+package rollout
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// A version that was ordered, taken back or ordered anew, and then moved to, is
+// the one that runs: the earlier order's end says nothing of it any more. It was
+// withheld from all requests once the later order was removed or another came.
+func TestAVersionThatCameInByALaterOrderIsNotWithheld(t *testing.T) {
+	first := Order{Service: "s", Target: "v2", Revision: 3, For: time.Minute}
+	again := Order{Service: "s", Target: "v2", Revision: 7, For: time.Minute}
+	next := Order{Service: "s", Target: "v3", Revision: 9, For: time.Minute}
+	for name, before := range map[string][]Order{"taken back": nil, "ordered anew": {again}} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			v := NewView()
+			v.Replace(0, []Order{first}, 3)
+			v.Say(time.Second, 3, Open)
+			v.Replace(2*time.Second, before, 6)
+			if len(before) == 0 {
+				is.True(v.Withheld("s", "v2", true, false)) // taken back: it gets nothing more
+				v.Replace(3*time.Second, []Order{again}, 7)
+			}
+			for _, w := range []Word{Open, Trusted, Done} {
+				v.Say(4*time.Second, 7, w)
+			}
+			is.True(!v.Withheld("s", "v2", true, true))
+			v.Replace(20*time.Second, nil, 8) // the operator removes what is done
+			is.True(!v.Withheld("s", "v2", false, false))
+			v.Replace(21*time.Second, []Order{next}, 9)
+			v.Say(22*time.Second, 9, Open)
+			is.True(!v.Withheld("s", "v2", true, false)) // it is the old version now
+		})
+	}
+}
+
+// A version that was found bad stays withheld when its order is removed.
+func TestABadVersionStaysWithheldWithoutItsOrder(t *testing.T) {
+	is := is.New(t)
+	v := NewView()
+	v.Replace(0, []Order{{Service: "s", Target: "v2", Revision: 3, For: time.Minute}}, 3)
+	v.Say(time.Second, 3, Bad)
+	v.Replace(2*time.Second, nil, 4)
+	is.True(v.Withheld("s", "v2", true, false))
+	is.True(!v.Withheld("s", "v1", true, false))
+	is.True(!v.Withheld("t", "v2", true, false))
+}
