--- a/cmd/ctl/ctl.go
+++ b/cmd/ctl/ctl.go
@@ -33,6 +33,7 @@
   history            accepted revisions, newest first
   dump               the coord's state
   explain ID FILE... what the logs of any nodes say of a request, in order
+  rollouts ADDR...   what nodes know of the roll-outs that are ordered, by their addresses for metrics
   losses FILE...     what logs say of requests not served in time, by cause and time
   config -f FILE     check a configuration as it is written into the platform's store
   rules              what such a configuration is held against
@@ -126,6 +127,8 @@
 		return c.history()
 	case name == "explain" && len(rest) > 1:
 		return c.explain(rest[0], rest[1:])
+	case name == "rollouts" && len(rest) > 0:
+		return c.rollouts(rest)
 	case name == "losses" && len(rest) > 0:
 		return c.losses(rest)
 	case name == "config" && c.file != "":
@@ -140,15 +143,16 @@
 
 // calls tells how each command that takes arguments is called, with an example.
 var calls = map[string][2]string{
-	"check":   {"-f FILE", "quincectl check -f examples/kalahari/fleet.toml"},
-	"plan":    {"-f FILE", "quincectl -operators 127.0.0.1:21014 -token demo-operator plan -f examples/kalahari/fleet.toml"},
-	"diff":    {"-f FILE", "quincectl -operators 127.0.0.1:21014 -token demo-operator diff -f examples/kalahari/fleet.toml"},
-	"show":    {"PLAN", "quincectl -operators 127.0.0.1:21014 -token demo-operator show p-1"},
-	"confirm": {"PLAN", "quincectl -operators 127.0.0.1:21014 -token demo-operator confirm p-1"},
-	"drain":   {"INSTANCE", "quincectl -operators 127.0.0.1:21014 -token demo-operator drain entry-1"},
-	"explain": {"ID FILE...", "quincectl explain 9c41d07be2a35f68 node-1.log node-2.log"},
-	"losses":  {"FILE...", "quincectl losses node-1.log node-2.log"},
-	"config":  {"-f FILE", "quincectl config -f configuration.json"},
+	"check":    {"-f FILE", "quincectl check -f examples/kalahari/fleet.toml"},
+	"plan":     {"-f FILE", "quincectl -operators 127.0.0.1:21014 -token demo-operator plan -f examples/kalahari/fleet.toml"},
+	"diff":     {"-f FILE", "quincectl -operators 127.0.0.1:21014 -token demo-operator diff -f examples/kalahari/fleet.toml"},
+	"show":     {"PLAN", "quincectl -operators 127.0.0.1:21014 -token demo-operator show p-1"},
+	"confirm":  {"PLAN", "quincectl -operators 127.0.0.1:21014 -token demo-operator confirm p-1"},
+	"drain":    {"INSTANCE", "quincectl -operators 127.0.0.1:21014 -token demo-operator drain entry-1"},
+	"explain":  {"ID FILE...", "quincectl explain 9c41d07be2a35f68 node-1.log node-2.log"},
+	"rollouts": {"ADDR...", "quincectl rollouts 10.0.0.4:9101 10.0.0.5:9101"},
+	"losses":   {"FILE...", "quincectl losses node-1.log node-2.log"},
+	"config":   {"-f FILE", "quincectl config -f configuration.json"},
 }
 
 // usageOf is the error of a command that was called wrongly.
--- a/cmd/node/cell.go
+++ b/cmd/node/cell.go
@@ -94,7 +94,11 @@
 	replica := catalog.Replica{ID: a.Replica, Service: a.Service, Version: n.versionOf(a.Replica)}
 	leave := n.rollouts.enter(&replica, false) // its pieces go to another replica
 	results, fate := n.runPieces(ctx, a)
-	leave()
+	if fate == pipeline.Answered {
+		c.leaveResults(a.Service, leave)
+	} else {
+		leave()
+	}
 	n.tellRolloutCall(&replica, fate, results, time.Since(began))
 	c.log(a, results, time.Since(began))
 	c.mu.Lock()
--- a/cmd/node/rollout.go
+++ b/cmd/node/rollout.go
@@ -137,7 +137,9 @@
 		n.logRollout(now, from, &c)
 	}
 	n.tell()
-	n.tellHall()
+	if from == fromStore || from == n.settings.Name {
+		n.tellHall()
+	}
 }
 
 func (n *Node) logRollout(now time.Duration, from string, c *rollout.Change) {
--- a/cmd/node/rollout_gate.go
+++ b/cmd/node/rollout_gate.go
@@ -1,14 +1,10 @@
 package node
 
 import (
-	"context"
-	"errors"
 	"maps"
-	"net/http"
 	"slices"
 	"time"
 
-	"quinceroad/coordination/pipeline"
 	"quinceroad/coordination/rollout"
 	"quinceroad/state/catalog"
 )
@@ -143,39 +139,6 @@
 	return func() { add(-1) }
 }
 
-// rolloutAnswer is what became of a request in a roll-out.
-type rolloutAnswer struct {
-	route   string
-	replica *catalog.Replica
-	took    time.Duration // until the answer began
-	lasted  time.Duration // of one that can't go on elsewhere; 0: it can
-	failed  bool
-}
-
-// answered counts an answer in its service's roll-out, if there is one. A cold
-// replica is slow whatever its version.
-func (r *rollouts) answered(now time.Duration, a *rolloutAnswer) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	s, ok := r.view.Current(a.replica.Service)
-	if !ok || s.Word >= rollout.Bad || !a.failed && a.replica.ColdUntil > now {
-		return
-	}
-	own := &r.seen(s.Revision).own
-	k := rollout.Row{Route: a.route}
-	if a.replica.Version == s.Target {
-		k.Replica = a.replica.ID
-	} else {
-		own.Longest = max(own.Longest, a.lasted)
-	}
-	t := own.Rows[k]
-	if t == nil {
-		t = &rollout.Tally{}
-		own.Rows[k] = t
-	}
-	t.Add(a.took, a.failed)
-}
-
 // report returns what this life has to tell of an order. It needs mu.
 func (r *rollouts) report(s *rollout.Standing) rollout.Report {
 	o := r.seen(s.Revision)
@@ -228,56 +191,6 @@
 	return s.node.rollouts.mayNewer(m, s.route.Name, 1)
 }
 
-// movable reports whether the request, broken off at its replica, goes on at
-// another one.
-func (s *serving) movable() bool {
-	return s.route.Kind == catalog.Repeatable || s.route.Kind == catalog.Stream && s.route.Resumable
-}
-
-// tellRollout counts how the attempt went in its service's roll-out. A client
-// that left, a replica that turned the request away and one that was not
-// reached say nothing of a version.
-func (a *attempt) tellRollout(ctx context.Context, err error, took time.Duration) {
-	out := &rolloutAnswer{route: a.route.Name, replica: &a.replica, took: took}
-	if !a.movable() {
-		out.lasted = took
-	}
-	if !a.began.IsZero() {
-		out.took = a.began.Sub(a.sent)
-	}
-	switch {
-	case err == nil:
-		out.failed = a.x.Header.StatusCode() >= http.StatusInternalServerError
-	case errors.Is(err, errNotRun), errors.Is(err, errInputs), errors.Is(err, errLeft):
-		return
-	case done(ctx) && !errors.Is(err, errOwnFault): // its time ran out: it counts as slow as it was
-	default:
-		out.failed = true
-	}
-	a.node.rollouts.answered(a.node.now(), out)
-}
-
-// versionOf returns the version of a replica's software, "" when it is not known.
-func (n *Node) versionOf(id string) string {
-	n.followMu.Lock()
-	defer n.followMu.Unlock()
-	return n.replicas.rows[id].replica.Version
-}
-
-// tellRolloutCall counts how a call of pieces went in its pool's roll-out.
-func (n *Node) tellRolloutCall(r *catalog.Replica, fate pipeline.Fate, results []pipeline.Result, took time.Duration) {
-	out := &rolloutAnswer{replica: r, took: took}
-	switch fate {
-	case pipeline.Answered:
-		out.failed = slices.ContainsFunc(results, func(x pipeline.Result) bool { return x.Reason == pipeline.PieceError })
-	case pipeline.Broken, pipeline.Overdue:
-		out.failed = true
-	default:
-		return
-	}
-	n.rollouts.answered(n.now(), out)
-}
-
 // aside returns the engines of a service that a request is kept from by a roll-out.
 func (w *world) aside(service string, newer bool) []string {
 	m := w.moves[service]
--- a/cmd/node/rollout_lead.go
+++ b/cmd/node/rollout_lead.go
@@ -223,7 +223,7 @@
 		f.InFlight += rep.InFlight
 	}
 	before := o.judge.Latest()
-	f.Judgement = o.judge.Look(now, rows)
+	f.Judgement = o.judge.Look(now, rows, s.Word == rollout.Trusted)
 	if f.Judgement.Verdict != before.Verdict || now-o.logged >= logJudged && s.Word < rollout.Bad {
 		o.logged = now
 		n.logJudgement(now, s, &f.Judgement)
--- a/coordination/rollout/judge.go
+++ b/coordination/rollout/judge.go
@@ -30,8 +30,8 @@
 	thinPart   = 0.1 // of the service's requests, beneath which a route needs no verdict of its own
 	doubt      = 2.0 // in a thin route's sum, above which the version isn't trusted
 	seenFrom   = 5   // answers, from which a replica can speak for the others
-	sickRate   = 0.1 // of its answers bad: a replica that speaks against the version
-	twice      = 2   // bad answers, at least, of such a replica
+	sickPart   = 0.5 // of the sum that accuses a version: a replica alone that speaks against it, two bad answers in a row
+	mostTrust  = 0.1 // the highest rate granted, at which answers speak for a version: when both fail, wait
 )
 
 // Bounds of the sum: beyond accuse the version is bad, below acquit it is good.
@@ -65,30 +65,49 @@
 // Judgement is a verdict and what it rests on.
 type Judgement struct {
 	Verdict Verdict
-	Bad     int // answers of the new version
+	Bad     int     // answers of the new version
+	Against float64 // the sum over all routes
 	Why     string
 	Routes  []Finding
 }
 
 // Judge follows the sums of one order.
 type Judge struct {
-	last   map[Row]Tally
-	routes map[string]*route
-	at     time.Duration
-	latest Judgement
+	last     map[Row]Tally
+	routes   map[string]*route
+	replicas map[Row]*replica
+	moving   bool
+	against  float64 // as of a route, of all together: where each sees little, what is bad everywhere shows sooner
+	at       time.Duration
+	latest   Judgement
+}
+
+// replica is what was seen of a new replica on a route.
+type replica struct {
+	answers int
+	against float64 // as of the route
 }
 
 type route struct {
 	Finding
-	against, accepted  float64
 	oldSeen, oldFailed float64 // lately
 }
 
 // NewJudge returns a judge that has seen nothing.
-func NewJudge() *Judge { return &Judge{last: make(map[Row]Tally), routes: make(map[string]*route)} }
+func NewJudge() *Judge {
+	return &Judge{last: make(map[Row]Tally), routes: make(map[string]*route), replicas: make(map[Row]*replica)}
+}
 
-// Look takes in the sums as they are now.
-func (j *Judge) Look(now time.Duration, rows map[Row]*Tally) Judgement {
+// Look takes in the sums as they are now. What spoke for the version while it got
+// a small part counts no more from the moment that requests move to it: it is
+// completed by what it does under the whole load.
+func (j *Judge) Look(now time.Duration, rows map[Row]*Tally, moving bool) Judgement {
+	if moving && !j.moving {
+		j.moving = true
+		for _, r := range j.routes {
+			r.Accepted = max(r.Accepted, 0)
+		}
+	}
 	fade := math.Exp2(-float64(now-j.at) / float64(halfLife))
 	j.at = now
 	slow := make(map[string]int)
@@ -97,11 +116,10 @@
 			slow[k.Route] = j.old(k.Route, t, fade)
 		}
 	}
-	by := make(map[string][2]int) // answers and bad ones, by new replica
 	for _, r := range j.routes {
 		r.New, r.NewBad = 0, 0
 	}
-	fresh := make(map[string][2]int) // the same, by route, since the last look
+	fresh := make(map[string][2]int) // answers and bad ones since the last look, by route
 	for k, t := range rows {
 		if k.Replica == "" {
 			continue
@@ -114,17 +132,20 @@
 		r.New += t.Answers()
 		r.NewBad += t.bad(limit)
 		before := j.last[k]
-		f, b := fresh[k.Route], by[k.Replica]
-		fresh[k.Route] = [2]int{f[0] + t.Answers() - before.Answers(), f[1] + t.bad(limit) - before.bad(limit)}
-		by[k.Replica] = [2]int{b[0] + t.Answers(), b[1] + t.bad(limit)}
+		answers, bad := t.Answers()-before.Answers(), t.bad(limit)-before.bad(limit)
+		f := fresh[k.Route]
+		fresh[k.Route] = [2]int{f[0] + answers, f[1] + bad}
+		j.replica(k).weigh(t.Answers(), r.step(answers, bad))
 	}
-	for name, f := range fresh {
-		j.routes[name].weigh(f[0], f[1])
+	step := 0.0
+	for _, name := range slices.Sorted(maps.Keys(fresh)) {
+		step += j.routes[name].weigh(fresh[name][0], fresh[name][1])
 	}
+	j.against = max(j.against+step, 0)
 	for k, t := range rows {
 		j.last[k] = *t
 	}
-	j.latest = j.judge(by)
+	j.latest = j.judge()
 	return j.latest
 }
 
@@ -156,19 +177,47 @@
 	return limit
 }
 
-// weigh takes in new answers of the new version.
-func (r *route) weigh(answers, bad int) {
-	good := (r.oldFailed + leastRate*priorSeen) / (r.oldSeen + priorSeen)
-	good = min(max(granted*good, leastRate), mostRate)
-	harm := min(good+leastHarm, (1+good)/2)
-	step := float64(bad)*math.Log(harm/good) + float64(answers-bad)*math.Log((1-harm)/(1-good))
+func (j *Judge) replica(k Row) *replica {
+	r := j.replicas[k]
+	if r == nil {
+		r = &replica{}
+		j.replicas[k] = r
+	}
+	return r
+}
+
+func (r *replica) weigh(answers int, step float64) {
+	r.answers = answers
 	r.against = max(r.against+step, 0)
-	r.accepted = min(r.accepted+step, accuse)
-	r.GrantedRate, r.Against, r.Accepted = good, r.against, r.accepted
 }
 
-func (j *Judge) judge(by map[string][2]int) Judgement {
-	out := Judgement{}
+// rates returns the share of bad answers that a good version may have now, and
+// that of a bad one.
+func (r *route) rates() (good, harm float64) {
+	good = (r.oldFailed + leastRate*priorSeen) / (r.oldSeen + priorSeen)
+	good = min(max(granted*good, leastRate), mostRate)
+	return good, min(good+leastHarm, (1+good)/2)
+}
+
+// step is what answers add to the sums.
+func (r *route) step(answers, bad int) float64 {
+	good, harm := r.rates()
+	return float64(bad)*math.Log(harm/good) + float64(answers-bad)*math.Log((1-harm)/(1-good))
+}
+
+// weigh takes in new answers of the new version.
+func (r *route) weigh(answers, bad int) (step float64) {
+	step = r.step(answers, bad)
+	r.Against = max(r.Against+step, 0)
+	r.GrantedRate, _ = r.rates()
+	if step > 0 || r.GrantedRate <= mostTrust {
+		r.Accepted = min(r.Accepted+step, accuse)
+	}
+	return step
+}
+
+func (j *Judge) judge() Judgement {
+	out := Judgement{Against: j.against}
 	total, old, oldBad := 0, 0, 0
 	for _, name := range slices.Sorted(maps.Keys(j.routes)) {
 		f := j.routes[name].Finding
@@ -180,17 +229,20 @@
 	}
 	oldRate := float64(oldBad) / float64(max(old, 1))
 	worse := float64(out.Bad) > (2*oldRate+leastRate)*float64(total)
-	widely := spread(by)
+	widely := j.spread(func(string) bool { return true })
 	switch {
 	case worse && out.Bad >= mostBad && widely, worse && out.Bad >= alone:
 		out.Verdict, out.Why = Harmful, "bad answers"
 		return out
+	case j.against >= accuse && widely:
+		out.Verdict, out.Why = Harmful, "all routes together"
+		return out
 	}
 	out.Verdict, out.Why = Good, ""
 	for _, f := range out.Routes {
 		thin := float64(f.Old+f.New) < thinPart*float64(old+total)
 		switch {
-		case f.Against >= accuse && widely:
+		case f.Against >= accuse && j.spread(func(route string) bool { return route == f.Route }):
 			out.Verdict, out.Why = Harmful, "route "+f.Route
 			return out
 		case f.Accepted <= acquit, thin && f.Against < doubt:
@@ -204,22 +256,29 @@
 	return out
 }
 
-// spread reports whether what speaks against a version comes from several of its
-// replicas, where several have answered: one ill replica is left alone by those
-// that judge replicas.
-func spread(by map[string][2]int) bool {
-	speak, against := 0, 0
-	for _, n := range by {
-		if n[0] >= seenFrom {
-			speak++
+// spread reports whether what speaks against a version on some routes comes from
+// several of its replicas, where several have answered: one ill replica is left
+// alone by those that judge replicas.
+func (j *Judge) spread(of func(route string) bool) bool {
+	speak, against := make(map[string]bool), make(map[string]bool)
+	for k, r := range j.replicas {
+		if !of(k.Route) {
+			continue
+		}
+		if r.answers >= seenFrom {
+			speak[k.Replica] = true
 		}
-		if n[1] >= twice && float64(n[1]) >= sickRate*float64(n[0]) {
-			against++
+		if r.against >= sickPart*accuse {
+			against[k.Replica] = true
 		}
 	}
-	return speak <= 1 || against > 1
+	return len(speak) <= 1 || len(against) > 1
 }
 
+// inDoubt reports whether something speaks against the version, although not
+// enough for a verdict.
+func (j *Judgement) inDoubt() bool { return max(j.Against, j.Worst().Against) >= doubt }
+
 // Worst returns the route that most speaks against the version.
 func (j *Judgement) Worst() Finding {
 	if len(j.Routes) == 0 {
--- a/coordination/rollout/plan.go
+++ b/coordination/rollout/plan.go
@@ -59,15 +59,16 @@
 // trusted its share binds, and what turns bad after it is trusted gets more. So
 // it is trusted as late as what follows allows.
 const (
-	watchedPart = 0.6                    // of the order's time, that a version is watched at least
-	toldFor     = 1 * time.Second        // for the word to all and their reports back: five heartbeats
-	writtenFor  = 500 * time.Millisecond // for the last word at the store
-	drainTimes  = 1.2                    // of the longest old request seen
-	leastDrain  = 300 * time.Millisecond // where none was seen
-	lastCall    = 2 * writtenFor         // before the end: what can go on elsewhere is then not waited for
-	slackPart   = 0.5                    // of the slack, that a version may get without a verdict
-	rampFor     = 2 * rampStep           // until all requests go there
-	lookBack    = 100 * time.Millisecond // a step more than the look that finds it
+	watchedPart = 0.6                             // of the order's time, that a version is watched at least
+	toldFor     = 1 * time.Second                 // for the word to all and their reports back: five heartbeats
+	writtenFor  = 500 * time.Millisecond          // for the last word at the store
+	drainTimes  = 1.2                             // of the longest old request seen
+	leastDrain  = 300 * time.Millisecond          // where none was seen
+	lastCall    = 2 * writtenFor                  // before the end: what can go on elsewhere is then not waited for
+	slackPart   = 0.5                             // of the slack, that a version may get without a verdict
+	unseenFor   = rampFor + 1200*time.Millisecond // from the trust, that a version without a verdict is watched: it leaves the last word its time
+	rampFor     = 2 * rampStep                    // until all requests go there
+	lookBack    = 100 * time.Millisecond          // a step more than the look that finds it
 )
 
 // Decide returns what whoever leads an order does next.
@@ -110,7 +111,6 @@
 	need := rampFor + toldFor + writtenFor + max(time.Duration(drainTimes*float64(f.Longest)), leastDrain)
 	watched := time.Duration(watchedPart * float64(s.For))
 	rest := float64(f.Sent) / max(age, lookBack).Seconds() * max(left, 0).Seconds() // requests that are still to come
-	worst := f.Judgement.Worst()
 	switch {
 	case f.NewReady < max(f.OldReady, 1):
 		return Step{Why: fmt.Sprintf("%d replicas of the version are ready for %d", f.NewReady, f.OldReady)}
@@ -120,8 +120,8 @@
 		return Step{Why: fmt.Sprintf("all moves in %v", (left - need).Round(lookBack))}
 	case f.Judgement.Verdict == Good:
 		return Step{Say: Trusted, Why: "answers are good"}
-	case worst.Against >= doubt:
-		return Step{Why: "in doubt of route " + worst.Route}
+	case f.Judgement.inDoubt():
+		return Step{Why: "in doubt of route " + f.Judgement.Worst().Route}
 	case rest <= slackPart*f.Slack:
 		return Step{Say: Trusted, Why: "what is still to come is within the slack"}
 	}
@@ -142,6 +142,10 @@
 		return Step{Why: fmt.Sprintf("%d requests at old replicas can't go on elsewhere", f.Bound)}
 	case f.InFlight > 0 && left > lastCall:
 		return Step{Why: fmt.Sprintf("%d requests are at old replicas", f.InFlight)}
+	case f.Judgement.inDoubt():
+		return Step{Why: "in doubt of route " + f.Judgement.Worst().Route}
+	case f.Judgement.Verdict != Good && now-f.Standing.Since < unseenFor:
+		return Step{Why: "not enough is seen: " + f.Judgement.Why}
 	}
 	return Step{Write: Completed}
 }
--- /dev/null
+++ b/coordination/rollout/rollout_test.go
@@ -0,0 +1,228 @@
+package rollout
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+)
+
+func order(service, target string, revision uint64) Order {
+	return Order{Service: service, Target: target, Revision: revision, For: 10 * time.Second}
+}
+
+// A second order, an order taken back, and words that come late or of another order.
+func TestOrdersFollowOneAnother(t *testing.T) {
+	is := is.New(t)
+	v := NewView()
+	v.Replace(0, []Order{order("s", "v2", 5), order("t", "v9", 6)}, 7)
+	v.Say(1, 5, Open)
+	v.Apply(2, []Entry{{Order: order("s", "v3", 9)}}, 9)
+	is.True(v.Withheld("s", "v2", true, false)) // what was not completed gets nothing more
+	is.True(v.Withheld("s", "v3", true, false)) // its status is not known yet
+	is.True(!v.Withheld("s", "v1", true, false))
+	is.Equal(len(v.Say(3, 5, Open)), 0) // of the one before
+	v.Say(4, 9, Open)
+	is.True(!v.Withheld("s", "v3", true, false))
+	changes := v.Apply(5, []Entry{{Order: Order{Service: "s", Revision: 11}, Gone: true}}, 11)
+	is.Equal(len(changes), 1)
+	is.Equal(changes[0].Word, Bad)
+	is.True(v.Withheld("s", "v3", true, false))
+	is.Equal(len(v.Led(6)), 3) // what was taken back needs its end, and t goes on
+	v.Apply(7, []Entry{{Order: order("s", "v3", 12)}}, 12)
+	v.Say(7, 12, Open)
+	is.True(!v.Withheld("s", "v3", true, false)) // ordered anew
+}
+
+// A stop of all after an order was completed: there are new replicas only, and its status is not read yet.
+func TestWhatIsCompletedServesAfterAStopOfAll(t *testing.T) {
+	is := is.New(t)
+	v := NewView()
+	v.Replace(0, []Order{order("s", "v2", 5)}, 7)
+	is.True(!v.Withheld("s", "v2", false, false))
+}
+
+// A completed order that is taken back harms nothing, also where the word done comes later.
+func TestACompletedOrderIsTakenBack(t *testing.T) {
+	is := is.New(t)
+	a, b := NewView(), NewView()
+	for _, v := range []*View{a, b} {
+		v.Replace(0, []Order{order("s", "v2", 5)}, 7)
+		v.Say(1, 5, Trusted)
+	}
+	a.Say(2, 5, Done)
+	for _, v := range []*View{a, b} {
+		v.Apply(3, []Entry{{Order: Order{Service: "s", Revision: 9}, Gone: true}}, 9)
+	}
+	is.True(!a.Withheld("s", "v2", false, false))
+	b.Take(4, a.News(4))
+	is.True(!b.Withheld("s", "v2", false, false))
+}
+
+// Where each of many instances sends little, the version still gets its share of all, and of each route.
+func TestManyInstancesOfLittleTraffic(t *testing.T) {
+	is := is.New(t)
+	all, newer := 0, 0
+	for i := range 78 {
+		l := NewLedger((float64(i) + 0.5) / 78)
+		for n := range 16 {
+			route := fmt.Sprint("r", n%5/4) // a fifth on one of two
+			goes := l.May(1, route, 0.07, 1)
+			l.Sent(1, route, 0.07, 1, goes)
+			all++
+			if goes {
+				newer++
+			}
+		}
+	}
+	share := float64(newer) / float64(all)
+	is.True(share > 0.055 && share < 0.085)
+}
+
+// Whatever is sent in whatever order and pieces, and whoever starts anew: the share holds at every moment, but for one request of each life.
+func TestALedgerHoldsItsShare(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		share := rapid.Float64Range(0.01, 0.9).Draw(t, "share")
+		start := rapid.Float64Range(0, 1).Draw(t, "start")
+		l := NewLedger(start)
+		all, newer, most := 0, 0, 0
+		for _, n := range rapid.SliceOf(rapid.IntRange(1, 60)).Draw(t, "sends") {
+			goes := l.May(1, "r", share, n)
+			l.Sent(1, "r", share, n, goes)
+			all += n
+			if goes {
+				newer += n
+				most = max(most, n)
+			}
+			if float64(newer) > share*float64(all)+start*float64(most)+1e-6 {
+				t.Fatalf("%d of %d at a share of %v, start %v", newer, all, share, start)
+			}
+		}
+	})
+}
+
+func tally(good, failed int, took time.Duration) *Tally {
+	t := &Tally{}
+	for range good {
+		t.Add(took, false)
+	}
+	for range failed {
+		t.Add(0, true)
+	}
+	return t
+}
+
+// spreadRow is what the n-th new replica answered on a route.
+func at(route string, n int) Row { return Row{route, fmt.Sprint("new", n)} }
+
+func TestVerdicts(t *testing.T) {
+	const ms = time.Millisecond
+	cases := map[string]struct {
+		rows map[Row]*Tally
+		want Verdict
+	}{
+		"nothing yet":      {map[Row]*Tally{{Route: "a"}: tally(100, 0, 30*ms)}, Undecided},
+		"good":             {map[Row]*Tally{{Route: "a"}: tally(300, 0, 30*ms), at("a", 1): tally(8, 0, 30*ms), at("a", 2): tally(8, 0, 40*ms)}, Good},
+		"failures":         {map[Row]*Tally{{Route: "a"}: tally(300, 0, 30*ms), at("a", 1): tally(3, 2, 30*ms), at("a", 2): tally(3, 2, 30*ms)}, Harmful},
+		"three times slow": {map[Row]*Tally{{Route: "a"}: tally(300, 0, 30*ms), at("a", 1): tally(0, 0, 0), at("a", 2): tally(5, 0, 95*ms)}, Harmful},
+		"a burst, slow for all and failing": {map[Row]*Tally{{Route: "a"}: tally(150, 90, 30*ms),
+			at("a", 1): tally(6, 4, 30*ms), at("a", 2): tally(6, 3, 30*ms)}, Undecided},
+		"one ill replica of a good version": {map[Row]*Tally{{Route: "a"}: tally(300, 0, 30*ms),
+			at("a", 1): tally(0, 9, 0), at("a", 2): tally(30, 0, 30*ms)}, Undecided},
+		"many bad answers of one replica": {map[Row]*Tally{{Route: "a"}: tally(300, 0, 30*ms),
+			at("a", 1): tally(0, 41, 0), at("a", 2): tally(30, 0, 30*ms)}, Harmful},
+		"one route only": {map[Row]*Tally{{Route: "a"}: tally(300, 0, 30*ms), at("a", 1): tally(40, 0, 30*ms), at("a", 2): tally(40, 0, 30*ms),
+			{Route: "b"}: tally(60, 0, 30*ms), at("b", 1): tally(1, 2, 30*ms), at("b", 2): tally(0, 2, 30*ms)}, Harmful},
+		"a route not seen enough": {map[Row]*Tally{{Route: "a"}: tally(300, 0, 30*ms), at("a", 1): tally(40, 0, 30*ms),
+			{Route: "b"}: tally(60, 0, 30*ms), at("b", 1): tally(4, 0, 30*ms)}, Undecided},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			got := NewJudge().Look(time.Second, c.rows, false)
+			is.New(t).Equal(got.Verdict.String(), c.want.String())
+		})
+	}
+}
+
+// A version that was good for long and turns bad is found as fast as one that was bad at once.
+func TestAVersionTurnsBad(t *testing.T) {
+	is := is.New(t)
+	j := NewJudge()
+	rows := map[Row]*Tally{{Route: "a"}: tally(900, 0, time.Millisecond), at("a", 1): tally(200, 0, time.Millisecond), at("a", 2): tally(200, 0, time.Millisecond)}
+	is.Equal(j.Look(0, rows, false).Verdict, Good)
+	for n := 1; ; n++ {
+		for i := 1; i <= 2; i++ {
+			rows[at("a", i)].Add(0, true)
+		}
+		rows[Row{Route: "a"}].Add(time.Millisecond, false)
+		if j.Look(time.Duration(n)*100*time.Millisecond, rows, false).Verdict == Harmful {
+			is.True(n <= 12) // 24 bad answers; the sickness shows from a tenth of each replica's
+			return
+		}
+	}
+}
+
+// What a version did with a small part does not complete it: under the whole load it is judged anew.
+func TestAMovingVersionIsJudgedAnew(t *testing.T) {
+	is := is.New(t)
+	j := NewJudge()
+	rows := map[Row]*Tally{{Route: "a"}: tally(900, 0, time.Millisecond), at("a", 1): tally(50, 0, time.Millisecond)}
+	is.Equal(j.Look(0, rows, false).Verdict, Good)
+	is.Equal(j.Look(1, rows, true).Verdict, Undecided)
+	rows[at("a", 1)] = tally(70, 0, time.Millisecond)
+	is.Equal(j.Look(2, rows, true).Verdict, Good)
+}
+
+func TestStepsOfAnOrder(t *testing.T) {
+	good := Judgement{Verdict: Good}
+	running := Status{Known: true, Revision: 9, State: Running}
+	base := func(word Word, more func(*Facts)) *Facts {
+		f := &Facts{Standing: Standing{Order: order("s", "v2", 5), Word: word}, Status: running, Judgement: good,
+			Configured: true, NewReady: 4, OldReady: 4, Sent: 1000, Slack: 50}
+		more(f)
+		return f
+	}
+	const early, late, over = 4 * time.Second, 9 * time.Second, 11 * time.Second
+	cases := map[string]struct {
+		now  time.Duration
+		f    *Facts
+		want Step
+	}{
+		"its status first":         {0, base(Waits, func(f *Facts) { f.Status = Status{} }), Step{Read: true}},
+		"then that it runs":        {0, base(Waits, func(f *Facts) { f.Status.State = None }), Step{Write: Running}},
+		"then a small part":        {0, base(Waits, func(f *Facts) {}), Step{Say: Open}},
+		"watched":                  {early, base(Open, func(f *Facts) {}), Step{}},
+		"trusted late":             {late, base(Open, func(f *Facts) {}), Step{Say: Trusted}},
+		"not without a verdict":    {late, base(Open, func(f *Facts) { f.Judgement = Judgement{} }), Step{}},
+		"but within the slack":     {late, base(Open, func(f *Facts) { f.Judgement, f.Sent = Judgement{}, 100 }), Step{Say: Trusted}},
+		"late without a verdict":   {over, base(Open, func(f *Facts) { f.Judgement = Judgement{} }), Step{Say: Trusted}},
+		"not in doubt, ever":       {over, base(Open, func(f *Facts) { f.Judgement = Judgement{Routes: []Finding{{Against: 3}}} }), Step{}},
+		"not to fewer replicas":    {late, base(Open, func(f *Facts) { f.NewReady = 3 }), Step{}},
+		"no replica ever":          {over, base(Open, func(f *Facts) { f.NewReady = 0 }), Step{Say: Bad, Write: RolledBack}},
+		"not configured":           {over, base(Open, func(f *Facts) { f.Configured = false }), Step{Say: Bad, Write: RolledBack}},
+		"a time of nothing":        {0, base(Waits, func(f *Facts) { f.Standing.For = 0 }), Step{Say: Bad, Write: RolledBack}},
+		"bad":                      {early, base(Open, func(f *Facts) { f.Judgement.Verdict = Harmful }), Step{Say: Bad, Write: RolledBack}},
+		"bad while it moves":       {late, base(Trusted, func(f *Facts) { f.Judgement.Verdict = Harmful }), Step{Say: Bad, Write: RolledBack}},
+		"some still send":          {late, base(Trusted, func(f *Facts) { f.Behind = 1 }), Step{}},
+		"some are bound there":     {over, base(Trusted, func(f *Facts) { f.Bound = 1 }), Step{}},
+		"streams may end":          {8 * time.Second, base(Trusted, func(f *Facts) { f.InFlight = 1 }), Step{}},
+		"or go on elsewhere":       {late + time.Millisecond, base(Trusted, func(f *Facts) { f.InFlight = 1 }), Step{Write: Completed}},
+		"not unseen":               {8 * time.Second, base(Trusted, func(f *Facts) { f.Judgement, f.Standing.Since = Judgement{}, 7*time.Second }), Step{}},
+		"not in doubt":             {late, base(Trusted, func(f *Facts) { f.Judgement = Judgement{Routes: []Finding{{Against: 3}}} }), Step{}},
+		"completed":                {late, base(Trusted, func(f *Facts) {}), Step{Write: Completed}},
+		"it was completed":         {late, base(Trusted, func(f *Facts) { f.Status.State = Completed }), Step{Say: Done}},
+		"it was rolled back":       {late, base(Trusted, func(f *Facts) { f.Status.State = RolledBack }), Step{Say: Bad}},
+		"bad when it is done":      {late, base(Done, func(f *Facts) { f.Judgement.Verdict = Harmful }), Step{}},
+		"taken back":               {late, base(Bad, func(f *Facts) { f.Standing.Ended = true }), Step{Write: RolledBack}},
+		"taken back when it ended": {late, base(Bad, func(f *Facts) { f.Standing.Ended, f.Status.State = true, Completed }), Step{Say: Done}},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			got := Decide(c.now, c.f)
+			got.Why = ""
+			is.New(t).Equal(got, c.want)
+		})
+	}
+}
