Roll-outs: reports in parts, sums that never fall, an order back serves

Cause, found by review: a report of over 64 rows told another choice of them each time, so sums fell and rose again and bad answers counted more than once; with several orders at once reports filled whole heartbeats, which were dropped without a word over 16 KB. Found while mending: an order back to the version that runs, in the middle of a roll-out, left 93 of 100 requests without a replica. Ruled out: the rows of a version in one sum (one ill replica would look like a bad version). Figures: TestSumsOnlyRise and TestAnOrderBackServes red before, green now.

--- a/cmd/node/rollout.go
+++ b/cmd/node/rollout.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -172,11 +173,6 @@
 			Word: uint32(s.Word), WordMs: uint32(s.Since.Milliseconds()), Ended: s.Ended,
 		})
 	}
-	for _, s := range r.view.Standing() {
-		if s.Word < rollout.Bad {
-			out.Reports = append(out.Reports, reportNews(s.Revision, r.report(&s)))
-		}
-	}
 	return out
 }
 
@@ -193,6 +189,9 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for _, p := range h.Rollouts.Reports {
+		if !r.view.Knows(p.Order) {
+			continue // what is told later holds it all
+		}
 		r.seen(p.Order).reports.Take(h.News[0].Name, h.News[0].Incarnation, reportOf(p))
 	}
 }
@@ -207,7 +206,7 @@
 		news.Standing = append(news.Standing, rollout.Standing{
 			Order: rollout.Order{Service: o.Service, Target: o.Target, Revision: o.Revision, For: time.Duration(o.ForMs) * time.Millisecond},
 			Begun: time.Duration(o.AgeMs) * time.Millisecond,
-			Word:  rollout.Word(o.Word),
+			Word:  rollout.Word(min(o.Word, uint32(rollout.Done))),
 			Since: time.Duration(o.WordMs) * time.Millisecond,
 			Ended: o.Ended,
 		})
@@ -215,32 +214,41 @@
 	n.order(from, func(now time.Duration, v *rollout.View) []rollout.Change { return v.Take(now, news) })
 }
 
-// mostRows of a report are told: some 40 bytes each, and a heartbeat is to stay
-// one datagram where a service has few routes.
-const mostRows = 64
+// rowsTold of a report go into one message, so that it is one packet: some 75
+// bytes each where all buckets hold answers.
+const rowsTold = 12
 
-func reportNews(order uint64, rep rollout.Report) *pb.RolloutReport {
-	out := &pb.RolloutReport{
-		Order: order, Count: rep.Count, Moved: rep.Moved, Bound: uint32(rep.Bound), InFlight: uint32(rep.InFlight),
-		LongestMs: uint32(rep.Longest.Milliseconds()), Sent: uint32(rep.Sent),
+// reportNews returns the messages that tell a report.
+func reportNews(order uint64, rep rollout.Report) []*pb.RolloutReport {
+	var out []*pb.RolloutReport
+	var part *pb.RolloutReport
+	add := func() {
+		part = &pb.RolloutReport{
+			Order: order, Count: rep.Count, Moved: rep.Moved, Bound: uint32(rep.Bound), InFlight: uint32(rep.InFlight),
+			LongestMs: uint32(rep.Longest.Milliseconds()), Sent: uint32(rep.Sent),
+		}
+		out = append(out, part)
 	}
+	add()
 	for k, t := range rep.Rows {
-		if len(out.Rows) == mostRows {
-			break
-		}
-		row := &pb.RolloutRow{Route: k.Route, Replica: k.Replica, Failed: t.Failed}
-		last := 0
-		for b, c := range t.Times {
-			if c > 0 {
-				last = b + 1
-			}
+		if len(part.Rows) == rowsTold {
+			add()
 		}
-		row.Times = append(row.Times, t.Times[:last]...)
-		out.Rows = append(out.Rows, row)
+		part.Rows = append(part.Rows, rowNews(k, t))
 	}
 	return out
 }
 
+func rowNews(k rollout.Row, t *rollout.Tally) *pb.RolloutRow {
+	last := 0
+	for b, c := range t.Times {
+		if c > 0 {
+			last = b + 1
+		}
+	}
+	return &pb.RolloutRow{Route: k.Route, Replica: k.Replica, Failed: t.Failed, Times: slices.Clone(t.Times[:last])}
+}
+
 func reportOf(p *pb.RolloutReport) rollout.Report {
 	out := rollout.Report{
 		Count: p.Count, Moved: p.Moved, Bound: int(p.Bound), InFlight: int(p.InFlight),
--- a/cmd/node/rollout_gate.go
+++ b/cmd/node/rollout_gate.go
@@ -16,7 +16,7 @@
 	share  float64         // of this instance's requests, that the version gets
 	newer  map[string]bool // replicas of the version
 	chosen map[string]bool // those of them that get requests
-	older  int             // replicas of other versions that are listed
+	older  int             // replicas of other versions that are listed, but for those of versions that get nothing
 }
 
 // held is what this instance has under way at a replica.
@@ -47,14 +47,14 @@
 		for _, x := range w.all {
 			switch {
 			case x.Service != s.Service:
-			case x.Version != s.Target:
-				m.older++
-				r.others[s.Service] = r.others[s.Service] || x.Takes() && !r.view.Withheld(x.Service, x.Version, false, false)
-			default:
+			case x.Version == s.Target:
 				m.newer[x.ID] = true
 				if x.Takes() {
 					ready = append(ready, x.ID)
 				}
+			case !r.view.Withheld(x.Service, x.Version, false, false):
+				m.older++
+				r.others[s.Service] = r.others[s.Service] || x.Takes()
 			}
 		}
 		m.chosen = s.Chosen(now, r.canary, ready)
--- a/cmd/node/rollout_lead.go
+++ b/cmd/node/rollout_lead.go
@@ -13,6 +13,8 @@
 	"quinceroad/coordination/rollout"
 	"quinceroad/platform"
 	"quinceroad/protocol/event"
+	"quinceroad/protocol/pb"
+	"quinceroad/transport/datagram"
 )
 
 const (
@@ -45,7 +47,7 @@
 			s := &led[i]
 			ranked := rankJudges(s.Service, alive)
 			if look%int(beatEach/lookEach) == 0 && s.Word < rollout.Bad {
-				n.reportTo(ranked)
+				n.reportTo(s, ranked)
 			}
 			n.lead(s, ranked)
 		}
@@ -127,18 +129,27 @@
 	return out[:min(len(out), judges)]
 }
 
-// reportTo tells those who judge what this instance has seen.
-func (n *Node) reportTo(ranked []gossip.Instance) {
+// reportTo tells those who judge an order what this instance has seen of it.
+func (n *Node) reportTo(s *rollout.Standing, ranked []gossip.Instance) {
 	n.gossipMu.Lock()
-	self := n.members.Self()
+	self := newsOf(n.members.Self())
 	n.gossipMu.Unlock()
-	var to []string
-	for _, i := range ranked {
-		if i.Name != n.settings.Name {
-			to = append(to, i.Datagram)
+	n.rollouts.mu.Lock()
+	parts := reportNews(s.Revision, n.rollouts.report(s))
+	n.rollouts.mu.Unlock()
+	for _, part := range parts {
+		h := &pb.Heartbeat{News: []*pb.InstanceNews{self}, Rollouts: &pb.Rollouts{Reports: []*pb.RolloutReport{part}}}
+		b, err := datagram.Encode(h)
+		if err != nil {
+			event.NodeMessageBroken.Log(n.log, "what", "report of a roll-out", "from", n.settings.Name, "error", err)
+			return
+		}
+		for _, i := range ranked {
+			if i.Name != n.settings.Name {
+				n.socket.Send(i.Datagram, b)
+			}
 		}
 	}
-	n.send(to, gossip.Message{News: []gossip.Instance{self}}, nil)
 }
 
 // lead judges an order and takes its next step, if this instance is one of those
@@ -152,11 +163,12 @@
 	o := r.seen(s.Revision)
 	isNew := rank != o.rank
 	o.rank = rank
+	ended := s.Word >= rollout.Bad && o.status.Ended()
 	r.mu.Unlock()
 	if isNew {
 		event.RolloutLeads.Log(n.log, "service", s.Service, "order", s.Revision, "rank", rank)
 	}
-	if rank < 0 {
+	if rank < 0 || ended {
 		return
 	}
 	facts := n.rolloutFacts(now, s)
--- /dev/null
+++ b/cmd/node/rollout_test.go
@@ -0,0 +1,81 @@
+package node
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"google.golang.org/protobuf/proto"
+
+	"quinceroad/coordination/rollout"
+	"quinceroad/platform"
+	"quinceroad/state/catalog"
+)
+
+func worldOf(versions ...string) *world {
+	w := &world{}
+	for i, v := range versions {
+		w.all = append(w.all, catalog.Replica{ID: fmt.Sprint("r", i), Service: "s", Version: v})
+	}
+	return w
+}
+
+// An order back to the version that runs, while another one was being rolled out: there is nothing else, so it gets everything.
+func TestAnOrderBackServes(t *testing.T) {
+	is := is.New(t)
+	r := newRollouts(&platform.Settings{CanaryShare: 0.1, CanarySlack: 50})
+	r.view.Replace(0, []rollout.Order{{Service: "s", Target: "v2", Revision: 3, For: time.Minute}}, 3)
+	r.view.Say(1, 3, rollout.Open)
+	r.view.Replace(2, []rollout.Order{{Service: "s", Target: "v1", Revision: 5, For: time.Minute}}, 5)
+	for _, word := range []rollout.Word{rollout.Waits, rollout.Open, rollout.Trusted} {
+		r.view.Say(3, 5, word)
+		w := worldOf("v1", "v1", "v2")
+		r.part(4, w)
+		for _, x := range w.all {
+			is.Equal(x.Takes(), x.Version == "v1")
+		}
+		for range 10 {
+			is.True(r.mayNewer(w.moves["s"], "a", 1))
+			is.True(r.maySend(w.moves["s"], "a", "r0", 1))
+		}
+	}
+}
+
+// All old replicas of a service in one hall that is emptied: the new version still gets no more than its part.
+func TestEmptiedOldReplicasDoNotOpenTheGate(t *testing.T) {
+	is := is.New(t)
+	r := newRollouts(&platform.Settings{CanaryShare: 0.1, CanarySlack: 50})
+	r.view.Replace(0, []rollout.Order{{Service: "s", Target: "v2", Revision: 3, For: time.Minute}}, 3)
+	r.view.Say(1, 3, rollout.Open)
+	w := worldOf("v1", "v2", "v2")
+	w.all[0].Emptied = true
+	r.part(4, w)
+	sent := 0
+	for range 100 {
+		if r.maySend(w.moves["s"], "a", "r1", 1) {
+			sent++
+		}
+	}
+	is.True(sent <= 1)
+}
+
+// A report of many rows is told in parts that each fit a packet, all of it.
+func TestALongReportFits(t *testing.T) {
+	is := is.New(t)
+	rep := rollout.Report{Count: 1, Rows: make(map[rollout.Row]*rollout.Tally)}
+	for i := range 200 {
+		tally := &rollout.Tally{Failed: 100}
+		for b := range tally.Times {
+			tally.Times[b] = 100
+		}
+		rep.Rows[rollout.Row{Route: "claim-dossier-review", Replica: fmt.Sprint("i-7f3a91c2-", i)}] = tally
+	}
+	reports := rollout.NewReports()
+	for _, p := range reportNews(3, rep) {
+		is.True(proto.Size(p) < packFrom)
+		reports.Take("n1", 1, reportOf(p))
+	}
+	rows, _, _ := reports.Sums()
+	is.Equal(len(rows), 200)
+}
--- a/coordination/rollout/counts.go
+++ b/coordination/rollout/counts.go
@@ -58,6 +58,14 @@
 	return 0
 }
 
+// raise takes in a later or earlier tally of the same answers.
+func (t *Tally) raise(o *Tally) {
+	t.Failed = max(t.Failed, o.Failed)
+	for b := range t.Times {
+		t.Times[b] = max(t.Times[b], o.Times[b])
+	}
+}
+
 func (t *Tally) merge(o *Tally) {
 	t.Failed += o.Failed
 	for b := range t.Times {
@@ -86,19 +94,31 @@
 	incarnation uint64
 }
 
-// Reports holds the newest report of each life on one order. As all that is
-// summed only rises, what is lost, late or repeated does no harm.
+// Reports holds what each life has told of one order. As all that is summed only
+// rises, what is lost, late, repeated or told in parts does no harm.
 type Reports struct{ lives map[life]Report }
 
 // NewReports returns an empty set.
 func NewReports() *Reports { return &Reports{lives: make(map[life]Report)} }
 
-// Take takes in a report of a life.
+// Take takes in a report of a life, or a part of one.
 func (r *Reports) Take(name string, incarnation uint64, rep Report) {
 	k := life{name, incarnation}
-	if old, known := r.lives[k]; known && rep.Count <= old.Count {
+	old, known := r.lives[k]
+	if !known {
+		old = Report{Rows: make(map[Row]*Tally)}
+	}
+	rows := old.Rows
+	for row, t := range rep.Rows {
+		if rows[row] == nil {
+			rows[row] = &Tally{}
+		}
+		rows[row].raise(t)
+	}
+	if known && rep.Count < old.Count {
 		return
 	}
+	rep.Rows = rows
 	r.lives[k] = rep
 }
 
--- a/coordination/rollout/rollout_test.go
+++ b/coordination/rollout/rollout_test.go
@@ -175,6 +175,40 @@
 	is.Equal(j.Look(2, rows, true).Verdict, Good)
 }
 
+// Reports that hold a part of the rows each, come late or twice, or from a life that has ended: sums never fall.
+func TestSumsOnlyRise(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		seen := make(map[Row]*Tally)
+		r := NewReports()
+		var sent []Report
+		for n := range rapid.IntRange(1, 40).Draw(t, "reports") {
+			part := make(map[Row]*Tally)
+			for i := range 3 {
+				k := at("a", i)
+				if seen[k] == nil {
+					seen[k] = &Tally{}
+				}
+				for range rapid.IntRange(0, 3).Draw(t, "answers") {
+					seen[k].Add(time.Millisecond, rapid.Bool().Draw(t, "failed"))
+				}
+				if rapid.Bool().Draw(t, "told") {
+					c := *seen[k]
+					part[k] = &c
+				}
+			}
+			sent = append(sent, Report{Count: uint64(n + 1), Rows: part})
+			before, _, _ := r.Sums()
+			r.Take("n1", 1, rapid.SampledFrom(sent).Draw(t, "comes"))
+			after, _, _ := r.Sums()
+			for k, old := range before {
+				if after[k].Failed < old.Failed || after[k].from(0) < old.from(0) {
+					t.Fatalf("%v fell from %+v to %+v", k, old, after[k])
+				}
+			}
+		}
+	})
+}
+
 func TestStepsOfAnOrder(t *testing.T) {
 	good := Judgement{Verdict: Good}
 	running := Status{Known: true, Revision: 9, State: Running}
--- a/transport/datagram/datagram.go
+++ b/transport/datagram/datagram.go
@@ -3,6 +3,7 @@
 package datagram
 
 import (
+	"errors"
 	"net"
 	"net/netip"
 
@@ -31,13 +32,22 @@
 	return &Socket{conn: c}, nil
 }
 
+// ErrTooLong says that a heartbeat has too much to tell; nobody would get it.
+var ErrTooLong = errors.New("longer than a datagram")
+
 // Encode returns a heartbeat's bytes.
-func Encode(h *pb.Heartbeat) ([]byte, error) { return proto.Marshal(h) }
+func Encode(h *pb.Heartbeat) ([]byte, error) {
+	b, err := proto.Marshal(h)
+	if err == nil && len(b) > maxLen {
+		err = ErrTooLong
+	}
+	return b, err
+}
 
 // Send sends a heartbeat's bytes to addr, IP:port; failures are losses.
 func (s *Socket) Send(addr string, b []byte) {
 	to, err := netip.ParseAddrPort(addr)
-	if err != nil || len(b) > maxLen {
+	if err != nil {
 		return
 	}
 	_, _ = s.conn.WriteToUDPAddrPort(b, to)
