A configuration's version and what requests see change together

Cause: TestTheVersionInForceNeverFalls failed once on a busy machine ("requests see 16 after 29", rapid): the version was told before the world of it was stored, in two holds of the lock. Change: both in one hold.

--- a/cmd/node/topics.go
+++ b/cmd/node/topics.go
@@ -88,15 +88,14 @@
 		}
 	}
 	n.followMu.Lock()
-	newer := n.config == nil || c.Version > n.config.Version
-	if newer {
-		n.config, n.rawConfig = c, &rawConfig{text: data}
-	}
-	n.followMu.Unlock()
-	if !newer {
+	if n.config != nil && c.Version <= n.config.Version {
+		n.followMu.Unlock()
 		return
 	}
-	n.publish()
+	n.config, n.rawConfig = c, &rawConfig{text: data}
+	published := n.putInForce() // with the version at once: who asks for it must not find an older one served
+	n.followMu.Unlock()
+	published()
 	n.gossipMu.Lock()
 	n.members.SetConfigured(c.Version)
 	n.gossipMu.Unlock()
--- a/cmd/node/world.go
+++ b/cmd/node/world.go
@@ -88,20 +88,29 @@
 // publish makes a new world of what is followed.
 func (n *Node) publish() {
 	n.followMu.Lock()
+	published := n.putInForce()
+	n.followMu.Unlock()
+	published()
+}
+
+// putInForce makes a new world of what is followed, and returns what is to be
+// done once followMu, which it needs, is free.
+func (n *Node) putInForce() (published func()) {
 	now := n.now()
 	broken := n.replicas.refresh(now)
 	w := n.makeWorld()
 	cold := n.replicas.newlyCold(now, w.all)
 	n.world.Store(w)
-	n.followMu.Unlock()
-	n.logUnplaced(w.all)
-	for _, id := range broken {
-		event.NodeEntryBroken.Log(n.log, "name", id)
-	}
-	for _, r := range cold {
-		event.NodeReplicaCold.Log(n.log, "replica", r.ID, "hall", r.Hall, "for", r.ColdUntil-now)
+	return func() {
+		n.logUnplaced(w.all)
+		for _, id := range broken {
+			event.NodeEntryBroken.Log(n.log, "name", id)
+		}
+		for _, r := range cold {
+			event.NodeReplicaCold.Log(n.log, "replica", r.ID, "hall", r.Hall, "for", r.ColdUntil-now)
+		}
+		n.owner.refresh()
 	}
-	n.owner.refresh()
 }
 
 // makeWorld returns what is known of the configuration, the replicas, the halls
