--- a/cmd/node/places.go
+++ b/cmd/node/places.go
@@ -13,7 +13,7 @@
 	"quinceroad/state/catalog"
 )
 
-// errNoRegion says that no region that may serve a request has what it needs.
+// The errors of requests that some regions may not serve.
 var (
 	errNoRegion = errors.New("no region that may serve the request can")
 	errNarrowed = errors.New("the region that served the request no longer may")
@@ -30,19 +30,24 @@
 // homes returns the regions that may serve the request, by the configuration in
 // force: it may have changed since the request came.
 func (s *serving) homes() regions.Allowed {
-	w := s.node.world.Load()
-	route := w.config.Match(s.req.Host, s.req.Path)
+	if config := s.node.world.Load().config; config != s.boundBy {
+		s.boundBy, s.bound = config, s.boundTo(config)
+	}
+	return s.bound
+}
+
+// boundTo returns the regions that may serve the request by a configuration; a
+// route or customer that it no longer has binds as it did.
+func (s *serving) boundTo(config *catalog.Configuration) regions.Allowed {
+	route := config.Match(s.req.Host, s.req.Path)
 	if route == nil {
 		route = s.route
 	}
-	if route.Anonymous {
-		return regions.Bind(route.Regions)
-	}
-	customer := w.config.Customers[s.req.Key]
+	customer := config.Customers[s.req.Key]
 	if customer == nil {
 		customer = s.world.config.Customers[s.req.Key]
 	}
-	if customer == nil { // the route asked for no key as the request came
+	if route.Anonymous || customer == nil {
 		return regions.Bind(route.Regions)
 	}
 	return regions.Bind(route.Regions, customer.Regions)
--- a/cmd/node/serve.go
+++ b/cmd/node/serve.go
@@ -8,6 +8,7 @@
 
 	"quinceroad/cmd/process"
 	"quinceroad/coordination/outcome"
+	"quinceroad/coordination/regions"
 	"quinceroad/coordination/retry"
 	"quinceroad/platform"
 	"quinceroad/protocol/event"
@@ -53,9 +54,11 @@
 	avoid   map[string]bool // replicas that turned it away
 	unsent  int
 	redone  int
-	waits   int    // for stages of a stream that broke off
-	replica string // the last one it was sent to
-	region  string // of that
+	waits   int                    // for stages of a stream that broke off
+	replica string                 // the last one it was sent to
+	region  string                 // of that
+	boundBy *catalog.Configuration // that bound was read from
+	bound   regions.Allowed
 	owner   string // of the pools that its stages were asked of last
 	stream  streamState
 	staged  time.Duration // that its stages took
