--- a/cmd/node/parts.go
+++ b/cmd/node/parts.go
@@ -101,7 +101,8 @@
 // share returns the replicas of pools and engines that belong to a cell.
 func (w *world) share(cell int) []catalog.Replica {
 	region, local := w.places.Home(cell)
-	return w.parts.cells[w.places.Cell(region, local%w.cells(region))]
+	known := w.places.Cell(region, local%w.cells(region)) // who asks may know of more cells
+	return w.parts.cells[known]
 }
 
 // cellOf returns the cell of a region that a request belongs to: those that
--- a/cmd/node/state.go
+++ b/cmd/node/state.go
@@ -142,7 +142,8 @@
 func (n *Node) regionStates(w *world, alive []gossip.Instance) map[string]RegionState {
 	out := make(map[string]RegionState)
 	for _, region := range w.places.Names() {
-		r := RegionState{Cells: w.cells(region), Replicas: w.parts.takes[region], Trip: n.trip(region).String()}
+		r := RegionState{Cells: w.cells(region), Trip: n.trip(region).String()}
+		r.Replicas = w.parts.takes[region]
 		for _, i := range alive {
 			if i.Region == region {
 				r.Instances++
