--- a/cmd/node/far.go
+++ b/cmd/node/far.go
@@ -43,25 +43,34 @@
 		return
 	}
 	allowed := regions.Bind(r.ask.Regions)
-	answers, asked := make(chan placement.Kept, len(n.places.Names())), 0
+	var others []string
 	for _, region := range n.places.Names() {
-		if region == home || region == "" || !allowed.Has(region) {
-			continue
+		if region != home && region != "" && allowed.Has(region) {
+			others = append(others, region)
 		}
-		asked++
-		go func() { answers <- n.keptIn(region, r.request.Service, shared) }()
+	}
+	if len(others) > 0 {
+		r.far = n.mostKept(others, r.request.Service, shared)
+	}
+}
+
+// mostKept asks some regions at once, and tells which engine keeps most.
+func (n *Node) mostKept(others []string, service string, shared []catalog.Part) <-chan placement.Kept {
+	answers := make(chan placement.Kept, len(others))
+	for _, region := range others {
+		go func() { answers <- n.keptIn(region, service, shared) }()
 	}
 	most := make(chan placement.Kept, 1)
-	r.far = most
 	go func() {
 		var best placement.Kept
-		for range asked {
+		for range others {
 			if k := <-answers; k.Tokens > best.Tokens {
 				best = k
 			}
 		}
 		most <- best
 	}()
+	return most
 }
 
 // heardFar returns what the others said, once they have or their time is over.
