A region that does not answer is left alone for a second

An ask was changed for the next owner while this instance's own job still read it. A refusal abroad was hidden behind a lost owner. An owner of former times told what it kept then. Change: regions.Lending knows silences; each owner on this instance gets its own copy; the refusal goes first; only who owns a cell now tells of it. Figures: tests of regions, node and platform (with the race detector) pass.

--- a/cmd/node/far.go
+++ b/cmd/node/far.go
@@ -45,7 +45,7 @@
 	allowed := regions.Bind(r.ask.Regions)
 	var others []string
 	for _, region := range n.places.Names() {
-		if region != home && region != "" && allowed.Has(region) {
+		if region != home && region != "" && allowed.Has(region) && !n.silentRegion(region) {
 			others = append(others, region)
 		}
 	}
@@ -114,7 +114,9 @@
 	n.counters.keptAsks.Inc(1)
 	n.counters.farBytes.kept.Inc(int64(proto.Size(ask)))
 	reply := &pb.KeptReply{}
-	if err := n.links.Call(owners[0].Link, frame.Kept, ask, reply, farFor); err != nil {
+	err := n.links.Call(owners[0].Link, frame.Kept, ask, reply, farFor)
+	n.noteHeard(region, err == nil)
+	if err != nil {
 		n.logAside("kept prompts of "+region, owners[0].Name, err)
 		return placement.Kept{}
 	}
@@ -124,6 +126,23 @@
 	return placement.Kept{Address: reply.Address, Tokens: int(reply.Tokens)}
 }
 
+func (n *Node) silentRegion(region string) bool {
+	n.judgeMu.Lock()
+	defer n.judgeMu.Unlock()
+	return n.lending.short.Silent(n.now(), region)
+}
+
+// noteHeard takes in whether a region answered.
+func (n *Node) noteHeard(region string, heard bool) {
+	n.judgeMu.Lock()
+	defer n.judgeMu.Unlock()
+	if heard {
+		n.lending.short.Heard(region)
+		return
+	}
+	n.lending.short.Unheard(n.now(), region)
+}
+
 // answerKept tells another region's owner what engines of a cell keep.
 func (n *Node) answerKept(first []byte) proto.Message {
 	ask := &pb.KeptAsk{}
@@ -131,7 +150,7 @@
 		event.NodeMessageBroken.Log(n.log, "what", "question for kept prompts", "from", "", "error", err)
 		return &pb.KeptReply{}
 	}
-	c := n.owner.known(int(ask.Cell))
+	c := n.owner.owned(int(ask.Cell))
 	if c == nil {
 		return &pb.KeptReply{}
 	}
--- a/cmd/node/owner.go
+++ b/cmd/node/owner.go
@@ -64,11 +64,21 @@
 	return c
 }
 
-// known returns a cell that this instance has owned, nil where it has not.
-func (o *owner) known(number int) *cell {
+// owned returns a cell that this instance owns, nil where it does not: what it
+// knew of one that it owned once is no longer so.
+func (o *owner) owned(number int) *cell {
 	o.mu.Lock()
-	defer o.mu.Unlock()
-	return o.cells[number]
+	c := o.cells[number]
+	o.mu.Unlock()
+	if c == nil {
+		return nil
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.asked == 0 {
+		return nil
+	}
+	return c
 }
 
 // claim tells the others which cells this instance owns: those for which
--- a/cmd/node/places.go
+++ b/cmd/node/places.go
@@ -121,10 +121,10 @@
 		if failure == nil {
 			return job, nil
 		}
-		if err == nil {
-			err = failure // what the nearest one says is what the client is told
-		}
 		var refused *refusedError
+		if err == nil || errors.Is(err, errOwnerLost) && errors.As(failure, &refused) {
+			err = failure // the client is told what the nearest one says that answers
+		}
 		if errors.As(failure, &refused) {
 			s.expects = refused.expects
 		}
@@ -180,9 +180,14 @@
 	var refused *refusedError
 	isRefused := errors.As(failure, &refused)
 	n.judgeMu.Lock()
-	if isRefused {
+	switch {
+	case isRefused:
 		n.lending.short.Refused(n.now(), region, s.rank)
 		n.lending.trips.Note(region, took)
+	case errors.Is(failure, errOwnerLost):
+		n.lending.short.Unheard(n.now(), region)
+	case failure == nil:
+		n.lending.short.Heard(region)
 	}
 	n.judgeMu.Unlock()
 	if region == n.home {
--- a/cmd/node/stages.go
+++ b/cmd/node/stages.go
@@ -188,7 +188,8 @@
 	news := make(chan *pb.StagesNews, 1)
 	replies := make(chan *pb.StagesReply, mostReplies)
 	job := &stageJob{end: sync.OnceFunc(func() { close(news) }), news: func(m *pb.StagesNews) { news <- m }}
-	go n.owner.cell(int(w.ask.Cell)).run(w.ask, news, func(r *pb.StagesReply) error {
+	ask := proto.CloneOf(w.ask) // the next owner is asked by another one while this one may still read it
+	go n.owner.cell(int(ask.Cell)).run(ask, news, func(r *pb.StagesReply) error {
 		replies <- r
 		return nil
 	})
--- a/coordination/regions/lending.go
+++ b/coordination/regions/lending.go
@@ -7,9 +7,16 @@
 // one has ended its queue has hardly changed. Chosen.
 const shortFor = 250 * time.Millisecond
 
-// Lending remembers which regions refused lately. It is not safe for concurrent use.
+// silentFor is how long a region whose owner did not answer is not asked again:
+// in a cut each question costs its caller's patience, and heartbeats tell of a
+// cut after about as long again. Chosen.
+const silentFor = time.Second
+
+// Lending remembers which regions refused lately, or did not answer. It is not
+// safe for concurrent use.
 type Lending struct {
-	short map[string][]refusal
+	short  map[string][]refusal
+	silent map[string]time.Duration // until when
 }
 
 type refusal struct {
@@ -18,7 +25,18 @@
 }
 
 // NewLending returns a memory of no refusals.
-func NewLending() *Lending { return &Lending{short: make(map[string][]refusal)} }
+func NewLending() *Lending {
+	return &Lending{short: make(map[string][]refusal), silent: make(map[string]time.Duration)}
+}
+
+// Unheard notes that a region did not answer; Heard that it did.
+func (l *Lending) Unheard(now time.Duration, region string) { l.silent[region] = now + silentFor }
+
+// Heard notes that a region answered.
+func (l *Lending) Heard(region string) { delete(l.silent, region) }
+
+// Silent reports whether a region did not answer a moment ago.
+func (l *Lending) Silent(now time.Duration, region string) bool { return l.silent[region] > now }
 
 // Refused notes that a region refused a request of a rank, 0 the most urgent.
 func (l *Lending) Refused(now time.Duration, region string, rank int) {
@@ -32,8 +50,11 @@
 }
 
 // Short reports whether a region is likely to refuse a request of a rank: it
-// refused one as urgent, or more, a moment ago.
+// refused one as urgent, or more, a moment ago, or does not answer.
 func (l *Lending) Short(now time.Duration, region string, rank int) bool {
+	if l.Silent(now, region) {
+		return true
+	}
 	for _, r := range l.short[region] {
 		if r.until > now && r.rank <= rank {
 			return true
--- a/coordination/regions/regions_test.go
+++ b/coordination/regions/regions_test.go
@@ -101,3 +101,19 @@
 	is.Equal(Turn("a", all, "x"), []string{"a", "b"}) // an owner says why
 	is.Equal(len(Turn("a", nil, "x")), 0)
 }
+
+// In a cut each request that brought a new prompt waited for an answer that
+// could not come.
+func TestARegionThatDoesNotAnswerIsLeftAloneForAWhile(t *testing.T) {
+	is := is.New(t)
+	l := NewLending()
+	is.True(!l.Silent(time.Second, "b"))
+	l.Unheard(time.Second, "b")
+	is.True(l.Silent(time.Second+silentFor/2, "b"))
+	is.True(l.Short(time.Second+silentFor/2, "b", 0)) // however urgent
+	is.True(!l.Silent(time.Second+silentFor/2, "c"))
+	is.True(!l.Silent(time.Second+silentFor, "b"))
+	l.Unheard(time.Second, "b")
+	l.Heard("b")
+	is.True(!l.Silent(time.Second+1, "b"))
+}
