--- a/coordination/speed/fit.go
+++ b/coordination/speed/fit.go
@@ -10,7 +10,7 @@
 const (
 	sizeCount = 18 // by the power of two of the tokens, up to 130,000
 	sizeKept  = 16 // observations of each size
-	outsKept  = 32 // times of generated tokens
+	outsKept  = 99 // times of generated tokens: they differ by ten, as requests state how many they want only about
 )
 
 // point is an observation: tokens read and nanoseconds taken.
--- a/coordination/speed/records.go
+++ b/coordination/speed/records.go
@@ -30,10 +30,11 @@
 }
 
 const (
-	mostOrigins = 6               // of a service, the newest: more say no more
+	mostOrigins = 32              // of a service, the newest: a bound; each is an owner of some 30 replicas
 	recordLife  = 5 * time.Minute // after which a record counts no more: nobody serves there any longer
 	mostCount   = 500             // observations beyond which a record weighs no more
-	noticeable  = 0.1             // share by which a figure changes for it to be told
+	noticeable  = 0.1             // share by which a time changes for it to be told
+	rough       = 0.3             // the same of what is known but roughly
 	tellTimes   = 6               // that a new record is told on: with four peers a round, to all but a few of 400
 	tellTurn    = 16              // rounds between repeats, for those few
 	mostTold    = 3               // records in one message, some 45 bytes each
@@ -102,13 +103,13 @@
 
 // Differs reports whether figures changed so much that others should know.
 func (f *Figures) Differs(from *Figures) bool {
-	return changed(f.Usual.Base, from.Usual.Base) || changed(f.Usual.PerToken, from.Usual.PerToken) ||
-		changed(f.Likely.Base, from.Likely.Base) || changed(f.Likely.PerToken, from.Likely.PerToken) ||
-		changed(f.PerOut, from.PerOut) || changed(time.Duration(f.Longest), time.Duration(from.Longest))
+	return differ(f.Usual.Base, from.Usual.Base, noticeable) || differ(f.Usual.PerToken, from.Usual.PerToken, noticeable) ||
+		differ(f.Likely.Base, from.Likely.Base, noticeable) || differ(f.Likely.PerToken, from.Likely.PerToken, noticeable) ||
+		differ(f.PerOut, from.PerOut, rough) || differ(time.Duration(f.Longest), time.Duration(from.Longest), rough)
 }
 
-func changed(a, b time.Duration) bool {
-	return math.Abs(float64(a-b)) > noticeable*float64(max(a, b))
+func differ(a, b time.Duration, share float64) bool {
+	return math.Abs(float64(a-b)) > share*float64(max(a, b))
 }
 
 // Tell returns the records to send in a round: those that are new, and each of
