--- a/coordination/placement/options.go
+++ b/coordination/placement/options.go
@@ -11,9 +11,8 @@
 	Second       float64       // cost of a second until the first event
 	Late         float64       // of a first event after the objective
 	Stall        float64       // of holding one stream up for long
-	StallFrom    float64       // share of a service's shortest objective for pauses, from which a hold-up costs
-	StallTo      float64       // and costs all
-	Gap          time.Duration // objective for pauses of a service whose routes state none
+	StallFrom    time.Duration // a hold-up begins to cost (trials: shares of the objective for pauses are worse)
+	StallTo      time.Duration // and costs all
 	Beside       float64       // of generating for a second beside an engine's usual reading
 	Moved        float64       // of moving a token of a prompt from one engine to another; a setting
 	FarByte      float64       // of a byte of results that crosses halls; a setting
@@ -32,9 +31,8 @@
 		Second:       0.15,
 		Late:         0.8,
 		Stall:        0.3,
-		StallFrom:    0.3,
-		StallTo:      1.2,
-		Gap:          500 * time.Millisecond, // chosen, between those stated: 200 to 600 ms
+		StallFrom:    150 * time.Millisecond,
+		StallTo:      600 * time.Millisecond,
 		Beside:       0.3,
 		Moved:        25e-6,
 		FarByte:      82e-9,
--- a/coordination/placement/placement.go
+++ b/coordination/placement/placement.go
@@ -72,7 +72,6 @@
 	usualAt  time.Duration
 	speed    *speed.Service
 	own      speed.Replica // how its times differ from those of the service's others
-	gap      time.Duration // objective for pauses between events
 	perMoved time.Duration // to move one token from another engine
 	kept     map[uint64]*part
 	listed   map[string]int // by part: tokens that it kept when it was asked
@@ -110,7 +109,6 @@
 			e.most = t.cold.Most(s.WarmUp.PerSecond)
 		}
 		e.memory = int(s.Engine.MemoryTokens)
-		e.gap = cmp.Or(s.GapObjective, t.opts.Gap)
 		e.speed = t.speed(r.Service)
 		e.perMoved = perMoved(s.Engine)
 	}
@@ -211,7 +209,7 @@
 	if r.Slack > 0 {
 		c += o.Late * ramp(first.Seconds(), 0.6*r.Slack.Seconds(), 1.1*r.Slack.Seconds())
 	}
-	c += o.Stall * float64(e.runs) * ramp((queue+reads).Seconds()/e.gap.Seconds(), o.StallFrom, o.StallTo)
+	c += o.Stall * float64(e.runs) * ramp((queue+reads).Seconds(), o.StallFrom.Seconds(), o.StallTo.Seconds())
 	c += o.Beside * e.usually(now, o) * float64(r.Out) * e.speed.Figures().PerOut.Seconds()
 	for hall, bytes := range r.Near {
 		if hall != e.Hall {
--- a/state/catalog/catalog.go
+++ b/state/catalog/catalog.go
@@ -82,10 +82,6 @@
 	Engine     *Engine // nil unless it generates
 	Pool       *Pool   // nil unless it runs stages
 	WarmUp     *WarmUp // nil unless its replicas carry little while they are cold
-
-	// GapObjective is the shortest of those of the routes that lead here, which
-	// Index finds; 0: none states one.
-	GapObjective time.Duration
 }
 
 // WarmUp tells what a cold replica of a service carries.
@@ -120,26 +116,12 @@
 	for i := range c.Routes {
 		r := &c.Routes[i]
 		c.hosts[r.Host] = append(c.hosts[r.Host], r)
-		c.noteGap(r)
 	}
 	for _, list := range c.hosts {
 		sort.SliceStable(list, func(i, j int) bool { return len(list[i].Prefix) > len(list[j].Prefix) })
 	}
 }
 
-// noteGap tells the services of a route how short a pause it asks for.
-func (c *Configuration) noteGap(r *Route) {
-	for _, t := range r.Targets {
-		s := c.Services[t.Service]
-		if s == nil || r.GapObjective <= 0 {
-			continue
-		}
-		if s.GapObjective == 0 || r.GapObjective < s.GapObjective {
-			s.GapObjective = r.GapObjective
-		}
-	}
-}
-
 // Match returns the route of a request, or nil.
 func (c *Configuration) Match(host, path string) *Route {
 	for _, r := range c.hosts[host] {
