--- a/coordination/rollout/plan.go
+++ b/coordination/rollout/plan.go
@@ -98,6 +98,8 @@
 		return Step{Say: Bad, Write: RolledBack, Why: "no replica of the version came"}
 	case s.Word < Open:
 		return Step{Say: Open}
+	case f.NewReady == 0 && s.Word == Open:
+		return Step{Why: "no replica of the version is ready"}
 	case s.Word == Open:
 		return f.trust(age)
 	}
