--- /dev/null
+++ b/coordination/pipeline/bench_test.go
@@ -0,0 +1,62 @@
+package pipeline
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"quinceroad/state/catalog"
+)
+
+// waitingJobs returns a scheduler whose replicas are at work and where so many
+// jobs of three ranks wait, each of two stages with four pieces.
+func waitingJobs(b *testing.B, jobs int) *Scheduler {
+	s := New()
+	var list []catalog.Replica
+	for _, service := range []string{"read", "rank"} {
+		for i := range 18 {
+			id := fmt.Sprint(service, "-", i)
+			list = append(list, catalog.Replica{ID: id, Service: service, Hall: fmt.Sprint(i % 4), Address: id + ":1"})
+		}
+	}
+	s.SetPools(0, services(), list)
+	for i := range jobs {
+		if v, _ := s.Submit(0, waitingJob(i)); !v.Admitted {
+			b.Fatalf("job %d is refused, %v are expected", i, v.Expected)
+		}
+	}
+	return s
+}
+
+func waitingJob(i int) Job {
+	j := newTestJob(fmt.Sprint(i), 4)
+	j.Rank = i % 3
+	j.Objective, j.Deadline = time.Hour, 2*time.Hour
+	j.Stages = append(j.Stages, Stage{Service: "rank", After: []int{0}, Pieces: 4, Bytes: 10_000})
+	return j
+}
+
+// BenchmarkSubmit is one job more, which is released at once.
+func BenchmarkSubmit(b *testing.B) {
+	for _, jobs := range []int{100, 1000} {
+		b.Run(fmt.Sprint("waiting=", jobs), func(b *testing.B) {
+			s := waitingJobs(b, jobs)
+			for b.Loop() {
+				v, _ := s.Submit(0, waitingJob(jobs))
+				s.Release(0, v.ID)
+			}
+		})
+	}
+}
+
+// BenchmarkTick is one look at what is due by time alone.
+func BenchmarkTick(b *testing.B) {
+	for _, jobs := range []int{100, 1000} {
+		b.Run(fmt.Sprint("waiting=", jobs), func(b *testing.B) {
+			s := waitingJobs(b, jobs)
+			for b.Loop() {
+				s.Tick(0)
+			}
+		})
+	}
+}
