Pools wait for fuller calls by load and slack, and expect by a plan of their next calls

Change: pieces wait for company until calls are as full as leaves 0.15 of the replicas idle by what arrives, unless they press or are of the most urgent rank present. Its parts are in the lines of refused and failed jobs and event 3120, errors in three counters. Backlog goes.

Ruled out: correction by own recent error, margins, half or whole batches by rank, arrivals that go on for good, all ranks waiting (docs/design/pools.md). TestSmallWorkStaysWhenLargeWorkGoes asks the books for pieces beside seconds, since they hold both now.

Tests of both loads seen red on the code before.

--- a/cmd/node/counters.go
+++ b/cmd/node/counters.go
@@ -18,6 +18,9 @@
 	lostCalls   metrics.Counter
 	jobs        metrics.Counter // admitted by this instance as an owner
 	jobsRefused metrics.Counter
+	staged      metrics.Counter // milliseconds that stages took, of all jobs that were done
+	expected    metrics.Counter // milliseconds that these were expected to take
+	overran     metrics.Counter // jobs that took longer than expected
 	lentAsks    metrics.Counter // of owners in other regions, for requests that the own one did not take
 	lentRefused metrics.Counter // of these
 	keptAsks    metrics.Counter // of owners in other regions, what is kept there of a prompt
@@ -56,6 +59,9 @@
 		lostCalls:   counter("node.calls_lost"),
 		jobs:        counter("node.jobs"),
 		jobsRefused: counter("node.jobs_refused"),
+		staged:      counter("node.jobs_staged_ms"),
+		expected:    counter("node.jobs_expected_ms"),
+		overran:     counter("node.jobs_overran"),
 		lentAsks:    counter("node.regions.asks"),
 		lentRefused: counter("node.regions.asks_refused"),
 		keptAsks:    counter("node.regions.kept_asks"),
--- a/cmd/node/owned.go
+++ b/cmd/node/owned.go
@@ -95,7 +95,7 @@
 		event.NodeJobRefused.Log(n.log, "request", job.RequestID, "rank", job.Rank, "again", job.Again,
 			"expected", verdict.Expected, "wait", verdict.Expected-verdict.Own, "own", verdict.Own, "bound", verdict.Bound, "limit", verdict.Limit,
 			"engine_expected", time.Duration(reply.EngineUs)*time.Microsecond, "reads", reply.Reads, "moves", reply.Moves,
-			"objective", job.Objective, "deadline", job.Deadline, "pools", c.pools(job))
+			"objective", job.Objective, "deadline", job.Deadline, "stages", verdict.Explain(), "pools", c.pools(job))
 		reply.Refused, reply.RetryAfterUs, reply.ExpectedUs = true, verdict.RetryAfter.Microseconds(), verdict.Expected.Microseconds()
 		_ = send(reply)
 		return pipeline.Deliver{}, false
@@ -115,10 +115,11 @@
 		case a := <-end:
 			if f, failed := a.(pipeline.Fail); failed {
 				event.NodeJobFailed.Log(n.log, "request", job.RequestID, "why", f.Why, "after", n.now()-r.began,
-					"expected", verdict.Expected, "rank", job.Rank, "again", job.Again)
+					"expected", verdict.Expected, "rank", job.Rank, "again", job.Again, "stages", verdict.Explain())
 				_ = send(&pb.StagesReply{Failed: f.Why, RetryAfterUs: f.RetryAfter.Microseconds()})
 				return pipeline.Deliver{}, false
 			}
+			r.compare(verdict)
 			return a.(pipeline.Deliver), true
 		}
 	}
@@ -139,6 +140,20 @@
 	return &pb.StagesReply{EngineUs: ahead.Microseconds(), Reads: uint32(choice.Reads), Moves: uint32(choice.Moves)}
 }
 
+// compare counts how the time that the stages took differs from the expected.
+func (r *ownedRequest) compare(v pipeline.Verdict) {
+	n := r.cell.owner.node
+	took := n.now() - r.began
+	n.counters.staged.Inc(took.Milliseconds())
+	n.counters.expected.Inc(v.Expected.Milliseconds())
+	if took > v.Expected {
+		n.counters.overran.Inc(1)
+	}
+	if n.log.IsDebug() {
+		event.NodeStagesDone.Log(n.log, "request", r.ask.RequestId, "took", took, "expected", v.Expected, "stages", v.Explain())
+	}
+}
+
 // place picks the request's engine, now that its results are there.
 func (r *ownedRequest) place(ready pipeline.Deliver) *pb.StagesReply {
 	c, n := r.cell, r.cell.owner.node
--- a/coordination/pipeline/call.go
+++ b/coordination/pipeline/call.go
@@ -25,8 +25,8 @@
 	}
 }
 
-// dispatch gives each idle replica a call while pieces wait that it may take;
-// the last one is kept for what is urgent.
+// dispatch gives each idle replica a call while pieces wait that it may take,
+// and the last one only what is urgent or fills half a call.
 func (s *Scheduler) dispatch(now time.Duration, p *pool) {
 	if len(p.ready) == 0 {
 		return
@@ -36,8 +36,12 @@
 		return
 	}
 	p.sort()
+	fill := p.fill(now, &s.opts)
 	for i, r := range idle {
-		if i == len(idle)-1 && !p.mayTakeLast(now, &s.opts) {
+		if i == len(idle)-1 {
+			fill = max(fill, s.opts.LastFill*float64(p.def.Batch))
+		}
+		if !p.mayCall(now, fill, &s.opts) {
 			return
 		}
 		if batch := p.pickBatch(now, r, &s.opts); len(batch) > 0 {
--- /dev/null
+++ b/coordination/pipeline/expect.go
@@ -0,0 +1,88 @@
+package pipeline
+
+import (
+	"fmt"
+	"strings"
+	"time"
+)
+
+// Forecast is what is expected of one stage of a job; times are from its coming.
+type Forecast struct {
+	Service string
+	Pieces  int
+	Ahead   int           // pieces that wait at the pool and go before
+	Ready   time.Duration // when the stages that it reads are done
+	Begins  time.Duration // when the last of its pieces is in a call
+	Ends    time.Duration
+}
+
+// String returns the forecast as logs show it.
+func (f Forecast) String() string {
+	return fmt.Sprintf("%s: %d pieces ready at %v, %d ahead, begun by %v, done by %v", f.Service, f.Pieces,
+		f.Ready.Round(time.Millisecond), f.Ahead, f.Begins.Round(time.Millisecond), f.Ends.Round(time.Millisecond))
+}
+
+// Explain returns what a verdict expects of each stage, for a log line.
+func (v Verdict) Explain() string {
+	parts := make([]string, 0, len(v.Stages))
+	for _, f := range v.Stages {
+		parts = append(parts, f.String())
+	}
+	return strings.Join(parts, "; ")
+}
+
+// expect returns the time until the job's stages are done, by a plan of each
+// pool's next calls.
+func (s *Scheduler) expect(now time.Duration, j *job) time.Duration {
+	ends := make([]time.Duration, len(j.stages))
+	plans := make(map[*pool]*plan)
+	last := time.Duration(0)
+	for n, st := range j.stages {
+		for _, a := range st.def.After {
+			ends[n] = max(ends[n], ends[a])
+		}
+		if len(st.pieces) == 0 {
+			continue
+		}
+		pl := plans[st.pool]
+		if pl == nil {
+			pl = st.pool.plan(now, j.rank)
+			plans[st.pool] = pl
+		}
+		st.plan = Forecast{Service: st.def.Service, Pieces: len(st.pieces), Ahead: int(pl.ahead), Ready: ends[n]}
+		st.plan.Begins, st.plan.Ends = pl.place(ends[n], st)
+		ends[n] = st.plan.Ends
+		last = max(last, ends[n])
+	}
+	return last
+}
+
+func (j *job) forecasts() []Forecast {
+	var out []Forecast
+	for _, st := range j.stages {
+		if len(st.pieces) > 0 {
+			out = append(out, st.plan)
+		}
+	}
+	return out
+}
+
+// own is what a job's stages take where nothing waits.
+func (j *job) own() time.Duration {
+	longest := time.Duration(0)
+	for _, rest := range j.rests() {
+		longest = max(longest, rest)
+	}
+	return longest
+}
+
+// bound names the service whose pool a job waits for longest.
+func (j *job) bound() string {
+	name, longest := "", time.Duration(0)
+	for _, st := range j.stages {
+		if wait := st.plan.Begins - st.plan.Ready; wait > longest {
+			name, longest = st.def.Service, wait
+		}
+	}
+	return name
+}
--- a/coordination/pipeline/job.go
+++ b/coordination/pipeline/job.go
@@ -33,9 +33,9 @@
 	number int
 	def    Stage
 	pool   *pool
-	cost   float64       // seconds of one replica, of one piece
+	item   float64       // seconds that one piece takes in a call
 	latest time.Duration // when it must start for the job to be in time
-	wait   time.Duration // for its pool, as expected when the job came
+	plan   Forecast      // as expected when the job came
 	pieces []*piece
 	freed  bool
 }
@@ -59,7 +59,7 @@
 		if p == nil {
 			return nil, false
 		}
-		st := &stage{job: j, number: n, def: d, pool: p, cost: p.cost(d.Bytes) * s.opts.Backlog}
+		st := &stage{job: j, number: n, def: d, pool: p, item: p.item(d.Bytes)}
 		for i := range d.Pieces {
 			st.pieces = append(st.pieces, &piece{stage: st, index: i})
 		}
@@ -72,27 +72,6 @@
 	return j, true
 }
 
-// expect returns the time until the job's stages are done, by what waits now.
-func (s *Scheduler) expect(now time.Duration, j *job) time.Duration {
-	ends := make([]time.Duration, len(j.stages))
-	last := time.Duration(0)
-	for n, st := range j.stages {
-		start := time.Duration(0)
-		for _, a := range st.def.After {
-			start = max(start, ends[a])
-		}
-		ends[n] = start
-		if len(st.pieces) == 0 {
-			continue
-		}
-		st.wait = max(st.pool.clear(now, j.rank)-start, 0)
-		own := time.Duration(float64(len(st.pieces)) * st.cost / float64(max(len(st.pool.replicas), 1)) * float64(time.Second))
-		ends[n] = start + st.wait + own + st.duration()
-		last = max(last, ends[n])
-	}
-	return last
-}
-
 // limit is the time that a job's stages may be expected to take.
 func (s *Scheduler) limit(j *job) time.Duration {
 	if j.Again {
@@ -109,30 +88,10 @@
 	return max(v.Expected-v.Limit, s.opts.LeastRetry)
 }
 
-// own is what a job's stages take where nothing waits.
-func (j *job) own() time.Duration {
-	longest := time.Duration(0)
-	for _, rest := range j.rests() {
-		longest = max(longest, rest)
-	}
-	return longest
-}
-
-// bound names the service whose pool a job waits for longest.
-func (j *job) bound() string {
-	name, longest := "", time.Duration(0)
-	for _, st := range j.stages {
-		if st.wait > longest {
-			name, longest = st.def.Service, st.wait
-		}
-	}
-	return name
-}
-
 // admit counts the job's pieces and readies those without inputs.
 func (s *Scheduler) admit(now time.Duration, j *job) {
 	for _, st := range j.stages {
-		st.pool.load.of(j.rank).arrives(now, st.cost*float64(len(st.pieces)))
+		st.pool.load.of(j.rank).arrives(now, len(st.pieces), st.item)
 		for _, x := range st.pieces {
 			x.count()
 		}
@@ -143,14 +102,14 @@
 func (x *piece) count() {
 	if !x.counted {
 		x.counted = true
-		x.stage.pool.load.of(x.stage.job.rank).add(x.stage.cost)
+		x.stage.pool.load.of(x.stage.job.rank).add(x.stage.item)
 	}
 }
 
 func (x *piece) uncount() {
 	if x.counted {
 		x.counted = false
-		x.stage.pool.load.of(x.stage.job.rank).drop(x.stage.cost)
+		x.stage.pool.load.of(x.stage.job.rank).drop(x.stage.item)
 	}
 }
 
--- a/coordination/pipeline/load.go
+++ b/coordination/pipeline/load.go
@@ -11,8 +11,9 @@
 type rankLoad struct {
 	rank    int
 	pieces  int     // admitted and not at work
-	waiting float64 // seconds of one replica that these will take
-	arrived float64 // seconds of one replica that were admitted lately, fading
+	waiting float64 // seconds that these will take in calls, beside the calls' fixed times
+	came    float64 // pieces that were admitted lately, fading
+	items   float64 // seconds of these in calls, the same
 	at      time.Duration
 }
 
@@ -28,14 +29,14 @@
 	return (*l)[i]
 }
 
-func (r *rankLoad) add(work float64) {
+func (r *rankLoad) add(item float64) {
 	r.pieces++
-	r.waiting += work
+	r.waiting += item
 }
 
-func (r *rankLoad) drop(work float64) {
+func (r *rankLoad) drop(item float64) {
 	r.pieces--
-	r.waiting -= work
+	r.waiting -= item
 	if r.pieces == 0 {
 		r.waiting = 0 // leaves no rounding behind
 	}
@@ -45,36 +46,40 @@
 const arrivalFor = 2 * time.Second
 
 func (r *rankLoad) fade(now time.Duration) {
-	r.arrived *= math.Exp(-(now - r.at).Seconds() / arrivalFor.Seconds())
+	left := math.Exp(-(now - r.at).Seconds() / arrivalFor.Seconds())
+	r.came *= left
+	r.items *= left
 	r.at = now
 }
 
-// arrives notes work that is admitted.
-func (r *rankLoad) arrives(now time.Duration, work float64) {
+// arrives notes pieces that are admitted, which take so many seconds each.
+func (r *rankLoad) arrives(now time.Duration, pieces int, item float64) {
 	r.fade(now)
-	r.arrived += work
+	r.came += float64(pieces)
+	r.items += item * float64(pieces)
 }
 
-// before returns the work that waits and goes before a new job of a rank.
-func (l load) before(rank int) float64 {
-	work := 0.0
+// before returns the pieces that wait and go before a new job of a rank, and
+// the seconds that they take in calls.
+func (l load) before(rank int) (pieces int, items float64) {
 	for _, r := range l {
 		if r.rank <= rank {
-			work += r.waiting
+			pieces += r.pieces
+			items += r.waiting
 		}
 	}
-	return work
+	return pieces, items
 }
 
-// overtaking is how many replicas the work that goes before a rank and still
-// arrives keeps busy.
-func (l load) overtaking(now time.Duration, rank int) float64 {
-	busy := 0.0
+// overtaking returns how many pieces that go before a rank come in a second,
+// and the seconds that they take in calls.
+func (l load) overtaking(now time.Duration, rank int) (pieces, items float64) {
 	for _, r := range l {
 		if r.rank < rank {
 			r.fade(now)
-			busy += r.arrived / arrivalFor.Seconds()
+			pieces += r.came / arrivalFor.Seconds()
+			items += r.items / arrivalFor.Seconds()
 		}
 	}
-	return busy
+	return pieces, items
 }
--- a/coordination/pipeline/options.go
+++ b/coordination/pipeline/options.go
@@ -12,11 +12,11 @@
 	LastMargin   float64       // share of the deadline, of one that came back; the engine needs the rest; chosen
 	LastTimes    float64       // and times of its objective: what ends much later is given up on the way (trials: 1.3 to 2.4, best 1.8)
 	LateShare    float64       // of the objective, for which a late job goes on (trials: 0 to 0.8, best 0.3)
-	Backlog      float64       // what pieces cost in real calls against full ones (trials: 1.4 is worse); chosen
 	OverdueTimes float64       // a call is overdue after so many times what it should take; chosen, beyond what calls vary by
 	OverdueSlack time.Duration // and this
+	AtWork       float64       // share of a pool's replicas that arriving work may keep at work before pieces wait for company (simulated loads: 0.5 to 1, best 0.85)
 	LastFill     float64       // share of a batch that may take the last idle replica, urgent or not (trials: 0.3 to 0.75, best 0.5)
-	LastSlack    float64       // calls' fixed times before a piece's latest start, from when it may, too (trials: 1.5 to 3.5)
+	PressSlack   float64       // calls' fixed times before a piece's latest start, from when it waits for no company (simulated loads: 1.5 to 3, no difference)
 	LeaveHall    float64       // calls' fixed times between a piece's start in its hall and its latest start, under which it goes elsewhere (trials: 0 to 3; 2 and 3 best)
 	Tries        int           // of a piece; chosen: more cost others more than a job is worth
 	Busy         time.Duration // a replica that refused is left alone for; chosen, half of a short call
@@ -36,11 +36,11 @@
 		LastMargin:   0.85,
 		LastTimes:    1.8,
 		LateShare:    0.3,
-		Backlog:      1.15,
 		OverdueTimes: 1.8,
 		OverdueSlack: 200 * time.Millisecond,
+		AtWork:       0.85,
 		LastFill:     0.5,
-		LastSlack:    1.5,
+		PressSlack:   2,
 		LeaveHall:    2,
 		Tries:        4,
 		Busy:         120 * time.Millisecond,
--- a/coordination/pipeline/pipeline.go
+++ b/coordination/pipeline/pipeline.go
@@ -95,6 +95,7 @@
 	Own        time.Duration // of Expected: what they take where nothing waits
 	Limit      time.Duration // that Expected was held against
 	Bound      string        // service whose pool it waits for longest; "" for none
+	Stages     []Forecast    // what Expected is made of, of the stages that have pieces
 }
 
 // Action is what the caller must do; one of the types below.
@@ -227,7 +228,7 @@
 	if !ok {
 		return Verdict{RetryAfter: s.opts.Unknown}, nil
 	}
-	verdict := Verdict{Expected: s.expect(now, job), Own: job.own(), Limit: s.limit(job), Bound: job.bound()}
+	verdict := Verdict{Expected: s.expect(now, job), Own: job.own(), Limit: s.limit(job), Bound: job.bound(), Stages: job.forecasts()}
 	if verdict.Expected > verdict.Limit {
 		verdict.RetryAfter = s.retryAfter(verdict)
 		return verdict, nil
@@ -290,7 +291,7 @@
 func (s *Scheduler) Pools(now time.Duration) []PoolState {
 	var out []PoolState
 	for _, p := range s.order {
-		st := PoolState{Service: p.name, Waiting: len(p.ready), Clear: p.clear(now, lateRank*2)}
+		st := PoolState{Service: p.name, Waiting: len(p.ready), Clear: p.clear(now)}
 		for _, r := range p.order {
 			if r.call != nil {
 				st.AtWork++
--- a/coordination/pipeline/pipeline_test.go
+++ b/coordination/pipeline/pipeline_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"maps"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -614,3 +616,69 @@
 		is.Equal(b.working("read"), c.working)
 	}
 }
+
+// crowd lets one piece come at each step, for so many steps, to eight replicas
+// that end their calls when these are due.
+func (b *bench) crowd(steps int, every time.Duration) {
+	list := replicas()
+	for i := range 6 {
+		id := fmt.Sprint("read-", i)
+		list = append(list, catalog.Replica{ID: id, Service: "read", Hall: "a", Address: id + ":1"})
+	}
+	b.do(b.s.SetPools(0, services(), list))
+	for i := range steps {
+		b.step(newTestJob(fmt.Sprint(i), 1), every)
+	}
+}
+
+// step ends the calls that are due, submits a job and lets some time pass.
+func (b *bench) step(j Job, every time.Duration) Verdict {
+	for _, r := range slices.Sorted(maps.Keys(b.calls)) {
+		if b.now >= b.s.calls[b.calls[r].ID].due {
+			b.answer(r, Answered)
+		}
+	}
+	v := b.submit(j)
+	b.tick(every)
+	return v
+}
+
+// On calm days pools were at work all the time with calls a third full: each
+// idle replica took whatever waited, and what had no time found none idle.
+func TestPiecesThatHaveTimeWaitForAFullerCallUnderLoad(t *testing.T) {
+	is := is.New(t)
+	b := newBench(t)
+	b.crowd(200, 20*ms) // 50 pieces a second; 8 replicas carry 36 of them in calls of one
+	is.True(b.working("read") < 8)
+	for _, c := range b.calls {
+		is.True(len(c.Items) >= 2)
+	}
+	urgent := newTestJob("urgent", 1)
+	urgent.Objective = 500 * ms // 248 of which are its own call
+	is.True(b.step(urgent, 20*ms).Admitted)
+	begun := false
+	for _, c := range b.calls {
+		begun = begun || c.Items[0].RequestID == "urgent"
+	}
+	is.True(begun) // at once, with those that waited
+}
+
+// Work that goes before and still comes was taken off the pool's replicas at
+// the pace of calls a third full, so the least urgent was refused for a second
+// that there was: calls fill up, and have places left.
+func TestTheLeastUrgentIsNotRefusedForWorkThatFillsCallsUp(t *testing.T) {
+	is := is.New(t)
+	b := newBench(t)
+	b.crowd(200, 14*ms) // 71 pieces a second, of 114 that full calls carry
+	least := newTestJob("least", 2)
+	least.Rank, least.Objective = 5, 700*ms
+	came := b.now
+	v := b.step(least, 14*ms)
+	is.True(v.Admitted)
+	for i := 0; b.delivered[v.ID] == nil && i < 100; i++ {
+		b.step(newTestJob(fmt.Sprint("more", i), 1), 14*ms)
+	}
+	took := b.now - came
+	is.True(took <= least.Objective)
+	is.True((took - v.Expected).Abs() < 200*ms) // less than a call
+}
--- a/coordination/pipeline/pool.go
+++ b/coordination/pipeline/pool.go
@@ -195,45 +195,18 @@
 	return max(n, 1)
 }
 
-// cost is the time of one replica that a piece takes in a full call.
-func (p *pool) cost(bytes int64) float64 {
-	return p.def.CallTime.Seconds()/float64(p.batchOf(bytes)) + p.def.ItemTime.Seconds()*p.factor(bytes)
-}
+// item is the time that a piece takes in a call beside the call's fixed time.
+func (p *pool) item(bytes int64) float64 { return p.def.ItemTime.Seconds() * p.factor(bytes) }
 
 // callTime is what a call with these pieces should take at a replica of speed 1.
 func (p *pool) callTime(pieces []*piece) time.Duration {
 	t := p.def.CallTime.Seconds()
 	for _, x := range pieces {
-		t += p.def.ItemTime.Seconds() * p.factor(x.stage.def.Bytes)
+		t += p.item(x.stage.def.Bytes)
 	}
 	return time.Duration(t * float64(time.Second))
 }
 
-// clear is the time until the pool is through with all that goes before a job
-// of that rank.
-func (p *pool) clear(now time.Duration, rank int) time.Duration {
-	work, rate := 0.0, 0.0
-	for _, r := range p.order {
-		if !r.serving(now) {
-			continue
-		}
-		rate += 1 / r.speed
-		work += (r.free(now) - now).Seconds() / r.speed
-	}
-	work += p.load.before(rank)
-	if rate == 0 {
-		return noReplica
-	}
-	rate = max(rate-p.load.overtaking(now, rank), rate*leastLeft)
-	return time.Duration(work / rate * float64(time.Second))
-}
-
-// leastLeft is the share of a pool that is taken for left to a rank at least.
-const leastLeft = 0.3
-
-// noReplica stands for the time until a pool without replicas is through.
-const noReplica = time.Hour
-
 func (p *pool) unready(x *piece) {
 	if i := slices.Index(p.ready, x); i >= 0 {
 		p.ready = slices.Delete(p.ready, i, i+1)
--- a/coordination/pipeline/random_test.go
+++ b/coordination/pipeline/random_test.go
@@ -206,7 +206,7 @@
 			for _, st := range j.stages {
 				for _, x := range st.pieces {
 					if x.counted && st.pool == p {
-						waiting[j.rank] += st.cost
+						waiting[j.rank] += st.item
 						pieces[j.rank]++
 					}
 				}
@@ -240,7 +240,11 @@
 	l.of(1).add(1)
 	l.of(1).add(0.1)
 	l.of(1).drop(1)
-	is.True(l.before(1) > 0.09)
+	pieces, items := l.before(1)
+	is.Equal(pieces, 1)
+	is.True(items > 0.09)
 	l.of(1).drop(0.1)
-	is.Equal(l.before(1), 0.0)
+	pieces, items = l.before(1)
+	is.Equal(pieces, 0)
+	is.Equal(items, 0.0)
 }
--- a/coordination/pipeline/times.go
+++ b/coordination/pipeline/times.go
@@ -26,7 +26,7 @@
 	const sharedPart = 0.6 // of a full call's pieces are before a given one ends, together with its own
 	full := float64(st.pool.batchOf(st.def.Bytes))
 	items := max(full*sharedPart, float64(min(len(st.pieces), st.pool.def.Batch)))
-	t := st.pool.def.CallTime.Seconds() + items*st.pool.def.ItemTime.Seconds()*st.pool.factor(st.def.Bytes)
+	t := st.pool.def.CallTime.Seconds() + items*st.pool.item(st.def.Bytes)
 	return time.Duration(t * float64(time.Second))
 }
 
