Late answers are weighed against refusals where the settings say that they count

counts.late_worth and counts.served_worth; nothing stated is today's behaviour: nobody is admitted to be late. Where stated, a job that can't be in time stands back behind all that is in time, or is refused, by what became of the last ones that did either; it is asked for only where no other region has it in time.

--- a/cmd/node/owned.go
+++ b/cmd/node/owned.go
@@ -255,6 +255,7 @@
 		Objective: time.Duration(ask.ObjectiveUs) * time.Microsecond,
 		Deadline:  time.Duration(ask.DeadlineUs) * time.Microsecond,
 		Again:     ask.Again,
+		LateToo:   ask.LateToo,
 	}
 	total := 0
 	for _, w := range ask.Stages {
--- a/cmd/node/places.go
+++ b/cmd/node/places.go
@@ -110,6 +110,8 @@
 	if len(turn) == 0 {
 		return nil, errNoRegion
 	}
+	mayBeLate := s.node.settings.LateCounts()
+	ask.LateToo = mayBeLate && len(turn) == 1
 	for i, region := range turn {
 		if i > 0 && !s.worthAsking(region) {
 			continue
@@ -132,7 +134,12 @@
 			return nil, failure
 		}
 	}
-	return nil, err
+	var refused *refusedError
+	if !mayBeLate || ask.LateToo || !errors.As(err, &refused) {
+		return nil, err
+	}
+	ask.LateToo = true // nobody has it in time: the nearest one may have it late
+	return s.stagesIn(ctx, ask, turn[0])
 }
 
 // stagesIn has the request's stages run in one region.
--- a/coordination/pipeline/call.go
+++ b/coordination/pipeline/call.go
@@ -182,7 +182,7 @@
 	}
 	for _, j := range touched {
 		if s.jobs[j.id] == j {
-			s.proceed(j)
+			s.proceed(now, j)
 		}
 	}
 }
--- a/coordination/pipeline/expect.go
+++ b/coordination/pipeline/expect.go
@@ -67,6 +67,31 @@
 	return out
 }
 
+// judge expects a job and says what that is held against. One that won't be in
+// time, but before its deadline, stands back where a late answer is worth more
+// than a refusal: it gets what those that are in time leave.
+func (s *Scheduler) judge(now time.Duration, j *job) Verdict {
+	v := Verdict{Expected: s.expect(now, j), Limit: s.limit(j), Own: j.own()}
+	if j.Again {
+		note(&s.returnsOf(j.Rank).served, v.Expected <= v.Limit)
+	}
+	if v.Expected > v.Limit && s.lateIsWorthMore(j) {
+		j.rank, j.back = j.rank+lateRank, true
+		v.Expected = s.expect(now, j)
+		v.Limit = time.Duration(float64(j.Deadline) * s.opts.LastMargin)
+	}
+	v.Bound, v.Stages = j.bound(), j.forecasts()
+	return v
+}
+
+// limit is the time that a job's stages may be expected to take.
+func (s *Scheduler) limit(j *job) time.Duration {
+	if j.Again && !s.mayBeLate(j) {
+		return min(time.Duration(float64(j.Deadline)*s.opts.LastMargin), time.Duration(float64(j.Objective)*s.opts.LastTimes))
+	}
+	return time.Duration(float64(j.Objective) * s.opts.Margin)
+}
+
 // own is what a job's stages take where nothing waits.
 func (j *job) own() time.Duration {
 	longest := time.Duration(0)
--- a/coordination/pipeline/job.go
+++ b/coordination/pipeline/job.go
@@ -50,6 +50,7 @@
 	stages    []*stage
 	delivered bool
 	started   bool // a piece was given to a replica
+	back      bool // it stands back: admitted to be late, behind all that is in time
 }
 
 func (s *Scheduler) newJob(now time.Duration, def Job) (*job, bool) {
@@ -72,14 +73,6 @@
 	return j, true
 }
 
-// limit is the time that a job's stages may be expected to take.
-func (s *Scheduler) limit(j *job) time.Duration {
-	if j.Again {
-		return min(time.Duration(float64(j.Deadline)*s.opts.LastMargin), time.Duration(float64(j.Objective)*s.opts.LastTimes))
-	}
-	return time.Duration(float64(j.Objective) * s.opts.Margin)
-}
-
 // retryAfter is when a refused job may come back.
 func (s *Scheduler) retryAfter(v Verdict) time.Duration {
 	if v.Expected >= noReplica {
@@ -196,7 +189,7 @@
 }
 
 // proceed goes on with a job after a piece of it was done.
-func (s *Scheduler) proceed(j *job) {
+func (s *Scheduler) proceed(now time.Duration, j *job) {
 	s.unblock(j)
 	for _, st := range j.stages {
 		if !st.freed && !st.sink() && st.done() && st.readersDone() {
@@ -221,6 +214,9 @@
 		}
 	}
 	j.delivered = true
+	if j.back {
+		note(&s.returnsOf(j.Rank).inTime, now <= j.due)
+	}
 	s.act(Deliver{Job: j.id, Handles: handles, Near: near})
 }
 
--- a/coordination/pipeline/late.go
+++ b/coordination/pipeline/late.go
@@ -21,8 +21,9 @@
 		}
 		lateFor := time.Duration(float64(j.Objective) * s.opts.LateShare)
 		switch {
-		case now >= j.dead:
+		case now >= j.dead, j.back && j.outOfTime(now):
 			s.fail(now, j, "deadline", 0)
+		case j.back:
 		case now > j.due && (!j.started || now > j.due+lateFor):
 			s.fail(now, j, "late", s.opts.Unknown)
 		case j.rank < lateRank && j.willBeLate(now):
@@ -35,10 +36,26 @@
 	}
 }
 
+// outOfTime reports whether a stage whose pieces still wait can't lead to a
+// result before the deadline.
+func (j *job) outOfTime(now time.Duration) bool {
+	for _, st := range j.stages {
+		if now > st.latest+j.dead-j.due && st.waits() {
+			return true
+		}
+	}
+	return false
+}
+
+// waits reports whether a stage has pieces that are neither done nor at work.
+func (st *stage) waits() bool {
+	return slices.ContainsFunc(st.pieces, func(x *piece) bool { return x.state == ready || x.state == blocked })
+}
+
 // willBeLate reports whether a stage whose pieces still wait should have begun.
 func (j *job) willBeLate(now time.Duration) bool {
 	for _, st := range j.stages {
-		if now > st.latest && slices.ContainsFunc(st.pieces, func(x *piece) bool { return x.state == ready || x.state == blocked }) {
+		if now > st.latest && st.waits() {
 			return true
 		}
 	}
--- a/coordination/pipeline/options.go
+++ b/coordination/pipeline/options.go
@@ -9,8 +9,11 @@
 // Options are the scheduler's constants.
 type Options struct {
 	Margin       float64       // share of the objective that a new job's expected end may take (trials: 0.85 to 1.25, no gain over 1)
-	LastMargin   float64       // share of the deadline, of one that came back; the engine needs the rest; chosen
-	LastTimes    float64       // and times of its objective: what ends much later is given up on the way (trials: 1.3 to 2.4, best 1.8)
+	LateWorth    float64       // of an answer in time that a late one keeps; stated by settings
+	ReturnWorth  float64       // the same of one that is in time after a refusal: its caller waited once for nothing; chosen
+	ServedWorth  float64       // of being served at all, in time or late, beside these; stated by settings
+	LastMargin   float64       // share of the deadline, of one that came back or will be late; the engine needs the rest; chosen
+	LastTimes    float64       // and times of its objective, where nobody is admitted to be late: what ends much later is given up on the way (trials: 1.3 to 2.4, best 1.8)
 	LateShare    float64       // of the objective, for which a late job goes on (trials: 0 to 0.8, best 0.3)
 	OverdueTimes float64       // a call is overdue after so many times what it should take; chosen, beyond what calls vary by
 	OverdueSlack time.Duration // and this
@@ -33,6 +36,7 @@
 func newOptions(opts []Option) Options {
 	o := Options{ // the fields say each one's unit and source
 		Margin:       1,
+		ReturnWorth:  0.5,
 		LastMargin:   0.85,
 		LastTimes:    1.8,
 		LateShare:    0.3,
@@ -60,3 +64,9 @@
 
 // Margin sets the share of the objective that a new job's expected end may take.
 func Margin(share float64) Option { return func(o *Options) { o.Margin = share } }
+
+// Worth sets what a late answer is worth, of one in time, and what being served
+// at all counts beside.
+func Worth(late, served float64) Option {
+	return func(o *Options) { o.LateWorth, o.ServedWorth = late, served }
+}
--- a/coordination/pipeline/pipeline.go
+++ b/coordination/pipeline/pipeline.go
@@ -78,6 +78,7 @@
 	Objective time.Duration // from now, by when the stages should be done
 	Deadline  time.Duration // from now, after which they are of no use
 	Again     bool          // it came back after a refusal
+	LateToo   bool          // it may be admitted to be late
 	Stages    []Stage
 }
 
@@ -142,22 +143,24 @@
 
 // Scheduler owns the pools' replicas. It is not safe for concurrent use.
 type Scheduler struct {
-	opts  Options
-	pools map[string]*pool
-	order []*pool // the same, by name
-	jobs  map[uint64]*job
-	calls map[uint64]*call
-	next  uint64
-	out   []Action
+	opts    Options
+	pools   map[string]*pool
+	order   []*pool // the same, by name
+	jobs    map[uint64]*job
+	calls   map[uint64]*call
+	next    uint64
+	returns map[int]*returns // by rank
+	out     []Action
 }
 
 // New returns a scheduler without pools.
 func New(opts ...Option) *Scheduler {
 	return &Scheduler{
-		opts:  newOptions(opts),
-		pools: make(map[string]*pool),
-		jobs:  make(map[uint64]*job),
-		calls: make(map[uint64]*call),
+		opts:    newOptions(opts),
+		pools:   make(map[string]*pool),
+		jobs:    make(map[uint64]*job),
+		calls:   make(map[uint64]*call),
+		returns: make(map[int]*returns),
 	}
 }
 
@@ -228,7 +231,7 @@
 	if !ok {
 		return Verdict{RetryAfter: s.opts.Unknown}, nil
 	}
-	verdict := Verdict{Expected: s.expect(now, job), Own: job.own(), Limit: s.limit(job), Bound: job.bound(), Stages: job.forecasts()}
+	verdict := s.judge(now, job)
 	if verdict.Expected > verdict.Limit {
 		verdict.RetryAfter = s.retryAfter(verdict)
 		return verdict, nil
--- a/coordination/pipeline/random_test.go
+++ b/coordination/pipeline/random_test.go
@@ -167,6 +167,7 @@
 	j := newTestJob(fmt.Sprint("r", w.next), rapid.IntRange(1, 6).Draw(w.t, "pieces"))
 	j.Rank = rapid.IntRange(0, 2).Draw(w.t, "rank")
 	j.Again = rapid.Bool().Draw(w.t, "again")
+	j.LateToo = rapid.Bool().Draw(w.t, "late too")
 	last := j.Stages[0].Pieces
 	if rapid.Bool().Draw(w.t, "two") {
 		last = rapid.IntRange(1, 3).Draw(w.t, "second")
