Records for an instance that has just started are made only where there is one

For each heartbeat that came, the records of engines' speeds were put together under a lock and not sent: nearly none tells of a new instance.

--- a/cmd/node/members.go
+++ b/cmd/node/members.go
@@ -193,7 +193,9 @@
 		known = n.members.Tell(now)
 	}
 	n.gossipMu.Unlock()
-	n.send(fresh, known, n.speedsToTell(true)) // who has just started learns of the others at once
+	if len(fresh) > 0 {
+		n.send(fresh, known, n.speedsToTell(true)) // who has just started learns of the others at once
+	}
 	n.takeEmptied(senderOf(h), h.Evacuations)
 	n.takeRollouts(h)
 	n.catchUp(now, h)
