A silent peer's session is ended by its receiver, not beside it

Cause: yamux ends a session whose keepalive fails by closing a channel, then the connection, and waits for the session's receiver before it closes the streams. Until then whoever reads from a stream finds the channel closed and its stream open, and looks again without a pause: it spins. On one processor the receiver gets its turn after all of them.

Change: the ping is ours (link.watch); when it fails it closes the connection, and the receiver, which finds that out, ends the session.

Left: a session whose sender fails first ends in the old way.

--- a/transport/link/link.go
+++ b/transport/link/link.go
@@ -32,7 +32,7 @@
 
 func config() *yamux.Config {
 	c := yamux.DefaultConfig()
-	c.KeepAliveInterval = keepAlive
+	c.EnableKeepAlive = false // watch does it
 	c.ConnectionWriteTimeout = writeTimeout
 	c.StreamCloseTimeout = writeTimeout
 	c.AcceptBacklog = backlog
@@ -112,7 +112,7 @@
 	if err != nil {
 		return nil, err
 	}
-	slot.mux, err = yamux.Client(newConn(c, p.traffic), config())
+	slot.mux, err = client(newConn(c, p.traffic))
 	return slot.mux, err
 }
 
--- a/transport/link/server.go
+++ b/transport/link/server.go
@@ -41,7 +41,7 @@
 		if err != nil {
 			return
 		}
-		mux, err := yamux.Server(newConn(c, s.traffic), config())
+		mux, err := server(newConn(c, s.traffic))
 		if err != nil || !s.add(mux) {
 			_ = c.Close()
 			continue
--- /dev/null
+++ b/transport/link/silent_test.go
@@ -0,0 +1,65 @@
+package link
+
+import (
+	"net"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// cpuTime is what this process has used.
+func cpuTime(t *testing.T) time.Duration {
+	t.Helper()
+	var u syscall.Rusage
+	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &u); err != nil {
+		t.Fatal(err)
+	}
+	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
+}
+
+// lateConn is a connection whose reader has its turn late, as on a processor
+// that others keep busy.
+type lateConn struct {
+	net.Conn
+	by time.Duration
+}
+
+func (c lateConn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	if err != nil {
+		time.Sleep(c.by)
+	}
+	return n, err
+}
+
+// A peer that falls silent, as behind a cut, ends its session by the keepalive.
+// Everything that read from it then spun until the session's receiver had its
+// turn, which on one processor it got late for that.
+func TestASilentPeerDoesNotKeepTheProcessorBusy(t *testing.T) {
+	is := is.New(t)
+	const late = 500 * time.Millisecond
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	defer ln.Close()
+	c, err := net.Dial("tcp", ln.Addr().String())
+	is.NoErr(err)
+	silent, err := ln.Accept()
+	is.NoErr(err)
+	defer silent.Close()
+	mux, err := client(newConn(lateConn{c, late}, &Traffic{}))
+	is.NoErr(err)
+	var reading sync.WaitGroup
+	for range 10 {
+		s, err := mux.OpenStream()
+		is.NoErr(err)
+		reading.Go(func() { _, _ = s.Read(make([]byte, 1)) })
+	}
+	before := cpuTime(t)
+	reading.Wait() // until the session has ended
+	if used := cpuTime(t) - before; used > late/2 {
+		t.Errorf("%v of processor time to end a session whose receiver was %v late", used, late)
+	}
+}
