A roll-out is completed only when the answers say that the version is good

Traced: it was trusted without a verdict, as what was still to come was within the slack, and completed without one 2.8 s later: 8 of its 33 answers were bad by then, but most at one of two replicas, which was taken for ill, and the sums of the other one were under the threshold of doubt. After that word the old replicas are gone and nothing can be taken back. Change: completed needs the verdict good; unseenFor goes. Without an order none of this runs.

--- a/coordination/rollout/plan.go
+++ b/coordination/rollout/plan.go
@@ -59,16 +59,15 @@
 // trusted its share binds, and what turns bad after it is trusted gets more. So
 // it is trusted as late as what follows allows.
 const (
-	watchedPart = 0.6                             // of the order's time, that a version is watched at least
-	toldFor     = 1 * time.Second                 // for the word to all and their reports back: five heartbeats
-	writtenFor  = 500 * time.Millisecond          // for the last word at the store
-	drainTimes  = 1.2                             // of the longest old request seen
-	leastDrain  = 300 * time.Millisecond          // where none was seen
-	lastCall    = 2 * writtenFor                  // before the end: what can go on elsewhere is then not waited for
-	slackPart   = 0.5                             // of the slack, that a version may get without a verdict
-	unseenFor   = rampFor + 1200*time.Millisecond // from the trust, that a version without a verdict is watched: it leaves the last word its time
-	rampFor     = 2 * rampStep                    // until all requests go there
-	lookBack    = 100 * time.Millisecond          // a step more than the look that finds it
+	watchedPart = 0.6                    // of the order's time, that a version is watched at least
+	toldFor     = 1 * time.Second        // for the word to all and their reports back: five heartbeats
+	writtenFor  = 500 * time.Millisecond // for the last word at the store
+	drainTimes  = 1.2                    // of the longest old request seen
+	leastDrain  = 300 * time.Millisecond // where none was seen
+	lastCall    = 2 * writtenFor         // before the end: what can go on elsewhere is then not waited for
+	slackPart   = 0.5                    // of the slack, that a version may get without a verdict
+	rampFor     = 2 * rampStep           // until all requests go there
+	lookBack    = 100 * time.Millisecond // a step more than the look that finds it
 )
 
 // Decide returns what whoever leads an order does next.
@@ -120,6 +119,8 @@
 		return Step{Why: fmt.Sprintf("it is watched for %v more", (watched - age).Round(lookBack))}
 	case left > need:
 		return Step{Why: fmt.Sprintf("all moves in %v", (left - need).Round(lookBack))}
+	case f.looked(s.Begun+age) < toldFor:
+		return Step{Why: "it looks for a moment only since a gap"}
 	case f.Judgement.Verdict == Good:
 		return Step{Say: Trusted, Why: "answers are good"}
 	case f.Judgement.inDoubt():
@@ -130,6 +131,10 @@
 	return Step{Why: "not enough is seen: " + f.Judgement.Why}
 }
 
+// looked is for how long the answers have been looked at without a gap: who was
+// frozen for some seconds has not watched the version meanwhile.
+func (f *Facts) looked(now time.Duration) time.Duration { return now - f.Judgement.From }
+
 // complete decides whether the old replicas may stop.
 func (f *Facts) complete(now, age time.Duration) Step {
 	left := f.Standing.For - age
@@ -146,7 +151,9 @@
 		return Step{Why: fmt.Sprintf("%d requests are at old replicas", f.InFlight)}
 	case f.Judgement.inDoubt():
 		return Step{Why: "in doubt of route " + f.Judgement.Worst().Route}
-	case f.Judgement.Verdict != Good && now-f.Standing.Since < unseenFor:
+	case f.looked(now) < toldFor:
+		return Step{Why: "it looks for a moment only since a gap"}
+	case f.Judgement.Verdict != Good: // the old replicas can't be had back
 		return Step{Why: "not enough is seen: " + f.Judgement.Why}
 	}
 	return Step{Write: Completed}
