How far a roll-out is, is its phase

Cause: reading the change as a newcomer: "word" for the state of an order is a metaphor of ours; the field's name is phase. Ruled out: State, which is what the status in the store says.

--- a/cmd/ctl/rollouts.go
+++ b/cmd/ctl/rollouts.go
@@ -17,10 +17,10 @@
 type nodeRollouts struct {
 	Name     string
 	Rollouts []struct {
-		Service, Target, Word, Age, For, Status, Waits string
-		Share                                          float64
-		Sent, Rank                                     int
-		Judgement                                      struct {
+		Service, Target, Phase, Age, For, Status, Waits string
+		Share                                           float64
+		Sent, Rank                                      int
+		Judgement                                       struct {
 			Verdict int
 			Routes  []routeSeen
 		}
@@ -65,7 +65,7 @@
 				judges = fmt.Sprint(r.Rank + 1)
 			}
 			fmt.Fprintf(t, "%s\t%s\t%s\t%s\t%s\t%s\t%s\t%.3f\t%d\t%s\t%s\n",
-				n.Name, r.Service, r.Target, r.Word, r.Status, r.Age, r.For, r.Share, r.Sent, judges, r.Waits)
+				n.Name, r.Service, r.Target, r.Phase, r.Status, r.Age, r.For, r.Share, r.Sent, judges, r.Waits)
 		}
 	}
 	fmt.Fprintln(t, "\nNODE\tSERVICE\tROUTE\tNEW\tBAD\tOLD\tBAD\tGRANTED\tOLD MEDIAN\tAGAINST\tFOR")
--- a/cmd/node/rollout.go
+++ b/cmd/node/rollout.go
@@ -148,10 +148,10 @@
 	case c.New:
 		event.RolloutOrdered.Log(n.log, "service", c.Service, "target", c.Target, "order", c.Revision, "for", c.For, "from", from)
 	case c.Ended:
-		event.RolloutEnded.Log(n.log, "service", c.Service, "target", c.Target, "order", c.Revision, "word", c.Word, "from", from)
+		event.RolloutEnded.Log(n.log, "service", c.Service, "target", c.Target, "order", c.Revision, "phase", c.Phase, "from", from)
 	default:
-		n.rolloutCounter(c.Service, c.Target, "word_"+c.Word.String()).Inc(1)
-		event.RolloutWord.Log(n.log, "service", c.Service, "target", c.Target, "order", c.Revision, "word", c.Word, "from", from, "age", now-c.Begun)
+		n.rolloutCounter(c.Service, c.Target, "phase_"+c.Phase.String()).Inc(1)
+		event.RolloutWord.Log(n.log, "service", c.Service, "target", c.Target, "order", c.Revision, "phase", c.Phase, "from", from, "age", now-c.Begun)
 	}
 }
 
@@ -170,7 +170,7 @@
 	for _, s := range news.Standing {
 		out.Orders = append(out.Orders, &pb.RolloutOrder{
 			Service: s.Service, Target: s.Target, Revision: s.Revision, ForMs: s.For.Milliseconds(), AgeMs: uint32(s.Begun.Milliseconds()),
-			Word: uint32(s.Word), WordMs: uint32(s.Since.Milliseconds()), Ended: s.Ended,
+			Phase: uint32(s.Phase), PhaseMs: uint32(s.Since.Milliseconds()), Ended: s.Ended,
 		})
 	}
 	return out
@@ -206,8 +206,8 @@
 		news.Standing = append(news.Standing, rollout.Standing{
 			Order: rollout.Order{Service: o.Service, Target: o.Target, Revision: o.Revision, For: time.Duration(o.ForMs) * time.Millisecond},
 			Begun: time.Duration(o.AgeMs) * time.Millisecond,
-			Word:  rollout.Word(min(o.Word, uint32(rollout.Done))),
-			Since: time.Duration(o.WordMs) * time.Millisecond,
+			Phase: rollout.Phase(min(o.Phase, uint32(rollout.Done))),
+			Since: time.Duration(o.PhaseMs) * time.Millisecond,
 			Ended: o.Ended,
 		})
 	}
--- a/cmd/node/rollout_answers.go
+++ b/cmd/node/rollout_answers.go
@@ -28,7 +28,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	s, ok := r.view.Current(a.replica.Service)
-	if !ok || s.Word >= rollout.Bad || !a.failed && a.replica.ColdUntil > n.now() {
+	if !ok || s.Phase >= rollout.Bad || !a.failed && a.replica.ColdUntil > n.now() {
 		return
 	}
 	own := &r.seen(s.Revision).own
--- a/cmd/node/rollout_lead.go
+++ b/cmd/node/rollout_lead.go
@@ -46,7 +46,7 @@
 		for i := range led {
 			s := &led[i]
 			ranked := rankJudges(s.Service, alive)
-			if look%int(beatEach/lookEach) == 0 && s.Word < rollout.Bad {
+			if look%int(beatEach/lookEach) == 0 && s.Phase < rollout.Bad {
 				n.reportTo(s, ranked)
 			}
 			n.lead(s, ranked)
@@ -153,7 +153,7 @@
 }
 
 // lead judges an order and takes its next step, if this instance is one of those
-// who do. Two that believe to lead do no harm: words only rise, and a status is
+// who do. Two that believe to lead do no harm: phases only rise, and a status is
 // written under a condition.
 func (n *Node) lead(s *rollout.Standing, ranked []gossip.Instance) {
 	r := n.rollouts
@@ -163,7 +163,7 @@
 	o := r.seen(s.Revision)
 	isNew := rank != o.rank
 	o.rank = rank
-	ended := s.Word >= rollout.Bad && o.status.Ended()
+	ended := s.Phase >= rollout.Bad && o.status.Ended()
 	r.mu.Unlock()
 	if isNew {
 		event.RolloutLeads.Log(n.log, "service", s.Service, "order", s.Revision, "rank", rank)
@@ -189,7 +189,7 @@
 	if waits && rank == 0 {
 		event.RolloutWaits.Log(n.log, "service", s.Service, "target", s.Target, "order", s.Revision, "why", step.Why, "age", now-s.Begun)
 	}
-	if acts && step.Say > s.Word {
+	if acts && step.Say > s.Phase {
 		n.say(s, step.Say)
 	}
 	if calls {
@@ -197,7 +197,7 @@
 	}
 }
 
-func (n *Node) say(s *rollout.Standing, w rollout.Word) {
+func (n *Node) say(s *rollout.Standing, w rollout.Phase) {
 	n.order(n.settings.Name, func(now time.Duration, v *rollout.View) []rollout.Change { return v.Say(now, s.Revision, w) })
 }
 
@@ -235,8 +235,8 @@
 		f.InFlight += rep.InFlight
 	}
 	before := o.judge.Latest()
-	f.Judgement = o.judge.Look(now, rows, s.Word == rollout.Trusted)
-	if f.Judgement.Verdict != before.Verdict || now-o.logged >= logJudged && s.Word < rollout.Bad {
+	f.Judgement = o.judge.Look(now, rows, s.Phase == rollout.Trusted)
+	if f.Judgement.Verdict != before.Verdict || now-o.logged >= logJudged && s.Phase < rollout.Bad {
 		o.logged = now
 		n.logJudgement(now, s, &f.Judgement)
 	}
--- a/cmd/node/rollout_state.go
+++ b/cmd/node/rollout_state.go
@@ -13,7 +13,7 @@
 	Service   string
 	Target    string // version
 	Order     uint64 // the store's revision that names it
-	Word      string
+	Phase     string
 	Age       string
 	For       string
 	Share     float64 // of this node's requests, that the version gets
@@ -34,7 +34,7 @@
 	for _, s := range r.view.Standing() {
 		o := r.seen(s.Revision)
 		out = append(out, RolloutState{
-			Service: s.Service, Target: s.Target, Order: s.Revision, Word: s.Word.String(),
+			Service: s.Service, Target: s.Target, Order: s.Revision, Phase: s.Phase.String(),
 			Age: (now - s.Begun).Round(time.Millisecond).String(), For: s.For.String(), Share: s.Share(now, r.canary), Sent: o.own.Sent,
 			Rank: o.rank, Status: o.status.State.String(), Waits: o.step.Why, Judgement: o.judge.Latest(),
 		})
--- a/cmd/node/rollout_test.go
+++ b/cmd/node/rollout_test.go
@@ -28,8 +28,8 @@
 	r.view.Replace(0, []rollout.Order{{Service: "s", Target: "v2", Revision: 3, For: time.Minute}}, 3)
 	r.view.Say(1, 3, rollout.Open)
 	r.view.Replace(2, []rollout.Order{{Service: "s", Target: "v1", Revision: 5, For: time.Minute}}, 5)
-	for _, word := range []rollout.Word{rollout.Waits, rollout.Open, rollout.Trusted} {
-		r.view.Say(3, 5, word)
+	for _, phase := range []rollout.Phase{rollout.Waits, rollout.Open, rollout.Trusted} {
+		r.view.Say(3, 5, phase)
 		w := worldOf("v1", "v1", "v2")
 		r.part(4, w)
 		for _, x := range w.all {
--- a/coordination/rollout/orders.go
+++ b/coordination/rollout/orders.go
@@ -24,20 +24,20 @@
 	For      time.Duration
 }
 
-// Word is what is said of an order by those who judge it. It only rises.
-type Word uint8
+// Phase is what is said of an order by those who judge it. It only rises.
+type Phase uint8
 
-// The words.
+// The phases.
 const (
-	Waits   Word = iota // the order's status is not known: the version gets nothing yet
-	Open                // the version gets a small part of the requests
-	Trusted             // all requests move there, in steps
-	Bad                 // the version gets nothing any more, or the order was taken back
-	Done                // the store says that it is completed: the old replicas stop
+	Waits   Phase = iota // the order's status is not known: the version gets nothing yet
+	Open                 // the version gets a small part of the requests
+	Trusted              // all requests move there, in steps
+	Bad                  // the version gets nothing any more, or the order was taken back
+	Done                 // the store says that it is completed: the old replicas stop
 )
 
-// String returns the word's name for logs.
-func (w Word) String() string {
+// String returns the phase's name for logs.
+func (w Phase) String() string {
 	return [...]string{"waits", "open", "trusted", "bad", "done"}[min(w, Done)]
 }
 
@@ -51,8 +51,8 @@
 type Standing struct {
 	Order
 	Begun time.Duration // by the own clock, when it was first heard of
-	Word  Word
-	Since time.Duration // that the word is known
+	Phase Phase
+	Since time.Duration // that the phase is known
 	Ended bool          // it was taken back, or another came for its service
 }
 
@@ -62,7 +62,7 @@
 	Standing []Standing // Begun and Since hold ages instead of times
 }
 
-// Change is a new order, a new word, or an order's end.
+// Change is a new order, a new phase, or an order's end.
 type Change struct {
 	Standing
 	New bool
@@ -111,7 +111,7 @@
 	for _, revision := range slices.Sorted(maps.Keys(v.all)) {
 		s := v.all[revision]
 		current := v.current[s.Service]
-		if current == s && !s.Over(now) || current == nil && s.Word != Done {
+		if current == s && !s.Over(now) || current == nil && s.Phase != Done {
 			out = append(out, *s)
 		}
 	}
@@ -153,7 +153,7 @@
 }
 
 // Take takes in what another instance tells: the newest set of orders, and the
-// highest word on each.
+// highest phase on each.
 func (v *View) Take(now time.Duration, n News) []Change {
 	var orders []Order
 	for _, s := range n.Standing {
@@ -179,20 +179,20 @@
 		v.all[s.Revision] = known
 	}
 	known.Begun = min(known.Begun, now-s.Begun)
-	return v.say(now-s.Since, s.Revision, s.Word)
+	return v.say(now-s.Since, s.Revision, s.Phase)
 }
 
-// Say takes in a word on an order; a lower one than is known changes nothing.
-func (v *View) Say(now time.Duration, revision uint64, w Word) []Change {
+// Say takes in a phase on an order; a lower one than is known changes nothing.
+func (v *View) Say(now time.Duration, revision uint64, w Phase) []Change {
 	return v.say(now, revision, w)
 }
 
-func (v *View) say(since time.Duration, revision uint64, w Word) []Change {
+func (v *View) say(since time.Duration, revision uint64, w Phase) []Change {
 	s := v.all[revision]
-	if s == nil || w <= s.Word {
+	if s == nil || w <= s.Phase {
 		return nil
 	}
-	s.Word, s.Since = w, since
+	s.Phase, s.Since = w, since
 	return []Change{{Standing: *s}}
 }
 
@@ -204,8 +204,8 @@
 		}
 		s.Ended = true
 		delete(v.current, service)
-		if s.Word < Bad {
-			s.Word, s.Since = Bad, now
+		if s.Phase < Bad {
+			s.Phase, s.Since = Bad, now
 		}
 		out = append(out, Change{Standing: *s})
 	}
--- a/coordination/rollout/plan.go
+++ b/coordination/rollout/plan.go
@@ -50,7 +50,7 @@
 // Step is what is to be done now; Why says why nothing more is.
 type Step struct {
 	Read  bool
-	Say   Word
+	Say   Phase
 	Write State
 	Why   string
 }
@@ -60,8 +60,8 @@
 // it is trusted as late as what follows allows.
 const (
 	watchedPart = 0.6                    // of the order's time, that a version is watched at least
-	toldFor     = 1 * time.Second        // for the word to all and their reports back: five heartbeats
-	writtenFor  = 500 * time.Millisecond // for the last word at the store
+	toldFor     = 1 * time.Second        // for the phase to all and their reports back: five heartbeats
+	writtenFor  = 500 * time.Millisecond // for the last phase at the store
 	drainTimes  = 1.2                    // of the longest old request seen
 	leastDrain  = 300 * time.Millisecond // where none was seen
 	lastCall    = 2 * writtenFor         // before the end: what can go on elsewhere is then not waited for
@@ -77,7 +77,7 @@
 	switch {
 	case !f.Status.Known:
 		return Step{Read: true, Why: "its status is not read yet"}
-	case s.Word == Done:
+	case s.Phase == Done:
 		return Step{}
 	case f.Status.State == Completed:
 		return Step{Say: Done}
@@ -87,19 +87,19 @@
 		return Step{Write: RolledBack, Why: "it was taken back"}
 	case s.For <= 0:
 		return Step{Say: Bad, Write: RolledBack, Why: "its time is nothing"}
-	case s.Word == Bad, f.Judgement.Verdict == Harmful:
+	case s.Phase == Bad, f.Judgement.Verdict == Harmful:
 		return Step{Say: Bad, Write: RolledBack, Why: f.Judgement.Why}
 	case f.Status.State == None:
 		return Step{Write: Running, Why: "its status is not written yet"}
 	case !f.Configured && age >= s.For:
 		return Step{Say: Bad, Write: RolledBack, Why: "the service is not configured"}
-	case f.NewReady == 0 && s.Word <= Open && age >= s.For:
+	case f.NewReady == 0 && s.Phase <= Open && age >= s.For:
 		return Step{Say: Bad, Write: RolledBack, Why: "no replica of the version came"}
-	case s.Word < Open:
+	case s.Phase < Open:
 		return Step{Say: Open}
-	case f.NewReady == 0 && s.Word == Open:
+	case f.NewReady == 0 && s.Phase == Open:
 		return Step{Why: "no replica of the version is ready"}
-	case s.Word == Open:
+	case s.Phase == Open:
 		return f.trust(age)
 	}
 	return f.complete(now, age)
--- a/coordination/rollout/random_test.go
+++ b/coordination/rollout/random_test.go
@@ -253,7 +253,7 @@
 	}
 	rows, sent, _ := i.reports.Sums()
 	facts.Sent = sent
-	facts.Judgement = i.judge.Look(f.time(), rows, s.Word == Trusted)
+	facts.Judgement = i.judge.Look(f.time(), rows, s.Phase == Trusted)
 	step := Decide(f.time(), facts)
 	if rank >= 3 {
 		return
@@ -268,7 +268,7 @@
 	if f.now-i.due < 7*rank {
 		return
 	}
-	if step.Say > s.Word {
+	if step.Say > s.Phase {
 		i.view.Say(f.time(), 1, step.Say)
 	}
 	if step.Read || step.Write != None {
--- a/coordination/rollout/rollout_test.go
+++ b/coordination/rollout/rollout_test.go
@@ -13,7 +13,7 @@
 	return Order{Service: service, Target: target, Revision: revision, For: 10 * time.Second}
 }
 
-// A second order, an order taken back, and words that come late or of another order.
+// A second order, an order taken back, and phases that come late or of another order.
 func TestOrdersFollowOneAnother(t *testing.T) {
 	is := is.New(t)
 	v := NewView()
@@ -28,7 +28,7 @@
 	is.True(!v.Withheld("s", "v3", true, false))
 	changes := v.Apply(5, []Entry{{Order: Order{Service: "s", Revision: 11}, Gone: true}}, 11)
 	is.Equal(len(changes), 1)
-	is.Equal(changes[0].Word, Bad)
+	is.Equal(changes[0].Phase, Bad)
 	is.True(v.Withheld("s", "v3", true, false))
 	is.Equal(len(v.Led(6)), 3) // what was taken back needs its end, and t goes on
 	v.Apply(7, []Entry{{Order: order("s", "v3", 12)}}, 12)
@@ -44,7 +44,7 @@
 	is.True(!v.Withheld("s", "v2", false, false))
 }
 
-// A completed order that is taken back harms nothing, also where the word done comes later.
+// A completed order that is taken back harms nothing, also where the phase done comes later.
 func TestACompletedOrderIsTakenBack(t *testing.T) {
 	is := is.New(t)
 	a, b := NewView(), NewView()
@@ -239,8 +239,8 @@
 func TestStepsOfAnOrder(t *testing.T) {
 	good := Judgement{Verdict: Good}
 	running := Status{Known: true, Revision: 9, State: Running}
-	base := func(word Word, more func(*Facts)) *Facts {
-		f := &Facts{Standing: Standing{Order: order("s", "v2", 5), Word: word}, Status: running, Judgement: good,
+	base := func(phase Phase, more func(*Facts)) *Facts {
+		f := &Facts{Standing: Standing{Order: order("s", "v2", 5), Phase: phase}, Status: running, Judgement: good,
 			Configured: true, NewReady: 4, OldReady: 4, Sent: 1000, Slack: 50}
 		more(f)
 		return f
--- a/coordination/rollout/share.go
+++ b/coordination/rollout/share.go
@@ -18,7 +18,7 @@
 // Share returns which part of the requests to an order's service its version gets
 // now, by the share of a version that is not trusted.
 func (s *Standing) Share(now time.Duration, canary float64) float64 {
-	switch s.Word {
+	switch s.Phase {
 	case Open:
 		return canary * openPart
 	case Trusted:
@@ -36,7 +36,7 @@
 }
 
 // Over reports whether the order is completed and its old replicas are gone by now.
-func (s *Standing) Over(now time.Duration) bool { return s.Word == Done && now-s.Since >= doneFor }
+func (s *Standing) Over(now time.Duration) bool { return s.Phase == Done && now-s.Since >= doneFor }
 
 // Moved reports whether all requests go to the order's version.
 func (s *Standing) Moved(now time.Duration) bool { return s.Share(now, 0) >= 1 }
@@ -48,12 +48,12 @@
 	s := v.current[service]
 	switch {
 	case s != nil && s.Target == version:
-		return s.Word == Bad || s.Word == Waits && others
-	case s != nil && moved && s.Word != Bad:
+		return s.Phase == Bad || s.Phase == Waits && others
+	case s != nil && moved && s.Phase != Bad:
 		return true
 	}
 	last := v.last(service, version)
-	return last != nil && last.Ended && last.Word == Bad
+	return last != nil && last.Ended && last.Phase == Bad
 }
 
 // last returns the newest order that is known for a version of a service: one
--- a/coordination/rollout/sums.go
+++ b/coordination/rollout/sums.go
@@ -24,7 +24,7 @@
 	halfLife   = time.Second            // of what the old version has answered: a burst shows in both within it
 	settleFor  = 500 * time.Millisecond // until new answers are weighed, so that the old ones of the same moment are told: two heartbeats
 	gap        = time.Second            // between looks, after which what others saw meanwhile is not told yet: an instance that was frozen
-	mostBad    = 25                     // bad answers, of 50 that may be seen: heartbeats and the way of the word take part of the rest
+	mostBad    = 25                     // bad answers, of 50 that may be seen: heartbeats and the way of the phase take part of the rest
 	alone      = 40                     // bad answers after which even those of one replica count
 	thinPart   = 0.1                    // of the service's requests, beneath which a route needs no verdict of its own
 	doubt      = 2.0                    // in a thin route's sum, above which the version isn't trusted
--- a/coordination/rollout/withheld_test.go
+++ b/coordination/rollout/withheld_test.go
@@ -25,7 +25,7 @@
 				is.True(v.Withheld("s", "v2", true, false)) // taken back: it gets nothing more
 				v.Replace(3*time.Second, []Order{again}, 7)
 			}
-			for _, w := range []Word{Open, Trusted, Done} {
+			for _, w := range []Phase{Open, Trusted, Done} {
 				v.Say(4*time.Second, 7, w)
 			}
 			is.True(!v.Withheld("s", "v2", true, true))
