--- a/proctest/compare/main.go
+++ b/proctest/compare/main.go
@@ -2,7 +2,7 @@
 // same seeds, and prints what each is worth against the first. README.md tells
 // how a comparison is written.
 //
-//	go run ./proctest/compare -bench "fleetbench" -jobs 2 plan.toml
+//	go run ./proctest/compare -bench PATH -jobs 2 plan.toml
 package main
 
 import (
