Sight: which requests are the same one come again

Cause: no log line told whether two tries are the same request, nor whether a stream that broke off had brought an event. Change: a fingerprint of customer, method, host, path and body in the lines of requests and failed attempts, and the last event that the client has.

--- a/cmd/node/attempt.go
+++ b/cmd/node/attempt.go
@@ -100,7 +100,8 @@
 	}
 	a.tellRollout(ctx, err, took)
 	if err != nil {
-		event.NodeAttempt.Log(n.log, "request", a.req.ID, "replica", a.replica.ID, "why", err, "took", took, "kept", a.conn.Kept())
+		event.NodeAttempt.Log(n.log, "request", a.req.ID, "fingerprint", a.print, "replica", a.replica.ID, "why", err,
+			"took", took, "kept", a.conn.Kept(), "last_event", a.stream.lastEvent)
 		took = 0
 	}
 	n.judgeMu.Lock()
--- a/cmd/node/serve.go
+++ b/cmd/node/serve.go
@@ -8,6 +8,7 @@
 
 	"quinceroad/cmd/process"
 	"quinceroad/coordination/outcome"
+	"quinceroad/coordination/quarantine"
 	"quinceroad/coordination/regions"
 	"quinceroad/coordination/retry"
 	"quinceroad/platform"
@@ -47,7 +48,8 @@
 	customer string
 	rank     int
 	record   *outcome.Record
-	end      time.Time // by when it must be answered
+	end      time.Time              // by when it must be answered
+	print    quarantine.Fingerprint // of what its caller repeats when it comes again
 
 	job     *stageJob
 	tried   map[string]bool // replicas that may have run it
@@ -130,6 +132,7 @@
 		return nil, &answerError{status: http.StatusBadRequest, text: "the piece counts don't fit the route's stages"}
 	}
 	s.end = req.Arrived.Add(s.allowed())
+	s.print = quarantine.FingerprintOf(s.customer, req.Method, req.Host, req.Target, req.Body)
 	s.rates(func(r *serviceRates) { r.budget.Success() })
 	return s, nil
 }
@@ -295,7 +298,7 @@
 	if err != nil {
 		why = err.Error()
 	}
-	event.NodeRequest.Log(s.node.log, "request", s.req.ID, "route", s.route.Name, "rank", s.route.Priority, "why", why,
+	event.NodeRequest.Log(s.node.log, "request", s.req.ID, "fingerprint", s.print, "route", s.route.Name, "rank", s.route.Priority, "why", why,
 		"objective", s.route.Objective, "deadline", s.req.Deadline, "version", s.world.config.Version, "owner", s.owner,
 		"attempts", len(s.tried), "replica", s.replica, "took", time.Since(s.req.Arrived), "staged", s.staged, "expected", s.expects.stages,
 		"engine_expected", s.expects.engine, "reads", s.expects.reads, "moves", s.expects.moves,
