Requests that crash replicas are tried one at a time, and after three ends not sent any more

Cause: nothing remembered a request beyond one try, and nothing asked why an answer had broken off. Ruled out: the replicas' crashing by themselves (one shape is at nine of the first eleven ends); the instances' own second attempts alone (28 of 42 tries were sent once). Change: coordination/quarantine keeps, by a fingerprint of what a caller repeats, which lives of replicas ended under a request; a whole answer clears them. A replica has ended when its port refuses right after an answer broke off there, or its entry went without a word within 5 s. Heartbeats merge it by union, at once when it changes. A suspect gets its turn from one arbiter, is placed apart from other suspects, and from everything once two replicas have ended under it; a condemned request is told 400, which clients do not repeat.

--- a/cmd/node/attempt.go
+++ b/cmd/node/attempt.go
@@ -79,6 +79,9 @@
 	n.judgeMu.Lock()
 	n.loads.Begin(r.ID)
 	n.judgeMu.Unlock()
+	if n.endedUnder(s.print) > 0 {
+		defer n.runsSuspect(s.print, r.ID)()
+	}
 	err = a.exchange(ctx, fetch)
 	a.finish(ctx, err)
 	return err
@@ -116,6 +119,7 @@
 	switch {
 	case err == nil:
 		a.note(a.replica.ID, health.Good)
+		n.answeredWhole(a.print)
 	case errors.Is(err, errNotRun), errors.Is(err, errInputs):
 		a.record.NotRun(a.token)
 		delete(a.tried, a.replica.ID)
@@ -124,11 +128,13 @@
 		}
 	case errors.Is(err, errOwnFault):
 		a.note(a.replica.ID, health.Failure)
+		n.answeredWhole(a.print)
 	case errors.Is(err, errSilent):
 		a.note(a.replica.ID, health.Silent)
 	case done(ctx), errors.Is(err, errLeft): // says nothing of the replica
 	default:
 		a.note(a.replica.ID, health.Broken)
+		n.brokeOff(ctx, a.print, &a.replica)
 	}
 }
 
--- a/cmd/node/counters.go
+++ b/cmd/node/counters.go
@@ -33,6 +33,9 @@
 	logDropped  metrics.Counter
 	silences    metrics.Counter // of the store, as this instance heard it
 	givenUp     metrics.Counter // calls that a silent store had missed
+	looks       metrics.Counter // at replicas, whether they have ended
+	condemned   metrics.Counter // requests that were not sent, as replicas have ended under them
+	noTurn      metrics.Counter // suspects that were refused while they were tried elsewhere
 }
 
 // farBytes counts what this instance sends to other regions, and what it asks
@@ -81,6 +84,9 @@
 		logDropped:  counter("node.log_dropped"),
 		silences:    counter("node.store_silences"),
 		givenUp:     counter("node.store_calls_given_up"),
+		looks:       counter("node.quarantine.looks"),
+		condemned:   counter("node.quarantine.condemned"),
+		noTurn:      counter("node.quarantine.no_turn"),
 	}
 }
 
--- a/cmd/node/members.go
+++ b/cmd/node/members.go
@@ -109,7 +109,7 @@
 	}
 	h := &pb.Heartbeat{
 		Leaving: n.recentlyLeaving(), Sick: n.sick(), Changed: n.listChanged(), Evacuations: n.emptiedNews(),
-		Rollouts: n.rolloutNews(), Speeds: speeds,
+		Rollouts: n.rolloutNews(), Speeds: speeds, Quarantine: n.quarantineNews(),
 	}
 	for _, i := range m.News {
 		h.News = append(h.News, newsOf(i))
@@ -204,6 +204,7 @@
 	}
 	n.takeHearsay(now, h)
 	n.takeSpeeds(h.Speeds)
+	n.takeQuarantine(h.Quarantine)
 }
 
 // senderOf names who sent a heartbeat.
@@ -270,6 +271,8 @@
 		_ = frame.Write(stream, frame.Reply, n.answerReplicas(first))
 	case frame.Kept:
 		_ = frame.Write(stream, frame.Reply, n.answerKept(first))
+	case frame.Trial:
+		n.arbitrate(first, stream)
 	case frame.Stages:
 		n.owner.serve(first, stream)
 	}
--- a/cmd/node/node.go
+++ b/cmd/node/node.go
@@ -75,6 +75,8 @@
 	cold     *coldness // has a lock of its own, which is taken last
 	rollouts *rollouts // the same
 
+	quarantine *quarantined // has a lock of its own, under which no other is taken
+
 	judgeMu   sync.Mutex
 	judge     *health.Judge
 	loads     *choice.Table
@@ -101,25 +103,26 @@
 // New returns a process that is not started.
 func New(s *platform.Settings, log hclog.Logger) *Node {
 	n := &Node{
-		settings:  s,
-		log:       log,
-		store:     platform.NewStore(s.Store),
-		clients:   upstream.New(),
-		registry:  metrics.NewRegistry(),
-		began:     time.Now(),
-		places:    regions.New(s.Regions),
-		replicas:  newReplicaSet(),
-		emptied:   evacuation.New(),
-		cold:      newColdness(s),
-		rollouts:  newRollouts(s),
-		pulse:     newPulse(),
-		spread:    float64(platform.Hash(s.Name)%1000) / 1000,
-		judge:     health.New(health.Standard()),
-		loads:     choice.NewTable(),
-		rates:     make(map[string]*serviceRates),
-		deadlines: make(deadlines),
-		lending:   newLending(),
-		stopPlan:  shutdown.For(s.StopFor),
+		settings:   s,
+		log:        log,
+		store:      platform.NewStore(s.Store),
+		clients:    upstream.New(),
+		registry:   metrics.NewRegistry(),
+		began:      time.Now(),
+		places:     regions.New(s.Regions),
+		replicas:   newReplicaSet(),
+		emptied:    evacuation.New(),
+		cold:       newColdness(s),
+		rollouts:   newRollouts(s),
+		quarantine: newQuarantined(),
+		pulse:      newPulse(),
+		spread:     float64(platform.Hash(s.Name)%1000) / 1000,
+		judge:      health.New(health.Standard()),
+		loads:      choice.NewTable(),
+		rates:      make(map[string]*serviceRates),
+		deadlines:  make(deadlines),
+		lending:    newLending(),
+		stopPlan:   shutdown.For(s.StopFor),
 	}
 	n.seeds.Store(&s.Seeds)
 	n.links = link.NewPool(&n.traffic)
@@ -242,6 +245,7 @@
 		}
 		n.logDropped()
 		n.rollouts.forget()
+		n.forgetQuarantine()
 		n.clients.Forget(addresses)
 		n.links.Sweep(time.Now())
 		n.judgeMu.Lock()
--- a/cmd/node/owned.go
+++ b/cmd/node/owned.go
@@ -237,6 +237,7 @@
 		Out:     int(ask.TokensOut),
 		Slack:   time.Duration(ask.SlackUs) * time.Microsecond,
 		Avoid:   make(map[string]bool),
+		Ended:   int(ask.Ended),
 	}
 	for _, p := range ask.Parts {
 		r.Parts = append(r.Parts, catalog.Part{ID: p.Id, Tokens: int(p.Tokens)})
--- a/cmd/node/pick.go
+++ b/cmd/node/pick.go
@@ -46,6 +46,7 @@
 		SlackUs:   (s.route.Objective - time.Since(s.req.Arrived)).Microseconds(),
 		Again:     s.came() || s.redone > 0 || len(s.tried) > 0,
 		Newer:     s.mayNewer(s.node.world.Load()),
+		Ended:     uint32(s.node.endedUnder(s.print)),
 	}
 	for _, p := range s.req.Prompt {
 		ask.Parts = append(ask.Parts, &pb.PromptPart{Id: p.ID, Tokens: uint32(p.Tokens)})
@@ -99,9 +100,14 @@
 	if len(fit) == 0 {
 		return catalog.Replica{}, "", s.none(world, append(ableNew, ableOld...))
 	}
+	fit = n.apart(fit)
 	if s.service.Engine == nil {
 		return n.loads.Plain(now, n.distance, fit, newRandom()), "", nil
 	}
+	if s.trial != nil { // not where its prompt is kept: all that were beside it would follow it there
+		r := fit[newRandom().IntN(len(fit))]
+		return r, "", nil
+	}
 	e := n.loads.Engines(now, s.req.Shared(), s.req.ID, s.nearest(fit))
 	return e.Replica, e.Fetch, nil
 }
--- /dev/null
+++ b/cmd/node/quarantine.go
@@ -0,0 +1,260 @@
+package node
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"syscall"
+	"time"
+
+	"quinceroad/coordination/quarantine"
+	"quinceroad/protocol/event"
+	"quinceroad/protocol/pb"
+	"quinceroad/state/catalog"
+)
+
+const (
+	lookFor     = connectFor             // that a replica's port may take to answer a look
+	lookWait    = 150 * time.Millisecond // that a request waits for it before it may go on elsewhere: a port that refuses does so in a way there and back
+	lookHolds   = 300 * time.Millisecond // that a look stands for all answers that break off there: a replica that ends is not back sooner
+	forgetCases = 2 * time.Second        // between looks for what is old
+)
+
+var errCondemned = errors.New("replicas have ended under this request; it is not sent to any more of them")
+
+// quarantined is what an instance knows of requests that crash replicas.
+type quarantined struct {
+	mu     sync.Mutex
+	book   *quarantine.Book
+	looks  map[string]*look                               // by replica
+	trials map[quarantine.Fingerprint]chan struct{}       // under way, as their arbiter; closed when one ends
+	places map[string]map[quarantine.Fingerprint]struct{} // by replica: suspects that this instance runs there
+}
+
+// look is a question whether a replica has ended.
+type look struct {
+	done  chan struct{} // closed when it is known
+	began time.Duration
+}
+
+func newQuarantined() *quarantined {
+	return &quarantined{
+		book:   quarantine.New(quarantine.Standard()),
+		looks:  make(map[string]*look),
+		trials: make(map[quarantine.Fingerprint]chan struct{}),
+		places: make(map[string]map[quarantine.Fingerprint]struct{}),
+	}
+}
+
+// verdict returns what is held of a request.
+func (n *Node) verdict(f quarantine.Fingerprint) quarantine.Verdict {
+	q := n.quarantine
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return q.book.Verdict(n.now(), f)
+}
+
+// endedUnder returns how many replicas have ended under a request.
+func (n *Node) endedUnder(f quarantine.Fingerprint) int {
+	q := n.quarantine
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	e, _ := q.book.Known(n.now(), f)
+	return len(e.Ended)
+}
+
+// note runs one event of the book, logs what it changes and tells the others.
+func (n *Node) noteQuarantine(why string, step func(b *quarantine.Book, now time.Duration) []quarantine.Change) {
+	q := n.quarantine
+	q.mu.Lock()
+	changes := step(q.book, n.now())
+	q.mu.Unlock()
+	for _, c := range changes {
+		n.logQuarantine(c, why)
+	}
+	if len(changes) > 0 && why != fromPeer {
+		n.tell() // the next replica may end within less than a round of heartbeats
+	}
+}
+
+// What a change of the quarantine follows from, for logs.
+const (
+	fromEnd      = "a replica's end"
+	fromAnswer   = "a whole answer"
+	fromOperator = "an operator"
+	fromPeer     = "a peer"
+	fromAge      = "age"
+)
+
+func (n *Node) logQuarantine(c quarantine.Change, why string) {
+	if c.Before == c.Now && c.Now != quarantine.Suspect {
+		return
+	}
+	switch c.Now {
+	case quarantine.Unsuspected:
+		event.NodeAcquits.Log(n.log, "fingerprint", c.Fingerprint, "was", c.Before, "why", why)
+	case quarantine.Suspect:
+		event.NodeSuspects.Log(n.log, "fingerprint", c.Fingerprint, "ended", c.Ended, "why", why)
+	case quarantine.Condemned:
+		event.NodeCondemns.Log(n.log, "fingerprint", c.Fingerprint, "ended", c.Ended, "why", why)
+	}
+}
+
+// brokeOff takes in that an answer broke off at a replica, and waits a little
+// for the answer whether the replica has ended: until then a second try would
+// only be a guess.
+func (n *Node) brokeOff(ctx context.Context, f quarantine.Fingerprint, r *catalog.Replica) {
+	life := quarantine.LifeOf(r.ID)
+	n.noteQuarantine(fromEnd, func(b *quarantine.Book, now time.Duration) []quarantine.Change { return b.Broke(now, f, life) })
+	l := n.look(r)
+	wait := time.NewTimer(lookWait)
+	defer wait.Stop()
+	select {
+	case <-l.done:
+	case <-wait.C:
+	case <-ctx.Done():
+	}
+}
+
+// look asks whether a replica has ended, unless that has just been asked.
+func (n *Node) look(r *catalog.Replica) *look {
+	q := n.quarantine
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	l := q.looks[r.ID]
+	if l != nil && n.now()-l.began < lookHolds {
+		return l
+	}
+	l = &look{done: make(chan struct{}), began: n.now()}
+	q.looks[r.ID] = l
+	go n.lookAt(*r, l)
+	return l
+}
+
+// lookAt finds out whether a replica has ended: its port refuses, while one
+// whose link is cut is silent, and one that only closed connections takes another.
+func (n *Node) lookAt(r catalog.Replica, l *look) {
+	defer close(l.done)
+	n.counters.looks.Inc(1)
+	conn, err := n.clients.Dial(r.Address, lookFor)
+	life := quarantine.LifeOf(r.ID)
+	switch {
+	case err == nil:
+		conn.Close()
+		n.noteQuarantine(fromEnd, func(b *quarantine.Book, _ time.Duration) []quarantine.Change {
+			b.Lives(life)
+			return nil
+		})
+	case errors.Is(err, syscall.ECONNREFUSED):
+		event.NodeReplicaEnded.Log(n.log, "replica", r.ID, "service", r.Service, "sign", "its port refuses")
+		n.noteQuarantine(fromEnd, func(b *quarantine.Book, now time.Duration) []quarantine.Change { return b.Ended(now, life) })
+	}
+}
+
+// wentWithoutWord takes in which replicas have gone from the list although
+// nobody had heard that they would.
+func (n *Node) wentWithoutWord(ids []string) {
+	for _, id := range ids {
+		life := quarantine.LifeOf(id)
+		n.noteQuarantine(fromEnd, func(b *quarantine.Book, now time.Duration) []quarantine.Change { return b.Ended(now, life) })
+	}
+}
+
+// answeredWhole takes in that a request got a whole answer.
+func (n *Node) answeredWhole(f quarantine.Fingerprint) {
+	n.noteQuarantine(fromAnswer, func(b *quarantine.Book, now time.Duration) []quarantine.Change { return b.Good(now, f) })
+}
+
+// quarantineNews is what a heartbeat tells of suspects and condemned requests.
+func (n *Node) quarantineNews() []*pb.QuarantineCase {
+	q := n.quarantine
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	var out []*pb.QuarantineCase
+	for _, e := range q.book.Tell(n.now()) {
+		out = append(out, caseOf(e))
+	}
+	return out
+}
+
+func (n *Node) takeQuarantine(cases []*pb.QuarantineCase) {
+	for _, c := range cases {
+		n.noteQuarantine(fromPeer, func(b *quarantine.Book, now time.Duration) []quarantine.Change { return b.Merge(now, entryOf(c)) })
+	}
+}
+
+func caseOf(e quarantine.Entry) *pb.QuarantineCase {
+	c := &pb.QuarantineCase{Fingerprint: uint64(e.Fingerprint), AgeS: uint32(e.Age.Seconds())}
+	for _, life := range e.Ended {
+		c.Ended = append(c.Ended, uint32(life))
+	}
+	for _, life := range e.Cleared {
+		c.Cleared = append(c.Cleared, uint32(life))
+	}
+	return c
+}
+
+func entryOf(c *pb.QuarantineCase) quarantine.Entry {
+	e := quarantine.Entry{Fingerprint: quarantine.Fingerprint(c.GetFingerprint()), Age: time.Duration(c.GetAgeS()) * time.Second}
+	for _, life := range c.GetEnded() {
+		e.Ended = append(e.Ended, quarantine.Life(life))
+	}
+	for _, life := range c.GetCleared() {
+		e.Cleared = append(e.Cleared, quarantine.Life(life))
+	}
+	return e
+}
+
+// forgetQuarantine drops what is old.
+func (n *Node) forgetQuarantine() {
+	n.noteQuarantine(fromAge, func(b *quarantine.Book, now time.Duration) []quarantine.Change { return b.Forget(now) })
+	q := n.quarantine
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	for id, l := range q.looks {
+		if n.now()-l.began > lookHolds {
+			delete(q.looks, id)
+		}
+	}
+}
+
+// runsSuspect notes where this instance runs a suspect; the returned function
+// ends that.
+func (n *Node) runsSuspect(f quarantine.Fingerprint, replica string) (ends func()) {
+	q := n.quarantine
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if q.places[replica] == nil {
+		q.places[replica] = make(map[quarantine.Fingerprint]struct{})
+	}
+	q.places[replica][f] = struct{}{}
+	return func() {
+		q.mu.Lock()
+		defer q.mu.Unlock()
+		delete(q.places[replica], f)
+		if len(q.places[replica]) == 0 {
+			delete(q.places, replica)
+		}
+	}
+}
+
+// apart returns the replicas at which this instance runs no suspect, if there
+// are any: whoever is beside a request that ends its replica is lost with it.
+func (n *Node) apart(all []catalog.Replica) []catalog.Replica {
+	q := n.quarantine
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if len(q.places) == 0 {
+		return all
+	}
+	var out []catalog.Replica
+	for _, r := range all {
+		if len(q.places[r.ID]) == 0 {
+			out = append(out, r)
+		}
+	}
+	if len(out) == 0 {
+		return all
+	}
+	return out
+}
--- a/cmd/node/serve.go
+++ b/cmd/node/serve.go
@@ -49,6 +49,7 @@
 	rank     int
 	record   *outcome.Record
 	end      time.Time              // by when it must be answered
+	trial    *trial                 // its turn, once it is a suspect
 	print    quarantine.Fingerprint // of what its caller repeats when it comes again
 
 	job     *stageJob
@@ -81,6 +82,7 @@
 	ctx, cancel := context.WithDeadline(ctx, s.end)
 	defer cancel()
 	defer s.endJob()
+	defer s.endTrial()
 	err = s.run(ctx)
 	if err != nil && errors.Is(ctx.Err(), context.Canceled) {
 		err = errLeft // whatever it looked like
@@ -200,12 +202,18 @@
 // run sends the request until it is answered or nothing more may be done.
 func (s *serving) run(ctx context.Context) error {
 	for {
+		if err := s.clear(ctx); err != nil {
+			return err
+		}
 		if err := s.prepare(ctx); err != nil {
 			if s.waitsFor(ctx, err) {
 				continue
 			}
 			return err
 		}
+		if err := s.clear(ctx); err != nil { // its stages took their time
+			return err
+		}
 		engine, fetch, err := s.pick()
 		if err != nil {
 			return err
@@ -220,6 +228,32 @@
 	}
 }
 
+// clear ends a request that is condemned, and has a suspect wait for its turn.
+func (s *serving) clear(ctx context.Context) error {
+	verdict := s.node.verdict(s.print)
+	if verdict == quarantine.Suspect && s.trial == nil {
+		t, err := s.node.turn(ctx, s.print)
+		if err != nil {
+			s.node.counters.noTurn.Inc(1)
+			return err
+		}
+		s.trial = t
+		verdict = s.node.verdict(s.print) // the last trial may have shown more
+		event.NodeTries.Log(s.node.log, "request", s.req.ID, "fingerprint", s.print, "verdict", verdict)
+	}
+	if verdict == quarantine.Condemned {
+		s.node.counters.condemned.Inc(1)
+		return errCondemned
+	}
+	return nil
+}
+
+func (s *serving) endTrial() {
+	if s.trial != nil {
+		s.trial.end()
+	}
+}
+
 // waitsFor reports, after a pause, whether a stream that broke off midway may
 // ask for its stages once more: it can't be refused any more.
 func (s *serving) waitsFor(ctx context.Context, err error) bool {
@@ -266,6 +300,10 @@
 	if errors.Is(err, errLeft) {
 		panic(http.ErrAbortHandler)
 	}
+	if errors.Is(err, errCondemned) { // final: no refusal, which would invite to come again
+		s.node.answerOwn(s.w, s.req, &answerError{status: http.StatusBadRequest, text: err.Error()})
+		return
+	}
 	after := backSoon
 	var refused *refusedError
 	var failed *failedError
@@ -274,7 +312,7 @@
 		after = refused.after
 	case errors.As(err, &failed):
 		after = max(failed.after, backSoon)
-	case errors.Is(err, errEmptied), errors.Is(err, errCold), errors.Is(err, errNoRegion):
+	case errors.Is(err, errEmptied), errors.Is(err, errCold), errors.Is(err, errNoRegion), errors.Is(err, errNoTurn):
 		after = backLater
 	}
 	left := s.req.Deadline - time.Since(s.req.Arrived)
--- a/cmd/node/world.go
+++ b/cmd/node/world.go
@@ -49,8 +49,9 @@
 }
 
 // refresh reads the rows that have changed, and returns the ids of those that
-// can't be read.
-func (s *replicaSet) refresh(now time.Duration) (broken []string) {
+// can't be read, and of the replicas that have gone although nobody had said
+// that they would.
+func (s *replicaSet) refresh(now time.Duration) (broken, wentWithoutWord []string) {
 	rows := make(map[string]replicaRow, len(s.rows))
 	s.log.Each(func(id string, value []byte) {
 		if row, ok := s.rows[id]; ok && bytes.Equal(row.value, value) {
@@ -64,8 +65,15 @@
 		}
 		rows[id] = replicaRow{value: value, replica: r, coldUntil: now + r.Warming}
 	})
+	for id, row := range s.rows {
+		_, listed := rows[id]
+		_, leaves := s.leaving[id]
+		if !listed && !leaves && !row.replica.Leaving {
+			wentWithoutWord = append(wentWithoutWord, id)
+		}
+	}
 	s.rows = rows
-	return broken
+	return broken, wentWithoutWord
 }
 
 // newlyCold returns the replicas that are cold and were not when it was called last.
@@ -97,12 +105,13 @@
 // done once followMu, which it needs, is free.
 func (n *Node) putInForce() (published func()) {
 	now := n.now()
-	broken := n.replicas.refresh(now)
+	broken, gone := n.replicas.refresh(now)
 	w := n.makeWorld()
 	cold := n.replicas.newlyCold(now, w.all)
 	n.world.Store(w)
 	return func() {
 		n.logUnplaced(w.all)
+		n.wentWithoutWord(gone)
 		for _, id := range broken {
 			event.NodeEntryBroken.Log(n.log, "name", id)
 		}
--- a/coordination/placement/placement.go
+++ b/coordination/placement/placement.go
@@ -33,6 +33,7 @@
 	Near    map[string]int64 // by hall: bytes of results that it reads
 	Avoid   map[string]bool  // engines not to be taken
 	Far     Kept             // what engines of other regions keep of it
+	Ended   int              // replicas that ended under it; 0: it is no suspect
 }
 
 // Kept is how much of a prompt an engine keeps, and where.
@@ -67,6 +68,8 @@
 	memory   int
 	runs     int // that generate
 	reading  int // that read their prompts
+	suspects int // of both, under which replicas have ended
+	trials   int // of these, under which so many have that this one decides
 	busyTo   time.Duration
 	usual    float64 // share of the time that it reads, lately
 	usualAt  time.Duration
@@ -185,6 +188,36 @@
 			out = append(out, e)
 		}
 	}
+	return r.apart(out)
+}
+
+// trialFrom is how many replicas end under a request before its next one is to
+// show whether it is to blame: nothing else is put beside it then.
+const trialFrom = 2
+
+// apart returns the engines, of some, at which a request is not beside a
+// suspect that it may be taken for, and nobody is beside it whom it may end; all
+// where there is none such.
+func (r *Request) apart(all []*engine) []*engine {
+	var out []*engine
+	least := -1
+	for _, e := range all {
+		if e.trials > 0 || r.Ended > 0 && e.suspects > 0 {
+			continue
+		}
+		if r.Ended >= trialFrom {
+			switch n := e.runs + e.reading; {
+			case least < 0 || n < least:
+				out, least = out[:0], n
+			case n > least:
+				continue
+			}
+		}
+		out = append(out, e)
+	}
+	if len(out) == 0 {
+		return all
+	}
 	return out
 }
 
--- a/coordination/placement/runs.go
+++ b/coordination/placement/runs.go
@@ -11,6 +11,7 @@
 	out    int           // tokens that it generates, about
 	cold   bool          // its engine was when it began
 	read   time.Duration // when its first event came; 0: not yet
+	ended  int           // replicas that ended under it before
 }
 
 // Begin counts a request at its engine and takes its prompt for kept there.
@@ -27,8 +28,9 @@
 	e.evict(int(float64(e.memory) * o.KeptShare))
 	n := &run{
 		engine: e, began: now, moves: e.moveTime(c.Moves), reads: c.Reads + e.unread(now), out: r.Out,
-		cold: now < e.ColdUntil,
+		cold: now < e.ColdUntil, ended: r.Ended,
 	}
+	e.count(n.ended, 1)
 	reads := e.readTime(c.Reads)
 	e.busyTo = max(e.busyTo, now) + reads
 	e.usual = e.usually(now, o) + reads.Seconds()/o.UsualFor.Seconds()
@@ -39,6 +41,16 @@
 	t.runs[r.ID] = n
 }
 
+// count counts a request that begins or ends among the suspects.
+func (e *engine) count(ended, by int) {
+	if ended > 0 {
+		e.suspects += by
+	}
+	if ended >= trialFrom {
+		e.trials += by
+	}
+}
+
 // First notes a request's first event: its prompt is read.
 func (t *Table) First(now time.Duration, id uint64) {
 	r := t.runs[id]
@@ -62,6 +74,7 @@
 		return
 	}
 	delete(t.runs, id)
+	r.engine.count(r.ended, -1)
 	if r.read != 0 {
 		r.engine.runs--
 		r.engine.speed.Generated(r.out, now-r.read)
--- /dev/null
+++ b/coordination/quarantine/news.go
@@ -0,0 +1,88 @@
+package quarantine
+
+import (
+	"slices"
+	"time"
+)
+
+// Tell returns what a message to other instances holds: the cases that have
+// changed lately, and some condemned ones in their turn.
+func (b *Book) Tell(now time.Duration) []Entry {
+	var out []Entry
+	for _, c := range b.order {
+		if c.told < b.opts.Tells && len(out) < b.opts.MostTold {
+			c.told++
+			out = append(out, c.entry(now))
+		}
+	}
+	inTurn := 0
+	for range b.order {
+		b.turn++
+		c := b.order[b.turn%len(b.order)]
+		if b.verdict(c) != Condemned || c.told < b.opts.Tells {
+			continue
+		}
+		out = append(out, c.entry(now))
+		if inTurn++; inTurn == b.opts.Turn {
+			break
+		}
+	}
+	return out
+}
+
+// Known returns what is known of some requests, as it is told.
+func (b *Book) Known(now time.Duration, f Fingerprint) (Entry, bool) {
+	c := b.cases[f]
+	if c == nil {
+		return Entry{}, false
+	}
+	return c.entry(now), true
+}
+
+func (c *Case) entry(now time.Duration) Entry {
+	return Entry{Fingerprint: c.Fingerprint, Ended: slices.Clone(c.Ended), Cleared: slices.Clone(c.Cleared), Age: now - c.Asked}
+}
+
+// Merge takes in what another instance tells. What is older than such a case is
+// kept is passed over: or two instances would remind each other of it for ever.
+func (b *Book) Merge(now time.Duration, e Entry) []Change {
+	known := b.cases[e.Fingerprint]
+	if known == nil && (e.Age > b.keepFor(len(e.Ended)) || len(e.Ended) == 0) {
+		return nil
+	}
+	c := b.open(now, e.Fingerprint)
+	if known == nil {
+		c.Asked = now - e.Age
+	}
+	ended, cleared := b.merged(now, c, e)
+	if len(ended) == len(c.Ended) && len(cleared) == len(c.Cleared) {
+		c.Asked = max(c.Asked, now-e.Age)
+		return nil
+	}
+	asked := max(c.Asked, now-e.Age)
+	out := b.change(now, c, func() { c.Ended, c.Cleared = ended, cleared })
+	c.Asked = asked
+	return out
+}
+
+// merged returns the lives of a case after another's word: what one of the two
+// has cleared is cleared.
+func (b *Book) merged(now time.Duration, c *Case, e Entry) (ended, cleared []Life) {
+	cleared = slices.Clone(c.Cleared)
+	for _, life := range e.Cleared {
+		if !slices.Contains(cleared, life) {
+			cleared = append(cleared, life)
+		}
+	}
+	good := b.good.has(now, c.Fingerprint)
+	for _, life := range slices.Concat(c.Ended, e.Ended) {
+		switch {
+		case slices.Contains(cleared, life) || slices.Contains(ended, life):
+		case good:
+			cleared = append(cleared, life)
+		case len(ended) < b.opts.Lives:
+			ended = append(ended, life)
+		}
+	}
+	return ended, b.newest(cleared)
+}
--- a/coordination/quarantine/quarantine.go
+++ b/coordination/quarantine/quarantine.go
@@ -1,2 +1,286 @@
-// Package quarantine tells requests that crash the replicas which run them.
+// Package quarantine tells requests that crash the replicas which run them (a
+// query of death, a poison message) from those that ran beside one.
+//
+// What speaks against a request is that a replica ended while it ran there, one
+// life of a replica at a time; what speaks for it is a whole answer, since a
+// request that crashes its replica never gets one. A request under which some
+// have ended is suspect: it is tried at one place at a time, apart from other
+// suspects. One under which as many as Options.Condemns have ended is condemned
+// and is not sent any more.
+//
+// What instances know is merged by union, in any order, and needs no clocks
+// that agree. A Book is pure: events and time in, verdicts and news out.
 package quarantine
+
+import (
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Life names one life of a replica among those that a book knows.
+type Life uint32
+
+// LifeOf returns the name of a replica's life.
+func LifeOf(replica string) Life { return Life(xxhash.Sum64String(replica)) }
+
+// Verdict is what a book holds of a request.
+type Verdict int
+
+// The verdicts.
+const (
+	Unsuspected Verdict = iota
+	Suspect             // replicas have ended under it; it may be tried where nothing else is at stake
+	Condemned           // it is not sent any more
+)
+
+// String returns the verdict's name for logs.
+func (v Verdict) String() string {
+	return [...]string{"unsuspected", "suspect", "condemned"}[v]
+}
+
+// Options are a book's constants.
+type Options struct {
+	Condemns     int           // replicas that end under a request before it is condemned
+	BreakFor     time.Duration // that an answer's breaking off and a replica's end may lie apart
+	GoodFor      time.Duration // that a whole answer speaks for all tries of a request, whatever ends beside them
+	SuspectFor   time.Duration // without news, after which a suspect is forgotten
+	CondemnedFor time.Duration // without a try, after which a condemned one is
+	Most         int           // cases; those with least against them give way
+	Lives        int           // kept of a case, on each side
+	Tells        int           // times that changed cases are told
+	MostTold     int           // changed cases in a message
+	Turn         int           // condemned cases in a message besides, in their turn, for instances that have just started
+}
+
+// Standard returns the constants in use.
+func Standard() Options {
+	return Options{
+		Condemns:     3,                // as many as the users' rule leaves; with two, one that was beside another twice is condemned
+		BreakFor:     5 * time.Second,  // a replica's entry goes about 3 s after its end
+		GoodFor:      10 * time.Second, // a request that many ask for is answered more often than that
+		SuspectFor:   time.Minute,      // longer than callers repeat a request that failed
+		CondemnedFor: time.Hour,
+		Most:         4096, // about 0.5 MB
+		Lives:        8,
+		Tells:        6, // rounds of heartbeats: all of 390 instances hear in five
+		MostTold:     16,
+		Turn:         4,
+	}
+}
+
+// Case is what is known of one request.
+type Case struct {
+	Fingerprint Fingerprint
+	Ended       []Life // that ended under it
+	Cleared     []Life // that ended beside it: it has had a whole answer since
+	Asked       time.Duration
+
+	told int
+}
+
+// Entry is a case as instances tell it each other.
+type Entry struct {
+	Fingerprint Fingerprint
+	Ended       []Life
+	Cleared     []Life
+	Age         time.Duration // since it was last asked for or changed, as far as the sender knows
+}
+
+// Change is what an event has changed of a request.
+type Change struct {
+	Fingerprint Fingerprint
+	Before, Now Verdict
+	Ended       int // replicas under it
+}
+
+// brokenAnswer is an answer that broke off, of which it is not known yet why.
+type brokenAnswer struct {
+	fingerprint Fingerprint
+	life        Life
+	at          time.Duration
+}
+
+// Book is not safe for concurrent use.
+type Book struct {
+	opts   Options
+	cases  map[Fingerprint]*Case
+	order  []*Case // the same, by when they came
+	turn   int
+	broken []brokenAnswer
+	ended  map[Life]time.Duration // lives that ended lately
+	good   goodAnswers
+}
+
+// New returns an empty book.
+func New(o Options) *Book {
+	return &Book{opts: o, cases: make(map[Fingerprint]*Case), ended: make(map[Life]time.Duration), good: newGoodAnswers(o.GoodFor)}
+}
+
+// Verdict returns what is held of a request that a caller asks for.
+func (b *Book) Verdict(now time.Duration, f Fingerprint) Verdict {
+	c := b.cases[f]
+	if c == nil {
+		return Unsuspected
+	}
+	c.Asked = now
+	return b.verdict(c)
+}
+
+func (b *Book) verdict(c *Case) Verdict {
+	switch {
+	case len(c.Ended) == 0:
+		return Unsuspected
+	case len(c.Ended) < b.opts.Condemns:
+		return Suspect
+	}
+	return Condemned
+}
+
+// Broke takes in that an answer to a request broke off at a replica, which may
+// have ended; whether it has, the next or the last seconds show.
+func (b *Book) Broke(now time.Duration, f Fingerprint, life Life) []Change {
+	if at, ok := b.ended[life]; ok && now-at <= b.opts.BreakFor {
+		return b.against(now, f, life)
+	}
+	b.dropBroken(func(x brokenAnswer) bool { return now-x.at > b.opts.BreakFor })
+	b.broken = append(b.broken, brokenAnswer{fingerprint: f, life: life, at: now})
+	return nil
+}
+
+// Ended takes in that a replica has ended without a word: it speaks against all
+// requests whose answers broke off there.
+func (b *Book) Ended(now time.Duration, life Life) []Change {
+	b.ended[life] = now
+	var out []Change
+	for _, x := range b.broken {
+		if x.life == life && now-x.at <= b.opts.BreakFor {
+			out = append(out, b.against(now, x.fingerprint, life)...)
+		}
+	}
+	b.dropBroken(func(x brokenAnswer) bool { return x.life == life })
+	return out
+}
+
+// Lives takes in that a replica runs on after answers broke off there: the
+// connections had ended, not the replica.
+func (b *Book) Lives(life Life) {
+	b.dropBroken(func(x brokenAnswer) bool { return x.life == life })
+}
+
+func (b *Book) dropBroken(of func(brokenAnswer) bool) { b.broken = slices.DeleteFunc(b.broken, of) }
+
+// Good takes in that a request got a whole answer.
+func (b *Book) Good(now time.Duration, f Fingerprint) []Change {
+	b.good.note(now, f)
+	return b.Acquit(now, f)
+}
+
+// Acquit takes in that a request had no part in the ends that are known.
+func (b *Book) Acquit(now time.Duration, f Fingerprint) []Change {
+	c := b.cases[f]
+	if c == nil || len(c.Ended) == 0 {
+		return nil
+	}
+	return b.change(now, c, func() {
+		c.Cleared = b.newest(append(c.Cleared, c.Ended...))
+		c.Ended = nil
+	})
+}
+
+// against counts a replica's end under a request.
+func (b *Book) against(now time.Duration, f Fingerprint, life Life) []Change {
+	if b.good.has(now, f) {
+		return nil
+	}
+	c := b.open(now, f)
+	if slices.Contains(c.Cleared, life) || slices.Contains(c.Ended, life) || len(c.Ended) >= b.opts.Lives {
+		return nil
+	}
+	return b.change(now, c, func() { c.Ended = append(c.Ended, life) })
+}
+
+// change applies an edit to a case, which is then told to others.
+func (b *Book) change(now time.Duration, c *Case, edit func()) []Change {
+	before := b.verdict(c)
+	edit()
+	c.Asked, c.told = now, 0
+	return []Change{{Fingerprint: c.Fingerprint, Before: before, Now: b.verdict(c), Ended: len(c.Ended)}}
+}
+
+// newest returns the last of the lives, as many as are kept.
+func (b *Book) newest(lives []Life) []Life {
+	if len(lives) <= b.opts.Lives {
+		return lives
+	}
+	return slices.Clone(lives[len(lives)-b.opts.Lives:])
+}
+
+// open returns the case of a request, a new one if there is none.
+func (b *Book) open(now time.Duration, f Fingerprint) *Case {
+	c := b.cases[f]
+	if c == nil {
+		if len(b.order) >= b.opts.Most {
+			b.giveWay()
+		}
+		c = &Case{Fingerprint: f, Asked: now, told: b.opts.Tells}
+		b.cases[f] = c
+		b.order = append(b.order, c)
+	}
+	return c
+}
+
+// giveWay drops the case with least against it; of equals the one that was not
+// asked for the longest.
+func (b *Book) giveWay() {
+	least := b.order[0]
+	for _, c := range b.order {
+		if len(c.Ended) < len(least.Ended) || len(c.Ended) == len(least.Ended) && c.Asked < least.Asked {
+			least = c
+		}
+	}
+	b.drop(func(c *Case) bool { return c == least })
+}
+
+func (b *Book) drop(of func(*Case) bool) {
+	b.order = slices.DeleteFunc(b.order, func(c *Case) bool {
+		if !of(c) {
+			return false
+		}
+		delete(b.cases, c.Fingerprint)
+		return true
+	})
+}
+
+// keepFor is how long a case is kept without news.
+func (b *Book) keepFor(ended int) time.Duration {
+	if ended >= b.opts.Condemns {
+		return b.opts.CondemnedFor
+	}
+	return b.opts.SuspectFor
+}
+
+// Forget drops what is old, and returns the suspects and condemned ones among it.
+func (b *Book) Forget(now time.Duration) []Change {
+	var out []Change
+	b.drop(func(c *Case) bool {
+		if now-c.Asked <= b.keepFor(len(c.Ended)) {
+			return false
+		}
+		if before := b.verdict(c); before != Unsuspected {
+			out = append(out, Change{Fingerprint: c.Fingerprint, Before: before, Now: Unsuspected})
+		}
+		return true
+	})
+	b.dropBroken(func(x brokenAnswer) bool { return now-x.at > b.opts.BreakFor })
+	for life, at := range b.ended {
+		if now-at > b.opts.BreakFor {
+			delete(b.ended, life)
+		}
+	}
+	return out
+}
+
+// Cases returns what is known, by when it came; it is not to be changed.
+func (b *Book) Cases() []*Case { return b.order }
--- a/protocol/event/event.go
+++ b/protocol/event/event.go
@@ -87,6 +87,11 @@
 	NodeLogDropped    = add(3070, hclog.Warn, "log lines dropped", "lines", "Whoever reads the log was too slow.", "see to the reader; the counter node.log_dropped goes on")
 	NodeRegionAsked   = add(3160, hclog.Info, "region asked", "request, region, refused, error, took", "The own region did not take a request's stages, so the owner in another one was asked.", "when it lasts, the own region has too few replicas")
 	NodeHallUnplaced  = add(3161, hclog.Warn, "hall of no region", "hall, replicas", "Replicas are in a hall whose region the settings don't state. It counts as far from all others: they serve what no region can, and nothing that may be served in some regions only.", "state the hall's region in the settings")
+	NodeReplicaEnded  = add(3170, hclog.Warn, "replica ended", "replica, service, sign", "A replica has ended without a word while answers were under way.", "when it repeats, look at the replicas and at what ran there")
+	NodeSuspects      = add(3171, hclog.Warn, "request suspected", "fingerprint, ended, why", "Replicas have ended under a request (ended: how many). It is tried at one place at a time, apart from other suspects.", nothing)
+	NodeTries         = add(3172, hclog.Info, "suspect tried", "request, fingerprint, verdict", "A suspect has its turn.", nothing)
+	NodeCondemns      = add(3173, hclog.Error, "request condemned", "fingerprint, ended, why", "So many replicas have ended under a request that it is not sent to any more; whoever sends it is told 400.", "find the customer by the fingerprint in the lines of requests; quincectl acquit once it is safe")
+	NodeAcquits       = add(3174, hclog.Info, "request acquitted", "fingerprint, was, why", "A request under which replicas have ended had a whole answer since, was acquitted by an operator, or is forgotten by its age.", nothing)
 	NodePanicked      = add(3060, hclog.Error, "panic in a request", "panic", "One request ended by a fault of the program; others go on.", "report it with the line")
 )
 
--- a/protocol/frame/frame.go
+++ b/protocol/frame/frame.go
@@ -29,6 +29,7 @@
 	Stages                       // StagesAsk -> StagesReply, StagesReply; its close ends the job
 	PullReplicas                 // PullReplicas -> ReplicaChanges
 	Kept                         // KeptAsk -> KeptReply
+	Trial                        // TrialAsk -> TrialReply when it is the sender's turn, then QuarantineCase; its close ends the trial
 )
 
 // MaxLen bounds a frame; larger ones end the stream.
