Pieces that crash their pools' replicas are found out by parting a call's jobs

Change: an owner asks whether the replica of a call that broke off has ended, counts it under all requests in the call, parts their jobs into groups of four, after a second end into one each, and gives condemned ones up. Who starts is told all that is condemned at once.

--- a/cmd/node/attempt.go
+++ b/cmd/node/attempt.go
@@ -134,7 +134,7 @@
 	case done(ctx), errors.Is(err, errLeft): // says nothing of the replica
 	default:
 		a.note(a.replica.ID, health.Broken)
-		n.brokeOff(ctx, a.print, &a.replica)
+		n.brokeOff(ctx, &a.replica, a.print)
 	}
 }
 
--- a/cmd/node/cell.go
+++ b/cmd/node/cell.go
@@ -3,12 +3,15 @@
 import (
 	"context"
 	"fmt"
+	"maps"
+	"slices"
 	"strings"
 	"sync"
 	"time"
 
 	"quinceroad/coordination/pipeline"
 	"quinceroad/coordination/placement"
+	"quinceroad/coordination/quarantine"
 	"quinceroad/protocol/event"
 	"quinceroad/state/catalog"
 )
@@ -25,7 +28,8 @@
 	next      uint64                          // number of the next request at an engine
 	waiting   map[uint64]chan pipeline.Action // by job: its Deliver or Fail
 	calls     map[uint64]context.CancelFunc
-	asked     time.Duration // when a request last came
+	asked     time.Duration                     // when a request last came
+	prints    map[string]quarantine.Fingerprint // by id of requests whose stages run
 }
 
 func (c *cell) refresh() {
@@ -94,6 +98,9 @@
 	replica := catalog.Replica{ID: a.Replica, Service: a.Service, Version: n.versionOf(a.Replica)}
 	leave := n.rollouts.enter(&replica, false) // its pieces go to another replica
 	results, fate := n.runPieces(ctx, a)
+	if fate == pipeline.Broken {
+		fate = c.whyBroken(ctx, a)
+	}
 	if fate == pipeline.Answered {
 		c.leaveResults(a.Service, leave)
 	} else {
@@ -121,6 +128,50 @@
 	})
 }
 
+// whyBroken finds out whether the replica of a call that broke off has ended,
+// which speaks against all requests in it.
+func (c *cell) whyBroken(ctx context.Context, a pipeline.Call) pipeline.Fate {
+	n := c.owner.node
+	prints := c.printsOf(a)
+	ended := n.brokeOff(ctx, &catalog.Replica{ID: a.Replica, Service: a.Service, Address: a.Address}, slices.Collect(maps.Values(prints))...)
+	if !ended {
+		return pipeline.Broken
+	}
+	for request, f := range prints {
+		if n.verdict(f) == quarantine.Condemned {
+			c.giveUp(request)
+		}
+	}
+	return pipeline.Crashed
+}
+
+// printsOf returns the fingerprints of the requests in a call, by their ids.
+func (c *cell) printsOf(a pipeline.Call) map[string]quarantine.Fingerprint {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	out := make(map[string]quarantine.Fingerprint)
+	for _, item := range a.Items {
+		if f, ok := c.prints[item.RequestID]; ok {
+			out[item.RequestID] = f
+		}
+	}
+	return out
+}
+
+func (c *cell) forgetPrint(request string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	delete(c.prints, request)
+}
+
+// giveUp ends the job of a condemned request.
+func (c *cell) giveUp(request string) {
+	c.do(func(now time.Duration) []pipeline.Action { return c.scheduler.GiveUp(now, request, whyCondemned) })
+}
+
+// whyCondemned is what an owner says of a job whose request is condemned.
+const whyCondemned = "condemned"
+
 func (c *cell) log(a pipeline.Call, results []pipeline.Result, took time.Duration) {
 	n := c.owner.node
 	if !n.log.IsDebug() || len(results) == 0 {
--- a/cmd/node/members.go
+++ b/cmd/node/members.go
@@ -62,7 +62,7 @@
 	n.gossipMu.Lock()
 	to, m := n.members.Round(n.now(), newRandom())
 	n.gossipMu.Unlock()
-	n.send(to, m, n.speedsToTell(false))
+	n.send(to, m, n.speedsToTell(false), n.quarantineNews())
 }
 
 // tellHall tells every instance of the own hall what this one knows.
@@ -80,7 +80,7 @@
 		}
 	}
 	n.gossipMu.Unlock()
-	n.send(to, m, nil)
+	n.send(to, m, nil, nil)
 }
 
 // tellSeeds tells the instances that the settings name; they may be gone.
@@ -100,16 +100,16 @@
 	n.gossipMu.Lock()
 	self := n.members.Self()
 	n.gossipMu.Unlock()
-	n.send(to, gossip.Message{News: []gossip.Instance{self}}, nil)
+	n.send(to, gossip.Message{News: []gossip.Instance{self}}, nil, nil)
 }
 
-func (n *Node) send(to []string, m gossip.Message, speeds []*pb.EngineSpeed) {
+func (n *Node) send(to []string, m gossip.Message, speeds []*pb.EngineSpeed, cases []*pb.QuarantineCase) {
 	if len(to) == 0 {
 		return
 	}
 	h := &pb.Heartbeat{
 		Leaving: n.recentlyLeaving(), Sick: n.sick(), Changed: n.listChanged(), Evacuations: n.emptiedNews(),
-		Rollouts: n.rolloutNews(), Speeds: speeds, Quarantine: n.quarantineNews(),
+		Rollouts: n.rolloutNews(), Speeds: speeds, Quarantine: cases,
 	}
 	for _, i := range m.News {
 		h.News = append(h.News, newsOf(i))
@@ -194,7 +194,7 @@
 	}
 	n.gossipMu.Unlock()
 	if len(fresh) > 0 {
-		n.send(fresh, known, n.speedsToTell(true)) // who has just started learns of the others at once
+		n.send(fresh, known, n.speedsToTell(true), n.allOfQuarantine()) // who has just started learns of the others at once
 	}
 	n.takeEmptied(senderOf(h), h.Evacuations)
 	n.takeRollouts(h)
--- a/cmd/node/node.go
+++ b/cmd/node/node.go
@@ -114,9 +114,9 @@
 		emptied:    evacuation.New(),
 		cold:       newColdness(s),
 		rollouts:   newRollouts(s),
-		quarantine: newQuarantined(),
+		quarantine: newQuarantined(spreadOf(s.Name)),
 		pulse:      newPulse(),
-		spread:     float64(platform.Hash(s.Name)%1000) / 1000,
+		spread:     spreadOf(s.Name),
 		judge:      health.New(health.Standard()),
 		loads:      choice.NewTable(),
 		rates:      make(map[string]*serviceRates),
@@ -143,6 +143,9 @@
 	return n
 }
 
+// spreadOf places an instance between 0 and 1 by its name.
+func spreadOf(name string) float64 { return float64(platform.Hash(name)%1000) / 1000 }
+
 // now is the time since the process began, which the decisions are given.
 func (n *Node) now() time.Duration { return time.Since(n.began) }
 
--- a/cmd/node/owned.go
+++ b/cmd/node/owned.go
@@ -9,6 +9,7 @@
 
 	"quinceroad/coordination/pipeline"
 	"quinceroad/coordination/placement"
+	"quinceroad/coordination/quarantine"
 	"quinceroad/protocol/event"
 	"quinceroad/protocol/frame"
 	"quinceroad/protocol/pb"
@@ -82,6 +83,7 @@
 	}
 	end := make(chan pipeline.Action, 1)
 	c.mu.Lock()
+	c.prints[job.RequestID] = quarantine.Fingerprint(r.ask.Fingerprint)
 	reply := r.leaveToEngine(&job)
 	verdict, actions := c.scheduler.Submit(n.now(), job)
 	if verdict.Admitted {
@@ -91,6 +93,7 @@
 	c.mu.Unlock()
 	c.carryOut(actions)
 	if !verdict.Admitted {
+		c.forgetPrint(job.RequestID)
 		n.counters.jobsRefused.Inc(1)
 		event.NodeJobRefused.Log(n.log, "request", job.RequestID, "rank", job.Rank, "again", job.Again,
 			"expected", verdict.Expected, "wait", verdict.Expected-verdict.Own, "own", verdict.Own, "bound", verdict.Bound, "limit", verdict.Limit,
@@ -220,6 +223,7 @@
 	c := r.cell
 	c.mu.Lock()
 	delete(c.waiting, job)
+	delete(c.prints, r.ask.RequestId)
 	c.mu.Unlock()
 	c.do(func(now time.Duration) []pipeline.Action { return c.scheduler.Release(now, job) })
 }
@@ -257,6 +261,7 @@
 		Deadline:  time.Duration(ask.DeadlineUs) * time.Microsecond,
 		Again:     ask.Again,
 		LateToo:   ask.LateToo,
+		Ended:     int(ask.Ended),
 	}
 	total := 0
 	for _, w := range ask.Stages {
--- a/cmd/node/owner.go
+++ b/cmd/node/owner.go
@@ -9,6 +9,7 @@
 	"quinceroad/cmd/process"
 	"quinceroad/coordination/pipeline"
 	"quinceroad/coordination/placement"
+	"quinceroad/coordination/quarantine"
 	"quinceroad/coordination/speed"
 	"quinceroad/protocol/event"
 )
@@ -49,6 +50,7 @@
 			engines:   placement.New(o.node.placing(), o.node.cold.limit),
 			waiting:   make(map[uint64]chan pipeline.Action),
 			calls:     make(map[uint64]context.CancelFunc),
+			prints:    make(map[string]quarantine.Fingerprint),
 		}
 		o.cells[number] = c
 		event.NodeOwns.Log(o.node.log, "cell", number)
--- a/cmd/node/quarantine.go
+++ b/cmd/node/quarantine.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -14,10 +15,11 @@
 )
 
 const (
-	lookFor     = connectFor             // that a replica's port may take to answer a look
-	lookWait    = 150 * time.Millisecond // that a request waits for it before it may go on elsewhere: a port that refuses does so in a way there and back
-	lookHolds   = 300 * time.Millisecond // that a look stands for all answers that break off there: a replica that ends is not back sooner
-	forgetCases = 2 * time.Second        // between looks for what is old
+	lookFor   = connectFor             // that a replica's port may take to answer a look
+	lookWait  = 150 * time.Millisecond // that a request waits for it before it may go on elsewhere: a port that refuses does so in a way there and back
+	lookHolds = 300 * time.Millisecond // that a look stands for all answers that break off there: a replica that ends is not back sooner
+
+	quarantineTurns = 1000 // among how many the instances' first turns are spread
 )
 
 var errCondemned = errors.New("replicas have ended under this request; it is not sent to any more of them")
@@ -34,12 +36,13 @@
 // look is a question whether a replica has ended.
 type look struct {
 	done  chan struct{} // closed when it is known
+	ended atomic.Bool
 	began time.Duration
 }
 
-func newQuarantined() *quarantined {
+func newQuarantined(spread float64) *quarantined {
 	return &quarantined{
-		book:   quarantine.New(quarantine.Standard()),
+		book:   quarantine.New(quarantine.Standard(), int(spread*quarantineTurns)),
 		looks:  make(map[string]*look),
 		trials: make(map[quarantine.Fingerprint]chan struct{}),
 		places: make(map[string]map[quarantine.Fingerprint]struct{}),
@@ -100,20 +103,27 @@
 	}
 }
 
-// brokeOff takes in that an answer broke off at a replica, and waits a little
-// for the answer whether the replica has ended: until then a second try would
+// brokeOff takes in that answers to requests broke off at a replica, and waits a
+// little to hear whether the replica has ended: until then a second try would
 // only be a guess.
-func (n *Node) brokeOff(ctx context.Context, f quarantine.Fingerprint, r *catalog.Replica) {
+func (n *Node) brokeOff(ctx context.Context, r *catalog.Replica, requests ...quarantine.Fingerprint) (ended bool) {
 	life := quarantine.LifeOf(r.ID)
-	n.noteQuarantine(fromEnd, func(b *quarantine.Book, now time.Duration) []quarantine.Change { return b.Broke(now, f, life) })
+	n.noteQuarantine(fromEnd, func(b *quarantine.Book, now time.Duration) (changes []quarantine.Change) {
+		for _, f := range requests {
+			changes = append(changes, b.Broke(now, f, life)...)
+		}
+		return changes
+	})
 	l := n.look(r)
 	wait := time.NewTimer(lookWait)
 	defer wait.Stop()
 	select {
 	case <-l.done:
+		return l.ended.Load()
 	case <-wait.C:
 	case <-ctx.Done():
 	}
+	return false
 }
 
 // look asks whether a replica has ended, unless that has just been asked.
@@ -146,6 +156,7 @@
 			return nil
 		})
 	case errors.Is(err, syscall.ECONNREFUSED):
+		l.ended.Store(true)
 		event.NodeReplicaEnded.Log(n.log, "replica", r.ID, "service", r.Service, "sign", "its port refuses")
 		n.noteQuarantine(fromEnd, func(b *quarantine.Book, now time.Duration) []quarantine.Change { return b.Ended(now, life) })
 	}
@@ -170,8 +181,20 @@
 	q := n.quarantine
 	q.mu.Lock()
 	defer q.mu.Unlock()
+	return casesOf(q.book.Tell(n.now()))
+}
+
+// allOfQuarantine is what an instance that has just started is told.
+func (n *Node) allOfQuarantine() []*pb.QuarantineCase {
+	q := n.quarantine
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return casesOf(q.book.TellAll(n.now()))
+}
+
+func casesOf(entries []quarantine.Entry) []*pb.QuarantineCase {
 	var out []*pb.QuarantineCase
-	for _, e := range q.book.Tell(n.now()) {
+	for _, e := range entries {
 		out = append(out, caseOf(e))
 	}
 	return out
--- a/cmd/node/rollout_answers.go
+++ b/cmd/node/rollout_answers.go
@@ -105,7 +105,7 @@
 	switch fate {
 	case pipeline.Answered:
 		out.failed = slices.ContainsFunc(results, func(x pipeline.Result) bool { return x.Reason == pipeline.PieceError })
-	case pipeline.Broken, pipeline.Overdue:
+	case pipeline.Broken, pipeline.Crashed, pipeline.Overdue:
 		out.failed = true
 	default:
 		return
--- a/cmd/node/stages.go
+++ b/cmd/node/stages.go
@@ -111,7 +111,7 @@
 		}
 		var refused *refusedError
 		var failed *failedError
-		if errors.As(err, &refused) || errors.As(err, &failed) || errors.Is(err, errNarrowed) || ctx.Err() != nil {
+		if errors.As(err, &refused) || errors.As(err, &failed) || errors.Is(err, errNarrowed) || errors.Is(err, errCondemned) || ctx.Err() != nil {
 			return nil, err
 		}
 		event.NodeOwnerLost.Log(n.log, "owner", to.Name, "request", ask.RequestId, "error", err)
@@ -219,6 +219,9 @@
 				return nil, &refusedError{after: time.Duration(r.RetryAfterUs) * time.Microsecond, expects: expectationOf(r)}
 			case r.Failed != "":
 				job.end()
+				if r.Failed == whyCondemned {
+					return nil, errCondemned
+				}
 				return nil, &failedError{why: r.Failed, after: time.Duration(r.RetryAfterUs) * time.Microsecond}
 			case r.Admitted:
 				admitted = true
--- a/coordination/pipeline/call.go
+++ b/coordination/pipeline/call.go
@@ -98,9 +98,11 @@
 	halls := p.halls(now)
 	leave := time.Duration(o.LeaveHall * float64(p.def.CallTime))
 	var batch []*piece
+	with := company{most: o.SuspectsTogether}
 	rest := p.ready[:0]
 	for _, x := range p.ready {
-		if len(batch) < p.def.Batch && x.stage.def.Bytes <= room && !x.early() && x.may(r, halls[x.hall], leave) {
+		if len(batch) < p.def.Batch && x.stage.def.Bytes <= room && !x.early() && x.may(r, halls[x.hall], leave) && with.admits(x.stage.job) {
+			with.join(x.stage.job)
 			room -= x.stage.def.Bytes
 			batch = append(batch, x)
 			continue
@@ -265,6 +267,11 @@
 	default:
 		r.fail(now, &s.opts)
 	}
+	if fate == Crashed {
+		for _, j := range c.jobs() {
+			j.Ended++
+		}
+	}
 	for _, x := range c.pieces {
 		j := x.stage.job
 		if s.jobs[j.id] != j || x.state != running || c.overdue {
--- a/coordination/pipeline/job.go
+++ b/coordination/pipeline/job.go
@@ -1,6 +1,7 @@
 package pipeline
 
 import (
+	"maps"
 	"slices"
 	"time"
 )
@@ -268,6 +269,17 @@
 	s.abandonIdleCalls()
 }
 
+// GiveUp ends the job of a request.
+func (s *Scheduler) GiveUp(now time.Duration, request, why string) []Action {
+	for _, id := range slices.Sorted(maps.Keys(s.jobs)) {
+		if j := s.jobs[id]; j.RequestID == request {
+			s.fail(now, j, why, 0)
+		}
+	}
+	s.dispatchAll(now)
+	return s.take()
+}
+
 func (s *Scheduler) fail(now time.Duration, j *job, why string, after time.Duration) {
 	s.remove(now, j)
 	s.act(Fail{Job: j.id, Why: why, RetryAfter: after})
--- a/coordination/pipeline/pipeline.go
+++ b/coordination/pipeline/pipeline.go
@@ -58,6 +58,7 @@
 	Stranger                // another replica has the address
 	Unreachable             // no connection; nothing was sent
 	Broken                  // sent, and no whole answer came
+	Crashed                 // the same, and the replica has ended
 	Overdue                 // sent, and no answer came in time
 )
 
@@ -79,6 +80,7 @@
 	Deadline  time.Duration // from now, after which they are of no use
 	Again     bool          // it came back after a refusal
 	LateToo   bool          // it may be admitted to be late
+	Ended     int           // replicas that ended under its request
 	Stages    []Stage
 }
 
--- a/coordination/quarantine/news.go
+++ b/coordination/quarantine/news.go
@@ -30,7 +30,21 @@
 	return out
 }
 
-// Known returns what is known of some requests, as it is told.
+// TellAll returns what an instance that has just started is told: what is
+// condemned and suspected, as much as a message holds.
+func (b *Book) TellAll(now time.Duration) []Entry {
+	var out []Entry
+	for _, least := range []Verdict{Condemned, Suspect} {
+		for _, c := range b.order {
+			if b.verdict(c) == least && len(out) < b.opts.MostAtOnce {
+				out = append(out, c.entry(now))
+			}
+		}
+	}
+	return out
+}
+
+// Known returns what is known of a request, as it is told.
 func (b *Book) Known(now time.Duration, f Fingerprint) (Entry, bool) {
 	c := b.cases[f]
 	if c == nil {
--- a/coordination/quarantine/quarantine.go
+++ b/coordination/quarantine/quarantine.go
@@ -51,7 +51,8 @@
 	Lives        int           // kept of a case, on each side
 	Tells        int           // times that changed cases are told
 	MostTold     int           // changed cases in a message
-	Turn         int           // condemned cases in a message besides, in their turn, for instances that have just started
+	MostAtOnce   int           // cases in a message to an instance that has just started
+	Turn         int           // condemned cases in a message besides, in their turn, for instances that were suspended or cut off
 }
 
 // Standard returns the constants in use.
@@ -66,7 +67,8 @@
 		Lives:        8,
 		Tells:        6, // rounds of heartbeats: all of 390 instances hear in five
 		MostTold:     16,
-		Turn:         4,
+		MostAtOnce:   200, // some 8 KB, half of the longest datagram
+		Turn:         8,
 	}
 }
 
@@ -113,9 +115,10 @@
 	good   goodAnswers
 }
 
-// New returns an empty book.
-func New(o Options) *Book {
-	return &Book{opts: o, cases: make(map[Fingerprint]*Case), ended: make(map[Life]time.Duration), good: newGoodAnswers(o.GoodFor)}
+// New returns an empty book. Books that begin at different turns tell condemned
+// cases in different order, so that who hears of several learns all soon.
+func New(o Options, turn int) *Book {
+	return &Book{opts: o, turn: turn, cases: make(map[Fingerprint]*Case), ended: make(map[Life]time.Duration), good: newGoodAnswers(o.GoodFor)}
 }
 
 // Verdict returns what is held of a request that a caller asks for.
--- /dev/null
+++ b/coordination/quarantine/quarantine_test.go
@@ -0,0 +1,219 @@
+package quarantine
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+)
+
+func life(n int) Life { return LifeOf(fmt.Sprint("r", n)) }
+
+// crash is a replica's end under some requests.
+func crash(b *Book, now time.Duration, n int, under ...Fingerprint) {
+	for _, f := range under {
+		b.Broke(now, f, life(n))
+	}
+	b.Ended(now, life(n))
+}
+
+func TestThreeEndsCondemn(t *testing.T) {
+	is := is.New(t)
+	b := New(Standard(), 0)
+	for n, want := range []Verdict{Unsuspected, Suspect, Suspect, Condemned} {
+		is.Equal(b.Verdict(0, 7), want)
+		crash(b, time.Duration(n)*time.Second, n, 7, 7)
+		crash(b, time.Duration(n)*time.Second, n, 7) // the same end again counts once
+	}
+	is.Equal(b.Verdict(0, 8), Unsuspected)
+}
+
+func TestAnAnswerThatBreaksOffIsNoEnd(t *testing.T) {
+	is := is.New(t)
+	b := New(Standard(), 0)
+	b.Broke(0, 7, life(1))
+	b.Lives(life(1))
+	b.Ended(time.Second, life(1)) // later, of something else
+	is.Equal(b.Verdict(0, 7), Unsuspected)
+	b.Broke(0, 7, life(2))
+	b.Ended(6*time.Second, life(2)) // too late to have broken it off
+	is.Equal(b.Verdict(0, 7), Unsuspected)
+}
+
+func TestAnEndIsTakenInBeforeTheBreak(t *testing.T) {
+	is := is.New(t)
+	b := New(Standard(), 0)
+	b.Ended(0, life(1))
+	b.Broke(time.Millisecond, 7, life(1))
+	is.Equal(b.Verdict(0, 7), Suspect)
+}
+
+func TestAWholeAnswerAcquits(t *testing.T) {
+	is := is.New(t)
+	b := New(Standard(), 0)
+	crash(b, 0, 1, 7)
+	crash(b, 0, 2, 7)
+	b.Good(0, 7)
+	is.Equal(b.Verdict(0, 7), Unsuspected)
+	crash(b, time.Second, 3, 7) // many ask for it, and one of them was there
+	is.Equal(b.Verdict(time.Second, 7), Unsuspected)
+	late := Standard().GoodFor + 2*time.Second
+	crash(b, late, 4, 7) // a new version of the replicas may crash on what the old one answered
+	is.Equal(b.Verdict(late, 7), Suspect)
+}
+
+// Another instance's old word does not take an acquittal back.
+func TestAnAcquittalIsNotTakenBackByAnOldWord(t *testing.T) {
+	is := is.New(t)
+	a, b := New(Standard(), 0), New(Standard(), 0)
+	crash(a, 0, 1, 7)
+	old, _ := a.Known(0, 7)
+	b.Merge(0, old)
+	b.Good(0, 7)
+	now, _ := b.Known(0, 7)
+	a.Merge(0, now)
+	is.Equal(a.Verdict(0, 7), Unsuspected)
+	a.Merge(0, old)
+	b.Merge(0, old)
+	is.Equal(a.Verdict(0, 7), Unsuspected)
+	is.Equal(b.Verdict(0, 7), Unsuspected)
+}
+
+// What two instances tell each other of an old case does not keep it for ever.
+func TestTwoInstancesForgetTogether(t *testing.T) {
+	is := is.New(t)
+	a, b := New(Standard(), 0), New(Standard(), 0)
+	crash(a, 0, 1, 7)
+	for now := time.Duration(0); now < 5*time.Minute; now += 200 * time.Millisecond {
+		tell(now, a, b)
+		tell(now, b, a)
+		a.Forget(now)
+		b.Forget(now)
+	}
+	is.Equal(len(a.Cases())+len(b.Cases()), 0)
+}
+
+func tell(now time.Duration, from, to *Book) {
+	for _, e := range from.Tell(now) {
+		to.Merge(now, e)
+	}
+}
+
+// A million different requests take no more room than the most cases, and what
+// is condemned stays.
+func TestAFloodOfCasesLeavesTheCondemned(t *testing.T) {
+	is := is.New(t)
+	o := Standard()
+	o.Most = 100
+	b := New(o, 0)
+	for n := range 3 {
+		crash(b, 0, n, 1)
+	}
+	for n := range 10_000 {
+		crash(b, time.Duration(n)*time.Millisecond, 10+n, Fingerprint(100+n))
+	}
+	is.True(len(b.Cases()) <= 100)
+	is.Equal(b.Verdict(0, 1), Condemned)
+}
+
+// An instance that has just started is told of a hundred condemned requests at
+// once; one that was suspended hears of nearly all within three seconds,
+// although half of the messages are lost.
+func TestWhoWasAwayHearsOfAllThatIsCondemned(t *testing.T) {
+	is := is.New(t)
+	const condemned, peers = 100, 4
+	var known []*Book
+	for p := range peers {
+		b := New(Standard(), 251*p)
+		for f := range condemned {
+			for n := range 3 {
+				crash(b, 0, 3*f+n, Fingerprint(f))
+			}
+		}
+		for range 200 {
+			b.Tell(0) // all has been told often enough
+		}
+		known = append(known, b)
+	}
+	heard := func(b *Book) (count int) {
+		for f := range condemned {
+			if b.Verdict(time.Minute, Fingerprint(f)) == Condemned {
+				count++
+			}
+		}
+		return count
+	}
+	started := New(Standard(), 0)
+	for _, e := range known[0].TellAll(time.Minute) {
+		started.Merge(time.Minute, e)
+	}
+	is.Equal(heard(started), condemned)
+
+	suspended, random := New(Standard(), 0), rand.New(rand.NewPCG(1, 2))
+	for round := range 15 { // of heartbeats, five a second, four heard in each
+		now := time.Minute + time.Duration(round)*200*time.Millisecond
+		for _, b := range known {
+			if entries := b.Tell(now); random.IntN(2) == 0 {
+				for _, e := range entries {
+					suspended.Merge(now, e)
+				}
+			}
+		}
+	}
+	t.Logf("%d of %d", heard(suspended), condemned)
+	is.True(heard(suspended) >= 80)
+}
+
+// Whatever instances see, and in whatever order they hear of it, they end with
+// the same; only what ended under a request without an answer of its own since
+// speaks against it.
+func TestInstancesAgree(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		const requests, instances = 4, 3
+		o := Standard()
+		o.GoodFor = 0 // so that an answer speaks for what has ended before it alone
+		var books []*Book
+		for range instances {
+			books = append(books, New(o, 0))
+		}
+		for n := range rapid.IntRange(1, 12).Draw(t, "events") {
+			now := time.Duration(n) * time.Second
+			b := books[rapid.IntRange(0, instances-1).Draw(t, "at")]
+			f := Fingerprint(rapid.IntRange(0, requests-1).Draw(t, "request"))
+			switch rapid.IntRange(0, 3).Draw(t, "what") {
+			case 0, 1:
+				crash(b, now, rapid.IntRange(0, 6).Draw(t, "replica"), f)
+			case 2:
+				b.Good(now, f)
+			case 3:
+				tell(now, b, books[rapid.IntRange(0, instances-1).Draw(t, "to")])
+			}
+		}
+		end := 20 * time.Second
+		for range 8 {
+			for _, x := range rapid.Permutation(books).Draw(t, "order") {
+				for _, y := range books {
+					for _, c := range x.Cases() {
+						e, _ := x.Known(end, c.Fingerprint)
+						y.Merge(end, e)
+					}
+				}
+			}
+		}
+		for f := range Fingerprint(requests) {
+			first, _ := books[0].Known(end, f)
+			slices.Sort(first.Ended)
+			for i, b := range books {
+				e, _ := b.Known(end, f)
+				slices.Sort(e.Ended)
+				if !slices.Equal(e.Ended, first.Ended) {
+					t.Fatalf("request %d: instance %d has %v, the first %v", f, i, e.Ended, first.Ended)
+				}
+			}
+		}
+	})
+}
