Operators see what is held of requests that end replicas, and acquit by hand

quincectl quarantine and acquit, the dump of state, explain with what a request's fingerprint met elsewhere.

--- a/cmd/ctl/ctl.go
+++ b/cmd/ctl/ctl.go
@@ -34,6 +34,8 @@
   dump               the coord's state
   explain ID FILE... what the logs of any nodes say of a request, in order
   rollouts ADDR...   what nodes know of the roll-outs that are ordered, by their addresses for metrics
+  quarantine ADDR... what nodes hold of requests that replicas have ended under, by their addresses for metrics
+  acquit PRINT ADDR  let a condemned request be sent again; the node tells the others
   losses FILE...     what logs say of requests not served in time, by cause and time
   config -f FILE     check a configuration as it is written into the platform's store
   rules              what such a configuration is held against
@@ -129,6 +131,10 @@
 		return c.explain(rest[0], rest[1:])
 	case name == "rollouts" && len(rest) > 0:
 		return c.rollouts(rest)
+	case name == "quarantine" && len(rest) > 0:
+		return c.quarantine(rest)
+	case name == "acquit" && len(rest) == 2:
+		return c.acquit(rest[0], rest[1])
 	case name == "losses" && len(rest) > 0:
 		return c.losses(rest)
 	case name == "config" && c.file != "":
@@ -143,16 +149,18 @@
 
 // calls tells how each command that takes arguments is called, with an example.
 var calls = map[string][2]string{
-	"check":    {"-f FILE", "quincectl check -f examples/kalahari/fleet.toml"},
-	"plan":     {"-f FILE", "quincectl -operators 127.0.0.1:21014 -token demo-operator plan -f examples/kalahari/fleet.toml"},
-	"diff":     {"-f FILE", "quincectl -operators 127.0.0.1:21014 -token demo-operator diff -f examples/kalahari/fleet.toml"},
-	"show":     {"PLAN", "quincectl -operators 127.0.0.1:21014 -token demo-operator show p-1"},
-	"confirm":  {"PLAN", "quincectl -operators 127.0.0.1:21014 -token demo-operator confirm p-1"},
-	"drain":    {"INSTANCE", "quincectl -operators 127.0.0.1:21014 -token demo-operator drain entry-1"},
-	"explain":  {"ID FILE...", "quincectl explain 9c41d07be2a35f68 node-1.log node-2.log"},
-	"rollouts": {"ADDR...", "quincectl rollouts 10.0.0.4:9101 10.0.0.5:9101"},
-	"losses":   {"FILE...", "quincectl losses node-1.log node-2.log"},
-	"config":   {"-f FILE", "quincectl config -f configuration.json"},
+	"check":      {"-f FILE", "quincectl check -f examples/kalahari/fleet.toml"},
+	"plan":       {"-f FILE", "quincectl -operators 127.0.0.1:21014 -token demo-operator plan -f examples/kalahari/fleet.toml"},
+	"diff":       {"-f FILE", "quincectl -operators 127.0.0.1:21014 -token demo-operator diff -f examples/kalahari/fleet.toml"},
+	"show":       {"PLAN", "quincectl -operators 127.0.0.1:21014 -token demo-operator show p-1"},
+	"confirm":    {"PLAN", "quincectl -operators 127.0.0.1:21014 -token demo-operator confirm p-1"},
+	"drain":      {"INSTANCE", "quincectl -operators 127.0.0.1:21014 -token demo-operator drain entry-1"},
+	"explain":    {"ID FILE...", "quincectl explain 9c41d07be2a35f68 node-1.log node-2.log"},
+	"rollouts":   {"ADDR...", "quincectl rollouts 10.0.0.4:9101 10.0.0.5:9101"},
+	"quarantine": {"ADDR...", "quincectl quarantine 10.0.0.4:9101 10.0.0.5:9101"},
+	"acquit":     {"FINGERPRINT ADDR", "quincectl acquit 9c41d07be2a35f68 10.0.0.4:9101"},
+	"losses":     {"FILE...", "quincectl losses node-1.log node-2.log"},
+	"config":     {"-f FILE", "quincectl config -f configuration.json"},
 }
 
 // usageOf is the error of a command that was called wrongly.
--- a/cmd/ctl/explain_test.go
+++ b/cmd/ctl/explain_test.go
@@ -8,6 +8,8 @@
 	"testing"
 
 	"github.com/matryer/is"
+
+	"quinceroad/protocol/event"
 )
 
 func TestExplainPutsARequestsLinesInOrder(t *testing.T) {
@@ -120,3 +122,20 @@
 	is.Equal(Main([]string{"rules"}, &out, &errOut), 0)
 	is.True(strings.Contains(out.String(), "prefix-twice"))
 }
+
+// A condemned request's story holds what spoke against it at its caller's other
+// tries, at any instance.
+func TestExplainTellsWhatCondemnedARequest(t *testing.T) {
+	is := is.New(t)
+	name := filepath.Join(t.TempDir(), "node.log")
+	is.NoErr(os.WriteFile(name, []byte(`2026-01-01T00:00:01.000Z [INFO]  node: attempt failed: instance=i2 event=3051 request=r1 fingerprint=ab replica=d7 why="the answer broke off" took=40ms kept=true
+2026-01-01T00:00:01.100Z [ERROR] node: request condemned: instance=i2 event=3173 fingerprint=ab ended=3 why="a replica's end"
+2026-01-01T00:00:01.100Z [ERROR] node: request condemned: instance=i2 event=3173 fingerprint=cd ended=3 why="a replica's end"
+2026-01-01T00:00:02.000Z [INFO]  node: request: instance=i1 event=3050 request=r2 fingerprint=ab why="`+event.WhyCondemned+`" took=1ms
+`), 0o600))
+	var out, errOut bytes.Buffer
+	is.Equal(Main([]string{"explain", "r2", name}, &out, &errOut), 0)
+	is.True(strings.Contains(out.String(), "Not sent by i1: replicas have ended under this request before (fingerprint ab)"))
+	is.True(strings.Contains(out.String(), "request condemned"))
+	is.True(!strings.Contains(out.String(), "cd"))
+}
--- /dev/null
+++ b/cmd/ctl/quarantine.go
@@ -0,0 +1,65 @@
+package ctl
+
+import (
+	"fmt"
+	"io"
+	"net/url"
+	"strings"
+	"text/tabwriter"
+
+	"github.com/valyala/fasthttp"
+
+	"quinceroad/cmd/process"
+	"quinceroad/transport/web"
+)
+
+// nodeQuarantine is what a node's dump of state holds of requests that replicas
+// have ended under.
+type nodeQuarantine struct {
+	Name       string
+	Quarantine []struct {
+		Fingerprint, Verdict, Asked string
+		Ended, Cleared              int
+	}
+}
+
+// quarantine prints what nodes hold of requests that replicas have ended under.
+func (c *client) quarantine(addresses []string) (int, error) {
+	var all []nodeQuarantine
+	for _, address := range addresses {
+		var n nodeQuarantine
+		if err := nodeState(address, &n); err != nil {
+			return process.ExitFail, err
+		}
+		all = append(all, n)
+	}
+	return c.print(all, func() { printQuarantine(c.out, all) })
+}
+
+func printQuarantine(out io.Writer, all []nodeQuarantine) {
+	t := tabwriter.NewWriter(out, 0, 0, padding, ' ', 0)
+	defer func() { _ = t.Flush() }()
+	fmt.Fprintln(t, "NODE\tFINGERPRINT\tVERDICT\tENDED\tCLEARED\tASKED")
+	for _, n := range all {
+		for _, q := range n.Quarantine {
+			fmt.Fprintf(t, "%s\t%s\t%s\t%d\t%d\t%s ago\n", n.Name, q.Fingerprint, q.Verdict, q.Ended, q.Cleared, q.Asked)
+		}
+	}
+}
+
+// acquit lets a request be sent again; the node that is asked tells the others.
+func (c *client) acquit(fingerprint, address string) (int, error) {
+	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseRequest(req)
+	defer fasthttp.ReleaseResponse(resp)
+	req.Header.SetMethod(fasthttp.MethodPost)
+	req.SetRequestURI("http://" + address + "/debug/acquit?fingerprint=" + url.QueryEscape(fingerprint))
+	if err := web.NewClient().DoTimeout(req, resp, callTimeout); err != nil {
+		return process.ExitFail, fmt.Errorf("%s: %w", address, err)
+	}
+	if resp.StatusCode() != fasthttp.StatusOK {
+		return process.ExitFail, fmt.Errorf("%s: %s", address, strings.TrimSpace(string(resp.Body())))
+	}
+	fmt.Fprintf(c.out, "%s may be sent again\n", fingerprint)
+	return process.ExitOK, nil
+}
--- a/cmd/ctl/rollouts.go
+++ b/cmd/ctl/rollouts.go
@@ -38,22 +38,30 @@
 func (c *client) rollouts(addresses []string) (int, error) {
 	var all []nodeRollouts
 	for _, address := range addresses {
-		status, body, err := web.NewClient().GetTimeout(nil, "http://"+address+"/debug/state", callTimeout)
-		if err == nil && status != fasthttp.StatusOK {
-			err = fmt.Errorf("status %d", status)
-		}
 		var n nodeRollouts
-		if err == nil {
-			err = json.Unmarshal(body, &n)
-		}
-		if err != nil {
-			return process.ExitFail, fmt.Errorf("%s: %w", address, err)
+		if err := nodeState(address, &n); err != nil {
+			return process.ExitFail, err
 		}
 		all = append(all, n)
 	}
 	return c.print(all, func() { printRollouts(c.out, all) })
 }
 
+// nodeState reads what a node's dump of state holds into v.
+func nodeState(address string, v any) error {
+	status, body, err := web.NewClient().GetTimeout(nil, "http://"+address+"/debug/state", callTimeout)
+	if err == nil && status != fasthttp.StatusOK {
+		err = fmt.Errorf("status %d", status)
+	}
+	if err == nil {
+		err = json.Unmarshal(body, v)
+	}
+	if err != nil {
+		return fmt.Errorf("%s: %w", address, err)
+	}
+	return nil
+}
+
 func printRollouts(out io.Writer, all []nodeRollouts) {
 	t := tabwriter.NewWriter(out, 0, 0, padding, ' ', 0)
 	defer func() { _ = t.Flush() }()
--- a/cmd/ctl/story.go
+++ b/cmd/ctl/story.go
@@ -12,6 +12,7 @@
 // story is what the logs of any instances say of one request.
 type story struct {
 	id        string
+	print     string          // its fingerprint; "" until a line has told it
 	own       []*logLine      // name the request
 	others    []*logLine      // tell of those that it met, about that time
 	replicas  map[string]bool // that it was sent to
@@ -34,6 +35,9 @@
 		return
 	}
 	s.own = append(s.own, l)
+	if print := l.field("fingerprint"); print != "" {
+		s.print = print
+	}
 	s.instances[l.instance] = true
 	if owner := l.field("owner"); owner != "" {
 		s.instances[owner] = true
@@ -57,7 +61,7 @@
 // Events that tell of a replica, of an instance by its name, and of the
 // instance that logs them.
 var (
-	ofReplicas  = []*event.Event{event.NodeReplicaLeaves, event.NodeReplicaCold, event.NodeLeavesAlone, event.NodeTakesBack, event.NodeCallLost}
+	ofReplicas  = []*event.Event{event.NodeReplicaLeaves, event.NodeReplicaCold, event.NodeLeavesAlone, event.NodeTakesBack, event.NodeCallLost, event.NodeReplicaEnded}
 	ofInstances = []*event.Event{event.NodeMisses, event.NodeOwnerLost}
 	ofItself    = []*event.Event{
 		event.NodeStarted, event.NodeStopping, event.NodeHallEmptied, event.NodeHallReturned, event.NodeStoreLost, event.NodeStoreBack,
@@ -75,6 +79,7 @@
 	switch {
 	case l.field("why") == "hearsay" && !s.instances[l.instance]:
 		return // the same evidence again, at an instance that the request did not meet
+	case s.print != "" && l.field("fingerprint") == s.print: // also of its caller's other tries
 	case slices.ContainsFunc(ofReplicas, is) && s.replicas[l.field("replica")]:
 	case slices.ContainsFunc(ofInstances, is) && (s.instances[l.field("name")] || s.instances[l.field("owner")]):
 	case slices.ContainsFunc(ofItself, is) && s.instances[l.instance]:
@@ -125,6 +130,8 @@
 		return refusedBy(refused, end)
 	case strings.HasPrefix(why, "stages failed") && failed != nil:
 		return fmt.Sprintf("Admitted, then given up by %s after %s: %s.", failed.instance, failed.field("after"), failed.field("why"))
+	case why == event.WhyCondemned:
+		return fmt.Sprintf("Not sent by %s: replicas have ended under this request before (fingerprint %s); see the lines beside it.", end.instance, s.print)
 	case attempt != nil:
 		return fmt.Sprintf("Lost at replica %s after %s: %s; %s attempts in all, on a connection used before: %s.",
 			attempt.field("replica"), attempt.field("took"), attempt.field("why"), end.field("attempts"), attempt.field("kept"))
--- a/cmd/node/quarantine.go
+++ b/cmd/node/quarantine.go
@@ -22,7 +22,7 @@
 	quarantineTurns = 1000 // among how many the instances' first turns are spread
 )
 
-var errCondemned = errors.New("replicas have ended under this request; it is not sent to any more of them")
+var errCondemned = errors.New(event.WhyCondemned)
 
 // quarantined is what an instance knows of requests that crash replicas.
 type quarantined struct {
--- /dev/null
+++ b/cmd/node/quarantine_state.go
@@ -0,0 +1,50 @@
+package node
+
+import (
+	"fmt"
+	"time"
+
+	"quinceroad/coordination/quarantine"
+)
+
+// QuarantineState is what a node knows of a request that replicas have ended under.
+type QuarantineState struct {
+	Fingerprint string
+	Verdict     string
+	Ended       int    // replicas under it
+	Cleared     int    // that ended beside it, as a whole answer has shown since
+	Asked       string // since a caller last asked for it, or something changed
+}
+
+func (n *Node) quarantineStates() []QuarantineState {
+	q := n.quarantine
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	now := n.now()
+	var out []QuarantineState
+	for _, e := range q.book.All(now) {
+		out = append(out, QuarantineState{
+			Fingerprint: e.Fingerprint.String(), Verdict: q.book.Held(e.Fingerprint).String(),
+			Ended: len(e.Ended), Cleared: len(e.Cleared), Asked: e.Age.Round(time.Second).String(),
+		})
+	}
+	return out
+}
+
+// acquit takes an operator's word that a request may be sent again.
+func (n *Node) acquit(fingerprint string) error {
+	f, err := quarantine.ParseFingerprint(fingerprint)
+	if err != nil {
+		return fmt.Errorf("%q is no fingerprint", fingerprint)
+	}
+	known := false
+	n.noteQuarantine(fromOperator, func(b *quarantine.Book, now time.Duration) []quarantine.Change {
+		changes := b.Acquit(now, f)
+		known = len(changes) > 0
+		return changes
+	})
+	if !known {
+		return fmt.Errorf("nothing speaks against %s here", f)
+	}
+	return nil
+}
--- a/cmd/node/state.go
+++ b/cmd/node/state.go
@@ -15,26 +15,27 @@
 
 // State is the dump of a node's state: what it believes, without keys.
 type State struct {
-	Name      string
-	Uptime    string
-	Stopping  bool
-	InFlight  int64
-	Reads     bool   // follows the store for its hall
-	Silent    bool   // the store did not answer when this instance last asked it
-	ListedAt  uint64 // store's revision up to which the replicas are known
-	Version   uint64 // of the configuration in force; 0: none
-	Routes    int
-	Replicas  map[string]int // by service, those that may get work
-	Leaving   []string       // replicas, lately
-	Emptied   []string       // halls whose replicas get nothing new
-	Cold      []string       // replicas that get little
-	LeftAlone []string       // replicas taken for sick
-	Rollouts  []RolloutState // that stand
-	Instances []gossip.Instance
-	Cells     []CellState
-	Region    string                 // this node's; "" where nobody can place its hall
-	Regions   map[string]RegionState // by name; "" of halls that nobody can place
-	LinkedTo  int
+	Name       string
+	Uptime     string
+	Stopping   bool
+	InFlight   int64
+	Reads      bool   // follows the store for its hall
+	Silent     bool   // the store did not answer when this instance last asked it
+	ListedAt   uint64 // store's revision up to which the replicas are known
+	Version    uint64 // of the configuration in force; 0: none
+	Routes     int
+	Replicas   map[string]int    // by service, those that may get work
+	Leaving    []string          // replicas, lately
+	Emptied    []string          // halls whose replicas get nothing new
+	Cold       []string          // replicas that get little
+	LeftAlone  []string          // replicas taken for sick
+	Rollouts   []RolloutState    // that stand
+	Quarantine []QuarantineState // requests that replicas have ended under
+	Instances  []gossip.Instance
+	Cells      []CellState
+	Region     string                 // this node's; "" where nobody can place its hall
+	Regions    map[string]RegionState // by name; "" of halls that nobody can place
+	LinkedTo   int
 }
 
 // RegionState is what a node knows of a region.
@@ -67,7 +68,7 @@
 	if n.settings.MetricsPort == 0 {
 		return nil
 	}
-	admin := &web.Admin{Registry: n.registry, Ready: n.readiness, State: func() any { return n.State() }}
+	admin := &web.Admin{Registry: n.registry, Ready: n.readiness, State: func() any { return n.State() }, Acquit: n.acquit}
 	server, err := web.Listen(net.JoinHostPort(n.settings.IP, strconv.Itoa(n.settings.MetricsPort)), admin.Handler, func(p any) {
 		event.NodePanicked.Log(n.log, "panic", p)
 	})
@@ -109,6 +110,7 @@
 	s.Emptied = n.emptied.Halls()
 	n.followMu.Unlock()
 	s.Rollouts = n.rolloutStates()
+	s.Quarantine = n.quarantineStates()
 	for _, r := range w.all {
 		if r.ColdUntil > n.now() {
 			s.Cold = append(s.Cold, r.ID)
--- a/coordination/quarantine/quarantine.go
+++ b/coordination/quarantine/quarantine.go
@@ -285,5 +285,19 @@
 	return out
 }
 
-// Cases returns what is known, by when it came; it is not to be changed.
-func (b *Book) Cases() []*Case { return b.order }
+// All returns what is known, by when it came.
+func (b *Book) All(now time.Duration) []Entry {
+	out := make([]Entry, 0, len(b.order))
+	for _, c := range b.order {
+		out = append(out, c.entry(now))
+	}
+	return out
+}
+
+// Held returns what is held of a request, without its being asked for.
+func (b *Book) Held(f Fingerprint) Verdict {
+	if c := b.cases[f]; c != nil {
+		return b.verdict(c)
+	}
+	return Unsuspected
+}
--- a/coordination/quarantine/quarantine_test.go
+++ b/coordination/quarantine/quarantine_test.go
@@ -94,7 +94,7 @@
 		a.Forget(now)
 		b.Forget(now)
 	}
-	is.Equal(len(a.Cases())+len(b.Cases()), 0)
+	is.Equal(len(a.All(0))+len(b.All(0)), 0)
 }
 
 func tell(now time.Duration, from, to *Book) {
@@ -116,7 +116,7 @@
 	for n := range 10_000 {
 		crash(b, time.Duration(n)*time.Millisecond, 10+n, Fingerprint(100+n))
 	}
-	is.True(len(b.Cases()) <= 100)
+	is.True(len(b.All(0)) <= 100)
 	is.Equal(b.Verdict(0, 1), Condemned)
 }
 
@@ -197,8 +197,7 @@
 		for range 8 {
 			for _, x := range rapid.Permutation(books).Draw(t, "order") {
 				for _, y := range books {
-					for _, c := range x.Cases() {
-						e, _ := x.Known(end, c.Fingerprint)
+					for _, e := range x.All(end) {
 						y.Merge(end, e)
 					}
 				}
--- a/protocol/event/event.go
+++ b/protocol/event/event.go
@@ -26,6 +26,10 @@
 
 const nothing = "nothing"
 
+// WhyCondemned is why a request is not sent that replicas have ended under; its
+// caller and the line of its end are told so.
+const WhyCondemned = "replicas have ended under this request; it is not sent to any more of them"
+
 // Events of the entry.
 var (
 	EntryStarted  = add(1001, hclog.Info, "entry started", "incarnation, http", "The entry listens.", nothing)
--- a/transport/web/admin.go
+++ b/transport/web/admin.go
@@ -13,11 +13,13 @@
 // Admin is what a process shows on its admin listener.
 type Admin struct {
 	Registry metrics.Registry
-	Ready    func() error // nil when it may be given work
-	State    func() any   // a consistent dump, without secrets
+	Ready    func() error                   // nil when it may be given work
+	State    func() any                     // a consistent dump, without secrets
+	Acquit   func(fingerprint string) error // of a request that is not sent any more; nil where there is no such thing
 }
 
-// Handler serves /healthz, /readyz, /metrics, /debug/state and /debug/pprof/.
+// Handler serves /healthz, /readyz, /metrics, /debug/state, /debug/pprof/ and
+// POST /debug/acquit.
 func (a *Admin) Handler(ctx *fasthttp.RequestCtx) {
 	path := string(ctx.Path())
 	if strings.HasPrefix(path, "/debug/pprof/") {
@@ -39,12 +41,25 @@
 		ctx.SetBody(expose(a.Registry))
 	case "/debug/state":
 		JSON(ctx, 200, a.State())
+	case "/debug/acquit":
+		a.acquit(ctx)
 	default:
 		ctx.SetStatusCode(404)
 		ctx.SetBodyString("have /healthz /readyz /metrics /debug/state /debug/pprof/\n")
 	}
 }
 
+func (a *Admin) acquit(ctx *fasthttp.RequestCtx) {
+	if a.Acquit == nil || !ctx.IsPost() {
+		ctx.SetStatusCode(fasthttp.StatusNotFound)
+		return
+	}
+	if err := a.Acquit(string(ctx.QueryArgs().Peek("fingerprint"))); err != nil {
+		ctx.SetStatusCode(fasthttp.StatusBadRequest)
+		ctx.SetBodyString(err.Error() + "\n")
+	}
+}
+
 // expose writes the registry in the text form that scrapers read.
 func expose(r metrics.Registry) []byte {
 	var b bytes.Buffer
