--- a/coordination/placement/placement_test.go
+++ b/coordination/placement/placement_test.go
@@ -182,3 +182,34 @@
 	is.Equal(table.Kept(time.Second, "llm", request(3, 100, 20, "s").Parts[:1]).Tokens, 2000)
 	is.Equal(table.Kept(time.Second, "llm", request(3, 100, 20, "t").Parts[:1]).Tokens, 0)
 }
+
+// A request under which replicas have ended is put beside no other such one, and
+// beside nobody once its next engine is to show whether it is to blame.
+func TestSuspectsAreApart(t *testing.T) {
+	is := is.New(t)
+	table := newTable(4)
+	for i := range uint64(3) { // all engines but one are at work
+		r := request(i, 100, 200)
+		table.Begin(0, r, at(fmt.Sprint("e", i)))
+		table.First(0, i)
+	}
+	decisive := request(10, 100, 200, "shared")
+	decisive.Ended = 2
+	c := table.begin(0, decisive)
+	is.Equal(c.Replica.ID, "e3")
+	taken := map[string]bool{"e3": true}
+	for i := range uint64(3) {
+		suspect := request(20+i, 100, 200, "shared") // its prompt is kept at e3
+		suspect.Ended = 1
+		c := table.begin(0, suspect)
+		is.True(!taken[c.Replica.ID])
+		taken[c.Replica.ID] = true
+	}
+	is.True(table.begin(0, request(30, 100, 200, "shared")).Replica.ID != "e3")
+	late := request(31, 100, 200)
+	late.Ended = 1
+	_, ok := table.Place(0, late)
+	is.True(ok) // rather beside another than nowhere
+	table.End(0, 10)
+	is.Equal(table.begin(0, request(40, 100, 200, "shared")).Replica.ID, "e3")
+}
