--- a/cmd/node/owned.go
+++ b/cmd/node/owned.go
@@ -23,6 +23,10 @@
 		event.NodeMessageBroken.Log(o.node.log, "what", "ask for stages", "from", stream.RemoteAddr().String(), "error", err)
 		return
 	}
+	if err := checkAsk(ask); err != nil {
+		event.NodeMessageBroken.Log(o.node.log, "what", "ask for stages", "from", stream.RemoteAddr().String(), "error", err)
+		return
+	}
 	news := make(chan *pb.StagesNews)
 	ended := make(chan struct{})
 	defer close(ended)
--- a/cmd/node/telling.go
+++ b/cmd/node/telling.go
@@ -46,7 +46,7 @@
 func (t *telling) keep(have, changed uint64, message *pb.ReplicaChanges, size int) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if t.changed != changed || len(t.answers) >= mostMade {
+	if t.answers == nil || t.changed != changed || len(t.answers) >= mostMade { // nil: a peer asks before any list is known
 		t.changed, t.answers = changed, make(map[uint64]madeAnswer)
 	}
 	t.answers[have] = madeAnswer{message, size}
