--- a/coordination/quarantine/fingerprint_test.go
+++ b/coordination/quarantine/fingerprint_test.go
@@ -24,3 +24,10 @@
 	is.NoErr(err)
 	is.Equal(read, f)
 }
+
+func BenchmarkFingerprint(b *testing.B) {
+	body := make([]byte, 800)
+	for b.Loop() {
+		FingerprintOf("customer", "POST", "a.example", "/path/of/a/request", body)
+	}
+}
