A replica's life is its name and its birth, and what others write names no replica

Cause: replicas may start again under their id; all that was believed of one was kept under its id. An entry of another writer was taken as far as it could be read: without an address, in an unknown state, with no slots. Ruled out: a second key beside the id in each table; the id of a life takes its place instead, so that each table forgets with the list, and the name goes to the wire alone. Change: catalog.LifeID; what runs in a life that is over is ended at once, its connections dropped, its end counted in the quarantine. Entries must be whole, each field of its type and in range; one that is not is left out with one line and counted once. Test data of entries was made whole: they lacked fields that every replica writes.

--- a/cmd/node/attempt.go
+++ b/cmd/node/attempt.go
@@ -134,7 +134,7 @@
 	case done(ctx), errors.Is(err, errLeft): // says nothing of the replica
 	default:
 		a.note(a.replica.ID, health.Broken)
-		n.brokeOff(ctx, &a.replica, a.print)
+		n.brokeOff(ctx, &a.replica, a.sent.Sub(n.began), a.print)
 	}
 }
 
@@ -143,6 +143,7 @@
 	_ = a.conn.SetDeadline(a.end.Add(time.Second)) // the context ends it; this is for what the context misses
 	stop := context.AfterFunc(ctx, a.conn.Close)
 	defer stop()
+	defer a.node.running.begin(a.replica.ID, a.conn.Close)()
 	watch := a.watch()
 	defer watch.Stop()
 
@@ -185,7 +186,7 @@
 	req.SetRequestURI(a.req.Target)
 	req.Header.SetHost(a.req.Host)
 	send := &platform.Send{
-		ReplicaID: a.replica.ID,
+		Replica:   a.replica.Name,
 		Customer:  a.customer,
 		Left:      time.Until(a.end),
 		Fetch:     fetch,
--- a/cmd/node/bench_test.go
+++ b/cmd/node/bench_test.go
@@ -25,7 +25,7 @@
 	}
 	rows := make(map[string][]byte, replicas)
 	for i := range replicas {
-		rows[fmt.Sprintf("i-%08x", i)] = fmt.Appendf(nil, `{"service":"s%d","address":"10.1.64.%d:8080","zone":"hall-%d","version":"v1","slots":8,"state":"ready"}`, i%17, i%250, i%9)
+		rows[fmt.Sprintf("i-%08x", i)] = fmt.Appendf(nil, `{"service":"s%d","address":"10.1.64.%d:8080","zone":"hall-%d","version":"v1","slots":8,"state":"ready","warmup_left_ms":0,"sequence":4}`, i%17, i%250, i%9)
 	}
 	n.replicas.log.Replace(rows, 100)
 	n.publish()
@@ -74,7 +74,7 @@
 			at := uint64(100)
 			for b.Loop() {
 				at++
-				value := fmt.Appendf(nil, `{"service":"s1","address":"10.1.64.1:8080","zone":"hall-1","slots":%d,"state":"ready"}`, at%7+1)
+				value := fmt.Appendf(nil, `{"service":"s1","address":"10.1.64.1:8080","zone":"hall-1","version":"v1","slots":%d,"state":"ready","warmup_left_ms":0,"sequence":4}`, at%7+1)
 				n.replicas.log.Take(changes.Answer{At: at, Changed: at, Entries: []changes.Entry{{ID: "i-00000001", Value: value, Revision: at}}})
 				n.publish()
 			}
--- a/cmd/node/cell.go
+++ b/cmd/node/cell.go
@@ -94,12 +94,15 @@
 
 func (c *cell) call(ctx context.Context, a pipeline.Call) {
 	n := c.owner.node
-	began := time.Now()
+	began, sent := time.Now(), n.now()
 	replica := catalog.Replica{ID: a.Replica, Service: a.Service, Version: n.versionOf(a.Replica)}
+	ctx, over := context.WithCancel(ctx)
+	defer over()
+	defer n.running.begin(a.Replica, over)()
 	leave := n.rollouts.enter(&replica, false) // its pieces go to another replica
 	results, fate := n.runPieces(ctx, a)
-	if fate == pipeline.Broken {
-		fate = c.whyBroken(ctx, a)
+	if fate == pipeline.Broken || fate == pipeline.Overdue && n.quarantine.hasEnded(a.Replica) {
+		fate = c.whyBroken(ctx, a, sent)
 	}
 	if fate == pipeline.Answered {
 		c.leaveResults(a.Service, leave)
@@ -130,10 +133,10 @@
 
 // whyBroken finds out whether the replica of a call that broke off has ended,
 // which speaks against all requests in it.
-func (c *cell) whyBroken(ctx context.Context, a pipeline.Call) pipeline.Fate {
+func (c *cell) whyBroken(ctx context.Context, a pipeline.Call, sent time.Duration) pipeline.Fate {
 	n := c.owner.node
 	prints := c.printsOf(a)
-	ended := n.brokeOff(ctx, &catalog.Replica{ID: a.Replica, Service: a.Service, Address: a.Address}, slices.Collect(maps.Values(prints))...)
+	ended := n.brokeOff(ctx, &catalog.Replica{ID: a.Replica, Service: a.Service, Address: a.Address}, sent, slices.Collect(maps.Values(prints))...)
 	if !ended {
 		return pipeline.Broken
 	}
--- a/cmd/node/counters.go
+++ b/cmd/node/counters.go
@@ -8,34 +8,36 @@
 
 // counters are what the process counts beside its logs.
 type counters struct {
-	registry    metrics.Registry
-	requests    metrics.Counter // taken from clients
-	attempts    metrics.Counter // sent to replicas
-	again       metrics.Counter // attempts after a request's first
-	connections metrics.Counter // opened to replicas
-	calls       metrics.Counter // of pieces
-	pieces      metrics.Counter
-	lostCalls   metrics.Counter
-	jobs        metrics.Counter // admitted by this instance as an owner
-	jobsRefused metrics.Counter
-	staged      metrics.Counter // milliseconds that stages took, of all jobs that were done
-	expected    metrics.Counter // milliseconds that these were expected to take
-	overran     metrics.Counter // jobs that took longer than expected
-	lentAsks    metrics.Counter // of owners in other regions, for requests that the own one did not take
-	lentRefused metrics.Counter // of these
-	keptAsks    metrics.Counter // of owners in other regions, what is kept there of a prompt
-	keptFar     metrics.Counter // of these, that named an engine
-	farMoves    metrics.Counter // prompts that engines here fetch from other regions
-	farBytes    farBytes
-	farAttempts metrics.Counter // sent to replicas in other regions
-	emptied     metrics.Counter // halls, as this instance learnt it
-	toldBusy    metrics.Counter // peers that were told to ask somebody else
-	logDropped  metrics.Counter
-	silences    metrics.Counter // of the store, as this instance heard it
-	givenUp     metrics.Counter // calls that a silent store had missed
-	looks       metrics.Counter // at replicas, whether they have ended
-	condemned   metrics.Counter // requests that were not sent, as replicas have ended under them
-	noTurn      metrics.Counter // suspects that were refused while they were tried elsewhere
+	registry      metrics.Registry
+	requests      metrics.Counter // taken from clients
+	attempts      metrics.Counter // sent to replicas
+	again         metrics.Counter // attempts after a request's first
+	connections   metrics.Counter // opened to replicas
+	calls         metrics.Counter // of pieces
+	pieces        metrics.Counter
+	lostCalls     metrics.Counter
+	jobs          metrics.Counter // admitted by this instance as an owner
+	jobsRefused   metrics.Counter
+	staged        metrics.Counter // milliseconds that stages took, of all jobs that were done
+	expected      metrics.Counter // milliseconds that these were expected to take
+	overran       metrics.Counter // jobs that took longer than expected
+	lentAsks      metrics.Counter // of owners in other regions, for requests that the own one did not take
+	lentRefused   metrics.Counter // of these
+	keptAsks      metrics.Counter // of owners in other regions, what is kept there of a prompt
+	keptFar       metrics.Counter // of these, that named an engine
+	farMoves      metrics.Counter // prompts that engines here fetch from other regions
+	farBytes      farBytes
+	farAttempts   metrics.Counter // sent to replicas in other regions
+	emptied       metrics.Counter // halls, as this instance learnt it
+	toldBusy      metrics.Counter // peers that were told to ask somebody else
+	logDropped    metrics.Counter
+	silences      metrics.Counter // of the store, as this instance heard it
+	givenUp       metrics.Counter // calls that a silent store had missed
+	brokenEntries metrics.Counter // of the list, that are no replica's own; each text of one once
+	livesOver     metrics.Counter // of replicas that have started again under their name
+	looks         metrics.Counter // at replicas, whether they have ended
+	condemned     metrics.Counter // requests that were not sent, as replicas have ended under them
+	noTurn        metrics.Counter // suspects that were refused while they were tried elsewhere
 }
 
 // farBytes counts what this instance sends to other regions, and what it asks
@@ -78,15 +80,17 @@
 			requests:   counter("node.regions.bytes.requests"),
 			answers:    counter("node.regions.bytes.answers"),
 		},
-		farAttempts: counter("node.regions.attempts"),
-		emptied:     counter("node.halls_emptied"),
-		toldBusy:    counter("node.told_busy"),
-		logDropped:  counter("node.log_dropped"),
-		silences:    counter("node.store_silences"),
-		givenUp:     counter("node.store_calls_given_up"),
-		looks:       counter("node.quarantine.looks"),
-		condemned:   counter("node.quarantine.condemned"),
-		noTurn:      counter("node.quarantine.no_turn"),
+		farAttempts:   counter("node.regions.attempts"),
+		emptied:       counter("node.halls_emptied"),
+		toldBusy:      counter("node.told_busy"),
+		logDropped:    counter("node.log_dropped"),
+		silences:      counter("node.store_silences"),
+		givenUp:       counter("node.store_calls_given_up"),
+		brokenEntries: counter("node.entries_broken"),
+		livesOver:     counter("node.lives_over"),
+		looks:         counter("node.quarantine.looks"),
+		condemned:     counter("node.quarantine.condemned"),
+		noTurn:        counter("node.quarantine.no_turn"),
 	}
 }
 
--- a/cmd/node/evacuation.go
+++ b/cmd/node/evacuation.go
@@ -64,6 +64,6 @@
 	if _, leaving := n.replicas.leaving[id]; leaving {
 		return false
 	}
-	row, known := n.replicas.rows[id]
+	row, known := n.replicas.lives[id]
 	return !known || row.replica.Takes() && !n.emptied.Emptied(row.replica.Hall) && !n.rollouts.withholds(&row.replica)
 }
--- a/cmd/node/node.go
+++ b/cmd/node/node.go
@@ -75,6 +75,7 @@
 	cold     *coldness // has a lock of its own, which is taken last
 	rollouts *rollouts // the same
 
+	running    *running     // has a lock of its own, under which no other is taken
 	quarantine *quarantined // has a lock of its own, under which no other is taken
 
 	judgeMu   sync.Mutex
@@ -114,6 +115,7 @@
 		emptied:    evacuation.New(),
 		cold:       newColdness(s),
 		rollouts:   newRollouts(s),
+		running:    newRunning(),
 		quarantine: newQuarantined(spreadOf(s.Name)),
 		pulse:      newPulse(),
 		spread:     spreadOf(s.Name),
--- a/cmd/node/pieces.go
+++ b/cmd/node/pieces.go
@@ -33,7 +33,7 @@
 	if !n.replicaTakes(c.Replica) || !n.rollouts.maySend(n.world.Load().moves[c.Service], "", c.Replica, len(c.Items)) {
 		return nil, pipeline.Refused
 	}
-	status, head, data, err := n.call(ctx, ownCall{address: c.Address, replica: c.Replica, method: fasthttp.MethodPost, path: path, body: body})
+	status, head, data, err := n.call(ctx, ownCall{address: c.Address, replica: c.Name, method: fasthttp.MethodPost, path: path, body: body})
 	switch {
 	case errors.Is(err, upstream.ErrConnect):
 		return nil, pipeline.Unreachable
@@ -83,7 +83,7 @@
 func (n *Node) report(r catalog.Replica) (free int64, atWork bool, err error) {
 	ctx, cancel := context.WithTimeout(context.Background(), reportFor)
 	defer cancel()
-	status, _, data, err := n.call(ctx, ownCall{address: r.Address, replica: r.ID, method: fasthttp.MethodGet, path: platform.PathReport})
+	status, _, data, err := n.call(ctx, ownCall{address: r.Address, replica: r.Name, method: fasthttp.MethodGet, path: platform.PathReport})
 	if err != nil {
 		return 0, false, err
 	}
@@ -101,7 +101,7 @@
 func (n *Node) keptParts(r catalog.Replica) ([]catalog.Part, error) {
 	ctx, cancel := context.WithTimeout(context.Background(), keptFor)
 	defer cancel()
-	status, _, data, err := n.call(ctx, ownCall{address: r.Address, replica: r.ID, method: fasthttp.MethodGet, path: platform.PathKept})
+	status, _, data, err := n.call(ctx, ownCall{address: r.Address, replica: r.Name, method: fasthttp.MethodGet, path: platform.PathKept})
 	if err != nil {
 		return nil, err
 	}
@@ -114,7 +114,7 @@
 // ownCall is a call of the system's own to a replica.
 type ownCall struct {
 	address string
-	replica string // that is meant; "" for whoever is there
+	replica string // name of the one that is meant; "" for whoever is there
 	method  string
 	path    string
 	body    []byte
--- a/cmd/node/quarantine.go
+++ b/cmd/node/quarantine.go
@@ -3,8 +3,8 @@
 import (
 	"context"
 	"errors"
+	"strconv"
 	"sync"
-	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -28,7 +28,8 @@
 type quarantined struct {
 	mu     sync.Mutex
 	book   *quarantine.Book
-	looks  map[string]*look                               // by replica
+	looks  map[string]*look                               // by life
+	ends   map[string]*lifeEnds                           // by listed life
 	trials map[quarantine.Fingerprint]chan struct{}       // under way, as their arbiter; closed when one ends
 	places map[string]map[quarantine.Fingerprint]struct{} // by replica: suspects that this instance runs there
 }
@@ -36,7 +37,6 @@
 // look is a question whether a replica has ended.
 type look struct {
 	done  chan struct{} // closed when it is known
-	ended atomic.Bool
 	began time.Duration
 }
 
@@ -44,6 +44,7 @@
 	return &quarantined{
 		book:   quarantine.New(quarantine.Standard(), int(spread*quarantineTurns)),
 		looks:  make(map[string]*look),
+		ends:   make(map[string]*lifeEnds),
 		trials: make(map[quarantine.Fingerprint]chan struct{}),
 		places: make(map[string]map[quarantine.Fingerprint]struct{}),
 	}
@@ -103,72 +104,131 @@
 	}
 }
 
-// brokeOff takes in that answers to requests broke off at a replica, and waits a
-// little to hear whether the replica has ended: until then a second try would
-// only be a guess.
-func (n *Node) brokeOff(ctx context.Context, r *catalog.Replica, requests ...quarantine.Fingerprint) (ended bool) {
-	life := quarantine.LifeOf(r.ID)
+// brokeOff takes in that answers to requests broke off at a replica, to which
+// they were sent so long after the process began. It waits a little to hear
+// whether the replica has ended, and reports that: until then a second try
+// would only be a guess.
+func (n *Node) brokeOff(ctx context.Context, r *catalog.Replica, sent time.Duration, requests ...quarantine.Fingerprint) (ended bool) {
+	life := n.quarantine.lifeAt(r.ID, sent)
 	n.noteQuarantine(fromEnd, func(b *quarantine.Book, now time.Duration) (changes []quarantine.Change) {
 		for _, f := range requests {
-			changes = append(changes, b.Broke(now, f, life)...)
+			changes = append(changes, b.Broke(now, f, quarantine.LifeOf(life))...)
 		}
 		return changes
 	})
-	l := n.look(r)
+	l := n.look(r, life)
 	wait := time.NewTimer(lookWait)
 	defer wait.Stop()
 	select {
 	case <-l.done:
-		return l.ended.Load()
 	case <-wait.C:
 	case <-ctx.Done():
 	}
-	return false
+	return n.quarantine.hasEnded(life)
 }
 
-// look asks whether a replica has ended, unless that has just been asked.
-func (n *Node) look(r *catalog.Replica) *look {
+// lifeEnds counts the ends of a replica that this instance has seen before the
+// list told of its next life.
+type lifeEnds struct {
+	count int
+	last  time.Duration
+}
+
+// lifeAt names the life that a replica was in at a time: the listed one, or one
+// after it that the list has not told of yet.
+func (q *quarantined) lifeAt(listed string, at time.Duration) string {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	e := q.ends[listed]
+	if e == nil {
+		return listed
+	}
+	if at > e.last {
+		return laterLife(listed, e.count)
+	}
+	return laterLife(listed, e.count-1)
+}
+
+func laterLife(listed string, after int) string {
+	if after == 0 {
+		return listed
+	}
+	return listed + "+" + strconv.Itoa(after)
+}
+
+func (q *quarantined) hasEnded(life string) bool {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return q.book.HasEnded(quarantine.LifeOf(life))
+}
+
+// sawEnd counts the end of a life, unless it is known.
+func (q *quarantined) sawEnd(now time.Duration, listed, life string) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	e := q.ends[listed]
+	if e == nil {
+		e = &lifeEnds{}
+		q.ends[listed] = e
+	}
+	if laterLife(listed, e.count) == life {
+		e.count++
+		e.last = now
+	}
+}
+
+// look asks whether a life of a replica has ended, unless that has just been asked.
+func (n *Node) look(r *catalog.Replica, life string) *look {
 	q := n.quarantine
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	l := q.looks[r.ID]
+	l := q.looks[life]
 	if l != nil && n.now()-l.began < lookHolds {
 		return l
 	}
 	l = &look{done: make(chan struct{}), began: n.now()}
-	q.looks[r.ID] = l
-	go n.lookAt(*r, l)
+	q.looks[life] = l
+	go n.lookAt(*r, life, l)
 	return l
 }
 
-// lookAt finds out whether a replica has ended: its port refuses, while one
-// whose link is cut is silent, and one that only closed connections takes another.
-func (n *Node) lookAt(r catalog.Replica, l *look) {
+// lookAt finds out whether a life has ended: the replica's port refuses, while
+// one whose link is cut is silent, and one that only closed connections takes another.
+func (n *Node) lookAt(r catalog.Replica, life string, l *look) {
 	defer close(l.done)
 	n.counters.looks.Inc(1)
 	conn, err := n.clients.Dial(r.Address, lookFor)
-	life := quarantine.LifeOf(r.ID)
 	switch {
 	case err == nil:
 		conn.Close()
 		n.noteQuarantine(fromEnd, func(b *quarantine.Book, _ time.Duration) []quarantine.Change {
-			b.Lives(life)
+			b.Answers(quarantine.LifeOf(life))
 			return nil
 		})
 	case errors.Is(err, syscall.ECONNREFUSED):
-		l.ended.Store(true)
-		event.NodeReplicaEnded.Log(n.log, "replica", r.ID, "service", r.Service, "sign", "its port refuses")
-		n.noteQuarantine(fromEnd, func(b *quarantine.Book, now time.Duration) []quarantine.Change { return b.Ended(now, life) })
+		event.NodeReplicaEnded.Log(n.log, "replica", life, "service", r.Service, "sign", "its port refuses")
+		n.quarantine.sawEnd(n.now(), r.ID, life)
+		n.noteQuarantine(fromEnd, func(b *quarantine.Book, now time.Duration) []quarantine.Change {
+			return b.Ended(now, quarantine.LifeOf(life))
+		})
 	}
 }
 
-// wentWithoutWord takes in which replicas have gone from the list although
-// nobody had heard that they would.
-func (n *Node) wentWithoutWord(ids []string) {
-	for _, id := range ids {
-		life := quarantine.LifeOf(id)
-		n.noteQuarantine(fromEnd, func(b *quarantine.Book, now time.Duration) []quarantine.Change { return b.Ended(now, life) })
-	}
+// lifeOver takes in that a replica has begun another life.
+func (n *Node) lifeOver(listed string) {
+	life := n.quarantine.lifeAt(listed, n.now())
+	n.noteQuarantine(fromEnd, func(b *quarantine.Book, now time.Duration) []quarantine.Change {
+		return b.Ended(now, quarantine.LifeOf(life))
+	})
+}
+
+// gone takes in that a replica is no longer listed, although nobody had heard
+// that it would leave.
+func (n *Node) gone(listed string) {
+	life := n.quarantine.lifeAt(listed, n.now())
+	n.noteQuarantine(fromEnd, func(b *quarantine.Book, now time.Duration) []quarantine.Change {
+		return b.Gone(now, quarantine.LifeOf(life))
+	})
 }
 
 // answeredWhole takes in that a request got a whole answer.
@@ -239,6 +299,11 @@
 			delete(q.looks, id)
 		}
 	}
+	for id, e := range q.ends {
+		if n.now()-e.last > forgetAfter {
+			delete(q.ends, id)
+		}
+	}
 }
 
 // runsSuspect notes where this instance runs a suspect; the returned function
--- a/cmd/node/rollout_answers.go
+++ b/cmd/node/rollout_answers.go
@@ -85,7 +85,7 @@
 func (n *Node) versionOf(id string) string {
 	n.followMu.Lock()
 	defer n.followMu.Unlock()
-	return n.replicas.rows[id].replica.Version
+	return n.replicas.lives[id].replica.Version
 }
 
 // leaveResults ends a call of pieces whose results lie at its replica: in a
--- a/cmd/node/state.go
+++ b/cmd/node/state.go
@@ -25,6 +25,7 @@
 	Version    uint64 // of the configuration in force; 0: none
 	Routes     int
 	Replicas   map[string]int    // by service, those that may get work
+	Lives      int               // of replicas that say when they were born
 	Leaving    []string          // replicas, lately
 	Emptied    []string          // halls whose replicas get nothing new
 	Cold       []string          // replicas that get little
@@ -112,6 +113,9 @@
 	s.Rollouts = n.rolloutStates()
 	s.Quarantine = n.quarantineStates()
 	for _, r := range w.all {
+		if r.Born != 0 {
+			s.Lives++
+		}
 		if r.ColdUntil > n.now() {
 			s.Cold = append(s.Cold, r.ID)
 		}
--- a/cmd/node/telling_test.go
+++ b/cmd/node/telling_test.go
@@ -25,7 +25,7 @@
 	values := make(map[string][]byte)
 	for i := range replicas {
 		id := fmt.Sprintf("i-%08x", i*2654435761)
-		values[id] = fmt.Appendf(nil, `{"service":"huvo11a","address":"10.%d.%d.%d:8080","zone":"hall-a","version":"v1","slots":24,"state":"ready","text":"as long as an entry is","sequence":%d}`, i%4, i%250, i%199, i)
+		values[id] = fmt.Appendf(nil, `{"service":"huvo11a","address":"10.%d.%d.%d:8080","zone":"hall-a","version":"v1","slots":24,"state":"ready","warmup_left_ms":0,"text":"as long as an entry is","sequence":%d}`, i%4, i%250, i%199, i)
 	}
 	n.replicas.log.Replace(values, 100)
 	return n
--- a/cmd/node/world.go
+++ b/cmd/node/world.go
@@ -29,8 +29,10 @@
 // their leaving, which wins.
 type replicaSet struct {
 	log      *changes.Log
-	rows     map[string]replicaRow
-	leaving  map[string]time.Duration // by id: when it was seen
+	rows     map[string]replicaRow    // by name
+	lives    map[string]replicaRow    // the same, by life
+	leaving  map[string]time.Duration // by life: when it was seen
+	broken   map[string][]byte        // entries that can't be read, by name: a log line has said so
 	saidCold map[string]time.Duration // by id: until when a log line has said that it is cold
 }
 
@@ -44,36 +46,52 @@
 	return &replicaSet{
 		log:     changes.New(platform.SameReplica),
 		rows:    make(map[string]replicaRow),
+		lives:   make(map[string]replicaRow),
 		leaving: make(map[string]time.Duration),
 	}
 }
 
-// refresh reads the rows that have changed, and returns the ids of those that
-// can't be read, and of the replicas that have gone although nobody had said
-// that they would.
-func (s *replicaSet) refresh(now time.Duration) (broken, wentWithoutWord []string) {
-	rows := make(map[string]replicaRow, len(s.rows))
+// refreshed is what reading the list anew has shown.
+type refreshed struct {
+	broken []string          // names of entries that can't be read, and could or said something else before
+	gone   []catalog.Replica // lives that are not listed any more although nobody had said that they would leave
+	over   []catalog.Replica // lives whose replica has begun another
+}
+
+// refresh reads the rows that have changed.
+func (s *replicaSet) refresh(now time.Duration) (out refreshed) {
+	rows, lives := make(map[string]replicaRow, len(s.rows)), make(map[string]replicaRow, len(s.rows))
+	broken := make(map[string][]byte)
 	s.log.Each(func(id string, value []byte) {
 		if row, ok := s.rows[id]; ok && bytes.Equal(row.value, value) {
-			rows[id] = row
+			rows[id], lives[row.replica.ID] = row, row
 			return
 		}
 		r, err := platform.ParseReplica(id, value)
 		if err != nil {
-			broken = append(broken, id)
+			broken[id] = value
+			if said, ok := s.broken[id]; !ok || !bytes.Equal(said, value) {
+				out.broken = append(out.broken, id)
+			}
 			return
 		}
-		rows[id] = replicaRow{value: value, replica: r, coldUntil: now + r.Warming}
+		row := replicaRow{value: value, replica: r, coldUntil: now + r.Warming}
+		rows[id], lives[r.ID] = row, row
 	})
-	for id, row := range s.rows {
-		_, listed := rows[id]
-		_, leaves := s.leaving[id]
-		if !listed && !leaves && !row.replica.Leaving {
-			wentWithoutWord = append(wentWithoutWord, id)
+	for life, row := range s.lives {
+		_, listed := lives[life]
+		_, leaves := s.leaving[life]
+		_, again := rows[row.replica.Name]
+		switch {
+		case listed:
+		case again:
+			out.over = append(out.over, row.replica)
+		case !leaves && !row.replica.Leaving:
+			out.gone = append(out.gone, row.replica)
 		}
 	}
-	s.rows = rows
-	return broken, wentWithoutWord
+	s.rows, s.lives, s.broken = rows, lives, broken
+	return out
 }
 
 // newlyCold returns the replicas that are cold and were not when it was called last.
@@ -105,14 +123,18 @@
 // done once followMu, which it needs, is free.
 func (n *Node) putInForce() (published func()) {
 	now := n.now()
-	broken, gone := n.replicas.refresh(now)
+	changed := n.replicas.refresh(now)
 	w := n.makeWorld()
 	cold := n.replicas.newlyCold(now, w.all)
 	n.world.Store(w)
 	return func() {
 		n.logUnplaced(w.all)
-		n.wentWithoutWord(gone)
-		for _, id := range broken {
+		for _, r := range changed.gone {
+			n.gone(r.ID)
+		}
+		n.livesOver(changed.over)
+		for _, id := range changed.broken {
+			n.counters.brokenEntries.Inc(1)
 			event.NodeEntryBroken.Log(n.log, "name", id)
 		}
 		for _, r := range cold {
@@ -128,7 +150,7 @@
 	w := &world{
 		config: n.config, listed: n.replicas.log.Known(), places: n.places, services: make(map[string][]catalog.Replica), sizes: make(map[string]int),
 	}
-	for id, row := range n.replicas.rows {
+	for id, row := range n.replicas.lives {
 		r := row.replica
 		if _, ok := n.replicas.leaving[id]; ok {
 			r.Leaving = true
--- a/coordination/pipeline/call.go
+++ b/coordination/pipeline/call.go
@@ -144,7 +144,7 @@
 	r.held += c.bytes
 	s.calls[c.id] = c
 	timeout := time.Duration(float64(expected)*2*s.opts.OverdueTimes) + 2*s.opts.OverdueSlack
-	s.act(Call{ID: c.id, Service: p.name, Replica: r.ID, Address: r.Address, Items: items, Timeout: timeout})
+	s.act(Call{ID: c.id, Service: p.name, Replica: r.ID, Name: r.Name, Address: r.Address, Items: items, Timeout: timeout})
 }
 
 // Answer takes in what became of a call.
--- a/coordination/pipeline/pipeline.go
+++ b/coordination/pipeline/pipeline.go
@@ -108,7 +108,8 @@
 type Call struct {
 	ID      uint64
 	Service string
-	Replica string
+	Replica string // one life's ID
+	Name    string // of the replica, in every life
 	Address string
 	Items   []Item
 	Timeout time.Duration
--- a/coordination/quarantine/quarantine.go
+++ b/coordination/quarantine/quarantine.go
@@ -102,6 +102,7 @@
 	fingerprint Fingerprint
 	life        Life
 	at          time.Duration
+	answers     bool // the replica took a connection after it
 }
 
 // Book is not safe for concurrent use.
@@ -152,13 +153,24 @@
 	return nil
 }
 
-// Ended takes in that a replica has ended without a word: it speaks against all
-// requests whose answers broke off there.
+// Ended takes in that a replica's life is over without a word: it speaks against
+// all requests whose answers broke off there.
 func (b *Book) Ended(now time.Duration, life Life) []Change {
+	return b.end(now, life, func(brokenAnswer) bool { return true })
+}
+
+// Gone takes in that a replica is no longer told of, which it may have survived:
+// it speaks against requests whose answers broke off there, unless the replica
+// has taken a connection since.
+func (b *Book) Gone(now time.Duration, life Life) []Change {
+	return b.end(now, life, func(x brokenAnswer) bool { return !x.answers })
+}
+
+func (b *Book) end(now time.Duration, life Life, counts func(brokenAnswer) bool) []Change {
 	b.ended[life] = now
 	var out []Change
 	for _, x := range b.broken {
-		if x.life == life && now-x.at <= b.opts.BreakFor {
+		if x.life == life && now-x.at <= b.opts.BreakFor && counts(x) {
 			out = append(out, b.against(now, x.fingerprint, life)...)
 		}
 	}
@@ -166,10 +178,20 @@
 	return out
 }
 
-// Lives takes in that a replica runs on after answers broke off there: the
-// connections had ended, not the replica.
-func (b *Book) Lives(life Life) {
-	b.dropBroken(func(x brokenAnswer) bool { return x.life == life })
+// HasEnded reports whether a replica's life was over lately.
+func (b *Book) HasEnded(life Life) bool {
+	_, ok := b.ended[life]
+	return ok
+}
+
+// Answers takes in that a replica takes connections after answers broke off
+// there: it has not ended, or is back already in another life.
+func (b *Book) Answers(life Life) {
+	for i := range b.broken {
+		if b.broken[i].life == life {
+			b.broken[i].answers = true
+		}
+	}
 }
 
 func (b *Book) dropBroken(of func(brokenAnswer) bool) { b.broken = slices.DeleteFunc(b.broken, of) }
--- a/coordination/quarantine/quarantine_test.go
+++ b/coordination/quarantine/quarantine_test.go
@@ -36,9 +36,13 @@
 	is := is.New(t)
 	b := New(Standard(), 0)
 	b.Broke(0, 7, life(1))
-	b.Lives(life(1))
-	b.Ended(time.Second, life(1)) // later, of something else
+	b.Answers(life(1))
+	b.Gone(time.Second, life(1)) // later, of something else
 	is.Equal(b.Verdict(0, 7), Unsuspected)
+	b.Broke(0, 8, life(3))
+	b.Answers(life(3)) // it was back already
+	b.Ended(time.Second, life(3))
+	is.Equal(b.Verdict(0, 8), Suspect)
 	b.Broke(0, 7, life(2))
 	b.Ended(6*time.Second, life(2)) // too late to have broken it off
 	is.Equal(b.Verdict(0, 7), Unsuspected)
--- a/protocol/event/event.go
+++ b/protocol/event/event.go
@@ -96,6 +96,7 @@
 	NodeTries         = add(3172, hclog.Info, "suspect tried", "request, fingerprint, verdict", "A suspect has its turn.", nothing)
 	NodeCondemns      = add(3173, hclog.Error, "request condemned", "fingerprint, ended, why", "So many replicas have ended under a request that it is not sent to any more; whoever sends it is told 400.", "find the customer by the fingerprint in the lines of requests; quincectl acquit once it is safe")
 	NodeAcquits       = add(3174, hclog.Info, "request acquitted", "fingerprint, was, why", "A request under which replicas have ended had a whole answer since, was acquitted by an operator, or is forgotten by its age.", nothing)
+	NodeLifeOver      = add(3175, hclog.Warn, "replica started again", "replica, ended", "A replica has started again under its name; what ran in its life before (ended: how much of this instance's) is lost.", "when it repeats, look at that replica")
 	NodePanicked      = add(3060, hclog.Error, "panic in a request", "panic", "One request ended by a fault of the program; others go on.", "report it with the line")
 )
 
--- a/state/catalog/catalog.go
+++ b/state/catalog/catalog.go
@@ -4,6 +4,7 @@
 
 import (
 	"sort"
+	"strconv"
 	"strings"
 	"time"
 )
@@ -181,9 +182,13 @@
 	return out
 }
 
-// Replica is one replica of a service, in one of its lives.
+// Replica is one life of a replica of a service. A replica may start again
+// under the name that it had; it then holds and knows nothing of before. So all
+// that is believed of a replica is kept under its life's ID, and goes with it.
 type Replica struct {
-	ID      string
+	ID      string // of this life: LifeID
+	Name    string // under which the replica stands in the store and answers
+	Born    int64  // Unix millisecond of its start; 0: it does not say
 	Service string
 	Hall    string
 	Address string // IP:port
@@ -199,6 +204,15 @@
 	ColdUntil time.Duration // by the process's clock; until then it carries little
 }
 
+// LifeID names one life of a replica: that of its name which began at a Unix
+// millisecond, 0 where that is not said.
+func LifeID(name string, born int64) string {
+	if born == 0 {
+		return name
+	}
+	return name + "@" + strconv.FormatInt(born, 10)
+}
+
 // Takes reports whether the replica may get new work.
 func (r *Replica) Takes() bool { return !r.Leaving && !r.Emptied && !r.Withheld }
 
--- a/transport/upstream/upstream.go
+++ b/transport/upstream/upstream.go
@@ -129,6 +129,16 @@
 	}
 }
 
+// Drop closes the idle connections to addr: whoever took them is there no more.
+func (c *Client) Drop(addr string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, cn := range c.idle[addr] {
+		_ = cn.net.Close()
+	}
+	delete(c.idle, addr)
+}
+
 // Close ends the connection; a replica takes that as a cancel.
 func (cn *Conn) Close() { _ = cn.net.Close() }
 
