Time that counts while the machine is suspended

Cause: the steady clock stands still through a suspension; leases, deadlines, ages of beliefs, drains and windows of budgets of the node all went by it. Ruled out: the boot clock for each question, a system call each; the time of day, which steps. Change: transport/clock adds the time asleep, noticed with the first question after it as the time of day has moved against the steady clock, told from a step by the boot clock. The node, its connections to replicas and its requests' deadlines go by it; a test refuses the plain clock there. After a suspension: a line with its length, calls to the store that wait are made again, the others are told.

--- a/cmd/node/attempt.go
+++ b/cmd/node/attempt.go
@@ -39,8 +39,8 @@
 	x       *upstream.Exchange
 	head    platform.Head
 	silent  atomic.Bool // it was ended for its silence
-	sent    time.Time
-	began   time.Time // the answer; of a stream its first event
+	sent    time.Duration
+	began   time.Duration // the answer; of a stream its first event; 0: not yet
 }
 
 // attempt sends the request to a replica and passes the answer on. It returns
@@ -60,7 +60,7 @@
 		conn.Close()
 		return errUnreached
 	}
-	a := &attempt{serving: s, replica: r, conn: conn, sent: time.Now()}
+	a := &attempt{serving: s, replica: r, conn: conn, sent: n.now()}
 	token, ok := s.record.Dispatch()
 	if !ok {
 		conn.Close()
@@ -96,8 +96,8 @@
 
 // finish takes in how the attempt ended.
 func (a *attempt) finish(ctx context.Context, err error) {
-	took := time.Since(a.sent)
 	n := a.node
+	took := n.now() - a.sent
 	if err != nil && errors.Is(ctx.Err(), context.Canceled) {
 		err = errLeft
 	}
@@ -134,13 +134,13 @@
 	case done(ctx), errors.Is(err, errLeft): // says nothing of the replica
 	default:
 		a.note(a.replica.ID, health.Broken)
-		n.brokeOff(ctx, &a.replica, a.sent.Sub(n.began), a.print)
+		n.brokeOff(ctx, &a.replica, a.sent, a.print)
 	}
 }
 
 // exchange writes the request and passes the answer on.
 func (a *attempt) exchange(ctx context.Context, fetch string) error {
-	_ = a.conn.SetDeadline(a.end.Add(time.Second)) // the context ends it; this is for what the context misses
+	_ = a.conn.SetDeadline(time.Now().Add(a.end - a.node.now() + time.Second)) // the context ends it; this is for what the context misses
 	stop := context.AfterFunc(ctx, a.conn.Close)
 	defer stop()
 	defer a.node.running.begin(a.replica.ID, a.conn.Close)()
@@ -162,7 +162,7 @@
 		return a.broken(errBroken)
 	}
 	a.head = headOf(x)
-	a.began = time.Now()
+	a.began = a.node.now()
 	return a.answer(watch)
 }
 
@@ -188,7 +188,7 @@
 	send := &platform.Send{
 		Replica:   a.replica.Name,
 		Customer:  a.customer,
-		Left:      time.Until(a.end),
+		Left:      a.end - a.node.now(),
 		Fetch:     fetch,
 		Urgency:   -1,
 		LastEvent: a.req.LastEvent,
@@ -211,7 +211,7 @@
 func (a *attempt) watch() *time.Timer {
 	wait := a.patience()
 	if wait == 0 {
-		wait = time.Until(a.end) + time.Hour
+		wait = a.end - a.node.now() + time.Hour
 	}
 	return time.AfterFunc(wait, func() {
 		if a.node.stopping.Load() {
--- a/cmd/node/cell.go
+++ b/cmd/node/cell.go
@@ -94,7 +94,7 @@
 
 func (c *cell) call(ctx context.Context, a pipeline.Call) {
 	n := c.owner.node
-	began, sent := time.Now(), n.now()
+	began := n.now()
 	replica := catalog.Replica{ID: a.Replica, Service: a.Service, Version: n.versionOf(a.Replica)}
 	ctx, over := context.WithCancel(ctx)
 	defer over()
@@ -102,15 +102,15 @@
 	leave := n.rollouts.enter(&replica, false) // its pieces go to another replica
 	results, fate := n.runPieces(ctx, a)
 	if fate == pipeline.Broken || fate == pipeline.Overdue && n.quarantine.hasEnded(a.Replica) {
-		fate = c.whyBroken(ctx, a, sent)
+		fate = c.whyBroken(ctx, a, began)
 	}
 	if fate == pipeline.Answered {
 		c.leaveResults(a.Service, leave)
 	} else {
 		leave()
 	}
-	n.tellRolloutCall(&replica, fate, results, time.Since(began))
-	c.log(a, results, time.Since(began))
+	n.tellRolloutCall(&replica, fate, results, n.now()-began)
+	c.log(a, results, n.now()-began)
 	c.mu.Lock()
 	if cancel := c.calls[a.ID]; cancel != nil {
 		cancel()
--- a/cmd/node/counters.go
+++ b/cmd/node/counters.go
@@ -35,6 +35,7 @@
 	givenUp       metrics.Counter // calls that a silent store had missed
 	brokenEntries metrics.Counter // of the list, that are no replica's own; each text of one once
 	livesOver     metrics.Counter // of replicas that have started again under their name
+	wakes         metrics.Counter // after suspensions of the machine
 	looks         metrics.Counter // at replicas, whether they have ended
 	condemned     metrics.Counter // requests that were not sent, as replicas have ended under them
 	noTurn        metrics.Counter // suspects that were refused while they were tried elsewhere
@@ -88,6 +89,7 @@
 		givenUp:       counter("node.store_calls_given_up"),
 		brokenEntries: counter("node.entries_broken"),
 		livesOver:     counter("node.lives_over"),
+		wakes:         counter("node.wakes"),
 		looks:         counter("node.quarantine.looks"),
 		condemned:     counter("node.quarantine.condemned"),
 		noTurn:        counter("node.quarantine.no_turn"),
--- a/cmd/node/follow.go
+++ b/cmd/node/follow.go
@@ -39,6 +39,9 @@
 	return min(max(wanted-platform.WatchGrace-newsFor, leastWatch), mostWatch)
 }
 
+// notLost is when a topic was lost that is not.
+const notLost = time.Duration(-1)
+
 // errMissed says that a call was given up: the store has been silent since it began.
 var errMissed = errors.New("the store missed the call")
 
@@ -57,7 +60,7 @@
 func (f *follow) run(ctx context.Context) {
 	n := f.node
 	wait := retryFirst
-	lost := time.Time{}
+	lost := notLost
 	whole := !f.resumes // the next call reads the whole topic
 	heard := false      // the store has answered this reader, and has not failed it since
 	for ctx.Err() == nil {
@@ -78,9 +81,9 @@
 		case err == nil:
 			whole = false
 			wait = retryFirst
-			if !lost.IsZero() {
-				event.NodeStoreBack.Log(n.log, "topic", f.name, "after", time.Since(lost))
-				lost = time.Time{}
+			if lost != notLost {
+				event.NodeStoreBack.Log(n.log, "topic", f.name, "after", n.now()-lost)
+				lost = notLost
 				n.sees(true)
 			}
 			continue
@@ -95,8 +98,8 @@
 			process.Pause(ctx, emptyWait)
 			continue
 		}
-		if lost.IsZero() {
-			lost = time.Now()
+		if lost == notLost {
+			lost = n.now()
 			event.NodeStoreLost.Log(n.log, "topic", f.name, "waited", waited, "error", err)
 			n.storeFailed.Store(true)
 			n.sees(false)
--- a/cmd/node/front.go
+++ b/cmd/node/front.go
@@ -106,7 +106,7 @@
 func (e *answerError) Error() string { return e.text }
 
 func (n *Node) serveClient(w http.ResponseWriter, r *http.Request) {
-	arrived := time.Now()
+	arrived := n.now()
 	n.inFlight.Add(1)
 	defer n.inFlight.Add(-1)
 	if n.stopping.Load() {
@@ -137,7 +137,7 @@
 }
 
 // receive reads a request and checks that it may be served.
-func (n *Node) receive(w http.ResponseWriter, r *http.Request, arrived time.Time) (*exchange.Request, error) {
+func (n *Node) receive(w http.ResponseWriter, r *http.Request, arrived time.Duration) (*exchange.Request, error) {
 	req, err := platform.ParseRequest(r)
 	req.Arrived = arrived
 	if err != nil {
@@ -159,7 +159,7 @@
 		return req, nil
 	}
 	control := http.NewResponseController(w)
-	_ = control.SetReadDeadline(arrived.Add(bodyFor))
+	_ = control.SetReadDeadline(time.Now().Add(bodyFor))
 	req.Body, err = io.ReadAll(io.LimitReader(r.Body, limit+1))
 	_ = control.SetReadDeadline(time.Time{})
 	switch {
--- a/cmd/node/node.go
+++ b/cmd/node/node.go
@@ -27,6 +27,7 @@
 	"quinceroad/platform"
 	"quinceroad/protocol/event"
 	"quinceroad/state/catalog"
+	"quinceroad/transport/clock"
 	"quinceroad/transport/datagram"
 	"quinceroad/transport/link"
 	"quinceroad/transport/upstream"
@@ -45,7 +46,7 @@
 	clients  *upstream.Client // of replicas
 	registry metrics.Registry
 	counters counters
-	began    time.Time
+	clock    *clock.Clock // counts time asleep
 	places   *regions.Map
 	home     string                          // this instance's region
 	unplaced sync.Map                        // halls that a log line has said to be of no region
@@ -103,13 +104,18 @@
 
 // New returns a process that is not started.
 func New(s *platform.Settings, log hclog.Logger) *Node {
+	return NewWith(s, log, clock.New())
+}
+
+// NewWith returns a process that goes by a clock.
+func NewWith(s *platform.Settings, log hclog.Logger, c *clock.Clock) *Node {
 	n := &Node{
 		settings:   s,
 		log:        log,
 		store:      platform.NewStore(s.Store),
-		clients:    upstream.New(),
+		clients:    upstream.WithClock(c),
 		registry:   metrics.NewRegistry(),
-		began:      time.Now(),
+		clock:      c,
 		places:     regions.New(s.Regions),
 		replicas:   newReplicaSet(),
 		emptied:    evacuation.New(),
@@ -141,6 +147,7 @@
 		Datagram:    net.JoinHostPort(s.IP, strconv.Itoa(s.DatagramPort)),
 	}, gossip.Standard())
 	n.owner = newOwner(n)
+	n.clock.OnWake(n.woke)
 	n.world.Store(&world{places: n.places, services: make(map[string][]catalog.Replica)})
 	return n
 }
@@ -149,7 +156,7 @@
 func spreadOf(name string) float64 { return float64(platform.Hash(name)%1000) / 1000 }
 
 // now is the time since the process began, which the decisions are given.
-func (n *Node) now() time.Duration { return time.Since(n.began) }
+func (n *Node) now() time.Duration { return n.clock.Now() }
 
 // Start listens and begins to follow the store and the peers.
 func (n *Node) Start() error {
@@ -248,6 +255,7 @@
 			known[r.ID] = true
 			addresses[r.Address] = true
 		}
+		n.clock.Look()
 		n.logDropped()
 		n.rollouts.forget()
 		n.forgetQuarantine()
--- a/cmd/node/pick.go
+++ b/cmd/node/pick.go
@@ -30,7 +30,7 @@
 		return err
 	}
 	s.job = job
-	s.staged, s.expects = time.Since(s.req.Arrived), job.expects
+	s.staged, s.expects = s.since(), job.expects
 	return nil
 }
 
@@ -43,7 +43,7 @@
 		Engine:    s.service.Name,
 		Regions:   s.homes().Names(),
 		TokensOut: uint32(s.req.TokensOut),
-		SlackUs:   (s.route.Objective - time.Since(s.req.Arrived)).Microseconds(),
+		SlackUs:   (s.route.Objective - s.since()).Microseconds(),
 		Again:     s.came() || s.redone > 0 || len(s.tried) > 0,
 		Newer:     s.mayNewer(s.node.world.Load()),
 		Ended:     uint32(s.node.endedUnder(s.print)),
--- a/cmd/node/places.go
+++ b/cmd/node/places.go
@@ -116,10 +116,10 @@
 		if i > 0 && !s.worthAsking(region) {
 			continue
 		}
-		asked := time.Now()
+		asked := s.node.now()
 		var failure error
 		job, failure = s.stagesIn(ctx, ask, region)
-		s.noteLending(region, failure, time.Since(asked))
+		s.noteLending(region, failure, s.node.now()-asked)
 		if failure == nil {
 			return job, nil
 		}
@@ -164,7 +164,7 @@
 	n.judgeMu.Lock()
 	short := n.lending.short.Short(n.now(), region, s.rank)
 	n.judgeMu.Unlock()
-	left := s.route.Objective - s.expects.engine - time.Since(s.req.Arrived)
+	left := s.route.Objective - s.expects.engine - s.since()
 	return !short && left > 2*n.trip(region)
 }
 
--- a/cmd/node/pulse.go
+++ b/cmd/node/pulse.go
@@ -49,6 +49,14 @@
 	return news
 }
 
+// missed has all that waits for the store given up, as after a silence.
+func (p *pulse) missed() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	close(p.returned)
+	p.returned = make(chan struct{})
+}
+
 // isSilent reports whether the last question had no answer.
 func (p *pulse) isSilent() bool {
 	p.mu.Lock()
--- a/cmd/node/rollout_answers.go
+++ b/cmd/node/rollout_answers.go
@@ -66,8 +66,8 @@
 	if !a.movable() {
 		out.lasted = took
 	}
-	if !a.began.IsZero() {
-		out.took = a.began.Sub(a.sent)
+	if a.began != 0 {
+		out.took = a.began - a.sent
 	}
 	switch {
 	case err == nil:
--- a/cmd/node/serve.go
+++ b/cmd/node/serve.go
@@ -48,7 +48,7 @@
 	customer string
 	rank     int
 	record   *outcome.Record
-	end      time.Time              // by when it must be answered
+	end      time.Duration          // by when it must be answered, by the process's clock
 	trial    *trial                 // its turn, once it is a suspect
 	print    quarantine.Fingerprint // of what its caller repeats when it comes again
 
@@ -79,7 +79,7 @@
 		n.answerOwn(w, req, err)
 		return
 	}
-	ctx, cancel := context.WithDeadline(ctx, s.end)
+	ctx, cancel := n.clock.WithDeadline(ctx, s.end)
 	defer cancel()
 	defer s.endJob()
 	defer s.endTrial()
@@ -133,12 +133,15 @@
 	if len(req.Pieces) != len(route.Stages) {
 		return nil, &answerError{status: http.StatusBadRequest, text: "the piece counts don't fit the route's stages"}
 	}
-	s.end = req.Arrived.Add(s.allowed())
+	s.end = req.Arrived + s.allowed()
 	s.print = quarantine.FingerprintOf(s.customer, req.Method, req.Host, req.Target, req.Body)
 	s.rates(func(r *serviceRates) { r.budget.Success() })
 	return s, nil
 }
 
+// since is how long ago the request came.
+func (s *serving) since() time.Duration { return s.node.now() - s.req.Arrived }
+
 // rankStep puts a customer's priority before the route's.
 const rankStep = 10
 
@@ -315,7 +318,7 @@
 	case errors.Is(err, errEmptied), errors.Is(err, errCold), errors.Is(err, errNoRegion), errors.Is(err, errNoTurn):
 		after = backLater
 	}
-	left := s.req.Deadline - time.Since(s.req.Arrived)
+	left := s.req.Deadline - s.since()
 	after = min(after, time.Duration(float64(left)/retryPart*retryMargin))
 	if refusal, ok := s.record.Refuse(err.Error(), max(after, 0)); ok {
 		s.node.answerOwn(s.w, s.req, &answerError{status: http.StatusServiceUnavailable, after: refusal.RetryAfter(), text: refusal.Reason()})
@@ -338,7 +341,7 @@
 	}
 	event.NodeRequest.Log(s.node.log, "request", s.req.ID, "fingerprint", s.print, "route", s.route.Name, "rank", s.route.Priority, "why", why,
 		"objective", s.route.Objective, "deadline", s.req.Deadline, "version", s.world.config.Version, "owner", s.owner,
-		"attempts", len(s.tried), "replica", s.replica, "took", time.Since(s.req.Arrived), "staged", s.staged, "expected", s.expects.stages,
+		"attempts", len(s.tried), "replica", s.replica, "took", s.since(), "staged", s.staged, "expected", s.expects.stages,
 		"engine_expected", s.expects.engine, "reads", s.expects.reads, "moves", s.expects.moves,
 		"first", s.first, "gap", s.gap, "tokens", s.req.TokensIn, "fetch", s.fetch, "pieces", s.req.Pieces, "region", s.region)
 }
--- a/cmd/node/stages.go
+++ b/cmd/node/stages.go
@@ -81,7 +81,7 @@
 	ask       *pb.StagesAsk
 	region    string                 // of the cell
 	homes     func() regions.Allowed // as of now
-	began     time.Time              // when the request came
+	began     time.Duration          // when the request came
 	objective time.Duration          // from then
 	deadline  time.Duration          // the same
 	asked     func(owner string)
@@ -101,7 +101,7 @@
 		}
 		tried[to.Name] = true
 		w.asked(to.Name)
-		spent := time.Since(w.began)
+		spent := n.now() - w.began
 		ask.ObjectiveUs = (w.objective - spent).Microseconds()
 		ask.DeadlineUs = (w.deadline - spent).Microseconds()
 		var job *stageJob
--- a/cmd/node/state.go
+++ b/cmd/node/state.go
@@ -20,6 +20,7 @@
 	Stopping   bool
 	InFlight   int64
 	Reads      bool   // follows the store for its hall
+	Wakes      int64  // after suspensions of the machine
 	Silent     bool   // the store did not answer when this instance last asked it
 	ListedAt   uint64 // store's revision up to which the replicas are known
 	Version    uint64 // of the configuration in force; 0: none
@@ -100,6 +101,7 @@
 		Stopping:  n.stopping.Load(),
 		InFlight:  n.inFlight.Load(),
 		Reads:     n.reads.Load(),
+		Wakes:     n.counters.wakes.Count(),
 		Silent:    n.pulse.isSilent(),
 		ListedAt:  n.listAt(),
 		Replicas:  make(map[string]int, len(w.services)),
--- a/cmd/node/stream.go
+++ b/cmd/node/stream.go
@@ -18,7 +18,7 @@
 func (a *attempt) passStream(watch *time.Timer) error {
 	control := http.NewResponseController(a.w)
 	events := newEventReader(a.x)
-	last := time.Time{}
+	last := time.Duration(0) // 0: no event yet
 	for {
 		e, err := events.next()
 		if err == io.EOF {
@@ -32,17 +32,17 @@
 		} else {
 			watch.Stop()
 		}
-		first := last.IsZero()
+		first := last == 0
 		if !first {
-			a.gap = max(a.gap, time.Since(last))
+			a.gap = max(a.gap, a.node.now()-last)
 		}
-		last = time.Now()
+		last = a.node.now()
 		if first {
 			a.began = last
 		}
 		if !a.stream.headSent {
 			a.stream.headSent = true
-			a.first = time.Since(a.req.Arrived)
+			a.first = a.since()
 			a.copyHead()
 			a.node.counters.status(a.x.Header.StatusCode()).Inc(1)
 			a.w.WriteHeader(a.x.Header.StatusCode())
--- a/layers_test.go
+++ b/layers_test.go
@@ -5,7 +5,9 @@
 	"go/parser"
 	"go/token"
 	"io/fs"
+	"os"
 	"path/filepath"
+	"regexp"
 	"slices"
 	"strconv"
 	"strings"
@@ -66,3 +68,36 @@
 	})
 	is.New(t).NoErr(err)
 }
+
+// What must count time asleep goes by the process's clock: the plain one stands
+// still while the machine is suspended (docs/ARCHITECTURE.md, Time).
+func TestThePlainClockIsNotAskedForAges(t *testing.T) {
+	plain := regexp.MustCompile(`time\.(Now|Since|Until)\(`)
+	allowed := regexp.MustCompile(strings.Join([]string{
+		`Set(Read|Write)?Deadline\(time\.Now\(\)\.Add\(`,      // of a connection: the runtime's own timers
+		`Incarnation: +uint64\(time\.Now\(\)\.UnixNano\(\)\)`, // a name of the start
+		`within = min\(within, time\.Until\(deadline\)\)`,     // of a dial, which a suspension breaks anyway
+		`n\.links\.Sweep\(time\.Now\(\)\)`,                    // sessions that rest too long cost memory alone
+	}, "|"))
+	files := 0
+	for _, dir := range []string{"cmd/node", "coordination", "state", "platform", "transport/upstream"} {
+		err := filepath.WalkDir(dir, func(path string, d fs.DirEntry, err error) error {
+			if err != nil || !strings.HasSuffix(path, ".go") || strings.HasSuffix(path, "_test.go") || path == "transport/upstream/call.go" { // that one is the first form's
+				return err
+			}
+			files++
+			data, err := os.ReadFile(path)
+			if err != nil {
+				return err
+			}
+			for n, line := range strings.Split(string(data), "\n") {
+				if plain.MatchString(line) && !allowed.MatchString(line) {
+					t.Errorf("%s:%d: %s", path, n+1, strings.TrimSpace(line))
+				}
+			}
+			return nil
+		})
+		is.New(t).NoErr(err)
+	}
+	is.New(t).True(files > 100)
+}
--- a/protocol/event/event.go
+++ b/protocol/event/event.go
@@ -97,6 +97,7 @@
 	NodeCondemns      = add(3173, hclog.Error, "request condemned", "fingerprint, ended, why", "So many replicas have ended under a request that it is not sent to any more; whoever sends it is told 400.", "find the customer by the fingerprint in the lines of requests; quincectl acquit once it is safe")
 	NodeAcquits       = add(3174, hclog.Info, "request acquitted", "fingerprint, was, why", "A request under which replicas have ended had a whole answer since, was acquitted by an operator, or is forgotten by its age.", nothing)
 	NodeLifeOver      = add(3175, hclog.Warn, "replica started again", "replica, ended", "A replica has started again under its name; what ran in its life before (ended: how much of this instance's) is lost.", "when it repeats, look at that replica")
+	NodeWoke          = add(3180, hclog.Warn, "machine was suspended", "after", "The machine stood still for so long, its steady clock too. What ran out meanwhile has run out; calls to the store that waited are made again.", "see why the platform suspends machines")
 	NodePanicked      = add(3060, hclog.Error, "panic in a request", "panic", "One request ended by a fault of the program; others go on.", "report it with the line")
 )
 
--- a/protocol/exchange/exchange.go
+++ b/protocol/exchange/exchange.go
@@ -27,7 +27,7 @@
 	TokensOut int // most that it generates
 	Model     string
 	LastEvent string
-	Arrived   time.Time
+	Arrived   time.Duration // by the clock of the process that took it
 }
 
 // Shared returns the parts of the prompt before the last, which is the request's own.
--- a/transport/upstream/exchange.go
+++ b/transport/upstream/exchange.go
@@ -55,7 +55,7 @@
 func (cn *Conn) SetDeadline(t time.Time) error { return cn.net.SetDeadline(t) }
 
 // Kept reports whether the connection has carried a request before.
-func (cn *Conn) Kept() bool { return !cn.used.IsZero() }
+func (cn *Conn) Kept() bool { return cn.used != 0 }
 
 // ReadHead reads the answer's head. Answers that own says are another
 // request's are passed over: they were late.
@@ -163,6 +163,6 @@
 // keep gives the connection back to its client for so long.
 func (cn *Conn) keep(idle time.Duration) {
 	_ = cn.net.SetDeadline(time.Time{})
-	cn.until = time.Now().Add(idle)
+	cn.until = cn.client.clock.Now() + idle
 	cn.client.give(cn)
 }
--- a/transport/upstream/upstream.go
+++ b/transport/upstream/upstream.go
@@ -16,6 +16,7 @@
 	"github.com/valyala/fasthttp"
 
 	"quinceroad/coordination/outcome"
+	"quinceroad/transport/clock"
 	"quinceroad/transport/peek"
 )
 
@@ -36,12 +37,17 @@
 
 // Client holds the idle connections by replica address.
 type Client struct {
-	mu   sync.Mutex
-	idle map[string][]*Conn
+	clock *clock.Clock
+	mu    sync.Mutex
+	idle  map[string][]*Conn
 }
 
 // New returns a client without connections.
-func New() *Client { return &Client{idle: make(map[string][]*Conn)} }
+func New() *Client { return WithClock(clock.New()) }
+
+// WithClock returns a client that goes by a clock: a connection that rested while
+// the machine was asleep is as old as if it had not been.
+func WithClock(c *clock.Clock) *Client { return &Client{clock: c, idle: make(map[string][]*Conn)} }
 
 // Conn is a connection to a replica that carries one request at a time.
 type Conn struct {
@@ -50,8 +56,8 @@
 	net    net.Conn
 	r      *bufio.Reader
 	w      *bufio.Writer
-	used   time.Time
-	until  time.Time // when the upstream may close it; zero: idleFor after its last use
+	used   time.Duration
+	until  time.Duration // when the upstream may close it; 0: idleFor after its last use
 }
 
 // Connect returns a connection to addr on which nothing is under way.
@@ -85,10 +91,10 @@
 // fresh reports whether an idle connection may carry another request.
 func (cn *Conn) fresh() bool {
 	until := cn.until
-	if until.IsZero() {
-		until = cn.used.Add(idleFor)
+	if until == 0 {
+		until = cn.used + idleFor
 	}
-	return time.Now().Before(until) && cn.r.Buffered() == 0 && quiet(cn.net)
+	return cn.client.clock.Now() < until && cn.r.Buffered() == 0 && quiet(cn.net)
 }
 
 func (c *Client) take(addr string) *Conn {
@@ -104,7 +110,7 @@
 }
 
 func (c *Client) give(cn *Conn) {
-	cn.used = time.Now()
+	cn.used = c.clock.Now()
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if len(c.idle[cn.addr]) >= maxIdle {
