A caller that sends a crashing request and leaves is found out; foreign entries have one line each

Cause: a request that its client ended said nothing of its replica, though it may end it a moment later; an entry that another writer changes each second would have had a line a second.

--- a/cmd/ctl/story.go
+++ b/cmd/ctl/story.go
@@ -11,14 +11,14 @@
 
 // story is what the logs of any instances say of one request.
 type story struct {
-	id        string
-	print     string          // its fingerprint; "" until a line has told it
-	own       []*logLine      // name the request
-	others    []*logLine      // tell of those that it met, about that time
-	replicas  map[string]bool // that it was sent to
-	instances map[string]bool // that took it, or own its pools
-	versions  map[string]bool // of the configuration, that it was served by
-	from, to  time.Time       // that the others are looked for
+	id          string
+	fingerprint string          // its fingerprint; "" until a line has told it
+	own         []*logLine      // name the request
+	others      []*logLine      // tell of those that it met, about that time
+	replicas    map[string]bool // that it was sent to
+	instances   map[string]bool // that took it, or own its pools
+	versions    map[string]bool // of the configuration, that it was served by
+	from, to    time.Time       // that the others are looked for
 }
 
 // before is how long before the request what befell others is of interest;
@@ -35,8 +35,8 @@
 		return
 	}
 	s.own = append(s.own, l)
-	if print := l.field("fingerprint"); print != "" {
-		s.print = print
+	if f := l.field("fingerprint"); f != "" {
+		s.fingerprint = f
 	}
 	s.instances[l.instance] = true
 	if owner := l.field("owner"); owner != "" {
@@ -79,7 +79,7 @@
 	switch {
 	case l.field("why") == "hearsay" && !s.instances[l.instance]:
 		return // the same evidence again, at an instance that the request did not meet
-	case s.print != "" && l.field("fingerprint") == s.print: // also of its caller's other tries
+	case s.fingerprint != "" && l.field("fingerprint") == s.fingerprint: // also of its caller's other tries
 	case slices.ContainsFunc(ofReplicas, is) && s.replicas[l.field("replica")]:
 	case slices.ContainsFunc(ofInstances, is) && (s.instances[l.field("name")] || s.instances[l.field("owner")]):
 	case slices.ContainsFunc(ofItself, is) && s.instances[l.instance]:
@@ -131,7 +131,7 @@
 	case strings.HasPrefix(why, "stages failed") && failed != nil:
 		return fmt.Sprintf("Admitted, then given up by %s after %s: %s.", failed.instance, failed.field("after"), failed.field("why"))
 	case why == event.WhyCondemned:
-		return fmt.Sprintf("Not sent by %s: replicas have ended under this request before (fingerprint %s); see the lines beside it.", end.instance, s.print)
+		return fmt.Sprintf("Not sent by %s: replicas have ended under this request before (fingerprint %s); see the lines beside it.", end.instance, s.fingerprint)
 	case attempt != nil:
 		return fmt.Sprintf("Lost at replica %s after %s: %s; %s attempts in all, on a connection used before: %s.",
 			attempt.field("replica"), attempt.field("took"), attempt.field("why"), end.field("attempts"), attempt.field("kept"))
--- a/cmd/node/attempt.go
+++ b/cmd/node/attempt.go
@@ -79,8 +79,8 @@
 	n.judgeMu.Lock()
 	n.loads.Begin(r.ID)
 	n.judgeMu.Unlock()
-	if n.endedUnder(s.print) > 0 {
-		defer n.runsSuspect(s.print, r.ID)()
+	if n.endedUnder(s.fingerprint) > 0 {
+		defer n.runsSuspect(s.fingerprint, r.ID)()
 	}
 	err = a.exchange(ctx, fetch)
 	a.finish(ctx, err)
@@ -103,7 +103,7 @@
 	}
 	a.tellRollout(ctx, err, took)
 	if err != nil {
-		event.NodeAttempt.Log(n.log, "request", a.req.ID, "fingerprint", a.print, "replica", a.replica.ID, "why", err,
+		event.NodeAttempt.Log(n.log, "request", a.req.ID, "fingerprint", a.fingerprint, "replica", a.replica.ID, "why", err,
 			"took", took, "kept", a.conn.Kept(), "last_event", a.stream.lastEvent)
 		took = 0
 	}
@@ -119,7 +119,7 @@
 	switch {
 	case err == nil:
 		a.note(a.replica.ID, health.Good)
-		n.answeredWhole(a.print)
+		n.answeredWhole(a.fingerprint)
 	case errors.Is(err, errNotRun), errors.Is(err, errInputs):
 		a.record.NotRun(a.token)
 		delete(a.tried, a.replica.ID)
@@ -128,13 +128,15 @@
 		}
 	case errors.Is(err, errOwnFault):
 		a.note(a.replica.ID, health.Failure)
-		n.answeredWhole(a.print)
+		n.answeredWhole(a.fingerprint)
 	case errors.Is(err, errSilent):
 		a.note(a.replica.ID, health.Silent)
+		n.endedUnfinished(a.replica.ID, a.sent, a.fingerprint)
 	case done(ctx), errors.Is(err, errLeft): // says nothing of the replica
+		n.endedUnfinished(a.replica.ID, a.sent, a.fingerprint)
 	default:
 		a.note(a.replica.ID, health.Broken)
-		n.brokeOff(ctx, &a.replica, a.sent, a.print)
+		n.brokeOff(ctx, &a.replica, a.sent, a.fingerprint)
 	}
 }
 
--- a/cmd/node/cell.go
+++ b/cmd/node/cell.go
@@ -20,16 +20,16 @@
 type cell struct {
 	owner *owner
 
-	ready     sync.Once
-	mu        sync.Mutex
-	number    int
-	scheduler *pipeline.Scheduler
-	engines   *placement.Table
-	next      uint64                          // number of the next request at an engine
-	waiting   map[uint64]chan pipeline.Action // by job: its Deliver or Fail
-	calls     map[uint64]context.CancelFunc
-	asked     time.Duration                     // when a request last came
-	prints    map[string]quarantine.Fingerprint // by id of requests whose stages run
+	ready        sync.Once
+	mu           sync.Mutex
+	number       int
+	scheduler    *pipeline.Scheduler
+	engines      *placement.Table
+	next         uint64                          // number of the next request at an engine
+	waiting      map[uint64]chan pipeline.Action // by job: its Deliver or Fail
+	calls        map[uint64]context.CancelFunc
+	asked        time.Duration                     // when a request last came
+	fingerprints map[string]quarantine.Fingerprint // by id of requests whose stages run
 }
 
 func (c *cell) refresh() {
@@ -135,12 +135,12 @@
 // which speaks against all requests in it.
 func (c *cell) whyBroken(ctx context.Context, a pipeline.Call, sent time.Duration) pipeline.Fate {
 	n := c.owner.node
-	prints := c.printsOf(a)
-	ended := n.brokeOff(ctx, &catalog.Replica{ID: a.Replica, Service: a.Service, Address: a.Address}, sent, slices.Collect(maps.Values(prints))...)
+	asked := c.fingerprintsOf(a)
+	ended := n.brokeOff(ctx, &catalog.Replica{ID: a.Replica, Service: a.Service, Address: a.Address}, sent, slices.Collect(maps.Values(asked))...)
 	if !ended {
 		return pipeline.Broken
 	}
-	for request, f := range prints {
+	for request, f := range asked {
 		if n.verdict(f) == quarantine.Condemned {
 			c.giveUp(request)
 		}
@@ -148,23 +148,23 @@
 	return pipeline.Crashed
 }
 
-// printsOf returns the fingerprints of the requests in a call, by their ids.
-func (c *cell) printsOf(a pipeline.Call) map[string]quarantine.Fingerprint {
+// fingerprintsOf returns the fingerprints of the requests in a call, by their ids.
+func (c *cell) fingerprintsOf(a pipeline.Call) map[string]quarantine.Fingerprint {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	out := make(map[string]quarantine.Fingerprint)
 	for _, item := range a.Items {
-		if f, ok := c.prints[item.RequestID]; ok {
+		if f, ok := c.fingerprints[item.RequestID]; ok {
 			out[item.RequestID] = f
 		}
 	}
 	return out
 }
 
-func (c *cell) forgetPrint(request string) {
+func (c *cell) forgetFingerprint(request string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	delete(c.prints, request)
+	delete(c.fingerprints, request)
 }
 
 // giveUp ends the job of a condemned request.
--- a/cmd/node/counters.go
+++ b/cmd/node/counters.go
@@ -33,7 +33,7 @@
 	logDropped    metrics.Counter
 	silences      metrics.Counter // of the store, as this instance heard it
 	givenUp       metrics.Counter // calls that a silent store had missed
-	brokenEntries metrics.Counter // of the list, that are no replica's own; each text of one once
+	brokenEntries metrics.Counter // of the list, that are no replica's own; each once until it is good or gone
 	livesOver     metrics.Counter // of replicas that have started again under their name
 	wakes         metrics.Counter // after suspensions of the machine
 	looks         metrics.Counter // at replicas, whether they have ended
--- a/cmd/node/owned.go
+++ b/cmd/node/owned.go
@@ -87,7 +87,7 @@
 	}
 	end := make(chan pipeline.Action, 1)
 	c.mu.Lock()
-	c.prints[job.RequestID] = quarantine.Fingerprint(r.ask.Fingerprint)
+	c.fingerprints[job.RequestID] = quarantine.Fingerprint(r.ask.Fingerprint)
 	reply := r.leaveToEngine(&job)
 	verdict, actions := c.scheduler.Submit(n.now(), job)
 	if verdict.Admitted {
@@ -97,7 +97,7 @@
 	c.mu.Unlock()
 	c.carryOut(actions)
 	if !verdict.Admitted {
-		c.forgetPrint(job.RequestID)
+		c.forgetFingerprint(job.RequestID)
 		n.counters.jobsRefused.Inc(1)
 		event.NodeJobRefused.Log(n.log, "request", job.RequestID, "rank", job.Rank, "again", job.Again,
 			"expected", verdict.Expected, "wait", verdict.Expected-verdict.Own, "own", verdict.Own, "bound", verdict.Bound, "limit", verdict.Limit,
@@ -227,7 +227,7 @@
 	c := r.cell
 	c.mu.Lock()
 	delete(c.waiting, job)
-	delete(c.prints, r.ask.RequestId)
+	delete(c.fingerprints, r.ask.RequestId)
 	c.mu.Unlock()
 	c.do(func(now time.Duration) []pipeline.Action { return c.scheduler.Release(now, job) })
 }
--- a/cmd/node/owner.go
+++ b/cmd/node/owner.go
@@ -44,13 +44,13 @@
 	c := o.cells[number]
 	if c == nil {
 		c = &cell{
-			owner:     o,
-			number:    number,
-			scheduler: pipeline.New(pipeline.Cold(o.node.cold.limit), pipeline.Worth(o.node.settings.LateWorth, o.node.settings.ServedWorth)),
-			engines:   placement.New(o.node.placing(), o.node.cold.limit),
-			waiting:   make(map[uint64]chan pipeline.Action),
-			calls:     make(map[uint64]context.CancelFunc),
-			prints:    make(map[string]quarantine.Fingerprint),
+			owner:        o,
+			number:       number,
+			scheduler:    pipeline.New(pipeline.Cold(o.node.cold.limit), pipeline.Worth(o.node.settings.LateWorth, o.node.settings.ServedWorth)),
+			engines:      placement.New(o.node.placing(), o.node.cold.limit),
+			waiting:      make(map[uint64]chan pipeline.Action),
+			calls:        make(map[uint64]context.CancelFunc),
+			fingerprints: make(map[string]quarantine.Fingerprint),
 		}
 		o.cells[number] = c
 		event.NodeOwns.Log(o.node.log, "cell", number)
--- a/cmd/node/pick.go
+++ b/cmd/node/pick.go
@@ -46,9 +46,9 @@
 		SlackUs:   (s.route.Objective - s.since()).Microseconds(),
 		Again:     s.came() || s.redone > 0 || len(s.tried) > 0,
 		Newer:     s.mayNewer(s.node.world.Load()),
-		Ended:     uint32(s.node.endedUnder(s.print)),
+		Ended:     uint32(s.node.endedUnder(s.fingerprint)),
 
-		Fingerprint: uint64(s.print),
+		Fingerprint: uint64(s.fingerprint),
 	}
 	for _, p := range s.req.Prompt {
 		ask.Parts = append(ask.Parts, &pb.PromptPart{Id: p.ID, Tokens: uint32(p.Tokens)})
--- a/cmd/node/quarantine.go
+++ b/cmd/node/quarantine.go
@@ -127,6 +127,14 @@
 	return n.quarantine.hasEnded(life)
 }
 
+// endedUnfinished takes in that this instance, or its client, ended a request
+// before its answer was whole. If the replica ends within seconds, the request
+// may be to blame: who sends one and leaves at once must not go unnoticed.
+func (n *Node) endedUnfinished(replica string, sent time.Duration, f quarantine.Fingerprint) {
+	life := quarantine.LifeOf(n.quarantine.lifeAt(replica, sent))
+	n.noteQuarantine(fromEnd, func(b *quarantine.Book, now time.Duration) []quarantine.Change { return b.Broke(now, f, life) })
+}
+
 // lifeEnds counts the ends of a replica that this instance has seen before the
 // list told of its next life.
 type lifeEnds struct {
--- a/cmd/node/serve.go
+++ b/cmd/node/serve.go
@@ -39,18 +39,18 @@
 
 // serving is one request on its way through.
 type serving struct {
-	node     *Node
-	w        http.ResponseWriter
-	req      *exchange.Request
-	world    *world
-	route    *catalog.Route
-	service  *catalog.Service
-	customer string
-	rank     int
-	record   *outcome.Record
-	end      time.Duration          // by when it must be answered, by the process's clock
-	trial    *trial                 // its turn, once it is a suspect
-	print    quarantine.Fingerprint // of what its caller repeats when it comes again
+	node        *Node
+	w           http.ResponseWriter
+	req         *exchange.Request
+	world       *world
+	route       *catalog.Route
+	service     *catalog.Service
+	customer    string
+	rank        int
+	record      *outcome.Record
+	end         time.Duration          // by when it must be answered, by the process's clock
+	trial       *trial                 // its turn, once it is a suspect
+	fingerprint quarantine.Fingerprint // of what its caller repeats when it comes again
 
 	job     *stageJob
 	tried   map[string]bool // replicas that may have run it
@@ -134,7 +134,7 @@
 		return nil, &answerError{status: http.StatusBadRequest, text: "the piece counts don't fit the route's stages"}
 	}
 	s.end = req.Arrived + s.allowed()
-	s.print = quarantine.FingerprintOf(s.customer, req.Method, req.Host, req.Target, req.Body)
+	s.fingerprint = quarantine.FingerprintOf(s.customer, req.Method, req.Host, req.Target, req.Body)
 	s.rates(func(r *serviceRates) { r.budget.Success() })
 	return s, nil
 }
@@ -233,16 +233,16 @@
 
 // clear ends a request that is condemned, and has a suspect wait for its turn.
 func (s *serving) clear(ctx context.Context) error {
-	verdict := s.node.verdict(s.print)
+	verdict := s.node.verdict(s.fingerprint)
 	if verdict == quarantine.Suspect && s.trial == nil {
-		t, err := s.node.turn(ctx, s.print)
+		t, err := s.node.turn(ctx, s.fingerprint)
 		if err != nil {
 			s.node.counters.noTurn.Inc(1)
 			return err
 		}
 		s.trial = t
-		verdict = s.node.verdict(s.print) // the last trial may have shown more
-		event.NodeTries.Log(s.node.log, "request", s.req.ID, "fingerprint", s.print, "verdict", verdict)
+		verdict = s.node.verdict(s.fingerprint) // the last trial may have shown more
+		event.NodeTries.Log(s.node.log, "request", s.req.ID, "fingerprint", s.fingerprint, "verdict", verdict)
 	}
 	if verdict == quarantine.Condemned {
 		s.node.counters.condemned.Inc(1)
@@ -339,7 +339,7 @@
 	if err != nil {
 		why = err.Error()
 	}
-	event.NodeRequest.Log(s.node.log, "request", s.req.ID, "fingerprint", s.print, "route", s.route.Name, "rank", s.route.Priority, "why", why,
+	event.NodeRequest.Log(s.node.log, "request", s.req.ID, "fingerprint", s.fingerprint, "route", s.route.Name, "rank", s.route.Priority, "why", why,
 		"objective", s.route.Objective, "deadline", s.req.Deadline, "version", s.world.config.Version, "owner", s.owner,
 		"attempts", len(s.tried), "replica", s.replica, "took", s.since(), "staged", s.staged, "expected", s.expects.stages,
 		"engine_expected", s.expects.engine, "reads", s.expects.reads, "moves", s.expects.moves,
--- a/cmd/node/world.go
+++ b/cmd/node/world.go
@@ -32,7 +32,7 @@
 	rows     map[string]replicaRow    // by name
 	lives    map[string]replicaRow    // the same, by life
 	leaving  map[string]time.Duration // by life: when it was seen
-	broken   map[string][]byte        // entries that can't be read, by name: a log line has said so
+	broken   map[string]bool          // names of entries that can't be read: a log line has said so
 	saidCold map[string]time.Duration // by id: until when a log line has said that it is cold
 }
 
@@ -53,7 +53,7 @@
 
 // refreshed is what reading the list anew has shown.
 type refreshed struct {
-	broken []string          // names of entries that can't be read, and could or said something else before
+	broken []string          // names of entries that can't be read and could before, or were not there
 	gone   []catalog.Replica // lives that are not listed any more although nobody had said that they would leave
 	over   []catalog.Replica // lives whose replica has begun another
 }
@@ -61,7 +61,7 @@
 // refresh reads the rows that have changed.
 func (s *replicaSet) refresh(now time.Duration) (out refreshed) {
 	rows, lives := make(map[string]replicaRow, len(s.rows)), make(map[string]replicaRow, len(s.rows))
-	broken := make(map[string][]byte)
+	broken := make(map[string]bool)
 	s.log.Each(func(id string, value []byte) {
 		if row, ok := s.rows[id]; ok && bytes.Equal(row.value, value) {
 			rows[id], lives[row.replica.ID] = row, row
@@ -69,8 +69,8 @@
 		}
 		r, err := platform.ParseReplica(id, value)
 		if err != nil {
-			broken[id] = value
-			if said, ok := s.broken[id]; !ok || !bytes.Equal(said, value) {
+			broken[id] = true
+			if !s.broken[id] {
 				out.broken = append(out.broken, id)
 			}
 			return
