What is condemned is told first; the end of a try that can't go on is not waited for

Of a replica's end under 128 requests all 128 were news and told in the order in which they came, 16 a message: what was condemned meanwhile could wait for 48 rounds. Each late change sent a round of heartbeats of its own. A client whose request can't go on elsewhere waited up to 150 ms for a look at the replica. Change: condemned cases first, then those told least; one message for changes alone in 20 ms; the client has its answer at once and the suspect's turn ends with the look.

--- a/cmd/node/attempt.go
+++ b/cmd/node/attempt.go
@@ -136,7 +136,10 @@
 		n.endedUnfinished(a.replica.ID, a.sent, a.fingerprint)
 	default:
 		a.note(a.replica.ID, health.Broken)
-		n.brokeOff(ctx, &a.replica, a.sent, a.fingerprint)
+		a.look = n.brokeOff(&a.replica, a.sent, a.fingerprint)
+		if a.movable() && len(a.tried) < a.route.Attempts {
+			n.awaitLook(ctx, a.look) // else there is nothing to wait for: it has its end at once
+		}
 	}
 }
 
--- a/cmd/node/cell.go
+++ b/cmd/node/cell.go
@@ -136,8 +136,8 @@
 func (c *cell) whyBroken(ctx context.Context, a pipeline.Call, sent time.Duration) pipeline.Fate {
 	n := c.owner.node
 	asked := c.fingerprintsOf(a)
-	ended := n.brokeOff(ctx, &catalog.Replica{ID: a.Replica, Service: a.Service, Address: a.Address}, sent, slices.Collect(maps.Values(asked))...)
-	if !ended {
+	look := n.brokeOff(&catalog.Replica{ID: a.Replica, Service: a.Service, Address: a.Address}, sent, slices.Collect(maps.Values(asked))...)
+	if !n.awaitLook(ctx, look) {
 		return pipeline.Broken
 	}
 	for request, f := range asked {
--- a/cmd/node/quarantine.go
+++ b/cmd/node/quarantine.go
@@ -18,6 +18,7 @@
 	lookFor   = connectFor             // that a replica's port may take to answer a look
 	lookWait  = 150 * time.Millisecond // that a request waits for it before it may go on elsewhere: a port that refuses does so in a way there and back
 	lookHolds = 300 * time.Millisecond // that a look stands for all answers that break off there: a replica that ends is not back sooner
+	tellEach  = 20 * time.Millisecond  // between messages for changes alone: what a replica's end changes comes within a few ms
 
 	quarantineTurns = 1000 // among how many the instances' first turns are spread
 )
@@ -28,6 +29,7 @@
 type quarantined struct {
 	mu     sync.Mutex
 	book   *quarantine.Book
+	told   time.Duration                                  // when others were last told of a change alone
 	looks  map[string]*look                               // by life
 	ends   map[string]*lifeEnds                           // by listed life
 	trials map[quarantine.Fingerprint]chan struct{}       // under way, as their arbiter; closed when one ends
@@ -36,6 +38,7 @@
 
 // look is a question whether a replica has ended.
 type look struct {
+	life  string
 	done  chan struct{} // closed when it is known
 	began time.Duration
 }
@@ -77,7 +80,24 @@
 		n.logQuarantine(c, why)
 	}
 	if len(changes) > 0 && why != fromPeer {
-		n.tell() // the next replica may end within less than a round of heartbeats
+		n.tellQuarantine()
+	}
+}
+
+// tellQuarantine tells others at once, as the next replica may end within less
+// than a round of heartbeats; of many changes in a row the first, the rest goes
+// with the next round.
+func (n *Node) tellQuarantine() {
+	q := n.quarantine
+	now := n.now()
+	q.mu.Lock()
+	due := now-q.told >= tellEach
+	if due {
+		q.told = now
+	}
+	q.mu.Unlock()
+	if due {
+		n.tell()
 	}
 }
 
@@ -105,10 +125,8 @@
 }
 
 // brokeOff takes in that answers to requests broke off at a replica, to which
-// they were sent so long after the process began. It waits a little to hear
-// whether the replica has ended, and reports that: until then a second try
-// would only be a guess.
-func (n *Node) brokeOff(ctx context.Context, r *catalog.Replica, sent time.Duration, requests ...quarantine.Fingerprint) (ended bool) {
+// they were sent so long after the process began, and has it looked at.
+func (n *Node) brokeOff(r *catalog.Replica, sent time.Duration, requests ...quarantine.Fingerprint) *look {
 	life := n.quarantine.lifeAt(r.ID, sent)
 	n.noteQuarantine(fromEnd, func(b *quarantine.Book, now time.Duration) (changes []quarantine.Change) {
 		for _, f := range requests {
@@ -116,7 +134,12 @@
 		}
 		return changes
 	})
-	l := n.look(r, life)
+	return n.look(r, life)
+}
+
+// awaitLook waits a little to hear whether a replica has ended, and reports that:
+// until then another try would only be a guess.
+func (n *Node) awaitLook(ctx context.Context, l *look) (ended bool) {
 	wait := time.NewTimer(lookWait)
 	defer wait.Stop()
 	select {
@@ -124,7 +147,7 @@
 	case <-wait.C:
 	case <-ctx.Done():
 	}
-	return n.quarantine.hasEnded(life)
+	return n.quarantine.hasEnded(l.life)
 }
 
 // endedUnfinished takes in that this instance, or its client, ended a request
@@ -194,16 +217,17 @@
 	if l != nil && n.now()-l.began < lookHolds {
 		return l
 	}
-	l = &look{done: make(chan struct{}), began: n.now()}
+	l = &look{life: life, done: make(chan struct{}), began: n.now()}
 	q.looks[life] = l
-	go n.lookAt(*r, life, l)
+	go n.lookAt(*r, l)
 	return l
 }
 
 // lookAt finds out whether a life has ended: the replica's port refuses, while
 // one whose link is cut is silent, and one that only closed connections takes another.
-func (n *Node) lookAt(r catalog.Replica, life string, l *look) {
+func (n *Node) lookAt(r catalog.Replica, l *look) {
 	defer close(l.done)
+	life := l.life
 	n.counters.looks.Inc(1)
 	conn, err := n.clients.Dial(r.Address, lookFor)
 	switch {
--- a/cmd/node/serve.go
+++ b/cmd/node/serve.go
@@ -49,6 +49,7 @@
 	rank        int
 	record      *outcome.Record
 	end         time.Duration          // by when it must be answered, by the process's clock
+	look        *look                  // whether the replica of its last attempt has ended; nil: nobody asked
 	trial       *trial                 // its turn, once it is a suspect
 	fingerprint quarantine.Fingerprint // of what its caller repeats when it comes again
 
@@ -251,9 +252,19 @@
 	return nil
 }
 
+// endTrial gives the request's turn back, once it is known what the trial has
+// shown: the client has its answer before that.
 func (s *serving) endTrial() {
-	if s.trial != nil {
-		s.trial.end()
+	t, l := s.trial, s.look
+	switch {
+	case t == nil:
+	case l == nil:
+		t.end()
+	default:
+		go func() {
+			s.node.awaitLook(context.Background(), l)
+			t.end()
+		}()
 	}
 }
 
--- a/coordination/quarantine/news.go
+++ b/coordination/quarantine/news.go
@@ -1,6 +1,7 @@
 package quarantine
 
 import (
+	"cmp"
 	"slices"
 	"time"
 )
@@ -9,11 +10,9 @@
 // changed lately, and some condemned ones in their turn.
 func (b *Book) Tell(now time.Duration) []Entry {
 	var out []Entry
-	for _, c := range b.order {
-		if c.told < b.opts.Tells && len(out) < b.opts.MostTold {
-			c.told++
-			out = append(out, c.entry(now))
-		}
+	for _, c := range b.changed() {
+		c.told++
+		out = append(out, c.entry(now))
 	}
 	inTurn := 0
 	for range b.order {
@@ -30,6 +29,25 @@
 	return out
 }
 
+// changed returns the cases that are to be told now: what is condemned before
+// those that ran beside it, which may be many, and of equals the one that was told
+// least.
+func (b *Book) changed() []*Case {
+	var out []*Case
+	for _, c := range b.order {
+		if c.told < b.opts.Tells {
+			out = append(out, c)
+		}
+	}
+	if len(out) <= b.opts.MostTold {
+		return out
+	}
+	slices.SortStableFunc(out, func(x, y *Case) int {
+		return cmp.Or(cmp.Compare(b.verdict(y), b.verdict(x)), cmp.Compare(x.told, y.told), cmp.Compare(len(y.Ended), len(x.Ended)))
+	})
+	return out[:b.opts.MostTold]
+}
+
 // TellAll returns what an instance that has just started is told: what is
 // condemned and suspected, as much as a message holds.
 func (b *Book) TellAll(now time.Duration) []Entry {
--- a/coordination/quarantine/quarantine_test.go
+++ b/coordination/quarantine/quarantine_test.go
@@ -179,6 +179,28 @@
 	is.True(heard(suspended) >= 80)
 }
 
+// What is condemned is told at once, however many ran beside it and are news too.
+func TestWhatIsCondemnedIsToldFirst(t *testing.T) {
+	is := is.New(t)
+	b := New(Standard(), 0)
+	beside := make([]Fingerprint, 0, 300)
+	for f := range Fingerprint(300) {
+		beside = append(beside, 100+f)
+	}
+	crash(b, 0, 1, append(beside, 7)...)
+	b.Tell(0)
+	crash(b, 0, 2, 7)
+	crash(b, 0, 3, 7)
+	is.Equal(b.Tell(0)[0].Fingerprint, Fingerprint(7))
+	told := make(map[Fingerprint]bool)
+	for range 20 {
+		for _, e := range b.Tell(0) {
+			told[e.Fingerprint] = true
+		}
+	}
+	is.True(len(told) > 250) // each of the others once before any of them again
+}
+
 // Whatever instances see, and in whatever order they hear of it, they end with
 // the same; only what ended under a request without an answer of its own since
 // speaks against it.
