A replica that takes one more connection as it ends is not taken for running

In the traced one the look after the third end had its connection taken: the port closes a moment after the connections. The end was not counted before the next copy had its turn. Ruled out: the turn ending before the look: the log has the look's answer before the next trial, and no end. Change: a look's connection must last 10 ms, else another is opened, three at most.

--- a/cmd/node/look.go
+++ b/cmd/node/look.go
@@ -15,6 +15,8 @@
 const (
 	lookFor   = connectFor             // that a replica's port may take to answer a look
 	lookWait  = 150 * time.Millisecond // that a request waits for it before it may go on elsewhere: a port that refuses does so in a way there and back
+	lookLasts = 10 * time.Millisecond  // that a connection must stay open to show that its replica runs: one that is ending may still take it, as its port closes a moment after its connections
+	mostLooks = 3                      // connections of one look, of which none stayed open: the replica runs, and takes no more
 	lookHolds = 300 * time.Millisecond // that a look stands for all answers that break off there: a replica that ends is not back sooner
 )
 
@@ -130,10 +132,12 @@
 	defer close(l.done)
 	life := l.life
 	n.counters.looks.Inc(1)
-	conn, err := n.clients.Dial(r.Address, lookFor)
+	err := n.lookOnce(r.Address)
+	for tries := 1; errors.Is(err, errNotLasting) && tries < mostLooks; tries++ {
+		err = n.lookOnce(r.Address)
+	}
 	switch {
-	case err == nil:
-		conn.Close()
+	case err == nil, errors.Is(err, errNotLasting):
 		n.noteQuarantine(fromEnd, func(b *quarantine.Book, _ time.Duration) []quarantine.Change {
 			b.Answers(quarantine.LifeOf(life))
 			return nil
@@ -147,6 +151,22 @@
 	}
 }
 
+// errNotLasting says that a replica took a connection and ended it at once.
+var errNotLasting = errors.New("the connection was ended at once")
+
+// lookOnce opens a connection to a replica and sees whether it lasts.
+func (n *Node) lookOnce(address string) error {
+	conn, err := n.clients.Dial(address, lookFor)
+	if err != nil {
+		return err
+	}
+	defer conn.Close()
+	if !conn.Lasts(lookLasts) {
+		return errNotLasting
+	}
+	return nil
+}
+
 // lifeOver takes in that a replica has begun another life.
 func (n *Node) lifeOver(listed string) {
 	life := n.quarantine.lifeAt(listed, n.now())
--- a/transport/upstream/upstream.go
+++ b/transport/upstream/upstream.go
@@ -10,6 +10,7 @@
 	"bufio"
 	"errors"
 	"net"
+	"os"
 	"sync"
 	"time"
 
@@ -135,6 +136,16 @@
 	}
 }
 
+// Lasts reports whether a connection on which nothing is under way stays open
+// for so long.
+func (cn *Conn) Lasts(d time.Duration) bool {
+	if cn.net.SetReadDeadline(time.Now().Add(d)) != nil {
+		return false
+	}
+	_, err := cn.r.Peek(1)
+	return errors.Is(err, os.ErrDeadlineExceeded)
+}
+
 // Drop closes the idle connections to addr: whoever took them is there no more.
 func (c *Client) Drop(addr string) {
 	c.mu.Lock()
