--- a/cmd/node/owned.go
+++ b/cmd/node/owned.go
@@ -186,7 +186,7 @@
 	if choice.Fetch != "" && choice.Fetch == r.request.Far.Address {
 		n.counters.farMoves.Inc(1)
 	}
-	reply.Engine, reply.Fetch = choice.Replica.ID, choice.Fetch
+	reply.Engine, reply.Fetch, reply.Beside = choice.Replica.ID, choice.Fetch, uint32(choice.Beside)
 	return reply
 }
 
--- a/cmd/node/pick.go
+++ b/cmd/node/pick.go
@@ -29,6 +29,7 @@
 	if err != nil {
 		return err
 	}
+	job.ended = int(ask.Ended)
 	s.job = job
 	s.staged, s.expects = s.since(), job.expects
 	return nil
--- a/cmd/node/serve.go
+++ b/cmd/node/serve.go
@@ -218,6 +218,7 @@
 		if err := s.clear(ctx); err != nil { // its stages took their time
 			return err
 		}
+		s.placeApart(ctx)
 		engine, fetch, err := s.pick()
 		if err != nil {
 			return err
--- a/cmd/node/stages.go
+++ b/cmd/node/stages.go
@@ -53,7 +53,11 @@
 	handles []string
 	engine  string // replica that should run it; "" when the owner knows none
 	fetch   string
-	region  string // whose replicas do its work
+	region  string    // whose replicas do its work
+	ended   int       // replicas that had ended under the request when its engine was chosen
+	beside  int       // suspects at the engine then
+	results *stageJob // that has the results, where the engine was chosen anew; nil: this one
+	placed  *stageJob // that has the engine then
 	expects expectation
 	news    func(*pb.StagesNews)
 	end     func()
@@ -74,6 +78,36 @@
 	}
 }
 
+// at returns the job with its results, and the engine that was chosen in another.
+func (j *stageJob) at(placed *stageJob) *stageJob {
+	return &stageJob{
+		results: j, placed: placed,
+		handles: j.handles, engine: placed.engine, fetch: placed.fetch, region: j.region, beside: placed.beside, expects: j.expects,
+		news: func(m *pb.StagesNews) {
+			j.news(m)
+			placed.news(m)
+		},
+		end: func() {
+			placed.end()
+			j.end()
+		},
+	}
+}
+
+// unplaced gives up the job's engine and returns what is left of it: its results,
+// nil where it has none.
+func (j *stageJob) unplaced() *stageJob {
+	switch {
+	case j.placed != nil:
+		j.placed.end()
+		return j.results
+	case len(j.handles) == 0:
+		j.end()
+		return nil
+	}
+	return j
+}
+
 func (j *stageJob) first() { j.news(&pb.StagesNews{First: true}) }
 
 // stageWork is what the owner of one region's cell is asked.
@@ -227,7 +261,7 @@
 				admitted = true
 				job.expects = expectationOf(r)
 			default:
-				job.handles, job.engine, job.fetch = r.Handles, r.Engine, r.Fetch
+				job.handles, job.engine, job.fetch, job.beside = r.Handles, r.Engine, r.Fetch, int(r.Beside)
 				return job, nil
 			}
 		case <-verdict.C:
--- a/coordination/placement/placement.go
+++ b/coordination/placement/placement.go
@@ -48,6 +48,7 @@
 	Fetch   string // IP:port; "" for nowhere
 	Reads   int    // tokens of its prompt that its engine has to read
 	Moves   int    // and to fetch
+	Beside  int    // suspects that run there
 }
 
 // Table is not safe for concurrent use.
@@ -155,7 +156,7 @@
 			best, least = i, c
 		}
 	}
-	c := Choice{Replica: all[best].Replica, Reads: r.tokens() - most, Moves: most - kept[best]}
+	c := Choice{Replica: all[best].Replica, Beside: all[best].suspects, Reads: r.tokens() - most, Moves: most - kept[best]}
 	if c.Moves > 0 {
 		c.Fetch = fetch
 	}
@@ -191,36 +192,42 @@
 	return r.apart(out)
 }
 
-// trialFrom is how many replicas end under a request before its next one is to
+// TrialFrom is how many replicas end under a request before its next one is to
 // show whether it is to blame: nothing else is put beside it then.
-const trialFrom = 2
+const TrialFrom = 2
 
-// apart returns the engines, of some, at which a request is not beside a
-// suspect that it may be taken for, and nobody is beside it whom it may end; all
-// where there is none such.
+// apart returns the engines, of some, that come first for a request: none at
+// which another request's trial is to show who is to blame, if there are any; for
+// a suspect those with the fewest others, as whoever is beside the one to blame is
+// lost with it; and for one whose own trial it is the least busy of these.
 func (r *Request) apart(all []*engine) []*engine {
 	var out []*engine
-	least := -1
 	for _, e := range all {
-		if e.trials > 0 || r.Ended > 0 && e.suspects > 0 {
-			continue
-		}
-		if r.Ended >= trialFrom {
-			switch n := e.runs + e.reading; {
-			case least < 0 || n < least:
-				out, least = out[:0], n
-			case n > least:
+		if len(out) > 0 {
+			switch c := slices.Compare(r.company(e), r.company(out[0])); {
+			case c > 0:
 				continue
+			case c < 0:
+				out = out[:0]
 			}
 		}
 		out = append(out, e)
 	}
-	if len(out) == 0 {
-		return all
-	}
 	return out
 }
 
+// company ranks an engine by whom a request would be beside there, the least first.
+func (r *Request) company(e *engine) []int {
+	rank := []int{min(e.trials, 1), 0, 0}
+	if r.Ended > 0 {
+		rank[1] = e.suspects
+	}
+	if r.Ended >= TrialFrom {
+		rank[2] = e.runs + e.reading
+	}
+	return rank
+}
+
 // warm reports whether an engine is, or may get one more request while it is cold.
 func (t *Table) warm(now time.Duration, e *engine) bool {
 	return e.most == 0 || now >= e.ColdUntil || t.sent.Free(now, e.ID, e.most) <= now
--- a/coordination/placement/placement_test.go
+++ b/coordination/placement/placement_test.go
@@ -213,3 +213,27 @@
 	table.End(0, 10)
 	is.Equal(table.begin(0, request(40, 100, 200, "shared")).Replica.ID, "e3")
 }
+
+// Where every engine has suspects, those that come share them evenly, and the one
+// whose trial is to show who is to blame goes where fewest would be lost with it.
+func TestSuspectsShareEnginesEvenly(t *testing.T) {
+	is := is.New(t)
+	table := newTable(4)
+	count := make(map[string]int)
+	for i := range uint64(10) {
+		r := request(i, 1, 1, "shared") // kept at one engine, which all would go to
+		r.Ended = 1
+		count[table.begin(0, r).Replica.ID]++
+		table.First(0, i)
+	}
+	for _, n := range count {
+		is.True(n <= 3)
+	}
+	decisive := request(20, 1, 1, "shared")
+	decisive.Ended = TrialFrom
+	c := table.begin(0, decisive)
+	is.Equal(c.Beside, 2)
+	late := request(21, 1, 1, "shared")
+	late.Ended = 1
+	is.True(table.begin(0, late).Replica.ID != c.Replica.ID) // not beside the trial
+}
--- a/coordination/placement/runs.go
+++ b/coordination/placement/runs.go
@@ -46,7 +46,7 @@
 	if ended > 0 {
 		e.suspects += by
 	}
-	if ended >= trialFrom {
+	if ended >= TrialFrom {
 		e.trials += by
 	}
 }
