Failing tests: replicas that say they leave, or want a rest, go on getting requests

Cause, as far as the tests show: what an answer that was run says of its replica is not read, nor for how long one that turns a request away wants nothing; an owner's choice is taken without asking what was said to the sender.

Sight: lines of requests and failed attempts carry leaves, rest, chosen. No decision is changed: the answer's head is read into fields that nothing uses.

TestWhatAReplicaSaysOfItself is green.

--- a/cmd/node/attempt.go
+++ b/cmd/node/attempt.go
@@ -104,7 +104,7 @@
 	a.tellRollout(ctx, err, took)
 	if err != nil {
 		event.NodeAttempt.Log(n.log, "request", a.req.ID, "fingerprint", a.fingerprint, "replica", a.replica.ID, "why", err,
-			"took", took, "kept", a.conn.Kept(), "last_event", a.stream.lastEvent)
+			"took", took, "kept", a.conn.Kept(), "last_event", a.stream.lastEvent, "chosen", a.chosen, "rest", a.head.Rest, "leaves", a.head.Leaves)
 		took = 0
 	}
 	n.judgeMu.Lock()
@@ -113,7 +113,7 @@
 		n.loads.Told(n.now(), a.replica.ID, a.head.Running+a.head.Waiting-1)
 	}
 	n.judgeMu.Unlock()
-	if a.head.Stranger || a.head.Leaving && a.head.NotRun {
+	if a.head.Stranger || a.head.Closes && a.head.NotRun {
 		n.sawLeaving(a.replica.ID, "answer")
 	}
 	switch {
@@ -167,6 +167,7 @@
 		return a.broken(errBroken)
 	}
 	a.head = headOf(x)
+	a.leaves = a.head.Leaves
 	a.began = a.node.now()
 	return a.answer(watch)
 }
--- a/cmd/node/pick.go
+++ b/cmd/node/pick.go
@@ -82,7 +82,9 @@
 // pick chooses the replica for the next attempt: the owner's choice, or this
 // instance's own where there is none or it was tried.
 func (s *serving) pick() (catalog.Replica, string, error) {
+	s.chosen = byInstance
 	if r, ok := s.ownersChoice(); ok {
+		s.chosen = byOwner
 		return r, s.job.fetch, nil
 	}
 	n := s.node
--- a/cmd/node/pieces.go
+++ b/cmd/node/pieces.go
@@ -180,7 +180,7 @@
 
 // idleOf returns how long a connection may be kept after an answer.
 func idleOf(h *platform.Head, standard time.Duration) time.Duration {
-	if h.Leaving {
+	if h.Closes {
 		return 0
 	}
 	if h.Idle > 0 {
--- a/cmd/node/serve.go
+++ b/cmd/node/serve.go
@@ -70,8 +70,18 @@
 	first   time.Duration // from its arrival to the first event
 	gap     time.Duration // longest pause between events
 	fetch   string        // from where the last engine was to fetch
+	chosen  chooser       // of the last replica
+	leaves  bool          // the last replica said so as it answered
 }
 
+// chooser is who chose a replica for a request.
+type chooser string
+
+const (
+	byOwner    chooser = "owner"
+	byInstance chooser = "instance" // that serves the request
+)
+
 // serve takes a request through to its answer.
 func (n *Node) serve(ctx context.Context, w http.ResponseWriter, req *exchange.Request) {
 	n.counters.requests.Inc(1)
@@ -355,5 +365,6 @@
 		"objective", s.route.Objective, "deadline", s.req.Deadline, "version", s.world.config.Version, "owner", s.owner,
 		"attempts", len(s.tried), "replica", s.replica, "took", s.since(), "staged", s.staged, "expected", s.expects.stages,
 		"engine_expected", s.expects.engine, "reads", s.expects.reads, "moves", s.expects.moves,
-		"first", s.first, "gap", s.gap, "tokens", s.req.TokensIn, "fetch", s.fetch, "pieces", s.req.Pieces, "region", s.region)
+		"first", s.first, "gap", s.gap, "tokens", s.req.TokensIn, "fetch", s.fetch, "pieces", s.req.Pieces, "region", s.region,
+		"chosen", s.chosen, "leaves", s.leaves)
 }
