What replicas state of themselves holds: leaving for their life, a rest for as long as they say

Cause: what an answer says of its replica was read by one door, and only from answers that were not run; how long it wants nothing was not read at all. And facts and suspicions were one rank: a 503 was one more sign of health (50 ms alone), put back when more than half were paused, and the owner's choice was taken without asking what the sender had been told. Told news of a leaving was kept for two minutes and told for three seconds, as the list would have told it by then, which a silent store does not.

Change: coordination/stated, a pure book of statements by life. Every answer's head goes through takeHead; every send asks the book with the connection in hand; asks to owners name who rests, and a choice that can't be used is made anew, once. Leaving holds for as long as the life is listed and is told for as long (field leaving_stated; who does not know it takes it for a sign). A rest binds whom it was said to, and is a hint of a second to others. After a rest one request, then a few. Where all rest: refused at once, stages unrun, with the end of the first rest; jobs with the time for it wait. Results are freed in one call after the rest. A request turned away for a rest may go there after it.

Pure: coordination/stated, with random steps.

--- a/cmd/ctl/story.go
+++ b/cmd/ctl/story.go
@@ -61,7 +61,8 @@
 // Events that tell of a replica, of an instance by its name, and of the
 // instance that logs them.
 var (
-	ofReplicas  = []*event.Event{event.NodeReplicaLeaves, event.NodeReplicaCold, event.NodeLeavesAlone, event.NodeTakesBack, event.NodeCallLost, event.NodeReplicaEnded}
+	ofReplicas = []*event.Event{event.NodeReplicaLeaves, event.NodeReplicaCold, event.NodeLeavesAlone, event.NodeTakesBack, event.NodeCallLost, event.NodeReplicaEnded,
+		event.NodeReplicaSaysLeaves, event.NodeReplicaRests, event.NodeReplicaRested}
 	ofInstances = []*event.Event{event.NodeMisses, event.NodeOwnerLost}
 	ofItself    = []*event.Event{
 		event.NodeStarted, event.NodeStopping, event.NodeHallEmptied, event.NodeHallReturned, event.NodeStoreLost, event.NodeStoreBack,
--- a/cmd/node/attempt.go
+++ b/cmd/node/attempt.go
@@ -13,6 +13,7 @@
 	"quinceroad/coordination/health"
 	"quinceroad/coordination/outcome"
 	"quinceroad/coordination/regions"
+	"quinceroad/coordination/stated"
 	"quinceroad/platform"
 	"quinceroad/protocol/event"
 	"quinceroad/state/catalog"
@@ -38,6 +39,7 @@
 	conn    *upstream.Conn
 	x       *upstream.Exchange
 	head    platform.Head
+	turn    stated.Turn
 	silent  atomic.Bool // it was ended for its silence
 	sent    time.Duration
 	began   time.Duration // the answer; of a stream its first event; 0: not yet
@@ -60,7 +62,13 @@
 		conn.Close()
 		return errUnreached
 	}
-	a := &attempt{serving: s, replica: r, conn: conn, sent: n.now()}
+	turn, ok := n.statements.begin(n.now(), r.ID)
+	if !ok {
+		conn.Close()
+		return errUnreached
+	}
+	defer func() { n.statements.end(turn) }()
+	a := &attempt{serving: s, replica: r, conn: conn, sent: n.now(), turn: turn}
 	token, ok := s.record.Dispatch()
 	if !ok {
 		conn.Close()
@@ -113,7 +121,7 @@
 		n.loads.Told(n.now(), a.replica.ID, a.head.Running+a.head.Waiting-1)
 	}
 	n.judgeMu.Unlock()
-	if a.head.Stranger || a.head.Closes && a.head.NotRun {
+	if a.head.Stranger || a.head.Closes && a.head.NotRun && a.head.Rest == 0 { // one that wants a rest stays
 		n.sawLeaving(a.replica.ID, "answer")
 	}
 	switch {
@@ -166,7 +174,7 @@
 	if err := x.ReadHead(a.own); err != nil {
 		return a.broken(errBroken)
 	}
-	a.head = headOf(x)
+	a.head = a.node.takeHead(a.stater(), a.turn, &x.Header)
 	a.leaves = a.head.Leaves
 	a.began = a.node.now()
 	return a.answer(watch)
@@ -179,12 +187,19 @@
 	return err
 }
 
-// own reports whether an answer is this request's.
+// own reports whether an answer is this request's. What its replica states in
+// another one, which came late, is stated all the same.
 func (a *attempt) own(h *fasthttp.ResponseHeader) bool {
 	id := string(h.Peek(platform.HeaderID))
-	return id == a.req.ID || (id == "" && h.StatusCode() >= http.StatusBadRequest)
+	if id == a.req.ID || (id == "" && h.StatusCode() >= http.StatusBadRequest) {
+		return true
+	}
+	a.node.takeHead(a.stater(), stated.Turn{}, h)
+	return false
 }
 
+func (a *attempt) stater() stater { return stater{life: a.replica.ID, service: a.service.Name} }
+
 func (a *attempt) fill(req *fasthttp.Request, fetch string) {
 	req.Header.DisableNormalizing()
 	req.Header.SetNoDefaultContentType(true)
--- a/cmd/node/cell.go
+++ b/cmd/node/cell.go
@@ -127,6 +127,9 @@
 		n.sawLeaving(a.Replica, "stranger")
 	}
 	c.do(func(now time.Duration) []pipeline.Action {
+		if until, rests := n.statements.restsTo(now, a.Replica); rests {
+			c.scheduler.Rests(a.Replica, until)
+		}
 		return c.scheduler.Answer(now, a.ID, fate, results)
 	})
 }
@@ -188,7 +191,7 @@
 		"no_room", counts[pipeline.NoRoom], "gone", counts[pipeline.InputGone], "late", counts[pipeline.Late], "failed", counts[pipeline.PieceError])
 }
 
-func (c *cell) free(a pipeline.Free) { c.owner.node.freeResults(a.Address, a.Handles) }
+func (c *cell) free(a pipeline.Free) { c.owner.node.freeResults(a) }
 
 // pools tells what waits at the pools that a job asks for, for a log line.
 func (c *cell) pools(job pipeline.Job) string {
--- a/cmd/node/counters.go
+++ b/cmd/node/counters.go
@@ -2,6 +2,7 @@
 
 import (
 	"strconv"
+	"strings"
 
 	metrics "github.com/rcrowley/go-metrics"
 )
@@ -39,6 +40,7 @@
 	looks         metrics.Counter // at replicas, whether they have ended
 	condemned     metrics.Counter // requests that were not sent, as replicas have ended under them
 	noTurn        metrics.Counter // suspects that were refused while they were tried elsewhere
+	rests         metrics.Counter // that replicas asked for
 }
 
 // farBytes counts what this instance sends to other regions, and what it asks
@@ -93,6 +95,21 @@
 		looks:         counter("node.quarantine.looks"),
 		condemned:     counter("node.quarantine.condemned"),
 		noTurn:        counter("node.quarantine.no_turn"),
+		rests:         counter("node.rests"),
+	}
+}
+
+// stated sets the gauges of how many replicas of each service have stated
+// something that holds.
+func (c *counters) stated(what string, by map[string]int64) {
+	prefix := "node.replicas_" + what + "."
+	c.registry.Each(func(name string, m any) {
+		if service, ok := strings.CutPrefix(name, prefix); ok && by[service] == 0 {
+			m.(metrics.Gauge).Update(0)
+		}
+	})
+	for service, count := range by {
+		metrics.GetOrRegisterGauge(prefix+service, c.registry).Update(count)
 	}
 }
 
--- a/cmd/node/members.go
+++ b/cmd/node/members.go
@@ -107,8 +107,9 @@
 	if len(to) == 0 {
 		return
 	}
+	leaving, said := n.leavingNews()
 	h := &pb.Heartbeat{
-		Leaving: n.recentlyLeaving(), Sick: n.sick(), Changed: n.listChanged(), Evacuations: n.emptiedNews(),
+		Leaving: leaving, LeavingStated: uint32(said), Sick: n.sick(), Changed: n.listChanged(), Evacuations: n.emptiedNews(),
 		Rollouts: n.rolloutNews(), Speeds: speeds, Quarantine: cases,
 	}
 	for _, i := range m.News {
@@ -199,7 +200,11 @@
 	n.takeEmptied(senderOf(h), h.Evacuations)
 	n.takeRollouts(h)
 	n.catchUp(now, h)
-	for _, id := range h.Leaving {
+	for i, id := range h.Leaving {
+		if i < int(h.LeavingStated) {
+			n.takeLeaving(id, senderOf(h))
+			continue
+		}
 		n.sawLeaving(id, "peer")
 	}
 	n.takeHearsay(now, h)
--- a/cmd/node/node.go
+++ b/cmd/node/node.go
@@ -78,6 +78,7 @@
 
 	running    *running     // has a lock of its own, under which no other is taken
 	quarantine *quarantined // has a lock of its own, under which no other is taken
+	statements *statements  // the same
 
 	judgeMu   sync.Mutex
 	judge     *health.Judge
@@ -123,6 +124,7 @@
 		rollouts:   newRollouts(s),
 		running:    newRunning(),
 		quarantine: newQuarantined(spreadOf(s.Name)),
+		statements: newStatements(),
 		pulse:      newPulse(),
 		spread:     spreadOf(s.Name),
 		judge:      health.New(health.Standard()),
@@ -178,7 +180,7 @@
 	n.cancel = cancel
 	n.group, ctx = errgroup.WithContext(ctx)
 	loops := []func(context.Context){
-		n.followIntent, n.followReplicas, n.register, n.feelPulse, n.beat, n.hear, n.owner.tick, n.housekeeping, n.followRollouts,
+		n.followIntent, n.followReplicas, n.register, n.feelPulse, n.beat, n.hear, n.owner.tick, n.housekeeping, n.followRollouts, n.sweepStatements,
 	}
 	for _, loop := range loops {
 		n.group.Go(func() error {
--- a/cmd/node/pick.go
+++ b/cmd/node/pick.go
@@ -21,6 +21,9 @@
 	if s.job != nil || (s.service.Engine == nil && len(s.route.Stages) == 0) {
 		return nil
 	}
+	if err := s.servable(); err != nil {
+		return err
+	}
 	ask, pieces := s.ask()
 	job, err := s.stages(ctx, ask)
 	if errors.Is(err, errOwnerLost) && pieces == 0 && !done(ctx) {
@@ -60,6 +63,7 @@
 	for id := range s.avoid {
 		ask.Avoid = append(ask.Avoid, id)
 	}
+	ask.Avoid = append(ask.Avoid, s.node.restingReplicas(s.service.Name)...)
 	total := 0
 	for i, st := range s.route.Stages {
 		work := &pb.StageWork{Service: st.Service, Pieces: uint32(s.req.Pieces[i]), Bytes: st.Bytes}
@@ -95,7 +99,8 @@
 		return catalog.Replica{}, "", errNoRegion
 	}
 	newer, older := s.sides(world, listed)
-	ableNew, ableOld := s.able(now, newer), s.able(now, older)
+	ableNew, restNew := s.mayAll(now, s.able(now, newer))
+	ableOld, restOld := s.mayAll(now, s.able(now, older))
 	n.judgeMu.Lock()
 	defer n.judgeMu.Unlock()
 	fit := s.fit(now, ableNew, len(newer))
@@ -103,7 +108,7 @@
 		fit = s.fit(now, ableOld, len(older))
 	}
 	if len(fit) == 0 {
-		return catalog.Replica{}, "", s.none(world, append(ableNew, ableOld...))
+		return catalog.Replica{}, "", s.none(world, append(ableNew, ableOld...), sooner(restNew, restOld))
 	}
 	fit = n.apart(fit)
 	if s.service.Engine == nil {
@@ -136,9 +141,14 @@
 	return fit
 }
 
-// none says why there is no replica for the request.
-func (s *serving) none(w *world, able []catalog.Replica) error {
+// none says why there is no replica for the request; rest is why those that might
+// take it don't.
+func (s *serving) none(w *world, able []catalog.Replica, rest error) error {
 	switch listed := len(w.services[s.service.Name]); {
+	case rest != nil:
+		return rest
+	case listed == 0 && s.allLeave(w) != nil:
+		return errLeaving
 	case listed > 0 && len(able) == 0:
 		return errCold
 	case listed == 0 && w.sizes[s.service.Name] > 0:
@@ -169,7 +179,8 @@
 	}
 	for _, r := range s.node.world.Load().services[s.service.Name] {
 		if r.ID == s.job.engine {
-			return r, true
+			ok, _ := s.node.statements.may(s.node.now(), r.ID)
+			return r, ok
 		}
 	}
 	return catalog.Replica{}, false
--- a/cmd/node/pieces.go
+++ b/cmd/node/pieces.go
@@ -10,6 +10,7 @@
 
 	"quinceroad/coordination/outcome"
 	"quinceroad/coordination/pipeline"
+	"quinceroad/coordination/stated"
 	"quinceroad/platform"
 	"quinceroad/protocol/event"
 	"quinceroad/state/catalog"
@@ -33,8 +34,10 @@
 	if !n.replicaTakes(c.Replica) || !n.rollouts.maySend(n.world.Load().moves[c.Service], "", c.Replica, len(c.Items)) {
 		return nil, pipeline.Refused
 	}
-	status, head, data, err := n.call(ctx, ownCall{address: c.Address, replica: c.Name, method: fasthttp.MethodPost, path: path, body: body})
+	status, head, data, err := n.call(ctx, ownCall{address: c.Address, replica: c.Name, from: stater{c.Replica, c.Service}, work: true, method: fasthttp.MethodPost, path: path, body: body})
 	switch {
+	case errors.Is(err, errStated):
+		return nil, pipeline.Refused
 	case errors.Is(err, upstream.ErrConnect):
 		return nil, pipeline.Unreachable
 	case err != nil && ctx.Err() != nil:
@@ -58,16 +61,19 @@
 
 // freeResults tells a replica what nobody reads any more; a loss costs room
 // until the results end by themselves.
-func (n *Node) freeResults(address string, handles []string) {
-	path, body, err := platform.FreeCall(handles)
+func (n *Node) freeResults(f pipeline.Free) {
+	if n.heldFree(f) {
+		return
+	}
+	path, body, err := platform.FreeCall(f.Handles)
 	if err != nil {
 		event.NodeMessageBroken.Log(n.log, "what", "results to free", "from", n.settings.Name, "error", err)
 		return
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), freeFor)
 	defer cancel()
-	_, _, _, err = n.call(ctx, ownCall{address: address, method: fasthttp.MethodPost, path: path, body: body})
-	n.logAside("free results", address, err)
+	_, _, _, err = n.call(ctx, ownCall{address: f.Address, from: stater{f.Replica, f.Service}, method: fasthttp.MethodPost, path: path, body: body})
+	n.logAside("free results", f.Replica, err)
 }
 
 // logAside logs a call beside a request's way that failed.
@@ -83,7 +89,7 @@
 func (n *Node) report(r catalog.Replica) (free int64, atWork bool, err error) {
 	ctx, cancel := context.WithTimeout(context.Background(), reportFor)
 	defer cancel()
-	status, _, data, err := n.call(ctx, ownCall{address: r.Address, replica: r.Name, method: fasthttp.MethodGet, path: platform.PathReport})
+	status, _, data, err := n.call(ctx, ownCall{address: r.Address, replica: r.Name, from: stater{r.ID, r.Service}, method: fasthttp.MethodGet, path: platform.PathReport})
 	if err != nil {
 		return 0, false, err
 	}
@@ -101,7 +107,7 @@
 func (n *Node) keptParts(r catalog.Replica) ([]catalog.Part, error) {
 	ctx, cancel := context.WithTimeout(context.Background(), keptFor)
 	defer cancel()
-	status, _, data, err := n.call(ctx, ownCall{address: r.Address, replica: r.Name, method: fasthttp.MethodGet, path: platform.PathKept})
+	status, _, data, err := n.call(ctx, ownCall{address: r.Address, replica: r.Name, from: stater{r.ID, r.Service}, method: fasthttp.MethodGet, path: platform.PathKept})
 	if err != nil {
 		return nil, err
 	}
@@ -115,6 +121,8 @@
 type ownCall struct {
 	address string
 	replica string // name of the one that is meant; "" for whoever is there
+	from    stater // who should answer
+	work    bool   // that a replica which leaves must not get
 	method  string
 	path    string
 	body    []byte
@@ -128,6 +136,12 @@
 	}
 	stop := context.AfterFunc(ctx, cn.Close)
 	defer stop()
+	turn, ok := n.mayCall(c)
+	if !ok {
+		cn.Close()
+		return 0, platform.Head{}, nil, errStated
+	}
+	defer n.statements.end(turn)
 	req := fasthttp.AcquireRequest()
 	defer fasthttp.ReleaseRequest(req)
 	req.Header.DisableNormalizing()
@@ -153,7 +167,7 @@
 		x.Release(0)
 		return 0, platform.Head{}, nil, err
 	}
-	head := headOf(x)
+	head := n.takeHead(c.from, turn, &x.Header)
 	data, err := io.ReadAll(io.LimitReader(x, maxResults))
 	if err == nil && !x.Whole() {
 		err = upstream.ErrCut
@@ -162,6 +176,16 @@
 	return x.Header.StatusCode(), head, data, err
 }
 
+// mayCall reports, right before a call is sent, whether what its replica states
+// allows it: one that leaves is still told what nobody reads any more.
+func (n *Node) mayCall(c ownCall) (stated.Turn, bool) {
+	if c.work {
+		return n.statements.begin(n.now(), c.from.life)
+	}
+	_, rests := n.statements.restsTo(n.now(), c.from.life)
+	return stated.Turn{}, !rests
+}
+
 // connect returns a connection to a replica, a kept one if there is one.
 func (n *Node) connect(ctx context.Context, address string, within time.Duration) (*upstream.Conn, error) {
 	if cn := n.clients.Kept(address); cn != nil {
@@ -174,10 +198,6 @@
 	return n.clients.Dial(address, max(within, time.Millisecond))
 }
 
-func headOf(x *upstream.Exchange) platform.Head {
-	return platform.ParseHead(x.Header.StatusCode(), func(name string) string { return string(x.Header.Peek(name)) })
-}
-
 // idleOf returns how long a connection may be kept after an answer.
 func idleOf(h *platform.Head, standard time.Duration) time.Duration {
 	if h.Closes {
--- a/cmd/node/serve.go
+++ b/cmd/node/serve.go
@@ -8,6 +8,7 @@
 
 	"quinceroad/cmd/process"
 	"quinceroad/coordination/outcome"
+	"quinceroad/coordination/pipeline"
 	"quinceroad/coordination/quarantine"
 	"quinceroad/coordination/regions"
 	"quinceroad/coordination/retry"
@@ -220,7 +221,7 @@
 			return err
 		}
 		if err := s.prepare(ctx); err != nil {
-			if s.waitsFor(ctx, err) {
+			if s.waitsFor(ctx, err) || s.waitsForRest(ctx, err) {
 				continue
 			}
 			return err
@@ -229,8 +230,12 @@
 			return err
 		}
 		s.placeApart(ctx)
+		s.placeAgain(ctx)
 		engine, fetch, err := s.pick()
 		if err != nil {
+			if s.waitsForRest(ctx, err) {
+				continue
+			}
 			return err
 		}
 		err = s.attempt(ctx, engine, fetch)
@@ -303,7 +308,9 @@
 		s.redone++
 		return s.redone <= mostRedone && s.mayRepeat()
 	case errors.Is(err, errNotRun):
-		s.avoid[s.replica] = true
+		if _, rests := s.node.statements.restsTo(s.node.now(), s.replica); !rests { // else it may run the request after that
+			s.avoid[s.replica] = true
+		}
 		s.unsent++
 		return s.unsent < mostUnsent && s.mayRepeat()
 	}
@@ -332,12 +339,18 @@
 	after := backSoon
 	var refused *refusedError
 	var failed *failedError
+	var rest *restError
 	switch {
+	case errors.As(err, &rest):
+		after = max(rest.left(), backSoon) + spreadReturn()
 	case errors.As(err, &refused):
 		after = refused.after
 	case errors.As(err, &failed):
 		after = max(failed.after, backSoon)
-	case errors.Is(err, errEmptied), errors.Is(err, errCold), errors.Is(err, errNoRegion), errors.Is(err, errNoTurn):
+		if failed.why == pipeline.WhyRest {
+			after += spreadReturn()
+		}
+	case errors.Is(err, errEmptied), errors.Is(err, errCold), errors.Is(err, errNoRegion), errors.Is(err, errNoTurn), errors.Is(err, errLeaving):
 		after = backLater
 	}
 	left := s.req.Deadline - s.since()
--- a/cmd/node/state.go
+++ b/cmd/node/state.go
@@ -9,6 +9,7 @@
 	"quinceroad/coordination/gossip"
 	"quinceroad/coordination/pipeline"
 	"quinceroad/coordination/speed"
+	"quinceroad/coordination/stated"
 	"quinceroad/protocol/event"
 	"quinceroad/transport/web"
 )
@@ -27,7 +28,8 @@
 	Routes     int
 	Replicas   map[string]int    // by service, those that may get work
 	Lives      int               // of replicas that say when they were born
-	Leaving    []string          // replicas, lately
+	Leaving    []string          // replicas, by their own word, or by signs lately
+	Resting    map[string]string // replicas that want nothing from this instance, and for how much longer
 	Emptied    []string          // halls whose replicas get nothing new
 	Cold       []string          // replicas that get little
 	LeftAlone  []string          // replicas taken for sick
@@ -105,10 +107,17 @@
 		Silent:    n.pulse.isSilent(),
 		ListedAt:  n.listAt(),
 		Replicas:  make(map[string]int, len(w.services)),
-		Leaving:   n.recentlyLeaving(),
+		Resting:   make(map[string]string),
 		Instances: n.alive(),
 		LinkedTo:  n.links.Len(),
 	}
+	n.statements.with(func(b *stated.Book) {
+		s.Leaving = b.Left()
+		for life, until := range b.Resting(n.now()) {
+			s.Resting[life] = (until - n.now()).Round(time.Millisecond).String()
+		}
+	})
+	s.Leaving = append(s.Leaving, n.recentlyLeaving(mostLeavingTold)...)
 	n.followMu.Lock()
 	s.Emptied = n.emptied.Halls()
 	n.followMu.Unlock()
--- /dev/null
+++ b/cmd/node/statements.go
@@ -0,0 +1,354 @@
+package node
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"quinceroad/cmd/process"
+	"quinceroad/coordination/pipeline"
+	"quinceroad/coordination/stated"
+	"quinceroad/platform"
+	"quinceroad/protocol/event"
+	"quinceroad/state/catalog"
+)
+
+// statements is what replicas have stated of themselves to this instance, and of
+// leaving also to its peers.
+type statements struct {
+	mu   sync.Mutex
+	book *stated.Book
+	free map[string]*pipeline.Free // by life that rests: results nobody reads any more
+}
+
+func newStatements() *statements {
+	return &statements{book: stated.New(stated.Standard()), free: make(map[string]*pipeline.Free)}
+}
+
+// with runs f on the book.
+func (s *statements) with(f func(*stated.Book)) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	f(s.book)
+}
+
+func (s *statements) hasLeft(life string) (left bool) {
+	s.with(func(b *stated.Book) { left = b.HasLeft(life) })
+	return left
+}
+
+// may reports whether a life may get a request now, and from when on it may.
+func (s *statements) may(now time.Duration, life string) (ok bool, from time.Duration) {
+	s.with(func(b *stated.Book) { ok, from = b.May(now, life) })
+	return ok, from
+}
+
+// restsTo returns until when a life wants nothing from this instance.
+func (s *statements) restsTo(now time.Duration, life string) (until time.Duration, rests bool) {
+	s.with(func(b *stated.Book) { until, rests = b.RestsTo(now, life) })
+	return until, rests
+}
+
+// begin counts a request right before it is sent: a choice may be a second old,
+// and what was stated since forbids it as well.
+func (s *statements) begin(now time.Duration, life string) (turn stated.Turn, ok bool) {
+	s.with(func(b *stated.Book) { turn, ok = b.Begin(now, life) })
+	return turn, ok
+}
+
+func (s *statements) end(turn stated.Turn) { s.with(func(b *stated.Book) { b.End(turn) }) }
+
+// stater is who answers: a life of a replica.
+type stater struct {
+	life    string
+	service string
+}
+
+// takeHead reads an answer's head and takes in what its replica states in it. All
+// answers go through here, whatever they are to: what is said is said once.
+func (n *Node) takeHead(from stater, turn stated.Turn, header *fasthttp.ResponseHeader) platform.Head {
+	h := platform.ParseHead(header.StatusCode(), func(name string) string { return string(header.Peek(name)) })
+	if from.life == "" || h.Stranger { // another replica speaks of itself
+		return h
+	}
+	if h.Leaves {
+		n.takeLeaving(from.life, "its own")
+	}
+	if h.Rest > 0 {
+		n.takeRest(from, h.Rest)
+	} else {
+		n.statements.with(func(b *stated.Book) { b.Answered(turn) })
+	}
+	return h
+}
+
+// takeLeaving takes in that a life leaves, by its own or a peer's word. It gets
+// nothing more from anybody for as long as it is listed.
+func (n *Node) takeLeaving(life, by string) {
+	isNew := false
+	n.statements.with(func(b *stated.Book) { isNew = b.Leaves(n.now(), life) })
+	if !isNew {
+		return
+	}
+	event.NodeReplicaSaysLeaves.Log(n.log, "replica", life, "by", by)
+	n.publish()
+}
+
+// takeRest takes in that a life wants nothing from this instance for so long.
+// Others may have been told nothing, or their own: to them it is a hint.
+func (n *Node) takeRest(from stater, length time.Duration) {
+	now, isNew := n.now(), false
+	n.statements.with(func(b *stated.Book) { isNew = b.Rests(now, from.life, length) })
+	n.judgeMu.Lock()
+	n.judge.Rests(now, from.life, length)
+	n.judgeMu.Unlock()
+	if isNew {
+		n.counters.rests.Inc(1)
+		event.NodeReplicaRests.Log(n.log, "replica", from.life, "service", from.service, "for", length)
+	}
+}
+
+// sweepStatements takes in what time has changed of statements.
+func (n *Node) sweepStatements(ctx context.Context) {
+	quiet := true
+	process.Every(ctx, beatEach, func() {
+		was := quiet
+		n.statements.with(func(b *stated.Book) { quiet = b.Empty() })
+		if quiet && was {
+			return
+		}
+		now := n.now()
+		listed := make(map[string]string) // service by life
+		for _, r := range n.world.Load().all {
+			listed[r.ID] = r.Service
+		}
+		var changes stated.Changes
+		leaving, resting := make(map[string]int64), make(map[string]int64)
+		n.statements.with(func(b *stated.Book) {
+			changes = b.Sweep(now, func(life string) bool { _, ok := listed[life]; return ok })
+			for _, life := range b.Left() {
+				leaving[listed[life]]++
+			}
+			for life := range b.Resting(now) {
+				resting[listed[life]]++
+			}
+		})
+		for _, life := range changes.Rested {
+			event.NodeReplicaRested.Log(n.log, "replica", life)
+		}
+		for _, life := range changes.Gone {
+			event.NodeReplicaLeft.Log(n.log, "replica", life)
+		}
+		n.counters.stated("leaving", leaving)
+		n.counters.stated("resting", resting)
+	})
+}
+
+// restingReplicas returns the replicas of a service that want nothing from this
+// instance now: who chooses for it can't know.
+func (n *Node) restingReplicas(service string) []string {
+	now := n.now()
+	resting := make(map[string]time.Duration)
+	n.statements.with(func(b *stated.Book) { resting = b.Resting(now) })
+	if len(resting) == 0 {
+		return nil
+	}
+	var out []string
+	for _, r := range n.world.Load().services[service] {
+		if _, ok := resting[r.ID]; ok {
+			out = append(out, r.ID)
+		}
+	}
+	return out
+}
+
+// restError says that all replicas which a request may go to want nothing now.
+type restError struct {
+	now, until time.Duration // when the first may get a request again
+}
+
+// Error implements error.
+func (e *restError) Error() string {
+	return fmt.Sprintf("all replicas rest, the first for %v more", e.left().Round(time.Millisecond))
+}
+
+func (e *restError) left() time.Duration { return max(e.until-e.now, 0) }
+
+// spreadReturn is how much after a rest's end a caller is told to come back.
+func spreadReturn() time.Duration { return time.Duration(newRandom().Float64() * float64(restSpread)) }
+
+// errLeaving says that no replica will serve a request, as all of them leave.
+var errLeaving = errors.New("all replicas are leaving")
+
+const (
+	restSpread   = time.Second           // over which callers come back after a rest, so that they are no wave; chosen: a replica takes some requests in it before it takes any number
+	restLook     = 20 * time.Millisecond // between looks whether a replica may get a request; chosen, below an answer's usual time
+	shareToWait  = 0.125                 // of the objective, that a request waits for a replica where it has cost nothing yet; chosen: a caller told to come back loses more than that
+	mostRestLook = 200 * time.Millisecond
+)
+
+// mayAll returns those of some replicas that may get a request now, and an error
+// when what they state forbids all of them that this one has not met yet.
+func (s *serving) mayAll(now time.Duration, all []catalog.Replica) (may []catalog.Replica, err error) {
+	first, fresh := stated.Never, false
+	s.node.statements.with(func(b *stated.Book) {
+		if b.Empty() {
+			may, fresh = all, true
+			return
+		}
+		for _, r := range all {
+			met := s.avoid[r.ID] || s.tried[r.ID]
+			ok, from := b.May(now, r.ID)
+			if ok {
+				may = append(may, r)
+				fresh = fresh || !met
+			} else if !met {
+				first = min(first, from)
+			}
+		}
+	})
+	if !fresh && first != stated.Never {
+		err = &restError{now: now, until: first}
+	}
+	return may, err
+}
+
+// sooner returns the error that says less; nil where neither says anything.
+func sooner(a, b error) error {
+	var x, y *restError
+	if !errors.As(a, &x) {
+		return b
+	}
+	if errors.As(b, &y) && y.until < x.until {
+		return b
+	}
+	return a
+}
+
+// servable returns why nobody can serve the request in time, by what replicas state;
+// nil where somebody may. Its stages would be work for nothing.
+func (s *serving) servable() error {
+	w := s.node.world.Load()
+	now := s.node.now()
+	listed := permitted(s.homes(), w.services[s.service.Name])
+	if len(listed) == 0 {
+		return s.allLeave(w)
+	}
+	_, err := s.mayAll(now, listed)
+	var rest *restError
+	if errors.As(err, &rest) && rest.until > s.lastUse() {
+		return err
+	}
+	return nil
+}
+
+// lastUse is until when an answer of the request is of use that has yet to begin.
+func (s *serving) lastUse() time.Duration {
+	if s.route.Objective == 0 {
+		return s.end
+	}
+	return min(s.req.Arrived+s.route.Objective, s.end)
+}
+
+// allLeave tells whether there are replicas for the request, all of which leave.
+func (s *serving) allLeave(w *world) error {
+	leaves := false
+	for _, r := range w.all {
+		if r.Service != s.service.Name {
+			continue
+		}
+		if !r.Leaving {
+			return nil
+		}
+		leaves = true
+	}
+	if leaves {
+		return errLeaving
+	}
+	return nil
+}
+
+// waitsForRest waits until a replica may get the request again and reports that
+// it has, where that is better than to refuse it: one whose stages are done, or
+// that can't be refused any more, for as long as its answer is of use; another
+// one for a moment.
+func (s *serving) waitsForRest(ctx context.Context, err error) bool {
+	var rest *restError
+	if !errors.As(err, &rest) {
+		return false
+	}
+	now := s.node.now()
+	last := s.req.Arrived + time.Duration(float64(s.route.Objective)*shareToWait)
+	if s.stream.headSent || s.job != nil && len(s.job.handles) > 0 {
+		last = s.lastUse()
+	}
+	if rest.until > last || now >= last {
+		return false
+	}
+	return process.Pause(ctx, min(max(rest.until-now, restLook), mostRestLook))
+}
+
+// placeAgain has the engine chosen anew where what its replica has stated since it
+// was chosen, or only to this instance, forbids it: the owner alone sees what runs
+// where. It is asked once; what it names then is held against the same.
+func (s *serving) placeAgain(ctx context.Context) {
+	if s.job == nil || s.job.engine == "" || s.service.Engine == nil {
+		return
+	}
+	if ok, _ := s.node.statements.may(s.node.now(), s.job.engine); !ok {
+		s.placeAnew(ctx)
+	}
+}
+
+// heldFree keeps results to free until a replica's rest is over, and reports
+// whether it rests: it wants nothing, and one call is enough for all of them.
+func (n *Node) heldFree(f pipeline.Free) bool {
+	now := n.now()
+	s := n.statements
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	until, rests := s.book.RestsTo(now, f.Replica)
+	if !rests {
+		return false
+	}
+	if held := s.free[f.Replica]; held != nil {
+		held.Handles = append(held.Handles, f.Handles...)
+		return true
+	}
+	s.free[f.Replica] = &f
+	if holds := n.holdFor(f.Service); until-now > holds {
+		until = now + holds // its maker has dropped them by then
+	}
+	time.AfterFunc(until-now, func() { n.freeHeld(f.Replica) })
+	return true
+}
+
+// freeHeld frees what was kept for a replica that rested.
+func (n *Node) freeHeld(life string) {
+	s := n.statements
+	s.mu.Lock()
+	f := s.free[life]
+	delete(s.free, life)
+	_, rests := s.book.RestsTo(n.now(), life)
+	s.mu.Unlock()
+	if rests { // for longer than its results last, or anew
+		n.logAside("free results", life, errStated)
+		return
+	}
+	n.freeResults(*f)
+}
+
+var errStated = errors.New("the replica rests or leaves, as it says")
+
+// holdFor is how long results lie at replicas of a service.
+func (n *Node) holdFor(service string) time.Duration {
+	c := n.world.Load().config
+	if c == nil || c.Services[service] == nil || c.Services[service].Pool == nil {
+		return 0
+	}
+	return c.Services[service].Pool.HoldFor
+}
--- a/cmd/node/world.go
+++ b/cmd/node/world.go
@@ -7,6 +7,7 @@
 
 	"quinceroad/coordination/changes"
 	"quinceroad/coordination/regions"
+	"quinceroad/coordination/stated"
 	"quinceroad/platform"
 	"quinceroad/protocol/event"
 	"quinceroad/state/catalog"
@@ -59,7 +60,8 @@
 }
 
 // refresh reads the rows that have changed.
-func (s *replicaSet) refresh(now time.Duration) (out refreshed) {
+// left tells which lives have stated that they leave.
+func (s *replicaSet) refresh(now time.Duration, left func(life string) bool) (out refreshed) {
 	rows, lives := make(map[string]replicaRow, len(s.rows)), make(map[string]replicaRow, len(s.rows))
 	broken := make(map[string]bool)
 	s.log.Each(func(id string, value []byte) {
@@ -86,7 +88,7 @@
 		case listed:
 		case again:
 			out.over = append(out.over, row.replica)
-		case !leaves && !row.replica.Leaving:
+		case !leaves && !row.replica.Leaving && !left(life):
 			out.gone = append(out.gone, row.replica)
 		}
 	}
@@ -123,7 +125,7 @@
 // done once followMu, which it needs, is free.
 func (n *Node) putInForce() (published func()) {
 	now := n.now()
-	changed := n.replicas.refresh(now)
+	changed := n.replicas.refresh(now, n.statements.hasLeft)
 	w := n.makeWorld()
 	cold := n.replicas.newlyCold(now, w.all)
 	n.world.Store(w)
@@ -152,7 +154,7 @@
 	}
 	for id, row := range n.replicas.lives {
 		r := row.replica
-		if _, ok := n.replicas.leaving[id]; ok {
+		if _, ok := n.replicas.leaving[id]; ok || n.statements.hasLeft(id) {
 			r.Leaving = true
 		}
 		r.Region = n.places.Of(r.Hall)
@@ -193,10 +195,11 @@
 	return n.replicas.log.Changed()
 }
 
-// leavingFor is how long a sign of leaving is kept.
+// leavingFor is how long a sign of leaving is kept that the replica did not state
+// itself: it may be wrong.
 const leavingFor = 2 * time.Minute
 
-// sawLeaving notes that a replica leaves, by its own or a peer's word.
+// sawLeaving notes a sign that a replica leaves, seen here or by a peer.
 func (n *Node) sawLeaving(id, sign string) {
 	n.followMu.Lock()
 	_, known := n.replicas.leaving[id]
@@ -211,8 +214,15 @@
 	n.publish()
 }
 
-// recentlyLeaving returns the replicas whose leaving is worth telling others.
-func (n *Node) recentlyLeaving() []string {
+// leavingNews returns the replicas whose leaving is worth telling others, and how
+// many of these, the first ones, have stated it themselves.
+func (n *Node) leavingNews() (out []string, said int) {
+	n.statements.with(func(b *stated.Book) { out = b.News(n.now(), tellLeavingFor, mostLeavingTold) })
+	return append(out, n.recentlyLeaving(mostLeavingTold-len(out))...), len(out)
+}
+
+// recentlyLeaving returns at most so many replicas that signs have shown to leave.
+func (n *Node) recentlyLeaving(most int) []string {
 	n.followMu.Lock()
 	defer n.followMu.Unlock()
 	var out []string
@@ -220,7 +230,7 @@
 		switch age := n.now() - at; {
 		case age > leavingFor:
 			delete(n.replicas.leaving, id)
-		case age < tellLeavingFor && len(out) < mostLeavingTold:
+		case age < tellLeavingFor && len(out) < most:
 			out = append(out, id)
 		}
 	}
--- a/coordination/health/health.go
+++ b/coordination/health/health.go
@@ -38,6 +38,7 @@
 	MostFails   float64       // share of failures beyond the service's own from which a replica is left alone
 	FullFor     time.Duration // that a replica which says it is full is left alone; a few short answers
 	HearsayMost time.Duration // longest pause taken over from others
+	RestMost    time.Duration // that a replica which wants a rest counts as sick, here and by hearsay; chosen: it said so to one instance, and to others it is a hint
 }
 
 // Standard returns the constants in use.
@@ -49,6 +50,7 @@
 		MostFails:   0.35,
 		FullFor:     50 * time.Millisecond,
 		HearsayMost: 2 * time.Second,
+		RestMost:    time.Second,
 	}
 }
 
@@ -106,6 +108,14 @@
 	}
 }
 
+// Rests takes in that a replica wants nothing for so long.
+func (j *Judge) Rests(now time.Duration, id string, length time.Duration) {
+	r := j.row(id)
+	r.seen = now
+	r.pausedTo = max(r.pausedTo, now+min(length, j.opts.RestMost))
+	r.mine = true
+}
+
 func (j *Judge) pauseFor(now time.Duration, r *row) {
 	r.pause = min(max(2*r.pause, j.opts.PauseFirst), j.opts.PauseMost)
 	r.pausedTo = now + r.pause
--- a/coordination/pipeline/job.go
+++ b/coordination/pipeline/job.go
@@ -243,13 +243,13 @@
 func (s *Scheduler) freeResult(r *replica, handle string) {
 	r.drop(handle)
 	for i, a := range s.out { // one call to a replica for all that is freed at once
-		if f, ok := a.(Free); ok && f.Address == r.Address {
+		if f, ok := a.(Free); ok && f.Replica == r.ID {
 			f.Handles = append(f.Handles, handle)
 			s.out[i] = f
 			return
 		}
 	}
-	s.act(Free{Address: r.Address, Handles: []string{handle}})
+	s.act(Free{Service: r.Service, Replica: r.ID, Address: r.Address, Handles: []string{handle}})
 }
 
 // remove ends a job; what is at work of it is freed when it comes.
--- a/coordination/pipeline/late.go
+++ b/coordination/pipeline/late.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"math"
 	"slices"
 	"time"
 )
@@ -14,6 +15,9 @@
 // of others. Jobs that will be late, and those that are, go on behind the
 // others, the latter for a while.
 func (s *Scheduler) hopelessJobs(now time.Duration) {
+	for _, p := range s.order {
+		p.restTo = p.restsTo(now)
+	}
 	for _, id := range slices.Sorted(maps.Keys(s.jobs)) {
 		j := s.jobs[id]
 		if j.delivered {
@@ -23,6 +27,8 @@
 		switch {
 		case now >= j.dead, j.back && j.outOfTime(now):
 			s.fail(now, j, "deadline", 0)
+		case j.restsUntil() > now:
+			s.fail(now, j, WhyRest, j.restsUntil()-now)
 		case j.back:
 		case now > j.due && (!j.started || now > j.due+lateFor):
 			s.fail(now, j, "late", s.opts.Unknown)
@@ -36,6 +42,41 @@
 	}
 }
 
+// WhyRest is why a job ends for whose stages all replicas rest for too long.
+const WhyRest = "rest"
+
+// restsTo returns until when all replicas of a pool that take work rest; 0 when
+// one does not, or there is none.
+func (p *pool) restsTo(now time.Duration) time.Duration {
+	first := time.Duration(math.MaxInt64)
+	for _, r := range p.order {
+		if r.takes() {
+			first = min(first, r.restTo)
+		}
+	}
+	if first <= now || first == math.MaxInt64 {
+		return 0
+	}
+	return first
+}
+
+// restsUntil returns until when all replicas rest that a job waits for, where that
+// is too long for it: it would begin late, or after its deadline where work was
+// done for it. What is known is told at once, not at the deadline; 0 otherwise.
+func (j *job) restsUntil() time.Duration {
+	until := time.Duration(0)
+	for _, st := range j.stages {
+		last := st.latest
+		if j.started || j.back {
+			last = j.dead
+		}
+		if st.pool.restTo > last && st.waits() {
+			until = max(until, st.pool.restTo)
+		}
+	}
+	return until
+}
+
 // outOfTime reports whether a stage whose pieces still wait can't lead to a
 // result before the deadline.
 func (j *job) outOfTime(now time.Duration) bool {
--- a/coordination/pipeline/patience.go
+++ b/coordination/pipeline/patience.go
@@ -45,7 +45,7 @@
 func (p *pool) power(now time.Duration) float64 {
 	power := 0.0
 	for _, r := range p.order {
-		if r.serving(now) {
+		if r.serving(now) && now+soon >= r.restTo {
 			power += 1 / r.speed
 		}
 	}
--- a/coordination/pipeline/pipeline.go
+++ b/coordination/pipeline/pipeline.go
@@ -131,6 +131,8 @@
 
 // Free tells a replica which results nobody reads any more.
 type Free struct {
+	Service string
+	Replica string // one life's ID
 	Address string
 	Handles []string
 }
@@ -211,6 +213,16 @@
 	}
 }
 
+// Rests notes until when a replica wants nothing. It counts as one that is free
+// then, so that what has time waits for it and the rest is refused.
+func (s *Scheduler) Rests(id string, until time.Duration) {
+	for _, p := range s.order {
+		if r := p.replicas[id]; r != nil {
+			r.restTo = max(r.restTo, until)
+		}
+	}
+}
+
 // Seen takes in what a replica tells of itself: its free room, and whether it
 // is at work. It matters where another owner has used the replica lately.
 func (s *Scheduler) Seen(now time.Duration, id string, free int64, atWork bool) {
--- a/coordination/pipeline/pool.go
+++ b/coordination/pipeline/pool.go
@@ -21,6 +21,7 @@
 	factors  map[int64]float64
 	most     int            // calls in a second to a cold replica; 0: no bound
 	sent     *warmup.Window // to cold replicas
+	restTo   time.Duration  // until when all replicas rest, as of the last tick; 0: one does not
 }
 
 func newPool(name string) *pool {
@@ -44,6 +45,7 @@
 	shownAt  time.Duration // when they did
 	speed    float64       // time taken against time expected
 	pausedTo time.Duration
+	restTo   time.Duration // until when it wants nothing, as it said itself
 	pause    time.Duration // the last pause, doubled by the next
 }
 
@@ -85,7 +87,7 @@
 func (r *replica) takes() bool { return !r.leaving && !r.gone && !r.Emptied && !r.Withheld }
 
 func (r *replica) usable(now time.Duration) bool {
-	return r.call == nil && r.takes() && now >= r.pausedTo
+	return r.call == nil && r.takes() && now >= r.pausedTo && now >= r.restTo
 }
 
 // warm reports whether a replica is, or may get one more call while it is cold.
@@ -107,7 +109,7 @@
 	if r.call != nil {
 		return max(r.call.due, now)
 	}
-	return max(r.pausedTo, now)
+	return max(r.pausedTo, r.restTo, now)
 }
 
 func (r *replica) expire(now time.Duration) {
--- /dev/null
+++ b/coordination/stated/stated_test.go
@@ -0,0 +1,207 @@
+package stated
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+)
+
+const second = time.Second
+
+func all(string) bool { return true }
+
+func none(string) bool { return false }
+
+func may(b *Book, now time.Duration, life string) bool {
+	ok, _ := b.May(now, life)
+	return ok
+}
+
+// Leaving holds for as long as the life is listed, however long it drains, and
+// two minutes beyond; another life is not concerned.
+func TestLeavingHoldsForItsLife(t *testing.T) {
+	is := is.New(t)
+	b := New(Standard())
+	is.True(may(b, 0, "r@1"))
+	is.True(b.Leaves(0, "r@1"))
+	is.True(!b.Leaves(second, "r@1")) // said already
+	for now := second; now < 3600*second; now += second {
+		is.Equal(len(b.Sweep(now, all).Gone), 0)
+		ok, from := b.May(now, "r@1")
+		is.True(!ok && from == Never)
+	}
+	is.True(may(b, 3600*second, "r@2"))
+	is.Equal(len(b.Sweep(3599*second+b.opts.Unheard, none).Gone), 0) // it was listed last at 3,599 s
+	is.Equal(b.Sweep(3600*second+b.opts.Unheard, none).Gone, []string{"r@1"})
+	is.Equal(len(b.rows), 0)
+}
+
+// The longest of several rests holds, in whatever order their answers come.
+func TestTheLongestRestHolds(t *testing.T) {
+	is := is.New(t)
+	b := New(Standard())
+	is.True(b.Rests(0, "r", 3*second))
+	is.True(!b.Rests(second, "r", second)) // shortened
+	to, rests := b.RestsTo(second, "r")
+	is.True(rests && to == 3*second)
+	b.Rests(2*second, "r", 4*second) // extended
+	is.True(!may(b, 6*second-1, "r"))
+	is.True(may(b, 6*second, "r"))
+	is.Equal(b.Sweep(6*second-1, all).Rested, nil)
+	is.Equal(b.Sweep(6*second, all).Rested, []string{"r"})
+	is.Equal(b.Sweep(7*second, all).Rested, nil) // said once
+}
+
+// After a rest one request goes, then one more at once after each answer, then all.
+func TestAfterARestOneThenAFew(t *testing.T) {
+	is := is.New(t)
+	b := New(Standard())
+	b.Rests(0, "r", second)
+	_, ok := b.Begin(second-1, "r")
+	is.True(!ok)
+	first, ok := b.Begin(second, "r")
+	is.True(ok)
+	_, ok = b.Begin(second+1, "r")
+	is.True(!ok)
+	b.Answered(first)
+	second2, ok := b.Begin(second+2, "r") // the first may go on, a stream
+	is.True(ok)
+	b.End(first)
+	third, ok := b.Begin(second+3, "r")
+	is.True(ok)
+	_, ok = b.Begin(second+4, "r")
+	is.True(!ok)
+	for _, turn := range []Turn{second2, third} {
+		b.Answered(turn)
+		b.End(turn)
+	}
+	last, ok := b.Begin(second+5, "r")
+	is.True(ok)
+	b.Answered(last) // the fourth
+	b.End(last)
+	for range 100 {
+		_, ok := b.Begin(second+6, "r")
+		is.True(ok)
+	}
+	b.Sweep(second+7, all)
+	is.Equal(len(b.rows), 0)
+}
+
+// One that is not answered keeps the others away for a moment only.
+func TestASlowAnswerKeepsNobodyAway(t *testing.T) {
+	is := is.New(t)
+	b := New(Standard())
+	b.Rests(0, "r", second)
+	_, ok := b.Begin(second, "r")
+	is.True(ok)
+	ok, from := b.May(second+1, "r")
+	is.True(!ok && from == second+1)
+	_, ok = b.Begin(second+b.opts.Each, "r")
+	is.True(ok)
+	_, ok = b.Begin(second+b.opts.Each, "r")
+	is.True(!ok)
+}
+
+// Another rest begins anew; what was sent before it says nothing of it.
+func TestARestAfterARest(t *testing.T) {
+	is := is.New(t)
+	b := New(Standard())
+	b.Rests(0, "r", second)
+	old, _ := b.Begin(second, "r")
+	b.Rests(second+1, "r", second)
+	b.Answered(old)
+	b.End(old)
+	_, ok := b.Begin(2*second+1, "r")
+	is.True(ok)
+	_, ok = b.Begin(2*second+2, "r")
+	is.True(!ok)
+}
+
+// Fresh news is told by each heartbeat, older news in turn, so that who starts
+// later hears of all of it.
+func TestNewsIsToldInTurn(t *testing.T) {
+	is := is.New(t)
+	b := New(Standard())
+	for i := range 9 {
+		b.Leaves(0, fmt.Sprint("old", i))
+	}
+	b.Leaves(10*second, "new")
+	heard := make(map[string]bool)
+	for range 5 {
+		news := b.News(10*second, 3*second, 16)
+		is.Equal(len(news), 1+olderTold)
+		is.Equal(news[0], "new")
+		for _, life := range news {
+			heard[life] = true
+		}
+	}
+	is.Equal(len(heard), 10)
+	is.Equal(len(b.News(10*second, 3*second, 1)), 1)
+	is.Equal(len(b.News(10*second, 20*second, 4)), 4)
+}
+
+// A peer that names lives which nobody lists does not fill the book.
+func TestUnlistedLivesAreBounded(t *testing.T) {
+	is := is.New(t)
+	b := New(Options{Few: 4, Each: second, Unheard: 100 * second, Most: 10})
+	for i := range 50 {
+		b.Leaves(time.Duration(i), fmt.Sprint("life", 100+i))
+	}
+	is.Equal(len(b.Sweep(second, none).Gone), 40)
+	is.Equal(b.Left()[0], "life140")
+}
+
+// Whatever is said and sent in whatever order: nothing is sent to a life that has
+// left, nor in a rest, and after all rests everybody that has not left is used.
+func TestAnyOrderKeepsStatements(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		b := New(Standard())
+		lives := []string{"a", "b", "c"}
+		left, restTo := make(map[string]bool), make(map[string]time.Duration)
+		var turns []Turn
+		now := time.Duration(0)
+		for range rapid.IntRange(1, 80).Draw(t, "steps") {
+			now += time.Duration(rapid.IntRange(0, 700).Draw(t, "ms")) * time.Millisecond
+			life := rapid.SampledFrom(lives).Draw(t, "life")
+			switch rapid.IntRange(0, 6).Draw(t, "step") {
+			case 0:
+				length := time.Duration(rapid.IntRange(1, 3000).Draw(t, "rest")) * time.Millisecond
+				b.Rests(now, life, length)
+				restTo[life] = max(restTo[life], now+length)
+			case 1:
+				if rapid.IntRange(0, 9).Draw(t, "leaves") == 0 {
+					b.Leaves(now, life)
+					left[life] = true
+				}
+			case 2, 3:
+				turn, ok := b.Begin(now, life)
+				if ok && (left[life] || now < restTo[life]) {
+					t.Fatalf("sent to %s at %v: left %t, rests to %v", life, now, left[life], restTo[life])
+				}
+				if ok {
+					turns = append(turns, turn)
+				}
+			case 4:
+				if len(turns) > 0 {
+					b.Answered(turns[len(turns)-1])
+				}
+			case 5:
+				if len(turns) > 0 {
+					b.End(turns[0])
+					turns = turns[1:]
+				}
+			case 6:
+				b.Sweep(now, all)
+			}
+		}
+		now += 10 * second
+		for _, life := range lives {
+			if ok := may(b, now, life); ok == left[life] {
+				t.Fatalf("%s: may %t, left %t", life, ok, left[life])
+			}
+		}
+	})
+}
