--- a/cmd/node/cell.go
+++ b/cmd/node/cell.go
@@ -236,13 +236,16 @@
 // look takes in what a replica tells of itself.
 func (c *cell) look(r catalog.Replica) {
 	n := c.owner.node
-	free, atWork, err := n.report(r)
+	told, err := n.report(r)
 	if err != nil {
 		n.logAside("report", r.ID, err)
 		return
 	}
+	if told.Leaves {
+		n.takeLeaving(r.ID, "its own")
+	}
 	c.mu.Lock()
-	c.scheduler.Seen(n.now(), r.ID, free, atWork)
+	c.scheduler.Seen(n.now(), r.ID, told.Free, told.AtWork)
 	c.mu.Unlock()
 }
 
--- a/cmd/node/pieces.go
+++ b/cmd/node/pieces.go
@@ -86,15 +86,15 @@
 const reportFor = 60 * time.Millisecond
 
 // report asks a pool's replica for its state.
-func (n *Node) report(r catalog.Replica) (free int64, atWork bool, err error) {
+func (n *Node) report(r catalog.Replica) (platform.Report, error) {
 	ctx, cancel := context.WithTimeout(context.Background(), reportFor)
 	defer cancel()
 	status, _, data, err := n.call(ctx, ownCall{address: r.Address, replica: r.Name, from: stater{r.ID, r.Service}, method: fasthttp.MethodGet, path: platform.PathReport})
 	if err != nil {
-		return 0, false, err
+		return platform.Report{}, err
 	}
 	if status != fasthttp.StatusOK {
-		return 0, false, upstream.ErrCut
+		return platform.Report{}, upstream.ErrCut
 	}
 	return platform.ParseReport(data)
 }
