--- /dev/null
+++ b/cmd/ctl/builds.go
@@ -0,0 +1,55 @@
+package ctl
+
+import (
+	"cmp"
+	"fmt"
+	"io"
+	"strings"
+	"text/tabwriter"
+
+	"quinceroad/cmd/process"
+)
+
+// nodeBuild is what a node's dump of state holds of builds. Nodes that were built
+// before levels hold none of it.
+type nodeBuild struct {
+	Name       string
+	Build      string
+	Level      uint32
+	FleetLevel uint32
+	Waiting    []string // what needs a higher level of all
+	Instances  []struct {
+		Name  string
+		Level uint32
+	}
+}
+
+// builds prints which build nodes run, what all instances understand, and who is
+// behind.
+func (c *client) builds(addresses []string) (int, error) {
+	var all []nodeBuild
+	for _, address := range addresses {
+		var n nodeBuild
+		if err := nodeState(address, &n); err != nil {
+			return process.ExitFail, err
+		}
+		all = append(all, n)
+	}
+	return c.print(all, func() { printBuilds(c.out, all) })
+}
+
+func printBuilds(out io.Writer, all []nodeBuild) {
+	t := tabwriter.NewWriter(out, 0, 0, padding, ' ', 0)
+	defer func() { _ = t.Flush() }()
+	fmt.Fprintln(t, "NODE\tBUILD\tLEVEL\tOF ALL\tBEHIND\tWAITING FOR ALL")
+	for _, n := range all {
+		var behind []string
+		for _, i := range n.Instances {
+			if i.Level < n.Level {
+				behind = append(behind, i.Name)
+			}
+		}
+		fmt.Fprintf(t, "%s\t%s\t%d\t%d\t%s\t%s\n", n.Name, cmp.Or(n.Build, "before levels"), n.Level, n.FleetLevel,
+			cmp.Or(strings.Join(behind, ", "), "nobody"), cmp.Or(strings.Join(n.Waiting, "; "), "nothing"))
+	}
+}
--- /dev/null
+++ b/cmd/node/level.go
@@ -0,0 +1,117 @@
+package node
+
+import (
+	"sync"
+	"time"
+
+	"quinceroad/coordination/gossip"
+	"quinceroad/coordination/level"
+	"quinceroad/protocol/event"
+	"quinceroad/protocol/pb"
+)
+
+// thisLevel is what this build understands.
+const thisLevel = level.This
+
+// fleetLevel is what all instances understand, and what single ones were found
+// not to.
+type fleetLevel struct {
+	mu      sync.Mutex
+	fleet   level.Fleet
+	noTurns map[string]uint64 // by name of instances: the life that ended a question for a turn
+}
+
+// Heard takes in the levels of all that are alive, and reports whether another one
+// is in force now.
+func (l *fleetLevel) Heard(now time.Duration, all []uint32) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.fleet.Heard(now, all)
+}
+
+func (l *fleetLevel) inForce() uint32 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.fleet.InForce()
+}
+
+// knowsNoTurns reports whether an instance's build is known to know no turns of
+// suspects: such a one is asked once in its life.
+func (l *fleetLevel) knowsNoTurns(i gossip.Instance) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	life, ok := l.noTurns[i.Name]
+	return ok && life == i.Incarnation
+}
+
+func (l *fleetLevel) learnNoTurns(i gossip.Instance) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.noTurns == nil {
+		l.noTurns = make(map[string]uint64)
+	}
+	l.noTurns[i.Name] = i.Incarnation
+}
+
+// noteLevel takes in which levels those that are alive tell.
+func (n *Node) noteLevel(alive []gossip.Instance) {
+	levels := make([]uint32, 0, len(alive))
+	least := alive[0]
+	for _, i := range alive {
+		levels = append(levels, i.Level)
+		if i.Level < least.Level {
+			least = i
+		}
+	}
+	was := n.level.inForce()
+	if n.level.Heard(n.now(), levels) {
+		event.NodeFleetLevel.Log(n.log, "level", n.level.inForce(), "was", was, "of", thisLevel, "least", least.Name)
+	}
+}
+
+// lifeOf returns the life of a replica that a peer names. Builds before lives name
+// it by its name, which stands for the life that is listed.
+func (n *Node) lifeOf(id string) string {
+	if life, ok := n.world.Load().lives[id]; ok {
+		return life
+	}
+	return id
+}
+
+// nameOf returns a listed replica's name by its life, "" where both are the same.
+func (w *world) nameOf(life string) string {
+	for name, id := range w.lives {
+		if id == life {
+			return name
+		}
+	}
+	return ""
+}
+
+// spoken names a replica to who asked. Each build since lives were named sends a
+// fingerprint.
+func (n *Node) spoken(life string, ask *pb.StagesAsk) string {
+	if ask.Fingerprint != 0 {
+		return life
+	}
+	if name := n.world.Load().nameOf(life); name != "" {
+		return name
+	}
+	return life
+}
+
+// spokenAll names replicas to anybody: by their names too, after all of them, while
+// somebody may know these alone.
+func (n *Node) spokenAll(lives []string) []string {
+	w := n.world.Load()
+	if len(lives) == 0 || len(w.lives) == 0 || n.level.inForce() >= level.Lives {
+		return lives
+	}
+	out := lives
+	for _, life := range lives {
+		if name := w.nameOf(life); name != "" {
+			out = append(out, name)
+		}
+	}
+	return out
+}
--- a/cmd/node/members.go
+++ b/cmd/node/members.go
@@ -24,6 +24,7 @@
 		alive := n.alive()
 		n.logHeard(heard, alive)
 		n.noteFar(alive)
+		n.noteLevel(alive)
 		n.takeRole(alive)
 		n.noteSpeeds()
 		n.tell()
@@ -140,8 +141,10 @@
 	defer n.judgeMu.Unlock()
 	var out []*pb.SickReplica
 	for id, left := range n.judge.Sick(n.now()) {
-		if len(out) < mostSickTold {
-			out = append(out, &pb.SickReplica{Id: id, LeftMs: uint32(left.Milliseconds())})
+		for _, word := range n.spokenAll([]string{id}) {
+			if len(out) < mostSickTold {
+				out = append(out, &pb.SickReplica{Id: word, LeftMs: uint32(left.Milliseconds())})
+			}
 		}
 	}
 	return out
@@ -201,6 +204,7 @@
 	n.takeRollouts(h)
 	n.catchUp(now, h)
 	for i, id := range h.Leaving {
+		id = n.lifeOf(id)
 		if i < int(h.LeavingStated) {
 			n.takeLeaving(id, senderOf(h))
 			continue
@@ -225,10 +229,11 @@
 	var fresh []string
 	n.judgeMu.Lock()
 	for _, s := range h.Sick {
-		before := n.judge.Paused(now, s.Id)
-		n.judge.Hearsay(now, s.Id, time.Duration(s.LeftMs)*time.Millisecond)
-		if !before && n.judge.Paused(now, s.Id) {
-			fresh = append(fresh, s.Id)
+		id := n.lifeOf(s.Id)
+		before := n.judge.Paused(now, id)
+		n.judge.Hearsay(now, id, time.Duration(s.LeftMs)*time.Millisecond)
+		if !before && n.judge.Paused(now, id) {
+			fresh = append(fresh, id)
 		}
 	}
 	n.judgeMu.Unlock()
@@ -241,7 +246,7 @@
 	return &pb.InstanceNews{
 		Name: i.Name, Hall: i.Hall, Incarnation: i.Incarnation, Count: i.Count, Leaving: i.Leaving,
 		Front: i.Front, Link: i.Link, Datagram: i.Datagram, Configured: i.Configured, Owns: i.Owns, Share: i.Share,
-		Reads: i.Reads, Blind: i.Blind, Region: i.Region, AgeMs: uint32(i.Age.Milliseconds()),
+		Reads: i.Reads, Blind: i.Blind, Region: i.Region, Level: i.Level, AgeMs: uint32(i.Age.Milliseconds()),
 	}
 }
 
@@ -249,7 +254,7 @@
 	return gossip.Instance{
 		Name: p.Name, Hall: p.Hall, Incarnation: p.Incarnation, Count: p.Count, Leaving: p.Leaving,
 		Front: p.Front, Link: p.Link, Datagram: p.Datagram, Configured: p.Configured, Owns: p.Owns, Share: p.Share,
-		Reads: p.Reads, Blind: p.Blind, Region: p.Region, Age: time.Duration(p.AgeMs) * time.Millisecond,
+		Reads: p.Reads, Blind: p.Blind, Region: p.Region, Level: p.Level, Age: time.Duration(p.AgeMs) * time.Millisecond,
 	}
 }
 
@@ -280,5 +285,7 @@
 		n.arbitrate(first, stream)
 	case frame.Stages:
 		n.owner.serve(first, stream)
+	default: // of a later build, which knows this from a fault
+		_ = frame.Refuse(stream)
 	}
 }
--- a/cmd/node/node.go
+++ b/cmd/node/node.go
@@ -22,6 +22,7 @@
 	"quinceroad/coordination/evacuation"
 	"quinceroad/coordination/gossip"
 	"quinceroad/coordination/health"
+	"quinceroad/coordination/level"
 	"quinceroad/coordination/regions"
 	"quinceroad/coordination/shutdown"
 	"quinceroad/platform"
@@ -79,6 +80,7 @@
 	running    *running     // has a lock of its own, under which no other is taken
 	quarantine *quarantined // has a lock of its own, under which no other is taken
 	statements *statements  // the same
+	level      fleetLevel   // the same
 
 	judgeMu   sync.Mutex
 	judge     *health.Judge
@@ -145,6 +147,7 @@
 		Incarnation: uint64(time.Now().UnixNano()),
 		Front:       s.Front,
 		Link:        s.Link,
+		Level:       level.This,
 		Share:       uint32(s.ProcessorShare * 1000),
 		Datagram:    net.JoinHostPort(s.IP, strconv.Itoa(s.DatagramPort)),
 	}, gossip.Standard())
--- a/cmd/node/owned.go
+++ b/cmd/node/owned.go
@@ -51,7 +51,7 @@
 // news of its stream; it ends when news is closed.
 func (c *cell) run(ask *pb.StagesAsk, news <-chan *pb.StagesNews, send func(*pb.StagesReply) error) {
 	c.prepare()
-	r := &ownedRequest{cell: c, ask: ask, began: c.owner.node.now(), request: requestOf(ask)}
+	r := &ownedRequest{cell: c, ask: ask, began: c.owner.node.now(), request: requestOf(ask, c.owner.node.lifeOf)}
 	defer r.end()
 	ready, ok := r.stages(news, send)
 	if !ok {
@@ -186,7 +186,7 @@
 	if choice.Fetch != "" && choice.Fetch == r.request.Far.Address {
 		n.counters.farMoves.Inc(1)
 	}
-	reply.Engine, reply.Fetch, reply.Beside = choice.Replica.ID, choice.Fetch, uint32(choice.Beside)
+	reply.Engine, reply.Fetch, reply.Beside = n.spoken(choice.Replica.ID, r.ask), choice.Fetch, uint32(choice.Beside)
 	return reply
 }
 
@@ -239,7 +239,9 @@
 	r.cell.engines.End(r.cell.owner.node.now(), r.request.ID)
 }
 
-func requestOf(ask *pb.StagesAsk) *placement.Request {
+// requestOf reads what an ask says of the request itself; lifeOf finds the lives of
+// the replicas that it names.
+func requestOf(ask *pb.StagesAsk, lifeOf func(id string) string) *placement.Request {
 	r := &placement.Request{
 		Service: ask.Engine,
 		Out:     int(ask.TokensOut),
@@ -251,7 +253,7 @@
 		r.Parts = append(r.Parts, catalog.Part{ID: p.Id, Tokens: int(p.Tokens)})
 	}
 	for _, id := range ask.Avoid {
-		r.Avoid[id] = true
+		r.Avoid[lifeOf(id)] = true
 	}
 	return r
 }
--- a/cmd/node/pick.go
+++ b/cmd/node/pick.go
@@ -64,6 +64,7 @@
 		ask.Avoid = append(ask.Avoid, id)
 	}
 	ask.Avoid = append(ask.Avoid, s.node.restingReplicas(s.service.Name)...)
+	ask.Avoid = s.node.spokenAll(ask.Avoid)
 	total := 0
 	for i, st := range s.route.Stages {
 		work := &pb.StageWork{Service: st.Service, Pieces: uint32(s.req.Pieces[i]), Bytes: st.Bytes}
--- a/cmd/node/rollout_test.go
+++ b/cmd/node/rollout_test.go
@@ -74,7 +74,7 @@
 	reports := rollout.NewReports()
 	for _, p := range reportNews(3, rep) {
 		is.True(proto.Size(p) < packFrom)
-		reports.Take("n1", 1, reportOf(p))
+		reports.Take("n1", 1, reportOf(p, func(id string) string { return id }))
 	}
 	rows, _, _ := reports.Sums()
 	is.Equal(len(rows), 200)
--- a/cmd/node/stages.go
+++ b/cmd/node/stages.go
@@ -261,7 +261,7 @@
 				admitted = true
 				job.expects = expectationOf(r)
 			default:
-				job.handles, job.engine, job.fetch, job.beside = r.Handles, r.Engine, r.Fetch, int(r.Beside)
+				job.handles, job.engine, job.fetch, job.beside = r.Handles, n.lifeOf(r.Engine), r.Fetch, int(r.Beside)
 				return job, nil
 			}
 		case <-verdict.C:
--- a/cmd/node/state.go
+++ b/cmd/node/state.go
@@ -6,7 +6,9 @@
 	"strconv"
 	"time"
 
+	"quinceroad/cmd/process"
 	"quinceroad/coordination/gossip"
+	"quinceroad/coordination/level"
 	"quinceroad/coordination/pipeline"
 	"quinceroad/coordination/speed"
 	"quinceroad/coordination/stated"
@@ -17,6 +19,10 @@
 // State is the dump of a node's state: what it believes, without keys.
 type State struct {
 	Name       string
+	Build      string
+	Level      uint32   // what this build understands
+	FleetLevel uint32   // what all that are alive understand
+	Waiting    []string // what needs a higher one
 	Uptime     string
 	Stopping   bool
 	InFlight   int64
@@ -99,6 +105,8 @@
 	w := n.world.Load()
 	s := State{
 		Name:      n.settings.Name,
+		Build:     process.Build(),
+		Level:     thisLevel,
 		Uptime:    n.now().Round(time.Millisecond).String(),
 		Stopping:  n.stopping.Load(),
 		InFlight:  n.inFlight.Load(),
@@ -118,6 +126,8 @@
 		}
 	})
 	s.Leaving = append(s.Leaving, n.recentlyLeaving(mostLeavingTold)...)
+	s.FleetLevel = n.level.inForce()
+	s.Waiting = level.Waiting(s.FleetLevel)
 	n.followMu.Lock()
 	s.Emptied = n.emptied.Halls()
 	n.followMu.Unlock()
--- a/cmd/node/trial.go
+++ b/cmd/node/trial.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"io"
 	"net"
 	"slices"
 	"strconv"
@@ -38,14 +39,23 @@
 	ctx, cancel := context.WithTimeout(ctx, trialWait)
 	defer cancel()
 	err := errNoTurn
-	for i, arbiter := range n.arbiters(f) {
-		if i == mostArbiters || ctx.Err() != nil {
+	asked := 0
+	for _, arbiter := range n.arbiters(f) {
+		if asked == mostArbiters || ctx.Err() != nil {
 			break
 		}
+		if n.level.knowsNoTurns(arbiter) {
+			continue
+		}
 		var t *trial
 		if t, err = n.askTurn(ctx, arbiter, f); err == nil {
 			return t, nil
 		}
+		if errors.Is(err, io.EOF) || errors.Is(err, frame.ErrUnknown) { // its build ends what it does not know
+			n.level.learnNoTurns(arbiter)
+			continue
+		}
+		asked++
 		if errors.Is(err, errNoTurn) {
 			return nil, err
 		}
--- a/cmd/node/world.go
+++ b/cmd/node/world.go
@@ -20,6 +20,7 @@
 	services map[string][]catalog.Replica // those that may get work
 	sizes    map[string]int               // of the services, those included whose hall is being emptied
 	all      []catalog.Replica            // the leaving ones included
+	lives    map[string]string            // ids by names, of replicas that say when they were born
 	moves    map[string]*move             // by service: roll-outs
 	parting  sync.Once
 	parts    parts // of pools and engines; made when they are asked for
@@ -151,6 +152,7 @@
 func (n *Node) makeWorld() *world {
 	w := &world{
 		config: n.config, listed: n.replicas.log.Known(), places: n.places, services: make(map[string][]catalog.Replica), sizes: make(map[string]int),
+		lives: make(map[string]string),
 	}
 	for id, row := range n.replicas.lives {
 		r := row.replica
@@ -161,6 +163,9 @@
 		r.Emptied = n.emptied.Emptied(r.Hall)
 		r.ColdUntil = n.coldUntil(w.config, &row)
 		w.all = append(w.all, r)
+		if r.Born != 0 {
+			w.lives[r.Name] = r.ID
+		}
 		if !r.Leaving {
 			w.sizes[r.Service]++
 		}
@@ -218,7 +223,9 @@
 // many of these, the first ones, have stated it themselves.
 func (n *Node) leavingNews() (out []string, said int) {
 	n.statements.with(func(b *stated.Book) { out = b.News(n.now(), tellLeavingFor, mostLeavingTold) })
-	return append(out, n.recentlyLeaving(mostLeavingTold-len(out))...), len(out)
+	said = len(out)
+	out = append(out, n.recentlyLeaving(mostLeavingTold-said)...)
+	return n.spokenAll(out), said
 }
 
 // recentlyLeaving returns at most so many replicas that signs have shown to leave.
--- a/coordination/gossip/gossip.go
+++ b/coordination/gossip/gossip.go
@@ -33,6 +33,7 @@
 	Share       uint32   // of a processor, in thousandths
 	Reads       bool     // it follows the store for others
 	Blind       bool     // it did not reach the store when it last tried
+	Level       uint32   // of its build, that others must know to be understood; 0: it tells none
 
 	Age time.Duration // in a message: since its counter rose, as far as the sender knows
 }
@@ -150,6 +151,7 @@
 	}
 	if i.Incarnation == r.Incarnation {
 		i.Leaving = i.Leaving || r.Leaving
+		i.Level = max(i.Level, r.Level) // older builds don't pass it on
 	}
 	if !r.sameInfo(&i) {
 		r.told = 0
--- a/coordination/pipeline/rest_test.go
+++ b/coordination/pipeline/rest_test.go
@@ -39,7 +39,7 @@
 	v := b.submit(newTestJob("r", 1))
 	is.True(!v.Admitted)
 	is.True(v.RetryAfter >= 3*time.Second && v.RetryAfter <= 5*time.Second) // of the rest, what is beyond its objective of 2 s
-	b.s.Rests("read-a", 0) // shortened: what was said first holds
+	b.s.Rests("read-a", 0)                                                  // shortened: what was said first holds
 	is.True(!b.submit(newTestJob("s", 1)).Admitted)
 	b.now = 5 * time.Second
 	is.True(b.submit(newTestJob("t", 1)).Admitted)
--- a/protocol/event/event.go
+++ b/protocol/event/event.go
@@ -77,6 +77,7 @@
 	NodeReplicaLeft       = add(3037, hclog.Info, "replica has left", "replica", "A replica that said so has not been listed for a while, and is forgotten.", nothing)
 	NodeReplicaRests      = add(3038, hclog.Warn, "replica rests", "replica, service, for", "The replica turned a request away and wants nothing from this instance for so long.", "when it repeats, the service has too few replicas")
 	NodeReplicaRested     = add(3039, hclog.Info, "replica has rested", "replica", "Its rest is over: it gets one request, then a few, then any number.", nothing)
+	NodeFleetLevel        = add(3190, hclog.Warn, "level of all instances", "level, was, of, least", "What all instances that are alive understand of each other; of: what this build does; least: one that tells the least. Below it, guarantees that need all are not given: see docs/design/upgrades.md.", "go on with the upgrade; when it lasts, quincectl builds names who is behind")
 	NodeTakesBack         = add(3032, hclog.Info, "replica taken back", "replica", "A replica that was left alone has answered well.", nothing)
 	NodeOwns              = add(3040, hclog.Info, "pools owned", "cell", "Another instance took this one for the owner of these pools.", nothing)
 	NodeCallLost          = add(3041, hclog.Warn, "call of pieces lost", "replica, pieces, fate", "A replica did not run a call of pieces, or its answer did not come; the pieces go to others.", "look at that replica when it repeats")
--- a/protocol/frame/frame.go
+++ b/protocol/frame/frame.go
@@ -8,6 +8,7 @@
 	"io"
 
 	"google.golang.org/protobuf/proto"
+	"google.golang.org/protobuf/types/known/emptypb"
 )
 
 // Kind tells what a frame carries and so what a new stream is for.
@@ -32,6 +33,10 @@
 	Trial                        // TrialAsk -> TrialReply when it is the sender's turn, then QuarantineCase; its close ends the trial
 )
 
+// Unknown answers a stream whose kind the peer does not know. It stands apart from
+// the kinds that builds add, so that each later build knows it.
+const Unknown Kind = 255
+
 // MaxLen bounds a frame; larger ones end the stream.
 const MaxLen = 8 << 20
 
@@ -43,6 +48,13 @@
 // ErrTooLarge is returned for a frame over MaxLen or without a kind.
 var ErrTooLarge = errors.New("frame: bad length")
 
+// ErrUnknown says that the peer does not know the kind of a stream: it runs an
+// older build.
+var ErrUnknown = errors.New("frame: the peer does not know this kind")
+
+// Refuse answers a stream of a kind that is not known.
+func Refuse(w io.Writer) error { return Write(w, Unknown, &emptypb.Empty{}) }
+
 // Write sends one message.
 func Write(w io.Writer, k Kind, m proto.Message) error {
 	b := make([]byte, headBytes, headBytes+proto.Size(m))
@@ -76,7 +88,10 @@
 
 // Read receives one message of any kind into m.
 func Read(r io.Reader, m proto.Message) error {
-	_, b, err := ReadRaw(r)
+	k, b, err := ReadRaw(r)
+	if err == nil && k == Unknown {
+		err = ErrUnknown
+	}
 	if err != nil {
 		return err
 	}
