--- a/cmd/node/level.go
+++ b/cmd/node/level.go
@@ -8,6 +8,7 @@
 	"quinceroad/coordination/level"
 	"quinceroad/protocol/event"
 	"quinceroad/protocol/pb"
+	"quinceroad/state/catalog"
 )
 
 // thisLevel is what this build understands.
@@ -80,12 +81,11 @@
 
 // nameOf returns a listed replica's name by its life, "" where both are the same.
 func (w *world) nameOf(life string) string {
-	for name, id := range w.lives {
-		if id == life {
-			return name
-		}
+	name := catalog.NameOf(life)
+	if w.lives[name] != life {
+		return ""
 	}
-	return ""
+	return name
 }
 
 // spoken names a replica to who asked. Each build since lives were named sends a
--- a/state/catalog/catalog.go
+++ b/state/catalog/catalog.go
@@ -213,6 +213,14 @@
 	return name + "@" + strconv.FormatInt(born, 10)
 }
 
+// NameOf is the name in what may be a life's ID; names may hold the sign too.
+func NameOf(id string) string {
+	if at := strings.LastIndexByte(id, '@'); at >= 0 {
+		return id[:at]
+	}
+	return id
+}
+
 // Takes reports whether the replica may get new work.
 func (r *Replica) Takes() bool { return !r.Leaving && !r.Emptied && !r.Withheld }
 
