A name that a newer build tells for others is not taken for the life that is listed here

Cause, found by reading: a sender that still lists the old life tells its name beside it; who lists the next one already would leave that alone for two minutes. Test: TestANameToldForOthersIsPassedOver (red without the change: one replica instead of none paused). All leaving: callers are told to come back as soon as where nothing is known, since replacements start before.

--- a/cmd/node/beside_test.go
+++ b/cmd/node/beside_test.go
@@ -42,6 +42,18 @@
 	is.Equal(len(n.world.Load().services["llm"]), 0)
 }
 
+// One of this build tells names for others, beside lives. The life that is listed
+// here may be the next one, of which nothing is said.
+func TestANameToldForOthersIsPassedOver(t *testing.T) {
+	is := is.New(t)
+	n := besideNode(t)
+	sender := &pb.InstanceNews{Name: "new", Incarnation: 1, Count: 1, Level: thisLevel}
+	n.takeHeartbeat(&pb.Heartbeat{News: []*pb.InstanceNews{sender}, Leaving: []string{"e1@6", "e1"}, LeavingStated: 1,
+		Sick: []*pb.SickReplica{{Id: "e1@6", LeftMs: 900}, {Id: "e1", LeftMs: 900}}})
+	is.Equal(len(n.world.Load().services["llm"]), 1)
+	is.Equal(len(n.pausedReplicas()), 0)
+}
+
 // An owner of an older build names an engine by its name, and one of this build is
 // asked by name to avoid one; it answers in the words that it is asked in.
 func TestAsksAndAnswersNameReplicasInBothWays(t *testing.T) {
--- a/cmd/node/level.go
+++ b/cmd/node/level.go
@@ -79,6 +79,24 @@
 	return id
 }
 
+// lifeToldBy returns the life of a replica that a heartbeat names; false for a
+// name that is told for others: builds that know lives tell them beside it, and
+// the life that is listed here may be the next one.
+func (n *Node) lifeToldBy(h *pb.Heartbeat, id string) (string, bool) {
+	life, isName := n.world.Load().lives[id]
+	switch {
+	case !isName:
+		return id, true
+	case len(h.News) > 0 && h.News[0].Level >= level.Lives:
+		return "", false
+	}
+	return life, true
+}
+
+// knowsLives reports whether an ask names replicas by their lives: each build
+// since these were named sends a fingerprint.
+func knowsLives(ask *pb.StagesAsk) bool { return ask.Fingerprint != 0 }
+
 // nameOf returns a listed replica's name by its life, "" where both are the same.
 func (w *world) nameOf(life string) string {
 	name := catalog.NameOf(life)
@@ -88,10 +106,9 @@
 	return name
 }
 
-// spoken names a replica to who asked. Each build since lives were named sends a
-// fingerprint.
+// spoken names a replica to who asked, in the words of the ask.
 func (n *Node) spoken(life string, ask *pb.StagesAsk) string {
-	if ask.Fingerprint != 0 {
+	if knowsLives(ask) {
 		return life
 	}
 	if name := n.world.Load().nameOf(life); name != "" {
--- a/cmd/node/members.go
+++ b/cmd/node/members.go
@@ -204,12 +204,14 @@
 	n.takeRollouts(h)
 	n.catchUp(now, h)
 	for i, id := range h.Leaving {
-		id = n.lifeOf(id)
-		if i < int(h.LeavingStated) {
-			n.takeLeaving(id, senderOf(h))
-			continue
+		life, ok := n.lifeToldBy(h, id)
+		switch {
+		case !ok:
+		case i < int(h.LeavingStated):
+			n.takeLeaving(life, senderOf(h))
+		default:
+			n.sawLeaving(life, "peer")
 		}
-		n.sawLeaving(id, "peer")
 	}
 	n.takeHearsay(now, h)
 	n.takeSpeeds(h.Speeds)
@@ -229,7 +231,10 @@
 	var fresh []string
 	n.judgeMu.Lock()
 	for _, s := range h.Sick {
-		id := n.lifeOf(s.Id)
+		id, ok := n.lifeToldBy(h, s.Id)
+		if !ok {
+			continue
+		}
 		before := n.judge.Paused(now, id)
 		n.judge.Hearsay(now, id, time.Duration(s.LeftMs)*time.Millisecond)
 		if !before && n.judge.Paused(now, id) {
--- a/cmd/node/owned.go
+++ b/cmd/node/owned.go
@@ -253,7 +253,10 @@
 		r.Parts = append(r.Parts, catalog.Part{ID: p.Id, Tokens: int(p.Tokens)})
 	}
 	for _, id := range ask.Avoid {
-		r.Avoid[lifeOf(id)] = true
+		if !knowsLives(ask) {
+			id = lifeOf(id)
+		}
+		r.Avoid[id] = true
 	}
 	return r
 }
--- a/cmd/node/serve.go
+++ b/cmd/node/serve.go
@@ -350,7 +350,7 @@
 		if failed.why == pipeline.WhyRest {
 			after += spreadReturn()
 		}
-	case errors.Is(err, errEmptied), errors.Is(err, errCold), errors.Is(err, errNoRegion), errors.Is(err, errNoTurn), errors.Is(err, errLeaving):
+	case errors.Is(err, errEmptied), errors.Is(err, errCold), errors.Is(err, errNoRegion), errors.Is(err, errNoTurn):
 		after = backLater
 	}
 	left := s.req.Deadline - s.since()
