--- a/cmd/node/attempt.go
+++ b/cmd/node/attempt.go
@@ -95,6 +95,13 @@
 	return err
 }
 
+// closesAtRefusal reports whether the replica turned the request away and closed
+// the connection, as one that leaves does, and stated no reason itself.
+func (a *attempt) closesAtRefusal() bool {
+	h := &a.head
+	return h.Closes && h.NotRun && h.Rest == 0 && !h.Leaves
+}
+
 // countAnswer counts what comes from another region.
 func (a *attempt) countAnswer(bytes int) {
 	if a.node.distance(a.replica.Hall) == regions.Far {
@@ -121,7 +128,7 @@
 		n.loads.Told(n.now(), a.replica.ID, a.head.Running+a.head.Waiting-1)
 	}
 	n.judgeMu.Unlock()
-	if a.head.Stranger || a.head.Closes && a.head.NotRun && a.head.Rest == 0 { // one that wants a rest stays
+	if a.head.Stranger || a.closesAtRefusal() {
 		n.sawLeaving(a.replica.ID, "answer")
 	}
 	switch {
--- a/cmd/node/beside_test.go
+++ b/cmd/node/beside_test.go
@@ -80,8 +80,8 @@
 	leaving, said := n.leavingNews()
 	is.Equal(leaving, []string{"e1@7", "e1"})
 	is.Equal(said, 1)
-	n.level.Heard(0, []uint32{thisLevel})
-	n.level.Heard(time.Hour, []uint32{thisLevel})
+	n.level.heard(0, []uint32{thisLevel})
+	n.level.heard(time.Hour, []uint32{thisLevel})
 	leaving, _ = n.leavingNews()
 	is.Equal(leaving, []string{"e1@7"})
 }
--- a/cmd/node/level.go
+++ b/cmd/node/level.go
@@ -22,9 +22,9 @@
 	noTurns map[string]uint64 // by name of instances: the life that ended a question for a turn
 }
 
-// Heard takes in the levels of all that are alive, and reports whether another one
+// heard takes in the levels of all that are alive, and reports whether another one
 // is in force now.
-func (l *fleetLevel) Heard(now time.Duration, all []uint32) bool {
+func (l *fleetLevel) heard(now time.Duration, all []uint32) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	return l.fleet.Heard(now, all)
@@ -65,15 +65,20 @@
 		}
 	}
 	was := n.level.inForce()
-	if n.level.Heard(n.now(), levels) {
-		event.NodeFleetLevel.Log(n.log, "level", n.level.inForce(), "was", was, "of", thisLevel, "least", least.Name)
+	if !n.level.heard(n.now(), levels) {
+		return
 	}
+	moved := event.NodeLevelRises
+	if n.level.inForce() < was {
+		moved = event.NodeLevelFalls
+	}
+	moved.Log(n.log, "level", n.level.inForce(), "was", was, "of", thisLevel, "least", least.Name)
 }
 
 // lifeOf returns the life of a replica that a peer names. Builds before lives name
 // it by its name, which stands for the life that is listed.
 func (n *Node) lifeOf(id string) string {
-	if life, ok := n.world.Load().lives[id]; ok {
+	if life, ok := n.world.Load().lifeByName[id]; ok {
 		return life
 	}
 	return id
@@ -83,7 +88,7 @@
 // name that is told for others: builds that know lives tell them beside it, and
 // the life that is listed here may be the next one.
 func (n *Node) lifeToldBy(h *pb.Heartbeat, id string) (string, bool) {
-	life, isName := n.world.Load().lives[id]
+	life, isName := n.world.Load().lifeByName[id]
 	switch {
 	case !isName:
 		return id, true
@@ -100,7 +105,7 @@
 // nameOf returns a listed replica's name by its life, "" where both are the same.
 func (w *world) nameOf(life string) string {
 	name := catalog.NameOf(life)
-	if w.lives[name] != life {
+	if w.lifeByName[name] != life {
 		return ""
 	}
 	return name
@@ -121,7 +126,7 @@
 // somebody may know these alone.
 func (n *Node) spokenAll(lives []string) []string {
 	w := n.world.Load()
-	if len(lives) == 0 || len(w.lives) == 0 || n.level.inForce() >= level.Lives {
+	if len(lives) == 0 || len(w.lifeByName) == 0 || n.level.inForce() >= level.Lives {
 		return lives
 	}
 	out := lives
--- a/cmd/node/world.go
+++ b/cmd/node/world.go
@@ -15,16 +15,16 @@
 
 // world is a consistent view of the configuration and the replicas.
 type world struct {
-	config   *catalog.Configuration
-	listed   bool                         // the replicas are known
-	services map[string][]catalog.Replica // those that may get work
-	sizes    map[string]int               // of the services, those included whose hall is being emptied
-	all      []catalog.Replica            // the leaving ones included
-	lives    map[string]string            // ids by names, of replicas that say when they were born
-	moves    map[string]*move             // by service: roll-outs
-	parting  sync.Once
-	parts    parts // of pools and engines; made when they are asked for
-	places   *regions.Map
+	config     *catalog.Configuration
+	listed     bool                         // the replicas are known
+	services   map[string][]catalog.Replica // those that may get work
+	sizes      map[string]int               // of the services, those included whose hall is being emptied
+	all        []catalog.Replica            // the leaving ones included
+	lifeByName map[string]string            // of replicas that say when they were born
+	moves      map[string]*move             // by service: roll-outs
+	parting    sync.Once
+	parts      parts // of pools and engines; made when they are asked for
+	places     *regions.Map
 }
 
 // replicaSet is what the store says of the replicas, with what was seen of
@@ -152,7 +152,7 @@
 func (n *Node) makeWorld() *world {
 	w := &world{
 		config: n.config, listed: n.replicas.log.Known(), places: n.places, services: make(map[string][]catalog.Replica), sizes: make(map[string]int),
-		lives: make(map[string]string),
+		lifeByName: make(map[string]string),
 	}
 	for id, row := range n.replicas.lives {
 		r := row.replica
@@ -164,7 +164,7 @@
 		r.ColdUntil = n.coldUntil(w.config, &row)
 		w.all = append(w.all, r)
 		if r.Born != 0 {
-			w.lives[r.Name] = r.ID
+			w.lifeByName[r.Name] = r.ID
 		}
 		if !r.Leaving {
 			w.sizes[r.Service]++
