--- a/cmd/ctl/builds.go
+++ b/cmd/ctl/builds.go
@@ -27,13 +27,9 @@
 // builds prints which build nodes run, what all instances understand, and who is
 // behind.
 func (c *client) builds(addresses []string) (int, error) {
-	var all []nodeBuild
-	for _, address := range addresses {
-		var n nodeBuild
-		if err := nodeState(address, &n); err != nil {
-			return process.ExitFail, err
-		}
-		all = append(all, n)
+	all, err := nodeStates[nodeBuild](addresses)
+	if err != nil {
+		return process.ExitFail, err
 	}
 	return c.print(all, func() { printBuilds(c.out, all) })
 }
--- a/cmd/ctl/quarantine.go
+++ b/cmd/ctl/quarantine.go
@@ -25,13 +25,9 @@
 
 // quarantine prints what nodes hold of requests that replicas have ended under.
 func (c *client) quarantine(addresses []string) (int, error) {
-	var all []nodeQuarantine
-	for _, address := range addresses {
-		var n nodeQuarantine
-		if err := nodeState(address, &n); err != nil {
-			return process.ExitFail, err
-		}
-		all = append(all, n)
+	all, err := nodeStates[nodeQuarantine](addresses)
+	if err != nil {
+		return process.ExitFail, err
 	}
 	return c.print(all, func() { printQuarantine(c.out, all) })
 }
--- a/cmd/ctl/rollouts.go
+++ b/cmd/ctl/rollouts.go
@@ -36,17 +36,24 @@
 
 // rollouts prints what nodes know of the roll-outs.
 func (c *client) rollouts(addresses []string) (int, error) {
-	var all []nodeRollouts
-	for _, address := range addresses {
-		var n nodeRollouts
-		if err := nodeState(address, &n); err != nil {
-			return process.ExitFail, err
-		}
-		all = append(all, n)
+	all, err := nodeStates[nodeRollouts](addresses)
+	if err != nil {
+		return process.ExitFail, err
 	}
 	return c.print(all, func() { printRollouts(c.out, all) })
 }
 
+// nodeStates reads what the dumps of state of some nodes hold into values of a type.
+func nodeStates[T any](addresses []string) ([]T, error) {
+	all := make([]T, len(addresses))
+	for i, address := range addresses {
+		if err := nodeState(address, &all[i]); err != nil {
+			return nil, err
+		}
+	}
+	return all, nil
+}
+
 // nodeState reads what a node's dump of state holds into v.
 func nodeState(address string, v any) error {
 	status, body, err := web.NewClient().GetTimeout(nil, "http://"+address+"/debug/state", callTimeout)
