--- a/transport/link/silent_test.go
+++ b/transport/link/silent_test.go
@@ -3,10 +3,12 @@
 import (
 	"net"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
 
+	"github.com/hashicorp/yamux"
 	"github.com/matryer/is"
 )
 
@@ -35,6 +37,63 @@
 	return n, err
 }
 
+// failingConn is a connection that can no longer be written to once it is told
+// so, as after a reset by the peer: what it read before may still be on its way.
+type failingConn struct {
+	net.Conn
+	fails *atomic.Bool
+}
+
+func (c failingConn) Write(b []byte) (int, error) {
+	if c.fails.Load() {
+		return 0, syscall.EPIPE
+	}
+	return c.Conn.Write(b)
+}
+
+// Seen: an instance that woke after its machine had stood still for four seconds
+// did next to nothing for ten more, and took a configuration into force as late.
+// Its peers had ended their sessions meanwhile; its own ended as it wrote to them.
+// A session that its sender ends is closed before its receiver knows: hundreds
+// of readers of its streams look again without a pause until that one, which on
+// one processor comes after all of them, has its turn.
+func TestAFailedWriteDoesNotKeepTheProcessorBusy(t *testing.T) {
+	endsQuietly(t, func(m *yamux.Session, fails *atomic.Bool) {
+		fails.Store(true)
+		_, _ = m.Ping()
+	})
+}
+
+// endsQuietly has a session whose receiver is late end while streams are read,
+// and measures the processor's time.
+func endsQuietly(t *testing.T, end func(m *yamux.Session, fails *atomic.Bool)) {
+	is := is.New(t)
+	const late = 500 * time.Millisecond
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	defer ln.Close()
+	c, err := net.Dial("tcp", ln.Addr().String())
+	is.NoErr(err)
+	peer, err := ln.Accept()
+	is.NoErr(err)
+	defer peer.Close()
+	fails := &atomic.Bool{}
+	mux, err := client(newConn(failingConn{lateConn{c, late}, fails}, &Traffic{}))
+	is.NoErr(err)
+	var reading sync.WaitGroup
+	for range 10 {
+		s, err := mux.OpenStream()
+		is.NoErr(err)
+		reading.Go(func() { _, _ = s.Read(make([]byte, 1)) })
+	}
+	before := cpuTime(t)
+	end(mux, fails)
+	reading.Wait()
+	if used := cpuTime(t) - before; used > late/2 {
+		t.Errorf("%v of processor time to end a session whose receiver was %v late", used, late)
+	}
+}
+
 // A peer that falls silent, as behind a cut, ends its session by the keepalive.
 // Everything that read from it then spun until the session's receiver had its
 // turn, which on one processor it got late for that.
