Instances don't remind each other for ever of a replica that has left

Cause, found by reading with a test of two books: a leaving was told for as long as it was kept, listed or not, and kept two minutes after the list: an instance that had forgotten it heard it anew from one that had not yet, and so on by turns. 58 times forgotten in an hour where it should be 2; and one that starts in a silence of the store forgot after two minutes what others went on telling.

Change: only who lists the life tells of it once it is no news; who is told keeps it for as long as it is told.

--- a/coordination/stated/stated.go
+++ b/coordination/stated/stated.go
@@ -22,7 +22,7 @@
 type Options struct {
 	Few     int           // answers after a rest, from which a replica gets any number of requests; chosen: with one more at once after each answer, some ten requests
 	Each    time.Duration // after the last request, one more may follow although none is answered; chosen: long answers must not keep a replica idle
-	Unheard time.Duration // that a statement of a life is kept which is not listed; chosen: entries that lapse with a silent store are back sooner
+	Unheard time.Duration // that a statement of a life is kept which neither this instance lists nor anybody who tells of it; chosen: entries that lapse with a silent store are back within seconds of its return
 	Most    int           // lives that are not listed; a bound against a peer that names many
 }
 
@@ -44,7 +44,8 @@
 	restTo time.Duration
 	rests  bool // restTo is not yet said to be over
 	ramp   *ramp
-	listed time.Duration // when it was listed last, or first named
+	listed time.Duration // when it was listed last, or named by who lists it
+	isHere bool          // it was listed at the last sweep
 }
 
 // ramp bounds what a replica gets after a rest; nil: nothing does.
@@ -70,6 +71,7 @@
 // Leaves takes in that a life says it leaves, and reports whether that is new.
 func (b *Book) Leaves(now time.Duration, life string) bool {
 	r := b.row(now, life)
+	r.listed = now
 	if r.leaves {
 		return false
 	}
@@ -181,8 +183,9 @@
 			r.rests = false
 			out.Rested = append(out.Rested, life)
 		}
+		r.isHere = listed(life)
 		switch {
-		case listed(life):
+		case r.isHere:
 			r.listed = now
 			if !r.leaves && !r.rests && r.ramp == nil {
 				delete(b.rows, life)
@@ -215,8 +218,10 @@
 }
 
 // News returns the lives that leave which are worth telling others: those known
-// since a moment ago, and in turn the others, for who starts later or was cut
-// off. The list of replicas may not tell them for as long as the store is silent.
+// since a moment ago, and in turn the others that are listed here, for who starts
+// later or was cut off. The list of replicas may not tell them for as long as the
+// store is silent. Who lists a life no more tells nobody of it: instances that
+// have forgotten it, one after the other, would remind each other for ever.
 func (b *Book) News(now, fresh time.Duration, most int) []string {
 	var out, older []string
 	for life, r := range b.rows {
@@ -224,7 +229,7 @@
 		case !r.leaves:
 		case now-r.since < fresh:
 			out = append(out, life)
-		default:
+		case r.isHere:
 			older = append(older, life)
 		}
 	}
--- a/coordination/stated/stated_test.go
+++ b/coordination/stated/stated_test.go
@@ -129,6 +129,7 @@
 		b.Leaves(0, fmt.Sprint("old", i))
 	}
 	b.Leaves(10*second, "new")
+	b.Sweep(10*second, all)
 	heard := make(map[string]bool)
 	for range 5 {
 		news := b.News(10*second, 3*second, 16)
@@ -143,6 +144,42 @@
 	is.Equal(len(b.News(10*second, 20*second, 4)), 4)
 }
 
+// Two instances that tell each other of a life don't remind each other of it for
+// ever: once nobody lists it, both forget it.
+func TestALifeThatIsGoneIsForgottenByAll(t *testing.T) {
+	is := is.New(t)
+	a, b := New(Standard()), New(Standard())
+	a.Leaves(0, "r@1")
+	forgotten := 0
+	for now := time.Duration(0); now < 3600*second; now += 200 * time.Millisecond {
+		listedBy := func(until time.Duration) func(string) bool { return func(string) bool { return now < until } }
+		for _, pair := range [][2]*Book{{a, b}, {b, a}} {
+			for _, life := range pair[0].News(now, 3*second, 16) {
+				pair[1].Leaves(now, life)
+			}
+		}
+		forgotten += len(a.Sweep(now, listedBy(60*second)).Gone) + len(b.Sweep(now, listedBy(100*second)).Gone) // a cut from the store
+	}
+	is.Equal(forgotten, 2) // each once
+	is.True(a.Empty() && b.Empty())
+}
+
+// Who does not list a life hears of it from who does, for as long as that lasts:
+// it starts while the store is away, say.
+func TestALifeThatOthersListIsKept(t *testing.T) {
+	is := is.New(t)
+	a, b := New(Standard()), New(Standard())
+	a.Leaves(0, "r@1")
+	for now := 4 * second; now < 3600*second; now += second {
+		a.Sweep(now, all)
+		for _, life := range a.News(now, 3*second, 16) {
+			b.Leaves(now, life)
+		}
+		b.Sweep(now, none)
+		is.True(b.HasLeft("r@1"))
+	}
+}
+
 // A peer that names lives which nobody lists does not fill the book.
 func TestUnlistedLivesAreBounded(t *testing.T) {
 	is := is.New(t)
