--- a/cmd/node/beside_test.go
+++ b/cmd/node/beside_test.go
@@ -14,6 +14,7 @@
 	"quinceroad/protocol/frame"
 	"quinceroad/protocol/pb"
 	"quinceroad/state/catalog"
+	"quinceroad/transport/clock"
 	"quinceroad/transport/link"
 )
 
@@ -54,6 +55,36 @@
 	is.Equal(len(n.pausedReplicas()), 0)
 }
 
+// What a replica states holds for as long as its life is listed, however long it
+// drains; a sign is tried again.
+func TestAStatedLeavingOutlivesASign(t *testing.T) {
+	is := is.New(t)
+	n := besideNode(t)
+	m := &ages{}
+	n.clock = clock.From(m)
+	n.takeLeaving("e1@7", "its own")
+	n.sawLeaving("e2", "peer")
+	for range 100 {
+		m.day += time.Minute
+		n.leavingNews()
+		n.sweepStatements()
+		is.True(!n.replicaTakes("e1@7"))
+	}
+	is.True(n.replicaTakes("e2"))
+	n.replicas.log.Replace(map[string][]byte{"e1": replicaEntry(t, &catalog.Replica{
+		Service: "llm", Address: "10.0.0.1:80", Hall: "h", Version: "v", Slots: 1, Born: 8,
+	})}, 102)
+	n.publish()
+	is.True(n.replicaTakes("e1@8"))
+	is.Equal(len(n.world.Load().services["llm"]), 1)
+}
+
+// ages is a source of a clock that a test moves.
+type ages struct{ day time.Duration }
+
+func (a *ages) Now() (steady, day time.Duration) { return a.day, a.day }
+func (a *ages) Boot() (time.Duration, error)     { return a.day, nil }
+
 // An owner of an older build names an engine by its name, and one of this build is
 // asked by name to avoid one; it answers in the words that it is asked in.
 func TestAsksAndAnswersNameReplicasInBothWays(t *testing.T) {
--- a/cmd/node/node.go
+++ b/cmd/node/node.go
@@ -183,7 +183,7 @@
 	n.cancel = cancel
 	n.group, ctx = errgroup.WithContext(ctx)
 	loops := []func(context.Context){
-		n.followIntent, n.followReplicas, n.register, n.feelPulse, n.beat, n.hear, n.owner.tick, n.housekeeping, n.followRollouts, n.sweepStatements,
+		n.followIntent, n.followReplicas, n.register, n.feelPulse, n.beat, n.hear, n.owner.tick, n.housekeeping, n.followRollouts, n.followStatements,
 	}
 	for _, loop := range loops {
 		n.group.Go(func() error {
--- a/cmd/node/statements.go
+++ b/cmd/node/statements.go
@@ -23,10 +23,12 @@
 	mu   sync.Mutex
 	book *stated.Book
 	free map[string]*pipeline.Free // by life that rests: results nobody reads any more
+
+	quiet bool // nothing was stated at the last sweep; of the sweeps alone
 }
 
 func newStatements() *statements {
-	return &statements{book: stated.New(stated.Standard()), free: make(map[string]*pipeline.Free)}
+	return &statements{book: stated.New(stated.Standard()), free: make(map[string]*pipeline.Free), quiet: true}
 }
 
 // with runs f on the book.
@@ -112,40 +114,48 @@
 	}
 }
 
+// followStatements takes in what time changes of statements.
+func (n *Node) followStatements(ctx context.Context) {
+	process.Every(ctx, beatEach, n.sweepStatements)
+}
+
 // sweepStatements takes in what time has changed of statements.
-func (n *Node) sweepStatements(ctx context.Context) {
-	quiet := true
-	process.Every(ctx, beatEach, func() {
-		was := quiet
-		n.statements.with(func(b *stated.Book) { quiet = b.Empty() })
-		if quiet && was {
-			return
-		}
-		now := n.now()
-		listed := make(map[string]string) // service by life
-		for _, r := range n.world.Load().all {
-			listed[r.ID] = r.Service
+func (n *Node) sweepStatements() {
+	s := n.statements
+	was := s.quiet
+	s.with(func(b *stated.Book) { s.quiet = b.Empty() })
+	if s.quiet && was {
+		return
+	}
+	now := n.now()
+	listed := make(map[string]string) // service by life
+	for _, r := range n.world.Load().all {
+		listed[r.ID] = r.Service
+	}
+	var changes stated.Changes
+	leaving, resting := make(map[string]int64), make(map[string]int64)
+	count := func(by map[string]int64, life string) {
+		if service, ok := listed[life]; ok {
+			by[service]++
 		}
-		var changes stated.Changes
-		leaving, resting := make(map[string]int64), make(map[string]int64)
-		n.statements.with(func(b *stated.Book) {
-			changes = b.Sweep(now, func(life string) bool { _, ok := listed[life]; return ok })
-			for _, life := range b.Left() {
-				leaving[listed[life]]++
-			}
-			for life := range b.Resting(now) {
-				resting[listed[life]]++
-			}
-		})
-		for _, life := range changes.Rested {
-			event.NodeReplicaRested.Log(n.log, "replica", life)
+	}
+	s.with(func(b *stated.Book) {
+		changes = b.Sweep(now, func(life string) bool { return listed[life] != "" })
+		for _, life := range b.Left() {
+			count(leaving, life)
 		}
-		for _, life := range changes.Gone {
-			event.NodeReplicaLeft.Log(n.log, "replica", life)
+		for life := range b.Resting(now) {
+			count(resting, life)
 		}
-		n.counters.stated("leaving", leaving)
-		n.counters.stated("resting", resting)
 	})
+	for _, life := range changes.Rested {
+		event.NodeReplicaRested.Log(n.log, "replica", life)
+	}
+	for _, life := range changes.Gone {
+		event.NodeReplicaLeft.Log(n.log, "replica", life)
+	}
+	n.counters.stated("leaving", leaving)
+	n.counters.stated("resting", resting)
 }
 
 // restingReplicas returns the replicas of a service that want nothing from this
--- a/cmd/node/world.go
+++ b/cmd/node/world.go
@@ -33,7 +33,7 @@
 	log      *changes.Log
 	rows     map[string]replicaRow    // by name
 	lives    map[string]replicaRow    // the same, by life
-	leaving  map[string]time.Duration // by life: when it was seen
+	signs    map[string]time.Duration // of leaving, by life: when one was seen
 	broken   map[string]bool          // names of entries that can't be read: a log line has said so
 	saidCold map[string]time.Duration // by id: until when a log line has said that it is cold
 }
@@ -46,10 +46,10 @@
 
 func newReplicaSet() *replicaSet {
 	return &replicaSet{
-		log:     changes.New(platform.SameReplica),
-		rows:    make(map[string]replicaRow),
-		lives:   make(map[string]replicaRow),
-		leaving: make(map[string]time.Duration),
+		log:   changes.New(platform.SameReplica),
+		rows:  make(map[string]replicaRow),
+		lives: make(map[string]replicaRow),
+		signs: make(map[string]time.Duration),
 	}
 }
 
@@ -83,7 +83,7 @@
 	})
 	for life, row := range s.lives {
 		_, listed := lives[life]
-		_, leaves := s.leaving[life]
+		_, leaves := s.signs[life]
 		_, again := rows[row.replica.Name]
 		switch {
 		case listed:
@@ -156,7 +156,7 @@
 	}
 	for id, row := range n.replicas.lives {
 		r := row.replica
-		if _, ok := n.replicas.leaving[id]; ok || n.statements.hasLeft(id) {
+		if _, ok := n.replicas.signs[id]; ok || n.statements.hasLeft(id) {
 			r.Leaving = true
 		}
 		r.Region = n.places.Of(r.Hall)
@@ -200,16 +200,17 @@
 	return n.replicas.log.Changed()
 }
 
-// leavingFor is how long a sign of leaving is kept that the replica did not state
-// itself: it may be wrong.
-const leavingFor = 2 * time.Minute
+// signHolds is how long a sign of leaving is kept, a connection closed with a
+// refusal or another replica at the address: it may be wrong, so that the replica
+// is tried again. What a replica states itself holds for its life (statements).
+const signHolds = 2 * time.Minute
 
 // sawLeaving notes a sign that a replica leaves, seen here or by a peer.
 func (n *Node) sawLeaving(id, sign string) {
 	n.followMu.Lock()
-	_, known := n.replicas.leaving[id]
+	_, known := n.replicas.signs[id]
 	if !known {
-		n.replicas.leaving[id] = n.now()
+		n.replicas.signs[id] = n.now()
 	}
 	n.followMu.Unlock()
 	if known {
@@ -233,10 +234,10 @@
 	n.followMu.Lock()
 	defer n.followMu.Unlock()
 	var out []string
-	for id, at := range n.replicas.leaving {
+	for id, at := range n.replicas.signs {
 		switch age := n.now() - at; {
-		case age > leavingFor:
-			delete(n.replicas.leaving, id)
+		case age > signHolds:
+			delete(n.replicas.signs, id)
 		case age < tellLeavingFor && len(out) < most:
 			out = append(out, id)
 		}
