Failing test: who floods slows others, as the pools know no customers

Cause: coordination/pipeline gives the pools' room out by rank and time alone, so a customer that sends many times its usual takes it from all.

--- a/coordination/pipeline/pipeline.go
+++ b/coordination/pipeline/pipeline.go
@@ -74,6 +74,7 @@
 type Job struct {
 	RequestID string
 	Key       string
+	Customer  string
 	Rank      int           // 0 first
 	Hall      string        // where its results are best made; "" for anywhere
 	Objective time.Duration // from now, by when the stages should be done
