Customers' shares of the pools: who floods is held to what the others leave

Cause: see the failing test before; the pools' room went by rank and time alone.

Change: coordination/shares parts a resource by weighted max-min fairness over who asks; weights are what a customer usually has, an equal part at least. Held is who asks for clearly more than the others, each against its usual: where all send more, ranks decide as before. A held customer's share comes in by time, its most urgent rank first; what is beyond goes behind everything within shares, is admitted only with time to spare, and what waited of it before it was held goes back as well. What a pool really does (room for results, calls that are not full) is followed by the queue of what is within shares.

--- a/cmd/node/ask.go
+++ b/cmd/node/ask.go
@@ -27,6 +27,9 @@
 	if len(ask.Parts) > platform.MostParts || ask.TokensOut > platform.MostTokens {
 		return fmt.Errorf("a prompt of %d parts, %d tokens to generate", len(ask.Parts), ask.TokensOut)
 	}
+	if len(ask.Customer) > mostCustomer {
+		return fmt.Errorf("a customer's name of %d bytes", len(ask.Customer))
+	}
 	for _, p := range ask.Parts {
 		if p.GetTokens() > platform.MostTokens {
 			return fmt.Errorf("a part of %d tokens", p.GetTokens())
--- a/cmd/node/owned.go
+++ b/cmd/node/owned.go
@@ -99,16 +99,19 @@
 	if !verdict.Admitted {
 		c.forgetFingerprint(job.RequestID)
 		n.counters.jobsRefused.Inc(1)
-		event.NodeJobRefused.Log(n.log, "request", job.RequestID, "rank", job.Rank, "again", job.Again,
+		event.NodeJobRefused.Log(n.log, "request", job.RequestID, "customer", job.Customer, "rank", job.Rank, "again", job.Again,
+			"short", verdict.Standing.Resource, "asked", verdict.Standing.Asked, "share", verdict.Standing.Share,
 			"expected", verdict.Expected, "wait", verdict.Expected-verdict.Own, "own", verdict.Own, "bound", verdict.Bound, "limit", verdict.Limit,
 			"engine_expected", time.Duration(reply.EngineUs)*time.Microsecond, "reads", reply.Reads, "moves", reply.Moves,
 			"objective", job.Objective, "deadline", job.Deadline, "stages", verdict.Explain(), "pools", c.pools(job))
+		reply.Standing = standingNews(verdict.Standing)
 		reply.Refused, reply.RetryAfterUs, reply.ExpectedUs = true, verdict.RetryAfter.Microseconds(), verdict.Expected.Microseconds()
 		_ = send(reply)
 		return pipeline.Deliver{}, false
 	}
 	n.counters.jobs.Inc(1)
 	r.askFar()
+	reply.Standing = standingNews(verdict.Standing)
 	reply.Admitted, reply.ExpectedUs = true, verdict.Expected.Microseconds()
 	if send(reply) != nil {
 		return pipeline.Deliver{}, false
@@ -121,8 +124,9 @@
 			}
 		case a := <-end:
 			if f, failed := a.(pipeline.Fail); failed {
-				event.NodeJobFailed.Log(n.log, "request", job.RequestID, "why", f.Why, "after", n.now()-r.began,
-					"expected", verdict.Expected, "rank", job.Rank, "again", job.Again, "stages", verdict.Explain())
+				event.NodeJobFailed.Log(n.log, "request", job.RequestID, "customer", job.Customer, "why", f.Why, "after", n.now()-r.began,
+					"expected", verdict.Expected, "rank", job.Rank, "again", job.Again,
+					"short", verdict.Standing.Resource, "stages", verdict.Explain())
 				_ = send(&pb.StagesReply{Failed: f.Why, RetryAfterUs: f.RetryAfter.Microseconds()})
 				return pipeline.Deliver{}, false
 			}
@@ -265,6 +269,7 @@
 	j := pipeline.Job{
 		RequestID: ask.RequestId,
 		Key:       ask.Key,
+		Customer:  ask.Customer,
 		Rank:      int(ask.Rank),
 		Objective: time.Duration(ask.ObjectiveUs) * time.Microsecond,
 		Deadline:  time.Duration(ask.DeadlineUs) * time.Microsecond,
--- a/cmd/node/pick.go
+++ b/cmd/node/pick.go
@@ -29,6 +29,10 @@
 	if errors.Is(err, errOwnerLost) && pieces == 0 && !done(ctx) {
 		return nil // this instance chooses by itself
 	}
+	var refused *refusedError
+	if errors.As(err, &refused) {
+		s.expects = refused.expects
+	}
 	if err != nil {
 		return err
 	}
@@ -53,6 +57,7 @@
 		Ended:     uint32(s.node.endedUnder(s.fingerprint)),
 
 		Fingerprint: uint64(s.fingerprint),
+		Customer:    nameOf(s.customer),
 	}
 	for _, p := range s.req.Prompt {
 		ask.Parts = append(ask.Parts, &pb.PromptPart{Id: p.ID, Tokens: uint32(p.Tokens)})
--- a/cmd/node/serve.go
+++ b/cmd/node/serve.go
@@ -345,9 +345,12 @@
 		after = max(rest.left(), backSoon) + spreadReturn()
 	case errors.As(err, &refused):
 		after = refused.after
+		if !refused.expects.standing.Within {
+			after += spreadReturn()
+		}
 	case errors.As(err, &failed):
 		after = max(failed.after, backSoon)
-		if failed.why == pipeline.WhyRest {
+		if failed.why == pipeline.WhyRest || failed.why == pipeline.WhyShare {
 			after += spreadReturn()
 		}
 	case errors.Is(err, errEmptied), errors.Is(err, errCold), errors.Is(err, errNoRegion), errors.Is(err, errNoTurn):
@@ -374,10 +377,10 @@
 	if err != nil {
 		why = err.Error()
 	}
-	event.NodeRequest.Log(s.node.log, "request", s.req.ID, "fingerprint", s.fingerprint, "route", s.route.Name, "rank", s.route.Priority, "why", why,
+	event.NodeRequest.Log(s.node.log, "request", s.req.ID, "customer", nameOf(s.customer), "fingerprint", s.fingerprint, "route", s.route.Name, "rank", s.route.Priority, "why", why,
 		"objective", s.route.Objective, "deadline", s.req.Deadline, "version", s.world.config.Version, "owner", s.owner,
 		"attempts", len(s.tried), "replica", s.replica, "took", s.since(), "staged", s.staged, "expected", s.expects.stages,
 		"engine_expected", s.expects.engine, "reads", s.expects.reads, "moves", s.expects.moves,
 		"first", s.first, "gap", s.gap, "tokens", s.req.TokensIn, "fetch", s.fetch, "pieces", s.req.Pieces, "region", s.region,
-		"chosen", s.chosen, "leaves", s.leaves)
+		"chosen", s.chosen, "leaves", s.leaves, "short", s.expects.standing.Resource, "asked", s.expects.standing.Asked, "share", s.expects.standing.Share)
 }
--- a/cmd/node/stages.go
+++ b/cmd/node/stages.go
@@ -13,6 +13,7 @@
 	"quinceroad/coordination/gossip"
 	"quinceroad/coordination/ownership"
 	"quinceroad/coordination/regions"
+	"quinceroad/coordination/shares"
 	"quinceroad/protocol/event"
 	"quinceroad/protocol/frame"
 	"quinceroad/protocol/pb"
@@ -34,7 +35,12 @@
 }
 
 // Error implements error.
-func (e *refusedError) Error() string { return fmt.Sprintf("stages refused, back in %v", e.after) }
+func (e *refusedError) Error() string {
+	if s := e.expects.standing; !s.Within {
+		return fmt.Sprintf("over its customer's share, back in %v", e.after)
+	}
+	return fmt.Sprintf("stages refused, back in %v", e.after)
+}
 
 // failedError says that the stages of a request could not be done.
 type failedError struct {
@@ -68,6 +74,7 @@
 type expectation struct {
 	stages, engine time.Duration
 	reads, moves   uint32 // tokens of its prompt that the engine reads, and fetches
+	standing       shares.Standing
 }
 
 func expectationOf(r *pb.StagesReply) expectation {
--- a/coordination/pipeline/flood_test.go
+++ b/coordination/pipeline/flood_test.go
@@ -57,6 +57,7 @@
 	scale     float64 // of the kinds' requests a second
 	floods    []flood
 	repeats   bool // refused clients come back at once and not as told
+	nameless  bool // all requests are one customer's
 	seed      uint64
 }
 
@@ -233,7 +234,9 @@
 		RequestID: r.id, Key: r.id, Rank: r.kind.rank, Stages: r.kind.stages, Again: r.again,
 		Objective: r.kind.objective, Deadline: r.kind.deadline - (f.now - r.first),
 	}
-	j.Customer = fmt.Sprint("customer-", r.customer)
+	if !f.load.nameless {
+		j.Customer = fmt.Sprint("customer-", r.customer)
+	}
 	v, actions := f.s.Submit(f.now, j)
 	if v.Admitted {
 		f.jobs[v.ID] = r
@@ -341,6 +344,66 @@
 	}
 }
 
+// overloads is loads in which all customers send more at once.
+func overloads() map[string]floodLoad {
+	everybody := func(customers int, times float64, kind string, from, to time.Duration) []flood {
+		var out []flood
+		for c := range customers {
+			out = append(out, flood{customer: c, times: times, kind: kind, from: from, to: to})
+		}
+		return out
+	}
+	return map[string]floodLoad{
+		"5, all kinds 3 times":        {customers: 5, skew: 1, replicas: 6, scale: 1.2, seed: 1, floods: everybody(5, 3, "", 5*time.Second, 10*time.Second)},
+		"5, the urgent kind 4 times":  {customers: 5, skew: 1, replicas: 6, scale: 1.2, seed: 1, floods: everybody(5, 4, "urgent", 5*time.Second, 10*time.Second)},
+		"5, the patient kind 6 times": {customers: 5, skew: 1, replicas: 6, scale: 1.2, seed: 1, floods: everybody(5, 6, "patient", 5*time.Second, 10*time.Second)},
+		"40, all kinds 3 times":       {customers: 40, skew: 1, replicas: 6, scale: 1.2, seed: 1, floods: everybody(40, 3, "", 5*time.Second, 10*time.Second)},
+		"just as much as there is":    {customers: 5, skew: 1, replicas: 6, scale: 2, seed: 1},
+	}
+}
+
+// worths is what an answer in time is worth, by kind, and late ones of it.
+var worths = map[string]float64{"urgent": 4, "usual": 1, "patient": 0.5}
+
+const lateWorth = 0.15
+
+// worth is what was earned of what was asked for.
+func (o outcomes) worth() float64 {
+	earned, owed := 0.0, 0.0
+	for _, kinds := range o {
+		for name, c := range kinds {
+			earned += worths[name] * (float64(c.inTime) + lateWorth*float64(c.late))
+			owed += worths[name] * float64(c.asked)
+		}
+	}
+	return earned / owed
+}
+
+// mostCost is what customers' shares may cost where none of them floods: part of
+// the worth, against the same load without customers.
+const mostCost = 0.01
+
+// Where all send more at once nobody floods: the most urgent of all is served
+// first, whoever sends it.
+func TestSharesCostLittleWhereAllSendMore(t *testing.T) {
+	for name, l := range overloads() {
+		t.Run(name, func(t *testing.T) {
+			with, without := 0.0, 0.0
+			const plays = 6
+			for l.seed = 1; l.seed <= plays; l.seed++ {
+				l.nameless = false
+				with += l.play().worth() / plays
+				l.nameless = true
+				without += l.play().worth() / plays
+			}
+			t.Logf("worth %.3f, without customers %.3f", with, without)
+			if with < without-mostCost {
+				t.Errorf("customers' shares cost %.3f", without-with)
+			}
+		})
+	}
+}
+
 // Who floods slows only itself: the others keep what they have without it.
 func TestWhoFloodsSlowsOnlyItself(t *testing.T) {
 	for name, l := range floodPatterns() {
--- a/coordination/pipeline/job.go
+++ b/coordination/pipeline/job.go
@@ -51,6 +51,7 @@
 	stages    []*stage
 	delivered bool
 	started   bool // a piece was given to a replica
+	surplus   bool // it is beyond its customer's share
 	back      bool // it stands back: admitted to be late, behind all that is in time
 }
 
--- a/coordination/pipeline/late.go
+++ b/coordination/pipeline/late.go
@@ -103,7 +103,11 @@
 	return false
 }
 
-func (s *Scheduler) demote(j *job) {
+// demote has a late job go on behind the others.
+func (s *Scheduler) demote(j *job) { s.rerank(j, lateRank) }
+
+// rerank puts a job that many ranks behind where it is.
+func (s *Scheduler) rerank(j *job, by int) {
 	var counted []*piece
 	for _, st := range j.stages {
 		for _, x := range st.pieces {
@@ -113,7 +117,7 @@
 			}
 		}
 	}
-	j.rank += lateRank
+	j.rank += by
 	for _, x := range counted {
 		x.count()
 	}
--- a/coordination/pipeline/pipeline.go
+++ b/coordination/pipeline/pipeline.go
@@ -17,6 +17,7 @@
 	"slices"
 	"time"
 
+	"quinceroad/coordination/shares"
 	"quinceroad/state/catalog"
 )
 
@@ -82,6 +83,7 @@
 	Again     bool          // it came back after a refusal
 	LateToo   bool          // it may be admitted to be late
 	Ended     int           // replicas that ended under its request
+	Needs     []shares.Need // of other things than pools, that run short too
 	Stages    []Stage
 }
 
@@ -100,6 +102,7 @@
 	Limit      time.Duration // that Expected was held against
 	Bound      string        // service whose pool it waits for longest; "" for none
 	Stages     []Forecast    // what Expected is made of, of the stages that have pieces
+	Standing   shares.Standing
 }
 
 // Action is what the caller must do; one of the types below.
@@ -156,6 +159,7 @@
 	calls   map[uint64]*call
 	next    uint64
 	returns map[int]*returns // by rank
+	shares  *shares.Table
 	out     []Action
 }
 
@@ -167,6 +171,7 @@
 		jobs:    make(map[uint64]*job),
 		calls:   make(map[uint64]*call),
 		returns: make(map[int]*returns),
+		shares:  shares.New(shares.Standard()),
 	}
 }
 
@@ -247,11 +252,16 @@
 	if !ok {
 		return Verdict{RetryAfter: s.opts.Unknown}, nil
 	}
+	standing := s.stand(now, job)
 	verdict := s.judge(now, job)
+	verdict.Standing = standing
 	if verdict.Expected > verdict.Limit {
 		verdict.RetryAfter = s.retryAfter(verdict)
 		return verdict, nil
 	}
+	if !job.surplus {
+		s.shares.Serve(job.Customer, job.Rank, job.Needs)
+	}
 	s.next++
 	job.id = s.next
 	s.jobs[job.id] = job
@@ -273,6 +283,7 @@
 // Tick does what is due by time alone; call it some times a second.
 func (s *Scheduler) Tick(now time.Duration) []Action {
 	s.overdueCalls(now)
+	s.holdBack(now)
 	s.hopelessJobs(now)
 	for _, p := range s.order {
 		for _, r := range p.order {
--- a/coordination/pipeline/pool.go
+++ b/coordination/pipeline/pool.go
@@ -21,7 +21,10 @@
 	factors  map[int64]float64
 	most     int            // calls in a second to a cold replica; 0: no bound
 	sent     *warmup.Window // to cold replicas
-	restTo   time.Duration  // until when all replicas rest, as of the last tick; 0: one does not
+	powerWas float64        // of its replicas, until powerTo
+	powerTo  time.Duration
+	does     float64       // of what its replicas could in full calls, as its queue shows
+	restTo   time.Duration // until when all replicas rest, as of the last tick; 0: one does not
 }
 
 func newPool(name string) *pool {
@@ -30,6 +33,7 @@
 		replicas: make(map[string]*replica),
 		factors:  make(map[int64]float64),
 		sent:     warmup.NewWindow(),
+		does:     1,
 	}
 }
 
--- /dev/null
+++ b/coordination/shares/part.go
@@ -0,0 +1,87 @@
+package shares
+
+import (
+	"cmp"
+	"maps"
+	"math"
+	"slices"
+)
+
+// part gives each customer its share: a level rises for all in proportion to
+// their weights until the resource is used up, and who asks for less than the
+// level gives it leaves the rest to the others.
+func (r *resource) part() {
+	total, usual := 0.0, 0.0
+	for _, f := range r.flows {
+		f.share = math.Inf(1)
+		usual += f.usual
+		total += f.asked() / r.opts.AskedFor.Seconds()
+	}
+	r.short = total > r.capacity
+	if !r.short {
+		return
+	}
+	asks := r.asks()
+	weights := 0.0
+	for i := range asks {
+		a := &asks[i]
+		a.usual = 1 / float64(len(asks))
+		if usual > 0 {
+			a.usual = a.flow.usual / usual
+		}
+		a.weight = max(a.usual, 1/float64(len(asks)))
+		weights += a.weight
+	}
+	r.findBeyond(asks, total)
+	slices.SortStableFunc(asks, func(a, b asking) int { return cmp.Compare(a.asked*b.weight, b.asked*a.weight) })
+	left := r.capacity
+	for _, a := range asks {
+		fair := left * a.weight / weights
+		if a.asked > fair && a.beyond {
+			a.flow.share = fair
+		}
+		left -= min(a.asked, fair)
+		weights -= a.weight
+	}
+}
+
+// asks returns the customers that ask for something, by name.
+func (r *resource) asks() []asking {
+	var out []asking
+	for _, name := range slices.Sorted(maps.Keys(r.flows)) {
+		f := r.flows[name]
+		if a := f.asked() / r.opts.AskedFor.Seconds(); a > 0 {
+			out = append(out, asking{flow: f, asked: a})
+		}
+	}
+	return out
+}
+
+// findBeyond marks the customers that ask for clearly more than the others do,
+// each against what it usually has; those found are no measure for the rest.
+// Where all ask for more, ranks decide as ever; and a few requests that happen to
+// come together are no flood.
+func (r *resource) findBeyond(asks []asking, total float64) {
+	few := r.opts.Few * total / max(r.requests, 1)
+	usual := 1.0
+	for found := true; found; {
+		found = false
+		for i := range asks {
+			a := &asks[i]
+			if !a.beyond && (a.asked-few)*(usual-a.usual) > r.opts.Beyond*a.weight*(total-a.asked) {
+				a.beyond, found = true, true
+				total -= a.asked
+				usual -= a.usual
+			}
+		}
+	}
+}
+
+// asking is a customer's part in one parting.
+type asking struct {
+	flow   *flow
+	asked  float64 // in a second
+	usual  float64 // its part of what is usually served
+	weight float64 // that, or an equal part where it is more
+	beyond bool
+}
--- /dev/null
+++ b/coordination/shares/shares.go
@@ -0,0 +1,128 @@
+// Package shares parts what runs short among customers: weighted max-min
+// fairness (Bertsekas and Gallager, Data Networks, 1987).
+//
+// A customer may take all that is free. Where more is asked for than there is,
+// who asks for less than its share is served as though the others weren't there,
+// and what it leaves is parted among the rest. A share is at least the same part
+// for everyone, and at least what a customer has usually been served: when all
+// ask for more at once, all are cut alike, and when one does, that one is.
+//
+// Within its share a customer's most urgent requests come first; what is beyond
+// it goes behind everything that is within its sender's share, however urgent.
+//
+// Shares follow what is asked for within a second or two. Nothing is saved up
+// while a customer asks for little, and nothing is held against it afterwards.
+//
+// A Table is pure: events and time in, decisions out. It is not safe for
+// concurrent use.
+package shares
+
+import "time"
+
+// Need is what a request takes of one resource.
+type Need struct {
+	Resource string
+	Work     float64 // in units of the resource's own, seconds of its replicas for instance
+	Capacity float64 // that the resource has of these in a second
+}
+
+// Standing is how a request stands within its customer's share.
+type Standing struct {
+	Within   bool
+	Resource string  // that runs shortest for it; "" for none
+	Asked    float64 // of that resource by its customer, in a second
+	Share    float64 // of that resource that its customer may have, in a second
+}
+
+// Options are the table's constants.
+type Options struct {
+	AskedFor  time.Duration // over which what is asked for is averaged
+	UsualFor  time.Duration // the same of what is usually served
+	Beyond    float64       // times as much as the others, by their weights, that a customer asks for before it is held to its share
+	Few       float64       // requests, over AskedFor, that may come together by chance
+	Ahead     time.Duration // of a share that may be used at once
+	PartEach  time.Duration // between two times that a resource is parted anew
+	LearnEach time.Duration // the same for what is usual
+	Forget    float64       // averages below this, in units of a resource a second, are dropped
+}
+
+// Standard returns the constants in use.
+func Standard() Options {
+	return Options{
+		AskedFor:  2 * time.Second,
+		UsualFor:  60 * time.Second,
+		Few:       4,
+		Beyond:    1.5,
+		Ahead:     300 * time.Millisecond,
+		PartEach:  100 * time.Millisecond,
+		LearnEach: time.Second,
+		Forget:    1e-4,
+	}
+}
+
+// Table knows what customers ask for of some resources.
+type Table struct {
+	opts      Options
+	resources map[string]*resource
+}
+
+// New returns a table that knows no resource.
+func New(opts Options) *Table {
+	return &Table{opts: opts, resources: make(map[string]*resource)}
+}
+
+// Ask takes in a request and what it needs, and tells how it stands. Each request
+// counts as asked for, whatever becomes of it; one that is taken is told to Serve.
+func (t *Table) Ask(now time.Duration, customer string, rank int, needs []Need) Standing {
+	out := Standing{Within: true}
+	for _, n := range needs {
+		r := t.resource(n.Resource)
+		r.capacity = n.Capacity
+		r.partIfDue(now)
+		f := r.flow(customer)
+		f.of(rank).work += n.Work
+		r.requests++
+		if f.held() && !f.hasCredit(now, rank, &t.opts) {
+			out = Standing{Resource: n.Resource, Asked: f.asked() / t.opts.AskedFor.Seconds(), Share: f.share}
+		}
+	}
+	return out
+}
+
+// Serve counts a request as served within its customer's share.
+func (t *Table) Serve(customer string, rank int, needs []Need) {
+	for _, n := range needs {
+		f := t.resource(n.Resource).flow(customer)
+		f.of(rank).credit -= n.Work
+		f.recent += n.Work
+	}
+}
+
+// Held returns the customers that ask for more of a resource than their share of
+// it, and that share, in a second.
+func (t *Table) Held(now time.Duration, resource string) map[string]float64 {
+	r := t.resources[resource]
+	if r == nil {
+		return nil
+	}
+	r.partIfDue(now)
+	if !r.short {
+		return nil
+	}
+	out := make(map[string]float64)
+	for customer, f := range r.flows {
+		if f.held() {
+			out[customer] = f.share
+		}
+	}
+	return out
+}
+
+func (t *Table) resource(name string) *resource {
+	r := t.resources[name]
+	if r == nil {
+		r = &resource{opts: &t.opts, flows: make(map[string]*flow)}
+		t.resources[name] = r
+	}
+	return r
+}
