A start after the clock went back is the later life

Between two starts of one name the clock may step back: the next life counts as dead to all until the clock has caught up, by hours where it was ahead by hours.

Change: who hears of a later life under its own name takes the next incarnation (as SWIM's members refute), in coordination/gossip and in coordination/membership; a peer that is told of an earlier life by its sender tells back what it knows, so that takes one message there and back; event 3200. The last number of all is heard by nobody, as nothing is beyond it. Older builds understand all of it: they pass the old life on in its turn, and the new one rises at that. While neither peers nor the store are reached nobody hears of either life, so nothing is to be decided.

--- a/cmd/node/members.go
+++ b/cmd/node/members.go
@@ -181,8 +181,10 @@
 
 func (n *Node) takeHeartbeat(h *pb.Heartbeat) {
 	now := n.now()
+	n.tellOutlived(h)
 	n.gossipMu.Lock()
 	var fresh []string
+	before := n.members.Self().Incarnation
 	for i, news := range h.News {
 		isNew := n.members.Merge(now, instanceOf(news))
 		if isNew && (i == 0 || news.Region == n.home) { // one of another region learns from those whom it tells
@@ -196,7 +198,12 @@
 	if len(fresh) > 0 {
 		known = n.members.Tell(now)
 	}
+	after := n.members.Self().Incarnation
 	n.gossipMu.Unlock()
+	if after != before {
+		event.NodeOutlives.Log(n.log, "was", before, "incarnation", after, "from", senderOf(h))
+		n.tell()
+	}
 	if len(fresh) > 0 {
 		n.send(fresh, known, n.speedsToTell(true), n.allOfQuarantine()) // who has just started learns of the others at once
 	}
@@ -218,6 +225,22 @@
 	n.takeQuarantine(h.Quarantine)
 }
 
+// tellOutlived tells the sender of a heartbeat what is known of its last life, if
+// that counts as the later one.
+func (n *Node) tellOutlived(h *pb.Heartbeat) {
+	if len(h.News) == 0 {
+		return
+	}
+	sender := instanceOf(h.News[0])
+	n.gossipMu.Lock()
+	last, ok := n.members.Outlived(&sender)
+	self := n.members.Self()
+	n.gossipMu.Unlock()
+	if ok {
+		n.send([]string{sender.Datagram}, gossip.Message{News: []gossip.Instance{self, last}}, nil, nil)
+	}
+}
+
 // senderOf names who sent a heartbeat.
 func senderOf(h *pb.Heartbeat) string {
 	if len(h.News) == 0 {
--- a/coordination/gossip/gossip.go
+++ b/coordination/gossip/gossip.go
@@ -10,6 +10,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"strconv"
 	"time"
@@ -131,6 +132,7 @@
 // the first word of that incarnation.
 func (v *View) Merge(now time.Duration, i Instance) bool {
 	if i.Name == v.self.Name {
+		v.outlive(&i)
 		return false
 	}
 	heard := now - i.Age
@@ -162,6 +164,27 @@
 	return isNew
 }
 
+// outlive takes in what others know of an earlier life under the own name. An
+// incarnation is a time of day, which goes back now and then: one that is not
+// higher than the last one's would not be heard of until the clock has caught up,
+// so this life takes the next one (as SWIM's members refute what is told of them).
+func (v *View) outlive(i *Instance) {
+	later := i.Incarnation > v.self.Incarnation || i.Incarnation == v.self.Incarnation && i.Count > v.self.Count
+	if later && i.Incarnation < math.MaxUint64 {
+		v.self.Incarnation = i.Incarnation + 1
+	}
+}
+
+// Outlived returns what is known of the last life of an instance that tells of
+// itself as of an earlier one: it must hear of that to be heard of itself.
+func (v *View) Outlived(i *Instance) (last Instance, ok bool) {
+	r := v.rows[i.Name]
+	if r == nil || i.Incarnation > r.Incarnation || i.Incarnation == r.Incarnation && i.Count >= r.Count {
+		return Instance{}, false
+	}
+	return r.Instance, true
+}
+
 func (v *View) insert(r *row) {
 	v.rows[r.Name], v.byKey[r.key] = r, r
 	at, _ := slices.BinarySearchFunc(v.order, r.Name, func(o *row, name string) int { return cmp.Compare(o.Name, name) })
--- a/coordination/gossip/gossip_test.go
+++ b/coordination/gossip/gossip_test.go
@@ -45,6 +45,9 @@
 				if f.cut[name] != f.cut[peer] || f.views[peer] == nil {
 					continue
 				}
+				if last, ok := f.views[peer].Outlived(&m.News[0]); ok {
+					v.Merge(f.now, last)
+				}
 				for _, i := range m.News {
 					f.views[peer].Merge(f.now, i)
 				}
--- a/coordination/membership/membership.go
+++ b/coordination/membership/membership.go
@@ -10,6 +10,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"sort"
 	"time"
@@ -112,10 +113,18 @@
 // mergeSelf refutes what others wrongly say of this instance.
 func (v *View) mergeSelf(m Member) bool {
 	r := v.rows[v.self]
+	next := *r
+	if m.Incarnation > r.Incarnation || m.Incarnation == r.Incarnation && m.Seq > r.Seq { // of the last life: the time of day went back since
+		if m.Incarnation == math.MaxUint64 {
+			return false
+		}
+		next.Incarnation = m.Incarnation + 1
+		v.set(&next)
+		return true
+	}
 	if m.Incarnation != r.Incarnation || m.Seq < r.Seq || m.State == Alive {
 		return false
 	}
-	next := *r
 	next.Seq = m.Seq + 1
 	v.set(&next)
 	return true
--- a/coordination/membership/membership_test.go
+++ b/coordination/membership/membership_test.go
@@ -135,3 +135,21 @@
 	}
 	is.True(hops <= 9)
 }
+
+// A coord that starts again after its clock went back is another life of it, and
+// the later one.
+func TestAStartAfterTheClockWentBackIsTheLaterOne(t *testing.T) {
+	for _, before := range []uint64{5, 6, 1 << 62} {
+		is := is.New(t)
+		a, last := New(member("a", 1)), New(member("b", before))
+		last.Update(func(m *Member) { m.Leaving = true })
+		exchange(0, a, last)
+		next := New(member("b", 5))
+		exchange(time.Second, a, next)
+		exchange(time.Second, a, next)
+		known, _ := a.Get("b")
+		is.Equal(known, next.Self())
+		is.True(!known.Leaving)
+		is.True(known.Incarnation > before)
+	}
+}
--- a/protocol/event/event.go
+++ b/protocol/event/event.go
@@ -63,6 +63,7 @@
 	NodeEntryBroken       = add(3022, hclog.Warn, "entry can't be read", "name", "An entry in the store is not an instance's or a replica's own; it is passed over.", "see who writes there")
 	NodeReads             = add(3023, hclog.Info, "reads the store", "reads", "This instance follows the store for its hall, or no longer does.", nothing)
 	NodeHears             = add(3024, hclog.Info, "instance heard of", "name, hall, incarnation", "Another instance is taken for alive.", nothing)
+	NodeOutlives          = add(3200, hclog.Warn, "earlier life outlived", "was, incarnation, from", "Others know of a life under this instance's name that counts as later than this one: the time of day has gone back between two starts. This instance has taken a higher incarnation.", "when it repeats, two instances have the same name")
 	NodeMisses            = add(3025, hclog.Info, "instance not heard of", "name, hall, incarnation, leaving", "Another instance has been silent for too long, or a connection to it failed; it is left out of addresses and ownership.", "for many at once look at the network between halls")
 	NodeReplicas          = add(3026, hclog.Info, "replicas changed", "from, changes, at, known", "The list of replicas changed, by the store's or a peer's word.", nothing)
 	NodeStoreSilent       = add(3027, hclog.Warn, "store silent", "error", "A reader asked the store whether it answers, and it did not; its waiting calls may be missed.", "see to the platform's store")
