What is beyond a share may wait for most of the time beside its own

A job's own time took up to .45 of its objective on the newcomers, so that .6 of the whole left its surplus .15 to wait in and pools idled. Now .8 of what is beside its own.

--- a/coordination/pipeline/expect.go
+++ b/coordination/pipeline/expect.go
@@ -87,7 +87,7 @@
 // limit is the time that a job's stages may be expected to take.
 func (s *Scheduler) limit(j *job) time.Duration {
 	if j.surplus {
-		return time.Duration(float64(j.Objective) * surplusMargin)
+		return j.surplusLimit(j.Objective)
 	}
 	if j.Again && !s.mayBeLate(j) {
 		return min(time.Duration(float64(j.Deadline)*s.opts.LastMargin), time.Duration(float64(j.Objective)*s.opts.LastTimes))
--- a/coordination/pipeline/share.go
+++ b/coordination/pipeline/share.go
@@ -14,10 +14,10 @@
 	// go behind all that are within one, and before what is late.
 	surplusRank = 500
 
-	// surplusMargin is the share of the objective that a job beyond its customer's
-	// share may be expected to take: what is within shares overtakes it on the way,
-	// and what is then given up has cost the pools' time for nothing.
-	surplusMargin = 0.6
+	// surplusMargin is the part of the time beside its own that a job beyond its
+	// customer's share may be expected to wait: what is within shares overtakes it
+	// on the way, and what is then given up has cost the pools' time for nothing.
+	surplusMargin = 0.8
 
 	// waitFor is how much of its share a customer that asks for more may have
 	// waiting. What waits was let in before it was seen that it floods, and would
@@ -171,11 +171,18 @@
 func (s *Scheduler) putBehind(now time.Duration, j *job) {
 	j.surplus = true
 	s.rerank(j, surplusRank)
-	expected, limit := s.expect(now, j), time.Duration(float64(j.due-now)*surplusMargin)
+	expected, limit := s.expect(now, j), j.surplusLimit(j.due-now)
 	if expected > limit {
 		s.fail(now, j, WhyShare, s.retryAfter(Verdict{Expected: expected, Limit: limit}))
 	}
 }
 
+// surplusLimit is the time that a job beyond its customer's share may be expected
+// to take, of so much until it is late.
+func (j *job) surplusLimit(objective time.Duration) time.Duration {
+	own := j.own()
+	return own + time.Duration(float64(objective-own)*surplusMargin)
+}
+
 // WhyShare is why a job ends that its customer's share does not hold.
 const WhyShare = "share"
