--- a/cmd/node/stages.go
+++ b/cmd/node/stages.go
@@ -82,6 +82,7 @@
 		stages: time.Duration(r.ExpectedUs) * time.Microsecond,
 		engine: time.Duration(r.EngineUs) * time.Microsecond,
 		reads:  r.Reads, moves: r.Moves,
+		standing: standingOf(r.Standing),
 	}
 }
 
--- a/coordination/pipeline/flood_test.go
+++ b/coordination/pipeline/flood_test.go
@@ -135,7 +135,6 @@
 	customer int
 	kind     *kind
 	first    time.Duration
-	asked    Job
 	again    bool
 }
 
