--- a/cmd/ctl/ctl.go
+++ b/cmd/ctl/ctl.go
@@ -36,6 +36,7 @@
   rollouts ADDR...   what nodes know of the roll-outs that are ordered, by their addresses for metrics
   quarantine ADDR... what nodes hold of requests that replicas have ended under, by their addresses for metrics
   acquit PRINT ADDR  let a condemned request be sent again; the node tells the others
+  customers ADDR...  what became of customers' requests, who asks for how much of the pools and who is held to its share
   builds ADDR...     which build nodes run, what all understand, who is behind; by their addresses for metrics
   losses FILE...     what logs say of requests not served in time, by cause and time
   config -f FILE     check a configuration as it is written into the platform's store
@@ -134,6 +135,8 @@
 		return c.rollouts(rest)
 	case name == "quarantine" && len(rest) > 0:
 		return c.quarantine(rest)
+	case name == "customers" && len(rest) > 0:
+		return c.customers(rest)
 	case name == "builds" && len(rest) > 0:
 		return c.builds(rest)
 	case name == "acquit" && len(rest) == 2:
@@ -162,6 +165,7 @@
 	"rollouts":   {"ADDR...", "quincectl rollouts 10.0.0.4:9101 10.0.0.5:9101"},
 	"quarantine": {"ADDR...", "quincectl quarantine 10.0.0.4:9101 10.0.0.5:9101"},
 	"acquit":     {"FINGERPRINT ADDR", "quincectl acquit 9c41d07be2a35f68 10.0.0.4:9101"},
+	"customers":  {"ADDR...", "quincectl customers 10.0.0.4:9101 10.0.0.5:9101"},
 	"builds":     {"ADDR...", "quincectl builds 10.0.0.4:9101 10.0.0.5:9101"},
 	"losses":     {"FILE...", "quincectl losses node-1.log node-2.log"},
 	"config":     {"-f FILE", "quincectl config -f configuration.json"},
--- a/cmd/ctl/losses.go
+++ b/cmd/ctl/losses.go
@@ -15,18 +15,20 @@
 const (
 	lossWindow = 2 * time.Second // in which losses are summed by time
 	shownIDs   = 3               // of requests, for each cause
-	whyServed  = "served"        // the reason of a request that was answered
+	overShare  = "over its customer's share"
+	whyServed  = "served" // the reason of a request that was answered
 )
 
 // account sums what became of requests, by cause and by time.
 type account struct {
-	asked    int
-	causes   map[string]*cause
-	windows  map[time.Time]*window
-	refusals map[string][]*refusal // by request
-	routes   map[string]*routeAccount
-	errors   []time.Duration // taken less expected, of stages that were run
-	restarts int
+	asked     int
+	causes    map[string]*cause
+	windows   map[time.Time]*window
+	refusals  map[string][]*refusal // by request
+	customers map[string]*customerLosses
+	routes    map[string]*routeAccount
+	errors    []time.Duration // taken less expected, of stages that were run
+	restarts  int
 }
 
 // cause is why requests were not served in time.
@@ -45,10 +47,11 @@
 
 func newAccount() *account {
 	return &account{
-		causes:   make(map[string]*cause),
-		windows:  make(map[time.Time]*window),
-		refusals: make(map[string][]*refusal),
-		routes:   make(map[string]*routeAccount),
+		causes:    make(map[string]*cause),
+		windows:   make(map[time.Time]*window),
+		refusals:  make(map[string][]*refusal),
+		customers: make(map[string]*customerLosses),
+		routes:    make(map[string]*routeAccount),
 	}
 }
 
@@ -76,6 +79,7 @@
 	w.asked++
 	name := a.why(l)
 	a.takeSize(l, name)
+	a.takeCustomer(l, name)
 	if name == "" {
 		return
 	}
@@ -98,6 +102,8 @@
 	switch {
 	case why == whyServed:
 		return lateness(l)
+	case strings.HasPrefix(why, overShare):
+		return overShare
 	case strings.HasPrefix(why, "stages refused"):
 		if r := a.refusalOf(l); r != nil {
 			return r.cause(l)
@@ -154,6 +160,7 @@
 	}
 	a.printRanks(c.out)
 	a.printSizes(c.out)
+	a.printCustomers(c.out)
 	fmt.Fprintf(c.out, "\n%-26s %6s %6s  %s\n", "from", "asked", "lost", "causes")
 	for _, at := range slices.SortedFunc(maps.Keys(a.windows), time.Time.Compare) {
 		w := a.windows[at]
--- a/cmd/ctl/story.go
+++ b/cmd/ctl/story.go
@@ -127,6 +127,8 @@
 	switch why := end.field("why"); {
 	case why == whyServed:
 		return served(end)
+	case strings.HasPrefix(why, overShare):
+		return overShareOf(end)
 	case strings.HasPrefix(why, "stages refused") && refused != nil:
 		return refusedBy(refused, end)
 	case strings.HasPrefix(why, "stages failed") && failed != nil:
@@ -141,6 +143,12 @@
 	}
 }
 
+// overShareOf tells by which figures a request was beyond its customer's share.
+func overShareOf(end *logLine) string {
+	return fmt.Sprintf("Refused by %s: customer %s is over its share of %s, of which it asked for %s seconds of replicas a second and may have %s while others wait.",
+		end.field("owner"), end.field("customer"), end.field("short"), end.field("asked"), end.field("share"))
+}
+
 // refusedBy tells what an owner expected of a refused request, and what bound it.
 func refusedBy(refused, end *logLine) string {
 	r := refusalOf(refused)
--- a/cmd/node/cell.go
+++ b/cmd/node/cell.go
@@ -30,6 +30,8 @@
 	calls        map[uint64]context.CancelFunc
 	asked        time.Duration                     // when a request last came
 	fingerprints map[string]quarantine.Fingerprint // by id of requests whose stages run
+
+	held map[holding]time.Duration // customers held to a share, since when; of the owner's tick alone
 }
 
 func (c *cell) refresh() {
--- a/cmd/node/counters.go
+++ b/cmd/node/counters.go
@@ -113,6 +113,12 @@
 	}
 }
 
+// held sets the gauge of how many customers are held to a share of how many of a
+// cell's pools.
+func (c *counters) held(cell, count int) {
+	metrics.GetOrRegisterGauge("node.customers_held."+strconv.Itoa(cell), c.registry).Update(int64(count))
+}
+
 // status returns the counter of answers with that status.
 func (c *counters) status(code int) metrics.Counter {
 	return metrics.GetOrRegisterCounter("node.answers."+strconv.Itoa(code), c.registry)
--- a/cmd/node/node.go
+++ b/cmd/node/node.go
@@ -77,10 +77,11 @@
 	cold     *coldness // has a lock of its own, which is taken last
 	rollouts *rollouts // the same
 
-	running    *running     // has a lock of its own, under which no other is taken
-	quarantine *quarantined // has a lock of its own, under which no other is taken
-	statements *statements  // the same
-	level      fleetLevel   // the same
+	running    *running       // has a lock of its own, under which no other is taken
+	quarantine *quarantined   // has a lock of its own, under which no other is taken
+	statements *statements    // the same
+	level      fleetLevel     // the same
+	customers  customerCounts // the same
 
 	judgeMu   sync.Mutex
 	judge     *health.Judge
--- a/cmd/node/owner.go
+++ b/cmd/node/owner.go
@@ -128,6 +128,7 @@
 	process.Every(ctx, tickEach, func() {
 		for _, c := range o.all() {
 			c.do(c.scheduler.Tick)
+			c.logHeld(o.node.now())
 		}
 		o.claim()
 	})
--- a/cmd/node/serve.go
+++ b/cmd/node/serve.go
@@ -99,6 +99,7 @@
 	if err != nil && errors.Is(ctx.Err(), context.Canceled) {
 		err = errLeft // whatever it looked like
 	}
+	s.node.customers.count(nameOf(s.customer), err, s.beyondShare(err))
 	s.log(err)
 	if err != nil {
 		s.fail(ctx, err)
@@ -369,6 +370,13 @@
 	s.node.answerOwn(s.w, s.req, &answerError{status: status, text: err.Error()})
 }
 
+// beyondShare reports whether a request was refused for its customer's share.
+func (s *serving) beyondShare(err error) bool {
+	var refused *refusedError
+	var failed *failedError
+	return errors.As(err, &refused) && !refused.expects.standing.Within || errors.As(err, &failed) && failed.why == pipeline.WhyShare
+}
+
 func (s *serving) log(err error) {
 	if !s.node.log.IsInfo() {
 		return
--- a/cmd/node/shares_test.go
+++ b/cmd/node/shares_test.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"fmt"
 	"strings"
 	"testing"
 	"time"
@@ -35,3 +36,23 @@
 	is.NoErr(checkAsk(&pb.StagesAsk{Customer: nameOf(long)}))
 	is.True(checkAsk(&pb.StagesAsk{Customer: long}) != nil)
 }
+
+// Customers by the thousand are counted, more than that together: nothing is lost
+// and memory is bounded.
+func TestCustomersAreCountedWithinABound(t *testing.T) {
+	is := is.New(t)
+	var c customerCounts
+	for i := range 5400 {
+		c.count(fmt.Sprint("customer-", i), nil, false)
+	}
+	c.count("customer-1", &failedError{why: "share"}, true)
+	c.count("customer-1", errLeft, false)
+	all := c.counts()
+	is.Equal(len(all), mostCounted+1)
+	is.Equal(all["customer-1"], customerCount{Sent: 3, Served: 1, Refused: 2, Beyond: 1})
+	sum := int64(0)
+	for _, n := range all {
+		sum += n.Sent
+	}
+	is.Equal(sum, int64(5402))
+}
--- a/cmd/node/state.go
+++ b/cmd/node/state.go
@@ -10,6 +10,7 @@
 	"quinceroad/coordination/gossip"
 	"quinceroad/coordination/level"
 	"quinceroad/coordination/pipeline"
+	"quinceroad/coordination/shares"
 	"quinceroad/coordination/speed"
 	"quinceroad/coordination/stated"
 	"quinceroad/protocol/event"
@@ -46,6 +47,7 @@
 	Region     string                 // this node's; "" where nobody can place its hall
 	Regions    map[string]RegionState // by name; "" of halls that nobody can place
 	LinkedTo   int
+	Customers  map[string]customerCount // what became of their requests here
 }
 
 // RegionState is what a node knows of a region.
@@ -56,6 +58,9 @@
 	Trip      string // of a question there and back, as it was lately
 }
 
+// mostSharesTold bounds the dump: customers of each pool, beside those held.
+const mostSharesTold = 10
+
 // CellState is a cell that this node has owned.
 type CellState struct {
 	Number  int
@@ -64,6 +69,7 @@
 	Streams int // at engines
 	Pools   []pipeline.PoolState
 	Engines map[string]speed.Figures // by service, as observed and told
+	Shares  []shares.Row             // of the customers that ask for most, and of all that are held to one
 }
 
 // These say why a node is not ready.
@@ -118,6 +124,7 @@
 		Resting:   make(map[string]string),
 		Instances: n.alive(),
 		LinkedTo:  n.links.Len(),
+		Customers: n.customers.counts(),
 	}
 	n.statements.with(func(b *stated.Book) {
 		s.Leaving = b.Left()
@@ -159,7 +166,7 @@
 		}
 		s.Cells = append(s.Cells, CellState{
 			Number: c.number, Jobs: c.scheduler.Jobs(), Calls: len(c.calls), Streams: c.engines.Running(), Pools: c.scheduler.Pools(n.now()),
-			Engines: engines,
+			Engines: engines, Shares: c.scheduler.Customers(n.now(), mostSharesTold),
 		})
 		c.mu.Unlock()
 	}
--- a/coordination/pipeline/share.go
+++ b/coordination/pipeline/share.go
@@ -186,3 +186,14 @@
 
 // WhyShare is why a job ends that its customer's share does not hold.
 const WhyShare = "share"
+
+// Customers returns those that ask for most of each pool, so many of each, and all
+// that are held to a share.
+func (s *Scheduler) Customers(now time.Duration, each int) []shares.Row {
+	return s.shares.Rows(now, each)
+}
+
+// Held returns who is held to a share of which pool.
+func (s *Scheduler) Held(now time.Duration) []shares.Row {
+	return slices.DeleteFunc(s.shares.Rows(now, 0), func(r shares.Row) bool { return !r.Held })
+}
--- /dev/null
+++ b/coordination/shares/rows.go
@@ -0,0 +1,47 @@
+package shares
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+// Row is what a table knows of a customer at a resource, for logs and the dump of
+// state.
+type Row struct {
+	Customer string
+	Resource string
+	Asked    float64 // in a second
+	Share    float64 // that it may have, in a second; 0 where it is not held to one
+	Held     bool
+}
+
+// Rows returns the customers that ask for most of each resource, so many of each,
+// and all that are held to a share.
+func (t *Table) Rows(now time.Duration, each int) []Row {
+	var out []Row
+	for name, r := range t.resources {
+		r.partIfDue(now)
+		rows := r.rows(name)
+		slices.SortFunc(rows, func(a, b Row) int { return cmp.Or(cmp.Compare(b.Asked, a.Asked), cmp.Compare(a.Customer, b.Customer)) })
+		for i, row := range rows {
+			if i < each || row.Held {
+				out = append(out, row)
+			}
+		}
+	}
+	slices.SortStableFunc(out, func(a, b Row) int { return cmp.Compare(a.Resource, b.Resource) })
+	return out
+}
+
+func (r *resource) rows(name string) []Row {
+	out := make([]Row, 0, len(r.flows))
+	for customer, f := range r.flows {
+		row := Row{Customer: customer, Resource: name, Asked: f.asked() / r.opts.AskedFor.Seconds(), Held: f.held()}
+		if row.Held {
+			row.Share = f.share
+		}
+		out = append(out, row)
+	}
+	return out
+}
