Shares follow what is asked for within a second

Held on for 4 s after a flood (x 9) had ended, as what was asked for faded over 2 s: the aim is two. Tests: two seconds after a flood what is usual is within the share, also the less urgent; a table that has just begun holds a flood within a second.

--- a/coordination/shares/shares.go
+++ b/coordination/shares/shares.go
@@ -49,7 +49,7 @@
 // Standard returns the constants in use.
 func Standard() Options {
 	return Options{
-		AskedFor:  2 * time.Second,
+		AskedFor:  time.Second,
 		UsualFor:  60 * time.Second,
 		Few:       4,
 		Beyond:    1.5,
