--- a/cmd/node/ask.go
+++ b/cmd/node/ask.go
@@ -12,9 +12,9 @@
 // Bounds of an ask, beyond what a client's request and a configuration can
 // state: an ask that ends its owner is put to the next one, and ends that too.
 const (
-	mostStages   = 64             // of a request; chosen: ten times what the deployments state
-	longestAsk   = 24 * time.Hour // either way, of a time in an ask; chosen: far beyond the longest deadline
-	mostAskBytes = 1 << 40        // bytes, of one result; chosen: more than a machine holds
+	mostStages   = 64             // of a request: far beyond what deployments state
+	longestAsk   = 24 * time.Hour // either way, of a time in an ask: far beyond the longest deadline
+	mostAskBytes = 1 << 40        // bytes, of one result: more than a machine holds
 )
 
 var errAskTimes = errors.New("a time is out of range")
--- a/cmd/node/attempt.go
+++ b/cmd/node/attempt.go
@@ -21,8 +21,8 @@
 )
 
 const (
-	connectFor    = 250 * time.Millisecond  // a replica that lives takes a connection in a few ms; chosen, below the shortest wait of a client
-	connIdle      = 6 * time.Second         // that a connection to a replica is kept where it states no time itself; chosen
+	connectFor    = 250 * time.Millisecond  // a replica that lives takes a connection in a few ms, below the shortest wait of a client
+	connIdle      = 6 * time.Second         // that a connection to a replica is kept where it states no time itself
 	maxAnswer     = 64 << 20                // bytes
 	patienceShare = 0.6                     // of the objective, that a repeatable request waits at one replica
 	patienceTimes = 4                       // of the replica's usual time
--- a/cmd/node/main.go
+++ b/cmd/node/main.go
@@ -28,7 +28,7 @@
 
 const (
 	queuedLines = 2000                   // of the log, that wait for their reader
-	closeLogFor = 100 * time.Millisecond // that the last lines of the log may take; chosen
+	closeLogFor = 100 * time.Millisecond // that the last lines of the log may take
 )
 
 // Main is the main function of quince-node; it returns the exit code.
--- a/cmd/node/pieces.go
+++ b/cmd/node/pieces.go
@@ -18,9 +18,9 @@
 )
 
 const (
-	callConnect = 250 * time.Millisecond // a replica that lives takes a connection in a few ms; chosen, below a call's fixed time
+	callConnect = 250 * time.Millisecond // a replica that lives takes a connection in a few ms, below a call's fixed time
 	callIdle    = 8 * time.Second        // that a connection to a pool's replica is kept
-	freeFor     = 500 * time.Millisecond // a loss costs room until results end by themselves; chosen
+	freeFor     = 500 * time.Millisecond // a loss costs room until results end by themselves
 	maxResults  = 1 << 20                // bytes of an answer
 )
 
--- a/cmd/node/pulse.go
+++ b/cmd/node/pulse.go
@@ -10,12 +10,11 @@
 )
 
 const (
-	// pulseEach is how often a reader asks whether the store answers. Chosen: a
-	// watch that the store missed is so given up 1.5 s after its return, within
-	// the 2 s in which the settings want a configuration in force. The question
-	// is a stale read, at a tenth of the price of a shorter watch's call.
+	// pulseEach is how often a reader asks whether the store answers: a watch
+	// that the store missed is given up so long after its return, within the time
+	// in which the settings want a configuration in force.
 	pulseEach = 1500 * time.Millisecond
-	pulseFor  = 700 * time.Millisecond // that an answer may take: 175 times the usual
+	pulseFor  = 700 * time.Millisecond // that an answer may take
 )
 
 // pulse knows whether the store has been silent. A store that was away never
--- a/cmd/node/serve.go
+++ b/cmd/node/serve.go
@@ -20,7 +20,7 @@
 
 const (
 	standardLeft  = 30 * time.Second       // of a request that states no deadline
-	backSoon      = 300 * time.Millisecond // when a client may come back where nothing is known of when; chosen, one heartbeat and a half
+	backSoon      = 300 * time.Millisecond // when a client may come back where nothing is known of when, one heartbeat and a half
 	backLater     = time.Second            // the same while no replica may take it: what cold ones get is counted by the second
 	mostUnsent    = 4                      // sends of one request that reached nobody or were turned away
 	mostWaits     = 6                      // for stages of a stream that broke off: with backSoon 1.8 s, less than clients wait for an event
--- a/cmd/node/statements.go
+++ b/cmd/node/statements.go
@@ -195,10 +195,10 @@
 var errLeaving = errors.New("all replicas are leaving")
 
 const (
-	restSpread   = time.Second            // over which callers come back after a rest, so that they are no wave; chosen: a replica takes some requests in it before it takes any number
-	restLook     = 20 * time.Millisecond  // between looks whether a replica may get a request; chosen, below an answer's usual time
-	shareToWait  = 0.125                  // of the objective, that a request waits for a replica where it has cost nothing yet; chosen: a caller told to come back loses more than that
-	mostRestLook = 200 * time.Millisecond // the same at most: a replica may come meanwhile; chosen
+	restSpread   = time.Second            // over which callers come back after a rest, so that they are no wave: a replica takes some requests in it before it takes any number
+	restLook     = 20 * time.Millisecond  // between looks whether a replica may get a request, below an answer's usual time
+	shareToWait  = 0.125                  // of the objective, that a request waits for a replica where it has cost nothing yet: a caller told to come back loses more than that
+	mostRestLook = 200 * time.Millisecond // the same at most: a replica may come meanwhile
 )
 
 // mayAll returns those of some replicas that may get a request now, and an error
--- a/cmd/node/trial.go
+++ b/cmd/node/trial.go
@@ -25,7 +25,7 @@
 // the turns. Two arbiters for a moment cost one more replica, no promise.
 
 const (
-	trialWait    = time.Second // that a request waits for its turn; chosen: an answer's usual time, and callers wait longer
+	trialWait    = time.Second // that a request waits for its turn: an answer's usual time, and callers wait longer
 	mostArbiters = 2           // asked for one turn
 )
 
--- a/cmd/quince-coord/main.go
+++ b/cmd/quince-coord/main.go
@@ -10,9 +10,8 @@
 	"quinceroad/cmd/process"
 )
 
-// gcPercent keeps a coord's memory within its budget: at 5,400 customers it
-// holds 22.9 MB instead of 29.3, for no processor time that could be measured
-// (docs/CAPACITY.md).
+// gcPercent keeps a coord's memory within its budget with customers by the
+// thousand.
 const gcPercent = 50
 
 func main() {
--- a/coordination/choice/choice.go
+++ b/coordination/choice/choice.go
@@ -133,7 +133,7 @@
 const (
 	unknownTime = 0.02  // seconds, of a replica that has not answered yet
 	otherHall   = 0.002 // seconds
-	otherRegion = 0.06  // seconds there and back, and as much again for the bytes: chosen
+	otherRegion = 0.06  // seconds there and back, and as much again for the bytes
 )
 
 func (t *Table) expected(now time.Duration, distance func(hall string) regions.Distance, r catalog.Replica) float64 {
--- a/coordination/evacuation/evacuation.go
+++ b/coordination/evacuation/evacuation.go
@@ -132,7 +132,7 @@
 }
 
 // tellFor is how long a return is told and kept: longer than replicas stay cold
-// after it, as deployments state so far (3 s); chosen.
+// after it.
 const tellFor = time.Minute
 
 // News returns the view for others.
--- a/coordination/health/health.go
+++ b/coordination/health/health.go
@@ -32,13 +32,13 @@
 
 // Options are the judge's constants.
 type Options struct {
-	PauseFirst  time.Duration // after the first bad sign, doubled by each next; chosen: a few usual answers
-	PauseMost   time.Duration // the longest; chosen: a replica that is back is missed for no longer
+	PauseFirst  time.Duration // after the first bad sign, doubled by each next: a few usual answers
+	PauseMost   time.Duration // the longest: a replica that is back is missed for no longer
 	Rate        float64       // weight of a new sign in the share of failures
 	MostFails   float64       // share of failures beyond the service's own from which a replica is left alone
 	FullFor     time.Duration // that a replica which says it is full is left alone; a few short answers
 	HearsayMost time.Duration // longest pause taken over from others
-	RestMost    time.Duration // that a replica which wants a rest counts as sick, here and by hearsay; chosen: it said so to one instance, and to others it is a hint
+	RestMost    time.Duration // that a replica which wants a rest counts as sick, here and by hearsay: it said so to one instance, and to others it is a hint
 }
 
 // Standard returns the constants in use.
--- a/coordination/level/level.go
+++ b/coordination/level/level.go
@@ -38,7 +38,7 @@
 // This is the level of this build.
 const This = Lives
 
-// Settle is for how long all must have told a level before it takes force; chosen:
+// Settle is for how long all must have told a level before it takes force:
 // above the silence after which an instance is taken for dead, so that one that is
 // away for a moment does not move it twice.
 const Settle = 3 * time.Second
--- a/coordination/pipeline/options.go
+++ b/coordination/pipeline/options.go
@@ -8,27 +8,27 @@
 
 // Options are the scheduler's constants.
 type Options struct {
-	Margin           float64       // share of the objective that a new job's expected end may take (trials: 0.85 to 1.25, no gain over 1)
+	Margin           float64       // share of the objective that a new job's expected end may take
 	LateWorth        float64       // of an answer in time that a late one keeps; stated by settings
-	ReturnWorth      float64       // the same of one that is in time after a refusal: its caller waited once for nothing; chosen
+	ReturnWorth      float64       // the same of one that is in time after a refusal: its caller waited once for nothing
 	ServedWorth      float64       // of being served at all, in time or late, beside these; stated by settings
-	LastMargin       float64       // share of the deadline, of one that came back or will be late; the engine needs the rest; chosen
-	LastTimes        float64       // and times of its objective, where nobody is admitted to be late: what ends much later is given up on the way (trials: 1.3 to 2.4, best 1.8)
-	LateShare        float64       // of the objective, for which a late job goes on (trials: 0 to 0.8, best 0.3)
-	OverdueTimes     float64       // a call is overdue after so many times what it should take; chosen, beyond what calls vary by
+	LastMargin       float64       // share of the deadline, of one that came back or will be late; the engine needs the rest
+	LastTimes        float64       // and times of its objective, where nobody is admitted to be late: what ends much later is given up on the way
+	LateShare        float64       // of the objective, for which a late job goes on
+	OverdueTimes     float64       // a call is overdue after so many times what it should take, beyond what calls vary by
 	OverdueSlack     time.Duration // and this
-	AtWork           float64       // share of a pool's replicas that arriving work may keep at work before pieces wait for company (simulated loads: 0.5 to 1, best 0.85)
-	LastFill         float64       // share of a batch that may take the last idle replica, urgent or not (trials: 0.3 to 0.75, best 0.5)
-	PressSlack       float64       // calls' fixed times before a piece's latest start, from when it waits for no company (simulated loads: 1.5 to 3, no difference)
-	LeaveHall        float64       // calls' fixed times between a piece's start in its hall and its latest start, under which it goes elsewhere (trials: 0 to 3; 2 and 3 best)
-	Tries            int           // of a piece; chosen: more cost others more than a job is worth
-	Busy             time.Duration // a replica that refused is left alone for; chosen, half of a short call
-	PauseFirst       time.Duration // a replica that failed is left alone for, doubled each time; chosen, two calls
-	PauseMost        time.Duration // at most; chosen: who is back is missed for no longer
-	Unknown          time.Duration // when a job may come back whose pools are not known or gone, or that was given up; chosen (trials: 1 s is no gain)
+	AtWork           float64       // share of a pool's replicas that arriving work may keep at work before pieces wait for company
+	LastFill         float64       // share of a batch that may take the last idle replica, urgent or not
+	PressSlack       float64       // calls' fixed times before a piece's latest start, from when it waits for no company
+	LeaveHall        float64       // calls' fixed times between a piece's start in its hall and its latest start, under which it goes elsewhere
+	Tries            int           // of a piece: more cost others more than a job is worth
+	Busy             time.Duration // a replica that refused is left alone for, half of a short call
+	PauseFirst       time.Duration // a replica that failed is left alone for, doubled each time, two calls
+	PauseMost        time.Duration // at most: who is back is missed for no longer
+	Unknown          time.Duration // when a job may come back whose pools are not known or gone, or that was given up
 	Cold             warmup.Limit  // of calls to a cold replica
-	SuspectsTogether int           // jobs in a call under which one replica has ended; chosen: about the root of the jobs in a full call
-	LeastRetry       time.Duration // until a refused job may come back (trials: 300 ms is no gain)
+	SuspectsTogether int           // jobs in a call under which one replica has ended: about the root of the jobs in a full call
+	LeastRetry       time.Duration // until a refused job may come back
 }
 
 // Option changes the options.
--- a/coordination/pipeline/plan.go
+++ b/coordination/pipeline/plan.go
@@ -108,9 +108,8 @@
 }
 
 // lastsFor is how long arrivals are taken to go on, fading, as they were seen
-// to come lately: a burst ends. In simulated loads with bursts of 4 to 7 s,
-// arrivals that go on for good let 0.21 of the least urgent go unserved, those
-// that fade in 4 s 0.15; in 2 s more of them are admitted and given up (0.11).
+// to come lately: a burst ends. Where they went on for good, the least urgent would be
+// refused for what does not come.
 const lastsFor = 4 * time.Second
 
 // arrive adds what comes until then.
--- a/coordination/pipeline/pool.go
+++ b/coordination/pipeline/pool.go
@@ -159,7 +159,7 @@
 }
 
 const (
-	learnRate   = 0.25 // of a call's error that is laid on its pieces' factors: some five calls settle it; chosen
+	learnRate   = 0.25 // of a call's error that is laid on its pieces' factors: some five calls settle it
 	leastFactor = 0.05 // of a pool's usual piece; a bound against a wrong measurement
 	mostFactor  = 4    // the same above
 	speedRate   = 0.3  // weight of the last call: a slow replica shows within three
--- a/coordination/pipeline/weigh.go
+++ b/coordination/pipeline/weigh.go
@@ -8,8 +8,8 @@
 }
 
 const (
-	returnRate  = 0.05 // weight of a new one: the last 20 or so count; chosen
-	returnPrior = 0.5  // before anything is seen; chosen
+	returnRate  = 0.05 // weight of a new one: the last 20 or so count
+	returnPrior = 0.5  // before anything is seen
 )
 
 func (s *Scheduler) returnsOf(rank int) *returns {
--- a/coordination/placement/options.go
+++ b/coordination/placement/options.go
@@ -11,7 +11,7 @@
 	Second       float64       // cost of a second until the first event
 	Late         float64       // of a first event after the objective
 	Stall        float64       // of holding one stream up for long
-	StallFrom    time.Duration // a hold-up begins to cost (trials: shares of the objective for pauses are worse)
+	StallFrom    time.Duration // a hold-up begins to cost
 	StallTo      time.Duration // and costs all
 	Beside       float64       // of generating for a second beside an engine's usual reading
 	Moved        float64       // of moving a token of a prompt from one engine to another; a setting
--- a/coordination/placement/speeds.go
+++ b/coordination/placement/speeds.go
@@ -76,5 +76,5 @@
 }
 
 // unstatedMove is the time to move a token where the configuration states no
-// link: chosen, a third of the slowest reading that is known.
+// link.
 const unstatedMove = 9 * time.Microsecond
--- a/coordination/readers/start.go
+++ b/coordination/readers/start.go
@@ -11,8 +11,8 @@
 }
 
 const (
-	peersFor   = 1500 * time.Millisecond // that who does not read for others waits for their news; chosen: ten times what the news takes in plays of 300
-	spreadOver = 1 * time.Second         // after which all have asked the store by themselves; chosen, as its rate is a second's
+	peersFor   = 1500 * time.Millisecond // that who does not read for others waits for their news
+	spreadOver = 1 * time.Second         // after which all have asked the store by themselves, as its rate is a second's
 )
 
 // Reads reports whether the instance asks the store by itself now. When all
--- a/coordination/regions/lending.go
+++ b/coordination/regions/lending.go
@@ -4,12 +4,12 @@
 
 // shortFor is how long a region that refused is not asked again for requests
 // that go no sooner: a call of a pool takes a quarter of a second, and before
-// one has ended its queue has hardly changed. Chosen.
+// one has ended its queue has hardly changed.
 const shortFor = 250 * time.Millisecond
 
 // silentFor is how long a region whose owner did not answer is not asked again:
 // in a cut each question costs its caller's patience, and heartbeats tell of a
-// cut after about as long again. Chosen.
+// cut after about as long again.
 const silentFor = time.Second
 
 // Lending remembers which regions refused lately, or did not answer. It is not
@@ -71,7 +71,7 @@
 func NewTrips() *Trips { return &Trips{took: make(map[string]time.Duration)} }
 
 const (
-	unknownTrip = 60 * time.Millisecond // to a region that has not answered yet: between cities of one country; chosen
+	unknownTrip = 60 * time.Millisecond // to a region that has not answered yet: between cities of one country
 	tripRate    = 0.2                   // weight of the last answer: the last five or so count
 	mostTrip    = time.Second           // a longer one tells of a loss, not of the distance
 )
--- a/coordination/rollout/sums.go
+++ b/coordination/rollout/sums.go
@@ -16,7 +16,7 @@
 	missed     = 0.05                   // that a bad one is trusted
 	leastRate  = 0.02                   // of bad answers, that a good version is granted however good the old one is
 	granted    = 1.5                    // times the old version's rate
-	leastHarm  = 0.25                   // more bad answers than that make a bad version; chosen, a smaller part takes longer to tell
+	leastHarm  = 0.25                   // more bad answers than that make a bad version, a smaller part takes longer to tell
 	mostRate   = 0.7                    // the highest rate that a version is granted
 	slowSteps  = 3                      // buckets above the old version's median: 2.8 times as slow
 	knownFrom  = 5                      // answers of the old version, from which its median counts
--- a/coordination/stated/stated.go
+++ b/coordination/stated/stated.go
@@ -20,9 +20,9 @@
 
 // Options are the book's constants.
 type Options struct {
-	Few     int           // answers after a rest, from which a replica gets any number of requests; chosen: with one more at once after each answer, some ten requests
-	Each    time.Duration // after the last request, one more may follow although none is answered; chosen: long answers must not keep a replica idle
-	Unheard time.Duration // that a statement of a life is kept which neither this instance lists nor anybody who tells of it; chosen: entries that lapse with a silent store are back within seconds of its return
+	Few     int           // answers after a rest, from which a replica gets any number of requests: with one more at once after each answer, some ten requests
+	Each    time.Duration // after the last request, one more may follow although none is answered: long answers must not keep a replica idle
+	Unheard time.Duration // that a statement of a life is kept which neither this instance lists nor anybody who tells of it: entries that lapse with a silent store are back within seconds of its return
 	Most    int           // lives that are not listed; a bound against a peer that names many
 }
 
--- a/transport/clock/clock.go
+++ b/transport/clock/clock.go
@@ -16,7 +16,7 @@
 )
 
 const (
-	leastDrift = 20 * time.Millisecond // of the time of day against the steady clock, from which the boot clock is asked; chosen, far above what is read at two moments
+	leastDrift = 20 * time.Millisecond // of the time of day against the steady clock, from which the boot clock is asked, far above what is read at two moments
 	leastGap   = 5 * time.Millisecond  // of the boot clock, that counts as a suspension
 )
 
--- a/transport/link/conn.go
+++ b/transport/link/conn.go
@@ -67,8 +67,8 @@
 	}
 }
 
-// endFor bounds the wait for a session's receiver; chosen, the time that yamux
-// itself waits for a write.
+// endFor bounds the wait for a session's receiver: the time that yamux itself
+// waits for a write.
 const endFor = writeTimeout
 
 // Read implements net.Conn.
