Requests that name no customer are held to nobody's share

Those of older builds, while two builds serve, and of routes that take anybody would count as one customer that floods: as weights are equal parts at first, half of all requests would be held to one part. Test red without it: .41 of them within, for 1.

--- a/coordination/shares/part.go
+++ b/coordination/shares/part.go
@@ -51,7 +51,7 @@
 	for _, name := range slices.Sorted(maps.Keys(r.flows)) {
 		f := r.flows[name]
 		if a := f.asked() / r.opts.AskedFor.Seconds(); a > 0 {
-			out = append(out, asking{flow: f, asked: a})
+			out = append(out, asking{flow: f, asked: a, known: name != ""})
 		}
 	}
 	return out
@@ -68,7 +68,7 @@
 		found = false
 		for i := range asks {
 			a := &asks[i]
-			if !a.beyond && (a.asked-few)*(usual-a.usual) > r.opts.Beyond*a.weight*(total-a.asked) {
+			if a.known && !a.beyond && (a.asked-few)*(usual-a.usual) > r.opts.Beyond*a.weight*(total-a.asked) {
 				a.beyond, found = true, true
 				total -= a.asked
 				usual -= a.usual
@@ -80,6 +80,7 @@
 // asking is a customer's part in one parting.
 type asking struct {
 	flow   *flow
+	known  bool    // whose it is; not where anybody may ask, or an older build does
 	asked  float64 // in a second
 	usual  float64 // its part of what is usually served
 	weight float64 // that, or an equal part where it is more
--- a/coordination/shares/shares_test.go
+++ b/coordination/shares/shares_test.go
@@ -79,6 +79,17 @@
 	is.Equal(got["b0"], 1.0)
 }
 
+// Requests of older builds and of routes that take anybody name no customer: they
+// are many customers', and held to nobody's share.
+func TestRequestsWithoutACustomerAreNotHeld(t *testing.T) {
+	is := is.New(t)
+	p := newPlay(0.1, 5)
+	p.run(2*time.Second, asks{"a", 0, 10}, asks{"b", 0, 10})
+	got := p.run(5*time.Second, asks{"", 0, 100}, asks{"a", 0, 10}, asks{"b", 0, 10})
+	is.Equal(got["0"], 1.0)
+	is.Equal(got["a0"], 1.0)
+}
+
 func TestTwoThatFloodAreHeld(t *testing.T) {
 	is := is.New(t)
 	p := newPlay(0.1, 5)
