What customers usually send is told with each ask; who is not known is not held

Change: instances count what each customer has sent lately (a minute, but for what was beyond its share) and tell its part with each ask; an owner goes by that until it has learnt for two seconds with enough for all. Where nobody can know, what is served first has to do, and until then nobody is held.

--- a/cmd/node/ask.go
+++ b/cmd/node/ask.go
@@ -30,6 +30,9 @@
 	if len(ask.Customer) > mostCustomer {
 		return fmt.Errorf("a customer's name of %d bytes", len(ask.Customer))
 	}
+	if part := ask.CustomerPart; !(part >= 0 && part <= 1) {
+		return fmt.Errorf("a customer's part of %v", part)
+	}
 	for _, p := range ask.Parts {
 		if p.GetTokens() > platform.MostTokens {
 			return fmt.Errorf("a part of %d tokens", p.GetTokens())
--- a/cmd/node/owned.go
+++ b/cmd/node/owned.go
@@ -10,6 +10,7 @@
 	"quinceroad/coordination/pipeline"
 	"quinceroad/coordination/placement"
 	"quinceroad/coordination/quarantine"
+	"quinceroad/coordination/shares"
 	"quinceroad/protocol/event"
 	"quinceroad/protocol/frame"
 	"quinceroad/protocol/pb"
@@ -270,6 +271,7 @@
 		RequestID: ask.RequestId,
 		Key:       ask.Key,
 		Customer:  ask.Customer,
+		Told:      shares.Told{Part: float64(ask.CustomerPart), Of: float64(ask.CustomerOf)},
 		Rank:      int(ask.Rank),
 		Objective: time.Duration(ask.ObjectiveUs) * time.Microsecond,
 		Deadline:  time.Duration(ask.DeadlineUs) * time.Microsecond,
--- a/cmd/node/pick.go
+++ b/cmd/node/pick.go
@@ -59,6 +59,7 @@
 		Fingerprint: uint64(s.fingerprint),
 		Customer:    nameOf(s.customer),
 	}
+	ask.CustomerPart, ask.CustomerOf = s.node.customers.usual(s.node.now(), ask.Customer)
 	for _, p := range s.req.Prompt {
 		ask.Parts = append(ask.Parts, &pb.PromptPart{Id: p.ID, Tokens: uint32(p.Tokens)})
 	}
--- a/cmd/node/shares_test.go
+++ b/cmd/node/shares_test.go
@@ -49,7 +49,13 @@
 	c.count("customer-1", errLeft, false)
 	all := c.counts()
 	is.Equal(len(all), mostCounted+1)
-	is.Equal(all["customer-1"], customerCount{Sent: 3, Served: 1, Refused: 2, Beyond: 1})
+	one := all["customer-1"]
+	is.Equal([]int64{one.Sent, one.Served, one.Refused, one.Beyond}, []int64{3, 1, 2, 1})
+	part, of := c.usual(0, "customer-1")
+	is.Equal(of, uint32(5401)) // but what was beyond its share
+	is.Equal(part, float32(2.0/5401))
+	_, of = c.usual(time.Hour, "customer-1")
+	is.Equal(of, uint32(0))
 	sum := int64(0)
 	for _, n := range all {
 		sum += n.Sent
--- a/coordination/pipeline/flood_test.go
+++ b/coordination/pipeline/flood_test.go
@@ -384,8 +384,19 @@
 
 // Where all send more at once nobody floods: the most urgent of all is served
 // first, whoever sends it.
-func TestSharesCostLittleWhereAllSendMore(t *testing.T) {
-	for name, l := range overloads() {
+func TestSharesCostLittleWhereAllSendMore(t *testing.T) { sharesCostLittle(t, overloads()) }
+
+// The same where there is too much from the first second on and nobody can know
+// what is usual.
+func TestSharesCostLittleInAnOverloadFromTheStart(t *testing.T) {
+	sharesCostLittle(t, map[string]floodLoad{
+		"5":  {customers: 5, skew: 1, replicas: 6, scale: 3},
+		"40": {customers: 40, skew: 1, replicas: 6, scale: 3},
+	})
+}
+
+func sharesCostLittle(t *testing.T, loads map[string]floodLoad) {
+	for name, l := range loads {
 		t.Run(name, func(t *testing.T) {
 			with, without := 0.0, 0.0
 			const plays = 6
--- a/coordination/pipeline/pipeline.go
+++ b/coordination/pipeline/pipeline.go
@@ -76,6 +76,7 @@
 	RequestID string
 	Key       string
 	Customer  string
+	Told      shares.Told   // of that
 	Rank      int           // 0 first
 	Hall      string        // where its results are best made; "" for anywhere
 	Objective time.Duration // from now, by when the stages should be done
--- a/coordination/pipeline/share.go
+++ b/coordination/pipeline/share.go
@@ -29,7 +29,7 @@
 // beyond it behind.
 func (s *Scheduler) stand(now time.Duration, j *job) shares.Standing {
 	j.Needs = append(j.Needs, s.needs(now, j)...)
-	standing := s.shares.Ask(now, j.Customer, j.Rank, j.Needs)
+	standing := s.shares.Ask(now, j.Customer, j.Rank, j.Told, j.Needs)
 	if !standing.Within {
 		j.surplus = true
 		j.rank += surplusRank
--- a/coordination/shares/part.go
+++ b/coordination/shares/part.go
@@ -11,10 +11,9 @@
 // their weights until the resource is used up, and who asks for less than the
 // level gives it leaves the rest to the others.
 func (r *resource) part() {
-	total, usual := 0.0, 0.0
+	total := 0.0
 	for _, f := range r.flows {
 		f.share = math.Inf(1)
-		usual += f.usual
 		total += f.asked() / r.opts.AskedFor.Seconds()
 	}
 	r.short = total > r.capacity
@@ -22,15 +21,13 @@
 		return
 	}
 	asks := r.asks()
+	if !r.findUsual(asks) {
+		return
+	}
 	weights := 0.0
 	for i := range asks {
-		a := &asks[i]
-		a.usual = 1 / float64(len(asks))
-		if usual > 0 {
-			a.usual = a.flow.usual / usual
-		}
-		a.weight = max(a.usual, 1/float64(len(asks)))
-		weights += a.weight
+		asks[i].weight = max(asks[i].usual, 1/float64(len(asks)))
+		weights += asks[i].weight
 	}
 	r.findBeyond(asks, total)
 	slices.SortStableFunc(asks, func(a, b asking) int { return cmp.Compare(a.asked*b.weight, b.asked*a.weight) })
@@ -45,13 +42,30 @@
 	}
 }
 
+// findUsual sets each customer's part of what is usual, by what was learnt here or,
+// before that, by what is told; it reports whether anything is known.
+func (r *resource) findUsual(asks []asking) bool {
+	usual := func(a *asking) float64 { return r.told[a.customer] }
+	if r.learnt >= r.opts.LeastLearnt {
+		usual = func(a *asking) float64 { return a.flow.usual }
+	}
+	total := 0.0
+	for i := range asks {
+		total += usual(&asks[i])
+	}
+	for i := range asks {
+		asks[i].usual = usual(&asks[i]) / max(total, math.SmallestNonzeroFloat64)
+	}
+	return total > 0
+}
+
 // asks returns the customers that ask for something, by name.
 func (r *resource) asks() []asking {
 	var out []asking
 	for _, name := range slices.Sorted(maps.Keys(r.flows)) {
 		f := r.flows[name]
 		if a := f.asked() / r.opts.AskedFor.Seconds(); a > 0 {
-			out = append(out, asking{flow: f, asked: a, known: name != ""})
+			out = append(out, asking{customer: name, flow: f, asked: a})
 		}
 	}
 	return out
@@ -68,7 +82,7 @@
 		found = false
 		for i := range asks {
 			a := &asks[i]
-			if a.known && !a.beyond && (a.asked-few)*(usual-a.usual) > r.opts.Beyond*a.weight*(total-a.asked) {
+			if a.customer != "" && !a.beyond && (a.asked-few)*(usual-a.usual) > r.opts.Beyond*a.weight*(total-a.asked) {
 				a.beyond, found = true, true
 				total -= a.asked
 				usual -= a.usual
@@ -79,10 +93,10 @@
 
 // asking is a customer's part in one parting.
 type asking struct {
-	flow   *flow
-	known  bool    // whose it is; not where anybody may ask, or an older build does
-	asked  float64 // in a second
-	usual  float64 // its part of what is usually served
-	weight float64 // that, or an equal part where it is more
-	beyond bool
+	flow     *flow
+	customer string  // "" where it is not told: by routes that take anybody, and by older builds
+	asked    float64 // in a second
+	usual    float64 // its part of what is usually served
+	weight   float64 // that, or an equal part where it is more
+	beyond   bool
 }
--- a/coordination/shares/resource.go
+++ b/coordination/shares/resource.go
@@ -13,12 +13,14 @@
 	opts     *Options
 	capacity float64
 	requests float64 // asked for, over AskedFor
+	told     map[string]float64
 	flows    map[string]*flow
 	at       time.Duration // when the flows' averages were last faded
 	partedAt time.Duration
 	learntAt time.Duration
-	wasShort bool // since learntAt
-	short    bool // more is asked for than there is
+	learnt   time.Duration // for how long what is usual has been learnt
+	wasShort bool          // since learntAt
+	short    bool          // more is asked for than there is
 }
 
 // flow is one customer's part of a resource.
@@ -97,14 +99,19 @@
 }
 
 // learn takes over what was served as usual, unless more was asked for than there
-// was then or soon after: else a flood would become what is usual.
+// was then or soon after: else a flood would become what is usual. Where nothing is
+// known at all, as after a start of all, what is served first has to do.
 func (r *resource) learn(now time.Duration) {
 	r.wasShort = r.wasShort || r.short
 	if now-r.learntAt < r.opts.LearnEach {
 		return
 	}
+	skip := r.wasShort && (r.learnt >= r.opts.LearnShort || len(r.told) > 0)
+	if !skip {
+		r.learnt += r.opts.LearnEach
+	}
 	for _, f := range r.flows {
-		if r.wasShort {
+		if skip {
 			f.before, f.recent = 0, 0
 			continue
 		}
--- a/coordination/shares/shares.go
+++ b/coordination/shares/shares.go
@@ -5,7 +5,9 @@
 // who asks for less than its share is served as though the others weren't there,
 // and what it leaves is parted among the rest. A share is at least the same part
 // for everyone, and at least what a customer has usually been served: when all
-// ask for more at once, all are cut alike, and when one does, that one is.
+// ask for more at once, all are cut alike, and when one does, that one is. What is
+// usual is learnt here, and before that told by those who take requests in; where
+// nobody knows, nobody is held: a large customer can't be told from one that floods.
 //
 // Within its share a customer's most urgent requests come first; what is beyond
 // it goes behind everything that is within its sender's share, however urgent.
@@ -26,6 +28,13 @@
 	Capacity float64 // that the resource has of these in a second
 }
 
+// Told is what is told, where a request was taken in, of how much its customer has
+// usually sent there.
+type Told struct {
+	Part float64 // of all requests
+	Of   float64 // of so many requests lately
+}
+
 // Standing is how a request stands within its customer's share.
 type Standing struct {
 	Within   bool
@@ -36,27 +45,33 @@
 
 // Options are the table's constants.
 type Options struct {
-	AskedFor  time.Duration // over which what is asked for is averaged
-	UsualFor  time.Duration // the same of what is usually served
-	Beyond    float64       // times as much as the others, by their weights, that a customer asks for before it is held to its share
-	Few       float64       // requests, over AskedFor, that may come together by chance
-	Ahead     time.Duration // of a share that may be used at once
-	PartEach  time.Duration // between two times that a resource is parted anew
-	LearnEach time.Duration // the same for what is usual
-	Forget    float64       // averages below this, in units of a resource a second, are dropped
+	AskedFor    time.Duration // over which what is asked for is averaged
+	UsualFor    time.Duration // the same of what is usually served
+	Beyond      float64       // times as much as the others, by their weights, that a customer asks for before it is held to its share
+	Few         float64       // requests, over AskedFor, that may come together by chance
+	Ahead       time.Duration // of a share that may be used at once
+	PartEach    time.Duration // between two times that a resource is parted anew
+	LearnEach   time.Duration // the same for what is usual
+	LeastLearnt time.Duration // of what is usual, from which it decides alone
+	LearnShort  time.Duration // that what is usual is learnt although more is asked for than there is, where nothing is known
+	LeastTold   float64       // requests that told is of, from which it counts
+	Forget      float64       // averages below this, in units of a resource a second, are dropped
 }
 
 // Standard returns the constants in use.
 func Standard() Options {
 	return Options{
-		AskedFor:  time.Second,
-		UsualFor:  60 * time.Second,
-		Few:       4,
-		Beyond:    1.5,
-		Ahead:     300 * time.Millisecond,
-		PartEach:  100 * time.Millisecond,
-		LearnEach: time.Second,
-		Forget:    1e-4,
+		AskedFor:    time.Second,
+		UsualFor:    60 * time.Second,
+		Few:         4,
+		Beyond:      1.5,
+		Ahead:       300 * time.Millisecond,
+		PartEach:    100 * time.Millisecond,
+		LearnEach:   time.Second,
+		LeastLearnt: 2 * time.Second,
+		LearnShort:  5 * time.Second,
+		LeastTold:   40,
+		Forget:      1e-4,
 	}
 }
 
@@ -64,16 +79,18 @@
 type Table struct {
 	opts      Options
 	resources map[string]*resource
+	told      map[string]float64 // by customer: its usual part, as others tell it
 }
 
 // New returns a table that knows no resource.
 func New(opts Options) *Table {
-	return &Table{opts: opts, resources: make(map[string]*resource)}
+	return &Table{opts: opts, resources: make(map[string]*resource), told: make(map[string]float64)}
 }
 
 // Ask takes in a request and what it needs, and tells how it stands. Each request
 // counts as asked for, whatever becomes of it; one that is taken is told to Serve.
-func (t *Table) Ask(now time.Duration, customer string, rank int, needs []Need) Standing {
+func (t *Table) Ask(now time.Duration, customer string, rank int, told Told, needs []Need) Standing {
+	t.hear(customer, told)
 	out := Standing{Within: true}
 	for _, n := range needs {
 		r := t.resource(n.Resource)
@@ -89,6 +106,25 @@
 	return out
 }
 
+// hear takes in what is told of a customer.
+func (t *Table) hear(customer string, told Told) {
+	if told.Of < t.opts.LeastTold {
+		return
+	}
+	part, known := t.told[customer]
+	if !known && len(t.told) < mostTold {
+		part = told.Part
+	}
+	if known || len(t.told) < mostTold {
+		t.told[customer] = part + toldRate*(told.Part-part)
+	}
+}
+
+const (
+	mostTold = 1000 // customers; it matters for heavy ones alone, which ask first
+	toldRate = 0.1  // weight of the last word
+)
+
 // Serve counts a request as served within its customer's share.
 func (t *Table) Serve(customer string, rank int, needs []Need) {
 	for _, n := range needs {
@@ -121,7 +157,7 @@
 func (t *Table) resource(name string) *resource {
 	r := t.resources[name]
 	if r == nil {
-		r = &resource{opts: &t.opts, flows: make(map[string]*flow)}
+		r = &resource{opts: &t.opts, told: t.told, flows: make(map[string]*flow)}
 		t.resources[name] = r
 	}
 	return r
--- a/coordination/shares/shares_test.go
+++ b/coordination/shares/shares_test.go
@@ -18,6 +18,7 @@
 	t     *Table
 	now   time.Duration
 	needs []Need
+	told  map[string]Told
 }
 
 func newPlay(work, capacity float64) *play {
@@ -40,7 +41,7 @@
 			for due[i] += a.each * step.Seconds(); due[i] >= 1; due[i]-- {
 				key := fmt.Sprint(a.customer, a.rank)
 				asked[key]++
-				if p.t.Ask(p.now, a.customer, a.rank, p.needs).Within {
+				if p.t.Ask(p.now, a.customer, a.rank, p.told[a.customer], p.needs).Within {
 					within[key]++
 					p.t.Serve(a.customer, a.rank, p.needs)
 				}
@@ -127,11 +128,12 @@
 	is.Equal(got["a1"], 1.0)
 }
 
-// An owner that has just begun holds a flood within the first second: nothing is
-// known of what is usual, so all have equal parts.
+// An owner that has just begun holds a flood within the first second by what those
+// who take requests in tell of what is usual.
 func TestANewTableGivesAFloodNoFreshAllowance(t *testing.T) {
 	is := is.New(t)
 	p := newPlay(0.1, 5)
+	p.told = map[string]Told{"a": {0.5, 600}, "b": {0.35, 600}, "c": {0.15, 600}}
 	all := []asks{{"a", 0, 135}, {"b", 0, 10}, {"c", 0, 5}}
 	first := p.run(time.Second, all...)
 	is.Equal(first["b0"], 1.0)
@@ -142,6 +144,17 @@
 	is.True(math.Abs(then["a0"]*135-35) < 5)
 }
 
+// After a start of all nobody knows what is usual: a large customer is not taken for
+// one that floods.
+func TestALargeCustomerIsNotHeldWhereNobodyKnowsWhatIsUsual(t *testing.T) {
+	is := is.New(t)
+	p := newPlay(0.1, 5)
+	p.told = map[string]Told{"a": {1, 3}} // as good as nothing
+	got := p.run(8*time.Second, asks{"a", 0, 60}, asks{"b", 0, 10}, asks{"c", 0, 5}, asks{"d", 0, 5})
+	is.Equal(got["a0"], 1.0)
+	is.Equal(got["b0"], 1.0)
+}
+
 func TestNothingIsSavedUp(t *testing.T) {
 	is := is.New(t)
 	p := newPlay(0.1, 5)
@@ -167,12 +180,12 @@
 	is := is.New(t)
 	p := newPlay(0.01, 5)
 	for i := range 5400 {
-		p.t.Ask(time.Duration(i)*100*time.Microsecond, fmt.Sprint("customer-", i), 0, p.needs)
+		p.t.Ask(time.Duration(i)*100*time.Microsecond, fmt.Sprint("customer-", i), 0, Told{}, p.needs)
 	}
 	is.Equal(len(p.t.resources["pool"].flows), 5400)
 	for range 100 {
 		p.now += 10 * time.Second
-		p.t.Ask(p.now, "one", 0, p.needs)
+		p.t.Ask(p.now, "one", 0, Told{}, p.needs)
 	}
 	is.Equal(len(p.t.resources["pool"].flows), 1)
 }
@@ -191,8 +204,9 @@
 				{Resource: "x", Work: rapid.SampledFrom([]float64{0, 1e-9, 0.1, 40}).Draw(t, "work"), Capacity: capacity},
 				{Resource: rapid.SampledFrom([]string{"x", "y"}).Draw(t, "other"), Work: 0.3, Capacity: 5},
 			}
+			told := Told{Part: rapid.Float64Range(0, 1).Draw(t, "part"), Of: rapid.Float64Range(0, 100).Draw(t, "of")}
 			customer, rank := rapid.SampledFrom(names).Draw(t, "customer"), rapid.IntRange(-1, 3).Draw(t, "rank")
-			if table.Ask(now, customer, rank, needs).Within {
+			if table.Ask(now, customer, rank, told, needs).Within {
 				table.Serve(customer, rank, needs)
 			}
 			sum := 0.0
