--- a/coordination/pipeline/flood_test.go
+++ b/coordination/pipeline/flood_test.go
@@ -56,13 +56,14 @@
 	gone      float64 // share of the replicas that leave after a while
 	scale     float64 // of the kinds' requests a second
 	floods    []flood
-	repeats   bool // refused clients come back at once and not as told
-	nameless  bool // all requests are one customer's
+	repeats   bool          // refused clients come back at once and not as told
+	reads     time.Duration // until a request has read its results; 0: readFor
+	nameless  bool          // all requests are one customer's
 	seed      uint64
 }
 
 // counted is what became of some requests.
-type counted struct{ asked, inTime, late, refused int }
+type counted struct{ asked, inTime, late, refused, givenUp int }
 
 func (c counted) share() float64 { return float64(c.inTime) / float64(max(c.asked, 1)) }
 
@@ -90,6 +91,7 @@
 		sum.inTime += c.inTime
 		sum.late += c.late
 		sum.refused += c.refused
+		sum.givenUp += c.givenUp
 	}
 	return sum
 }
@@ -269,6 +271,7 @@
 		case Fail:
 			r := f.jobs[a.Job]
 			delete(f.jobs, a.Job)
+			f.out.of(r.customer, r.kind.name).givenUp++
 			f.refused(r, a.RetryAfter)
 		}
 	}
@@ -298,7 +301,7 @@
 	} else {
 		f.out.of(r.customer, r.kind.name).late++
 	}
-	f.at(f.now+readFor, func() { f.do(f.s.Release(f.now, job)) })
+	f.at(f.now+cmp.Or(f.load.reads, readFor), func() { f.do(f.s.Release(f.now, job)) })
 }
 
 // lose has a share of each pool's replicas leave.
