--- a/coordination/shares/shares_test.go
+++ b/coordination/shares/shares_test.go
@@ -128,6 +128,26 @@
 	is.Equal(got["a1"], 1.0)
 }
 
+// A flood of a minute does not become what is usual: once the others need more, who
+// floods is held to about what it had before.
+func TestALongFloodIsNotUsual(t *testing.T) {
+	is := is.New(t)
+	p := newPlay(0.1, 6) // 60 requests a second
+	load := func(flood, others float64) []asks {
+		all := []asks{{"a", 0, flood}}
+		for i := range 39 {
+			all = append(all, asks{fmt.Sprint("b", i), 0, others})
+		}
+		return all
+	}
+	p.run(10*time.Second, load(10, 1)...)
+	p.run(time.Minute, load(300, 1)...)
+	p.run(2*time.Second, load(300, 2)...)
+	got := p.run(10*time.Second, load(300, 2)...)
+	is.True(got["a0"]*300 < 1.25*10)
+	is.Equal(got["b00"], 1.0)
+}
+
 // An owner that has just begun holds a flood within the first second by what those
 // who take requests in tell of what is usual.
 func TestANewTableGivesAFloodNoFreshAllowance(t *testing.T) {
