--- a/coordination/pipeline/share.go
+++ b/coordination/pipeline/share.go
@@ -93,6 +93,7 @@
 // calls, as calls are when there is too much to do.
 func (st *stage) work() float64 { return float64(len(st.pieces)) * st.each() }
 
+// each is what one of a stage's pieces takes in a full call.
 func (st *stage) each() float64 {
 	return st.pool.def.CallTime.Seconds()/float64(st.pool.batchOf(st.def.Bytes)) + st.pool.item(st.def.Bytes)
 }
@@ -105,24 +106,28 @@
 		p.heed(now, len(held) > 0, &s.opts)
 		waits := p.waitsOf(held)
 		for _, customer := range slices.Sorted(maps.Keys(waits)) {
-			w := waits[customer]
-			slices.SortFunc(w.jobs, func(a, b *job) int { return cmp.Or(cmp.Compare(b.rank, a.rank), cmp.Compare(b.id, a.id)) })
-			for _, j := range w.jobs {
-				if w.work <= w.most {
-					break
-				}
-				w.work -= j.workAt(p)
-				s.putBehind(now, j)
-			}
+			s.holdBackTo(now, p, waits[customer])
+		}
+	}
+}
+
+// holdBackTo puts what waits of one customer behind until no more than its most is left.
+func (s *Scheduler) holdBackTo(now time.Duration, p *pool, w *waiting) {
+	slices.SortFunc(w.jobs, func(a, b *job) int { return cmp.Or(cmp.Compare(b.rank, a.rank), cmp.Compare(b.id, a.id)) })
+	for _, j := range w.jobs {
+		if w.work <= w.most {
+			return
 		}
+		w.work -= j.workAt(p)
+		s.putBehind(now, j)
 	}
 }
 
-// waiting is what a customer beyond its share has waiting at a pool.
+// waiting is what a customer that is held to a share has waiting at a pool.
 type waiting struct {
-	work float64
-	most float64
-	jobs []*job // that may be put behind
+	work float64 // seconds of the pool's replicas
+	most float64 // of it, that may go on waiting where it is
+	jobs []*job  // that may be put behind
 }
 
 // waitsOf returns what waits at a pool of those that are held to a share.
