--- a/cmd/node/serve.go
+++ b/cmd/node/serve.go
@@ -8,7 +8,6 @@
 
 	"quinceroad/cmd/process"
 	"quinceroad/coordination/outcome"
-	"quinceroad/coordination/pipeline"
 	"quinceroad/coordination/quarantine"
 	"quinceroad/coordination/regions"
 	"quinceroad/coordination/retry"
@@ -324,71 +323,3 @@
 	repeatable := s.route.Kind == catalog.Repeatable || (s.route.Kind == catalog.Stream && s.route.Resumable)
 	return repeatable && len(s.tried) < s.route.Attempts && s.mayRepeat()
 }
-
-// fail answers a request that could not be served.
-func (s *serving) fail(ctx context.Context, err error) {
-	if s.stream.headSent {
-		panic(http.ErrAbortHandler) // what was sent must not look whole
-	}
-	if errors.Is(err, errLeft) {
-		panic(http.ErrAbortHandler)
-	}
-	if errors.Is(err, errCondemned) { // final: no refusal, which would invite to come again
-		s.node.answerOwn(s.w, s.req, &answerError{status: http.StatusBadRequest, text: err.Error()})
-		return
-	}
-	after := backSoon
-	var refused *refusedError
-	var failed *failedError
-	var rest *restError
-	switch {
-	case errors.As(err, &rest):
-		after = max(rest.left(), backSoon) + spreadReturn()
-	case errors.As(err, &refused):
-		after = refused.after
-		if !refused.expects.standing.Within {
-			after += spreadReturn()
-		}
-	case errors.As(err, &failed):
-		after = max(failed.after, backSoon)
-		if failed.why == pipeline.WhyRest || failed.why == pipeline.WhyShare {
-			after += spreadReturn()
-		}
-	case errors.Is(err, errEmptied), errors.Is(err, errCold), errors.Is(err, errNoRegion), errors.Is(err, errNoTurn):
-		after = backLater
-	}
-	left := s.req.Deadline - s.since()
-	after = min(after, time.Duration(float64(left)/retryPart*retryMargin))
-	if refusal, ok := s.record.Refuse(err.Error(), max(after, 0)); ok {
-		s.node.answerOwn(s.w, s.req, &answerError{status: http.StatusServiceUnavailable, after: refusal.RetryAfter(), text: refusal.Reason()})
-		return
-	}
-	status := http.StatusBadGateway
-	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
-		status = http.StatusGatewayTimeout
-	}
-	s.node.answerOwn(s.w, s.req, &answerError{status: status, text: err.Error()})
-}
-
-// beyondShare reports whether a request was refused for its customer's share.
-func (s *serving) beyondShare(err error) bool {
-	var refused *refusedError
-	var failed *failedError
-	return errors.As(err, &refused) && !refused.expects.standing.Within || errors.As(err, &failed) && failed.why == pipeline.WhyShare
-}
-
-func (s *serving) log(err error) {
-	if !s.node.log.IsInfo() {
-		return
-	}
-	why := "served"
-	if err != nil {
-		why = err.Error()
-	}
-	event.NodeRequest.Log(s.node.log, "request", s.req.ID, "customer", nameOf(s.customer), "fingerprint", s.fingerprint, "route", s.route.Name, "rank", s.route.Priority, "why", why,
-		"objective", s.route.Objective, "deadline", s.req.Deadline, "version", s.world.config.Version, "owner", s.owner,
-		"attempts", len(s.tried), "replica", s.replica, "took", s.since(), "staged", s.staged, "expected", s.expects.stages,
-		"engine_expected", s.expects.engine, "reads", s.expects.reads, "moves", s.expects.moves,
-		"first", s.first, "gap", s.gap, "tokens", s.req.TokensIn, "fetch", s.fetch, "pieces", s.req.Pieces, "region", s.region,
-		"chosen", s.chosen, "leaves", s.leaves, "short", s.expects.standing.Resource, "asked", s.expects.standing.Asked, "share", s.expects.standing.Share)
-}
