A refusal for a pool that is not known is not told as one for a share

Found by reading the diff: the verdict had no standing then, which read as beyond the customer's share, and the caller was told so and to come back up to a second later. Test red before.

--- a/coordination/pipeline/pipeline.go
+++ b/coordination/pipeline/pipeline.go
@@ -103,7 +103,7 @@
 	Limit      time.Duration // that Expected was held against
 	Bound      string        // service whose pool it waits for longest; "" for none
 	Stages     []Forecast    // what Expected is made of, of the stages that have pieces
-	Standing   shares.Standing
+	Standing   shares.Standing // within its customer's share
 }
 
 // Action is what the caller must do; one of the types below.
@@ -251,7 +251,7 @@
 func (s *Scheduler) Submit(now time.Duration, j Job) (Verdict, []Action) {
 	job, ok := s.newJob(now, j)
 	if !ok {
-		return Verdict{RetryAfter: s.opts.Unknown}, nil
+		return Verdict{RetryAfter: s.opts.Unknown, Standing: shares.Standing{Within: true}}, nil
 	}
 	standing := s.stand(now, job)
 	verdict := s.judge(now, job)
--- a/coordination/pipeline/verdict_test.go
+++ b/coordination/pipeline/verdict_test.go
@@ -29,3 +29,14 @@
 	is.True(v.Own < v.Limit) // alone it would have been in time
 	is.Equal(b.submit(Job{Objective: time.Minute, Deadline: time.Minute, Stages: []Stage{{Service: "rank", Pieces: 1, Bytes: 1}}}).Bound, "rank")
 }
+
+// Who is refused because a pool is not known is not told that it is its customer's share.
+func TestARefusalForAnUnknownPoolIsNoShare(t *testing.T) {
+	is := is.New(t)
+	b := newBench(t)
+	j := newTestJob("r", 1)
+	j.Stages[0].Service = "unheard-of"
+	v := b.submit(j)
+	is.True(!v.Admitted)
+	is.True(v.Standing.Within)
+}
