--- a/cmd/ctl/customers.go
+++ b/cmd/ctl/customers.go
@@ -23,7 +23,7 @@
 	}
 }
 
-type customerCount struct{ Sent, Served, Refused, Beyond int64 }
+type customerCount struct{ Sent, Served, NotServed, Beyond int64 }
 
 type customerShare struct {
 	Customer, Resource string
@@ -60,15 +60,15 @@
 	})
 	t := tabwriter.NewWriter(out, 0, 0, padding, ' ', 0)
 	defer func() { _ = t.Flush() }()
-	fmt.Fprintln(t, "CUSTOMER\tSENT\tSERVED\tREFUSED\tBEYOND ITS SHARE\tASKS OF POOLS, REPLICAS' SECONDS A SECOND")
+	fmt.Fprintln(t, "CUSTOMER\tSENT\tSERVED\tNOT SERVED\tBEYOND ITS SHARE\tASKS OF POOLS, REPLICAS' SECONDS A SECOND")
 	for _, name := range names {
 		n := sums[name]
-		fmt.Fprintf(t, "%s\t%d\t%d\t%d\t%d\t%s\n", cmp.Or(name, "(none)"), n.Sent, n.Served, n.Refused, n.Beyond, strings.Join(asks[name], "; "))
+		fmt.Fprintf(t, "%s\t%d\t%d\t%d\t%d\t%s\n", cmp.Or(name, "(none)"), n.Sent, n.Served, n.NotServed, n.Beyond, strings.Join(asks[name], "; "))
 	}
 }
 
 func (n customerCount) add(other customerCount) customerCount {
-	return customerCount{n.Sent + other.Sent, n.Served + other.Served, n.Refused + other.Refused, n.Beyond + other.Beyond}
+	return customerCount{n.Sent + other.Sent, n.Served + other.Served, n.NotServed + other.NotServed, n.Beyond + other.Beyond}
 }
 
 func (s customerShare) text(cell int) string {
--- a/cmd/ctl/customers_test.go
+++ b/cmd/ctl/customers_test.go
@@ -22,7 +22,7 @@
 		t.Cleanup(server.Close)
 		return strings.TrimPrefix(server.URL, "http://")
 	}
-	one := state(`{"Name":"n1","Customers":{"a":{"Sent":10,"Served":9,"Refused":1},"b":{"Sent":30,"Served":10,"Refused":20,"Beyond":18}},
+	one := state(`{"Name":"n1","Customers":{"a":{"Sent":10,"Served":9,"NotServed":1},"b":{"Sent":30,"Served":10,"NotServed":20,"Beyond":18}},
 		"Cells":[{"Number":2,"Shares":[{"Customer":"b","Resource":"pool","Asked":4,"Share":1.5,"Held":true},{"Customer":"a","Resource":"pool","Asked":0.5}]}]}`)
 	two := state(`{"Name":"n2","Customers":{"a":{"Sent":5,"Served":5}}}`)
 	before := state(`{"Name":"n3"}`)
--- a/cmd/node/customers.go
+++ b/cmd/node/customers.go
@@ -8,8 +8,8 @@
 
 // customerCount is what became of a customer's requests at one instance.
 type customerCount struct {
-	Sent, Served, Refused int64
-	Beyond                int64 // of the refused ones, for its share
+	Sent, Served, NotServed int64
+	Beyond                  int64 // of these, refused for its share
 
 	lately float64 // sent lately, but for what was beyond its share
 }
@@ -78,10 +78,10 @@
 	case err == nil:
 		n.Served++
 	case beyond:
-		n.Refused++
+		n.NotServed++
 		n.Beyond++
 	default:
-		n.Refused++
+		n.NotServed++
 	}
 }
 
--- a/cmd/node/shares_test.go
+++ b/cmd/node/shares_test.go
@@ -50,7 +50,7 @@
 	all := c.counts()
 	is.Equal(len(all), mostCounted+1)
 	one := all["customer-1"]
-	is.Equal([]int64{one.Sent, one.Served, one.Refused, one.Beyond}, []int64{3, 1, 2, 1})
+	is.Equal([]int64{one.Sent, one.Served, one.NotServed, one.Beyond}, []int64{3, 1, 2, 1})
 	part, of := c.usual(0, "customer-1")
 	is.Equal(of, uint32(5401)) // but what was beyond its share
 	is.Equal(part, float32(2.0/5401))
--- a/coordination/pipeline/pipeline.go
+++ b/coordination/pipeline/pipeline.go
@@ -97,12 +97,12 @@
 type Verdict struct {
 	ID         uint64 // of the job when it is admitted
 	Admitted   bool
-	RetryAfter time.Duration // when a refused job may come back
-	Expected   time.Duration // until its stages are done
-	Own        time.Duration // of Expected: what they take where nothing waits
-	Limit      time.Duration // that Expected was held against
-	Bound      string        // service whose pool it waits for longest; "" for none
-	Stages     []Forecast    // what Expected is made of, of the stages that have pieces
+	RetryAfter time.Duration   // when a refused job may come back
+	Expected   time.Duration   // until its stages are done
+	Own        time.Duration   // of Expected: what they take where nothing waits
+	Limit      time.Duration   // that Expected was held against
+	Bound      string          // service whose pool it waits for longest; "" for none
+	Stages     []Forecast      // what Expected is made of, of the stages that have pieces
 	Standing   shares.Standing // within its customer's share
 }
 
