--- a/cmd/coord/coord.go
+++ b/cmd/coord/coord.go
@@ -108,7 +108,7 @@
 		Name: s.Name, Hall: s.Hall, CoordLink: s.Coord.Known,
 		// A start later than the last one gives a higher incarnation. Only
 		// soft state rests on this clock.
-		Incarnation: uint64(time.Now().UnixNano()),
+		Incarnation: process.Incarnation(time.Now()),
 	})
 	c.owner = newOwner(c)
 	c.plans = newPlans(c)
--- a/cmd/node/node.go
+++ b/cmd/node/node.go
@@ -145,7 +145,7 @@
 		Name:        s.Name,
 		Hall:        s.Hall,
 		Region:      n.home,
-		Incarnation: uint64(time.Now().UnixNano()),
+		Incarnation: process.Incarnation(time.Now()),
 		Front:       s.Front,
 		Link:        s.Link,
 		Level:       level.This,
--- a/layers_test.go
+++ b/layers_test.go
@@ -75,7 +75,7 @@
 	plain := regexp.MustCompile(`time\.(Now|Since|Until)\(`)
 	allowed := regexp.MustCompile(strings.Join([]string{
 		`Set(Read|Write)?Deadline\(time\.Now\(\)\.Add\(`,      // of a connection: the runtime's own timers
-		`Incarnation: +uint64\(time\.Now\(\)\.UnixNano\(\)\)`, // a name of the start
+		`Incarnation: +process\.Incarnation\(time\.Now\(\)\)`, // a name of the start
 		`within = min\(within, time\.Until\(deadline\)\)`,     // of a dial, which a suspension breaks anyway
 		`n\.links\.Sweep\(time\.Now\(\)\)`,                    // sessions that rest too long cost memory alone
 	}, "|"))
