A look at who is held costs what is short, not what all customers ask

Found by reading the diff: each tick sorted all customers of each pool to find those held. What is found is the same.

--- a/coordination/pipeline/bench_test.go
+++ b/coordination/pipeline/bench_test.go
@@ -60,3 +60,24 @@
 		})
 	}
 }
+
+// BenchmarkLookAtCustomers is one look at who is held, a tick's, where so many
+// customers have asked lately and there is enough for all.
+func BenchmarkLookAtCustomers(b *testing.B) {
+	for _, customers := range []int{40, 5400} {
+		b.Run(fmt.Sprint("customers=", customers), func(b *testing.B) {
+			s := waitingJobs(b, 10)
+			for i := range customers {
+				j := waitingJob(i)
+				j.Customer = fmt.Sprint("customer-", i)
+				v, _ := s.Submit(0, j)
+				s.Release(0, v.ID)
+			}
+			now := time.Duration(0)
+			for b.Loop() {
+				now += 50 * time.Millisecond
+				s.Held(now)
+			}
+		})
+	}
+}
--- a/coordination/pipeline/share.go
+++ b/coordination/pipeline/share.go
@@ -199,6 +199,4 @@
 }
 
 // Held returns who is held to a share of which pool.
-func (s *Scheduler) Held(now time.Duration) []shares.Row {
-	return slices.DeleteFunc(s.shares.Rows(now, 0), func(r shares.Row) bool { return !r.Held })
-}
+func (s *Scheduler) Held(now time.Duration) []shares.Row { return s.shares.HeldRows(now) }
--- a/coordination/shares/rows.go
+++ b/coordination/shares/rows.go
@@ -34,6 +34,21 @@
 	return out
 }
 
+// HeldRows returns who is held to a share, by resource and customer.
+func (t *Table) HeldRows(now time.Duration) []Row {
+	var out []Row
+	for name, r := range t.resources {
+		r.partIfDue(now)
+		if r.short {
+			out = append(out, slices.DeleteFunc(r.rows(name), func(row Row) bool { return !row.Held })...)
+		}
+	}
+	slices.SortFunc(out, func(a, b Row) int {
+		return cmp.Or(cmp.Compare(a.Resource, b.Resource), cmp.Compare(a.Customer, b.Customer))
+	})
+	return out
+}
+
 func (r *resource) rows(name string) []Row {
 	out := make([]Row, 0, len(r.flows))
 	for customer, f := range r.flows {
