A word of replicas that nobody reads is logged and counted

Third statement of replicas that cost requests before anybody noticed that nobody reads it (leaving, rest, now a limit). Headers that only describe a body or a connection are not counted. No decision reads it.

--- a/cmd/node/cell.go
+++ b/cmd/node/cell.go
@@ -246,6 +246,9 @@
 	if told.Leaves {
 		n.takeLeaving(r.ID, "its own")
 	}
+	for _, field := range told.Unread {
+		n.noteUnread(r.Service, field, "report")
+	}
 	c.mu.Lock()
 	c.scheduler.Seen(n.now(), r.ID, told.Free, told.AtWork)
 	c.mu.Unlock()
--- a/cmd/node/counters.go
+++ b/cmd/node/counters.go
@@ -41,6 +41,7 @@
 	condemned     metrics.Counter // requests that were not sent, as replicas have ended under them
 	noTurn        metrics.Counter // suspects that were refused while they were tried elsewhere
 	rests         metrics.Counter // that replicas asked for
+	wordsUnread   metrics.Counter // in answers of replicas, that nobody reads
 }
 
 // farBytes counts what this instance sends to other regions, and what it asks
@@ -96,6 +97,7 @@
 		condemned:     counter("node.quarantine.condemned"),
 		noTurn:        counter("node.quarantine.no_turn"),
 		rests:         counter("node.rests"),
+		wordsUnread:   counter("node.words_unread"),
 	}
 }
 
--- a/cmd/node/statements.go
+++ b/cmd/node/statements.go
@@ -24,11 +24,13 @@
 	book *stated.Book
 	free map[string]*pipeline.Free // by life that rests: results nobody reads any more
 
+	unread *stated.Unread
+
 	quiet bool // nothing was stated at the last sweep; of the sweeps alone
 }
 
 func newStatements() *statements {
-	return &statements{book: stated.New(stated.Standard()), free: make(map[string]*pipeline.Free), quiet: true}
+	return &statements{book: stated.New(stated.Standard()), free: make(map[string]*pipeline.Free), unread: stated.NewUnread(), quiet: true}
 }
 
 // with runs f on the book.
@@ -77,6 +79,11 @@
 	if from.life == "" || h.Stranger { // another replica speaks of itself
 		return h
 	}
+	for name := range header.All() {
+		if !platform.IsRead(string(name)) {
+			n.noteUnread(from.service, string(name), "answer")
+		}
+	}
 	if h.Leaves {
 		n.takeLeaving(from.life, "its own")
 	}
@@ -88,6 +95,19 @@
 	return h
 }
 
+// noteUnread takes in a word of a service's replicas that nobody reads: it may ask
+// for something, and is to be noticed before it costs.
+func (n *Node) noteUnread(service, name, where string) {
+	n.counters.wordsUnread.Inc(1)
+	s := n.statements
+	s.mu.Lock()
+	word, isNew := s.unread.Note(service, name)
+	s.mu.Unlock()
+	if isNew {
+		event.NodeWordUnread.Log(n.log, "service", service, "word", word, "in", where)
+	}
+}
+
 // takeLeaving takes in that a life leaves, by its own or a peer's word. It gets
 // nothing more from anybody for as long as it is listed.
 func (n *Node) takeLeaving(life, by string) {
