A first event at the start of time is one

Found by TestStepsInAnyOrder (random steps; shrunk by it to one request, begun, first event and end at time 0): the time of the first event stood for whether it had come, and 0 for not. The request was taken off those that read their prompt a second time: -1 read. A process counts from its start, so no request met it; a model of the fleet does. A test names the steps, red before.

--- a/coordination/placement/places_test.go
+++ b/coordination/placement/places_test.go
@@ -55,3 +55,20 @@
 	c, _ := table.Place(11*time.Second, request(200, 10, 1))
 	is.Equal(c.Replica.ID, "e1") // warm, and emptier
 }
+
+// A first event was taken for none where it came at the very start of the time that
+// is counted: the request was counted as read a second time at its end.
+func TestAFirstEventAtTheStartOfTime(t *testing.T) {
+	is := is.New(t)
+	table := New(Standard(), warmup.Limit{})
+	services := map[string]*catalog.Service{"llm": {Name: "llm", Engine: &catalog.Engine{Slots: 4, MemoryTokens: 1000}}}
+	table.SetEngines(services, []catalog.Replica{{ID: "e", Service: "llm"}})
+	r := &Request{ID: 1, Service: "llm", Parts: []catalog.Part{{ID: "a", Tokens: 10}}}
+	choice, ok := table.Place(0, r)
+	is.True(ok)
+	table.Begin(0, r, choice)
+	table.First(0, 1)
+	table.End(0, 1)
+	is.Equal(table.engines["e"].reading, 0)
+	is.Equal(table.engines["e"].runs, 0)
+}
--- a/coordination/placement/runs.go
+++ b/coordination/placement/runs.go
@@ -10,7 +10,8 @@
 	reads  int           // tokens before its first event, others' that were there before it included
 	out    int           // tokens that it generates, about
 	cold   bool          // its engine was when it began
-	read   time.Duration // when its first event came; 0: not yet
+	isRead bool          // its first event has come
+	read   time.Duration // when
 	ended  int           // replicas that ended under it before
 }
 
@@ -54,10 +55,10 @@
 // First notes a request's first event: its prompt is read.
 func (t *Table) First(now time.Duration, id uint64) {
 	r := t.runs[id]
-	if r == nil || r.read != 0 {
+	if r == nil || r.isRead {
 		return
 	}
-	r.read = now
+	r.isRead, r.read = true, now
 	e := r.engine
 	e.reading--
 	e.runs++
@@ -75,7 +76,7 @@
 	}
 	delete(t.runs, id)
 	r.engine.count(r.ended, -1)
-	if r.read != 0 {
+	if r.isRead {
 		r.engine.runs--
 		r.engine.speed.Generated(r.out, now-r.read)
 		return
