A replica's limit holds over all instances, by one that gives its turns

What replicas saw: those that state how many requests a second they take got their usual share, four times as much. Cause: nobody read the word, and what one instance is told reached neither the owner who chooses nor the others who send.

Mend: coordination/pace (pure): a limited replica has one keeper that gives spaced turns, GCRA with a quarter of a second kept. For pools and engines it is their cell's owner, who takes a turn as it chooses (engines, calls of pieces); for plain replicas an instance of their hall by rendezvous, asked right before the send. A new keeper begins as if it had just given one. Words travel by heartbeat with their age; an answer without it ends it. Results are freed in one call now and then. Where no keeper answers an instance goes by limit / instances.

--- a/cmd/node/attempt.go
+++ b/cmd/node/attempt.go
@@ -50,6 +50,9 @@
 func (s *serving) attempt(ctx context.Context, r catalog.Replica, fetch string) error {
 	s.replica, s.region, s.fetch = r.ID, r.Region, fetch
 	n := s.node
+	if !s.hasTurn(ctx, &r) {
+		return errPaced
+	}
 	conn, err := n.connect(ctx, r.Address, connectFor)
 	if err != nil {
 		if !done(ctx) {
@@ -201,7 +204,9 @@
 	if id == a.req.ID || (id == "" && h.StatusCode() >= http.StatusBadRequest) {
 		return true
 	}
-	a.node.takeHead(a.stater(), stated.Turn{}, h)
+	late := a.stater()
+	late.aside = true
+	a.node.takeHead(late, stated.Turn{}, h)
 	return false
 }
 
--- a/cmd/node/counters.go
+++ b/cmd/node/counters.go
@@ -41,6 +41,9 @@
 	condemned     metrics.Counter // requests that were not sent, as replicas have ended under them
 	noTurn        metrics.Counter // suspects that were refused while they were tried elsewhere
 	rests         metrics.Counter // that replicas asked for
+	paced         metrics.Counter // turns that were had at replicas which state a limit
+	pacedOut      metrics.Counter // asks for turns of which there was none
+	pacedAlone    metrics.Counter // turns of the own part of a limit, as nobody could be asked
 	wordsUnread   metrics.Counter // in answers of replicas, that nobody reads
 }
 
@@ -97,6 +100,9 @@
 		condemned:     counter("node.quarantine.condemned"),
 		noTurn:        counter("node.quarantine.no_turn"),
 		rests:         counter("node.rests"),
+		paced:         counter("node.pace.turns"),
+		pacedOut:      counter("node.pace.none"),
+		pacedAlone:    counter("node.pace.alone"),
 		wordsUnread:   counter("node.words_unread"),
 	}
 }
--- a/cmd/node/members.go
+++ b/cmd/node/members.go
@@ -111,7 +111,7 @@
 	leaving, said := n.leavingNews()
 	h := &pb.Heartbeat{
 		Leaving: leaving, LeavingStated: uint32(said), Sick: n.sick(), Changed: n.listChanged(), Evacuations: n.emptiedNews(),
-		Rollouts: n.rolloutNews(), Speeds: speeds, Quarantine: cases,
+		Rollouts: n.rolloutNews(), Speeds: speeds, Quarantine: cases, Limits: n.limitNews(),
 	}
 	for _, i := range m.News {
 		h.News = append(h.News, newsOf(i))
@@ -223,6 +223,7 @@
 	n.takeHearsay(now, h)
 	n.takeSpeeds(h.Speeds)
 	n.takeQuarantine(h.Quarantine)
+	n.takeLimits(senderOf(h), h.Limits)
 }
 
 // tellOutlived tells the sender of a heartbeat what is known of its last life, if
@@ -311,6 +312,8 @@
 		_ = frame.Write(stream, frame.Reply, n.answerKept(first))
 	case frame.Trial:
 		n.arbitrate(first, stream)
+	case frame.Pace:
+		_ = frame.Write(stream, frame.Reply, n.answerPace(first, stream.RemoteAddr().String()))
 	case frame.Stages:
 		n.owner.serve(first, stream)
 	default: // of a later build, which knows this from a fault
--- a/cmd/node/owned.go
+++ b/cmd/node/owned.go
@@ -188,6 +188,7 @@
 		return reply
 	}
 	c.engines.Begin(now, r.request, choice)
+	reply.Paced = n.statements.limits(choice.Replica.ID)
 	if choice.Fetch != "" && choice.Fetch == r.request.Far.Address {
 		n.counters.farMoves.Inc(1)
 	}
--- a/cmd/node/parts.go
+++ b/cmd/node/parts.go
@@ -19,11 +19,12 @@
 	counts map[string]int            // cells by region
 	cells  map[int][]catalog.Replica // by cell
 	takes  map[string]map[string]int // by region and service: replicas that get work
+	cellOf map[string]int            // by replica of a pool or engine
 }
 
 // part cuts the replicas of pools and engines into cells.
 func (w *world) part() {
-	w.parts = parts{counts: make(map[string]int), cells: make(map[int][]catalog.Replica), takes: make(map[string]map[string]int)}
+	w.parts = parts{counts: make(map[string]int), cells: make(map[int][]catalog.Replica), takes: make(map[string]map[string]int), cellOf: make(map[string]int)}
 	if w.config == nil {
 		return
 	}
@@ -65,6 +66,7 @@
 		if local, ok := cellOf[r.ID]; ok {
 			cell := w.places.Cell(r.Region, local)
 			w.parts.cells[cell] = append(w.parts.cells[cell], r)
+			w.parts.cellOf[r.ID] = cell
 		}
 	}
 }
@@ -105,6 +107,13 @@
 	return w.parts.cells[known]
 }
 
+// cellHolding returns the cell to which a replica of a pool or engine belongs.
+func (w *world) cellHolding(life string) (cell int, ok bool) {
+	w.parting.Do(w.part)
+	cell, ok = w.parts.cellOf[life]
+	return cell, ok
+}
+
 // cellOf returns the cell of a region that a request belongs to: those that
 // share a prompt meet.
 func (w *world) cellOf(r *exchange.Request, region string) int {
--- a/cmd/node/pick.go
+++ b/cmd/node/pick.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"quinceroad/coordination/health"
+	"quinceroad/coordination/stated"
 	"quinceroad/protocol/event"
 	"quinceroad/protocol/pb"
 	"quinceroad/state/catalog"
@@ -186,13 +187,25 @@
 	}
 	for _, r := range s.node.world.Load().services[s.service.Name] {
 		if r.ID == s.job.engine {
-			ok, _ := s.node.statements.may(s.node.now(), r.ID)
-			return r, ok
+			return r, s.mayUseChoice()
 		}
 	}
 	return catalog.Replica{}, false
 }
 
+// mayUseChoice reports whether what the owner's choice states allows it: a turn
+// that the owner has counted is the request's.
+func (s *serving) mayUseChoice() bool {
+	n := s.node
+	ok := false
+	n.statements.with(func(b *stated.Book) {
+		if ok, _ = b.May(n.now(), s.job.engine); ok && !s.job.paced {
+			ok = n.statements.paces.Free(n.now(), s.job.engine) <= n.now()
+		}
+	})
+	return ok
+}
+
 // note tells the judge and the load table how an attempt went.
 func (s *serving) note(id string, sign health.Sign) {
 	usual := 0.0
--- a/cmd/node/pieces.go
+++ b/cmd/node/pieces.go
@@ -34,7 +34,7 @@
 	if !n.replicaTakes(c.Replica) || !n.rollouts.maySend(n.world.Load().moves[c.Service], "", c.Replica, len(c.Items)) {
 		return nil, pipeline.Refused
 	}
-	status, head, data, err := n.call(ctx, ownCall{address: c.Address, replica: c.Name, from: stater{c.Replica, c.Service}, work: true, method: fasthttp.MethodPost, path: path, body: body})
+	status, head, data, err := n.call(ctx, ownCall{address: c.Address, replica: c.Name, from: stater{life: c.Replica, service: c.Service}, work: true, method: fasthttp.MethodPost, path: path, body: body})
 	switch {
 	case errors.Is(err, errStated):
 		return nil, pipeline.Refused
@@ -62,9 +62,12 @@
 // freeResults tells a replica what nobody reads any more; a loss costs room
 // until the results end by themselves.
 func (n *Node) freeResults(f pipeline.Free) {
-	if n.heldFree(f) {
-		return
+	if !n.heldFree(f) {
+		n.sendFree(f)
 	}
+}
+
+func (n *Node) sendFree(f pipeline.Free) {
 	path, body, err := platform.FreeCall(f.Handles)
 	if err != nil {
 		event.NodeMessageBroken.Log(n.log, "what", "results to free", "from", n.settings.Name, "error", err)
@@ -72,7 +75,7 @@
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), freeFor)
 	defer cancel()
-	_, _, _, err = n.call(ctx, ownCall{address: f.Address, from: stater{f.Replica, f.Service}, method: fasthttp.MethodPost, path: path, body: body})
+	_, _, _, err = n.call(ctx, ownCall{address: f.Address, from: stater{life: f.Replica, service: f.Service, aside: true}, method: fasthttp.MethodPost, path: path, body: body})
 	n.logAside("free results", f.Replica, err)
 }
 
@@ -89,7 +92,7 @@
 func (n *Node) report(r catalog.Replica) (platform.Report, error) {
 	ctx, cancel := context.WithTimeout(context.Background(), reportFor)
 	defer cancel()
-	status, _, data, err := n.call(ctx, ownCall{address: r.Address, replica: r.Name, from: stater{r.ID, r.Service}, method: fasthttp.MethodGet, path: platform.PathReport})
+	status, _, data, err := n.call(ctx, ownCall{address: r.Address, replica: r.Name, from: stater{life: r.ID, service: r.Service, aside: true}, method: fasthttp.MethodGet, path: platform.PathReport})
 	if err != nil {
 		return platform.Report{}, err
 	}
@@ -107,7 +110,7 @@
 func (n *Node) keptParts(r catalog.Replica) ([]catalog.Part, error) {
 	ctx, cancel := context.WithTimeout(context.Background(), keptFor)
 	defer cancel()
-	status, _, data, err := n.call(ctx, ownCall{address: r.Address, replica: r.Name, from: stater{r.ID, r.Service}, method: fasthttp.MethodGet, path: platform.PathKept})
+	status, _, data, err := n.call(ctx, ownCall{address: r.Address, replica: r.Name, from: stater{life: r.ID, service: r.Service, aside: true}, method: fasthttp.MethodGet, path: platform.PathKept})
 	if err != nil {
 		return nil, err
 	}
@@ -122,7 +125,7 @@
 	address string
 	replica string // name of the one that is meant; "" for whoever is there
 	from    stater // who should answer
-	work    bool   // that a replica which leaves must not get
+	work    bool   // that a replica which leaves must not get, and whose turn is counted
 	method  string
 	path    string
 	body    []byte
@@ -183,7 +186,7 @@
 		return n.statements.begin(n.now(), c.from.life)
 	}
 	_, rests := n.statements.restsTo(n.now(), c.from.life)
-	return stated.Turn{}, !rests
+	return stated.Turn{}, !rests && n.mayAside(c.from.life)
 }
 
 // connect returns a connection to a replica, a kept one if there is one.
--- a/cmd/node/serve.go
+++ b/cmd/node/serve.go
@@ -299,6 +299,8 @@
 // again decides whether the request is sent once more after an attempt ended so.
 func (s *serving) again(err error) bool {
 	switch {
+	case errors.Is(err, errPaced): // it is known now from when on there is one
+		return true
 	case errors.Is(err, errUnreached):
 		s.avoid[s.replica] = true
 		s.unsent++
--- a/cmd/node/stages.go
+++ b/cmd/node/stages.go
@@ -60,6 +60,7 @@
 	engine  string // replica that should run it; "" when the owner knows none
 	fetch   string
 	region  string    // whose replicas do its work
+	paced   bool      // the owner has counted the request against what the engine takes
 	ended   int       // replicas that had ended under the request when its engine was chosen
 	beside  int       // suspects at the engine then
 	results *stageJob // that has the results, where the engine was chosen anew; nil: this one
@@ -90,7 +91,7 @@
 func (j *stageJob) at(placed *stageJob) *stageJob {
 	return &stageJob{
 		results: j, placed: placed,
-		handles: j.handles, engine: placed.engine, fetch: placed.fetch, region: j.region, beside: placed.beside, expects: j.expects,
+		handles: j.handles, engine: placed.engine, fetch: placed.fetch, paced: placed.paced, region: j.region, beside: placed.beside, expects: j.expects,
 		news: func(m *pb.StagesNews) {
 			j.news(m)
 			placed.news(m)
@@ -270,6 +271,7 @@
 				job.expects = expectationOf(r)
 			default:
 				job.handles, job.engine, job.fetch, job.beside = r.Handles, n.lifeOf(r.Engine), r.Fetch, int(r.Beside)
+				job.paced = r.Paced
 				return job, nil
 			}
 		case <-verdict.C:
--- a/cmd/node/statements.go
+++ b/cmd/node/statements.go
@@ -5,11 +5,13 @@
 	"errors"
 	"fmt"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/valyala/fasthttp"
 
 	"quinceroad/cmd/process"
+	"quinceroad/coordination/pace"
 	"quinceroad/coordination/pipeline"
 	"quinceroad/coordination/stated"
 	"quinceroad/platform"
@@ -25,12 +27,14 @@
 	free map[string]*pipeline.Free // by life that rests: results nobody reads any more
 
 	unread *stated.Unread
+	paces  *pace.Book
+	paced  atomic.Bool // some replica states a limit
 
 	quiet bool // nothing was stated at the last sweep; of the sweeps alone
 }
 
 func newStatements() *statements {
-	return &statements{book: stated.New(stated.Standard()), free: make(map[string]*pipeline.Free), unread: stated.NewUnread(), quiet: true}
+	return &statements{book: stated.New(stated.Standard()), free: make(map[string]*pipeline.Free), unread: stated.NewUnread(), paces: pace.New(pace.Standard()), quiet: true}
 }
 
 // with runs f on the book.
@@ -47,8 +51,18 @@
 
 // may reports whether a life may get a request now, and from when on it may.
 func (s *statements) may(now time.Duration, life string) (ok bool, from time.Duration) {
-	s.with(func(b *stated.Book) { ok, from = b.May(now, life) })
-	return ok, from
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.mayLocked(now, life)
+}
+
+// mayLocked does so for who holds the lock.
+func (s *statements) mayLocked(now time.Duration, life string) (ok bool, from time.Duration) {
+	if ok, from = s.book.May(now, life); !ok {
+		return false, from
+	}
+	from = s.paces.Free(now, life)
+	return from <= now, from
 }
 
 // restsTo returns until when a life wants nothing from this instance.
@@ -70,6 +84,7 @@
 type stater struct {
 	life    string
 	service string
+	aside   bool // not to a request or call of pieces, or too late: what it does not say means nothing
 }
 
 // takeHead reads an answer's head and takes in what its replica states in it. All
@@ -84,6 +99,7 @@
 			n.noteUnread(from.service, string(name), "answer")
 		}
 	}
+	n.takeLimit(from, &h)
 	if h.Leaves {
 		n.takeLeaving(from.life, "its own")
 	}
@@ -142,6 +158,7 @@
 // sweepStatements takes in what time has changed of statements.
 func (n *Node) sweepStatements() {
 	s := n.statements
+	n.sweepLimits()
 	was := s.quiet
 	s.with(func(b *stated.Book) { s.quiet = b.Empty() })
 	if s.quiet && was {
@@ -226,13 +243,13 @@
 func (s *serving) mayAll(now time.Duration, all []catalog.Replica) (may []catalog.Replica, err error) {
 	first, fresh := stated.Never, false
 	s.node.statements.with(func(b *stated.Book) {
-		if b.Empty() {
+		if b.Empty() && !s.node.statements.paces.Any() {
 			may, fresh = all, true
 			return
 		}
 		for _, r := range all {
 			met := s.avoid[r.ID] || s.tried[r.ID]
-			ok, from := b.May(now, r.ID)
+			ok, from := s.node.statements.mayLocked(now, r.ID)
 			if ok {
 				may = append(may, r)
 				fresh = fresh || !met
@@ -329,13 +346,14 @@
 	if s.job == nil || s.job.engine == "" || s.service.Engine == nil {
 		return
 	}
-	if ok, _ := s.node.statements.may(s.node.now(), s.job.engine); !ok {
+	if !s.mayUseChoice() {
 		s.placeAnew(ctx)
 	}
 }
 
-// heldFree keeps results to free until a replica's rest is over, and reports
-// whether it rests: it wants nothing, and one call is enough for all of them.
+// heldFree keeps results to free until a replica's rest is over, or for a while
+// where it states how much it takes, and reports whether it does: one call is enough
+// for all of them.
 func (n *Node) heldFree(f pipeline.Free) bool {
 	now := n.now()
 	s := n.statements
@@ -343,7 +361,11 @@
 	defer s.mu.Unlock()
 	until, rests := s.book.RestsTo(now, f.Replica)
 	if !rests {
-		return false
+		each := freesEach(s.paces.Gap(f.Replica))
+		if each == 0 {
+			return false
+		}
+		until = now + each
 	}
 	if held := s.free[f.Replica]; held != nil {
 		held.Handles = append(held.Handles, f.Handles...)
@@ -357,7 +379,7 @@
 	return true
 }
 
-// freeHeld frees what was kept for a replica that rested.
+// freeHeld frees what was kept for a replica.
 func (n *Node) freeHeld(life string) {
 	s := n.statements
 	s.mu.Lock()
@@ -369,7 +391,7 @@
 		n.logAside("free results", life, errStated)
 		return
 	}
-	n.freeResults(*f)
+	n.sendFree(*f)
 }
 
 var errStated = errors.New("the replica rests or leaves, as it says")
--- /dev/null
+++ b/coordination/pace/pace.go
@@ -0,0 +1,307 @@
+// Package pace keeps what replicas get that state how many requests a second they
+// take from all instances together.
+//
+// A limit of one request a second can't be cut into parts for hundreds of
+// instances. So each limited replica has one keeper, an instance that all others
+// name by the same rule, and who sends has a turn from it first. Turns are spaced:
+// what is not used is not saved up but for a moment. A new keeper doesn't know
+// what the last one gave, and begins as if it had just given a turn. Where no
+// keeper can be asked, an instance goes by its own part of the limit.
+//
+// A statement holds until the replica answers without it, whoever hears that: of
+// several words of a life the newest counts, by ages and not by the time of day.
+//
+// The package is pure: event and time in, decision out.
+package pace
+
+import (
+	"cmp"
+	"maps"
+	"math"
+	"slices"
+	"time"
+)
+
+// Options are the book's constants.
+type Options struct {
+	Ahead   time.Duration // that a turn may be given before it is due: so much of what was not used is kept
+	AskEach time.Duration // the longest time between two turns: a replica that gets nothing tells nobody that its limit has ended
+	Forget  time.Duration // that an ended limit is remembered, so that an older word does not bring it back
+	Unheard time.Duration // that a word of a life is kept which is not listed: entries that lapse with a silent store are back within seconds of its return
+	Most    int           // lives; a bound against a peer that names many
+	LogEach time.Duration // between two changes of one limit that are worth a log line
+}
+
+// Standard returns the constants in use.
+func Standard() Options {
+	return Options{
+		Ahead:   250 * time.Millisecond,
+		AskEach: 10 * time.Second,
+		Forget:  10 * time.Second,
+		Unheard: 2 * time.Minute,
+		Most:    4096,
+		LogEach: 5 * time.Second,
+	}
+}
+
+// Limit is what a replica states of how much it takes.
+type Limit struct {
+	PerSecond float64 // requests, from all instances together
+	Stated    bool    // false: any number
+}
+
+// Word is a statement of a life, as one instance tells it to another.
+type Word struct {
+	Life  string
+	Limit Limit
+	Age   time.Duration // since the answer came
+}
+
+// Book is not safe for concurrent use. Replicas are named by their lives.
+type Book struct {
+	opts    Options
+	rows    map[string]*row
+	limited int // rows whose limit is stated
+	turn    int // of the words, whose turn it is to be told
+}
+
+type row struct {
+	limit  Limit
+	heard  time.Duration // when the answer came that said so
+	fresh  time.Duration // when this instance learned it
+	listed time.Duration // when it was listed last
+	logged time.Duration // when a change was last worth a line
+
+	keeps bool          // this instance gives the turns
+	next  time.Duration // when the next turn is due
+	known time.Duration // until when the keeper has none, as it said
+	alone time.Duration // when the next turn is due where nobody can be asked; 0: not asked for yet
+}
+
+// New returns an empty book.
+func New(o Options) *Book { return &Book{opts: o, rows: make(map[string]*row)} }
+
+// Change is what a word has changed.
+type Change int
+
+// The changes.
+const (
+	Nothing Change = iota
+	Began
+	Moved // to another number, by enough for a log line
+	Ended
+)
+
+// Hear takes in what a life states, in an answer that came so long ago.
+func (b *Book) Hear(now time.Duration, w Word) Change {
+	at := now - max(w.Age, 0)
+	r := b.rows[w.Life]
+	switch {
+	case r == nil && !w.Limit.Stated, r == nil && len(b.rows) >= b.opts.Most:
+		return Nothing
+	case r == nil:
+		r = &row{listed: now}
+		b.rows[w.Life] = r
+	case at < r.heard:
+		return Nothing
+	}
+	was := r.limit
+	r.limit, r.heard = w.Limit, at
+	if was == w.Limit {
+		return Nothing
+	}
+	r.fresh = now
+	begins := b.begins(now, w.Limit)
+	r.next = min(r.next, begins)
+	switch {
+	case !was.Stated:
+		b.limited++
+		r.logged = now
+		r.next = begins
+		r.alone, r.known = 0, 0
+		return Began
+	case !w.Limit.Stated:
+		b.limited--
+		return Ended
+	case now-r.logged < b.opts.LogEach:
+		return Nothing
+	}
+	r.logged = now
+	return Moved
+}
+
+// gap is the time between two turns.
+func (b *Book) gap(l Limit) time.Duration {
+	if !l.Stated {
+		return 0
+	}
+	return time.Duration(min(1/max(l.PerSecond, 0), b.opts.AskEach.Seconds()) * float64(time.Second))
+}
+
+// begins is when the first turn is due of who has given none: what the life got
+// until now was not counted, or by another one.
+func (b *Book) begins(now time.Duration, l Limit) time.Duration { return now + b.gap(l) + b.opts.Ahead }
+
+// Any reports whether any limit is stated.
+func (b *Book) Any() bool { return b.limited > 0 }
+
+// Limit returns what a life states.
+func (b *Book) Limit(life string) Limit {
+	if r := b.rows[life]; r != nil {
+		return r.limit
+	}
+	return Limit{}
+}
+
+// Gap returns the time between two turns at a life; 0: it takes any number.
+func (b *Book) Gap(life string) time.Duration { return b.gap(b.Limit(life)) }
+
+// Keep takes in whether this instance gives a life's turns. Who begins to does not
+// know what was given, and gives none for the time of one.
+func (b *Book) Keep(now time.Duration, life string, keeps bool) {
+	r := b.rows[life]
+	if r == nil || r.keeps == keeps {
+		return
+	}
+	r.keeps = keeps
+	if keeps {
+		r.next = max(r.next, b.begins(now, r.limit))
+	}
+}
+
+// Free returns from when on a life may get a request, as far as is known here:
+// now, or later.
+func (b *Book) Free(now time.Duration, life string) time.Duration {
+	r := b.rows[life]
+	switch {
+	case r == nil || !r.limit.Stated:
+		return now
+	case r.keeps:
+		return max(now, r.next-b.opts.Ahead)
+	}
+	return max(now, r.known)
+}
+
+// Take gives a turn, which the keeper alone may, and reports whether there was one.
+func (b *Book) Take(now time.Duration, life string) bool {
+	r := b.rows[life]
+	if r == nil || !r.limit.Stated {
+		return true
+	}
+	if !r.keeps || b.Free(now, life) > now {
+		return false
+	}
+	b.Spend(now, life)
+	return true
+}
+
+// Spend counts a turn that is used whether it was due or not.
+func (b *Book) Spend(now time.Duration, life string) {
+	if r := b.rows[life]; r != nil && r.limit.Stated {
+		r.next = max(r.next, now) + b.gap(r.limit)
+	}
+}
+
+// None takes in that a life's keeper has no turn until then.
+func (b *Book) None(life string, until time.Duration) {
+	if r := b.rows[life]; r != nil {
+		r.known = until
+	}
+}
+
+// TakeAlone gives a turn of the own part of a limit, for when the keeper can't be
+// asked, among so many instances.
+func (b *Book) TakeAlone(now time.Duration, life string, instances int) bool {
+	r := b.rows[life]
+	if r == nil || !r.limit.Stated {
+		return true
+	}
+	part := time.Duration(max(instances, 1)) * b.gap(r.limit)
+	if r.alone == 0 {
+		r.alone = now + part
+	}
+	if now < r.alone {
+		return false
+	}
+	r.alone = now + part
+	return true
+}
+
+// News returns the words that are worth telling others, at most so many: those
+// learned a moment ago, and the others in turn.
+func (b *Book) News(now, fresh time.Duration, most int) []Word {
+	var out, older []Word
+	for life, r := range b.rows {
+		w := Word{Life: life, Limit: r.limit, Age: max(now-r.heard, 0)}
+		switch {
+		case now-r.fresh < fresh:
+			out = append(out, w)
+		case r.limit.Stated:
+			older = append(older, w)
+		}
+	}
+	byLife := func(x, y Word) int { return cmp.Compare(x.Life, y.Life) }
+	slices.SortFunc(out, byLife)
+	slices.SortFunc(older, byLife)
+	for range min(len(older), max(most-len(out), 0), olderTold) {
+		b.turn = (b.turn + 1) % len(older)
+		out = append(out, older[b.turn])
+	}
+	return out[:min(len(out), most)]
+}
+
+// Words returns what is known of a life: one word, none where it stated nothing.
+func (b *Book) Words(now time.Duration, life string) []Word {
+	r := b.rows[life]
+	if r == nil {
+		return nil
+	}
+	return []Word{{Life: life, Limit: r.limit, Age: max(now-r.heard, 0)}}
+}
+
+// olderTold is how many words that are not new one heartbeat tells.
+const olderTold = 4
+
+// Sweep forgets what is of no use any more: ended limits after a while, and words of
+// lives that have not been listed for long.
+func (b *Book) Sweep(now time.Duration, listed func(life string) bool) {
+	for life, r := range b.rows {
+		if listed(life) {
+			r.listed = now
+		}
+		if now-r.listed > b.opts.Unheard || !r.limit.Stated && now-r.fresh > b.opts.Forget {
+			b.forget(life)
+		}
+	}
+}
+
+// Over takes in that a life has ended.
+func (b *Book) Over(life string) {
+	if b.rows[life] != nil {
+		b.forget(life)
+	}
+}
+
+func (b *Book) forget(life string) {
+	if b.rows[life].limit.Stated {
+		b.limited--
+	}
+	delete(b.rows, life)
+}
+
+// Limited returns the lives that state a limit, and which.
+func (b *Book) Limited() map[string]float64 {
+	out := make(map[string]float64, b.limited)
+	for life, r := range b.rows {
+		if r.limit.Stated {
+			out[life] = r.limit.PerSecond
+		}
+	}
+	return out
+}
+
+// Lives returns the lives that state a limit, in order.
+func (b *Book) Lives() []string { return slices.Sorted(maps.Keys(b.Limited())) }
+
+// Proper reports whether a number can be a limit.
+func Proper(perSecond float64) bool { return perSecond >= 0 && !math.IsInf(perSecond, 0) }
--- /dev/null
+++ b/coordination/pace/pace_test.go
@@ -0,0 +1,134 @@
+package pace
+
+import (
+	"math"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+func stated(perSecond float64) Limit { return Limit{PerSecond: perSecond, Stated: true} }
+
+func TestTurnsAreSpaced(t *testing.T) {
+	is := is.New(t)
+	b := New(Standard())
+	is.True(b.Take(0, "r")) // any number
+	is.Equal(b.Hear(0, Word{Life: "r", Limit: stated(2)}), Began)
+	is.True(!b.Take(time.Hour, "r")) // another one keeps it
+	b.Keep(0, "r", true)
+	given := 0
+	for now := time.Duration(0); now < 10*time.Second; now += 10 * time.Millisecond {
+		if b.Take(now, "r") {
+			given++
+		} else {
+			is.True(b.Free(now, "r") > now)
+		}
+	}
+	is.True(given >= 18 && given <= 20)
+}
+
+// What was not used is kept for a moment only.
+func TestTurnsAreNotSavedUp(t *testing.T) {
+	is := is.New(t)
+	b := New(Standard())
+	b.Hear(0, Word{Life: "r", Limit: stated(20)})
+	b.Keep(0, "r", true)
+	given := 0
+	for b.Take(time.Hour, "r") {
+		given++
+	}
+	is.True(given <= 1+5) // a quarter of a second's
+}
+
+// Who begins to give turns does not know what the last one gave.
+func TestANewKeeperBeginsWithNothing(t *testing.T) {
+	is := is.New(t)
+	b := New(Standard())
+	b.Hear(0, Word{Life: "r", Limit: stated(1)})
+	for now := time.Duration(0); now < 100*time.Second; now += 500 * time.Millisecond {
+		b.Keep(now, "r", true)
+		is.True(!b.Take(now, "r")) // each time it begins anew
+		b.Keep(now, "r", false)
+	}
+}
+
+// The newest word counts, in whatever order words come.
+func TestTheNewestWordCounts(t *testing.T) {
+	is := is.New(t)
+	b := New(Standard())
+	is.Equal(b.Hear(5*time.Second, Word{Life: "r"}), Nothing) // it never stated any
+	is.Equal(b.Hear(5*time.Second, Word{Life: "r", Limit: stated(1), Age: time.Second}), Began)
+	is.Equal(b.Hear(5*time.Second, Word{Life: "r", Age: 2 * time.Second}), Nothing)
+	is.True(b.Any())
+	is.Equal(b.Hear(6*time.Second, Word{Life: "r"}), Ended)
+	is.Equal(b.Hear(7*time.Second, Word{Life: "r", Limit: stated(1), Age: 2 * time.Second}), Nothing)
+	is.True(!b.Any())
+	is.Equal(b.Hear(8*time.Second, Word{Life: "r", Limit: stated(3)}), Began)
+	is.Equal(b.Hear(9*time.Second, Word{Life: "r", Limit: stated(4)}), Nothing) // a line was logged just before
+	is.Equal(b.Limit("r"), stated(4))
+	is.Equal(b.Hear(15*time.Second, Word{Life: "r", Limit: stated(5)}), Moved)
+}
+
+// A replica that takes nothing is asked now and then, as nobody else would tell
+// that it does again.
+func TestALimitOfNothingIsAskedAfter(t *testing.T) {
+	is := is.New(t)
+	for _, perSecond := range []float64{0, 0.001} {
+		b := New(Standard())
+		b.Hear(0, Word{Life: "r", Limit: stated(perSecond)})
+		b.Keep(0, "r", true)
+		given := 0
+		for now := time.Duration(0); now < 100*time.Second; now += 100 * time.Millisecond {
+			if b.Take(now, "r") {
+				given++
+			}
+		}
+		is.True(given >= 8 && given <= 10)
+	}
+}
+
+func TestWhatWasSaidIsForgotten(t *testing.T) {
+	is := is.New(t)
+	b := New(Standard())
+	all, none := func(string) bool { return true }, func(string) bool { return false }
+	b.Hear(0, Word{Life: "r", Limit: stated(1)})
+	b.Sweep(time.Hour, all)
+	is.True(b.Any()) // for as long as it says so
+	b.Sweep(time.Hour+b.opts.Unheard, none)
+	is.True(b.Any())
+	b.Sweep(time.Hour+b.opts.Unheard+1, none)
+	is.Equal(len(b.rows), 0)
+	is.True(!b.Any())
+	b.Hear(0, Word{Life: "r", Limit: stated(1)})
+	b.Hear(1, Word{Life: "r"})
+	b.Sweep(b.opts.Forget+2, all)
+	is.Equal(len(b.rows), 0)
+}
+
+func TestNewsIsToldInTurn(t *testing.T) {
+	is := is.New(t)
+	b := New(Standard())
+	for i := range 20 {
+		b.Hear(0, Word{Life: string(rune('a' + i)), Limit: stated(1)})
+	}
+	is.Equal(len(b.News(0, time.Second, 16)), 16)
+	seen := make(map[string]bool)
+	for range 5 {
+		for _, w := range b.News(2*time.Second, time.Second, 16) {
+			seen[w.Life] = true
+			is.Equal(w.Age, 2*time.Second)
+		}
+	}
+	is.Equal(len(seen), 20)
+}
+
+func TestWhatCanBeALimit(t *testing.T) {
+	is := is.New(t)
+	for _, x := range []float64{0, 0.01, 1e300} {
+		is.True(Proper(x))
+	}
+	for _, x := range []float64{-1, math.NaN(), math.Inf(1), math.Inf(-1)} {
+		is.True(!Proper(x))
+	}
+}
--- a/coordination/pipeline/call.go
+++ b/coordination/pipeline/call.go
@@ -19,7 +19,26 @@
 	overdue bool
 }
 
+// knowTurns takes in when replicas may get their next calls by what they state that
+// they take. What has stated nothing for long costs nothing.
+func (s *Scheduler) knowTurns(now time.Duration) {
+	t := s.opts.Turns
+	if t == nil || !t.Any() && !s.paced {
+		return
+	}
+	s.paced = t.Any()
+	for _, p := range s.order {
+		for _, r := range p.order {
+			r.turnGap, r.turnFrom = t.Gap(r.ID), 0
+			if r.turnGap > 0 {
+				r.turnFrom = t.Free(now, r.ID)
+			}
+		}
+	}
+}
+
 func (s *Scheduler) dispatchAll(now time.Duration) {
+	s.knowTurns(now)
 	for _, p := range s.order {
 		s.dispatch(now, p)
 	}
@@ -140,6 +159,10 @@
 	if p.most > 0 && now < r.ColdUntil {
 		p.sent.Sent(now, r.ID)
 	}
+	if r.turnGap > 0 {
+		s.opts.Turns.Spend(now, r.ID)
+		r.turnFrom = s.opts.Turns.Free(now, r.ID)
+	}
 	r.call = c
 	r.held += c.bytes
 	s.calls[c.id] = c
--- a/coordination/pipeline/pipeline.go
+++ b/coordination/pipeline/pipeline.go
@@ -162,6 +162,7 @@
 	returns map[int]*returns // by rank
 	shares  *shares.Table
 	out     []Action
+	paced   bool // some replica stated a limit when that was asked last
 }
 
 // New returns a scheduler without pools.
--- a/coordination/pipeline/plan.go
+++ b/coordination/pipeline/plan.go
@@ -26,6 +26,7 @@
 type planned struct {
 	free  time.Duration // from now
 	speed float64
+	gap   time.Duration // between two calls, by what it states that it takes
 }
 
 // farthest is how far from now plans look: beyond it no job has time. It also
@@ -37,7 +38,7 @@
 	pl := &plan{pool: p}
 	for _, r := range p.order {
 		if r.serving(now) {
-			pl.replicas = append(pl.replicas, planned{free: r.free(now) - now, speed: r.speed})
+			pl.replicas = append(pl.replicas, planned{free: r.free(now) - now, speed: r.speed, gap: r.turnGap})
 		}
 	}
 	slices.SortFunc(pl.replicas, func(a, b planned) int { return cmp.Compare(a.free, b.free) })
@@ -78,7 +79,7 @@
 		left -= own
 		took := pl.pool.def.CallTime.Seconds() + others*pl.item + own*item
 		done := at + time.Duration(took*speed*float64(time.Second))
-		pl.keep(done)
+		pl.keep(max(done, at+pl.replicas[0].gap))
 		if own > 0 {
 			begins = max(begins, at)
 			ends = max(ends, done, at+st.duration()) // others may still fill the call up
@@ -138,7 +139,7 @@
 		n := min(pl.ahead, float64(p.def.Batch))
 		pl.ahead -= n
 		took := (p.def.CallTime.Seconds() + n*pl.item) * pl.replicas[0].speed
-		pl.keep(pl.replicas[0].free + time.Duration(took*float64(time.Second)))
+		pl.keep(pl.replicas[0].free + max(time.Duration(took*float64(time.Second)), pl.replicas[0].gap))
 	}
 	if len(pl.replicas) == 0 {
 		return 0
--- a/coordination/pipeline/pool.go
+++ b/coordination/pipeline/pool.go
@@ -51,6 +51,8 @@
 	pausedTo time.Duration
 	restTo   time.Duration // until when it wants nothing, as it said itself
 	pause    time.Duration // the last pause, doubled by the next
+	turnFrom time.Duration // when it may get the next call by what it states that it takes
+	turnGap  time.Duration // between two of its calls; 0: it states none
 }
 
 // holding is one result at its maker.
@@ -91,7 +93,7 @@
 func (r *replica) takes() bool { return !r.leaving && !r.gone && !r.Emptied && !r.Withheld }
 
 func (r *replica) usable(now time.Duration) bool {
-	return r.call == nil && r.takes() && now >= r.pausedTo && now >= r.restTo
+	return r.call == nil && r.takes() && now >= r.pausedTo && now >= r.restTo && now >= r.turnFrom
 }
 
 // warm reports whether a replica is, or may get one more call while it is cold.
@@ -111,9 +113,9 @@
 // free is when a replica can take its next call.
 func (r *replica) free(now time.Duration) time.Duration {
 	if r.call != nil {
-		return max(r.call.due, now)
+		return max(r.call.due, r.turnFrom, now)
 	}
-	return max(r.pausedTo, r.restTo, now)
+	return max(r.pausedTo, r.restTo, r.turnFrom, now)
 }
 
 func (r *replica) expire(now time.Duration) {
--- a/coordination/placement/placement.go
+++ b/coordination/placement/placement.go
@@ -58,6 +58,7 @@
 	order   map[string][]*engine // by service, by id
 	speeds  map[string]*speed.Service
 	runs    map[uint64]*run
+	turns   Turns // nil: none are counted
 	cold    warmup.Limit
 	sent    *warmup.Window // to cold engines
 }
@@ -91,6 +92,20 @@
 	}
 }
 
+// Turns are what engines get that state how many requests a second they take from
+// all.
+type Turns interface {
+	Any() bool                                                // some replica states a limit
+	Free(now time.Duration, life string) (from time.Duration) // when one may get the next request
+	Spend(now time.Duration, life string)                     // counts one
+}
+
+// Paced has a table's requests counted by turns.
+func (t *Table) Paced(turns Turns) *Table {
+	t.turns = turns
+	return t
+}
+
 // SetEngines takes the services and their replicas into force.
 func (t *Table) SetEngines(services map[string]*catalog.Service, replicas []catalog.Replica) {
 	listed := make(map[string]bool)
@@ -185,7 +200,7 @@
 	out := make([]*engine, 0, len(all))
 	for i := range all {
 		e := all[(uint64(i)+r.ID*spread)%uint64(len(all))]
-		if e.Takes() && !r.Avoid[e.ID] && t.warm(now, e) {
+		if e.Takes() && !r.Avoid[e.ID] && t.warm(now, e) && t.hasTurn(now, e) {
 			out = append(out, e)
 		}
 	}
@@ -228,6 +243,12 @@
 	return rank
 }
 
+// hasTurn reports whether an engine may get one more request now by what it states
+// that it takes.
+func (t *Table) hasTurn(now time.Duration, e *engine) bool {
+	return t.turns == nil || !t.turns.Any() || t.turns.Free(now, e.ID) <= now
+}
+
 // warm reports whether an engine is, or may get one more request while it is cold.
 func (t *Table) warm(now time.Duration, e *engine) bool {
 	return e.most == 0 || now >= e.ColdUntil || t.sent.Free(now, e.ID, e.most) <= now
--- a/coordination/placement/runs.go
+++ b/coordination/placement/runs.go
@@ -39,6 +39,9 @@
 	if e.most > 0 && n.cold {
 		t.sent.Sent(now, e.ID)
 	}
+	if t.turns != nil {
+		t.turns.Spend(now, e.ID)
+	}
 	t.runs[r.ID] = n
 }
 
--- a/protocol/frame/frame.go
+++ b/protocol/frame/frame.go
@@ -31,6 +31,7 @@
 	PullReplicas                 // PullReplicas -> ReplicaChanges
 	Kept                         // KeptAsk -> KeptReply
 	Trial                        // TrialAsk -> TrialReply when it is the sender's turn, then QuarantineCase; its close ends the trial
+	Pace                         // PaceAsk -> PaceReply
 )
 
 // Unknown answers a stream whose kind the peer does not know. It stands apart from
