--- a/cmd/node/pace.go
+++ b/cmd/node/pace.go
@@ -117,11 +117,7 @@
 		}
 		return all[0], true
 	}
-	all := pace.Keepers(alive, r.ID, pace.Place{Hall: r.Hall, Region: r.Region})
-	if len(all) == 0 {
-		return gossip.Instance{}, false
-	}
-	return all[0], true
+	return pace.Keeper(alive, r.ID, pace.Place{Hall: r.Hall, Region: r.Region})
 }
 
 // keepsTurns reports whether this instance gives a replica's turns: by its view,
--- a/coordination/pace/keeper.go
+++ b/coordination/pace/keeper.go
@@ -1,9 +1,6 @@
 package pace
 
 import (
-	"cmp"
-	"slices"
-
 	"quinceroad/coordination/gossip"
 	"quinceroad/coordination/rendezvous"
 )
@@ -14,28 +11,44 @@
 	Region string
 }
 
-// Keepers returns the instances that may give a replica's turns, the one that does
-// first: those near the replica before others, as most of its requests come from
-// there; none that leaves, unless all do. All with the same view agree.
-func Keepers(alive []gossip.Instance, life string, at Place) []gossip.Instance {
-	out := slices.Clone(alive)
-	far := func(i gossip.Instance) int {
-		switch {
-		case i.Leaving:
-			return 3
-		case i.Hall == at.Hall && i.Region == at.Region:
-			return 0
-		case i.Region == at.Region:
-			return 1
+// distances of an instance from a replica whose turns it may give, the best first.
+const (
+	sameHall = iota
+	sameRegion
+	elsewhere
+	isLeaving
+)
+
+func (p Place) distance(i *gossip.Instance) int {
+	switch {
+	case i.Leaving:
+		return isLeaving
+	case i.Region != p.Region:
+		return elsewhere
+	case i.Hall != p.Hall:
+		return sameRegion
+	}
+	return sameHall
+}
+
+// Keeper returns which of some instances gives a replica's turns: one near the
+// replica before others, as most of its requests come from there; one that leaves
+// only where all do. All with the same view agree; false where there is none.
+func Keeper(alive []gossip.Instance, life string, at Place) (gossip.Instance, bool) {
+	best, least, most := -1, 0, uint64(0)
+	for i := range alive {
+		x := &alive[i]
+		far := at.distance(x)
+		if best >= 0 && far > least {
+			continue
+		}
+		weight := rendezvous.Weight(life, x.Name)
+		if best < 0 || far < least || weight > most || weight == most && x.Name < alive[best].Name {
+			best, least, most = i, far, weight
 		}
-		return 2
 	}
-	weights := make(map[string]uint64, len(out))
-	for _, i := range out {
-		weights[i.Name] = rendezvous.Weight(life, i.Name)
+	if best < 0 {
+		return gossip.Instance{}, false
 	}
-	slices.SortFunc(out, func(x, y gossip.Instance) int {
-		return cmp.Or(cmp.Compare(far(x), far(y)), cmp.Compare(weights[y.Name], weights[x.Name]), cmp.Compare(x.Name, y.Name))
-	})
-	return out
+	return alive[best], true
 }
