Requests whose engines all state limits wait their turn by rank, or are refused

With all engines of a service limited, stages were run for requests that no engine would take, and turns went to whoever asked first. Now their cell's owner reckons a request's wait from the turns and who goes before it: refused as it comes where that is beyond its objective (its deadline where late counts and nobody else is left), with the time beyond; else it waits, the more urgent first. Where another cell has an engine without a limit it goes there as before.

--- a/cmd/node/cell.go
+++ b/cmd/node/cell.go
@@ -9,6 +9,7 @@
 	"sync"
 	"time"
 
+	"quinceroad/coordination/pace"
 	"quinceroad/coordination/pipeline"
 	"quinceroad/coordination/placement"
 	"quinceroad/coordination/quarantine"
@@ -29,6 +30,7 @@
 	waiting      map[uint64]chan pipeline.Action // by job: its Deliver or Fail
 	calls        map[uint64]context.CancelFunc
 	asked        time.Duration                     // when a request last came
+	turns        map[string]*pace.Queue            // by service: requests that want turns of its engines
 	fingerprints map[string]quarantine.Fingerprint // by id of requests whose stages run
 
 	held map[holding]time.Duration // customers held to a share, since when; of the owner's tick alone
--- a/cmd/node/owned.go
+++ b/cmd/node/owned.go
@@ -55,7 +55,7 @@
 	r := &ownedRequest{cell: c, ask: ask, began: c.owner.node.now(), request: requestOf(ask, c.owner.node.lifeOf)}
 	defer r.end()
 	ready, ok := r.stages(news, send)
-	if !ok {
+	if !ok || !r.awaitTurn(news, send) {
 		return
 	}
 	if send(r.place(ready)) != nil {
@@ -76,12 +76,16 @@
 	began   time.Duration
 	job     uint64                // at the scheduler; 0: none
 	far     <-chan placement.Kept // nil: nobody was asked
+	wants   uint64                // number among those that want turns; 0: none
 }
 
 // stages has the request's stages run, if it has any, and returns their results.
 func (r *ownedRequest) stages(news <-chan *pb.StagesNews, send func(*pb.StagesReply) error) (pipeline.Deliver, bool) {
 	c, n := r.cell, r.cell.owner.node
 	job := jobOf(r.ask)
+	if !r.wantsTurn(send) {
+		return pipeline.Deliver{}, false
+	}
 	if len(job.Stages) == 0 {
 		r.askFar()
 		return pipeline.Deliver{}, send(&pb.StagesReply{Admitted: true}) == nil
@@ -176,6 +180,7 @@
 	now := n.now()
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	defer r.leaveTurns()
 	c.next++
 	r.request.ID = c.next
 	r.request.Near = ready.Near
@@ -242,6 +247,7 @@
 	r.release()
 	r.cell.mu.Lock()
 	defer r.cell.mu.Unlock()
+	r.leaveTurns()
 	r.cell.engines.End(r.cell.owner.node.now(), r.request.ID)
 }
 
--- a/cmd/node/owner.go
+++ b/cmd/node/owner.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"quinceroad/cmd/process"
+	"quinceroad/coordination/pace"
 	"quinceroad/coordination/pipeline"
 	"quinceroad/coordination/placement"
 	"quinceroad/coordination/quarantine"
@@ -50,6 +51,7 @@
 			engines:      placement.New(o.node.placing(), o.node.cold.limit).Paced(cellTurns{o.node}),
 			waiting:      make(map[uint64]chan pipeline.Action),
 			calls:        make(map[uint64]context.CancelFunc),
+			turns:        make(map[string]*pace.Queue),
 			fingerprints: make(map[string]quarantine.Fingerprint),
 		}
 		o.cells[number] = c
--- a/cmd/node/pace.go
+++ b/cmd/node/pace.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"time"
 
@@ -374,3 +375,21 @@
 	}
 	n.counters.stated("limited", limited)
 }
+
+// limitedStates tells, for the dump, what replicas state that they take and who
+// gives their turns.
+func (n *Node) limitedStates(w *world) map[string]string {
+	var limited map[string]float64
+	n.statements.withPaces(func(b *pace.Book) { limited = b.Limited() })
+	out := make(map[string]string, len(limited))
+	for life, perSecond := range limited {
+		keeper := "nobody"
+		if r, ok := w.replicaOf(life); ok {
+			if k, ok := n.keeperOf(&r); ok {
+				keeper = k.Name
+			}
+		}
+		out[life] = fmt.Sprintf("%g a second, turns by %s", perSecond, keeper)
+	}
+	return out
+}
--- a/cmd/node/state.go
+++ b/cmd/node/state.go
@@ -37,6 +37,7 @@
 	Lives      int               // of replicas that say when they were born
 	Leaving    []string          // replicas, by their own word, or by signs lately
 	Resting    map[string]string // replicas that want nothing from this instance, and for how much longer
+	Limited    map[string]string // replicas that state how many requests a second they take, and who gives their turns
 	Emptied    []string          // halls whose replicas get nothing new
 	Cold       []string          // replicas that get little
 	LeftAlone  []string          // replicas taken for sick
@@ -132,6 +133,7 @@
 			s.Resting[life] = (until - n.now()).Round(time.Millisecond).String()
 		}
 	})
+	s.Limited = n.limitedStates(w)
 	s.Leaving = append(s.Leaving, n.recentlyLeaving(mostLeavingTold)...)
 	s.FleetLevel = n.level.inForce()
 	s.Waiting = level.Waiting(s.FleetLevel)
--- a/coordination/pipeline/options.go
+++ b/coordination/pipeline/options.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"quinceroad/coordination/pace"
 	"quinceroad/coordination/warmup"
 )
 
@@ -27,7 +28,7 @@
 	PauseMost        time.Duration // at most: who is back is missed for no longer
 	Unknown          time.Duration // when a job may come back whose pools are not known or gone, or that was given up
 	Cold             warmup.Limit  // of calls to a cold replica
-	Turns            Turns         // nil: none are counted
+	Turns            pace.Turns    // nil: none are counted
 	SuspectsTogether int           // jobs in a call under which one replica has ended: about the root of the jobs in a full call
 	LeastRetry       time.Duration // until a refused job may come back
 }
@@ -65,17 +66,8 @@
 // Cold bounds what replicas get while they are cold.
 func Cold(l warmup.Limit) Option { return func(o *Options) { o.Cold = l } }
 
-// Turns are what replicas get that state how many requests a second they take from
-// all; a call is one, whatever it holds.
-type Turns interface {
-	Any() bool                                                // some replica states a limit
-	Free(now time.Duration, life string) (from time.Duration) // when one may get the next call
-	Gap(life string) time.Duration                            // between two of its calls; 0: it states none
-	Spend(now time.Duration, life string)                     // counts one
-}
-
-// Paced has calls counted by turns.
-func Paced(t Turns) Option { return func(o *Options) { o.Turns = t } }
+// Paced has calls counted by turns; a call is one request, whatever it holds.
+func Paced(t pace.Turns) Option { return func(o *Options) { o.Turns = t } }
 
 // Margin sets the share of the objective that a new job's expected end may take.
 func Margin(share float64) Option { return func(o *Options) { o.Margin = share } }
--- a/coordination/placement/placement.go
+++ b/coordination/placement/placement.go
@@ -18,6 +18,7 @@
 	"slices"
 	"time"
 
+	"quinceroad/coordination/pace"
 	"quinceroad/coordination/speed"
 	"quinceroad/coordination/warmup"
 	"quinceroad/state/catalog"
@@ -58,7 +59,7 @@
 	order   map[string][]*engine // by service, by id
 	speeds  map[string]*speed.Service
 	runs    map[uint64]*run
-	turns   Turns // nil: none are counted
+	turns   pace.Turns // nil: none are counted
 	cold    warmup.Limit
 	sent    *warmup.Window // to cold engines
 }
@@ -92,16 +93,8 @@
 	}
 }
 
-// Turns are what engines get that state how many requests a second they take from
-// all.
-type Turns interface {
-	Any() bool                                                // some replica states a limit
-	Free(now time.Duration, life string) (from time.Duration) // when one may get the next request
-	Spend(now time.Duration, life string)                     // counts one
-}
-
 // Paced has a table's requests counted by turns.
-func (t *Table) Paced(turns Turns) *Table {
+func (t *Table) Paced(turns pace.Turns) *Table {
 	t.turns = turns
 	return t
 }
@@ -249,6 +242,22 @@
 	return t.turns == nil || !t.turns.Any() || t.turns.Free(now, e.ID) <= now
 }
 
+// Supply returns what the engines that may take a request give of turns.
+func (t *Table) Supply(now time.Duration, r *Request) (s pace.Supply) {
+	if t.turns == nil || !t.turns.Any() {
+		return s
+	}
+	first := true
+	for _, e := range t.order[r.Service] {
+		if !e.Takes() || r.Avoid[e.ID] {
+			continue
+		}
+		s = s.Add(first, t.turns.Free(now, e.ID), t.turns.Gap(e.ID))
+		first = false
+	}
+	return s
+}
+
 // warm reports whether an engine is, or may get one more request while it is cold.
 func (t *Table) warm(now time.Duration, e *engine) bool {
 	return e.most == 0 || now >= e.ColdUntil || t.sent.Free(now, e.ID, e.most) <= now
