--- a/cmd/ctl/losses_test.go
+++ b/cmd/ctl/losses_test.go
@@ -54,6 +54,13 @@
 2026-01-01T00:00:01.401Z [INFO]  node: request: instance=i1 event=3050 request=none route=x why="stages refused, back in 1s" objective=1.2s took=2ms
 `
 
+// Its engines' limits are named as what bound a refused request.
+func TestLossesTellOfEnginesLimits(t *testing.T) {
+	wantLosses(t, `2026-01-01T00:00:05.600Z [INFO]  node: refused for its engines' limits: instance=i2 event=3206 request=limited rank=1 wait=4s may_wait=3.5s per_second=1.2
+2026-01-01T00:00:05.601Z [INFO]  node: request: instance=i1 event=3050 request=limited route=x why="stages refused, back in 500ms" objective=3.6s took=2ms
+`, `refused, limits of all its engines +1  x 1 +limited\n`)
+}
+
 func TestLossesTellWhatBoundARefusal(t *testing.T) {
 	wantLosses(t, refusals,
 		`refused, pool portal +1  x 1 +pool\n`,
--- a/cmd/ctl/refusal.go
+++ b/cmd/ctl/refusal.go
@@ -17,6 +17,7 @@
 	limit     time.Duration // that expected was held against
 	objective time.Duration // that was left for the stages
 	engine    time.Duration // that its engine was expected to take after them; 0: not told
+	limits    bool          // for what all engines state that they take
 }
 
 func refusalOf(l *logLine) *refusal {
@@ -28,12 +29,13 @@
 		limit:     l.duration("limit"),
 		objective: l.duration("objective"),
 		engine:    l.duration("engine_expected"),
+		limits:    l.event == event.NodeTurnRefused.Number,
 	}
 }
 
 // takeRefusal notes what a refused request's owner said.
 func (a *account) takeRefusal(l *logLine) {
-	if l.event == event.NodeJobRefused.Number {
+	if l.event == event.NodeJobRefused.Number || l.event == event.NodeTurnRefused.Number {
 		a.refusals[l.request] = append(a.refusals[l.request], refusalOf(l))
 	}
 }
@@ -65,6 +67,8 @@
 	const refused = "refused, "
 	spent, engine := r.before(end)
 	switch {
+	case r.limits:
+		return refused + "limits of all its engines"
 	case r.own == 0 || r.own <= r.limit:
 		return refused + "pool " + cmp.Or(r.bound, "not known")
 	case r.own > end.duration("objective"):
--- a/cmd/ctl/story.go
+++ b/cmd/ctl/story.go
@@ -62,7 +62,7 @@
 // instance that logs them.
 var (
 	ofReplicas = []*event.Event{event.NodeReplicaLeaves, event.NodeReplicaCold, event.NodeLeavesAlone, event.NodeTakesBack, event.NodeCallLost, event.NodeReplicaEnded,
-		event.NodeReplicaSaysLeaves, event.NodeReplicaRests, event.NodeReplicaRested}
+		event.NodeReplicaSaysLeaves, event.NodeReplicaRests, event.NodeReplicaRested, event.NodeReplicaLimits, event.NodeReplicaUnlimited}
 	ofInstances = []*event.Event{event.NodeMisses, event.NodeOwnerLost}
 	ofItself    = []*event.Event{
 		event.NodeStarted, event.NodeStopping, event.NodeHallEmptied, event.NodeHallReturned, event.NodeStoreLost, event.NodeStoreBack,
@@ -123,6 +123,7 @@
 	if end == nil {
 		return "No instance logged the request's end: who had taken it was killed, or is still at work on it."
 	}
+	noTurn := s.last(event.NodeTurnRefused)
 	refused, failed, attempt := s.last(event.NodeJobRefused), s.last(event.NodeJobFailed), s.last(event.NodeAttempt)
 	switch why := end.field("why"); {
 	case why == whyServed:
@@ -131,6 +132,8 @@
 		return overShareOf(end)
 	case strings.HasPrefix(why, "stages refused") && refused != nil:
 		return refusedBy(refused, end)
+	case strings.HasPrefix(why, "stages refused") && noTurn != nil:
+		return noTurnOf(noTurn)
 	case strings.HasPrefix(why, "stages failed") && failed != nil:
 		return fmt.Sprintf("Admitted, then given up by %s after %s: %s.", failed.instance, failed.field("after"), failed.field("why"))
 	case why == event.WhyCondemned:
@@ -149,6 +152,12 @@
 		end.field("owner"), end.field("customer"), end.field("short"), end.field("asked"), end.field("share"))
 }
 
+// noTurnOf tells by which figures a request's engines had no turn for it in time.
+func noTurnOf(refused *logLine) string {
+	return fmt.Sprintf("Refused by %s, the owner of its engines: all that may run it state limits, %s requests a second together; its turn would have come after %s, it could wait %s.",
+		refused.instance, refused.field("per_second"), refused.field("wait"), refused.field("may_wait"))
+}
+
 // refusedBy tells what an owner expected of a refused request, and what bound it.
 func refusedBy(refused, end *logLine) string {
 	r := refusalOf(refused)
--- a/cmd/node/statements.go
+++ b/cmd/node/statements.go
@@ -216,10 +216,14 @@
 // restError says that all replicas which a request may go to want nothing now.
 type restError struct {
 	now, until time.Duration // when the first may get a request again
+	paced      bool          // that one states how much it takes, and does not rest
 }
 
 // Error implements error.
 func (e *restError) Error() string {
+	if e.paced {
+		return fmt.Sprintf("all replicas take no more for now by the limits that they state, or rest; the first has a turn in %v", e.left().Round(time.Millisecond))
+	}
 	return fmt.Sprintf("all replicas rest, the first for %v more", e.left().Round(time.Millisecond))
 }
 
@@ -241,7 +245,7 @@
 // mayAll returns those of some replicas that may get a request now, and an error
 // when what they state forbids all of them that this one has not met yet.
 func (s *serving) mayAll(now time.Duration, all []catalog.Replica) (may []catalog.Replica, err error) {
-	first, fresh := stated.Never, false
+	first, fresh, paced := stated.Never, false, false
 	s.node.statements.with(func(b *stated.Book) {
 		if b.Empty() && !s.node.statements.paces.Any() {
 			may, fresh = all, true
@@ -253,13 +257,14 @@
 			if ok {
 				may = append(may, r)
 				fresh = fresh || !met
-			} else if !met {
-				first = min(first, from)
+			} else if !met && from < first {
+				first = from
+				paced, _ = b.May(now, r.ID)
 			}
 		}
 	})
 	if !fresh && first != stated.Never {
-		err = &restError{now: now, until: first}
+		err = &restError{now: now, until: first, paced: paced}
 	}
 	return may, err
 }
