What is usual is learnt for ten seconds where there is too much from the start

Cause: after 5 s of learning in the shortage what was served stood for what is usual, some requests of each customer; by chance one lay below its part and was held to it.

--- a/coordination/shares/shares.go
+++ b/coordination/shares/shares.go
@@ -69,7 +69,7 @@
 		PartEach:    100 * time.Millisecond,
 		LearnEach:   time.Second,
 		LeastLearnt: 2 * time.Second,
-		LearnShort:  5 * time.Second,
+		LearnShort:  10 * time.Second,
 		LeastTold:   40,
 		Forget:      1e-4,
 	}
