Callers that limits leave no turn come back one after the other

Told the first turn's moment and up to a second more, all but one of them came for nothing: at 3 turns a second and 6 instances some tens of callers in the same second. Now each instance hands out moments as far apart as turns come to it, at random between two. A test counts them over six instances.

--- a/cmd/node/end.go
+++ b/cmd/node/end.go
@@ -27,6 +27,8 @@
 	var failed *failedError
 	var rest *restError
 	switch {
+	case errors.As(err, &rest) && rest.paced:
+		after = s.node.promise(s.service.Name, rest)
 	case errors.As(err, &rest):
 		after = max(rest.left(), backSoon) + spreadReturn()
 	case errors.As(err, &refused):
--- a/cmd/node/pace.go
+++ b/cmd/node/pace.go
@@ -185,6 +185,20 @@
 	return false
 }
 
+// promise returns after which time a caller may come back that had no turn at a
+// service's replicas.
+func (n *Node) promise(service string, rest *restError) time.Duration {
+	perSecond := 0.0
+	replicas, instances := n.world.Load().services[service], n.size()
+	s := n.statements
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, r := range replicas {
+		perSecond += s.paces.Limit(r.ID).PerSecond
+	}
+	return max(s.told.Promise(service, rest.until, perSecond, instances)-rest.now, backSoon)
+}
+
 // takeAlone has a turn of this instance's own part of a limit.
 func (n *Node) takeAlone(life string) bool {
 	instances, now, ok := n.size(), n.now(), false
@@ -375,6 +389,7 @@
 	}
 	var lives []string
 	s.withPaces(func(b *pace.Book) {
+		s.told.Forget(now)
 		b.Sweep(now, func(life string) bool { _, ok := listed[life]; return ok })
 		lives = b.Lives()
 	})
--- a/cmd/node/statements.go
+++ b/cmd/node/statements.go
@@ -28,13 +28,14 @@
 
 	unread *stated.Unread
 	paces  *pace.Book
+	told   *pace.Promises
 	paced  atomic.Bool // some replica states a limit
 
 	quiet bool // nothing was stated at the last sweep; of the sweeps alone
 }
 
 func newStatements() *statements {
-	return &statements{book: stated.New(stated.Standard()), free: make(map[string]*pipeline.Free), unread: stated.NewUnread(), paces: pace.New(pace.Standard()), quiet: true}
+	return &statements{book: stated.New(stated.Standard()), free: make(map[string]*pipeline.Free), unread: stated.NewUnread(), paces: pace.New(pace.Standard()), told: pace.NewPromises(), quiet: true}
 }
 
 // with runs f on the book.
--- /dev/null
+++ b/coordination/pace/promises_test.go
@@ -0,0 +1,39 @@
+package pace
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// Callers of several instances that have no turn come back one after the other, no
+// faster than turns come.
+func TestCallersComeBackAsTurnsDo(t *testing.T) {
+	is := is.New(t)
+	const instances, perSecond = 6, 3.0
+	var all []time.Duration
+	for range instances {
+		p := NewPromises()
+		for range 10 {
+			all = append(all, p.Promise("s", time.Second, perSecond, instances))
+		}
+	}
+	in := func(from, to time.Duration) (n int) {
+		for _, at := range all {
+			if at >= from && at < to {
+				n++
+			}
+		}
+		return n
+	}
+	is.Equal(in(0, time.Second), 0)
+	for from := time.Second; from < 21*time.Second; from += 2 * time.Second {
+		is.Equal(in(from, from+2*time.Second), 2*int(perSecond))
+	}
+	p := NewPromises()
+	p.Promise("s", time.Second, perSecond, instances)
+	p.Forget(4 * time.Second)
+	is.Equal(len(p.next), 0)
+	is.Equal(p.Promise("s", 9*time.Second, perSecond, instances), 9*time.Second)
+}
