--- a/cmd/node/pace.go
+++ b/cmd/node/pace.go
@@ -196,7 +196,7 @@
 	for _, r := range replicas {
 		perSecond += s.paces.Limit(r.ID).PerSecond
 	}
-	return max(s.told.Promise(service, rest.until, perSecond, instances)-rest.now, backSoon)
+	return max(s.told.Promise(service, rest.until, perSecond, instances, newRandom().Float64())-rest.now, backSoon)
 }
 
 // takeAlone has a turn of this instance's own part of a limit.
--- a/coordination/pace/promises.go
+++ b/coordination/pace/promises.go
@@ -13,12 +13,14 @@
 func NewPromises() *Promises { return &Promises{next: make(map[string]time.Duration)} }
 
 // Promise returns when a caller may come back to a service whose first turn is free
-// at a time, and whose replicas give all instances so many turns a second.
-func (p *Promises) Promise(service string, first time.Duration, perSecond float64, instances int) time.Duration {
+// at a time, and whose replicas give all instances so many turns a second; random,
+// from 0 to 1, is where between two of these, so that instances don't all name the
+// same moments.
+func (p *Promises) Promise(service string, first time.Duration, perSecond float64, instances int, random float64) time.Duration {
 	at := max(p.next[service], first)
-	each := float64(max(instances, 1)) / max(perSecond, leastPerSecond)
-	p.next[service] = at + time.Duration(each*float64(time.Second))
-	return at
+	each := float64(max(instances, 1)) / max(perSecond, leastPerSecond) * float64(time.Second)
+	p.next[service] = at + time.Duration(each)
+	return at + time.Duration(random*each)
 }
 
 // Forget drops the moments that have passed.
--- a/coordination/pace/promises_test.go
+++ b/coordination/pace/promises_test.go
@@ -13,10 +13,10 @@
 	is := is.New(t)
 	const instances, perSecond = 6, 3.0
 	var all []time.Duration
-	for range instances {
+	for i := range instances {
 		p := NewPromises()
 		for range 10 {
-			all = append(all, p.Promise("s", time.Second, perSecond, instances))
+			all = append(all, p.Promise("s", time.Second, perSecond, instances, float64(i)/instances))
 		}
 	}
 	in := func(from, to time.Duration) (n int) {
@@ -32,8 +32,8 @@
 		is.Equal(in(from, from+2*time.Second), 2*int(perSecond))
 	}
 	p := NewPromises()
-	p.Promise("s", time.Second, perSecond, instances)
+	p.Promise("s", time.Second, perSecond, instances, 0)
 	p.Forget(4 * time.Second)
 	is.Equal(len(p.next), 0)
-	is.Equal(p.Promise("s", 9*time.Second, perSecond, instances), 9*time.Second)
+	is.Equal(p.Promise("s", 9*time.Second, perSecond, instances, 0), 9*time.Second)
 }
