Limits go round by peers as they were stated

Found in reading the diff: a limit of 1.2 was told as 1.2000000477, so that the word that came back was another one, news for ever and a log line every five seconds. Tests: a word that comes back, and broken words of peers.

--- a/cmd/node/pace.go
+++ b/cmd/node/pace.go
@@ -341,19 +341,18 @@
 }
 
 func limitOf(w pace.Word) *pb.ReplicaLimit {
-	return &pb.ReplicaLimit{Id: w.Life, PerSecond: float32(w.Limit.PerSecond), Ended: !w.Limit.Stated, AgeMs: uint32(w.Age.Milliseconds())}
+	return &pb.ReplicaLimit{Id: w.Life, PerSecond: w.Limit.PerSecond, Ended: !w.Limit.Stated, AgeMs: uint32(w.Age.Milliseconds())}
 }
 
 // takeLimits takes in what a peer tells of limits.
 func (n *Node) takeLimits(from string, all []*pb.ReplicaLimit) {
 	for _, l := range all {
-		perSecond := float64(l.GetPerSecond())
-		if l.GetId() == "" || len(l.GetId()) > mostLife || !pace.Proper(perSecond) {
+		if l.GetId() == "" || len(l.GetId()) > mostLife || !pace.Proper(l.GetPerSecond()) {
 			continue
 		}
 		limit := pace.Limit{}
 		if !l.Ended {
-			limit = pace.Limit{PerSecond: perSecond, Stated: true}
+			limit = pace.Limit{PerSecond: l.PerSecond, Stated: true}
 		}
 		n.hearLimit(pace.Word{Life: l.Id, Limit: limit, Age: time.Duration(l.AgeMs) * time.Millisecond}, from)
 	}
--- /dev/null
+++ b/cmd/node/pace_test.go
@@ -0,0 +1,38 @@
+package node
+
+import (
+	"math"
+	"testing"
+
+	hclog "github.com/hashicorp/go-hclog"
+	"github.com/matryer/is"
+
+	"quinceroad/coordination/pace"
+	"quinceroad/platform"
+	"quinceroad/protocol/pb"
+)
+
+// A word that goes round by peers is the same as when it left: one that comes back
+// a little different would be news for ever.
+func TestALimitThatComesBackIsNoNews(t *testing.T) {
+	is := is.New(t)
+	n := New(&platform.Settings{Name: "n1", Hall: "h1"}, hclog.NewNullLogger())
+	word := pace.Word{Life: "r", Limit: pace.Limit{PerSecond: 1.2, Stated: true}}
+	n.hearLimit(word, "peer")
+	n.takeLimits("peer", n.limitNews())
+	n.statements.withPaces(func(b *pace.Book) { is.Equal(b.Limit("r"), word.Limit) })
+}
+
+// Whatever a peer tells of limits ends nothing and holds nobody.
+func TestBrokenWordsOfLimits(t *testing.T) {
+	is := is.New(t)
+	n := New(&platform.Settings{Name: "n1", Hall: "h1"}, hclog.NewNullLogger())
+	long := string(make([]byte, 10_000))
+	n.takeLimits("peer", []*pb.ReplicaLimit{
+		nil, {}, {Id: long, PerSecond: 1}, {Id: "a", PerSecond: -1}, {Id: "b", PerSecond: math.NaN()}, {Id: "c", PerSecond: math.Inf(1)}, {Id: "d", Ended: true},
+	})
+	is.True(!n.statements.paced.Load())
+	for _, first := range [][]byte{nil, {0xff}, []byte("no message")} {
+		is.True(n.answerPace(first, "peer").Elsewhere)
+	}
+}
--- a/coordination/pace/pace.go
+++ b/coordination/pace/pace.go
@@ -275,13 +275,6 @@
 	}
 }
 
-// Over takes in that a life has ended.
-func (b *Book) Over(life string) {
-	if b.rows[life] != nil {
-		b.forget(life)
-	}
-}
-
 func (b *Book) forget(life string) {
 	if b.rows[life].limit.Stated {
 		b.limited--
