--- a/cmd/node/statements.go
+++ b/cmd/node/statements.go
@@ -50,14 +50,8 @@
 	return left
 }
 
-// may reports whether a life may get a request now, and from when on it may.
-func (s *statements) may(now time.Duration, life string) (ok bool, from time.Duration) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.mayLocked(now, life)
-}
-
-// mayLocked does so for who holds the lock.
+// mayLocked reports whether a life may get a request now, and from when on it may. The
+// lock is held.
 func (s *statements) mayLocked(now time.Duration, life string) (ok bool, from time.Duration) {
 	if ok, from = s.book.May(now, life); !ok {
 		return false, from
--- a/coordination/pace/fleet_test.go
+++ b/coordination/pace/fleet_test.go
@@ -51,7 +51,6 @@
 	book    *Book
 	dead    bool
 	cut     bool
-	backAt  time.Duration // when a death or cut ends
 	since   time.Duration // when that, or the start, was
 	excused []excuse
 	told    map[int]time.Duration     // by replica: when it first passed on a statement that still holds
