A limit that changes in each answer is no line and no round of its own each time

Found in reading the diff: begun, moved and ended limits each logged a line and sent a round of heartbeats; a replica that states one in each second answer would have done so with each of them. Now once in five seconds a life; its keeper is told each change, the others by the next heartbeat.

--- a/cmd/node/cell.go
+++ b/cmd/node/cell.go
@@ -246,7 +246,7 @@
 		return
 	}
 	if told.Leaves {
-		n.takeLeaving(r.ID, "its own")
+		n.takeLeaving(r.ID, itsOwn)
 	}
 	for _, field := range told.Unread {
 		n.noteUnread(r.Service, field, "report")
--- a/cmd/node/pace.go
+++ b/cmd/node/pace.go
@@ -60,7 +60,7 @@
 	case h.Unclear != "":
 		n.noteUnread(from.service, h.Unclear, "answer")
 	case h.Limit.Stated, !from.aside && n.statements.paced.Load():
-		n.hearLimit(pace.Word{Life: from.life, Limit: h.Limit}, "its own")
+		n.hearLimit(pace.Word{Life: from.life, Limit: h.Limit}, itsOwn)
 	}
 }
 
@@ -68,14 +68,19 @@
 // and tells the others what is new.
 func (n *Node) hearLimit(w pace.Word, by string) {
 	var was pace.Limit
-	change := pace.Nothing
+	change, isNoted := pace.Nothing, false
 	n.statements.withPaces(func(b *pace.Book) {
 		was = b.Limit(w.Life)
 		change = b.Hear(n.now(), w)
+		isNoted = change != pace.Nothing && b.WorthALine(n.now(), w.Life)
 	})
-	switch change {
-	case pace.Nothing:
+	if change != pace.Nothing && by == itsOwn {
+		n.tellKeeper(w.Life)
+	}
+	if !isNoted {
 		return
+	}
+	switch change {
 	case pace.Began, pace.Moved:
 		before := -1.0
 		if was.Stated {
@@ -85,12 +90,14 @@
 	case pace.Ended:
 		event.NodeReplicaUnlimited.Log(n.log, "replica", w.Life, "by", by)
 	}
-	if by == "its own" {
-		n.tellKeeper(w.Life)
+	if by == itsOwn {
 		n.tell()
 	}
 }
 
+// itsOwn stands in log lines for a replica's own answer to this instance.
+const itsOwn = "its own"
+
 // replicaOf returns a listed replica by its life.
 func (w *world) replicaOf(life string) (catalog.Replica, bool) {
 	for _, r := range w.all {
--- a/cmd/node/statements.go
+++ b/cmd/node/statements.go
@@ -96,7 +96,7 @@
 	}
 	n.takeLimit(from, &h)
 	if h.Leaves {
-		n.takeLeaving(from.life, "its own")
+		n.takeLeaving(from.life, itsOwn)
 	}
 	if h.Rest > 0 {
 		n.takeRest(from, h.Rest)
--- a/coordination/pace/pace.go
+++ b/coordination/pace/pace.go
@@ -29,7 +29,7 @@
 	Forget  time.Duration // that an ended limit is remembered, so that an older word does not bring it back
 	Unheard time.Duration // that a word of a life is kept which is not listed: entries that lapse with a silent store are back within seconds of its return
 	Most    int           // lives; a bound against a peer that names many
-	LogEach time.Duration // between two changes of one limit that are worth a log line
+	LogEach time.Duration // between two changes of one limit that are worth a log line, and a round of heartbeats of their own
 }
 
 // Standard returns the constants in use.
@@ -70,7 +70,7 @@
 	heard  time.Duration // when the answer came that said so
 	fresh  time.Duration // when this instance learned it
 	listed time.Duration // when it was listed last
-	logged time.Duration // when a change was last worth a line
+	noted  time.Duration // when a change was last worth a line; 0: none was
 
 	keeps bool          // this instance gives the turns
 	next  time.Duration // when the next turn is due
@@ -88,7 +88,7 @@
 const (
 	Nothing Change = iota
 	Began
-	Moved // to another number, by enough for a log line
+	Moved // to another number
 	Ended
 )
 
@@ -116,20 +116,27 @@
 	switch {
 	case !was.Stated:
 		b.limited++
-		r.logged = now
 		r.next = begins
 		r.alone, r.known = 0, 0
 		return Began
 	case !w.Limit.Stated:
 		b.limited--
 		return Ended
-	case now-r.logged < b.opts.LogEach:
-		return Nothing
 	}
-	r.logged = now
 	return Moved
 }
 
+// WorthALine reports whether a change of a life's limit is worth a log line now, and
+// counts it: a replica may state another limit in each answer.
+func (b *Book) WorthALine(now time.Duration, life string) bool {
+	r := b.rows[life]
+	if r == nil || r.noted != 0 && now-r.noted < b.opts.LogEach {
+		return false
+	}
+	r.noted = max(now, 1)
+	return true
+}
+
 // gap is the time between two turns.
 func (b *Book) gap(l Limit) time.Duration {
 	if !l.Stated {
--- a/coordination/pace/pace_test.go
+++ b/coordination/pace/pace_test.go
@@ -65,9 +65,27 @@
 	is.Equal(b.Hear(7*time.Second, Word{Life: "r", Limit: stated(1), Age: 2 * time.Second}), Nothing)
 	is.True(!b.Any())
 	is.Equal(b.Hear(8*time.Second, Word{Life: "r", Limit: stated(3)}), Began)
-	is.Equal(b.Hear(9*time.Second, Word{Life: "r", Limit: stated(4)}), Nothing) // a line was logged just before
+	is.Equal(b.Hear(9*time.Second, Word{Life: "r", Limit: stated(4)}), Moved)
 	is.Equal(b.Limit("r"), stated(4))
-	is.Equal(b.Hear(15*time.Second, Word{Life: "r", Limit: stated(5)}), Moved)
+}
+
+// A replica that states another limit in each answer, or one in each second answer,
+// is not worth a line each time.
+func TestChangesOfALimitAreNotedNowAndThen(t *testing.T) {
+	is := is.New(t)
+	b := New(Standard())
+	is.True(!b.WorthALine(0, "r")) // it stated nothing
+	noted := 0
+	for now := time.Duration(0); now < 20*time.Second; now += 10 * time.Millisecond {
+		limit := stated(1)
+		if now%(20*time.Millisecond) != 0 {
+			limit = Limit{}
+		}
+		if b.Hear(now, Word{Life: "r", Limit: limit}) != Nothing && b.WorthALine(now, "r") {
+			noted++
+		}
+	}
+	is.Equal(noted, 4)
 }
 
 // A replica that takes nothing is asked now and then, as nobody else would tell
