The gauge of limited replicas falls, what was known of limits is forgotten

Found in reading the diff: with the last limit the looks at limits ended, so that the gauge stayed and ended limits were kept for good. Red before: 1 where 0 is due.

--- a/cmd/node/pace.go
+++ b/cmd/node/pace.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"fmt"
 	"time"
 
 	"google.golang.org/protobuf/proto"
@@ -11,7 +10,6 @@
 	"quinceroad/coordination/gossip"
 	"quinceroad/coordination/ownership"
 	"quinceroad/coordination/pace"
-	"quinceroad/platform"
 	"quinceroad/protocol/event"
 	"quinceroad/protocol/frame"
 	"quinceroad/protocol/pb"
@@ -25,8 +23,6 @@
 const (
 	paceFor       = 150 * time.Millisecond // that a keeper may take to answer: it does so at once
 	keeperLost    = 300 * time.Millisecond // that a limited replica is left to others where its keeper does not answer: a heartbeat and a half
-	freshLimit    = 3 * time.Second        // that a new word is told by each heartbeat: five rounds reach 390 instances in a second
-	mostLimits    = 16                     // words in a heartbeat, which is to stay one datagram
 	freeGaps      = 4                      // times between turns, from one call that frees results to the next: what such calls take is no request's
 	leastFreeEach = time.Second            // the same at least
 )
@@ -54,65 +50,6 @@
 	return stated
 }
 
-// takeLimit takes in what an answer says of how much its replica takes.
-func (n *Node) takeLimit(from stater, h *platform.Head) {
-	switch {
-	case h.Unclear != "":
-		n.noteUnread(from.service, h.Unclear, "answer")
-	case h.Limit.Stated, !from.aside && n.statements.paced.Load():
-		n.hearLimit(pace.Word{Life: from.life, Limit: h.Limit}, itsOwn)
-	}
-}
-
-// hearLimit takes in what a replica states, to this instance or to the one named,
-// and tells the others what is new.
-func (n *Node) hearLimit(w pace.Word, by string) {
-	var was pace.Limit
-	change, isNoted := pace.Nothing, false
-	n.statements.withPaces(func(b *pace.Book) {
-		was = b.Limit(w.Life)
-		change = b.Hear(n.now(), w)
-		isNoted = change != pace.Nothing && b.WorthALine(n.now(), w.Life)
-	})
-	if change != pace.Nothing && by == itsOwn {
-		n.tellKeeper(w.Life)
-	}
-	if !isNoted {
-		return
-	}
-	switch change {
-	case pace.Began, pace.Moved:
-		before := -1.0
-		if was.Stated {
-			before = was.PerSecond
-		}
-		event.NodeReplicaLimits.Log(n.log, "replica", w.Life, "service", n.serviceOf(w.Life), "per_second", w.Limit.PerSecond, "was", before, "by", by)
-	case pace.Ended:
-		event.NodeReplicaUnlimited.Log(n.log, "replica", w.Life, "by", by)
-	}
-	if by == itsOwn {
-		n.tell()
-	}
-}
-
-// itsOwn stands in log lines for a replica's own answer to this instance.
-const itsOwn = "its own"
-
-// replicaOf returns a listed replica by its life.
-func (w *world) replicaOf(life string) (catalog.Replica, bool) {
-	for _, r := range w.all {
-		if r.ID == life {
-			return r, true
-		}
-	}
-	return catalog.Replica{}, false
-}
-
-func (n *Node) serviceOf(life string) string {
-	r, _ := n.world.Load().replicaOf(life)
-	return r.Service
-}
-
 // keepers finds who gives replicas' turns by one view.
 type keepers struct {
 	node   *Node
@@ -272,17 +209,6 @@
 	}
 }
 
-// limitWord is what this instance knows of a replica's limit, as it is told.
-func (n *Node) limitWord(life string) *pb.ReplicaLimit {
-	out := &pb.ReplicaLimit{Id: life}
-	n.statements.withPaces(func(b *pace.Book) {
-		for _, w := range b.Words(n.now(), life) {
-			out = limitOf(w)
-		}
-	})
-	return out
-}
-
 // givePace gives a turn of a replica, or says how long there is none.
 func (n *Node) givePace(r *catalog.Replica) (free time.Duration, ok bool) {
 	now := n.now()
@@ -311,12 +237,11 @@
 	return &pb.PaceReply{Turn: ok, FreeUs: free.Microseconds()}
 }
 
-// mayAside counts a call beside requests: it is made, and requests wait for it.
-func (n *Node) mayAside(life string) bool {
+// countAside counts a call beside requests: it is made, and requests wait for it.
+func (n *Node) countAside(life string) {
 	if n.statements.limits(life) {
 		n.statements.withPaces(func(b *pace.Book) { b.Spend(n.now(), life) })
 	}
-	return true
 }
 
 // freesEach is how often results may be freed at a replica whose turns are so far
@@ -353,99 +278,3 @@
 func (t cellTurns) Spend(now time.Duration, life string) {
 	t.node.statements.withPaces(func(b *pace.Book) { b.Spend(now, life) })
 }
-
-// limitNews returns what is worth telling others of limits.
-func (n *Node) limitNews() []*pb.ReplicaLimit {
-	var out []*pb.ReplicaLimit
-	n.statements.withPaces(func(b *pace.Book) {
-		for _, w := range b.News(n.now(), freshLimit, mostLimits) {
-			out = append(out, limitOf(w))
-		}
-	})
-	return out
-}
-
-func limitOf(w pace.Word) *pb.ReplicaLimit {
-	return &pb.ReplicaLimit{Id: w.Life, PerSecond: w.Limit.PerSecond, Ended: !w.Limit.Stated, AgeMs: uint32(w.Age.Milliseconds())}
-}
-
-// takeLimits takes in what a peer tells of limits.
-func (n *Node) takeLimits(from string, all []*pb.ReplicaLimit) {
-	for _, l := range all {
-		if l.GetId() == "" || len(l.GetId()) > mostLife || !pace.Proper(l.GetPerSecond()) {
-			continue
-		}
-		limit := pace.Limit{}
-		if !l.Ended {
-			limit = pace.Limit{PerSecond: l.PerSecond, Stated: true}
-		}
-		n.hearLimit(pace.Word{Life: l.Id, Limit: limit, Age: time.Duration(l.AgeMs) * time.Millisecond}, from)
-	}
-}
-
-// mostLife bounds a replica's name from a peer, in bytes.
-const mostLife = 256
-
-// tellKeeper tells the keeper of a replica what is known of limits, as it gives
-// turns by them.
-func (n *Node) tellKeeper(life string) {
-	r, ok := n.world.Load().replicaOf(life)
-	if !ok || n.socket == nil {
-		return
-	}
-	keeper, ok := n.keepers().of(&r)
-	if !ok || keeper.Name == n.settings.Name {
-		return
-	}
-	n.introduce([]string{keeper.Datagram})
-}
-
-// sweepLimits takes in what time and views have changed of limits.
-func (n *Node) sweepLimits() {
-	s := n.statements
-	if !s.paced.Load() {
-		return
-	}
-	w, now := n.world.Load(), n.now()
-	listed := make(map[string]catalog.Replica, len(w.all))
-	for _, r := range w.all {
-		listed[r.ID] = r
-	}
-	var lives []string
-	s.withPaces(func(b *pace.Book) {
-		s.told.Forget(now)
-		b.Sweep(now, func(life string) bool { _, ok := listed[life]; return ok })
-		lives = b.Lives()
-	})
-	limited := make(map[string]int64)
-	who := n.keepers()
-	for _, life := range lives {
-		r, ok := listed[life]
-		if !ok {
-			continue
-		}
-		limited[r.Service]++
-		keeps := who.isSelf(&r)
-		s.withPaces(func(b *pace.Book) { b.Keep(now, life, keeps) })
-	}
-	n.counters.stated("limited", limited)
-}
-
-// limitedStates tells, for the dump, what replicas state that they take and who
-// gives their turns.
-func (n *Node) limitedStates(w *world) map[string]string {
-	var limited map[string]float64
-	n.statements.withPaces(func(b *pace.Book) { limited = b.Limited() })
-	who := n.keepers()
-	out := make(map[string]string, len(limited))
-	for life, perSecond := range limited {
-		keeper := "nobody"
-		if r, ok := w.replicaOf(life); ok {
-			if k, ok := who.of(&r); ok {
-				keeper = k.Name
-			}
-		}
-		out[life] = fmt.Sprintf("%g a second, turns by %s", perSecond, keeper)
-	}
-	return out
-}
--- a/cmd/node/pace_test.go
+++ b/cmd/node/pace_test.go
@@ -6,10 +6,12 @@
 
 	hclog "github.com/hashicorp/go-hclog"
 	"github.com/matryer/is"
+	metrics "github.com/rcrowley/go-metrics"
 
 	"quinceroad/coordination/pace"
 	"quinceroad/platform"
 	"quinceroad/protocol/pb"
+	"quinceroad/state/catalog"
 )
 
 // A word that goes round by peers is the same as when it left: one that comes back
@@ -36,3 +38,18 @@
 		is.True(n.answerPace(first, "peer").Elsewhere)
 	}
 }
+
+// The gauge of limited replicas falls with the last limit.
+func TestTheGaugeFallsWithTheLastLimit(t *testing.T) {
+	is := is.New(t)
+	n := New(&platform.Settings{Name: "n1", Hall: "h1"}, hclog.NewNullLogger())
+	n.replicas.log.Replace(map[string][]byte{"r": replicaEntry(t, &catalog.Replica{Service: "s", Address: "10.1.1.1:1", Hall: "h1", Slots: 1})}, 1)
+	n.publish()
+	gauge := func() int64 { return metrics.GetOrRegisterGauge("node.replicas_limited.s", n.registry).Value() }
+	n.hearLimit(pace.Word{Life: "r", Limit: pace.Limit{PerSecond: 1, Stated: true}}, "peer")
+	n.sweepLimits()
+	is.Equal(gauge(), int64(1))
+	n.hearLimit(pace.Word{Life: "r"}, "peer")
+	n.sweepLimits()
+	is.Equal(gauge(), int64(0))
+}
--- a/cmd/node/pieces.go
+++ b/cmd/node/pieces.go
@@ -185,8 +185,11 @@
 	if c.work {
 		return n.statements.begin(n.now(), c.from.life)
 	}
-	_, rests := n.statements.restsTo(n.now(), c.from.life)
-	return stated.Turn{}, !rests && n.mayAside(c.from.life)
+	if _, rests := n.statements.restsTo(n.now(), c.from.life); rests {
+		return stated.Turn{}, false
+	}
+	n.countAside(c.from.life)
+	return stated.Turn{}, true
 }
 
 // connect returns a connection to a replica, a kept one if there is one.
--- a/cmd/node/statements.go
+++ b/cmd/node/statements.go
@@ -31,11 +31,12 @@
 	told   *pace.Promises
 	paced  atomic.Bool // some replica states a limit
 
-	quiet bool // nothing was stated at the last sweep; of the sweeps alone
+	quiet     bool // nothing was stated at the last sweep; of the sweeps alone
+	unlimited bool // nothing was known of limits then; the same
 }
 
 func newStatements() *statements {
-	return &statements{book: stated.New(stated.Standard()), free: make(map[string]*pipeline.Free), unread: stated.NewUnread(), paces: pace.New(pace.Standard()), told: pace.NewPromises(), quiet: true}
+	return &statements{book: stated.New(stated.Standard()), free: make(map[string]*pipeline.Free), unread: stated.NewUnread(), paces: pace.New(pace.Standard()), told: pace.NewPromises(), quiet: true, unlimited: true}
 }
 
 // with runs f on the book.
--- a/coordination/pace/pace.go
+++ b/coordination/pace/pace.go
@@ -152,6 +152,9 @@
 // Any reports whether any limit is stated.
 func (b *Book) Any() bool { return b.limited > 0 }
 
+// Empty reports whether nothing is known, ended limits included.
+func (b *Book) Empty() bool { return len(b.rows) == 0 }
+
 // Limit returns what a life states.
 func (b *Book) Limit(life string) Limit {
 	if r := b.rows[life]; r != nil {
