--- a/cmd/node/head_bench_test.go
+++ b/cmd/node/head_bench_test.go
@@ -18,8 +18,8 @@
 	var h fasthttp.ResponseHeader
 	h.SetStatusCode(fasthttp.StatusOK)
 	for name, value := range map[string]string{
-		"Attempt-Id": "9c41d07be2a35f68", "Replica-Signature": "3e1b.07.5a2.600.0.c9f2a4d1", "Replica-Load": "3,0,8",
-		"Keep-Alive": "timeout=6", "Content-Type": "text/event-stream", "Date": "Thu, 01 Jan 2026 00:00:00 GMT",
+		platform.HeaderID: "9c41d07be2a35f68", "Content-Type": "text/event-stream", "Date": "Thu, 01 Jan 2026 00:00:00 GMT",
+		"Keep-Alive": "timeout=6", "Cache-Control": "no-store", "Vary": "Accept",
 	} {
 		h.Set(name, value)
 	}
