An attempt that this instance ends says why, apart from one that its replica breaks off

What callers saw: nothing; this is sight for the known red TestARollOutOutlivesLivesAndSleep. "The answer broke off" stood both for a replica that broke it off and for an attempt that we closed as its replica's next life was told; logs could not tell them apart.

Change: an attempt keeps the first reason for which this instance ended it (its replica has started again, its silence); streams too, whose head was sent. No reader changes.

--- a/cmd/node/attempt.go
+++ b/cmd/node/attempt.go
@@ -40,7 +40,7 @@
 	x       *upstream.Exchange
 	head    platform.Head
 	turn    stated.Turn
-	silent  atomic.Bool // it was ended for its silence
+	cut     atomic.Pointer[error] // why this instance ended it; nil: it did not
 	sent    time.Duration
 	began   time.Duration // the answer; of a stream its first event; 0: not yet
 }
@@ -166,7 +166,7 @@
 	_ = a.conn.SetDeadline(time.Now().Add(a.end - a.node.now() + time.Second)) // the context ends it; this is for what the context misses
 	stop := context.AfterFunc(ctx, a.conn.Close)
 	defer stop()
-	defer a.node.running.begin(a.replica.ID, a.conn.Close)()
+	defer a.node.running.begin(a.replica.ID, func() { a.cutOff(errLifeOver) })()
 	watch := a.watch()
 	defer watch.Stop()
 
@@ -190,11 +190,19 @@
 	return a.answer(watch)
 }
 
-func (a *attempt) broken(err error) error {
-	if a.silent.Load() {
-		return errSilent
+// cutOff ends the attempt for a reason of this instance's own.
+func (a *attempt) cutOff(why error) {
+	a.cut.CompareAndSwap(nil, &why)
+	a.conn.Close()
+}
+
+// broken returns why the answer broke off: this instance's own reason to end it,
+// else what it looks like.
+func (a *attempt) broken(looks error) error {
+	if why := a.cut.Load(); why != nil {
+		return *why
 	}
-	return err
+	return looks
 }
 
 // own reports whether an answer is this request's. What its replica states in
@@ -250,8 +258,7 @@
 		if a.node.stopping.Load() {
 			return // a stop ends nothing that may still come
 		}
-		a.silent.Store(true)
-		a.conn.Close()
+		a.cutOff(errSilent)
 	})
 }
 
--- a/cmd/node/serve.go
+++ b/cmd/node/serve.go
@@ -209,6 +209,7 @@
 	errCold      = errors.New("all replicas are cold and get as much as they carry")
 	errBroken    = errors.New("the answer broke off")
 	errSilent    = errors.New("the replica did not answer in time")
+	errLifeOver  = errors.New("the replica has started again")
 	errOwnFault  = errors.New("the replica failed the request")
 	errCutOff    = errors.New("the stream broke off midway")
 	errLeft      = errors.New("the client has gone")
--- a/cmd/node/stream.go
+++ b/cmd/node/stream.go
@@ -25,7 +25,7 @@
 			break
 		}
 		if err != nil {
-			return a.streamBroken()
+			return a.broken(errCutOff)
 		}
 		if a.mayMoveOn() {
 			watch.Reset(max(gapTimes*a.route.GapObjective, leastGap))
@@ -76,13 +76,6 @@
 	return a.route.Resumable && len(a.tried) < a.route.Attempts
 }
 
-func (a *attempt) streamBroken() error {
-	if a.silent.Load() {
-		return errSilent
-	}
-	return errCutOff
-}
-
 // streamEvent is one event of a stream with the blank line that ends it.
 type streamEvent struct {
 	bytes []byte
