What a peer tells of a new version's replicas is counted once, whatever starts again

What callers saw: a sound version was taken back; TestARollOutOutlivesLivesAndSleep ended rolled_back with 2 or 3 bad answers of 4 to 6, while the logs of all instances held one attempt that had failed and none that was slow.

Cause: a report names a replica as its instance knew it, and is told whole again and again, as its counts only rise. The reader took a name without a birth for whatever life was listed at that moment (meant for builds that know no lives). So each birth moved the same counts into another row, and they were added: one end under a request was three bad answers after two births, and three in a row are a bad version.

Evidence: TestAReportIsCountedOnceWhateverStartsAgain, one failure told four times while its replica starts again: counted 4 times before, once now.

Ruled out: an answer that was slow (none is logged, and replicas answer in 15 ms); the sleeping instance (it serves nothing; its judgement rests on the same reports).

Change: rows keep the names by which they were told. What one ill replica does in several lives is still one replica's, by its name (TestLivesOfOneIllReplicaAreOne: taken for a bad version before, red; two lives of one replica were two that spoke against it).

--- a/cmd/node/rollout.go
+++ b/cmd/node/rollout.go
@@ -192,7 +192,7 @@
 		if !r.view.Knows(p.Order) {
 			continue // what is told later holds it all
 		}
-		r.seen(p.Order).reports.Take(h.News[0].Name, h.News[0].Incarnation, reportOf(p, n.lifeOf))
+		r.seen(p.Order).reports.Take(h.News[0].Name, h.News[0].Incarnation, reportOf(p))
 	}
 }
 
@@ -249,8 +249,9 @@
 	return &pb.RolloutRow{Route: k.Route, Replica: k.Replica, Failed: t.Failed, Times: slices.Clone(t.Times[:last])}
 }
 
-// reportOf reads a report; lifeOf finds the lives of the replicas that it names.
-func reportOf(p *pb.RolloutReport, lifeOf func(id string) string) rollout.Report {
+// reportOf reads a report. Its rows keep the names that the sender gave them: a name
+// that stood for another life with each birth would count its answers once for each.
+func reportOf(p *pb.RolloutReport) rollout.Report {
 	out := rollout.Report{
 		Count: p.Count, Moved: p.Moved, Bound: int(p.Bound), InFlight: int(p.InFlight),
 		Longest: time.Duration(p.LongestMs) * time.Millisecond, Sent: int(p.Sent),
@@ -259,7 +260,7 @@
 	for _, row := range p.Rows {
 		t := &rollout.Tally{Failed: row.Failed}
 		copy(t.Times[:], row.Times)
-		out.Rows[rollout.Row{Route: row.Route, Replica: lifeOf(row.Replica)}] = t
+		out.Rows[rollout.Row{Route: row.Route, Replica: row.Replica}] = t
 	}
 	return out
 }
--- a/cmd/node/rollout_test.go
+++ b/cmd/node/rollout_test.go
@@ -10,6 +10,7 @@
 
 	"quinceroad/coordination/rollout"
 	"quinceroad/platform"
+	"quinceroad/protocol/pb"
 	"quinceroad/state/catalog"
 )
 
@@ -74,8 +75,30 @@
 	reports := rollout.NewReports()
 	for _, p := range reportNews(3, rep) {
 		is.True(proto.Size(p) < packFrom)
-		reports.Take("n1", 1, reportOf(p, func(id string) string { return id }))
+		reports.Take("n1", 1, reportOf(p))
 	}
 	rows, _, _ := reports.Sums()
 	is.Equal(len(rows), 200)
 }
+
+// A peer tells the same of a replica in each report while the replica starts again
+// and again: it is counted once.
+func TestAReportIsCountedOnceWhateverStartsAgain(t *testing.T) {
+	is := is.New(t)
+	n := nodeOfTwo()
+	n.rollouts.view.Replace(0, []rollout.Order{{Service: "s", Target: "v2", Revision: 3, For: time.Minute}}, 3)
+	rep := rollout.Report{Count: 1, Rows: map[rollout.Row]*rollout.Tally{{Route: "a", Replica: "v0"}: {Failed: 1}}}
+	told := &pb.Heartbeat{News: []*pb.InstanceNews{{Name: "n2", Incarnation: 1}}, Rollouts: &pb.Rollouts{Reports: reportNews(3, rep)}}
+	for _, life := range []string{"v0", "v0@1", "v0@2", "v0@3"} {
+		w := *n.world.Load()
+		w.lifeByName = map[string]string{"v0": life}
+		n.world.Store(&w)
+		n.takeRollouts(told)
+	}
+	rows, _, _ := n.rollouts.seen(3).reports.Sums()
+	failed := 0
+	for _, tally := range rows {
+		failed += int(tally.Failed)
+	}
+	is.Equal(failed, 1)
+}
--- a/coordination/rollout/judge.go
+++ b/coordination/rollout/judge.go
@@ -6,6 +6,8 @@
 	"math"
 	"slices"
 	"time"
+
+	"quinceroad/state/catalog"
 )
 
 // Verdict is what the answers say.
@@ -104,8 +106,8 @@
 		r.New += t.Answers()
 		r.NewBad += t.bad(limit)
 		before := j.last[k]
-		j.replica(k).answers = t.Answers()
 		if n := t.Answers() - before.Answers(); n > 0 {
+			j.replica(k).answers += n
 			j.unweighed = append(j.unweighed, answers{row: k, at: now, all: n, bad: t.bad(limit) - before.bad(limit)})
 		}
 	}
@@ -165,7 +167,10 @@
 	return limit
 }
 
+// replica returns what was seen of a replica on a route, in all its lives: one that
+// is ill alone stays one.
 func (j *Judge) replica(k Row) *replica {
+	k.Replica = catalog.NameOf(k.Replica)
 	r := j.replicas[k]
 	if r == nil {
 		r = &replica{}
--- a/coordination/rollout/rollout_test.go
+++ b/coordination/rollout/rollout_test.go
@@ -169,6 +169,18 @@
 	}
 }
 
+// One ill replica that starts again all the while is one, whatever its lives are called.
+func TestLivesOfOneIllReplicaAreOne(t *testing.T) {
+	const ms = time.Millisecond
+	rows := map[Row]*Tally{{Route: "a"}: tally(300, 0, 30*ms), at("a", 1): tally(30, 0, 30*ms)}
+	for _, life := range []string{"new2", "new2@1", "new2@2"} {
+		rows[Row{"a", life}] = tally(0, 3, 0)
+	}
+	j := NewJudge()
+	j.Look(time.Second, rows, false)
+	is.New(t).Equal(j.Look(time.Second+settleFor, rows, false).Verdict, Good)
+}
+
 // A burst begins: the new version's slow answers are told some moments before the old one's.
 func TestABurstIsToldInTwoParts(t *testing.T) {
 	is := is.New(t)
