What the end of a replica's life cuts off is no answer of its version

What callers saw: a sound version that is rolled out was taken back, for good, as the machines beneath it restarted once: TestMachinesThatRestartUnderRequestsLeaveARollOut (six requests under way, both replicas start again at one moment) ended rolled_back after 1.3 s with six "failures", all of them closed by ourselves as the next lives were told.

Cause: an attempt's end was read by each reader from its error's looks; the roll-outs' reader took for a failure of the version whatever was not a client that left, a refusal or a deadline. So did the judgement of calls of pieces with the end that its quarantine asks for (crashed), and ends at old replicas raised what a bad version is granted.

Change: coordination/ending holds one table: each way in which a send can end, who ended it, what health, roll-outs and the quarantine make of it; a test a row. Health hears nothing of an end that we made as a life was over (it raised its service's usual share of failures). Where the replica broke the answer off itself, the look that the quarantine already makes tells its end from a failure; it is not asked again. Ends under requests are judged by themselves (coordination/rollout/ends.go): those within half a second are one wave and one bad answer, whatever ran there; waves in which old replicas end as well say nothing; one ill replica of several is left out, as everywhere. After replicas that get requests have started again their version gets none for a second, at every instance, from the list that each reads: what ends its replicas whenever it is used does so in wave after wave (three in a row are a bad version), what restarts beneath it is one. A judge that was suspended between two reports has not seen quiet meanwhile, and the time of an answer during which this instance was suspended is not counted.

Both sides hold without a bound moved: TestARollOutOutlivesLivesAndSleep in its own words and TestBirthsThatBreakNothing complete, TestAVersionWhoseReplicasEndUnderRequests is taken back (5 s). Weighed: births alone as a rate (both older tests have six births in a second: nothing tells them apart); the share of births that meet a request against how busy the replica is (right by chance alone); saying nothing at all of such ends (a version that crashes would be trusted).

A field is added to rows of reports (5): builds before pass over it and say nothing of such ends; theirs count as failures still. Costs: a version rests a second after each restart of a replica that it uses, and a real crash is told up to 150 ms later.

--- a/cmd/node/attempt.go
+++ b/cmd/node/attempt.go
@@ -10,6 +10,7 @@
 
 	"github.com/valyala/fasthttp"
 
+	"quinceroad/coordination/ending"
 	"quinceroad/coordination/health"
 	"quinceroad/coordination/outcome"
 	"quinceroad/coordination/regions"
@@ -42,6 +43,7 @@
 	turn    stated.Turn
 	cut     atomic.Pointer[error] // why this instance ended it; nil: it did not
 	sent    time.Duration
+	asleep  time.Duration // that the machine had been when it was sent
 	began   time.Duration // the answer; of a stream its first event; 0: not yet
 }
 
@@ -71,7 +73,7 @@
 		return errUnreached
 	}
 	defer func() { n.statements.end(turn) }()
-	a := &attempt{serving: s, replica: r, conn: conn, sent: n.now(), turn: turn}
+	a := &attempt{serving: s, replica: r, conn: conn, sent: n.now(), asleep: n.clock.Asleep(), turn: turn}
 	token, ok := s.record.Dispatch()
 	if !ok {
 		conn.Close()
@@ -112,6 +114,31 @@
 	}
 }
 
+// way tells how the attempt ended.
+func (a *attempt) way(ctx context.Context, err error) ending.Way {
+	switch {
+	case err == nil && a.x.Header.StatusCode() >= http.StatusInternalServerError:
+		return ending.OwnFailure
+	case err == nil:
+		return ending.Whole
+	case errors.Is(err, errNotRun):
+		return ending.TurnedAway
+	case errors.Is(err, errInputs):
+		return ending.NoInputs
+	case errors.Is(err, errOwnFault):
+		return ending.OwnFailure
+	case errors.Is(err, errSilent):
+		return ending.Silent
+	case errors.Is(err, errLeft):
+		return ending.Left
+	case done(ctx):
+		return ending.TimeUp
+	case errors.Is(err, errLifeOver):
+		return ending.LifeOver
+	}
+	return ending.BrokeOff
+}
+
 // finish takes in how the attempt ended.
 func (a *attempt) finish(ctx context.Context, err error) {
 	n := a.node
@@ -119,14 +146,18 @@
 	if err != nil && errors.Is(ctx.Err(), context.Canceled) {
 		err = errLeft
 	}
-	a.tellRollout(ctx, err, took)
+	way := a.way(ctx, err)
+	suspended := n.clock.Asleep() != a.asleep
 	if err != nil {
 		event.NodeAttempt.Log(n.log, "request", a.req.ID, "fingerprint", a.fingerprint, "replica", a.replica.ID, "why", err,
 			"took", took, "kept", a.conn.Kept(), "last_event", a.stream.lastEvent, "chosen", a.chosen, "rest", a.head.Rest, "leaves", a.head.Leaves)
-		took = 0
 	}
 	n.judgeMu.Lock()
-	n.loads.End(a.replica.ID, took)
+	if err == nil && !suspended {
+		n.loads.End(a.replica.ID, took)
+	} else {
+		n.loads.End(a.replica.ID, 0)
+	}
 	if a.head.Slots > 0 {
 		n.loads.Told(n.now(), a.replica.ID, a.head.Running+a.head.Waiting-1)
 	}
@@ -134,32 +165,25 @@
 	if a.head.Stranger || a.closesAtRefusal() {
 		n.sawLeaving(a.replica.ID, "answer")
 	}
-	switch {
-	case err == nil:
-		if a.x.Header.StatusCode() < http.StatusInternalServerError { // else it was noted as a failure
-			a.note(a.replica.ID, health.Good)
-		}
-		n.answeredWhole(a.fingerprint)
-	case errors.Is(err, errNotRun), errors.Is(err, errInputs):
+	if way == ending.TurnedAway || way == ending.NoInputs {
 		a.record.NotRun(a.token)
 		delete(a.tried, a.replica.ID)
-		if errors.Is(err, errNotRun) {
-			a.note(a.replica.ID, health.Full)
-		}
-	case errors.Is(err, errOwnFault):
-		a.note(a.replica.ID, health.Failure)
+	}
+	says := way.Reading()
+	if says.Health != nil {
+		a.note(a.replica.ID, *says.Health)
+	}
+	switch says.Request {
+	case ending.Harmless:
 		n.answeredWhole(a.fingerprint)
-	case errors.Is(err, errSilent):
-		a.note(a.replica.ID, health.Silent)
-		n.endedUnfinished(a.replica.ID, a.sent, a.fingerprint)
-	case done(ctx), errors.Is(err, errLeft): // says nothing of the replica
+	case ending.Blamed:
 		n.endedUnfinished(a.replica.ID, a.sent, a.fingerprint)
-	default:
-		a.note(a.replica.ID, health.Broken)
+	case ending.Look:
 		a.look = n.brokeOff(&a.replica, a.sent, a.fingerprint)
-		if a.movable() && len(a.tried) < a.route.Attempts {
-			n.awaitLook(ctx, a.look) // else there is nothing to wait for: it has its end at once
-		}
+	}
+	a.tellRollout(way, suspended, took)
+	if says.Request == ending.Look && a.movable() && len(a.tried) < a.route.Attempts {
+		n.awaitLook(ctx, a.look) // else there is nothing to wait for: it has its end at once
 	}
 }
 
@@ -313,9 +337,6 @@
 	a.w.WriteHeader(status)
 	_, _ = a.w.Write(body)
 	a.countAnswer(len(body))
-	if status >= http.StatusInternalServerError {
-		a.note(a.replica.ID, health.Failure)
-	}
 	return nil
 }
 
--- a/cmd/node/rollout.go
+++ b/cmd/node/rollout.go
@@ -10,6 +10,7 @@
 	"quinceroad/platform"
 	"quinceroad/protocol/event"
 	"quinceroad/protocol/pb"
+	"quinceroad/state/catalog"
 )
 
 // rollouts is what this instance knows of the roll-outs that are ordered, what
@@ -72,6 +73,27 @@
 	return o
 }
 
+// ordered reports whether a roll-out of a service stands.
+func (r *rollouts) ordered(service string) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	_, ok := r.view.Current(service)
+	return ok
+}
+
+// startedAgain takes in that replicas have started again, by the world in which
+// their last life served.
+func (r *rollouts) startedAgain(now time.Duration, w *world, replicas []catalog.Replica) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for i := range replicas {
+		x := &replicas[i]
+		if m := w.moves[x.Service]; m != nil && m.chosen[x.ID] {
+			r.view.StartedAgain(now, x.Service, x.Version)
+		}
+	}
+}
+
 // forget drops what was seen of orders that are no longer known.
 func (r *rollouts) forget() {
 	r.mu.Lock()
@@ -246,7 +268,7 @@
 			last = b + 1
 		}
 	}
-	return &pb.RolloutRow{Route: k.Route, Replica: k.Replica, Failed: t.Failed, Times: slices.Clone(t.Times[:last])}
+	return &pb.RolloutRow{Route: k.Route, Replica: k.Replica, Failed: t.Failed, Ended: t.Ended, Times: slices.Clone(t.Times[:last])}
 }
 
 // reportOf reads a report. Its rows keep the names that the sender gave them: a name
@@ -258,7 +280,7 @@
 		Rows: make(map[rollout.Row]*rollout.Tally, len(p.Rows)),
 	}
 	for _, row := range p.Rows {
-		t := &rollout.Tally{Failed: row.Failed}
+		t := &rollout.Tally{Failed: row.Failed, Ended: row.Ended}
 		copy(t.Times[:], row.Times)
 		out.Rows[rollout.Row{Route: row.Route, Replica: row.Replica}] = t
 	}
--- a/cmd/node/rollout_answers.go
+++ b/cmd/node/rollout_answers.go
@@ -2,11 +2,10 @@
 
 import (
 	"context"
-	"errors"
-	"net/http"
 	"slices"
 	"time"
 
+	"quinceroad/coordination/ending"
 	"quinceroad/coordination/pipeline"
 	"quinceroad/coordination/rollout"
 	"quinceroad/state/catalog"
@@ -16,9 +15,9 @@
 type rolloutAnswer struct {
 	route   string
 	replica *catalog.Replica
+	says    ending.Version
 	took    time.Duration // until the answer began
 	lasted  time.Duration // of one that can't go on elsewhere; 0: it can
-	failed  bool
 }
 
 // answered counts an answer in its service's roll-out, if there is one. A cold
@@ -28,15 +27,12 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	s, ok := r.view.Current(a.replica.Service)
-	if !ok || s.Phase >= rollout.Bad || !a.failed && a.replica.ColdUntil > n.now() {
+	if !ok || s.Phase >= rollout.Bad || a.says == ending.Nothing || a.says == ending.Answer && a.replica.ColdUntil > n.now() {
 		return
 	}
 	own := &r.seen(s.Revision).own
 	if a.replica.Version == s.Target {
-		n.rolloutCounter(s.Service, s.Target, "answers").Inc(1)
-		if a.failed {
-			n.rolloutCounter(s.Service, s.Target, "failed").Inc(1)
-		}
+		n.countAnswered(&s, a.says)
 	}
 	k := rollout.Row{Route: a.route}
 	if a.replica.Version == s.Target {
@@ -49,7 +45,23 @@
 		t = &rollout.Tally{}
 		own.Rows[k] = t
 	}
-	t.Add(a.took, a.failed)
+	if a.says == ending.EndOfLife {
+		t.AddEnded()
+		return
+	}
+	t.Add(a.took, a.says == ending.Failure)
+}
+
+// countAnswered counts for operators what became of a request at the new version.
+func (n *Node) countAnswered(s *rollout.Standing, says ending.Version) {
+	if says == ending.EndOfLife {
+		n.rolloutCounter(s.Service, s.Target, "ended").Inc(1)
+		return
+	}
+	n.rolloutCounter(s.Service, s.Target, "answers").Inc(1)
+	if says == ending.Failure {
+		n.rolloutCounter(s.Service, s.Target, "failed").Inc(1)
+	}
 }
 
 // movable reports whether the request, broken off at its replica, goes on at
@@ -58,27 +70,32 @@
 	return s.route.Kind == catalog.Repeatable || s.route.Kind == catalog.Stream && s.route.Resumable
 }
 
-// tellRollout counts how the attempt went in its service's roll-out. A client
-// that left, a replica that turned the request away and one that was not
-// reached say nothing of a version.
-func (a *attempt) tellRollout(ctx context.Context, err error, took time.Duration) {
-	out := &rolloutAnswer{route: a.route.Name, replica: &a.replica, took: took}
+// tellRollout counts how the attempt went in its service's roll-out. Of one that
+// broke off it is only known once its replica was looked at whether the replica
+// had ended.
+func (a *attempt) tellRollout(way ending.Way, suspended bool, took time.Duration) {
+	n := a.node
+	if !n.rollouts.ordered(a.service.Name) {
+		return
+	}
+	out := &rolloutAnswer{route: a.route.Name, replica: &a.replica, says: way.OfVersion(suspended), took: took}
 	if !a.movable() {
 		out.lasted = took
 	}
 	if a.began != 0 {
 		out.took = a.began - a.sent
 	}
-	switch {
-	case err == nil:
-		out.failed = a.x.Header.StatusCode() >= http.StatusInternalServerError
-	case errors.Is(err, errNotRun), errors.Is(err, errInputs), errors.Is(err, errLeft):
+	if way != ending.BrokeOff {
+		n.answered(out)
 		return
-	case done(ctx) && !errors.Is(err, errOwnFault): // its time ran out: it counts as slow as it was
-	default:
-		out.failed = true
 	}
-	a.node.answered(out)
+	l := a.look
+	go func() {
+		if n.awaitLook(context.Background(), l) {
+			out.says = ending.Crashed.Reading().Version
+		}
+		n.answered(out)
+	}()
 }
 
 // versionOf returns the version of a replica's software, "" when it is not known.
@@ -100,15 +117,28 @@
 }
 
 // tellRolloutCall counts how a call of pieces went in its pool's roll-out.
-func (n *Node) tellRolloutCall(r *catalog.Replica, fate pipeline.Fate, results []pipeline.Result, took time.Duration) {
-	out := &rolloutAnswer{replica: r, took: took}
+func (n *Node) tellRolloutCall(r *catalog.Replica, way ending.Way, suspended bool, took time.Duration) {
+	n.answered(&rolloutAnswer{replica: r, says: way.OfVersion(suspended), took: took})
+}
+
+// wayOf tells how a call of pieces ended.
+func wayOf(fate pipeline.Fate, results []pipeline.Result) ending.Way {
 	switch fate {
 	case pipeline.Answered:
-		out.failed = slices.ContainsFunc(results, func(x pipeline.Result) bool { return x.Reason == pipeline.PieceError })
-	case pipeline.Broken, pipeline.Crashed, pipeline.Overdue:
-		out.failed = true
-	default:
-		return
+		if slices.ContainsFunc(results, func(x pipeline.Result) bool { return x.Reason == pipeline.PieceError }) {
+			return ending.OwnFailure
+		}
+		return ending.Whole
+	case pipeline.Refused:
+		return ending.TurnedAway
+	case pipeline.Stranger:
+		return ending.Stranger
+	case pipeline.Unreachable:
+		return ending.Unreached
+	case pipeline.Broken:
+		return ending.BrokeOff
+	case pipeline.Crashed: // also where its end was told before the connection broke
+		return ending.Crashed
 	}
-	n.answered(out)
+	return ending.Silent
 }
--- a/cmd/node/world.go
+++ b/cmd/node/world.go
@@ -127,6 +127,7 @@
 func (n *Node) putInForce() (published func()) {
 	now := n.now()
 	changed := n.replicas.refresh(now, n.statements.hasLeft)
+	n.rollouts.startedAgain(now, n.world.Load(), changed.over)
 	w := n.makeWorld()
 	cold := n.replicas.newlyCold(now, w.all)
 	n.world.Store(w)
--- a/coordination/rollout/counts.go
+++ b/coordination/rollout/counts.go
@@ -17,9 +17,11 @@
 	return min(int(2*math.Log2(ms)), Buckets-1)
 }
 
-// Tally counts answers; each of its numbers only rises.
+// Tally counts answers, and requests that got none for an end of their replica's
+// life; each of its numbers only rises.
 type Tally struct {
 	Failed uint32
+	Ended  uint32          // requests under which the replica's life was over
 	Times  [Buckets]uint32 // of answers that are no failures, until they began
 }
 
@@ -32,6 +34,9 @@
 	t.Times[BucketOf(took)]++
 }
 
+// AddEnded counts a request under which its replica's life was over.
+func (t *Tally) AddEnded() { t.Ended++ }
+
 // Answers is the number of all answers.
 func (t *Tally) Answers() int { return int(t.Failed) + t.from(0) }
 
@@ -61,6 +66,7 @@
 // raise takes in a later or earlier tally of the same answers.
 func (t *Tally) raise(o *Tally) {
 	t.Failed = max(t.Failed, o.Failed)
+	t.Ended = max(t.Ended, o.Ended)
 	for b := range t.Times {
 		t.Times[b] = max(t.Times[b], o.Times[b])
 	}
@@ -68,6 +74,7 @@
 
 func (t *Tally) merge(o *Tally) {
 	t.Failed += o.Failed
+	t.Ended += o.Ended
 	for b := range t.Times {
 		t.Times[b] += o.Times[b]
 	}
--- a/coordination/rollout/judge.go
+++ b/coordination/rollout/judge.go
@@ -40,6 +40,7 @@
 	Against float64       // the sum over all routes
 	Why     string
 	Routes  []Finding
+	Ends    Finding // of replicas under requests, as if they were answers
 }
 
 // Judge follows the sums of one order.
@@ -48,6 +49,7 @@
 	routes    map[string]*route
 	replicas  map[Row]*replica
 	unweighed []answers
+	ends      *ends
 	moving    bool
 	against   float64 // as of a route, of all together: where each sees little, what is bad everywhere shows sooner
 	at        time.Duration
@@ -64,7 +66,7 @@
 
 // NewJudge returns a judge that has seen nothing.
 func NewJudge() *Judge {
-	return &Judge{last: make(map[Row]Tally), routes: make(map[string]*route), replicas: make(map[Row]*replica)}
+	return &Judge{last: make(map[Row]Tally), routes: make(map[string]*route), replicas: make(map[Row]*replica), ends: newEnds()}
 }
 
 // Look takes in the sums as they are now. What spoke for the version while it got
@@ -84,6 +86,7 @@
 	if now-j.at > gap {
 		j.from = now
 	}
+	j.ends.look(now-j.at, rows, j.last)
 	j.at = now
 	slow := make(map[string]int)
 	for k, t := range rows {
@@ -180,7 +183,7 @@
 }
 
 func (j *Judge) judge() Judgement {
-	out := Judgement{From: j.from, Against: j.against}
+	out := Judgement{From: j.from, Against: j.against, Ends: j.ends.sums.Finding}
 	total, old, oldBad := 0, 0, 0
 	for _, name := range slices.Sorted(maps.Keys(j.routes)) {
 		f := j.routes[name].Finding
@@ -206,6 +209,9 @@
 	case j.against >= accuse && widely:
 		out.Verdict, out.Why = Harmful, "all routes together"
 		return out
+	case j.ends.harmful(j.answering()):
+		out.Verdict, out.Why = Harmful, out.Ends.Route
+		return out
 	}
 	out.Verdict, out.Why = Good, ""
 	for _, f := range out.Routes {
@@ -244,6 +250,22 @@
 	return len(speak) <= 1 || len(against) != 1
 }
 
+// answering returns how many of the version's replicas have answered often enough
+// to speak for the others.
+func (j *Judge) answering() int {
+	answers := make(map[string]int)
+	for k, r := range j.replicas {
+		answers[k.Replica] += r.answers
+	}
+	n := 0
+	for _, a := range answers {
+		if a >= seenFrom {
+			n++
+		}
+	}
+	return n
+}
+
 // ofOthers returns the sums on a route of all replicas but the ill one.
 func (j *Judge) ofOthers(route string) (against, accepted float64) {
 	for k, r := range j.replicas {
@@ -259,10 +281,8 @@
 // enough for a verdict.
 func (j *Judgement) inDoubt() bool { return max(j.Against, j.Worst().Against) >= doubt }
 
-// Worst returns the route that most speaks against the version.
+// Worst returns the route that most speaks against the version, or the ends of its
+// replicas.
 func (j *Judgement) Worst() Finding {
-	if len(j.Routes) == 0 {
-		return Finding{}
-	}
-	return slices.MaxFunc(j.Routes, func(a, b Finding) int { return cmp.Compare(a.Against, b.Against) })
+	return slices.MaxFunc(append(slices.Clone(j.Routes), j.Ends), func(a, b Finding) int { return cmp.Compare(a.Against, b.Against) })
 }
--- a/coordination/rollout/orders.go
+++ b/coordination/rollout/orders.go
@@ -54,6 +54,7 @@
 	Phase Phase
 	Since time.Duration // that the phase is known
 	Ended bool          // it was taken back, or another came for its service
+	Calm  time.Duration // from when on its version gets requests after its replicas have started again; of this instance alone
 }
 
 // News is a view as instances tell it each other.
@@ -196,6 +197,15 @@
 	return []Change{{Standing: *s}}
 }
 
+// StartedAgain takes in that a replica of a version, one of those that get requests,
+// has started again. Until calmFor has gone by without another the version gets none:
+// what is let in meanwhile would be cut off by the next, and say nothing of it.
+func (v *View) StartedAgain(now time.Duration, service, version string) {
+	if s := v.current[service]; s != nil && s.Target == version {
+		s.Calm = now + calmFor
+	}
+}
+
 func (v *View) become(now time.Duration, next map[string]Order, revision uint64) []Change {
 	var out []Change
 	for service, s := range v.current {
@@ -238,7 +248,7 @@
 				continue
 			}
 		}
-		s.Begun, s.Since = now-s.Begun, now-s.Since
+		s.Begun, s.Since, s.Calm = now-s.Begun, now-s.Since, 0
 		n.Standing = append(n.Standing, s)
 	}
 	return n
--- a/coordination/rollout/share.go
+++ b/coordination/rollout/share.go
@@ -11,6 +11,7 @@
 	openPart  = 0.7                    // of the share that a version may get, that it does get: a route that makes a fifth of 100 a second is judged in 8 s, at 0.5 in 11; the rest is for the move
 	rampStep  = 400 * time.Millisecond // between steps once it is trusted: two heartbeats and a look of those who judge
 	doneFor   = 10 * time.Second       // that the old replicas get nothing after a completion: they stop at once, lists lag by 3 s
+	calmFor   = 1 * time.Second        // twice waveFor, so that ends under what is let in after it are a wave of their own
 	firstStep = 0.25
 	nextStep  = 0.5
 )
@@ -20,6 +21,9 @@
 func (s *Standing) Share(now time.Duration, canary float64) float64 {
 	switch s.Phase {
 	case Open:
+		if now < s.Calm {
+			return 0
+		}
 		return canary * openPart
 	case Trusted:
 		switch since := now - s.Since; {
--- a/transport/clock/clock.go
+++ b/transport/clock/clock.go
@@ -63,6 +63,9 @@
 	return steady - c.steady + time.Duration(c.asleep.Load())
 }
 
+// Asleep is for how long the machine was suspended since the clock was made.
+func (c *Clock) Asleep() time.Duration { return time.Duration(c.asleep.Load()) }
+
 // Look asks the boot clock; call it some times a minute, for a suspension that a
 // step of the time of day has hidden.
 func (c *Clock) Look() { c.look() }
