A job begins when room for its results is kept; who finds none in time is refused as it comes

All were given up long after their work had begun (5.2 s of an objective of 4 s).

Cause: work begins whose results have nowhere to go. The least urgent take the first stages, and wait with their results at the last pool, whose room makes room / (call and reading time) and not replicas / call time; there the more urgent overtake them.

Change (credits, CONWIP, drum-buffer-rope; coordination/pipeline/room.go): a job's first call begins only while what has begun is no more than nine tenths of the room, and twice what is read while its first stages run; times are learnt from the last ten or so results. What waits for room stands before any work, ordered by rank, and who is more urgent is let in first. Admission expects that wait by Little's law, with the more urgent that come at their pace and two deviations; who would wait more than 0.4 of the time that it can wait at all is refused as it comes, with the time from which it may.

--- a/coordination/pipeline/call.go
+++ b/coordination/pipeline/call.go
@@ -39,6 +39,9 @@
 
 func (s *Scheduler) dispatchAll(now time.Duration) {
 	s.knowTurns(now)
+	for _, p := range s.order {
+		p.knowRoom(now)
+	}
 	for _, p := range s.order {
 		s.dispatch(now, p)
 	}
@@ -111,17 +114,25 @@
 // pickBatch takes the pieces that go into a replica's next call, in order, as
 // many as it may hold and has room for. Pieces that belong to another hall are
 // left to it unless they could be late there, or more wait than its next calls
-// hold; large ones that are not needed soon wait.
+// hold; large ones that are not needed soon wait, and jobs that have not begun,
+// until there is room for their results.
 func (p *pool) pickBatch(now time.Duration, r *replica, o *Options) []*piece {
 	room := p.def.Room - r.taken(now, p.def.HoldFor)
 	halls := p.halls(now)
 	leave := time.Duration(o.LeaveHall * float64(p.def.CallTime))
 	var batch []*piece
 	with := company{most: o.SuspectsTogether}
+	var blocked map[*pool]bool // by more urgent jobs
 	rest := p.ready[:0]
 	for _, x := range p.ready {
+		if j := x.stage.job; j.blockedBy(blocked) || !j.mayBegin() {
+			blocked = j.blocks(blocked)
+			rest = append(rest, x)
+			continue
+		}
 		if len(batch) < p.def.Batch && x.stage.def.Bytes <= room && !x.early() && x.may(r, halls[x.hall], leave) && with.admits(x.stage.job) {
 			with.join(x.stage.job)
+			x.stage.job.begin(now)
 			room -= x.stage.def.Bytes
 			batch = append(batch, x)
 			continue
@@ -153,6 +164,9 @@
 		x.tries++
 		x.uncount()
 		x.stage.job.started = true
+		if st := x.stage; !st.called {
+			st.called, st.calledAt = true, now
+		}
 		c.bytes += x.stage.def.Bytes
 		items = append(items, x.item(now))
 	}
@@ -266,7 +280,7 @@
 			}
 		}
 	}
-	s.unblock(x.stage.job)
+	s.unblock(now, x.stage.job)
 }
 
 func (s *Scheduler) requeue(now time.Duration, x *piece) {
--- a/coordination/pipeline/expect.go
+++ b/coordination/pipeline/expect.go
@@ -37,7 +37,9 @@
 	ends := make([]time.Duration, len(j.stages))
 	plans := make(map[*pool]*plan)
 	last := time.Duration(0)
+	begins := s.roomWait(now, j)
 	for n, st := range j.stages {
+		ends[n] = begins
 		for _, a := range st.def.After {
 			ends[n] = max(ends[n], ends[a])
 		}
@@ -80,6 +82,9 @@
 		v.Expected = s.expect(now, j)
 		v.Limit = time.Duration(float64(j.Deadline) * s.opts.LastMargin)
 	}
+	if over := s.roomOver(now, j, v.Limit); over > 0 {
+		v.Expected = max(v.Expected, v.Limit+over)
+	}
 	v.Bound, v.Stages = j.bound(), j.forecasts()
 	return v
 }
--- a/coordination/pipeline/job.go
+++ b/coordination/pipeline/job.go
@@ -39,6 +39,11 @@
 	plan   Forecast      // as expected when the job came
 	pieces []*piece
 	freed  bool
+
+	opened   bool          // its inputs were there
+	readyAt  time.Duration // when they first were
+	called   bool          // one of its pieces was in a call
+	calledAt time.Duration // when the first was
 }
 
 // job is one request's stages under way.
@@ -51,8 +56,14 @@
 	stages    []*stage
 	delivered bool
 	started   bool // a piece was given to a replica
-	surplus   bool // it is beyond its customer's share
-	back      bool // it stands back: admitted to be late, behind all that is in time
+	begun     bool // the same, or is about to be: room is kept for its results
+	needs     []roomNeed
+
+	begunAt     time.Duration
+	deliveredAt time.Duration
+
+	surplus bool // it is beyond its customer's share
+	back    bool // it stands back: admitted to be late, behind all that is in time
 }
 
 func (s *Scheduler) newJob(now time.Duration, def Job) (*job, bool) {
@@ -72,6 +83,7 @@
 	for n, st := range j.stages {
 		st.latest = j.due - rest[n]
 	}
+	j.needs = j.roomNeeds()
 	return j, true
 }
 
@@ -91,7 +103,8 @@
 			x.count()
 		}
 	}
-	s.unblock(j)
+	j.wantRoom(now)
+	s.unblock(now, j)
 }
 
 func (x *piece) count() {
@@ -109,11 +122,14 @@
 }
 
 // unblock readies every piece whose inputs are there.
-func (s *Scheduler) unblock(j *job) {
+func (s *Scheduler) unblock(now time.Duration, j *job) {
 	for _, st := range j.stages {
 		if !st.inputsDone() {
 			continue
 		}
+		if !st.opened {
+			st.opened, st.readyAt = true, now
+		}
 		for _, x := range st.pieces {
 			if x.state == blocked {
 				x.state = ready
@@ -192,7 +208,7 @@
 
 // proceed goes on with a job after a piece of it was done.
 func (s *Scheduler) proceed(now time.Duration, j *job) {
-	s.unblock(j)
+	s.unblock(now, j)
 	for _, st := range j.stages {
 		if !st.freed && !st.sink() && st.done() && st.readersDone() {
 			s.free(st)
@@ -215,7 +231,7 @@
 			near[x.maker.Hall] += st.def.Bytes
 		}
 	}
-	j.delivered = true
+	j.delivered, j.deliveredAt = true, now
 	if j.back {
 		note(&s.returnsOf(j.Rank).inTime, now <= j.due)
 	}
@@ -256,6 +272,8 @@
 // remove ends a job; what is at work of it is freed when it comes.
 func (s *Scheduler) remove(now time.Duration, j *job) {
 	delete(s.jobs, j.id)
+	j.learnRoom(now)
+	j.leaveRoom()
 	for _, st := range j.stages {
 		for _, x := range st.pieces {
 			x.uncount()
--- a/coordination/pipeline/late.go
+++ b/coordination/pipeline/late.go
@@ -117,6 +117,7 @@
 			}
 		}
 	}
+	j.moveWant(j.rank + by)
 	j.rank += by
 	for _, x := range counted {
 		x.count()
--- a/coordination/pipeline/load.go
+++ b/coordination/pipeline/load.go
@@ -14,6 +14,8 @@
 	waiting float64 // seconds that these will take in calls, beside the calls' fixed times
 	came    float64 // pieces that were admitted lately, fading
 	items   float64 // seconds of these in calls, the same
+	room    int64   // bytes that the results of jobs take which have not begun
+	wanted  float64 // bytes of the results of jobs that were admitted lately, fading
 	at      time.Duration
 }
 
@@ -49,6 +51,7 @@
 	left := math.Exp(-(now - r.at).Seconds() / arrivalFor.Seconds())
 	r.came *= left
 	r.items *= left
+	r.wanted *= left
 	r.at = now
 }
 
@@ -59,6 +62,28 @@
 	r.items += item * float64(pieces)
 }
 
+// wantsRoom notes a job that is admitted and whose results take so many bytes.
+func (r *rankLoad) wantsRoom(now time.Duration, bytes int64) {
+	r.fade(now)
+	r.room += bytes
+	r.wanted += float64(bytes)
+}
+
+// roomBefore returns the bytes of results whose jobs have not begun and go before
+// a new one of a rank, and how many bytes a second come that do.
+func (l load) roomBefore(now time.Duration, rank int) (bytes int64, coming float64) {
+	for _, r := range l {
+		if r.rank <= rank {
+			bytes += r.room
+		}
+		if r.rank < rank {
+			r.fade(now)
+			coming += r.wanted / arrivalFor.Seconds()
+		}
+	}
+	return bytes, coming
+}
+
 // before returns the pieces that wait and go before a new job of a rank, and
 // the seconds that they take in calls.
 func (l load) before(rank int) (pieces int, items float64) {
--- a/coordination/pipeline/pipeline.go
+++ b/coordination/pipeline/pipeline.go
@@ -287,6 +287,7 @@
 	s.overdueCalls(now)
 	s.holdBack(now)
 	s.hopelessJobs(now)
+	s.expireRoom(now)
 	for _, p := range s.order {
 		for _, r := range p.order {
 			r.expire(now)
--- a/coordination/pipeline/pool.go
+++ b/coordination/pipeline/pool.go
@@ -18,6 +18,7 @@
 	order    []*replica // the same, by id
 	ready    []*piece
 	load     load
+	room     roomUse
 	factors  map[int64]float64
 	most     int            // calls in a second to a cold replica; 0: no bound
 	sent     *warmup.Window // to cold replicas
--- a/coordination/pipeline/random_test.go
+++ b/coordination/pipeline/random_test.go
@@ -218,6 +218,7 @@
 				w.t.Fatalf("%s holds %d pieces of %v s of rank %d, its jobs %d of %v s", p.name, l.pieces, l.waiting, l.rank, pieces[l.rank], waiting[l.rank])
 			}
 		}
+		w.checkRoom(p)
 		for _, r := range p.replicas {
 			held := int64(0)
 			for _, h := range r.results {
@@ -233,6 +234,30 @@
 	}
 }
 
+// checkRoom holds what a pool knows of the room that jobs want and take against the jobs.
+func (w *world) checkRoom(p *pool) {
+	wanted, begun := make(map[int]int64), int64(0)
+	for _, j := range w.s.jobs {
+		for _, n := range j.needs {
+			switch {
+			case n.pool != p:
+			case j.begun:
+				begun += n.bytes
+			default:
+				wanted[j.rank] += n.bytes
+			}
+		}
+	}
+	if p.room.begun != begun {
+		w.t.Fatalf("%s holds %d bytes begun, its jobs %d", p.name, p.room.begun, begun)
+	}
+	for _, l := range p.load {
+		if l.room != wanted[l.rank] {
+			w.t.Fatalf("%s holds %d bytes wanted of rank %d, its jobs %d", p.name, l.room, l.rank, wanted[l.rank])
+		}
+	}
+}
+
 // A random sequence found that the last large piece of a rank took the small
 // ones that still waited out of the books.
 func TestSmallWorkStaysWhenLargeWorkGoes(t *testing.T) {
