--- a/cmd/node/pace_test.go
+++ b/cmd/node/pace_test.go
@@ -1,8 +1,12 @@
 package node
 
 import (
+	"context"
+	"errors"
 	"math"
+	"net"
 	"testing"
+	"time"
 
 	hclog "github.com/hashicorp/go-hclog"
 	"github.com/matryer/is"
@@ -53,3 +57,18 @@
 	n.sweepLimits()
 	is.Equal(gauge(), int64(0))
 }
+
+// A keeper of turns that is cut off: its connection is open and silent for good. Who
+// asks it has its own short time for that, not the link's of seconds.
+func TestAKeeperThatIsCutOffIsWaitedForBriefly(t *testing.T) {
+	is := is.New(t)
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	is.NoErr(err)
+	defer listener.Close()
+	n := New(&platform.Settings{Name: "n1", Hall: "h1", IP: "127.0.0.1"}, hclog.NewNullLogger())
+	n.hearLimit(pace.Word{Life: "r", Limit: pace.Limit{PerSecond: 5, Stated: true}}, "peer")
+	began := time.Now()
+	_, err = n.askKeeper(context.Background(), listener.Addr().String(), "r")
+	t.Logf("after %v", time.Since(began))
+	is.True(errors.Is(err, context.DeadlineExceeded))
+}
