--- a/coordination/pipeline/call.go
+++ b/coordination/pipeline/call.go
@@ -163,7 +163,6 @@
 		x.state = running
 		x.tries++
 		x.uncount()
-		x.stage.job.started = true
 		if st := x.stage; !st.called {
 			st.called, st.calledAt = true, now
 		}
--- a/coordination/pipeline/job.go
+++ b/coordination/pipeline/job.go
@@ -55,8 +55,7 @@
 	dead      time.Duration
 	stages    []*stage
 	delivered bool
-	started   bool // a piece was given to a replica
-	begun     bool // the same, or is about to be: room is kept for its results
+	begun     bool // a piece was given to a replica, and room is kept for its results
 	needs     []roomNeed
 
 	begunAt     time.Duration
--- a/coordination/pipeline/late.go
+++ b/coordination/pipeline/late.go
@@ -30,10 +30,10 @@
 		case j.restsUntil() > now:
 			s.fail(now, j, WhyRest, j.restsUntil()-now)
 		case j.back:
-		case now > j.due && (!j.started || now > j.due+lateFor):
+		case now > j.due && (!j.begun || now > j.due+lateFor):
 			s.fail(now, j, "late", s.opts.Unknown)
 		case j.rank < lateRank && j.willBeLate(now):
-			if !j.started {
+			if !j.begun {
 				s.fail(now, j, "late", s.opts.Unknown)
 				continue
 			}
@@ -67,7 +67,7 @@
 	until := time.Duration(0)
 	for _, st := range j.stages {
 		last := st.latest
-		if j.started || j.back {
+		if j.begun || j.back {
 			last = j.dead
 		}
 		if st.pool.restTo > last && st.waits() {
--- a/coordination/pipeline/share.go
+++ b/coordination/pipeline/share.go
@@ -148,7 +148,7 @@
 			out[j.Customer] = w
 		}
 		w.work += x.stage.each()
-		if !j.started && !slices.Contains(w.jobs, j) {
+		if !j.begun && !slices.Contains(w.jobs, j) {
 			w.jobs = append(w.jobs, j)
 		}
 	}
--- a/coordination/rollout/ends.go
+++ b/coordination/rollout/ends.go
@@ -10,6 +10,8 @@
 const (
 	waveFor     = 500 * time.Millisecond // from a replica's end under a request, within which others are told too: two heartbeats
 	mostBetween = 200 * time.Millisecond // between two looks, that counts: a judge that was suspended has not seen that all was quiet
+	endsGood    = leastRate              // share of bad answers, a wave being one, that a version is granted
+	endsHarm    = leastRate + leastHarm  // the same of a bad one
 )
 
 // ends judges a version by how often lives of its replicas are over under
@@ -94,10 +96,3 @@
 func (e *ends) harmful(answering int) bool {
 	return e.sums.Against >= accuse && (len(e.names) > 1 || answering <= 1)
 }
-
-// Shares of bad answers, a wave being one, of a version that is granted and of one
-// that is bad.
-const (
-	endsGood = leastRate
-	endsHarm = leastRate + leastHarm
-)
