gossip: views shared while nothing changes, bounded greetings, exchange of views

Ruled out: the store's list as the source of views (a read of 985 by each; it carries readers only); one larger datagram (16 kB is the most; 985 entries take 100 kB).

The live instances are one immutable list, shared until one joins, times out or announces a change; what callers derive from it (owners of cells, addresses, readers, the lowest level) is derived once. A round walks 64 counters by a list in order of the last heartbeat and a rotation. A newcomer is greeted by about 30. An instance that starts, or learns of many changes at once, sends a peer of its hall the keys it knows and gets the entries it lacks (frame SyncView; older builds say that they don't know the kind, and heartbeats do as before). Seeds are contacted less often by each in fleets above 300.

Not changed: the time until a lost instance is taken for dead still grows by 15 ms an instance.

--- a/cmd/node/compatibility_test.go
+++ b/cmd/node/compatibility_test.go
@@ -115,8 +115,8 @@
 	draining, statedCount := n.drainUpdates()
 	is.Equal(draining, []string{"e1@7", "e1"})
 	is.Equal(statedCount, 1)
-	n.level.observe(0, []uint32{buildLevel})
-	n.level.observe(time.Hour, []uint32{buildLevel})
+	n.level.observe(0, buildLevel)
+	n.level.observe(time.Hour, buildLevel)
 	draining, _ = n.drainUpdates()
 	is.Equal(draining, []string{"e1@7"})
 }
--- a/cmd/node/directory.go
+++ b/cmd/node/directory.go
@@ -29,7 +29,7 @@
 		c.allowedRegions = regions.Intersect(config.AllowedRegions(query.Host))
 	}
 	answer := platform.AddressResponse{
-		Addresses:  selectAddresses(n.liveInstances(), c),
+		Addresses:  selectAddresses(n.live(), c),
 		TTLSeconds: min(maxAddressTTL, n.settings.MaxAddressTTL).Seconds(),
 	}
 	w.Header().Set("Content-Type", "application/json")
@@ -62,47 +62,110 @@
 // Clients choose randomly among the addresses of an answer. Instances of other regions
 // are therefore left out while the client's own region has enough: a request that goes
 // to another region crosses between them twice, with its body.
-func selectAddresses(alive []gossip.Instance, c addressClient) []string {
-	var lists [3][]gossip.Instance // instances of the hall, of the rest of the region, and of other regions
-	available, instanceRegions := 0, make(map[string]bool)
-	for _, i := range alive {
-		if i.Leaving {
-			continue
-		}
-		available++
-		instanceRegions[i.Region] = true
-		switch {
-		case i.Hall == c.hall:
-			lists[0] = append(lists[0], i)
-		case i.Region == c.region:
-			lists[1] = append(lists[1], i)
-		default:
-			lists[2] = append(lists[2], i)
-		}
+func selectAddresses(live *gossip.Live, c addressClient) []string {
+	out := appendAddresses(nil, c, directoryOf(live).halls[c.hall])
+	if len(out) == platform.MaxAddresses {
+		return out
 	}
-	lists[2] = allowedInstances(lists[2], c.allowedRegions)
-	if local := len(lists[0]) + len(lists[1]); c.region != "" && local >= minLocalInstances && local*len(instanceRegions)*maxRegionShortfall >= available {
-		lists[2] = nil
+	d := directoryOf(live)
+	out = appendAddresses(out, c, d.inRegionOutside(c.region, c.hall))
+	if len(out) == platform.MaxAddresses || d.isServedLocally(c) {
+		return out
 	}
-	var out []string
-	for _, list := range lists {
-		if len(out)+len(list) > platform.MaxAddresses {
-			slices.SortFunc(list, func(a, b gossip.Instance) int {
-				return cmp.Compare(rendezvous.Weight(c.name, b.Name), rendezvous.Weight(c.name, a.Name))
-			})
-			list = list[:platform.MaxAddresses-len(out)]
+	return appendAddresses(out, c, allowedInstances(d.outside(c.region, c.hall), c.allowedRegions))
+}
+
+// directory groups the live instances that are not leaving. It is derived from them once.
+type directory struct {
+	all     []*gossip.Instance
+	halls   map[string][]*gossip.Instance
+	regions map[string][]*gossip.Instance
+}
+
+type directoryKey struct{}
+
+func directoryOf(live *gossip.Live) *directory {
+	return live.Derive(directoryKey{}, func() any {
+		d := &directory{halls: make(map[string][]*gossip.Instance), regions: make(map[string][]*gossip.Instance)}
+		for i := range live.Instances {
+			x := &live.Instances[i]
+			if x.Leaving {
+				continue
+			}
+			d.all = append(d.all, x)
+			d.halls[x.Hall] = append(d.halls[x.Hall], x)
+			d.regions[x.Region] = append(d.regions[x.Region], x)
 		}
-		for _, i := range list {
-			out = append(out, i.ClientAddress)
+		return d
+	}).(*directory)
+}
+
+// inRegionOutside returns the instances of a region in other halls than the given one.
+func (d *directory) inRegionOutside(region, hall string) []*gossip.Instance {
+	return outsideHall(d.regions[region], hall)
+}
+
+// outside returns the instances in other regions and other halls than the given ones.
+func (d *directory) outside(region, hall string) []*gossip.Instance {
+	var out []*gossip.Instance
+	for _, i := range d.all {
+		if i.Region != region && i.Hall != hall {
+			out = append(out, i)
 		}
 	}
 	return out
 }
 
+func outsideHall(list []*gossip.Instance, hall string) []*gossip.Instance {
+	var out []*gossip.Instance
+	for _, i := range list {
+		if i.Hall != hall {
+			out = append(out, i)
+		}
+	}
+	return out
+}
+
+// isServedLocally reports whether the client's region has enough instances.
+func (d *directory) isServedLocally(c addressClient) bool {
+	local := len(d.halls[c.hall]) + len(d.inRegionOutside(c.region, c.hall))
+	return c.region != "" && local >= minLocalInstances && local*len(d.regions)*maxRegionShortfall >= len(d.all)
+}
+
+// appendAddresses adds the addresses of instances up to the maximum length of an answer.
+func appendAddresses(out []string, c addressClient, list []*gossip.Instance) []string {
+	if left := platform.MaxAddresses - len(out); len(list) > left {
+		list = highestWeights(c.name, list, left)
+	}
+	for _, i := range list {
+		out = append(out, i.ClientAddress)
+	}
+	return out
+}
+
+// highestWeights returns the n instances with the highest weights for a client, the
+// highest first.
+func highestWeights(client string, list []*gossip.Instance, n int) []*gossip.Instance {
+	type weighted struct {
+		instance *gossip.Instance
+		weight   uint64
+	}
+	order := make([]weighted, 0, len(list))
+	for _, i := range list {
+		order = append(order, weighted{i, rendezvous.Weight(client, i.Name)})
+	}
+	slices.SortFunc(order, func(a, b weighted) int { return cmp.Compare(b.weight, a.weight) })
+	out := make([]*gossip.Instance, 0, n)
+	for _, w := range order[:n] {
+		out = append(out, w.instance)
+	}
+	return out
+}
+
 // allowedInstances returns the instances of regions that may serve the client, or all
 // instances if there are none.
-func allowedInstances(remote []gossip.Instance, allowed regions.Allowed) []gossip.Instance {
-	var out []gossip.Instance
+func allowedInstances(remote []*gossip.Instance, allowed regions.Allowed) []*gossip.Instance {
+	var out []*gossip.Instance
 	for _, i := range remote {
 		if allowed.Allows(i.Region) {
 			out = append(out, i)
--- a/cmd/node/directory_test.go
+++ b/cmd/node/directory_test.go
@@ -27,9 +27,9 @@
 	counts := make(map[string]int)
 	for c := range callers {
 		caller := fmt.Sprint("10.0.0.", c)
-		got := selectAddresses(alive, addressClient{hall: "a", name: caller})
+		got := selectAddresses(gossip.NewLive(alive), addressClient{hall: "a", name: caller})
 		is.Equal(len(got), platform.MaxAddresses)
-		is.Equal(got, selectAddresses(alive, addressClient{hall: "a", name: caller}))
+		is.Equal(got, selectAddresses(gossip.NewLive(alive), addressClient{hall: "a", name: caller}))
 		for _, a := range got {
 			is.Equal(a[:1], "a")
 			counts[a]++
@@ -42,10 +42,10 @@
 		}
 	}
 	few := alive[:20]
-	is.Equal(len(selectAddresses(few, addressClient{hall: "a", name: "x"})), 18)
+	is.Equal(len(selectAddresses(gossip.NewLive(few), addressClient{hall: "a", name: "x"})), 18)
 	// All fit into an answer.
-	is.True(slices.Equal(selectAddresses(few, addressClient{hall: "a", name: "x"}), selectAddresses(few, addressClient{hall: "a", name: "y"})))
-	mixed := selectAddresses(append(slices.Clone(few), alive[100:]...), addressClient{hall: "c", name: "x"})
+	is.True(slices.Equal(selectAddresses(gossip.NewLive(few), addressClient{hall: "a", name: "x"}), selectAddresses(gossip.NewLive(few), addressClient{hall: "a", name: "y"})))
+	mixed := selectAddresses(gossip.NewLive(append(slices.Clone(few), alive[100:]...)), addressClient{hall: "c", name: "x"})
 	is.Equal(len(mixed), platform.MaxAddresses)
 }
 
@@ -61,16 +61,16 @@
 		}
 	}
 	c := addressClient{hall: "n0", region: "n", name: "x"}
-	got := selectAddresses(alive, c)
+	got := selectAddresses(gossip.NewLive(alive), c)
 	is.Equal(len(got), 15)
 	is.Equal(got[:3], []string{"n00", "n02", "n04"}) // instances of its hall first
 	for i := range alive[3:15] {
 		alive[3+i].Leaving = true
 	}
-	is.Equal(len(selectAddresses(alive, c)), 33) // three instances are too few for a region's clients
-	is.Equal(len(selectAddresses(alive[15:], c)), 30)
-	is.Equal(len(selectAddresses(alive[15:], addressClient{hall: "s0", region: "s", name: "x"})), 15)
-	is.Equal(len(selectAddresses(alive[15:], addressClient{hall: "q", name: "x"})), 30) // a hall of no region
+	is.Equal(len(selectAddresses(gossip.NewLive(alive), c)), 33) // three instances are too few for a region's clients
+	is.Equal(len(selectAddresses(gossip.NewLive(alive[15:]), c)), 30)
+	is.Equal(len(selectAddresses(gossip.NewLive(alive[15:]), addressClient{hall: "s0", region: "s", name: "x"})), 15)
+	is.Equal(len(selectAddresses(gossip.NewLive(alive[15:]), addressClient{hall: "q", name: "x"})), 30) // a hall of no region
 }
 
 // HOME: clients of a host whose routes are restricted to regions get addresses only in these
@@ -79,9 +79,9 @@
 	is := is.New(t)
 	alive := []gossip.Instance{{Name: "n", ClientAddress: "n", Region: "n"}, {Name: "s", ClientAddress: "s", Region: "s"}, {Name: "w", ClientAddress: "w", Region: "w"}}
 	c := addressClient{region: "n", name: "x", hall: "n0", allowedRegions: regions.Intersect([]string{"s"})}
-	is.Equal(selectAddresses(alive, c), []string{"n", "s"})
+	is.Equal(selectAddresses(gossip.NewLive(alive), c), []string{"n", "s"})
 	c.allowedRegions = regions.Allowed{} // one of the host's routes is unrestricted
-	is.Equal(len(selectAddresses(alive, c)), 3)
+	is.Equal(len(selectAddresses(gossip.NewLive(alive), c)), 3)
 	c.allowedRegions = regions.Intersect([]string{"s"})
-	is.Equal(selectAddresses(alive[2:], c), []string{"w"}) // better than no address
+	is.Equal(selectAddresses(gossip.NewLive(alive[2:]), c), []string{"w"}) // better than no address
 }
--- a/cmd/node/fleet_level.go
+++ b/cmd/node/fleet_level.go
@@ -22,12 +22,12 @@
 	noTrialLeases map[string]uint64 // by instance name: the incarnation that closed the stream of a request for a trial lease
 }
 
-// observe updates the tracker with the levels of all live instances, and reports whether
-// the level in force has changed.
-func (l *fleetLevel) observe(now time.Duration, all []uint32) bool {
+// observe updates the tracker with the lowest level of all live instances, and reports
+// whether the level in force has changed.
+func (l *fleetLevel) observe(now time.Duration, lowest uint32) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.tracker.Observe(now, all)
+	return l.tracker.Observe(now, []uint32{lowest})
 }
 
 func (l *fleetLevel) inForce() uint32 {
@@ -56,17 +56,10 @@
 
 // updateFleetLevel updates the fleet's level with those that the live instances
 // announce.
-func (n *Node) updateFleetLevel(alive []gossip.Instance) {
-	levels := make([]uint32, 0, len(alive))
-	lowest := alive[0]
-	for _, i := range alive {
-		levels = append(levels, i.Level)
-		if i.Level < lowest.Level {
-			lowest = i
-		}
-	}
+func (n *Node) updateFleetLevel(live *gossip.Live) {
+	lowest := live.Derive(lowestLevelKey{}, func() any { return lowestLevel(live.Instances) }).(gossip.Instance)
 	previous := n.level.inForce()
-	if !n.level.observe(n.now(), levels) {
+	if !n.level.observe(n.now(), lowest.Level) {
 		return
 	}
 	changed := event.NodeFleetLevelRaised
@@ -76,6 +69,19 @@
 	changed.Log(n.log, "level", n.level.inForce(), "was", previous, "of", buildLevel, "least", lowest.Name)
 }
 
+type lowestLevelKey struct{}
+
+// lowestLevel returns an instance with the lowest level.
+func lowestLevel(alive []gossip.Instance) gossip.Instance {
+	lowest := alive[0]
+	for _, i := range alive {
+		if i.Level < lowest.Level {
+			lowest = i
+		}
+	}
+	return lowest
+}
+
 // incarnationOf returns the incarnation of a replica that a peer refers to. Builds
 // without incarnations use the replica's name, which stands for the listed incarnation.
 func (n *Node) incarnationOf(id string) string {
--- a/cmd/node/heartbeats.go
+++ b/cmd/node/heartbeats.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
 	"net"
 	"strconv"
 	"time"
@@ -18,15 +19,20 @@
 const heartbeatInterval = 200 * time.Millisecond // five rounds reach 390 instances within a second: docs/CAPACITY.md
 
 // runHeartbeats updates this instance's view of the others and sends it as heartbeats,
-// several times a second.
+// several times a second. What depends on the live instances alone is updated when they
+// change.
 func (n *Node) runHeartbeats(ctx context.Context) {
-	logged := make(map[string]gossip.Instance)
+	var seen *gossip.Live
+	membership := newMembershipLog()
 	process.Every(ctx, heartbeatInterval, func() {
-		alive := n.liveInstances()
-		n.logMembership(logged, alive)
-		n.recordRemoteHosts(alive)
-		n.updateFleetLevel(alive)
-		n.updateReaderRole(alive)
+		live := n.live()
+		if live != seen {
+			seen = live
+			n.logMembership(membership, live.Instances)
+			n.recordRemoteHosts(live.Instances)
+		}
+		n.updateFleetLevel(live)
+		n.updateReaderRole(live)
 		n.recordLocalSpeeds()
 		n.sendHeartbeats()
 		n.gossipMu.Lock()
@@ -38,25 +44,6 @@
 	})
 }
 
-// logMembership logs the instances that have joined, restarted or left since the last
-// call. logged holds the instances that were logged as live.
-func (n *Node) logMembership(logged map[string]gossip.Instance, alive []gossip.Instance) {
-	live := make(map[string]bool, len(alive))
-	for _, i := range alive {
-		live[i.Name] = true
-		if old, ok := logged[i.Name]; !ok || old.Incarnation != i.Incarnation {
-			event.NodeInstanceAlive.Log(n.log, "name", i.Name, "hall", i.Hall, "incarnation", i.Incarnation)
-		}
-		logged[i.Name] = i
-	}
-	for name, i := range logged {
-		if !live[name] {
-			event.NodeInstanceDead.Log(n.log, "name", name, "hall", i.Hall, "incarnation", i.Incarnation, "leaving", i.Leaving)
-			delete(logged, name)
-		}
-	}
-}
-
 // sendHeartbeats sends one round of heartbeats.
 func (n *Node) sendHeartbeats() {
 	if n.socket == nil {
@@ -68,22 +55,18 @@
 	n.sendHeartbeatTo(to, m, n.speedUpdates(false), n.quarantineUpdate())
 }
 
-// announceToHall sends the full view to all instances of this instance's hall.
+// announceToHall announces this instance's newest data to all instances of its hall.
 func (n *Node) announceToHall() {
 	if n.socket == nil {
 		return
 	}
-	now := n.now()
-	n.gossipMu.Lock()
-	m := n.members.BuildMessage(now)
 	var to []string
-	for _, i := range n.members.Alive(now) {
-		if i.Hall == n.settings.Hall && i.Name != n.settings.Name {
+	for _, i := range n.live().Hall(n.settings.Hall) {
+		if i.Name != n.settings.Name {
 			to = append(to, i.HeartbeatAddress)
 		}
 	}
-	n.gossipMu.Unlock()
-	n.sendHeartbeatTo(to, m, nil, nil)
+	n.announceSelf(to)
 }
 
 // announceToSeeds announces this instance to the seeds of the settings. The seeds may no
@@ -187,11 +170,11 @@
 	n.sendNewerIncarnation(h)
 	n.gossipMu.Lock()
 	var newPeers []string
+	random, isAnnouncement := newRandom(), len(h.News) == 1 && len(h.Keys) == 0
 	before := n.members.Self().Incarnation
 	for i, entry := range h.News {
 		isNew := n.members.Merge(now, decodeInstance(entry))
-		// Instances of other regions receive the view from those that they contact.
-		if isNew && (i == 0 || entry.Region == n.home) {
+		if isNew && (i == 0 && isAnnouncement || n.shouldGreet(entry, i, random)) {
 			newPeers = append(newPeers, entry.Datagram)
 		}
 	}
@@ -231,6 +214,13 @@
 	n.recordPeerLimits(senderOf(h), h.Limits)
 }
 
+// shouldGreet reports whether to send the view to a newcomer, the entry of the given
+// number in a heartbeat. Instances of other regions receive the view from those that they
+// contact. The caller holds gossipMu.
+func (n *Node) shouldGreet(entry *pb.InstanceNews, number int, random *rand.Rand) bool {
+	return (number == 0 || entry.Region == n.home) && n.members.ShouldGreet(random)
+}
+
 // sendNewerIncarnation replies to a heartbeat with the sender's last recorded incarnation
 // if that counts as newer than the one that it announces, so that the sender can choose a
 // higher one.
@@ -293,25 +283,27 @@
 	}
 }
 
-// liveInstances returns the instances that are considered alive.
-func (n *Node) liveInstances() []gossip.Instance {
+// live returns the instances that are considered alive. The result is shared.
+func (n *Node) live() *gossip.Live {
 	n.gossipMu.Lock()
 	defer n.gossipMu.Unlock()
-	return n.members.Alive(n.now())
+	return n.members.Live(n.now())
 }
 
+// liveInstances returns the instances that are considered alive. The result is shared;
+// the caller must not change it.
+func (n *Node) liveInstances() []gossip.Instance { return n.live().Instances }
+
 // liveInstanceCount returns the number of instances that are considered alive.
-func (n *Node) liveInstanceCount() int {
-	n.gossipMu.Lock()
-	defer n.gossipMu.Unlock()
-	return n.members.AliveCount(n.now())
-}
+func (n *Node) liveInstanceCount() int { return len(n.live().Instances) }
 
 // servePeer answers the requests of peers.
 func (n *Node) servePeer(k frame.Kind, first []byte, stream net.Conn) {
 	switch k {
 	case frame.PullConfig:
 		_ = frame.Write(stream, frame.Reply, n.answerConfigPull())
+	case frame.SyncView:
+		_ = frame.Write(stream, frame.Reply, n.answerViewSync(first))
 	case frame.PullReplicas:
 		_ = frame.Write(stream, frame.Reply, n.answerReplicasPull(first))
 	case frame.CachedPrefix:
--- a/cmd/node/node.go
+++ b/cmd/node/node.go
@@ -186,7 +186,7 @@
 	n.cancel = cancel
 	n.group, ctx = errgroup.WithContext(ctx)
 	loops := []func(context.Context){
-		n.followIntent, n.followReplicas, n.keepRegistered, n.monitorStore, n.runHeartbeats, n.receiveHeartbeats, n.owner.runTicks, n.housekeeping, n.followRollouts, n.runAdvisorySweeps,
+		n.followIntent, n.followReplicas, n.keepRegistered, n.monitorStore, n.runHeartbeats, n.receiveHeartbeats, n.syncViews, n.owner.runTicks, n.housekeeping, n.followRollouts, n.runAdvisorySweeps,
 	}
 	for _, loop := range loops {
 		n.group.Go(func() error {
--- a/cmd/node/remote_cache.go
+++ b/cmd/node/remote_cache.go
@@ -111,8 +111,8 @@
 func (n *Node) cachedPrefixIn(region, service string, shared []catalog.PromptPart) placement.CachedPrefix {
 	snap := n.snapshot.Load()
 	cell := snap.regionMap.CellNumber(region, int(platform.HashString(shared[len(shared)-1].ID)%uint64(snap.cellCount(region))))
-	owners := ownership.Rank(n.liveInstances(), cell, region)
-	if len(owners) == 0 || owners[0].Region != region { // no instance of that region owns the cell
+	owner, ok := ownership.Owner(n.live(), cell, region)
+	if !ok || owner.Region != region { // no instance of that region owns the cell
 		return placement.CachedPrefix{}
 	}
 	ask := &pb.KeptAsk{Cell: uint32(cell), Engine: service}
@@ -122,10 +122,10 @@
 	n.counters.remoteCacheLookups.Inc(1)
 	n.counters.remoteBytes.cacheLookups.Inc(int64(proto.Size(ask)))
 	reply := &pb.KeptReply{}
-	err := n.links.Call(owners[0].PeerAddress, frame.CachedPrefix, ask, reply, remoteCacheTimeout)
+	err := n.links.Call(owner.PeerAddress, frame.CachedPrefix, ask, reply, remoteCacheTimeout)
 	n.recordRegionResponse(region, err == nil)
 	if err != nil {
-		n.logSideCallFailure("cached prefix in "+region, owners[0].Name, err)
+		n.logSideCallFailure("cached prefix in "+region, owner.Name, err)
 		return placement.CachedPrefix{}
 	}
 	if reply.Tokens > 0 {
--- a/cmd/node/send_grants.go
+++ b/cmd/node/send_grants.go
@@ -60,29 +60,20 @@
 type grantorLookup struct {
 	node     *Node
 	snapshot *snapshot
-	alive    []gossip.Instance
-	owners   map[int][]gossip.Instance // by cell: the first instance in rank order, empty if there is none
+	live     *gossip.Live
 }
 
 func (n *Node) grantorLookup() *grantorLookup {
-	return &grantorLookup{node: n, snapshot: n.snapshot.Load(), alive: n.liveInstances(), owners: make(map[int][]gossip.Instance)}
+	return &grantorLookup{node: n, snapshot: n.snapshot.Load(), live: n.live()}
 }
 
 // grantorOf returns the grantor of a replica, or false if there is none.
 func (l *grantorLookup) grantorOf(r *catalog.Replica) (gossip.Instance, bool) {
 	cell, pooled := l.snapshot.cellOfReplica(r.ID)
 	if !pooled {
-		return pace.SelectGrantor(l.alive, r.ID, pace.Location{Hall: r.Hall, Region: r.Region})
+		return pace.SelectGrantor(l.live.Instances, r.ID, pace.Location{Hall: r.Hall, Region: r.Region})
 	}
-	owners, cached := l.owners[cell]
-	if !cached {
-		owners = ownership.Rank(l.alive, cell, r.Region)
-		l.owners[cell] = owners[:min(len(owners), 1)]
-	}
-	if len(owners) == 0 {
-		return gossip.Instance{}, false
-	}
-	return owners[0], true
+	return ownership.Owner(l.live, cell, r.Region)
 }
 
 // isSelf reports whether this instance is the grantor of a replica, either according to
--- a/cmd/node/stages.go
+++ b/cmd/node/stages.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"slices"
 	"sync"
 	"time"
 
@@ -190,10 +191,15 @@
 // instance is, this instance acts as the owner, as the client has chosen it.
 func (n *Node) nextOwner(req *stagesRequest, tried map[string]bool) (gossip.Instance, bool) {
 	allowed := req.allowedRegions()
-	for _, i := range ownership.Rank(n.liveInstances(), int(req.ask.Cell), req.region) {
-		if !tried[i.Name] && allowed.Allows(i.Region) {
-			return i, true
-		}
+	live, cell := n.live(), int(req.ask.Cell)
+	usable := func(i gossip.Instance) bool { return !tried[i.Name] && allowed.Allows(i.Region) }
+	candidates := ownership.Candidates(live, cell, req.region)
+	if i := slices.IndexFunc(candidates, usable); i >= 0 {
+		return candidates[i], true
+	}
+	all := ownership.Rank(live.Instances, cell, req.region)
+	if i := slices.IndexFunc(all, usable); i >= 0 {
+		return all[i], true
 	}
 	self := n.settings.Name
 	if allowed.IsRestricted() && !tried[self] {
--- a/cmd/node/topic_follower.go
+++ b/cmd/node/topic_follower.go
@@ -217,7 +217,7 @@
 // defersFirstRead reports whether this instance, which has just started and has no data,
 // waits for updates from the readers instead of reading the store.
 func (n *Node) defersFirstRead() bool {
-	n.updateReaderRole(n.liveInstances())
+	n.updateReaderRole(n.live())
 	startup := readers.Startup{Age: n.now(), KnowsPeers: n.hasDiscoveredPeers(), IsReader: n.isReader.Load(), Jitter: n.jitter}
 	return !startup.ShouldRead()
 }
@@ -228,16 +228,16 @@
 	n.gossipMu.Lock()
 	defer n.gossipMu.Unlock()
 	now := n.now()
-	return now >= startupViewTimeout || n.members.Settled(now) || now >= discoveryTimeout && len(n.members.Alive(now)) == 1
+	return now >= startupViewTimeout || n.members.Settled(now) || now >= discoveryTimeout && n.members.AliveCount(now) == 1
 }
 
 // updateReaderRole decides whether this instance is a reader of the store, once it has
 // discovered its peers.
-func (n *Node) updateReaderRole(alive []gossip.Instance) {
+func (n *Node) updateReaderRole(live *gossip.Live) {
 	if !n.hasDiscoveredPeers() {
 		return
 	}
-	isReader := readers.IsReader(n.settings.Name, alive)
+	isReader := live.Derive(readerKey{}, func() any { return readers.IsReader(n.settings.Name, live.Instances) }).(bool)
 	if n.isReader.Swap(isReader) == isReader {
 		return
 	}
@@ -246,3 +246,7 @@
 	n.gossipMu.Unlock()
 	event.NodeReaderChanged.Log(n.log, "reads", isReader)
 }
+
+// readerKey is the key of what live instances determine about this instance's role as a
+// reader.
+type readerKey struct{}
--- a/cmd/node/trial_lease.go
+++ b/cmd/node/trial_lease.go
@@ -70,7 +70,7 @@
 // fingerprint.
 func (n *Node) arbiters(f quarantine.Fingerprint) []gossip.Instance {
 	key := strconv.FormatUint(uint64(f), 16)
-	all := n.liveInstances()
+	all := slices.Clone(n.liveInstances())
 	weights := make(map[string]uint64, len(all))
 	for _, i := range all {
 		weights[i.Name] = rendezvous.Weight(key, i.Name)
--- a/coordination/gossip/gossip.go
+++ b/coordination/gossip/gossip.go
@@ -54,12 +54,12 @@
 
 // CPURank returns a function that ranks instances by their CPU share: rank 0 has
 // about the largest share of the given instances.
-func CPURank(all []Instance) func(Instance) int {
+func CPURank(all []*Instance) func(*Instance) int {
 	largest := uint32(1)
 	for _, i := range all {
 		largest = max(largest, i.CPUShare)
 	}
-	return func(i Instance) int { return cpuShareSteps - int(i.CPUShare*cpuShareSteps/largest) }
+	return func(i *Instance) int { return cpuShareSteps - int(i.CPUShare*cpuShareSteps/largest) }
 }
 
 // View is one instance's view of the fleet. It is not safe for concurrent use.
@@ -67,13 +67,22 @@
 	opts Options
 	self Instance
 	rows map[string]*row
-	// All rows by name, kept sorted on insertion because a view is queried several times
-	// per request.
+	// All rows by name, kept sorted on insertion.
 	sorted           []*row
 	byKey            map[uint32]*row // by Instance.Key
+	recent           recency         // all rows, the latest heartbeat first
+	pending          []*row          // rows that are still to be announced in full
 	cursor           int             // round-robin position in sorted of the entry last announced in turn
+	rotation         int             // round-robin position in sorted of the counter last sent in turn
+	messages         uint64          // messages built
 	seedsContactedAt time.Duration   // last time the seeds were contacted
 	newIncarnationAt time.Duration   // last time a new incarnation was discovered
+	forgetAt         time.Duration   // next time to look for entries to remove
+	live             *Live           // nil: has to be rebuilt
+	liveFrom         time.Duration   // time for which live was last determined
+	liveUntil        time.Duration   // earliest time after that at which an instance in live may time out
+	joining          bool            // the view may lack many instances, see NeedsSync
+	syncsWithoutNews int             // exchanges of whole views in a row that brought no new entry
 }
 
 type row struct {
@@ -81,6 +90,10 @@
 	lastHeartbeat time.Duration // when the counter last increased
 	announcements int           // full announcements since the entry changed
 	key           uint32        // Instance.Key
+	listed        bool          // in View.live
+	inPending     bool          // in View.pending
+	message       uint64        // number of the last message that contained the row
+	newer, older  *row          // neighbors in View.recent
 }
 
 // Options are the settings of a View.
@@ -94,8 +107,11 @@
 	RemoteTimeoutExtra  time.Duration // added to the timeout for instances of other regions
 	FullEntries         int           // maximum number of full entries in a message, without the sender's own
 	MaxHeartbeats       int           // maximum number of counters in a message
-	SeedInterval        time.Duration // time between messages to the seeds
+	SeedInterval        time.Duration // time between messages to the seeds, in fleets up to SeedFleetSize
+	SeedFleetSize       int           // instances beyond which the seeds are contacted less often by each
 	SettleTime          time.Duration // time without a new incarnation after which the view is considered complete
+	Greeters            float64       // approximate number of instances that send their view to a newcomer
+	SyncBacklog         int           // entries waiting to be announced beyond which whole views are exchanged instead
 }
 
 // DefaultOptions returns the options used in production, with a round every 200 ms.
@@ -109,9 +125,12 @@
 		FullEntries:         10,
 		MaxHeartbeats:       64,
 		SeedInterval:        2 * time.Second,
+		SeedFleetSize:       300,
 		SettleTime:          60 * time.Millisecond,
 		CrossRegionMessages: 3,
 		RemoteTimeoutExtra:  time.Second,
+		SyncBacklog:         50,
+		Greeters:            30,
 	}
 }
 
@@ -122,51 +141,78 @@
 
 // New returns a view that contains only self.
 func New(self Instance, opts Options) *View {
-	return &View{opts: opts, self: self, rows: make(map[string]*row), byKey: make(map[uint32]*row), cursor: int(self.Key() % cursorSpread)}
+	start := int(self.Key() % cursorSpread)
+	return &View{opts: opts, self: self, rows: make(map[string]*row), byKey: make(map[uint32]*row), cursor: start, rotation: start, joining: true}
 }
 
 // Self returns the instance's own entry.
 func (v *View) Self() Instance { return v.self }
 
 // SetLeaving records that a planned shutdown has begun.
-func (v *View) SetLeaving() { v.self.Leaving = true }
+func (v *View) SetLeaving() {
+	v.self.Leaving = true
+	v.live = nil
+}
 
 // SetConfigVersion records the version of the configuration in force. The version
 // never decreases: when two configurations take effect in quick succession, the
 // older one may be reported last.
 func (v *View) SetConfigVersion(version uint64) {
 	v.self.ConfigVersion = max(v.self.ConfigVersion, version)
+	v.live = nil
 }
 
 // SetReader records whether this instance watches the store on behalf of its hall.
-func (v *View) SetReader(isReader bool) { v.self.IsReader = isReader }
+func (v *View) SetReader(isReader bool) {
+	v.self.IsReader = isReader
+	v.live = nil
+}
 
 // SetStoreUnreachable records whether the last attempt to reach the store failed.
-func (v *View) SetStoreUnreachable(unreachable bool) { v.self.StoreUnreachable = unreachable }
+func (v *View) SetStoreUnreachable(unreachable bool) {
+	if v.self.StoreUnreachable != unreachable {
+		v.live = nil
+	}
+	v.self.StoreUnreachable = unreachable
+}
 
 // SetOwnedCells records the cells that this instance owns.
-func (v *View) SetOwnedCells(cells []uint32) { v.self.OwnedCells = cells }
+func (v *View) SetOwnedCells(cells []uint32) {
+	if !slices.Equal(v.self.OwnedCells, cells) {
+		v.live = nil
+	}
+	v.self.OwnedCells = cells
+}
 
 // Merge applies an announced entry and reports whether it is the first one of that
 // incarnation.
 func (v *View) Merge(now time.Duration, i Instance) bool {
+	isNew, changed := v.merge(now, i)
+	if changed {
+		v.announce(v.rows[i.Name])
+	}
+	return isNew
+}
+
+// merge applies an entry and reports whether it is the first one of that incarnation,
+// and whether its peers should hear of it.
+func (v *View) merge(now time.Duration, i Instance) (isNew, changed bool) {
 	if i.Name == v.self.Name {
 		v.supersedeOwnIncarnation(&i)
-		return false
+		return false, false
 	}
 	heartbeat := now - i.HeartbeatAge
 	i.HeartbeatAge = 0
 	r := v.rows[i.Name]
 	if r == nil {
-		r = &row{Instance: i, lastHeartbeat: heartbeat, key: i.Key()}
-		v.insert(r)
+		v.insert(&row{Instance: i, lastHeartbeat: heartbeat, key: i.Key()})
 		v.newIncarnationAt = now
-		return true
+		return true, true
 	}
 	if i.Incarnation < r.Incarnation || (i.Incarnation == r.Incarnation && i.HeartbeatCount <= r.HeartbeatCount) {
-		return false
+		return false, false
 	}
-	isNew := i.Incarnation > r.Incarnation
+	isNew = i.Incarnation > r.Incarnation
 	if isNew {
 		v.newIncarnationAt = now
 	}
@@ -174,13 +220,15 @@
 		i.Leaving = i.Leaving || r.Leaving
 		i.Level = max(i.Level, r.Level) // older builds don't forward it
 	}
-	if !r.sameAnnouncedState(&i) {
-		r.announcements = 0
+	changed = !r.sameAnnouncedState(&i)
+	if changed || !r.listed || r.ConfigVersion != i.ConfigVersion || r.Level != i.Level || r.Settled() != i.Settled() {
+		v.live = nil
 	}
 	delete(v.byKey, r.key)
 	r.Instance, r.lastHeartbeat, r.key = i, max(r.lastHeartbeat, heartbeat), i.Key()
 	v.byKey[r.key] = r
-	return isNew
+	v.recent.moveToFront(r)
+	return isNew, changed
 }
 
 // supersedeOwnIncarnation handles an entry under this instance's own name.
@@ -208,11 +256,31 @@
 }
 
 func (v *View) insert(r *row) {
+	v.live = nil
 	v.rows[r.Name], v.byKey[r.key] = r, r
+	v.recent.pushFront(r)
 	index, _ := slices.BinarySearchFunc(v.sorted, r.Name, func(o *row, name string) int { return cmp.Compare(o.Name, name) })
 	v.sorted = slices.Insert(v.sorted, index, r)
 }
 
+// announce schedules a changed entry for announcements. The position in the queue
+// depends on both instances, so that not all instances that learn the same entries
+// at once announce the same ones first.
+func (v *View) announce(r *row) {
+	r.announcements = 0
+	if r.inPending {
+		return
+	}
+	r.inPending = true
+	v.pending = append(v.pending, r)
+	last := len(v.pending) - 1
+	other := int(r.key^v.self.Key()) % len(v.pending)
+	v.pending[last], v.pending[other] = v.pending[other], v.pending[last]
+	if len(v.pending) > v.opts.SyncBacklog {
+		v.joining = true
+	}
+}
+
 // sameAnnouncedState reports whether two entries agree in all fields that make peers
 // announce a change in full. The configuration version is not one of them: with
 // every new configuration, all entries of the fleet would be announced in full again.
@@ -226,6 +294,7 @@
 func (v *View) MarkUnreachable(now time.Duration, name string) {
 	if r := v.rows[name]; r != nil {
 		r.lastHeartbeat = min(r.lastHeartbeat, now-v.failureTimeout()-v.opts.RemoteTimeoutExtra)
+		v.live = nil
 	}
 }
 
@@ -236,6 +305,10 @@
 	Heartbeats []Heartbeat
 }
 
+// IsAnnouncement reports whether the message tells of its sender alone, as a starting
+// instance does to the seeds. Whoever receives it answers with its view.
+func (m *Message) IsAnnouncement() bool { return len(m.Entries) == 1 && len(m.Heartbeats) == 0 }
+
 // Heartbeat is the counter of the incarnation with the given key.
 type Heartbeat struct {
 	Key   uint32
@@ -249,38 +322,64 @@
 
 // BuildMessage returns a message with recently changed entries and one more entry,
 // round-robin, in full. Half of its counters are the most recently updated ones, the
-// rest rotates through the other live instances.
+// rest rotates through the other live instances. The work does not grow with the
+// fleet.
 func (v *View) BuildMessage(now time.Duration) Message {
 	m := Message{Entries: []Instance{v.self}}
-	count := len(v.sorted)
-	if count == 0 {
+	if len(v.sorted) == 0 {
 		return m
 	}
+	v.messages++
 	v.cursor++
-	scheduled := v.sorted[v.cursor%count]
-	scheduled.announcements = min(scheduled.announcements, announcementsPerChange-1)
-	rows := make([]*row, 0, count)
-	for i := range count {
-		r := v.sorted[(v.cursor+i)%count]
-		if r.announcements < announcementsPerChange && len(m.Entries) <= v.opts.FullEntries {
-			r.announcements++
-			m.Entries = append(m.Entries, r.entry(now))
-			continue
-		}
-		if v.alive(now, r) {
-			rows = append(rows, r)
+	m.addEntry(v, now, v.sorted[v.cursor%len(v.sorted)])
+	for range min(len(v.pending), v.opts.FullEntries-1) {
+		r := v.pending[0]
+		v.pending = v.pending[1:]
+		r.announcements++
+		r.inPending = r.announcements < announcementsPerChange && v.rows[r.Name] == r
+		if r.inPending {
+			v.pending = append(v.pending, r)
 		}
+		m.addEntry(v, now, r)
+	}
+	v.addRecentCounters(now, &m)
+	v.addRotatedCounters(now, &m)
+	return m
+}
+
+func (m *Message) addEntry(v *View, now time.Duration, r *row) {
+	if r.message != v.messages {
+		r.message = v.messages
+		m.Entries = append(m.Entries, r.entry(now))
+	}
+}
+
+// addRecentCounters adds the counters that have increased last.
+func (v *View) addRecentCounters(now time.Duration, m *Message) {
+	visited := 0
+	for r := v.recent.first; r != nil && visited < v.opts.MaxHeartbeats && len(m.Heartbeats) < v.opts.MaxHeartbeats/2; r = r.older {
+		visited++
+		v.addCounter(now, m, r)
 	}
-	slices.SortStableFunc(rows, func(a, b *row) int { return cmp.Compare(b.lastHeartbeat, a.lastHeartbeat) })
-	recent := min(v.opts.MaxHeartbeats/2, len(rows))
-	for i, r := range rows {
-		others := len(rows) - recent
-		if i >= recent && (i+v.cursor*recent)%others >= v.opts.MaxHeartbeats-recent {
-			continue // included in a later round
+}
+
+// addRotatedCounters adds the counters of the next live instances in turn.
+func (v *View) addRotatedCounters(now time.Duration, m *Message) {
+	for range min(len(v.sorted), 2*v.opts.MaxHeartbeats) {
+		if len(m.Heartbeats) >= v.opts.MaxHeartbeats {
+			return
 		}
-		m.Heartbeats = append(m.Heartbeats, Heartbeat{Key: r.key, Count: r.HeartbeatCount})
+		v.rotation++
+		v.addCounter(now, m, v.sorted[v.rotation%len(v.sorted)])
 	}
-	return m
+}
+
+func (v *View) addCounter(now time.Duration, m *Message, r *row) {
+	if r.message == v.messages || !v.alive(now, r) {
+		return
+	}
+	r.message = v.messages
+	m.Heartbeats = append(m.Heartbeats, Heartbeat{Key: r.key, Count: r.HeartbeatCount})
 }
 
 // entry returns a row as it is announced. Without the age, a dead instance would
@@ -298,18 +397,28 @@
 // MergeHeartbeat applies a counter from a message.
 func (v *View) MergeHeartbeat(now time.Duration, h Heartbeat) {
 	r := v.byKey[h.Key]
-	if r != nil && h.Count > r.HeartbeatCount {
-		r.HeartbeatCount, r.lastHeartbeat = h.Count, now
+	if r == nil || h.Count <= r.HeartbeatCount {
+		return
+	}
+	wasSettled := r.Settled()
+	r.HeartbeatCount, r.lastHeartbeat = h.Count, now
+	if !r.listed || r.Settled() != wasSettled {
+		v.live = nil
 	}
+	v.recent.moveToFront(r)
 }
 
 // alive reports whether an instance's counter has increased within its timeout.
 func (v *View) alive(now time.Duration, r *row) bool {
-	timeout := v.failureTimeout()
+	return now-r.lastHeartbeat < v.timeoutOf(r)
+}
+
+// timeoutOf returns the time without a heartbeat after which an instance counts as dead.
+func (v *View) timeoutOf(r *row) time.Duration {
 	if v.isRemote(r) {
-		timeout += v.opts.RemoteTimeoutExtra
+		return v.failureTimeout() + v.opts.RemoteTimeoutExtra
 	}
-	return now-r.lastHeartbeat < timeout
+	return v.failureTimeout()
 }
 
 func (v *View) failureTimeout() time.Duration {
@@ -318,44 +427,24 @@
 
 // forget removes the entries without a heartbeat for ForgetAfter.
 func (v *View) forget(now time.Duration) {
+	if now < v.forgetAt {
+		return
+	}
+	v.forgetAt = now + forgetInterval
 	expired := func(r *row) bool { return now-r.lastHeartbeat > v.opts.ForgetAfter }
 	for _, r := range v.sorted {
 		if expired(r) {
 			delete(v.rows, r.Name)
 			delete(v.byKey, r.key)
+			v.recent.remove(r)
+			v.live = nil
 		}
 	}
 	v.sorted = slices.DeleteFunc(v.sorted, expired)
 }
 
-// Alive returns the live instances, including this one, sorted by name.
-func (v *View) Alive(now time.Duration) []Instance {
-	out := make([]Instance, 0, len(v.sorted)+1)
-	selfIndex, _ := slices.BinarySearchFunc(v.sorted, v.self.Name, func(r *row, name string) int { return cmp.Compare(r.Name, name) })
-	for i, r := range v.sorted {
-		if i == selfIndex {
-			out = append(out, v.self)
-		}
-		if v.alive(now, r) {
-			out = append(out, r.Instance)
-		}
-	}
-	if selfIndex == len(v.sorted) {
-		out = append(out, v.self)
-	}
-	return out
-}
-
-// AliveCount returns the number of live instances, including this one.
-func (v *View) AliveCount(now time.Duration) int {
-	n := 1
-	for _, r := range v.sorted {
-		if v.alive(now, r) {
-			n++
-		}
-	}
-	return n
-}
+// forgetInterval is the time between two looks for entries to remove.
+const forgetInterval = 10 * time.Second
 
 // IsAlive reports whether the given incarnation of an instance is alive.
 func (v *View) IsAlive(now time.Duration, name string, incarnation uint64) bool {
@@ -368,9 +457,11 @@
 
 // Settled reports whether other instances are alive and no new incarnation has been
 // discovered for SettleTime. After a start of the whole fleet, the view is unlikely
-// to become more complete soon after that.
+// to become more complete soon after that. In a large fleet, the view has been
+// compared with another one too.
 func (v *View) Settled(now time.Duration) bool {
-	return v.AliveCount(now) > 1 && now-v.newIncarnationAt >= v.opts.SettleTime
+	isSyncing := v.joining && len(v.rows) > v.opts.SmallFleetSize
+	return v.AliveCount(now) > 1 && !isSyncing && now-v.newIncarnationAt >= v.opts.SettleTime
 }
 
 // KnownCount returns the number of recorded instances, dead or alive, including this one.
--- a/coordination/gossip/targets.go
+++ b/coordination/gossip/targets.go
@@ -10,9 +10,12 @@
 // the addresses to send it to.
 func (v *View) Round(now time.Duration, random *rand.Rand) (to []string, m Message) {
 	v.self.HeartbeatCount++
+	if v.self.HeartbeatCount == settledHeartbeats {
+		v.live = nil
+	}
 	v.forget(now)
 	m = v.BuildMessage(now)
-	p := v.groupPeers(now)
+	p := v.Live(now).peers
 	to = v.targets(p.hall, p.region, random)
 	if len(p.dead) > 0 { // contact a dead instance, so that a partition heals from either side
 		to = append(to, p.dead[random.IntN(len(p.dead))])
@@ -37,9 +40,12 @@
 
 // SeedsDue reports whether to contact the seeds in this round: every round while no
 // other instance is alive, as seeds may start later than this instance, and
-// otherwise every SeedInterval, so that separate groups of instances merge.
+// otherwise every SeedInterval, so that separate groups of instances merge. In a
+// large fleet the interval grows with it: all instances contact the same few seeds.
 func (v *View) SeedsDue(now time.Duration) bool {
-	if v.seedsContactedAt != 0 && now-v.seedsContactedAt < v.opts.SeedInterval && v.AliveCount(now) > 1 {
+	alive := v.AliveCount(now)
+	interval := v.opts.SeedInterval * time.Duration(max(alive/v.opts.SeedFleetSize, 1))
+	if v.seedsContactedAt != 0 && now-v.seedsContactedAt < interval && alive > 1 {
 		return false
 	}
 	v.seedsContactedAt = max(now, 1)
@@ -51,12 +57,28 @@
 // own. In small halls all peers of the region are equally likely.
 func (v *View) targets(local, remote []string, random *rand.Rand) []string {
 	if len(local) < v.opts.Fanout || len(remote) == 0 {
-		all := slices.Concat(local, remote)
-		random.Shuffle(len(all), func(i, j int) { all[i], all[j] = all[j], all[i] })
-		return all[:min(v.opts.Fanout, len(all))]
+		return sample(slices.Concat(local, remote), v.opts.Fanout, random)
+	}
+	return append(sample(local, v.opts.Fanout-1, random), remote[random.IntN(len(remote))])
+}
+
+// sample returns up to n distinct elements, chosen at random. Its work depends on n
+// alone.
+func sample(all []string, n int, random *rand.Rand) []string {
+	if len(all) <= n {
+		return slices.Clone(all)
+	}
+	chosen := make([]int, 0, n)
+	for len(chosen) < n {
+		if i := random.IntN(len(all)); !slices.Contains(chosen, i) {
+			chosen = append(chosen, i)
+		}
+	}
+	out := make([]string, 0, n+1)
+	for _, i := range chosen {
+		out = append(out, all[i])
 	}
-	random.Shuffle(len(local), func(i, j int) { local[i], local[j] = local[j], local[i] })
-	return append(local[:v.opts.Fanout-1], remote[random.IntN(len(remote))])
+	return out
 }
 
 // peers holds the heartbeat addresses of the other instances, by location and state.
@@ -68,9 +90,9 @@
 	remoteDead []string // dead, in other regions
 }
 
-func (v *View) groupPeers(now time.Duration) (p peers) {
+func (v *View) groupPeers() (p peers) {
 	for _, r := range v.sorted {
-		alive, remote := v.alive(now, r), v.isRemote(r)
+		alive, remote := r.listed, v.isRemote(r)
 		group := &p.region
 		switch {
 		case !alive && remote:
--- a/coordination/ownership/ownership_test.go
+++ b/coordination/ownership/ownership_test.go
@@ -105,7 +105,7 @@
 			t.Fatal("the cell has no owner")
 		}
 		regionHasOwner := slices.ContainsFunc(alive, func(i gossip.Instance) bool {
-			return i.Region == "n" && !i.Leaving && (i.Settled() || ownsCell(i, 7))
+			return i.Region == "n" && !i.Leaving && (i.Settled() || ownsCell(&i, 7))
 		})
 		if regionHasOwner && ranked[0].Region != "n" {
 			t.Fatalf("%s of region %q is selected", ranked[0].Name, ranked[0].Region)
--- a/coordination/readers/readers.go
+++ b/coordination/readers/readers.go
@@ -24,9 +24,10 @@
 // IsReader reports whether the instance of that name should read the store,
 // given the live instances.
 func IsReader(name string, alive []gossip.Instance) bool {
-	halls := make(map[string][]gossip.Instance)
+	halls := make(map[string][]*gossip.Instance)
 	hall := ""
-	for _, i := range alive {
+	for n := range alive {
+		i := &alive[n]
 		halls[i.Hall] = append(halls[i.Hall], i)
 		if i.Name == name {
 			hall = i.Hall
@@ -48,10 +49,10 @@
 // the largest share of a processor. Being a reader counts more than uptime
 // because each instance sees its own heartbeats first: when all start at once,
 // each would otherwise take over as soon as it has been running long enough.
-func rankCandidates(hall []gossip.Instance) []gossip.Instance {
+func rankCandidates(hall []*gossip.Instance) []*gossip.Instance {
 	out := slices.Clone(hall)
 	share := gossip.CPURank(out)
-	rank := func(i gossip.Instance) int { // each reason outweighs all before it
+	rank := func(i *gossip.Instance) int { // each reason outweighs all before it
 		r := share(i)
 		for n, reason := range []bool{!i.Settled(), !i.IsReader, i.Leaving, i.StoreUnreachable} {
 			if reason {
@@ -60,7 +61,7 @@
 		}
 		return r
 	}
-	slices.SortFunc(out, func(a, b gossip.Instance) int {
+	slices.SortFunc(out, func(a, b *gossip.Instance) int {
 		return cmp.Or(cmp.Compare(rank(a), rank(b)), cmp.Compare(rendezvous.Weight(rendezvousKey, b.Name), rendezvous.Weight(rendezvousKey, a.Name)))
 	})
 	return out
--- a/protocol/frame/frame.go
+++ b/protocol/frame/frame.go
@@ -34,6 +34,7 @@
 	CachedPrefix                     // KeptAsk -> KeptReply
 	TrialLease                       // TrialAsk -> TrialReply once the sender has the lease, then QuarantineCase; closing the stream ends it
 	SendGrant                        // PaceAsk -> PaceReply
+	SyncView                         // SyncAsk -> SyncReply
 )
 
 // UnknownKind is the reply to a stream whose kind the peer does not know. It is the
