--- a/cmd/entry/view.go
+++ b/cmd/entry/view.go
@@ -173,7 +173,7 @@
 			next.replicas[r.ID] = r
 			addrs[r.Address] = true
 		}
-		e.upstreams.CloseIdleExcept(addrs)
+		e.upstreams.CloseIdleExcept(func(address string) bool { return addrs[address] })
 		changed = true
 	}
 	if changed {
--- a/cmd/node/advisories.go
+++ b/cmd/node/advisories.go
@@ -130,6 +130,9 @@
 		return
 	}
 	event.NodeReplicaDrainAdvisory.Log(n.log, "replica", incarnation, "by", source)
+	n.watchedMu.Lock()
+	n.replicas.outdated[incarnation] = true
+	n.watchedMu.Unlock()
 	n.publishSnapshot()
 }
 
@@ -162,19 +165,16 @@
 		return
 	}
 	now := n.now()
-	listed := make(map[string]string) // service by incarnation
-	for _, r := range n.snapshot.Load().replicas {
-		listed[r.ID] = r.Service
-	}
+	list := n.snapshot.Load().list
 	var changes advisory.Changes
 	draining, inBackoff := make(map[string]int64), make(map[string]int64)
 	count := func(counts map[string]int64, incarnation string) {
-		if service, ok := listed[incarnation]; ok {
-			counts[service]++
+		if r, ok := list.Replica(incarnation); ok {
+			counts[r.Service]++
 		}
 	}
 	a.withTracker(func(t *advisory.Tracker) {
-		changes = t.Expire(now, func(incarnation string) bool { return listed[incarnation] != "" })
+		changes = t.Expire(now, list.Has)
 		for _, incarnation := range t.Draining() {
 			count(draining, incarnation)
 		}
@@ -202,9 +202,10 @@
 		return nil
 	}
 	var out []string
-	for _, r := range n.snapshot.Load().eligibleByService[service] {
-		if _, ok := backoffs[r.ID]; ok {
-			out = append(out, r.ID)
+	list := n.snapshot.Load().list
+	for incarnation := range backoffs {
+		if r, ok := list.Replica(incarnation); ok && r.Service == service && r.AcceptsWork() {
+			out = append(out, incarnation)
 		}
 	}
 	return out
--- a/cmd/node/attempt.go
+++ b/cmd/node/attempt.go
@@ -361,7 +361,7 @@
 }
 
 func (a *attempt) hasUntriedReplica() bool {
-	for _, r := range replicasInRegions(a.allowedRegions(), a.node.snapshot.Load().eligibleByService[a.service.Name]) {
+	for _, r := range replicasInRegions(a.allowedRegions(), a.node.snapshot.Load().eligible(a.service.Name)) {
 		if !a.tried[r.ID] && !a.avoid[r.ID] {
 			return true
 		}
--- a/cmd/node/backoff.go
+++ b/cmd/node/backoff.go
@@ -93,7 +93,7 @@
 func (s *requestHandler) checkServable() error {
 	snap := s.node.snapshot.Load()
 	now := s.node.now()
-	listed := replicasInRegions(s.allowedRegions(), snap.eligibleByService[s.service.Name])
+	listed := replicasInRegions(s.allowedRegions(), snap.eligible(s.service.Name))
 	if len(listed) == 0 {
 		return s.checkAllDraining(snap)
 	}
@@ -117,17 +117,7 @@
 // checkAllDraining returns errAllDraining if the service has replicas and all of them are
 // draining.
 func (s *requestHandler) checkAllDraining(snap *snapshot) error {
-	found := false
-	for _, r := range snap.replicas {
-		if r.Service != s.service.Name {
-			continue
-		}
-		if !r.Draining {
-			return nil
-		}
-		found = true
-	}
-	if found {
+	if listed, present, _ := snap.list.Count(s.service.Name); listed > 0 && present == 0 {
 		return errAllDraining
 	}
 	return nil
--- a/cmd/node/bench_test.go
+++ b/cmd/node/bench_test.go
@@ -9,6 +9,7 @@
 
 	"quinceroad/coordination/changes"
 	"quinceroad/coordination/gossip"
+	"quinceroad/coordination/regions"
 	"quinceroad/platform"
 	"quinceroad/protocol/pb"
 	"quinceroad/state/catalog"
@@ -31,11 +32,29 @@
 			Service: fmt.Sprint("s", i%17), Address: fmt.Sprintf("10.1.64.%d:8080", i%250), Hall: fmt.Sprint("hall-", i%9), Version: "v1", Slots: 8,
 		})
 	}
+	n.config = benchmarkConfiguration()
 	n.replicas.changeLog.Replace(entries, 100)
 	n.publishSnapshot()
 	return n
 }
 
+// benchmarkConfiguration returns a configuration of 17 services: eight pools, five services
+// of engines, four plain ones.
+func benchmarkConfiguration() *catalog.Configuration {
+	c := &catalog.Configuration{Version: 1, Services: make(map[string]*catalog.Service)}
+	for i := range 17 {
+		s := &catalog.Service{Name: fmt.Sprint("s", i)}
+		switch {
+		case i < 8:
+			s.Pool = &catalog.Pool{Slots: 1, MaxBatch: 8, BatchTime: time.Millisecond, ItemTime: time.Millisecond, ResultMemory: 1 << 20, ResultTTL: time.Second}
+		case i < 13:
+			s.Engine = &catalog.Engine{Slots: 8, MemoryTokens: 1000}
+		}
+		c.Services[s.Name] = s
+	}
+	return c
+}
+
 // heartbeatOf returns a heartbeat with a gossip message and nothing else.
 func heartbeatOf(m gossip.Message) *pb.Heartbeat {
 	h := &pb.Heartbeat{}
@@ -53,7 +72,7 @@
 // entries, and encoding the message. A node makes five rounds a second and sends
 // each message to four others.
 func BenchmarkHeartbeat(b *testing.B) {
-	for _, instances := range []int{6, 74, 390} {
+	for _, instances := range []int{100, 1000, 2000} {
 		b.Run(fmt.Sprint("instances=", instances), func(b *testing.B) {
 			n := fleetNode(b, instances, 0)
 			size, now := 0, n.now() // a fixed time keeps the others alive
@@ -71,11 +90,14 @@
 }
 
 // BenchmarkReplicaChange measures one change of the replica list that an instance
-// receives from a peer.
+// receives from a peer, at an instance that owns the cell of the replica.
 func BenchmarkReplicaChange(b *testing.B) {
-	for _, replicas := range []int{30, 145, 600} {
+	for _, replicas := range []int{600, 10000, 20000} {
 		b.Run(fmt.Sprint("replicas=", replicas), func(b *testing.B) {
 			n := fleetNode(b, 6, replicas)
+			cell, _ := n.snapshot.Load().cellOfReplica("i-00000001")
+			n.owner.cell(cell).prepare()
+			b.ReportAllocs()
 			at := uint64(100)
 			for b.Loop() {
 				at++
@@ -87,6 +109,38 @@
 	}
 }
 
+// BenchmarkOwner measures how a request finds the owner of its cell.
+func BenchmarkOwner(b *testing.B) {
+	for _, instances := range []int{100, 1000, 2000} {
+		b.Run(fmt.Sprint("instances=", instances), func(b *testing.B) {
+			n := fleetNode(b, instances, 0)
+			req := &stagesRequest{ask: &pb.StagesAsk{Cell: 3}, allowedRegions: func() regions.Allowed { return regions.Allowed{} }}
+			b.ReportAllocs()
+			for b.Loop() {
+				if _, ok := n.nextOwner(req, nil); !ok {
+					b.Fatal("no owner")
+				}
+			}
+		})
+	}
+}
+
+// BenchmarkAddresses measures an answer to a client that resolves addresses.
+func BenchmarkAddresses(b *testing.B) {
+	for _, instances := range []int{100, 1000, 2000} {
+		b.Run(fmt.Sprint("instances=", instances), func(b *testing.B) {
+			n := fleetNode(b, instances, 0)
+			c := addressClient{hall: "hall-1", name: "10.9.0.1"}
+			b.ReportAllocs()
+			for b.Loop() {
+				if len(selectAddresses(n.live(), c)) == 0 {
+					b.Fatal("no addresses")
+				}
+			}
+		})
+	}
+}
+
 // replicaEntry returns a replica's entry as in the store.
 func replicaEntry(t testing.TB, r *catalog.Replica) []byte {
 	t.Helper()
--- a/cmd/node/cell.go
+++ b/cmd/node/cell.go
@@ -9,6 +9,7 @@
 	"sync"
 	"time"
 
+	"quinceroad/coordination/listing"
 	"quinceroad/coordination/pace"
 	"quinceroad/coordination/pipeline"
 	"quinceroad/coordination/placement"
@@ -34,6 +35,9 @@
 	grantQueues   map[string]*pace.Queue            // by service: requests waiting for a send grant of its engines
 	fingerprints  map[string]quarantine.Fingerprint // by request ID, while the stages run
 
+	config *catalog.Configuration // as of the last refresh
+	listed listing.Cell           // as of the last refresh
+
 	// Start of each customer's throttling, as of the last check. Only the owner's ticks use
 	// it.
 	throttledSince map[throttledCustomer]time.Duration
@@ -45,8 +49,13 @@
 	if snap.config == nil {
 		return
 	}
-	replicas := snap.cellReplicas(c.number)
+	listed := snap.cell(c.number)
 	c.runStep(func(now time.Duration) []pipeline.Action {
+		if c.config == snap.config && c.listed.Equal(listed) {
+			return nil
+		}
+		c.config, c.listed = snap.config, listed
+		replicas := listed.Replicas()
 		c.engines.SetEngines(snap.config.Services, replicas)
 		return c.scheduler.SetPools(now, snap.config.Services, replicas)
 	})
@@ -228,7 +237,7 @@
 			return
 		}
 		var reports sync.WaitGroup
-		for _, r := range snap.cellReplicas(c.number) {
+		for _, r := range snap.cell(c.number).Replicas() {
 			switch {
 			case !r.AcceptsWork():
 			case snap.config.Services[r.Service].Pool != nil:
--- a/cmd/node/compatibility_test.go
+++ b/cmd/node/compatibility_test.go
@@ -38,12 +38,12 @@
 func TestReplicaNameDenotesListedIncarnation(t *testing.T) {
 	is := is.New(t)
 	n := nodeWithOneReplica(t)
-	is.Equal(len(n.snapshot.Load().eligibleByService["llm"]), 1)
+	is.Equal(len(n.snapshot.Load().eligible("llm")), 1)
 	sender := &pb.InstanceNews{Name: "old", Incarnation: 1, Count: 1}
 	n.handleHeartbeat(&pb.Heartbeat{News: []*pb.InstanceNews{sender}, Sick: []*pb.SickReplica{{Id: "e1", LeftMs: 900}}})
 	is.True(n.ejectedReplicas()["e1@7"])
 	n.handleHeartbeat(&pb.Heartbeat{News: []*pb.InstanceNews{sender}, Leaving: []string{"e1"}})
-	is.Equal(len(n.snapshot.Load().eligibleByService["llm"]), 0)
+	is.Equal(len(n.snapshot.Load().eligible("llm")), 0)
 }
 
 // A peer of this build sends names for older peers, in addition to incarnations. They must
@@ -55,7 +55,7 @@
 	sender := &pb.InstanceNews{Name: "new", Incarnation: 1, Count: 1, Level: buildLevel}
 	n.handleHeartbeat(&pb.Heartbeat{News: []*pb.InstanceNews{sender}, Leaving: []string{"e1@6", "e1"}, LeavingStated: 1,
 		Sick: []*pb.SickReplica{{Id: "e1@6", LeftMs: 900}, {Id: "e1", LeftMs: 900}}})
-	is.Equal(len(n.snapshot.Load().eligibleByService["llm"]), 1)
+	is.Equal(len(n.snapshot.Load().eligible("llm")), 1)
 	is.Equal(len(n.ejectedReplicas()), 0)
 }
 
@@ -80,7 +80,7 @@
 	})}, 102)
 	n.publishSnapshot()
 	is.True(n.replicaAcceptsWork("e1@8"))
-	is.Equal(len(n.snapshot.Load().eligibleByService["llm"]), 1)
+	is.Equal(len(n.snapshot.Load().eligible("llm")), 1)
 }
 
 // manualTime is a clock source that a test advances.
--- a/cmd/node/drained_halls.go
+++ b/cmd/node/drained_halls.go
@@ -14,6 +14,7 @@
 	n.watchedMu.Lock()
 	changes := apply(n.now(), n.drainedHalls)
 	revision := n.drainedHalls.Revision()
+	n.replicas.allOutdated = n.replicas.allOutdated || len(changes) > 0
 	n.watchedMu.Unlock()
 	if len(changes) == 0 {
 		return
@@ -62,9 +63,9 @@
 func (n *Node) replicaAcceptsWork(id string) bool {
 	n.watchedMu.Lock()
 	defer n.watchedMu.Unlock()
-	if _, draining := n.replicas.inferredDrains[id]; draining || n.advisories.isDraining(id) {
+	if n.isDraining(id) {
 		return false
 	}
-	record, listed := n.replicas.byIncarnation[id]
-	return !listed || record.replica.AcceptsWork() && !n.drainedHalls.IsDrained(record.replica.Hall) && !n.rollouts.withholdsWork(&record.replica)
+	r, listed := n.replicas.index.List().Replica(id)
+	return !listed || !r.Draining && !n.drainedHalls.IsDrained(r.Hall) && !n.rollouts.withholdsWork(&r)
 }
--- a/cmd/node/fleet_level.go
+++ b/cmd/node/fleet_level.go
@@ -85,7 +85,7 @@
 // incarnationOf returns the incarnation of a replica that a peer refers to. Builds
 // without incarnations use the replica's name, which stands for the listed incarnation.
 func (n *Node) incarnationOf(id string) string {
-	if incarnation, ok := n.snapshot.Load().incarnationByName[id]; ok {
+	if incarnation, ok := n.snapshot.Load().list.Incarnation(id); ok {
 		return incarnation
 	}
 	return id
@@ -95,7 +95,7 @@
 // to, or false for a name that is meant for older builds: builds that support incarnations
 // send names in addition, and the incarnation listed here may already be the next one.
 func (n *Node) incarnationInHeartbeat(h *pb.Heartbeat, id string) (string, bool) {
-	incarnation, isName := n.snapshot.Load().incarnationByName[id]
+	incarnation, isName := n.snapshot.Load().list.Incarnation(id)
 	switch {
 	case !isName:
 		return id, true
@@ -113,7 +113,7 @@
 // are the same.
 func (snap *snapshot) replicaNameOf(incarnation string) string {
 	name := catalog.ReplicaName(incarnation)
-	if snap.incarnationByName[name] != incarnation {
+	if listed, ok := snap.list.Incarnation(name); !ok || listed != incarnation {
 		return ""
 	}
 	return name
@@ -134,7 +134,7 @@
 // incarnations, followed by the replica names while some instance may understand only these.
 func (n *Node) announcedReplicaIDs(incarnations []string) []string {
 	snap := n.snapshot.Load()
-	if len(incarnations) == 0 || len(snap.incarnationByName) == 0 || n.level.inForce() >= featurelevel.ReplicaIncarnations {
+	if len(incarnations) == 0 || !snap.list.HasNamed() || n.level.inForce() >= featurelevel.ReplicaIncarnations {
 		return incarnations
 	}
 	out := incarnations
--- a/cmd/node/grant_queue.go
+++ b/cmd/node/grant_queue.go
@@ -55,7 +55,7 @@
 // including those of other cells. Otherwise the instance that serves the request can send
 // it to an unlimited engine of another cell.
 func (n *Node) allLimited(r *ownedRequest) bool {
-	for _, e := range n.snapshot.Load().eligibleByService[r.request.Service] {
+	for _, e := range n.snapshot.Load().eligible(r.request.Service) {
 		if !r.request.Avoid[e.ID] && !n.advisories.isLimited(e.ID) {
 			return false
 		}
--- a/cmd/node/heartbeats.go
+++ b/cmd/node/heartbeats.go
@@ -138,13 +138,14 @@
 
 // ejectedReplicas returns the replicas that are ejected by this instance or its peers.
 func (n *Node) ejectedReplicas() map[string]bool {
-	snap, now := n.snapshot.Load(), n.now()
-	out := make(map[string]bool)
+	list := n.snapshot.Load().list
 	n.detectorMu.Lock()
-	defer n.detectorMu.Unlock()
-	for _, r := range snap.replicas {
-		if n.detector.IsEjected(now, r.ID) {
-			out[r.ID] = true
+	ejected := n.detector.Ejected(n.now())
+	n.detectorMu.Unlock()
+	out := make(map[string]bool, len(ejected))
+	for _, id := range ejected {
+		if list.Has(id) {
+			out[id] = true
 		}
 	}
 	return out
--- a/cmd/node/node.go
+++ b/cmd/node/node.go
@@ -25,6 +25,7 @@
 	"quinceroad/coordination/featurelevel"
 	"quinceroad/coordination/gossip"
 	"quinceroad/coordination/health"
+	"quinceroad/coordination/listing"
 	"quinceroad/coordination/regions"
 	"quinceroad/coordination/shutdown"
 	"quinceroad/platform"
@@ -156,7 +157,7 @@
 	}, gossip.DefaultOptions())
 	n.owner = newOwner(n)
 	n.clock.OnResume(n.handleResume)
-	n.snapshot.Store(&snapshot{regionMap: n.regionMap, eligibleByService: make(map[string][]catalog.Replica)})
+	n.snapshot.Store(&snapshot{regionMap: n.regionMap, list: listing.Empty()})
 	return n
 }
 
@@ -256,23 +257,17 @@
 // housekeeping periodically removes state that is no longer needed.
 func (n *Node) housekeeping(ctx context.Context) {
 	process.Every(ctx, housekeepingInterval, func() {
-		snap := n.snapshot.Load()
-		listed := make(map[string]bool, len(snap.replicas))
-		addresses := make(map[string]bool, len(snap.replicas))
-		for _, r := range snap.replicas {
-			listed[r.ID] = true
-			addresses[r.Address] = true
-		}
+		list := n.snapshot.Load().list
 		n.clock.CheckSuspension()
 		n.logDropped()
 		n.rollouts.prune()
 		n.pruneQuarantine()
-		n.replicaClient.CloseIdleExcept(addresses)
+		n.replicaClient.CloseIdleExcept(list.HasAddress)
 		n.links.Sweep(time.Now())
 		n.detectorMu.Lock()
 		defer n.detectorMu.Unlock()
 		n.detector.Expire(n.now(), pruneAfter)
-		n.loads.Prune(func(id string) bool { return listed[id] })
+		n.loads.Prune(list.Has)
 	})
 }
 
--- a/cmd/node/ownership_test.go
+++ b/cmd/node/ownership_test.go
@@ -29,5 +29,10 @@
 		order = append(order, i.Name)
 	}
 	is.Equal(order, []string{"n4", "n1", "n3", "n2"})
-	is.Equal(cells.Assign([]string{"a", "b", "c", "d", "e"}, 2), map[string]int{"a": 0, "b": 0, "c": 0, "d": 1, "e": 1})
+	assignment := cells.NewAssignment([]string{"a", "b", "c", "d", "e"}, 2)
+	for id, expected := range map[string]int{"a": 0, "b": 0, "c": 0, "d": 1, "e": 1} {
+		cell, ok := assignment.Cell(id)
+		is.True(ok)
+		is.Equal(cell, expected)
+	}
 }
--- a/cmd/node/peer_messages_test.go
+++ b/cmd/node/peer_messages_test.go
@@ -67,13 +67,12 @@
 		"llm":  {Name: "llm", Engine: &catalog.Engine{Slots: 4, MemoryTokens: 1000}},
 	}}
 	config.Index()
-	snap := &snapshot{config: config, replicasLoaded: true, regionMap: n.regionMap, eligibleByService: make(map[string][]catalog.Replica), serviceSizes: make(map[string]int)}
+	var replicas []catalog.Replica
 	for _, id := range []string{"pool-1", "pool-2", "llm-1", "llm-2"} {
 		r := catalog.Replica{ID: id, Service: id[:len(id)-2], Hall: "h1", Address: "127.0.0.1:1", Slots: 4}
-		snap.eligibleByService[r.Service] = append(snap.eligibleByService[r.Service], r)
-		snap.replicas = append(snap.replicas, r)
+		replicas = append(replicas, r)
 	}
-	n.snapshot.Store(snap)
+	n.snapshot.Store(snapshotOf(config, n.regionMap, replicas))
 	return n
 }
 
--- a/cmd/node/rate_limits.go
+++ b/cmd/node/rate_limits.go
@@ -67,12 +67,7 @@
 
 // replicaByIncarnation returns a listed replica.
 func (snap *snapshot) replicaByIncarnation(incarnation string) (catalog.Replica, bool) {
-	for _, r := range snap.replicas {
-		if r.ID == incarnation {
-			return r, true
-		}
-	}
-	return catalog.Replica{}, false
+	return snap.list.Replica(incarnation)
 }
 
 func (n *Node) serviceOfIncarnation(incarnation string) string {
@@ -147,20 +142,16 @@
 		return
 	}
 	snap, now := n.snapshot.Load(), n.now()
-	listed := make(map[string]catalog.Replica, len(snap.replicas))
-	for _, r := range snap.replicas {
-		listed[r.ID] = r
-	}
 	var incarnations []string
 	a.withRateLimits(func(t *pace.Tracker) {
 		a.retrySchedule.Expire(now)
-		t.Expire(now, func(incarnation string) bool { _, ok := listed[incarnation]; return ok })
+		t.Expire(now, snap.list.Has)
 		incarnations = t.LimitedIncarnations()
 	})
 	limited := make(map[string]int64)
 	grantors := n.grantorLookup()
 	for _, incarnation := range incarnations {
-		r, ok := listed[incarnation]
+		r, ok := snap.list.Replica(incarnation)
 		if !ok {
 			continue
 		}
--- a/cmd/node/regions.go
+++ b/cmd/node/regions.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"quinceroad/coordination/gossip"
+	"quinceroad/coordination/listing"
 	"quinceroad/coordination/regions"
 	"quinceroad/protocol/event"
 	"quinceroad/protocol/pb"
@@ -100,7 +101,7 @@
 	}
 	var all []regions.Candidate
 	for _, region := range snap.regionMap.Names() {
-		if allowed.Allows(region) && (region != "" || n.home == "" || snap.hasPooledReplicas("")) {
+		if allowed.Allows(region) && (region != "" || n.home == "" || snap.list.HasCellReplicas("")) {
 			all = append(all, regions.Candidate{Region: region, HasReplicas: snap.hasReplicasFor(region, s.route, s.service.Name), HasInstances: hasInstances[region]})
 		}
 	}
@@ -213,22 +214,31 @@
 	event.NodeRegionAsked.Log(n.log, "request", s.req.ID, "region", region, "refused", isRefused, "error", failure, "took", took)
 }
 
-// logHallsWithoutRegion logs each hall that belongs to no region, once.
-func (n *Node) logHallsWithoutRegion(all []catalog.Replica) {
+// logHallsWithoutRegion logs each hall of the updated replicas that belongs to no region,
+// once.
+func (n *Node) logHallsWithoutRegion(list *listing.List, updated []catalog.Replica) {
 	if !n.regionMap.HasRegions() {
 		return
 	}
-	replicas := make(map[string]int)
-	for _, r := range all {
-		if r.Region == "" {
-			replicas[r.Hall]++
+	for i := range updated {
+		hall := updated[i].Hall
+		if updated[i].Region != "" {
+			continue
 		}
-	}
-	for hall, count := range replicas {
 		if _, logged := n.regionlessHalls.LoadOrStore(hall, true); !logged {
-			event.NodeHallWithoutRegion.Log(n.log, "hall", hall, "replicas", count)
+			event.NodeHallWithoutRegion.Log(n.log, "hall", hall, "replicas", replicasInHall(list, hall))
+		}
+	}
+}
+
+func replicasInHall(list *listing.List, hall string) int {
+	count := 0
+	for e := range list.All() {
+		if e.Hall == hall {
+			count++
 		}
 	}
+	return count
 }
 
 // recordRemoteHosts records the hosts of live instances in other regions.
--- a/cmd/node/replica_choice.go
+++ b/cmd/node/replica_choice.go
@@ -103,8 +103,8 @@
 	n := s.node
 	snap := n.snapshot.Load() // replicas may have drained since the request arrived
 	now := n.now()
-	listed := replicasInRegions(s.allowedRegions(), snap.eligibleByService[s.service.Name])
-	if len(listed) == 0 && len(snap.eligibleByService[s.service.Name]) > 0 {
+	listed := replicasInRegions(s.allowedRegions(), snap.eligible(s.service.Name))
+	if len(listed) == 0 && len(snap.eligible(s.service.Name)) > 0 {
 		return catalog.Replica{}, "", errNoAllowedRegion
 	}
 	targets, others := s.splitByTarget(snap, listed)
@@ -154,14 +154,14 @@
 // noReplicaError returns why there is no replica for the request; backoff is the
 // advisory error, if any, of the candidates that would otherwise be eligible.
 func (s *requestHandler) noReplicaError(snap *snapshot, candidates []catalog.Replica, backoff error) error {
-	switch listed := len(snap.eligibleByService[s.service.Name]); {
+	switch _, present, listed := snap.list.Count(s.service.Name); {
 	case backoff != nil:
 		return backoff
 	case listed == 0 && s.checkAllDraining(snap) != nil:
 		return errAllDraining
 	case listed > 0 && len(candidates) == 0:
 		return errReplicasWarming
-	case listed == 0 && snap.serviceSizes[s.service.Name] > 0:
+	case listed == 0 && present > 0:
 		return errHallsDrained
 	}
 	return errNoReplicaReached
@@ -189,12 +189,11 @@
 	if s.job == nil || s.job.engine == "" || s.tried[s.job.engine] || s.avoid[s.job.engine] {
 		return catalog.Replica{}, false
 	}
-	for _, r := range s.node.snapshot.Load().eligibleByService[s.service.Name] {
-		if r.ID == s.job.engine {
-			return r, s.canSendToOwnerChoice()
-		}
+	r, listed := s.node.snapshot.Load().list.Replica(s.job.engine)
+	if !listed || r.Service != s.service.Name || !r.AcceptsWork() {
+		return catalog.Replica{}, false
 	}
-	return catalog.Replica{}, false
+	return r, s.canSendToOwnerChoice()
 }
 
 // canSendToOwnerChoice reports whether the advisories of the engine that the owner chose
--- /dev/null
+++ b/cmd/node/replica_set.go
@@ -0,0 +1,230 @@
+package node
+
+import (
+	"bytes"
+	"maps"
+	"time"
+
+	"quinceroad/coordination/changes"
+	"quinceroad/coordination/listing"
+	"quinceroad/platform"
+	"quinceroad/state/catalog"
+)
+
+// replicaSet holds the store's list of replicas and the inferred drains, which take
+// precedence over it. What a change of the list costs depends on what has changed.
+type replicaSet struct {
+	changeLog      *changes.Log
+	records        map[string]*replicaRecord // by name
+	index          *listing.Index
+	services       map[string]serviceTraits // of the configuration with which the index was built
+	inferredDrains map[string]time.Duration // by incarnation: time at which the drain was first inferred
+	invalid        map[string]bool          // names of entries that can't be parsed and were logged
+	loggedWarming  map[string]time.Duration // end of the warm-up that was logged, by incarnation
+
+	outdated    map[string]bool // incarnations whose drain was inferred or stated since they were last updated
+	allOutdated bool            // the drained halls or the services have changed
+}
+
+// replicaRecord is what is kept of a parsed entry of the store's list, beside the replica
+// in the index.
+type replicaRecord struct {
+	value        []byte // as stored
+	incarnation  string
+	draining     bool          // as the entry says
+	warmingUntil time.Duration // end of the warm-up that the replica reports
+}
+
+// serviceTraits is what the replicas in the index depend on of a service's configuration.
+type serviceTraits struct {
+	kind   listing.Kind
+	warmUp time.Duration // 0: none
+}
+
+func newReplicaSet() *replicaSet {
+	return &replicaSet{
+		changeLog:      changes.New(platform.EquivalentReplicas),
+		records:        make(map[string]*replicaRecord),
+		index:          newIndex(nil),
+		inferredDrains: make(map[string]time.Duration),
+		invalid:        make(map[string]bool),
+		loggedWarming:  make(map[string]time.Duration),
+		outdated:       make(map[string]bool),
+	}
+}
+
+// replicaSetChanges describes what a refresh has changed.
+type replicaSetChanges struct {
+	updated   []catalog.Replica // those that were added or have changed
+	invalid   []string          // names of entries that can't be parsed and were valid or absent before
+	removed   []catalog.Replica // incarnations that are no longer listed although no drain was stated or inferred
+	restarted []catalog.Replica // incarnations whose replica now runs a newer one
+}
+
+// refreshReplicas updates the index with the entries that have changed, and with all
+// replicas if the drained halls or their services have changed. The caller holds
+// watchedMu.
+func (n *Node) refreshReplicas(now time.Duration) (out replicaSetChanges) {
+	s := n.replicas
+	batch := make(map[string]*catalog.Replica) // by incarnation; nil: removed
+	for name := range s.changeLog.TakeChanged() {
+		s.parse(now, name, batch, &out)
+	}
+	n.sortRemoved(batch, &out)
+	if traits := traitsOf(n.config); !maps.Equal(traits, s.services) {
+		s.services = traits
+		s.rebuild(batch, newIndex(serviceKinds(n.config)))
+	}
+	s.addOutdated(batch)
+	list := make([]listing.Change, 0, len(batch))
+	for incarnation, r := range batch {
+		if r != nil {
+			n.derive(r)
+			out.updated = append(out.updated, *r)
+		}
+		list = append(list, listing.Change{Incarnation: incarnation, Replica: r})
+	}
+	if len(list) > 0 {
+		s.index.Apply(list)
+	}
+	return out
+}
+
+// parse parses a changed entry, and adds the incarnations that it adds and removes to the
+// batch.
+func (s *replicaSet) parse(now time.Duration, name string, batch map[string]*catalog.Replica, out *replicaSetChanges) {
+	value, listed := s.changeLog.Value(name)
+	old := s.records[name]
+	if !listed {
+		delete(s.invalid, name)
+		s.unlist(name, batch)
+		return
+	}
+	if old != nil && bytes.Equal(old.value, value) {
+		return
+	}
+	r, err := platform.ParseReplica(name, value)
+	if err != nil {
+		if !s.invalid[name] {
+			out.invalid = append(out.invalid, name)
+		}
+		s.invalid[name] = true
+		s.unlist(name, batch)
+		return
+	}
+	delete(s.invalid, name)
+	if old != nil && old.incarnation != r.ID {
+		s.unlist(name, batch)
+	}
+	s.records[name] = &replicaRecord{value: value, incarnation: r.ID, draining: r.Draining, warmingUntil: now + r.WarmupLeft}
+	batch[r.ID] = &r
+}
+
+// unlist removes the incarnation of a name.
+func (s *replicaSet) unlist(name string, batch map[string]*catalog.Replica) {
+	if old := s.records[name]; old != nil {
+		batch[old.incarnation] = nil
+		delete(s.records, name)
+	}
+}
+
+// sortRemoved adds the removed incarnations of a batch to those whose replica has
+// restarted or to those that are no longer listed without a drain.
+func (n *Node) sortRemoved(batch map[string]*catalog.Replica, out *replicaSetChanges) {
+	for incarnation, r := range batch {
+		old, known := n.replicas.index.List().Replica(incarnation)
+		if r != nil || !known {
+			continue
+		}
+		if n.replicas.records[old.Name] != nil {
+			out.restarted = append(out.restarted, old)
+		} else if !old.Draining && !n.isDraining(incarnation) {
+			out.removed = append(out.removed, old)
+		}
+	}
+}
+
+// rebuild replaces the index and puts all replicas into the batch, so that they are added
+// to the new one.
+func (s *replicaSet) rebuild(batch map[string]*catalog.Replica, index *listing.Index) {
+	s.putAll(batch)
+	maps.DeleteFunc(batch, func(_ string, r *catalog.Replica) bool { return r == nil })
+	s.index, s.allOutdated = index, false
+}
+
+// putAll puts all replicas that are listed and not in the batch into it.
+func (s *replicaSet) putAll(batch map[string]*catalog.Replica) {
+	for e := range s.index.List().All() {
+		if _, ok := batch[e.ID]; !ok {
+			r := e.Replica
+			batch[e.ID] = &r
+		}
+	}
+}
+
+// addOutdated adds the replicas to the batch that have to be derived again.
+func (s *replicaSet) addOutdated(batch map[string]*catalog.Replica) {
+	if s.allOutdated {
+		s.putAll(batch)
+	}
+	for incarnation := range s.outdated {
+		if _, ok := batch[incarnation]; ok {
+			continue
+		}
+		if r, listed := s.index.List().Replica(incarnation); listed {
+			batch[incarnation] = &r
+		}
+	}
+	s.allOutdated = false
+	clear(s.outdated)
+}
+
+// derive sets the fields of a listed replica that don't stand in its entry alone. The
+// caller holds watchedMu.
+func (n *Node) derive(r *catalog.Replica) {
+	record := n.replicas.records[r.Name]
+	r.Draining = record.draining || n.isDraining(r.ID)
+	r.Region = n.regionMap.RegionOf(r.Hall)
+	r.HallDrained = n.drainedHalls.IsDrained(r.Hall)
+	r.WarmingUntil = n.warmingUntil(n.config, r, record.warmingUntil)
+}
+
+// isDraining reports whether a drain of an incarnation was inferred or stated. The caller
+// holds watchedMu.
+func (n *Node) isDraining(incarnation string) bool {
+	_, inferred := n.replicas.inferredDrains[incarnation]
+	return inferred || n.advisories.isDraining(incarnation)
+}
+
+func traitsOf(c *catalog.Configuration) map[string]serviceTraits {
+	traits := make(map[string]serviceTraits)
+	if c == nil {
+		return traits
+	}
+	kinds := serviceKinds(c)
+	for name, s := range c.Services {
+		t := serviceTraits{kind: kinds[name]}
+		if s.WarmUp != nil {
+			t.warmUp = s.WarmUp.Duration
+		}
+		traits[name] = t
+	}
+	return traits
+}
+
+// newlyWarming returns those of the updated replicas that are warming up now and were not
+// before.
+func (s *replicaSet) newlyWarming(now time.Duration, updated []catalog.Replica) []catalog.Replica {
+	maps.DeleteFunc(s.loggedWarming, func(_ string, until time.Duration) bool { return until <= now })
+	var out []catalog.Replica
+	for _, r := range updated {
+		if r.WarmingUntil <= now {
+			continue
+		}
+		if s.loggedWarming[r.ID] <= now {
+			out = append(out, r)
+		}
+		s.loggedWarming[r.ID] = r.WarmingUntil
+	}
+	return out
+}
--- a/cmd/node/rollout_answers.go
+++ b/cmd/node/rollout_answers.go
@@ -102,7 +102,8 @@
 func (n *Node) versionOf(id string) string {
 	n.watchedMu.Lock()
 	defer n.watchedMu.Unlock()
-	return n.replicas.byIncarnation[id].replica.Version
+	r, _ := n.replicas.index.List().Replica(id)
+	return r.Version
 }
 
 // finishAfterResults ends a batch that has left results at its replica. In a rollout
--- a/cmd/node/rollout_lead.go
+++ b/cmd/node/rollout_lead.go
@@ -214,9 +214,9 @@
 	alive := n.liveInstances()
 	in := &rollout.Inputs{Order: *s, Slack: r.canarySlack}
 	in.Configured = snap.config != nil && snap.config.Services[s.Service] != nil
-	for _, x := range snap.replicas {
+	for x := range snap.list.OfService(s.Service) {
 		switch {
-		case x.Service != s.Service || x.Draining || x.HallDrained:
+		case x.Draining || x.HallDrained:
 		case x.Version != s.Target:
 			in.OldReady++
 		case x.WarmingUntil <= now:
--- a/cmd/node/rollout_test.go
+++ b/cmd/node/rollout_test.go
@@ -14,12 +14,12 @@
 	"quinceroad/state/catalog"
 )
 
-func snapshotOfVersions(versions ...string) *snapshot {
-	snap := &snapshot{}
+func replicasOfVersions(versions ...string) []catalog.Replica {
+	var out []catalog.Replica
 	for i, v := range versions {
-		snap.replicas = append(snap.replicas, catalog.Replica{ID: fmt.Sprint("r", i), Service: "s", Version: v})
+		out = append(out, catalog.Replica{ID: fmt.Sprint("r", i), Service: "s", Version: v})
 	}
-	return snap
+	return out
 }
 
 // An order back to the running version during a rollout of another one: no other version
@@ -32,14 +32,15 @@
 	r.view.Replace(2, []rollout.Order{{Service: "s", Target: "v1", Revision: 5, TimeLimit: time.Minute}}, 5)
 	for _, phase := range []rollout.Phase{rollout.Pending, rollout.Canary, rollout.Promoted} {
 		r.view.SetPhase(3, 5, phase)
-		snap := snapshotOfVersions("v1", "v1", "v2")
-		r.applyToSnapshot(4, snap)
-		for _, x := range snap.replicas {
+		index := indexOf(nil, replicasOfVersions("v1", "v1", "v2"))
+		shift := r.apply(4, nil, index)["s"]
+		is.Equal(index.List().Len(), 3)
+		for x := range index.List().All() {
 			is.Equal(x.AcceptsWork(), x.Version == "v1")
 		}
 		for range 10 {
-			is.True(r.allowsTarget(snap.rolloutByService["s"], "a", 1))
-			is.True(r.tryRecordSend(snap.rolloutByService["s"], "a", "r0", 1))
+			is.True(r.allowsTarget(shift, "a", 1))
+			is.True(r.tryRecordSend(shift, "a", "r0", 1))
 		}
 	}
 }
@@ -51,12 +52,12 @@
 	r := newRollouts(&platform.Settings{CanaryShare: 0.1, CanarySlack: 50})
 	r.view.Replace(0, []rollout.Order{{Service: "s", Target: "v2", Revision: 3, TimeLimit: time.Minute}}, 3)
 	r.view.SetPhase(1, 3, rollout.Canary)
-	snap := snapshotOfVersions("v1", "v2", "v2")
-	snap.replicas[0].HallDrained = true
-	r.applyToSnapshot(4, snap)
+	replicas := replicasOfVersions("v1", "v2", "v2")
+	replicas[0].HallDrained = true
+	shift := r.apply(4, nil, indexOf(nil, replicas))["s"]
 	sent := 0
 	for range 100 {
-		if r.tryRecordSend(snap.rolloutByService["s"], "a", "r1", 1) {
+		if r.tryRecordSend(shift, "a", "r1", 1) {
 			sent++
 		}
 	}
@@ -91,9 +92,9 @@
 	n.rollouts.view.Replace(0, []rollout.Order{{Service: "s", Target: "v2", Revision: 3, TimeLimit: time.Minute}}, 3)
 	rep := rollout.Report{Sequence: 1, Rows: map[rollout.RowKey]*rollout.Tally{{Route: "a", Replica: "v0"}: {Failed: 1}}}
 	heartbeat := &pb.Heartbeat{News: []*pb.InstanceNews{{Name: "n2", Incarnation: 1}}, Rollouts: &pb.Rollouts{Reports: encodeRolloutReport(3, rep)}}
-	for _, incarnation := range []string{"v0", "v0@1", "v0@2", "v0@3"} {
+	for i, incarnation := range []string{"v0", "v0@1", "v0@2", "v0@3"} {
 		snap := *n.snapshot.Load()
-		snap.incarnationByName = map[string]string{"v0": incarnation}
+		snap.list = indexOf(nil, []catalog.Replica{{ID: incarnation, Name: "v0", StartMillis: int64(i), Service: "s"}}).List()
 		n.snapshot.Store(&snap)
 		n.mergeRollouts(heartbeat)
 	}
--- a/cmd/node/rollout_traffic.go
+++ b/cmd/node/rollout_traffic.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"quinceroad/coordination/listing"
 	"quinceroad/coordination/rollout"
 	"quinceroad/state/catalog"
 )
@@ -28,53 +29,68 @@
 	pinned  int // requests that can't fail over to another replica
 }
 
-// applyToSnapshot applies the rollouts to a snapshot that is being built: the traffic
-// share of each service's target version, and the replicas that get no work.
-func (r *rollouts) applyToSnapshot(now time.Duration, snap *snapshot) {
+// apply returns the traffic share of each service's target version for the next snapshot,
+// and updates in the index which replicas get no work. With any rollout this takes time
+// linear in the number of replicas.
+func (r *rollouts) apply(now time.Duration, config *catalog.Configuration, index *listing.Index) map[string]*trafficShift {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.view.Empty() {
-		return
+		return nil
 	}
-	snap.rolloutByService = make(map[string]*trafficShift)
+	shifts := make(map[string]*trafficShift)
 	clear(r.othersReady)
 	clear(r.fullyShifted)
 	for _, s := range r.view.Active() {
 		if s.IsFinished(now) {
 			continue
 		}
-		shift := &trafficShift{order: s.Revision, target: s.Target, share: s.Share(now, r.canaryShare), targetReplicas: make(map[string]bool)}
-		var ready []string
-		for _, x := range snap.replicas {
-			switch {
-			case x.Service != s.Service:
-			case x.Version == s.Target:
-				shift.targetReplicas[x.ID] = true
-				if x.AcceptsWork() {
-					ready = append(ready, x.ID)
-				}
-			case !r.view.Withheld(x.Service, x.Version, false, false):
-				shift.otherCount++
-				r.othersReady[s.Service] = r.othersReady[s.Service] || x.AcceptsWork()
-			}
+		shifts[s.Service] = r.shiftOf(now, &s, index.List())
+		r.fullyShifted[s.Service] = shifts[s.Service].share >= 1
+	}
+	var changed []listing.Change
+	for e := range index.List().All() {
+		x := e.Replica
+		x.HeldByRollout = r.view.Withheld(x.Service, x.Version, r.othersReady[x.Service], r.fullyShifted[x.Service]) || r.isWithheldFromPool(config, shifts[x.Service], &x)
+		if x.HeldByRollout != e.HeldByRollout {
+			changed = append(changed, listing.Change{Incarnation: x.ID, Replica: &x})
 		}
-		shift.selected = s.SelectReplicas(now, r.canaryShare, ready)
-		snap.rolloutByService[s.Service] = shift
-		r.fullyShifted[s.Service] = shift.share >= 1
 	}
-	for i := range snap.replicas {
-		x := &snap.replicas[i]
-		x.HeldByRollout = r.view.Withheld(x.Service, x.Version, r.othersReady[x.Service], r.fullyShifted[x.Service]) || r.isWithheldFromPool(snap, x)
+	if len(changed) > 0 {
+		index.Apply(changed)
+	}
+	return shifts
+}
+
+// shiftOf returns the traffic share of an order's target version, and records whether
+// replicas of other versions accept work. The caller holds mu.
+func (r *rollouts) shiftOf(now time.Duration, s *rollout.OrderState, list *listing.List) *trafficShift {
+	shift := &trafficShift{order: s.Revision, target: s.Target, share: s.Share(now, r.canaryShare), targetReplicas: make(map[string]bool)}
+	var ready []string
+	for e := range list.OfService(s.Service) {
+		x := e.Replica
+		x.HeldByRollout = false
+		switch {
+		case x.Version == s.Target:
+			shift.targetReplicas[x.ID] = true
+			if x.AcceptsWork() {
+				ready = append(ready, x.ID)
+			}
+		case !r.view.Withheld(x.Service, x.Version, false, false):
+			shift.otherCount++
+			r.othersReady[s.Service] = r.othersReady[s.Service] || x.AcceptsWork()
+		}
 	}
+	shift.selected = s.SelectReplicas(now, r.canaryShare, ready)
+	return shift
 }
 
 // isWithheldFromPool reports whether a pool's scheduler must not use a target replica for now.
-func (r *rollouts) isWithheldFromPool(snap *snapshot, x *catalog.Replica) bool {
-	shift := snap.rolloutByService[x.Service]
-	if shift == nil || shift.otherCount == 0 || shift.share >= 1 || !shift.targetReplicas[x.ID] || snap.config == nil {
+func (r *rollouts) isWithheldFromPool(config *catalog.Configuration, shift *trafficShift, x *catalog.Replica) bool {
+	if shift == nil || shift.otherCount == 0 || shift.share >= 1 || !shift.targetReplicas[x.ID] || config == nil {
 		return false
 	}
-	s := snap.config.Services[x.Service]
+	s := config.Services[x.Service]
 	return s != nil && s.Pool != nil && (!shift.selected[x.ID] || !r.batchAllowed[x.Service])
 }
 
@@ -203,7 +219,7 @@
 		return slices.Collect(maps.Keys(shift.targetReplicas))
 	}
 	var out []string
-	for _, r := range snap.eligibleByService[service] {
+	for _, r := range snap.eligible(service) {
 		if !shift.selected[r.ID] {
 			out = append(out, r.ID)
 		}
--- a/cmd/node/send_grants.go
+++ b/cmd/node/send_grants.go
@@ -129,7 +129,7 @@
 // replica of a service.
 func (n *Node) reserveRetry(service string, backoff *backoffError) time.Duration {
 	perSecond := 0.0
-	replicas, instances := n.snapshot.Load().eligibleByService[service], n.liveInstanceCount()
+	replicas, instances := n.snapshot.Load().eligible(service), n.liveInstanceCount()
 	a := n.advisories
 	a.mu.Lock()
 	defer a.mu.Unlock()
--- a/cmd/node/snapshot.go
+++ b/cmd/node/snapshot.go
@@ -1,14 +1,11 @@
 package node
 
 import (
-	"bytes"
-	"sync"
 	"time"
 
 	"quinceroad/coordination/advisory"
-	"quinceroad/coordination/changes"
+	"quinceroad/coordination/listing"
 	"quinceroad/coordination/regions"
-	"quinceroad/platform"
 	"quinceroad/protocol/event"
 	"quinceroad/state/catalog"
 )
@@ -16,106 +13,16 @@
 // snapshot is a consistent view of the configuration and the replicas. It is immutable
 // once it is in force.
 type snapshot struct {
-	config            *catalog.Configuration
-	replicasLoaded    bool                         // the list of replicas was read or received
-	eligibleByService map[string][]catalog.Replica // replicas that accept work
-	serviceSizes      map[string]int               // number of replicas by service, including those of drained halls
-	replicas          []catalog.Replica            // includes the draining ones
-	incarnationByName map[string]string            // for replicas that report their start time
-	rolloutByService  map[string]*trafficShift
-	partitionOnce     sync.Once
-	partition         cellPartition // cells of the pools' and engines' replicas; computed on first use
-	regionMap         *regions.Map
+	config           *catalog.Configuration
+	replicasLoaded   bool // the list of replicas was read or received
+	list             *listing.List
+	rolloutByService map[string]*trafficShift
+	regionMap        *regions.Map
 }
 
-// replicaSet holds the store's list of replicas and the inferred drains, which take
-// precedence over it.
-type replicaSet struct {
-	changeLog      *changes.Log
-	byName         map[string]replicaRecord
-	byIncarnation  map[string]replicaRecord
-	inferredDrains map[string]time.Duration // by incarnation: time at which the drain was first inferred
-	invalid        map[string]bool          // names of entries that can't be parsed and were logged
-	loggedWarming  map[string]time.Duration // end of the warm-up that was logged, by ID
-}
-
-// replicaRecord is a parsed entry of the store's list of replicas.
-type replicaRecord struct {
-	value        []byte // as stored
-	replica      catalog.Replica
-	warmingUntil time.Duration // end of the warm-up that the replica reports
-}
-
-func newReplicaSet() *replicaSet {
-	return &replicaSet{
-		changeLog:      changes.New(platform.EquivalentReplicas),
-		byName:         make(map[string]replicaRecord),
-		byIncarnation:  make(map[string]replicaRecord),
-		inferredDrains: make(map[string]time.Duration),
-	}
-}
-
-// replicaSetChanges describes what a refresh has changed.
-type replicaSetChanges struct {
-	invalid   []string          // names of entries that can't be parsed and were valid or absent before
-	removed   []catalog.Replica // incarnations that are no longer listed although no drain was stated or inferred
-	restarted []catalog.Replica // incarnations whose replica now runs a newer one
-}
-
-// refresh parses the entries that have changed. isDraining reports whether an
-// incarnation has stated a drain.
-func (s *replicaSet) refresh(now time.Duration, isDraining func(incarnation string) bool) (out replicaSetChanges) {
-	byName, byIncarnation := make(map[string]replicaRecord, len(s.byName)), make(map[string]replicaRecord, len(s.byName))
-	invalid := make(map[string]bool)
-	s.changeLog.Each(func(id string, value []byte) {
-		if record, ok := s.byName[id]; ok && bytes.Equal(record.value, value) {
-			byName[id], byIncarnation[record.replica.ID] = record, record
-			return
-		}
-		r, err := platform.ParseReplica(id, value)
-		if err != nil {
-			invalid[id] = true
-			if !s.invalid[id] {
-				out.invalid = append(out.invalid, id)
-			}
-			return
-		}
-		record := replicaRecord{value: value, replica: r, warmingUntil: now + r.WarmupLeft}
-		byName[id], byIncarnation[r.ID] = record, record
-	})
-	for incarnation, record := range s.byIncarnation {
-		_, listed := byIncarnation[incarnation]
-		_, drainInferred := s.inferredDrains[incarnation]
-		_, nameListed := byName[record.replica.Name]
-		switch {
-		case listed:
-		case nameListed:
-			out.restarted = append(out.restarted, record.replica)
-		case !drainInferred && !record.replica.Draining && !isDraining(incarnation):
-			out.removed = append(out.removed, record.replica)
-		}
-	}
-	s.byName, s.byIncarnation, s.invalid = byName, byIncarnation, invalid
-	return out
-}
-
-// newlyWarming returns the replicas that are warming up now and were not at the previous
-// call.
-func (s *replicaSet) newlyWarming(now time.Duration, all []catalog.Replica) []catalog.Replica {
-	var out []catalog.Replica
-	warming := make(map[string]time.Duration)
-	for _, r := range all {
-		if r.WarmingUntil <= now {
-			continue
-		}
-		warming[r.ID] = r.WarmingUntil
-		if s.loggedWarming[r.ID] <= now {
-			out = append(out, r)
-		}
-	}
-	s.loggedWarming = warming
-	return out
-}
+// eligible returns the replicas of a service that accept work. The result is shared; the
+// caller must not change it.
+func (snap *snapshot) eligible(service string) []catalog.Replica { return snap.list.Eligible(service) }
 
 // publishSnapshot puts a new snapshot of the current data in force.
 func (n *Node) publishSnapshot() {
@@ -129,13 +36,14 @@
 // watchedMu and calls afterUnlock once it has released it.
 func (n *Node) replaceSnapshot() (afterUnlock func()) {
 	now := n.now()
-	changed := n.replicas.refresh(now, n.advisories.isDraining)
+	changed := n.refreshReplicas(now)
 	n.rollouts.recordRestarts(now, n.snapshot.Load(), changed.restarted)
-	snap := n.buildSnapshot()
-	warming := n.replicas.newlyWarming(now, snap.replicas)
+	shifts := n.rollouts.apply(now, n.config, n.replicas.index)
+	snap := &snapshot{config: n.config, replicasLoaded: n.replicas.changeLog.IsLoaded(), list: n.replicas.index.List(), rolloutByService: shifts, regionMap: n.regionMap}
+	warming := n.replicas.newlyWarming(now, changed.updated)
 	n.snapshot.Store(snap)
 	return func() {
-		n.logHallsWithoutRegion(snap.replicas)
+		n.logHallsWithoutRegion(snap.list, changed.updated)
 		for _, r := range changed.removed {
 			n.recordReplicaRemoval(r.ID)
 		}
@@ -151,38 +59,6 @@
 	}
 }
 
-// buildSnapshot returns a snapshot of the configuration, the replicas, the halls and the
-// rollouts. The caller holds watchedMu.
-func (n *Node) buildSnapshot() *snapshot {
-	snap := &snapshot{
-		config: n.config, replicasLoaded: n.replicas.changeLog.IsLoaded(), regionMap: n.regionMap, eligibleByService: make(map[string][]catalog.Replica), serviceSizes: make(map[string]int),
-		incarnationByName: make(map[string]string),
-	}
-	for id, record := range n.replicas.byIncarnation {
-		r := record.replica
-		if _, ok := n.replicas.inferredDrains[id]; ok || n.advisories.isDraining(id) {
-			r.Draining = true
-		}
-		r.Region = n.regionMap.RegionOf(r.Hall)
-		r.HallDrained = n.drainedHalls.IsDrained(r.Hall)
-		r.WarmingUntil = n.warmingUntil(snap.config, &record)
-		snap.replicas = append(snap.replicas, r)
-		if r.StartMillis != 0 {
-			snap.incarnationByName[r.Name] = r.ID
-		}
-		if !r.Draining {
-			snap.serviceSizes[r.Service]++
-		}
-	}
-	n.rollouts.applyToSnapshot(n.now(), snap)
-	for _, r := range snap.replicas {
-		if r.AcceptsWork() {
-			snap.eligibleByService[r.Service] = append(snap.eligibleByService[r.Service], r)
-		}
-	}
-	return snap
-}
-
 // replicasLoaded reports whether the list of replicas was ever read or received.
 func (n *Node) replicasLoaded() bool {
 	n.watchedMu.Lock()
@@ -220,6 +96,7 @@
 	_, known := n.replicas.inferredDrains[id]
 	if !known {
 		n.replicas.inferredDrains[id] = n.now()
+		n.replicas.outdated[id] = true
 	}
 	n.watchedMu.Unlock()
 	if known {
@@ -247,6 +124,7 @@
 		switch age := n.now() - at; {
 		case age > inferredDrainTTL:
 			delete(n.replicas.inferredDrains, id)
+			n.replicas.outdated[id] = true
 		case age < drainAnnounceWindow && len(out) < limit:
 			out = append(out, id)
 		}
--- a/cmd/node/state.go
+++ b/cmd/node/state.go
@@ -123,7 +123,7 @@
 		Resumes:           n.counters.resumes.Count(),
 		StoreUnresponsive: n.storeMonitor.isUnresponsive(),
 		ListRevision:      n.replicasRevision(),
-		Replicas:          make(map[string]int, len(snap.eligibleByService)),
+		Replicas:          make(map[string]int),
 		Backoffs:          make(map[string]string),
 		Instances:         n.liveInstances(),
 		PeerLinks:         n.links.Len(),
@@ -144,10 +144,8 @@
 	n.watchedMu.Unlock()
 	s.Rollouts = n.rolloutStates()
 	s.Quarantine = n.quarantineStates()
-	for _, r := range snap.replicas {
-		if r.StartMillis != 0 {
-			s.StartTimes++
-		}
+	s.StartTimes = snap.list.NamedLen()
+	for r := range snap.list.All() {
 		if r.WarmingUntil > n.now() {
 			s.Warming = append(s.Warming, r.ID)
 		}
@@ -155,8 +153,10 @@
 	if snap.config != nil {
 		s.ConfigVersion, s.Routes = snap.config.Version, len(snap.config.Routes)
 	}
-	for service, list := range snap.eligibleByService {
-		s.Replicas[service] = len(list)
+	for service := range snap.list.Services() {
+		if _, _, eligible := snap.list.Count(service); eligible > 0 {
+			s.Replicas[service] = eligible
+		}
 	}
 	s.Region, s.Regions = n.home, n.regionStates(snap, s.Instances)
 	for id := range n.ejectedReplicas() {
@@ -181,7 +181,12 @@
 	out := make(map[string]RegionState)
 	for _, region := range snap.regionMap.Names() {
 		r := RegionState{Cells: snap.cellCount(region), RoundTrip: n.roundTripTo(region).String()}
-		r.Replicas = snap.partition.available[region]
+		r.Replicas = make(map[string]int)
+		for service := range snap.list.Services() {
+			if eligible := snap.list.EligibleIn(region, service); eligible > 0 {
+				r.Replicas[service] = eligible
+			}
+		}
 		for _, i := range alive {
 			if i.Region == region {
 				r.Instances++
--- a/cmd/node/warmup.go
+++ b/cmd/node/warmup.go
@@ -23,22 +23,21 @@
 }
 
 // warmingUntil returns the time until which a replica counts as warming: the one that it
-// reports or, if its hall has just returned from a drain, a whole warm-up time after
+// has reported or, if its hall has just returned from a drain, a whole warm-up time after
 // that, as the replica reports the start of its warm-up up to a heartbeat late. The
 // caller holds watchedMu.
-func (n *Node) warmingUntil(c *catalog.Configuration, record *replicaRecord) time.Duration {
+func (n *Node) warmingUntil(c *catalog.Configuration, r *catalog.Replica, reported time.Duration) time.Duration {
 	if c == nil {
 		return 0
 	}
-	s := c.Services[record.replica.Service]
+	s := c.Services[r.Service]
 	if s == nil || s.WarmUp == nil {
 		return 0
 	}
-	until := record.warmingUntil
-	if at, ok := n.drainedHalls.ReturnedAt(record.replica.Hall); ok {
-		until = max(until, at+s.WarmUp.Duration)
+	if at, ok := n.drainedHalls.ReturnedAt(r.Hall); ok {
+		return max(reported, at+s.WarmUp.Duration)
 	}
-	return until
+	return reported
 }
 
 // allowsWarmingReplica reports whether this instance may send a request to a warming
@@ -71,12 +70,11 @@
 		return true
 	}
 	now := n.now()
-	for _, r := range n.snapshot.Load().eligibleByService[s.Name] {
-		if r.ID == id {
-			return r.WarmingUntil <= now || n.allowsWarmingReplica(now, s, id, n.acceptingInstances(), true)
-		}
+	r, listed := n.snapshot.Load().list.Replica(id)
+	if !listed || !r.AcceptsWork() || r.WarmingUntil <= now {
+		return true
 	}
-	return true
+	return n.allowsWarmingReplica(now, s, id, n.acceptingInstances(), true)
 }
 
 // acceptingInstances returns the names of the instances that accept requests.
--- a/coordination/changes/changes.go
+++ b/coordination/changes/changes.go
@@ -9,7 +9,10 @@
 // revision of the newest known change, not on the revision of the last read.
 package changes
 
-import "slices"
+import (
+	"bytes"
+	"slices"
+)
 
 // Entry is the value of one key of the topic at a revision, or its deletion.
 type Entry struct {
@@ -24,11 +27,12 @@
 type Log struct {
 	equal      func(a, b []byte) bool
 	values     map[string][]byte
-	recent     []Entry // changes, oldest first
-	recentFrom uint64  // recent holds every change after this revision, except those in gaps
-	gaps       []gap   // intervals whose intermediate changes are unknown
-	revision   uint64  // the content is complete up to this revision
-	lastChange uint64  // revision of the newest known change
+	changed    map[string]bool // keys changed since the last call of TakeChanged
+	recent     []Entry         // changes, oldest first
+	recentFrom uint64          // recent holds every change after this revision, except those in gaps
+	gaps       []gap           // intervals whose intermediate changes are unknown
+	revision   uint64          // the content is complete up to this revision
+	lastChange uint64          // revision of the newest known change
 }
 
 // gap is the open interval between the revisions of two full reads. Keys that were
@@ -37,10 +41,15 @@
 
 // Bounds of the history; a peer that is further behind gets a full update.
 const (
-	maxRecent = 1024 // changes; a third of the 3,000 replicas of a fleet
-	maxGaps   = 16   // gaps; the oldest ones are merged
+	minHistory     = 1024 // changes that are kept in any case
+	historyDivisor = 4    // the part of the content for which changes are kept in a longer topic
+	maxGaps        = 16   // gaps; the oldest ones are merged
 )
 
+// maxHistory returns the number of changes to keep. With more, a full update is hardly
+// longer.
+func (l *Log) maxHistory() int { return max(minHistory, len(l.values)/historyDivisor) }
+
 // initialChange is the last change of a log whose topic has not changed since the
 // first read. Only a peer that has read nothing yet is behind it.
 const initialChange = 1
@@ -48,7 +57,7 @@
 // New returns an empty log. equal reports whether two values of a key are equivalent,
 // as some encoded values differ with every write.
 func New(equal func(a, b []byte) bool) *Log {
-	return &Log{equal: equal, values: make(map[string][]byte)}
+	return &Log{equal: equal, values: make(map[string][]byte), changed: make(map[string]bool)}
 }
 
 // IsLoaded reports whether the topic has been read.
@@ -65,11 +74,17 @@
 // changes that this log lacks.
 func (l *Log) IsBehind(lastChange uint64) bool { return lastChange > l.revision }
 
-// Each calls f with every key and value.
-func (l *Log) Each(f func(id string, value []byte)) {
-	for id, value := range l.values {
-		f(id, value)
-	}
+// Value returns the value of a key, or false if there is none.
+func (l *Log) Value(id string) (value []byte, ok bool) {
+	value, ok = l.values[id]
+	return value, ok
+}
+
+// TakeChanged returns the keys whose values may have changed since the last call.
+func (l *Log) TakeChanged() map[string]bool {
+	changed := l.changed
+	l.changed = make(map[string]bool)
+	return changed
 }
 
 // Replace sets the content to a full read of the topic at a revision. The differences
@@ -85,10 +100,13 @@
 	changed := l.diff(values, revision)
 	loaded := l.IsLoaded()
 	l.values, l.revision = values, revision
+	for _, e := range changed {
+		l.changed[e.ID] = true
+	}
 	if !loaded {
 		l.lastChange = initialChange
 	}
-	if !loaded || len(changed) > maxRecent {
+	if !loaded || len(changed) > l.maxHistory() {
 		if loaded && len(changed) > 0 {
 			l.lastChange = revision
 		}
@@ -114,7 +132,7 @@
 func (l *Log) diff(values map[string][]byte, revision uint64) []Entry {
 	var out []Entry
 	for id, value := range values {
-		if old, ok := l.values[id]; !ok || !l.equal(old, value) {
+		if old, ok := l.values[id]; !ok || !bytes.Equal(old, value) && !l.equal(old, value) {
 			out = append(out, Entry{ID: id, Value: value, Revision: revision})
 		}
 	}
@@ -135,6 +153,7 @@
 			continue
 		}
 		applied++
+		l.changed[e.ID] = true
 		if e.Deleted {
 			delete(l.values, e.ID)
 		} else {
@@ -148,12 +167,17 @@
 
 func (l *Log) recordChange(e Entry) {
 	l.lastChange = max(l.lastChange, e.Revision)
-	if len(l.recent) == maxRecent {
-		l.recentFrom = l.recent[0].Revision
-		l.recent = append(l.recent[:0], l.recent[1:]...)
-		l.gaps = slices.DeleteFunc(l.gaps, func(g gap) bool { return g.to <= l.recentFrom })
-	}
 	l.recent = append(l.recent, e)
+	if keep := l.maxHistory(); len(l.recent) >= 2*keep { // rarely, so that a change costs no copy of the history
+		l.dropRecent(len(l.recent) - keep)
+	}
+}
+
+// dropRecent drops the oldest n changes of the history.
+func (l *Log) dropRecent(n int) {
+	l.recentFrom = l.recent[n-1].Revision
+	l.recent = slices.Clone(l.recent[n:])
+	l.gaps = slices.DeleteFunc(l.gaps, func(g gap) bool { return g.to <= l.recentFrom })
 }
 
 // Update is the response to an instance that is behind.
--- a/coordination/changes/changes_test.go
+++ b/coordination/changes/changes_test.go
@@ -12,7 +12,9 @@
 
 func content(l *Log) map[string]string {
 	out := make(map[string]string)
-	l.Each(func(id string, value []byte) { out[id] = string(value) })
+	for _, e := range l.UpdateSince(0).Entries {
+		out[e.ID] = string(e.Value)
+	}
 	return out
 }
 
@@ -120,7 +122,7 @@
 	is := is.New(t)
 	l := New(bytes.Equal)
 	l.Replace(map[string][]byte{}, 1)
-	for i := range 2 * maxRecent {
+	for i := range 2 * minHistory {
 		l.ApplyChanges([]Entry{{ID: "a", Value: []byte{byte(i)}, Revision: uint64(i + 2)}}, uint64(i+2))
 	}
 	is.True(l.UpdateSince(3).Full)
--- a/coordination/health/health.go
+++ b/coordination/health/health.go
@@ -141,6 +141,17 @@
 	return r != nil && now < r.ejectedUntil
 }
 
+// Ejected returns the replicas that are ejected now.
+func (d *Detector) Ejected(now time.Duration) []string {
+	var out []string
+	for id, r := range d.replicas {
+		if now < r.ejectedUntil {
+			out = append(out, id)
+		}
+	}
+	return out
+}
+
 // LocallyEjected returns the remaining ejection times of the replicas ejected by this
 // instance's own evidence.
 func (d *Detector) LocallyEjected(now time.Duration) map[string]time.Duration {
--- a/coordination/rendezvous/rendezvous.go
+++ b/coordination/rendezvous/rendezvous.go
@@ -21,9 +21,8 @@
 
 // Weight returns the score of a member for a key.
 func Weight(key, member string) uint64 {
-	d := xxhash.New()
-	_, _ = d.WriteString(key)
-	_, _ = d.Write([]byte{0})
-	_, _ = d.WriteString(member)
-	return d.Sum64()
+	var buffer [128]byte // most keys fit, so that nothing is allocated
+	b := append(buffer[:0], key...)
+	b = append(b, 0)
+	return xxhash.Sum64(append(b, member...))
 }
--- a/transport/upstream/upstream.go
+++ b/transport/upstream/upstream.go
@@ -123,13 +123,13 @@
 	c.idle[cn.addr] = append(c.idle[cn.addr], cn)
 }
 
-// CloseIdleExcept closes the idle connections to all addresses that are not in
-// keep.
-func (c *Client) CloseIdleExcept(keep map[string]bool) {
+// CloseIdleExcept closes the idle connections to all addresses for which keep returns
+// false.
+func (c *Client) CloseIdleExcept(keep func(address string) bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for addr, list := range c.idle {
-		if keep[addr] {
+		if keep(addr) {
 			continue
 		}
 		for _, cn := range list {
