Changes of replicas go out with their announcement

Cause, by reading: a reader announced each change to every instance of its hall in a datagram of 2 kB with a view of the fleet in it, and each of them (up to 190) opened a stream to the reader for it.

--- a/cmd/node/counters.go
+++ b/cmd/node/counters.go
@@ -44,6 +44,7 @@
 	sendGrants          metrics.Counter // send grants obtained for replicas with a rate limit
 	sendGrantDenials    metrics.Counter // requests for send grants that were denied
 	localSendGrants     metrics.Counter // send grants from this instance's own fraction of a limit, if the grantor could not be asked
+	pushedChanges       metrics.Counter // changes of replicas received with announcements
 	syncedInstances     metrics.Counter // instances learned from exchanges of whole views
 	unknownFields       metrics.Counter // unknown fields in replicas' answers and reports
 }
@@ -105,6 +106,7 @@
 		sendGrants:          counter("node.pace.turns"),
 		sendGrantDenials:    counter("node.pace.none"),
 		localSendGrants:     counter("node.pace.alone"),
+		pushedChanges:       counter("node.replicas_pushed"),
 		syncedInstances:     counter("node.view_synced"),
 		unknownFields:       counter("node.words_unread"),
 	}
--- a/cmd/node/heartbeats.go
+++ b/cmd/node/heartbeats.go
@@ -57,16 +57,20 @@
 
 // announceToHall announces this instance's newest data to all instances of its hall.
 func (n *Node) announceToHall() {
-	if n.socket == nil {
-		return
+	if n.socket != nil {
+		n.sendToHall(n.selfHeartbeat())
 	}
+}
+
+// sendToHall sends a heartbeat to all instances of this instance's hall.
+func (n *Node) sendToHall(h *pb.Heartbeat) {
 	var to []string
 	for _, i := range n.live().Hall(n.settings.Hall) {
 		if i.Name != n.settings.Name {
 			to = append(to, i.HeartbeatAddress)
 		}
 	}
-	n.announceSelf(to)
+	n.sendEncoded(to, h)
 }
 
 // announceToSeeds announces this instance to the seeds of the settings. The seeds may no
@@ -84,20 +88,34 @@
 
 // announceSelf announces this instance to the given addresses.
 func (n *Node) announceSelf(to []string) {
+	if len(to) > 0 {
+		n.sendEncoded(to, n.selfHeartbeat())
+	}
+}
+
+// selfHeartbeat returns a heartbeat that tells of this instance alone.
+func (n *Node) selfHeartbeat() *pb.Heartbeat {
 	n.gossipMu.Lock()
 	self := n.members.Self()
 	n.gossipMu.Unlock()
-	n.sendHeartbeatTo(to, gossip.Message{Entries: []gossip.Instance{self}}, nil, nil)
+	return n.buildHeartbeat(gossip.Message{Entries: []gossip.Instance{self}})
 }
 
 func (n *Node) sendHeartbeatTo(to []string, m gossip.Message, speeds []*pb.EngineSpeed, cases []*pb.QuarantineCase) {
 	if len(to) == 0 {
 		return
 	}
+	h := n.buildHeartbeat(m)
+	h.Speeds, h.Quarantine = speeds, cases
+	n.sendEncoded(to, h)
+}
+
+// buildHeartbeat returns a heartbeat with what is announced in each.
+func (n *Node) buildHeartbeat(m gossip.Message) *pb.Heartbeat {
 	draining, stated := n.drainUpdates()
 	h := &pb.Heartbeat{
 		Leaving: draining, LeavingStated: uint32(stated), Sick: n.ejectionUpdates(), Changed: n.lastReplicaChange(), Evacuations: n.drainedHallsUpdate(),
-		Rollouts: n.rolloutUpdate(), Speeds: speeds, Quarantine: cases, Limits: n.limitUpdates(),
+		Rollouts: n.rolloutUpdate(), Limits: n.limitUpdates(),
 	}
 	for _, i := range m.Entries {
 		h.News = append(h.News, encodeInstance(i))
@@ -106,6 +124,10 @@
 		h.Keys = append(h.Keys, b.Key)
 		h.Counts = append(h.Counts, b.Count)
 	}
+	return h
+}
+
+func (n *Node) sendEncoded(to []string, h *pb.Heartbeat) {
 	b, err := datagram.Encode(h)
 	if err != nil {
 		event.NodeMessageInvalid.Log(n.log, "what", "heartbeat", "from", n.settings.Name, "error", err)
@@ -198,6 +220,7 @@
 	}
 	n.mergeDrainedHalls(senderOf(h), h.Evacuations)
 	n.mergeRollouts(h)
+	n.mergePushedChanges(h)
 	n.pullMissing(now, h)
 	for i, id := range h.Leaving {
 		incarnation, ok := n.incarnationInHeartbeat(h, id)
--- a/cmd/node/peer_pull.go
+++ b/cmd/node/peer_pull.go
@@ -6,7 +6,6 @@
 
 	"google.golang.org/protobuf/proto"
 
-	"quinceroad/coordination/changes"
 	"quinceroad/protocol/event"
 	"quinceroad/protocol/frame"
 	"quinceroad/protocol/pack"
@@ -177,10 +176,7 @@
 		return
 	}
 	defer n.replicasPull.finish()
-	update := changes.Update{Full: answer.Whole, HasGap: answer.Gapped, Revision: answer.At, LastChange: answer.Changed}
-	for _, e := range answer.Entries {
-		update.Entries = append(update.Entries, changes.Entry{ID: e.Id, Value: e.Value, Revision: e.Revision, Deleted: e.Gone})
-	}
+	update := decodeReplicaChanges(answer)
 	n.watchedMu.Lock()
 	n.replicas.changeLog.ApplyUpdate(update)
 	n.watchedMu.Unlock()
--- a/cmd/node/topics.go
+++ b/cmd/node/topics.go
@@ -139,12 +139,13 @@
 		entries = append(entries, changes.Entry{ID: i.ReplicaName(), Value: i.Value, Revision: i.Revision, Deleted: i.Deleted})
 	}
 	n.watchedMu.Lock()
+	before := n.replicas.changeLog.CompleteSince()
 	changed := n.replicas.changeLog.ApplyChanges(entries, at)
 	n.watchedMu.Unlock()
 	if changed > 0 {
 		event.NodeReplicasChanged.Log(n.log, "from", fromStore, "changes", changed, "at", at)
 		n.publishSnapshot()
-		n.announceToHall()
+		n.announceReplicaChanges(before)
 		process.Sleep(ctx, replicaChangeDelay)
 	}
 }
--- a/coordination/changes/changes.go
+++ b/coordination/changes/changes.go
@@ -67,6 +67,10 @@
 // been read, initialChange if nothing has changed since the first read.
 func (l *Log) LastChange() uint64 { return l.lastChange }
 
+// CompleteSince returns the lowest revision from which a peer that has all changes up to it
+// lacks none, as far as this log knows.
+func (l *Log) CompleteSince() uint64 { return max(l.lastChange, l.recentFrom) }
+
 // Revision returns the revision up to which the content is complete.
 func (l *Log) Revision() uint64 { return l.revision }
 
--- a/protocol/pack/pack.go
+++ b/protocol/pack/pack.go
@@ -9,6 +9,7 @@
 	"compress/gzip"
 	"errors"
 	"io"
+	"sync"
 )
 
 // MaxTextSize is the maximum size of a decompressed declaration in bytes.
@@ -26,10 +27,11 @@
 
 func compress(text []byte, level int) ([]byte, error) {
 	var b bytes.Buffer
-	w, err := gzip.NewWriterLevel(&b, level)
+	w, err := writerOf(level, &b)
 	if err != nil {
 		return nil, err
 	}
+	defer writers[level].Put(w)
 	if _, err := w.Write(text); err != nil {
 		return nil, err
 	}
@@ -37,6 +39,18 @@
 	return b.Bytes(), err
 }
 
+// writers holds unused writers by level. A writer's tables are larger than most texts.
+var writers = map[int]*sync.Pool{gzip.BestCompression: {}, gzip.BestSpeed: {}}
+
+// writerOf returns a writer of a level that writes to b.
+func writerOf(level int, b *bytes.Buffer) (*gzip.Writer, error) {
+	if w, ok := writers[level].Get().(*gzip.Writer); ok {
+		w.Reset(b)
+		return w, nil
+	}
+	return gzip.NewWriterLevel(b, level)
+}
+
 // Decompress is the reverse of Compress and CompressFast.
 func Decompress(packed []byte) ([]byte, error) {
 	r, err := gzip.NewReader(bytes.NewReader(packed))
