Clients that read slowly, and loads with a fourth figure

Answers of up to 64 MB, and an event without an end, were held in memory. - A load with four figures was not read at all (TestLoadWithAndWithoutSlowdown).

A replica's reported slowdown counts for some tenths of a second in the choice among replicas of plain services.

Result: the tests above and TestSlowReadersHoldBoundedBytes, TestEndlessEventIsBroken, TestReportedSlowdownCountsForAMoment.

--- a/cmd/node/attempt.go
+++ b/cmd/node/attempt.go
@@ -11,6 +11,7 @@
 	"github.com/valyala/fasthttp"
 
 	"quinceroad/coordination/advisory"
+	"quinceroad/coordination/balancer"
 	"quinceroad/coordination/health"
 	"quinceroad/coordination/outcome"
 	"quinceroad/coordination/regions"
@@ -26,9 +27,12 @@
 	// wait of a client.
 	replicaConnectTimeout  = 250 * time.Millisecond
 	defaultReplicaConnIdle = 6 * time.Second // idle time of a connection to a replica that states none
-	maxAnswerBytes         = 64 << 20
-	timeoutObjectiveShare  = 0.6 // fraction of the objective that a repeatable request waits for one replica
-	timeoutMeanFactor      = 4   // the wait is at least this multiple of the replica's mean answer time
+	// Size up to which an answer is read in full before the client gets it, so that the
+	// request can be sent to another replica if it breaks off. A longer one is passed on as
+	// it arrives.
+	maxBufferedAnswer     = 256 << 10
+	timeoutObjectiveShare = 0.6 // fraction of the objective that a repeatable request waits for one replica
+	timeoutMeanFactor     = 4   // the wait is at least this multiple of the replica's mean answer time
 	// Multiple of the route's gap objective after which a resumable stream fails over to
 	// another replica.
 	eventGapFactor = 5
@@ -168,7 +172,7 @@
 		n.loads.End(a.replica.ID, 0)
 	}
 	if a.head.Slots > 0 {
-		n.loads.RecordLoad(n.now(), a.replica.ID, a.head.Running+a.head.Waiting-1)
+		n.loads.RecordLoad(n.now(), a.replica.ID, balancer.Load{Running: a.head.Running + a.head.Waiting - 1, Slowdown: a.head.Slowdown})
 	}
 	n.detectorMu.Unlock()
 	if a.head.WrongReplica || a.closedAfterRefusal() {
@@ -334,8 +338,9 @@
 	case status < http.StatusMultipleChoices && a.route.Kind == catalog.Stream:
 		return a.forwardStream(timer)
 	}
-	body, err := io.ReadAll(io.LimitReader(a.exchange, maxAnswerBytes))
-	if err != nil || !a.exchange.IsComplete() {
+	body, err := io.ReadAll(io.LimitReader(a.exchange, maxBufferedAnswer))
+	isLong := err == nil && len(body) == maxBufferedAnswer && !a.exchange.IsComplete()
+	if err != nil || !a.exchange.IsComplete() && !isLong {
 		return a.abortReasonOr(errAnswerBroken)
 	}
 	timer.Stop()
@@ -347,12 +352,43 @@
 	}
 	a.copyHeaders()
 	a.node.counters.answersWithStatus(status).Inc(1)
+	control := http.NewResponseController(a.w)
+	_ = control.SetWriteDeadline(a.clientWriteDeadline())
 	a.w.WriteHeader(status)
-	_, _ = a.w.Write(body)
+	_, _ = a.w.Write(body) // an error is that of a client that has gone
 	a.countRemoteBytes(len(body))
+	if isLong {
+		return a.forwardRest()
+	}
+	_ = control.SetWriteDeadline(time.Time{})
 	return nil
 }
 
+// forwardRest passes on the rest of a long answer as it arrives. A client that reads slowly
+// holds up the replica.
+func (a *attempt) forwardRest() error {
+	a.stream.headersSent = true // if the answer breaks off, it must not look complete
+	control := http.NewResponseController(a.w)
+	chunk := make([]byte, forwardChunk)
+	for {
+		n, err := a.exchange.Read(chunk)
+		_ = control.SetWriteDeadline(a.clientWriteDeadline())
+		if _, writeErr := a.w.Write(chunk[:n]); writeErr != nil {
+			return errClientGone
+		}
+		a.countRemoteBytes(n)
+		if err == io.EOF {
+			_ = control.SetWriteDeadline(time.Time{})
+			return nil
+		}
+		if err != nil {
+			return a.abortReasonOr(errStreamBroken)
+		}
+	}
+}
+
+const forwardChunk = 32 << 10 // bytes of a long answer that are read at a time
+
 // shouldRetryFailure reports whether to try another replica after a replica
 // answered with a server error, and consumes the retry budget if so. Otherwise the
 // client gets that answer.
--- a/cmd/node/counters.go
+++ b/cmd/node/counters.go
@@ -45,6 +45,7 @@
 	sendGrantDenials    metrics.Counter // requests for send grants that were denied
 	localSendGrants     metrics.Counter // send grants from this instance's own fraction of a limit, if the grantor could not be asked
 	pushedChanges       metrics.Counter // changes of replicas received with announcements
+	slowReaders         metrics.Counter // streams that were held up because their clients read slowly
 	syncedInstances     metrics.Counter // instances learned from exchanges of whole views
 	unknownFields       metrics.Counter // unknown fields in replicas' answers and reports
 }
@@ -107,6 +108,7 @@
 		sendGrantDenials:    counter("node.pace.none"),
 		localSendGrants:     counter("node.pace.alone"),
 		pushedChanges:       counter("node.replicas_pushed"),
+		slowReaders:         counter("node.slow_readers"),
 		syncedInstances:     counter("node.view_synced"),
 		unknownFields:       counter("node.words_unread"),
 	}
--- a/cmd/node/node.go
+++ b/cmd/node/node.go
@@ -85,6 +85,7 @@
 	advisories     *advisories        // has its own lock; no other is acquired under it
 	level          fleetLevel         // has its own lock; no other is acquired under it
 	customers      customerCounts     // has its own lock; no other is acquired under it
+	heldAnswers    *heldAnswers       // has its own lock; no other is acquired under it
 
 	detectorMu     sync.Mutex // guards the fields up to deadlines
 	detector       *health.Detector
@@ -131,6 +132,7 @@
 		activeRequests: newRequestRegistry(),
 		quarantine:     newQuarantineTracker(jitterOf(s.Name)),
 		advisories:     newAdvisories(),
+		heldAnswers:    newHeldAnswers(s),
 		storeMonitor:   newStoreMonitor(),
 		jitter:         jitterOf(s.Name),
 		detector:       health.New(health.DefaultOptions()),
@@ -143,6 +145,7 @@
 	n.seeds.Store(&s.Seeds)
 	n.links = link.NewPool(&n.traffic)
 	n.counters = newCounters(n.registry)
+	metrics.NewRegisteredFunctionalGauge("node.held_answer_bytes", n.registry, n.heldAnswers.Bytes)
 	n.home = n.regionMap.RegionOf(s.Hall)
 	n.members = gossip.New(gossip.Instance{
 		Name:             s.Name,
--- a/cmd/node/stream.go
+++ b/cmd/node/stream.go
@@ -6,6 +6,8 @@
 	"io"
 	"net/http"
 	"time"
+
+	"quinceroad/protocol/event"
 )
 
 // streamState tracks the part of a stream that the client has received, over all
@@ -15,62 +17,102 @@
 	lastEventID string // ID of the last complete event that has one
 }
 
-// forwardStream forwards events as they arrive, each one complete.
+// forwardStream forwards events as they arrive, each one complete. A client that reads
+// slowly holds up the replica only when the queue between them is full.
 func (a *attempt) forwardStream(timer *time.Timer) error {
-	control := http.NewResponseController(a.w)
+	q := newEventQueue(a.node.heldAnswers)
+	received := make(chan struct{})
+	go func() {
+		defer close(received)
+		q.end(a.receiveEvents(q, timer))
+	}()
+	err := a.sendEvents(q)
+	if err != nil {
+		q.close()
+		a.conn.Close() // ends receiveEvents
+	}
+	<-received
+	timer.Stop()
+	if q.hasWaited() {
+		a.node.counters.slowReaders.Inc(1)
+		event.NodeClientReadsSlowly.Log(a.node.log, "request", a.req.ID, "customer", a.customer, "replica", a.replica.ID, "complete", err == nil)
+	}
+	if err != nil {
+		return err
+	}
+	_ = http.NewResponseController(a.w).SetWriteDeadline(time.Time{})
+	a.startStream() // a stream without events
+	return nil
+}
+
+// receiveEvents puts the replica's events into the queue. It returns nil after the last
+// one of a complete stream. The timer runs only while the replica is to send.
+func (a *attempt) receiveEvents(q *eventQueue, timer *time.Timer) error {
 	events := newEventReader(a.exchange)
 	lastEventAt := time.Duration(0) // 0: no event yet
 	for {
 		e, err := events.next()
 		if err == io.EOF {
-			break
+			return nil
 		}
 		if err != nil {
 			return a.abortReasonOr(errStreamBroken)
 		}
-		if a.canResumeElsewhere() {
-			timer.Reset(max(eventGapFactor*a.route.GapObjective, minEventGapTimeout))
+		if lastEventAt == 0 {
+			a.answerStartedAt = a.node.now()
+			if a.job != nil {
+				a.job.reportFirstEvent()
+			}
 		} else {
-			timer.Stop()
-		}
-		isFirst := lastEventAt == 0
-		if !isFirst {
 			a.maxEventGap = max(a.maxEventGap, a.node.now()-lastEventAt)
 		}
-		lastEventAt = a.node.now()
-		if isFirst {
-			a.answerStartedAt = lastEventAt
-		}
-		if !a.stream.headersSent {
-			a.stream.headersSent = true
-			a.timeToFirstEvent = a.elapsed()
-			a.copyHeaders()
-			a.node.counters.answersWithStatus(a.exchange.Header.StatusCode()).Inc(1)
-			a.w.WriteHeader(a.exchange.Header.StatusCode())
+		a.countRemoteBytes(len(e.bytes))
+		if !q.push(e, func() { timer.Stop() }) {
+			return errClientGone
 		}
-		if isFirst && a.job != nil {
-			a.job.reportFirstEvent()
+		lastEventAt = a.node.now()
+		if a.canResumeElsewhere() {
+			timer.Reset(max(eventGapFactor*a.route.GapObjective, minEventGapTimeout))
+		} else {
+			timer.Stop()
 		}
-		if e.id != "" {
-			a.stream.lastEventID = e.id
+	}
+}
+
+// sendEvents sends the queued events to the client. It returns the result of the stream.
+func (a *attempt) sendEvents(q *eventQueue) error {
+	control := http.NewResponseController(a.w)
+	for {
+		e, ok, err := q.first()
+		if !ok {
+			return err
 		}
-		_ = control.SetWriteDeadline(time.Now().Add(clientWriteTimeout))
-		a.countRemoteBytes(len(e.bytes))
+		a.startStream()
+		_ = control.SetWriteDeadline(a.clientWriteDeadline())
 		if _, err := a.w.Write(e.bytes); err != nil {
 			return errClientGone
 		}
 		if err := control.Flush(); err != nil {
 			return errClientGone
 		}
+		if e.id != "" {
+			a.stream.lastEventID = e.id
+		}
+		q.removeFirst()
 	}
-	timer.Stop()
-	_ = control.SetWriteDeadline(time.Time{})
-	if !a.stream.headersSent { // a stream without events
-		a.stream.headersSent = true
-		a.copyHeaders()
-		a.w.WriteHeader(a.exchange.Header.StatusCode())
+}
+
+// startStream sends the headers unless they were sent.
+func (a *attempt) startStream() {
+	if a.stream.headersSent {
+		return
 	}
-	return nil
+	a.stream.headersSent = true
+	a.timeToFirstEvent = a.elapsed()
+	a.copyHeaders()
+	status := a.exchange.Header.StatusCode()
+	a.node.counters.answersWithStatus(status).Inc(1)
+	a.w.WriteHeader(status)
 }
 
 // canResumeElsewhere reports whether a broken stream may continue at another replica.
@@ -80,8 +122,9 @@
 
 // streamEvent is one event of a stream, including the blank line that ends it.
 type streamEvent struct {
-	bytes []byte
-	id    string
+	bytes      []byte
+	id         string
+	isReserved bool // counted in heldAnswers
 }
 
 // eventReader splits a stream into complete events.
@@ -89,22 +132,31 @@
 
 func newEventReader(r io.Reader) *eventReader { return &eventReader{r: bufio.NewReader(r)} }
 
+// maxEventBytes is the maximum size of an event. An event is held until it is complete.
+const maxEventBytes = 1 << 20
+
 var idField = []byte("id:")
 
 // next returns the next complete event, io.EOF after the last one of a complete
 // stream, and another error if the stream broke off.
 func (e *eventReader) next() (streamEvent, error) {
 	var ev streamEvent
+	lineStart := 0
 	for {
-		line, err := e.r.ReadBytes('\n')
-		ev.bytes = append(ev.bytes, line...)
-		if err != nil {
-			if err == io.EOF && len(ev.bytes) > 0 {
-				return ev, errStreamBroken // incomplete event
-			}
+		part, err := e.r.ReadSlice('\n')
+		ev.bytes = append(ev.bytes, part...)
+		switch {
+		case len(ev.bytes) > maxEventBytes:
+			return ev, errStreamBroken
+		case err == bufio.ErrBufferFull: // a long line
+			continue
+		case err == io.EOF && len(ev.bytes) > 0:
+			return ev, errStreamBroken // incomplete event
+		case err != nil:
 			return ev, err
 		}
-		text := bytes.TrimRight(line, "\r\n")
+		text := bytes.TrimRight(ev.bytes[lineStart:], "\r\n")
+		lineStart = len(ev.bytes)
 		if len(text) == 0 {
 			return ev, nil
 		}
--- a/coordination/balancer/balancer.go
+++ b/coordination/balancer/balancer.go
@@ -26,8 +26,9 @@
 }
 
 type replicaLoad struct {
-	inFlight          int // requests of this instance in flight
-	reported          int // requests at the replica, by its last report
+	inFlight          int     // requests of this instance in flight
+	reported          int     // requests at the replica, by its last report
+	slowdown          float64 // by the same report; 0: not reported
 	reportedAt        time.Duration
 	meanAnswerSeconds float64 // moving average; 0: unknown
 }
@@ -57,11 +58,16 @@
 	}
 }
 
-// RecordLoad records the number of running requests that a replica reports,
-// without the one that it just answered.
-func (b *Balancer) RecordLoad(now time.Duration, id string, running int) {
+// Load is what a replica reports of itself.
+type Load struct {
+	Running  int     // requests there, without the one that it just answered
+	Slowdown float64 // factor by which work takes longer there at the moment; 0: not reported
+}
+
+// RecordLoad records the load that a replica reports.
+func (b *Balancer) RecordLoad(now time.Duration, id string, l Load) {
 	r := b.loadOf(id)
-	r.reported, r.reportedAt = max(running, 0), now
+	r.reported, r.slowdown, r.reportedAt = max(l.Running, 0), l.Slowdown, now
 }
 
 // MeanAnswerTime returns the moving average of a replica's answer times; 0 if
@@ -102,6 +108,22 @@
 	return max(float64(r.inFlight), float64(r.reported)*math.Exp2(-age))
 }
 
+// slowdownHalfLife is the time after which a reported slowdown counts half: it changes many
+// times a second, and the mean answer time already contains the usual one.
+const (
+	slowdownHalfLife = 50 * time.Millisecond
+	maxSlowdownAge   = 8 // half-lives after which it is ignored
+)
+
+// currentSlowdown returns the factor by which work at the replica probably takes longer now.
+func (r *replicaLoad) currentSlowdown(now time.Duration) float64 {
+	age := float64(now-r.reportedAt) / float64(slowdownHalfLife)
+	if r.slowdown <= 0 || age > maxSlowdownAge {
+		return 1
+	}
+	return 1 + (r.slowdown-1)*math.Exp2(-age)
+}
+
 // PickReplica picks the replica of a plain service with the shortest expected
 // time of up to three random candidates (power of random choices). The expected
 // time includes the distance, so closer replicas win if the loads are similar;
@@ -159,7 +181,7 @@
 	}
 	slots := float64(max(r.Slots, 1))
 	utilization := x.current(now) / slots
-	e := took * (1 + utilization*utilization*2)
+	e := took * (1 + utilization*utilization*2) * x.currentSlowdown(now)
 	switch distance(r.Hall) {
 	case regions.SameRegion:
 		e += crossHallTime
