A request compares the engines of its cell, not all of the fleet

Cause, by reading: an instance that chooses an engine itself (the owner's choice was tried, or there is none) copied, weighed and sorted all engines of the service, 5,634 in the whole fleet; and every request collected the service's replicas only to see that there are some.

Change: above 400 engines the choice is among those of the request's cell, and all of them from the second try on; a count serves where a count is asked for. Smaller fleets choose as before.

--- a/cmd/node/advisories.go
+++ b/cmd/node/advisories.go
@@ -59,6 +59,13 @@
 	return from <= now, from
 }
 
+// areNone reports whether no replica has sent an advisory that is in force.
+func (a *advisories) areNone() bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.tracker.Empty() && !a.rateLimits.HasLimits()
+}
+
 // backoffUntil returns the end of an incarnation's backoff for this instance.
 func (a *advisories) backoffUntil(now time.Duration, incarnation string) (until time.Duration, inBackoff bool) {
 	a.withTracker(func(t *advisory.Tracker) { until, inBackoff = t.BackoffUntil(now, incarnation) })
--- a/cmd/node/bench_test.go
+++ b/cmd/node/bench_test.go
@@ -150,3 +150,20 @@
 	}
 	return value
 }
+
+// BenchmarkListLoad measures how an instance that has just started takes over the list of
+// replicas.
+func BenchmarkListLoad(b *testing.B) {
+	for _, replicas := range []int{600, 10000} {
+		b.Run(fmt.Sprint("replicas=", replicas), func(b *testing.B) {
+			from := fleetNode(b, 6, replicas)
+			update := from.replicas.changeLog.UpdateSince(0)
+			b.ReportAllocs()
+			for b.Loop() {
+				n := fleetNode(b, 6, 0)
+				n.replicas.changeLog.ApplyUpdate(update)
+				n.publishSnapshot()
+			}
+		})
+	}
+}
--- a/cmd/node/replica_choice.go
+++ b/cmd/node/replica_choice.go
@@ -103,8 +103,8 @@
 	n := s.node
 	snap := n.snapshot.Load() // replicas may have drained since the request arrived
 	now := n.now()
-	listed := replicasInRegions(s.allowedRegions(), snap.eligible(s.service.Name))
-	if len(listed) == 0 && len(snap.eligible(s.service.Name)) > 0 {
+	listed := s.candidates(snap)
+	if _, _, eligible := snap.list.Count(s.service.Name); len(listed) == 0 && eligible > 0 {
 		return catalog.Replica{}, "", errNoAllowedRegion
 	}
 	targets, others := s.splitByTarget(snap, listed)
@@ -131,6 +131,28 @@
 	return e.Replica, e.FetchFrom, nil
 }
 
+// candidates returns the replicas among which this instance chooses. Of many engines these
+// are the ones in the request's cell, so that the choice does not cost more in a larger
+// fleet; they also have most of the prompt's parts cached. When the request has tried some
+// of them, it may go to all.
+func (s *requestHandler) candidates(snap *snapshot) []catalog.Replica {
+	allowed := s.allowedRegions()
+	_, _, eligible := snap.list.Count(s.service.Name)
+	if s.service.Engine == nil || eligible <= maxComparedEngines || len(s.tried)+len(s.avoid) > 1 || !allowed.Allows(s.node.home) {
+		return replicasInRegions(allowed, snap.eligible(s.service.Name))
+	}
+	cell := snap.cell(snap.cellOfRequest(s.req, s.node.home))
+	if listed := cell.Eligible(s.service.Name); len(listed) >= minCellEngines {
+		return listed
+	}
+	return replicasInRegions(allowed, snap.eligible(s.service.Name))
+}
+
+const (
+	maxComparedEngines = 400 // engines that are compared for a request
+	minCellEngines     = 10  // with fewer in a cell, one that is lost or full would matter
+)
+
 // healthyCandidates returns the candidates that are untried and not ejected, and
 // the ejected ones too if they are the majority; listed is the number of all
 // replicas. The caller holds detectorMu.
--- a/coordination/listing/listing.go
+++ b/coordination/listing/listing.go
@@ -225,6 +225,17 @@
 	return true
 }
 
+// Eligible returns the replicas of a service in the cell that accept work.
+func (c Cell) Eligible(service string) []catalog.Replica {
+	var out []catalog.Replica
+	for _, e := range c.groups[service] {
+		if e.AcceptsWork() {
+			out = append(out, e.Replica)
+		}
+	}
+	return out
+}
+
 // Replicas returns the replicas of the cell.
 func (c Cell) Replicas() []catalog.Replica {
 	var out []catalog.Replica
