Bytes by kind and distance

Change: the counters of kinds (heartbeats, views, stages, kept, pulls, requests, answers) exist for the own hall, other halls of the region and other regions.

--- a/cmd/node/attempt.go
+++ b/cmd/node/attempt.go
@@ -95,9 +95,10 @@
 		n.counters.retries.Inc(1)
 	}
 	n.counters.attempts.Inc(1)
-	if n.distanceTo(r.Hall) == regions.Remote {
+	distance := n.distanceTo(r.Hall)
+	n.counters.bytesTo(distance).requests.Inc(int64(len(s.req.Body)))
+	if distance == regions.Remote {
 		n.counters.remoteAttempts.Inc(1)
-		n.counters.remoteBytes.requests.Inc(int64(len(s.req.Body)))
 	}
 	s.tried[r.ID] = true
 	n.detectorMu.Lock()
@@ -118,11 +119,9 @@
 	return h.ClosesConnection && h.NotRun && h.Backoff == 0 && !h.Draining
 }
 
-// countRemoteBytes counts the answer's bytes if the replica is in another region.
-func (a *attempt) countRemoteBytes(bytes int) {
-	if a.node.distanceTo(a.replica.Hall) == regions.Remote {
-		a.node.counters.remoteBytes.answers.Inc(int64(bytes))
-	}
+// countAnswerBytes counts bytes of the answer.
+func (a *attempt) countAnswerBytes(bytes int) {
+	a.node.counters.bytesTo(a.node.distanceTo(a.replica.Hall)).answers.Inc(int64(bytes))
 }
 
 // endingKind classifies how the attempt ended.
@@ -356,7 +355,7 @@
 	_ = control.SetWriteDeadline(a.clientWriteDeadline())
 	a.w.WriteHeader(status)
 	_, _ = a.w.Write(body) // an error is that of a client that has gone
-	a.countRemoteBytes(len(body))
+	a.countAnswerBytes(len(body))
 	if isLong {
 		return a.forwardRest()
 	}
@@ -376,7 +375,7 @@
 		if _, writeErr := a.w.Write(chunk[:n]); writeErr != nil {
 			return errClientGone
 		}
-		a.countRemoteBytes(n)
+		a.countAnswerBytes(n)
 		if err == io.EOF {
 			_ = control.SetWriteDeadline(time.Time{})
 			return nil
--- a/cmd/node/counters.go
+++ b/cmd/node/counters.go
@@ -27,7 +27,9 @@
 	remoteCacheLookups  metrics.Counter // requests to owners in other regions for cached prompt prefixes
 	remoteCacheHits     metrics.Counter // of these, the ones that named an engine
 	remoteTransfers     metrics.Counter // prompt prefixes that engines here fetch from other regions
-	remoteBytes         remoteByteCounters
+	localBytes          byteCounters    // within this instance's data hall
+	hallBytes           byteCounters    // other data halls of the region
+	remoteBytes         byteCounters    // other regions
 	remoteAttempts      metrics.Counter // attempts at replicas in other regions
 	drainedHalls        metrics.Counter // drains of halls of which this instance was informed
 	busyReplies         metrics.Counter // replies that referred a peer to another instance
@@ -50,18 +52,6 @@
 	unknownFields       metrics.Counter // unknown fields in replicas' answers and reports
 }
 
-// remoteByteCounters count, by kind, the bytes that this instance sends to other regions
-// and those that it requests and receives from there: the bodies of messages and answers,
-// without headers.
-type remoteByteCounters struct {
-	heartbeats   metrics.Counter
-	stages       metrics.Counter // requests to owners
-	cacheLookups metrics.Counter // requests for cached prefixes
-	pulls        metrics.Counter // received configurations and replica lists
-	requests     metrics.Counter // request bodies sent to replicas
-	answers      metrics.Counter // bytes of answers forwarded from there
-}
-
 func newCounters(r metrics.Registry) counters {
 	counter := func(name string) metrics.Counter { return metrics.NewRegisteredCounter(name, r) }
 	return counters{
@@ -83,14 +73,9 @@
 		remoteCacheLookups:  counter("node.regions.kept_asks"),
 		remoteCacheHits:     counter("node.regions.kept_found"),
 		remoteTransfers:     counter("node.regions.moves"),
-		remoteBytes: remoteByteCounters{
-			heartbeats:   counter("node.regions.bytes.heartbeats"),
-			stages:       counter("node.regions.bytes.stages"),
-			cacheLookups: counter("node.regions.bytes.kept"),
-			pulls:        counter("node.regions.bytes.pulls"),
-			requests:     counter("node.regions.bytes.requests"),
-			answers:      counter("node.regions.bytes.answers"),
-		},
+		localBytes:          newByteCounters(counter, "node.hall.bytes."),
+		hallBytes:           newByteCounters(counter, "node.halls.bytes."),
+		remoteBytes:         newByteCounters(counter, "node.regions.bytes."),
 		remoteAttempts:      counter("node.regions.attempts"),
 		drainedHalls:        counter("node.halls_emptied"),
 		busyReplies:         counter("node.told_busy"),
--- a/cmd/node/heartbeats.go
+++ b/cmd/node/heartbeats.go
@@ -29,7 +29,7 @@
 		if live != seen {
 			seen = live
 			n.logMembership(membership, live.Instances)
-			n.recordRemoteHosts(live.Instances)
+			n.recordHosts(live.Instances)
 		}
 		n.updateFleetLevel(live)
 		n.updateReaderRole(live)
@@ -135,9 +135,7 @@
 	}
 	for _, addr := range to {
 		n.socket.Send(addr, b)
-		if n.isRemoteAddress(addr) {
-			n.counters.remoteBytes.heartbeats.Inc(int64(len(b)))
-		}
+		n.counters.bytesTo(n.distanceOfAddress(addr)).heartbeats.Inc(int64(len(b)))
 	}
 }
 
--- a/cmd/node/node.go
+++ b/cmd/node/node.go
@@ -52,9 +52,9 @@
 	counters        counters
 	clock           *clock.Clock // its time includes suspensions of the machine
 	regionMap       *regions.Map
-	home            string                          // region of this instance
-	regionlessHalls sync.Map                        // halls without a region that were logged
-	remoteHosts     atomic.Pointer[map[string]bool] // hosts of instances in other regions; nil: none known
+	home            string                                      // region of this instance
+	regionlessHalls sync.Map                                    // halls without a region that were logged
+	hostDistances   atomic.Pointer[map[string]regions.Distance] // by host of a live instance; nil: none known
 
 	snapshot atomic.Pointer[snapshot] // current snapshot for requests; immutable once it is published
 
--- a/cmd/node/peer_pull.go
+++ b/cmd/node/peer_pull.go
@@ -122,11 +122,9 @@
 	n.applyConfiguration(text, "peer")
 }
 
-// countPullBytes counts the bytes of an answer from another region.
+// countPullBytes counts the bytes of an answer.
 func (n *Node) countPullBytes(addr string, answer proto.Message) {
-	if n.isRemoteAddress(addr) {
-		n.counters.remoteBytes.pulls.Inc(int64(proto.Size(answer)))
-	}
+	n.counters.bytesTo(n.distanceOfAddress(addr)).pulls.Inc(int64(proto.Size(answer)))
 }
 
 // rawConfig is a configuration as stored.
--- a/cmd/node/regions.go
+++ b/cmd/node/regions.go
@@ -3,10 +3,8 @@
 import (
 	"context"
 	"errors"
-	"net"
 	"time"
 
-	"quinceroad/coordination/gossip"
 	"quinceroad/coordination/listing"
 	"quinceroad/coordination/regions"
 	"quinceroad/protocol/event"
@@ -240,24 +238,3 @@
 	}
 	return count
 }
-
-// recordRemoteHosts records the hosts of live instances in other regions.
-func (n *Node) recordRemoteHosts(alive []gossip.Instance) {
-	remote := make(map[string]bool)
-	for _, i := range alive {
-		if host, _, err := net.SplitHostPort(i.HeartbeatAddress); err == nil && i.Region != n.home {
-			remote[host] = true
-		}
-	}
-	n.remoteHosts.Store(&remote)
-}
-
-// isRemoteAddress reports whether an instance's address is in another region.
-func (n *Node) isRemoteAddress(addr string) bool {
-	remote := n.remoteHosts.Load()
-	if remote == nil || len(*remote) == 0 {
-		return false
-	}
-	host, _, err := net.SplitHostPort(addr)
-	return err == nil && (*remote)[host]
-}
--- a/cmd/node/stages.go
+++ b/cmd/node/stages.go
@@ -214,9 +214,7 @@
 	if owner.Name == n.settings.Name {
 		return n.submitToLocalOwner(ctx, req)
 	}
-	if owner.Region != n.home {
-		n.counters.remoteBytes.stages.Inc(int64(proto.Size(req.ask)))
-	}
+	n.counters.bytesTo(n.distanceTo(owner.Hall)).stages.Inc(int64(proto.Size(req.ask)))
 	stream, err := n.links.Open(owner.PeerAddress, frame.RunStages, req.ask)
 	if err != nil {
 		return nil, err
--- a/cmd/node/stream.go
+++ b/cmd/node/stream.go
@@ -66,7 +66,7 @@
 		} else {
 			a.maxEventGap = max(a.maxEventGap, a.node.now()-lastEventAt)
 		}
-		a.countRemoteBytes(len(e.bytes))
+		a.countAnswerBytes(len(e.bytes))
 		if !q.push(e, func() { timer.Stop() }) {
 			return errClientGone
 		}
--- a/cmd/node/view_sync.go
+++ b/cmd/node/view_sync.go
@@ -41,6 +41,7 @@
 	n.gossipMu.Unlock()
 	reply := &pb.SyncReply{}
 	err := n.links.Call(peer.PeerAddress, frame.SyncView, ask, reply, pullTimeout)
+	n.counters.bytesTo(n.distanceTo(peer.Hall)).views.Inc(int64(proto.Size(ask) + proto.Size(reply)))
 	if err == nil {
 		reply, err = decompressSyncReply(reply)
 	}
