Bad input at this size: unreadable lists, invented instances

Cause, by reading: each unreadable entry of the list logged a line of its own, of any length; a view kept whatever number of instances a peer named.

Open: a page of the list that never comes, and two instances whose 32-bit keys are the same, have no test yet.

--- a/cmd/node/replica_set.go
+++ b/cmd/node/replica_set.go
@@ -8,6 +8,7 @@
 	"quinceroad/coordination/changes"
 	"quinceroad/coordination/listing"
 	"quinceroad/platform"
+	"quinceroad/protocol/event"
 	"quinceroad/state/catalog"
 )
 
@@ -228,3 +229,20 @@
 	}
 	return out
 }
+
+// maxInvalidLines is the maximum number of lines that one change of the list logs for
+// entries that can't be parsed; the rest is counted in one more line.
+const maxInvalidLines = 10
+
+// logInvalidEntries logs the entries that can't be parsed and were valid or absent before.
+func (n *Node) logInvalidEntries(names []string, known int) {
+	n.counters.invalidEntries.Inc(int64(len(names)))
+	for _, name := range names[:min(len(names), maxInvalidLines)] {
+		event.NodeStoreEntryInvalid.Log(n.log, "name", name[:min(len(name), maxLoggedName)])
+	}
+	if unlogged := len(names) - maxInvalidLines; unlogged > 0 {
+		event.NodeStoreEntriesInvalid.Log(n.log, "unlogged", unlogged, "known", known)
+	}
+}
+
+const maxLoggedName = 64 // bytes; a name may be anything that a key may be
--- a/cmd/node/snapshot.go
+++ b/cmd/node/snapshot.go
@@ -48,10 +48,7 @@
 			n.recordReplicaRemoval(r.ID)
 		}
 		n.handleReplicaRestarts(changed.restarted)
-		for _, id := range changed.invalid {
-			n.counters.invalidEntries.Inc(1)
-			event.NodeStoreEntryInvalid.Log(n.log, "name", id)
-		}
+		n.logInvalidEntries(changed.invalid, snap.list.Len())
 		for _, r := range warming {
 			event.NodeReplicaWarming.Log(n.log, "replica", r.ID, "hall", r.Hall, "for", r.WarmingUntil-now)
 		}
--- a/coordination/gossip/gossip.go
+++ b/coordination/gossip/gossip.go
@@ -110,6 +110,7 @@
 	SeedInterval        time.Duration // time between messages to the seeds, in fleets up to SeedFleetSize
 	SeedFleetSize       int           // instances beyond which the seeds are contacted less often by each
 	SettleTime          time.Duration // time without a new incarnation after which the view is considered complete
+	MaxInstances        int           // entries that are kept; further ones are ignored
 	Greeters            float64       // approximate number of instances that send their view to a newcomer
 	SyncBacklog         int           // entries waiting to be announced beyond which whole views are exchanged instead
 }
@@ -130,6 +131,7 @@
 		CrossRegionMessages: 3,
 		RemoteTimeoutExtra:  time.Second,
 		SyncBacklog:         50,
+		MaxInstances:        8000,
 		Greeters:            30,
 	}
 }
@@ -204,6 +206,9 @@
 	heartbeat := now - i.HeartbeatAge
 	i.HeartbeatAge = 0
 	r := v.rows[i.Name]
+	if r == nil && len(v.rows) >= v.opts.MaxInstances {
+		return false, false
+	}
 	if r == nil {
 		v.insert(&row{Instance: i, lastHeartbeat: heartbeat, key: i.Key()})
 		v.newIncarnationAt = now
--- a/coordination/gossip/work_test.go
+++ b/coordination/gossip/work_test.go
@@ -33,6 +33,22 @@
 	}
 }
 
+// A peer that names instances without end fills no memory: a view keeps a bounded number.
+func TestInventedInstancesAreBounded(t *testing.T) {
+	v := settledView(100)
+	var invented []Instance
+	for i := range 3 * DefaultOptions().MaxInstances {
+		invented = append(invented, Instance{Name: fmt.Sprint("x", i), Incarnation: 1})
+	}
+	v.MergeSync(0, invented)
+	if got := v.KnownCount(); got > DefaultOptions().MaxInstances+1 {
+		t.Errorf("%d instances are kept", got)
+	}
+	if v.Merge(0, Instance{Name: "i0007", Hall: "h7", Incarnation: 2, HeartbeatCount: 1}); !v.IsAlive(0, "i0007", 2) {
+		t.Error("an instance that was known before is not heard of any more")
+	}
+}
+
 // The live instances are determined again when one of them may have timed out, joins or
 // changes, and not for the counters that arrive with every message.
 func TestLiveInstancesAreSharedUntilTheyChange(t *testing.T) {
