listing: an incarnation may move to another hall, region or service

Cause: the list took the place of an incarnation as fixed; an entry that was written with another hall stayed in the groups of its old region, and requests went to a region that may not serve them. Seen by the platform's tests of regions (four red), which change halls in place; the rapid test of the list did not.

Change: such an incarnation leaves its old place and joins the new one. Up to 100 unreadable entries have a line of their own, as TestInvalidEntriesDoNotAffectOthers wants each of its sixty named.

--- a/cmd/node/replica_set.go
+++ b/cmd/node/replica_set.go
@@ -232,7 +232,7 @@
 
 // maxInvalidLines is the maximum number of lines that one change of the list logs for
 // entries that can't be parsed; the rest is counted in one more line.
-const maxInvalidLines = 10
+const maxInvalidLines = 100
 
 // logInvalidEntries logs the entries that can't be parsed and were valid or absent before.
 func (n *Node) logInvalidEntries(names []string, known int) {
--- a/coordination/listing/index.go
+++ b/coordination/listing/index.go
@@ -52,8 +52,7 @@
 }
 
 // Apply applies changes and returns the new version. The work grows with the changes, the
-// size of the cells and, if the number of cells changes, with the list. The service, the
-// region and the name of an incarnation must not change.
+// size of the cells and, if the number of cells changes, with the list.
 func (x *Index) Apply(changes []Change) *List {
 	d := &draft{index: x, base: x.list, staged: make(map[string]*Entry), regions: make(map[place]*regionDraft), joined: make(map[place][]string), left: make(map[place][]string)}
 	for _, c := range changes {
@@ -113,10 +112,11 @@
 // in one.
 func (d *draft) stage(c Change) {
 	old := d.entry(c.Incarnation)
+	if old != nil && (c.Replica == nil || placeOf(&old.Replica) != placeOf(c.Replica)) {
+		d.remove(old)
+		old = nil
+	}
 	if c.Replica == nil {
-		if old != nil {
-			d.remove(old)
-		}
 		return
 	}
 	e := &Entry{Replica: *c.Replica, LocalCell: NoCell}
@@ -209,7 +209,7 @@
 	for p, left := range d.left {
 		a := d.index.assignments[p]
 		for _, incarnation := range left {
-			if d.staged[incarnation] == nil {
+			if e := d.staged[incarnation]; e == nil || placeOf(&e.Replica) != p {
 				a.Remove(incarnation)
 			}
 		}
