--- a/cmd/node/bench_test.go
+++ b/cmd/node/bench_test.go
@@ -33,6 +33,7 @@
 		})
 	}
 	n.config = benchmarkConfiguration()
+	n.replicas.divided = true
 	n.replicas.changeLog.Replace(entries, 100)
 	n.publishSnapshot()
 	return n
@@ -167,3 +168,28 @@
 		})
 	}
 }
+
+// BenchmarkListGrowth measures how an instance follows the list of replicas while it grows
+// to 10,000 after a start of all, and then divides it among cells.
+func BenchmarkListGrowth(b *testing.B) {
+	const batches, batch = 22, 450
+	services := []string{"s8", "s8", "s8", "s8", "s0", "s1", "s2"}
+	var entries []changes.Entry
+	for i := range batches * batch {
+		value := replicaEntry(b, &catalog.Replica{Service: services[i%len(services)], Address: fmt.Sprintf("10.1.%d.%d:8080", i/250, i%250), Hall: fmt.Sprint("hall-", i%9), Version: "v1", Slots: 8})
+		entries = append(entries, changes.Entry{ID: fmt.Sprintf("i-%08x", i), Revision: uint64(i + 2), Value: value})
+	}
+	b.ReportAllocs()
+	for b.Loop() {
+		n := fleetNode(b, 6, 0)
+		n.replicas.divided = false
+		n.replicas.changeLog.Replace(map[string][]byte{}, 1)
+		n.publishSnapshot()
+		for at := 0; at < len(entries); at += batch {
+			last := entries[at+batch-1].Revision
+			n.replicas.changeLog.ApplyUpdate(changes.Update{Revision: last, LastChange: last, Entries: entries[at : at+batch]})
+			n.publishSnapshot()
+		}
+		n.dividedSnapshot()
+	}
+}
--- a/cmd/node/cell.go
+++ b/cmd/node/cell.go
@@ -46,7 +46,7 @@
 func (c *cell) refresh() {
 	n := c.owner.node
 	snap := n.snapshot.Load()
-	if snap.config == nil {
+	if snap.config == nil || !snap.divided {
 		return
 	}
 	listed := snap.cell(c.number)
@@ -229,10 +229,10 @@
 // jobs of a previous owner may still fill the pools, and engines may have cached prompts.
 func (c *cell) prepare() {
 	c.prepareOnce.Do(func() {
-		c.refresh()
 		n := c.owner.node
+		snap := n.dividedSnapshot()
+		c.refresh()
 		c.seedSpeeds(n.combinedSpeeds())
-		snap := n.snapshot.Load()
 		if snap.config == nil {
 			return
 		}
--- a/cmd/node/cell_partition.go
+++ b/cmd/node/cell_partition.go
@@ -1,6 +1,8 @@
 package node
 
 import (
+	"time"
+
 	"quinceroad/coordination/listing"
 	"quinceroad/platform"
 	"quinceroad/protocol/clientrequest"
@@ -30,6 +32,47 @@
 	return kinds
 }
 
+// While the list of replicas is still growing after a start, it is not divided among cells:
+// their number would change, and all replicas with it, with nearly every change.
+const (
+	growthBatch  = 50              // changes at once from which the list counts as growing
+	growthWindow = 1 * time.Second // time without such a change after which it has grown
+)
+
+// dividedSnapshot returns the current snapshot, in which the replicas are divided among
+// cells if they are known.
+func (n *Node) dividedSnapshot() *snapshot {
+	snap := n.snapshot.Load()
+	if snap.divided || snap.config == nil || !snap.replicasLoaded {
+		return snap
+	}
+	n.divideReplicas()
+	return n.snapshot.Load()
+}
+
+// divideReplicas divides the replicas among cells from now on.
+func (n *Node) divideReplicas() {
+	n.watchedMu.Lock()
+	n.replicas.divided = true
+	afterUnlock := n.replaceSnapshot()
+	n.watchedMu.Unlock()
+	afterUnlock()
+}
+
+// divideGrownList divides the replicas among cells once the list has grown, so that the
+// first request doesn't have to wait for it.
+func (n *Node) divideGrownList() {
+	if snap := n.snapshot.Load(); snap.divided || snap.config == nil || !snap.replicasLoaded {
+		return
+	}
+	n.watchedMu.Lock()
+	hasGrown := n.now()-n.replicas.grewAt >= growthWindow
+	n.watchedMu.Unlock()
+	if hasGrown {
+		n.divideReplicas()
+	}
+}
+
 func newIndex(kinds map[string]listing.Kind) *listing.Index {
 	return listing.New(func(service string) listing.Kind { return kinds[service] }, maxPoolReplicasPerCell)
 }
--- a/cmd/node/heartbeats.go
+++ b/cmd/node/heartbeats.go
@@ -33,6 +33,7 @@
 		}
 		n.updateFleetLevel(live)
 		n.updateReaderRole(live)
+		n.divideGrownList()
 		n.recordLocalSpeeds()
 		n.sendHeartbeats()
 		n.gossipMu.Lock()
--- a/cmd/node/owner_test.go
+++ b/cmd/node/owner_test.go
@@ -66,7 +66,7 @@
 
 // snapshotOf returns a snapshot of the given replicas.
 func snapshotOf(config *catalog.Configuration, regionMap *regions.Map, replicas []catalog.Replica) *snapshot {
-	return &snapshot{config: config, replicasLoaded: true, regionMap: regionMap, list: indexOf(config, replicas).List()}
+	return &snapshot{config: config, replicasLoaded: true, divided: true, regionMap: regionMap, list: indexOf(config, replicas).List()}
 }
 
 func indexOf(config *catalog.Configuration, replicas []catalog.Replica) *listing.Index {
--- a/cmd/node/replica_choice.go
+++ b/cmd/node/replica_choice.go
@@ -141,7 +141,8 @@
 	if s.service.Engine == nil || eligible <= maxComparedEngines || len(s.tried)+len(s.avoid) > 1 || !allowed.Allows(s.node.home) {
 		return replicasInRegions(allowed, snap.eligible(s.service.Name))
 	}
-	cell := snap.cell(snap.cellOfRequest(s.req, s.node.home))
+	divided := s.node.dividedSnapshot()
+	cell := divided.cell(divided.cellOfRequest(s.req, s.node.home))
 	if listed := cell.Eligible(s.service.Name); len(listed) >= minCellEngines {
 		return listed
 	}
--- a/cmd/node/replica_set.go
+++ b/cmd/node/replica_set.go
@@ -23,6 +23,8 @@
 	invalid        map[string]bool          // names of entries that can't be parsed and were logged
 	loggedWarming  map[string]time.Duration // end of the warm-up that was logged, by incarnation
 
+	divided     bool            // among cells; until then all services count as plain
+	grewAt      time.Duration   // last time at which many replicas changed at once
 	outdated    map[string]bool // incarnations whose drain was inferred or stated since they were last updated
 	allOutdated bool            // the drained halls or the services have changed
 }
@@ -72,9 +74,12 @@
 		s.parse(now, name, batch, &out)
 	}
 	n.sortRemoved(batch, &out)
-	if traits := traitsOf(n.config); !maps.Equal(traits, s.services) {
+	if len(batch) >= growthBatch {
+		s.grewAt = now
+	}
+	if traits := s.traitsOf(n.config); !maps.Equal(traits, s.services) {
 		s.services = traits
-		s.rebuild(batch, newIndex(serviceKinds(n.config)))
+		s.rebuild(batch, newIndex(s.kindsOf(n.config)))
 	}
 	s.addOutdated(batch)
 	list := make([]listing.Change, 0, len(batch))
@@ -197,12 +202,20 @@
 	return inferred || n.advisories.isDraining(incarnation)
 }
 
-func traitsOf(c *catalog.Configuration) map[string]serviceTraits {
+// kindsOf returns how the services of a configuration are divided among cells now.
+func (s *replicaSet) kindsOf(c *catalog.Configuration) map[string]listing.Kind {
+	if !s.divided {
+		return nil
+	}
+	return serviceKinds(c)
+}
+
+func (s *replicaSet) traitsOf(c *catalog.Configuration) map[string]serviceTraits {
 	traits := make(map[string]serviceTraits)
 	if c == nil {
 		return traits
 	}
-	kinds := serviceKinds(c)
+	kinds := s.kindsOf(c)
 	for name, s := range c.Services {
 		t := serviceTraits{kind: kinds[name]}
 		if s.WarmUp != nil {
--- a/cmd/node/send_grants.go
+++ b/cmd/node/send_grants.go
@@ -64,7 +64,7 @@
 }
 
 func (n *Node) grantorLookup() *grantorLookup {
-	return &grantorLookup{node: n, snapshot: n.snapshot.Load(), live: n.live()}
+	return &grantorLookup{node: n, snapshot: n.dividedSnapshot(), live: n.live()}
 }
 
 // grantorOf returns the grantor of a replica, or false if there is none.
--- a/cmd/node/snapshot.go
+++ b/cmd/node/snapshot.go
@@ -15,6 +15,7 @@
 type snapshot struct {
 	config           *catalog.Configuration
 	replicasLoaded   bool // the list of replicas was read or received
+	divided          bool // the replicas are divided among cells
 	list             *listing.List
 	rolloutByService map[string]*trafficShift
 	regionMap        *regions.Map
@@ -39,7 +40,7 @@
 	changed := n.refreshReplicas(now)
 	n.rollouts.recordRestarts(now, n.snapshot.Load(), changed.restarted)
 	shifts := n.rollouts.apply(now, n.config, n.replicas.index)
-	snap := &snapshot{config: n.config, replicasLoaded: n.replicas.changeLog.IsLoaded(), list: n.replicas.index.List(), rolloutByService: shifts, regionMap: n.regionMap}
+	snap := &snapshot{config: n.config, replicasLoaded: n.replicas.changeLog.IsLoaded(), divided: n.replicas.divided, list: n.replicas.index.List(), rolloutByService: shifts, regionMap: n.regionMap}
 	warming := n.replicas.newlyWarming(now, changed.updated)
 	n.snapshot.Store(snap)
 	return func() {
--- a/cmd/node/speeds_test.go
+++ b/cmd/node/speeds_test.go
@@ -22,7 +22,7 @@
 func newOwningNode(name string) (*Node, *cell) {
 	n := New(&platform.Settings{Name: name, Hall: "h", StoreAddress: "127.0.0.1:1"}, hclog.NewNullLogger())
 	services := map[string]*catalog.Service{"llm": {Name: "llm", Engine: &catalog.Engine{Slots: 64, MemoryTokens: 100_000}}}
-	n.snapshot.Store(&snapshot{config: &catalog.Configuration{Services: services}, regionMap: regions.New(nil), list: listing.Empty()})
+	n.snapshot.Store(&snapshot{config: &catalog.Configuration{Services: services}, regionMap: regions.New(nil), list: listing.Empty(), divided: true})
 	return n, n.owner.cell(0)
 }
 
--- a/coordination/listing/listing.go
+++ b/coordination/listing/listing.go
@@ -9,6 +9,7 @@
 
 import (
 	"iter"
+	"maps"
 	"slices"
 	"sync"
 
@@ -236,14 +237,13 @@
 	return out
 }
 
-// Replicas returns the replicas of the cell.
+// Replicas returns the replicas of the cell, by service and incarnation.
 func (c Cell) Replicas() []catalog.Replica {
 	var out []catalog.Replica
-	for _, group := range c.groups {
-		for _, e := range group {
+	for _, name := range slices.Sorted(maps.Keys(c.groups)) {
+		for _, e := range c.groups[name] {
 			out = append(out, e.Replica)
 		}
 	}
-	slices.SortFunc(out, compareReplicas)
 	return out
 }
