Pulls of the list wait a moment after a busy peer; addresses leave the versions

Cause: a model of the start of 150 instances in one process (real nodes on loopback, a stand-in store whose list grows by 450 each 0.32 s for 7 s; a trial, not kept): 115 s of a core, 15 of 100 in look-ups that every version kept, one of them only for a housekeeping that closes idle connections. Instances that a busy peer refused asked again with the next heartbeat, 20 a second.

Change: addresses are counted beside the list; after a busy answer the next pull waits up to 150 ms.

--- a/cmd/node/node.go
+++ b/cmd/node/node.go
@@ -265,7 +265,7 @@
 		n.logDropped()
 		n.rollouts.prune()
 		n.pruneQuarantine()
-		n.replicaClient.CloseIdleExcept(list.HasAddress)
+		n.replicaClient.CloseIdleExcept(n.isListedAddress)
 		n.links.Sweep(time.Now())
 		n.detectorMu.Lock()
 		defer n.detectorMu.Unlock()
--- a/cmd/node/peer_pull.go
+++ b/cmd/node/peer_pull.go
@@ -32,6 +32,7 @@
 type peerPull struct {
 	mu          sync.Mutex
 	inProgress  bool
+	notBefore   time.Duration // time of the next attempt after a busy peer refused one
 	behindSince time.Duration // time since which this instance is behind a peer; 0: it is not
 }
 
@@ -40,7 +41,7 @@
 func (p *peerPull) tryStart(now time.Duration, delay time.Duration) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.inProgress {
+	if p.inProgress || now < p.notBefore {
 		return false
 	}
 	if p.behindSince == 0 || now-p.behindSince > behindExpiry {
@@ -59,13 +60,17 @@
 	p.inProgress, p.behindSince = false, 0
 }
 
-// finishBusy ends a pull that a busy peer refused; the next pull may start at once.
-func (p *peerPull) finishBusy() {
+// finishBusy ends a pull that a busy peer refused. The next one starts after a moment, as
+// all instances that are behind hear from the same peers.
+func (p *peerPull) finishBusy(now time.Duration, random float64) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.inProgress = false
+	p.inProgress, p.notBefore = false, now+time.Duration(random*float64(maxBusyPause))
 }
 
+// maxBusyPause is the longest pause after a busy peer has refused a pull.
+const maxBusyPause = 150 * time.Millisecond
+
 // pullMissing pulls what the sender of a heartbeat has and this instance lacks.
 func (n *Node) pullMissing(now time.Duration, h *pb.Heartbeat) {
 	from := h.News[0]
@@ -105,7 +110,7 @@
 	}
 	n.countPullBytes(addr, answer)
 	if answer.Busy {
-		n.configPull.finishBusy()
+		n.configPull.finishBusy(n.now(), newRandom().Float64())
 		return
 	}
 	defer n.configPull.finish()
@@ -170,7 +175,7 @@
 		return
 	}
 	if answer.Busy {
-		n.replicasPull.finishBusy()
+		n.replicasPull.finishBusy(n.now(), newRandom().Float64())
 		return
 	}
 	defer n.replicasPull.finish()
--- a/cmd/node/replica_set.go
+++ b/cmd/node/replica_set.go
@@ -17,6 +17,7 @@
 type replicaSet struct {
 	changeLog      *changes.Log
 	records        map[string]*replicaRecord // by name
+	addresses      map[string]int            // number of replicas by address (IP:port)
 	index          *listing.Index
 	services       map[string]serviceTraits // of the configuration with which the index was built
 	inferredDrains map[string]time.Duration // by incarnation: time at which the drain was first inferred
@@ -34,6 +35,7 @@
 type replicaRecord struct {
 	value        []byte // as stored
 	incarnation  string
+	address      string
 	draining     bool          // as the entry says
 	warmingUntil time.Duration // end of the warm-up that the replica reports
 }
@@ -48,6 +50,7 @@
 	return &replicaSet{
 		changeLog:      changes.New(platform.EquivalentReplicas),
 		records:        make(map[string]*replicaRecord),
+		addresses:      make(map[string]int),
 		index:          newIndex(nil),
 		inferredDrains: make(map[string]time.Duration),
 		invalid:        make(map[string]bool),
@@ -120,9 +123,11 @@
 	}
 	delete(s.invalid, name)
 	if old != nil && old.incarnation != r.ID {
-		s.unlist(name, batch)
+		batch[old.incarnation] = nil
 	}
-	s.records[name] = &replicaRecord{value: value, incarnation: r.ID, draining: r.Draining, warmingUntil: now + r.WarmupLeft}
+	s.countAddress(old, -1)
+	s.records[name] = &replicaRecord{value: value, incarnation: r.ID, address: r.Address, draining: r.Draining, warmingUntil: now + r.WarmupLeft}
+	s.countAddress(s.records[name], 1)
 	batch[r.ID] = &r
 }
 
@@ -130,10 +135,29 @@
 func (s *replicaSet) unlist(name string, batch map[string]*catalog.Replica) {
 	if old := s.records[name]; old != nil {
 		batch[old.incarnation] = nil
+		s.countAddress(old, -1)
 		delete(s.records, name)
 	}
 }
 
+// countAddress adds n to the number of replicas at a record's address.
+func (s *replicaSet) countAddress(record *replicaRecord, n int) {
+	if record == nil {
+		return
+	}
+	s.addresses[record.address] += n
+	if s.addresses[record.address] == 0 {
+		delete(s.addresses, record.address)
+	}
+}
+
+// isListedAddress reports whether a listed replica has an address (IP:port).
+func (n *Node) isListedAddress(address string) bool {
+	n.watchedMu.Lock()
+	defer n.watchedMu.Unlock()
+	return n.replicas.addresses[address] > 0
+}
+
 // sortRemoved adds the removed incarnations of a batch to those whose replica has
 // restarted or to those that are no longer listed without a drain.
 func (n *Node) sortRemoved(batch map[string]*catalog.Replica, out *replicaSetChanges) {
--- a/cmd/node/topic_follower.go
+++ b/cmd/node/topic_follower.go
@@ -16,7 +16,11 @@
 	// Pause after a change of the replicas, so that changes that follow shortly are applied
 	// together.
 	replicaChangeDelay = 250 * time.Millisecond
-	minStoreRetryDelay = 100 * time.Millisecond // pause after a failed call; doubles with each failure
+	// Added for each change, up to maxReplicaChangeDelay: when hundreds of replicas come or
+	// go at once, the next ones follow.
+	replicaChangeExtra    = 1 * time.Millisecond
+	maxReplicaChangeDelay = 1 * time.Second
+	minStoreRetryDelay    = 100 * time.Millisecond // pause after a failed call; doubles with each failure
 	// Upper bound of that pause, so that the end of an outage is detected within the 2 s in
 	// which a configuration must be in force.
 	maxStoreRetryDelay  = 1 * time.Second
@@ -250,3 +254,9 @@
 // readerKey is the key of what live instances determine about this instance's role as a
 // reader.
 type readerKey struct{}
+
+// replicaChangePause returns how long a reader waits after a number of changes of the
+// replicas before it asks for the next ones.
+func replicaChangePause(changed int) time.Duration {
+	return min(replicaChangeDelay+time.Duration(changed)*replicaChangeExtra, maxReplicaChangeDelay)
+}
--- a/cmd/node/topics.go
+++ b/cmd/node/topics.go
@@ -146,6 +146,6 @@
 		event.NodeReplicasChanged.Log(n.log, "from", fromStore, "changes", changed, "at", at)
 		n.publishSnapshot()
 		n.announceReplicaChanges(before)
-		process.Sleep(ctx, replicaChangeDelay)
+		process.Sleep(ctx, replicaChangePause(changed))
 	}
 }
--- a/coordination/listing/index.go
+++ b/coordination/listing/index.go
@@ -272,11 +272,11 @@
 		d.buildEntries(l)
 		return
 	}
-	l.entries, l.byName, l.addresses = d.base.entries, d.base.byName, d.base.addresses
+	l.entries, l.byName = d.base.entries, d.base.byName
 	for incarnation, e := range d.staged {
 		old, listed := l.entries.Get(incarnation)
 		if listed {
-			l.removeLookups(old)
+			l.removeName(old)
 		}
 		switch {
 		case e != nil:
@@ -286,35 +286,21 @@
 		}
 	}
 	for _, e := range d.staged {
-		if e != nil {
-			l.addLookups(e)
+		if e != nil && e.StartMillis != 0 {
+			l.byName = l.byName.Set(e.Name, e.ID)
 		}
 	}
 }
 
-func (l *List) removeLookups(e *Entry) {
+func (l *List) removeName(e *Entry) {
 	if listed, ok := l.byName.Get(e.Name); ok && listed == e.ID {
 		l.byName = l.byName.Delete(e.Name)
 	}
-	switch n, _ := l.addresses.Get(e.Address); n {
-	case 0, 1:
-		l.addresses = l.addresses.Delete(e.Address)
-	default:
-		l.addresses = l.addresses.Set(e.Address, n-1)
-	}
-}
-
-func (l *List) addLookups(e *Entry) {
-	if e.StartMillis != 0 {
-		l.byName = l.byName.Set(e.Name, e.ID)
-	}
-	n, _ := l.addresses.Get(e.Address)
-	l.addresses = l.addresses.Set(e.Address, n+1)
 }
 
 // buildEntries fills the entries of a new version with the staged ones alone.
 func (d *draft) buildEntries(l *List) {
-	entries, byName, addresses := immutable.NewMapBuilder[string, *Entry](nil), immutable.NewMapBuilder[string, string](nil), immutable.NewMapBuilder[string, int](nil)
+	entries, byName := immutable.NewMapBuilder[string, *Entry](nil), immutable.NewMapBuilder[string, string](nil)
 	for incarnation, e := range d.staged {
 		if e == nil {
 			continue
@@ -323,10 +309,8 @@
 		if e.StartMillis != 0 {
 			byName.Set(e.Name, incarnation)
 		}
-		n, _ := addresses.Get(e.Address)
-		addresses.Set(e.Address, n+1)
 	}
-	l.entries, l.byName, l.addresses = entries.Map(), byName.Map(), addresses.Map()
+	l.entries, l.byName = entries.Map(), byName.Map()
 }
 
 // count adds n times an entry to the counts.
--- a/coordination/listing/listing.go
+++ b/coordination/listing/listing.go
@@ -31,7 +31,6 @@
 type List struct {
 	entries    *immutable.Map[string, *Entry] // by incarnation
 	byName     *immutable.Map[string, string] // incarnation by name, of replicas that report their start time
-	addresses  *immutable.Map[string, int]    // number of replicas by address
 	services   map[string]*service
 	cellCounts map[string]int // by region; absent: one
 }
@@ -55,7 +54,7 @@
 
 // Empty returns the list of no replicas.
 func Empty() *List {
-	return &List{entries: immutable.NewMap[string, *Entry](nil), byName: immutable.NewMap[string, string](nil), addresses: immutable.NewMap[string, int](nil), services: make(map[string]*service), cellCounts: make(map[string]int)}
+	return &List{entries: immutable.NewMap[string, *Entry](nil), byName: immutable.NewMap[string, string](nil), services: make(map[string]*service), cellCounts: make(map[string]int)}
 }
 
 // Len returns the number of replicas.
@@ -76,12 +75,6 @@
 	return e.Replica, true
 }
 
-// HasAddress reports whether a listed replica has an address (IP:port).
-func (l *List) HasAddress(address string) bool {
-	_, ok := l.addresses.Get(address)
-	return ok
-}
-
 // Incarnation returns the incarnation that is listed under a name, of a replica that
 // reports its start time.
 func (l *List) Incarnation(name string) (string, bool) { return l.byName.Get(name) }
