cells: another number of cells costs a hash a replica

Change: the beginning of a replica's ranking is merged with the new cells. The list counts as growing from the moment it was loaded.

--- a/cmd/node/cell_partition.go
+++ b/cmd/node/cell_partition.go
@@ -36,7 +36,7 @@
 // their number would change, and all replicas with it, with nearly every change.
 const (
 	growthBatch  = 50              // changes at once from which the list counts as growing
-	growthWindow = 1 * time.Second // time without such a change after which it has grown
+	growthWindow = 2 * time.Second // time without such a change after which it has grown
 )
 
 // dividedSnapshot returns the current snapshot, in which the replicas are divided among
--- a/cmd/node/replica_set.go
+++ b/cmd/node/replica_set.go
@@ -25,7 +25,8 @@
 	loggedWarming  map[string]time.Duration // end of the warm-up that was logged, by incarnation
 
 	divided     bool            // among cells; until then all services count as plain
-	grewAt      time.Duration   // last time at which many replicas changed at once
+	loaded      bool            // the list was read or received
+	grewAt      time.Duration   // last time at which it was loaded or many replicas changed at once
 	outdated    map[string]bool // incarnations whose drain was inferred or stated since they were last updated
 	allOutdated bool            // the drained halls or the services have changed
 }
@@ -73,6 +74,9 @@
 func (n *Node) refreshReplicas(now time.Duration) (out replicaSetChanges) {
 	s := n.replicas
 	batch := make(map[string]*catalog.Replica) // by incarnation; nil: removed
+	if s.changeLog.IsLoaded() && !s.loaded {
+		s.loaded, s.grewAt = true, now
+	}
 	for name := range s.changeLog.TakeChanged() {
 		s.parse(now, name, batch, &out)
 	}
--- a/coordination/cells/assignment.go
+++ b/coordination/cells/assignment.go
@@ -47,24 +47,41 @@
 	return cmp.Or(cmp.Compare(r.order, o.order), cmp.Compare(r.id, o.id))
 }
 
-// NewAssignment returns the assignment of replicas to a number of cells, at least 1.
+// NewAssignment returns the assignment of replicas to a number of cells, at least 1. An ID
+// that is given twice counts once.
 func NewAssignment(ids []string, cells int) *Assignment {
-	cells = max(cells, 1)
-	a := &Assignment{replicas: make(map[string]*replica, len(ids)), moved: make(map[string]bool, len(ids))}
-	for c := range cells {
-		a.cells = append(a.cells, cellState{name: strconv.Itoa(c), capacity: capacity(len(ids), cells, c)})
-	}
-	order := make([]*replica, 0, len(ids))
+	unique := make(map[string]bool, len(ids))
 	for _, id := range ids {
-		order = append(order, a.newReplica(id))
+		unique[id] = true
 	}
-	slices.SortFunc(order, (*replica).choosesBefore)
-	for _, r := range order {
-		a.choose(r, 0) // displaces nobody, as all members have chosen before
+	a := newEmptyAssignment(len(unique), cells)
+	for id := range unique {
+		r := &replica{id: id, order: rendezvous.Weight(orderKey, id), cell: noCell}
+		r.ranking = a.rank(r, keptRanking)
+		a.replicas[id] = r
+	}
+	a.chooseAll()
+	return a
+}
+
+// newEmptyAssignment returns cells with the capacity for a number of replicas.
+func newEmptyAssignment(replicas, cells int) *Assignment {
+	cells = max(cells, 1)
+	a := &Assignment{replicas: make(map[string]*replica, replicas), moved: make(map[string]bool, replicas)}
+	for c := range cells {
+		a.cells = append(a.cells, cellState{name: strconv.Itoa(c), capacity: capacity(replicas, cells, c)})
 	}
 	return a
 }
 
+// chooseAll assigns all replicas. In their order nobody is displaced, as all members of a
+// cell have chosen before.
+func (a *Assignment) chooseAll() {
+	for _, r := range slices.SortedFunc(maps.Values(a.replicas), (*replica).choosesBefore) {
+		a.choose(r, 0)
+	}
+}
+
 // capacity returns the number of replicas that a cell holds; the numbers differ by at most
 // one.
 func capacity(replicas, cells, cell int) int {
@@ -74,13 +91,6 @@
 	return replicas / cells
 }
 
-func (a *Assignment) newReplica(id string) *replica {
-	r := &replica{id: id, order: rendezvous.Weight(orderKey, id), cell: noCell}
-	r.ranking = a.rank(r, keptRanking)
-	a.replicas[id] = r
-	return r
-}
-
 // Cells returns the number of cells.
 func (a *Assignment) Cells() int { return len(a.cells) }
 
@@ -110,7 +120,9 @@
 		return
 	}
 	grown := len(a.replicas) % len(a.cells) // the cell whose capacity grows, see capacity
-	r := a.newReplica(id)
+	r := &replica{id: id, order: rendezvous.Weight(orderKey, id), cell: noCell}
+	r.ranking = a.rank(r, keptRanking)
+	a.replicas[id] = r
 	a.cells[grown].capacity++
 	a.fill(grown)
 	a.choose(r, 0)
@@ -137,23 +149,59 @@
 // rank returns the first n cells of a replica's ranking: by weight, the highest first,
 // then by number.
 func (a *Assignment) rank(r *replica, n int) []uint16 {
-	type ranked struct {
-		cell   uint16
-		weight uint64
-	}
-	first := make([]ranked, 0, n+1)
+	first := make(ranking, 0, n+1)
 	for c := range a.cells {
-		x := ranked{uint16(c), rendezvous.Weight(r.id, a.cells[c].name)}
-		at := len(first)
-		for at > 0 && first[at-1].weight < x.weight {
-			at--
-		}
-		if at < n {
-			first = slices.Insert(first, at, x)[:min(len(first)+1, n)]
+		first = first.add(a.ranked(r, c), n)
+	}
+	return first.cells()
+}
+
+// rerank returns the ranking of a replica of which the first cells are known for another
+// number of cells.
+func (a *Assignment) rerank(r *replica, known []uint16, previousCells int) []uint16 {
+	first := make(ranking, 0, len(known)+1)
+	for _, c := range known {
+		if int(c) < len(a.cells) {
+			first = append(first, a.ranked(r, int(c)))
 		}
 	}
-	out := make([]uint16, 0, len(first))
-	for _, x := range first {
+	for c := previousCells; c < len(a.cells); c++ {
+		first = first.add(a.ranked(r, c), max(len(known), 1))
+	}
+	if len(first) == 0 {
+		return a.rank(r, keptRanking)
+	}
+	return first.cells()
+}
+
+func (a *Assignment) ranked(r *replica, cell int) rankedCell {
+	return rankedCell{uint16(cell), rendezvous.Weight(r.id, a.cells[cell].name)}
+}
+
+type rankedCell struct {
+	cell   uint16
+	weight uint64
+}
+
+// ranking is the beginning of the ranking of a replica.
+type ranking []rankedCell
+
+// add adds a cell with a higher number than all before if it is among the first n.
+func (l ranking) add(x rankedCell, n int) ranking {
+	at := len(l)
+	for at > 0 && l[at-1].weight < x.weight {
+		at--
+	}
+	if at >= n {
+		return l
+	}
+	l = slices.Insert(l, at, x)
+	return l[:min(len(l), n)]
+}
+
+func (l ranking) cells() []uint16 {
+	out := make([]uint16, 0, len(l))
+	for _, x := range l {
 		out = append(out, x.cell)
 	}
 	return out
@@ -161,7 +209,7 @@
 
 // cellAt returns the cell at a position of a replica's ranking.
 func (a *Assignment) cellAt(r *replica, position int) int {
-	if position >= len(r.ranking) {
+	for position >= len(r.ranking) {
 		r.ranking = a.rank(r, min(4*len(r.ranking), len(a.cells)))
 	}
 	return int(r.ranking[position])
@@ -271,5 +319,12 @@
 // Resized returns the assignment of the same replicas to another number of cells. All of
 // them are returned by its TakeMoved.
 func (a *Assignment) Resized(cells int) *Assignment {
-	return NewAssignment(slices.Collect(maps.Keys(a.replicas)), cells)
+	out := newEmptyAssignment(len(a.replicas), cells)
+	for id, old := range a.replicas {
+		r := &replica{id: id, order: old.order, cell: noCell}
+		r.ranking = out.rerank(r, old.ranking, len(a.cells))
+		out.replicas[id] = r
+	}
+	out.chooseAll()
+	return out
 }
--- a/coordination/cells/cells_test.go
+++ b/coordination/cells/cells_test.go
@@ -90,6 +90,14 @@
 			if !maps.Equal(got, want) {
 				t.Fatalf("assigned %v, not %v", got, want)
 			}
+			if rapid.IntRange(0, 9).Draw(t, "resized") == 0 {
+				cells = rapid.IntRange(1, 40).Draw(t, "cells")
+				a = a.Resized(cells)
+				want, got = assignFromScratch(slices.Collect(maps.Keys(listed)), cells), assigned(a, listed)
+				if !maps.Equal(got, want) {
+					t.Fatalf("assigned %v to %d cells, not %v", got, cells, want)
+				}
+			}
 			if anew := assignedTo(slices.Collect(maps.Keys(listed)), cells); !maps.Equal(anew, want) {
 				t.Fatalf("assigned %v at once, not %v", anew, want)
 			}
@@ -170,3 +178,12 @@
 	}
 	return out
 }
+
+// A replica that changes twice at once joins once: counted twice, it left a cell with room
+// for one more than the others.
+func TestRepeatedReplicaCountsOnce(t *testing.T) {
+	got := assignedTo([]string{"r49@1", "r73@2", "r49@1"}, 2)
+	if want := assignFromScratch([]string{"r49@1", "r73@2"}, 2); !maps.Equal(got, want) {
+		t.Errorf("assigned %v, not %v", got, want)
+	}
+}
