Only instances that own cells assign the replicas to cells

Change: the number of cells follows from counts; the assignment is made by who owns a cell, or will by its view once the list has grown, or looks up a grantor. Above 400 engines an instance that chooses itself compares 100, the same for all requests that share a prompt.

--- a/cmd/node/attempt.go
+++ b/cmd/node/attempt.go
@@ -352,7 +352,7 @@
 	a.copyHeaders()
 	a.node.counters.answersWithStatus(status).Inc(1)
 	control := http.NewResponseController(a.w)
-	_ = control.SetWriteDeadline(a.clientWriteDeadline())
+	a.limitWriteTime(control)
 	a.w.WriteHeader(status)
 	_, _ = a.w.Write(body) // an error is that of a client that has gone
 	a.countAnswerBytes(len(body))
@@ -371,7 +371,7 @@
 	chunk := make([]byte, forwardChunk)
 	for {
 		n, err := a.exchange.Read(chunk)
-		_ = control.SetWriteDeadline(a.clientWriteDeadline())
+		a.limitWriteTime(control)
 		if _, writeErr := a.w.Write(chunk[:n]); writeErr != nil {
 			return errClientGone
 		}
--- a/cmd/node/cell_partition.go
+++ b/cmd/node/cell_partition.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"quinceroad/coordination/listing"
+	"quinceroad/coordination/ownership"
 	"quinceroad/platform"
 	"quinceroad/protocol/clientrequest"
 	"quinceroad/state/catalog"
@@ -32,15 +33,15 @@
 	return kinds
 }
 
-// While the list of replicas is still growing after a start, it is not divided among cells:
-// their number would change, and all replicas with it, with nearly every change.
+// The replicas are assigned to cells only at instances that own some, and not while the
+// list is still growing after a start: with nearly every change their number would change.
 const (
 	growthBatch  = 50              // changes at once from which the list counts as growing
 	growthWindow = 2 * time.Second // time without such a change after which it has grown
 )
 
-// dividedSnapshot returns the current snapshot, in which the replicas are divided among
-// cells if they are known.
+// dividedSnapshot returns the current snapshot, in which the replicas are assigned to cells
+// if they are known.
 func (n *Node) dividedSnapshot() *snapshot {
 	snap := n.snapshot.Load()
 	if snap.divided || snap.config == nil || !snap.replicasLoaded {
@@ -50,7 +51,7 @@
 	return n.snapshot.Load()
 }
 
-// divideReplicas divides the replicas among cells from now on.
+// divideReplicas assigns the replicas to cells from now on.
 func (n *Node) divideReplicas() {
 	n.watchedMu.Lock()
 	n.replicas.divided = true
@@ -59,22 +60,37 @@
 	afterUnlock()
 }
 
-// divideGrownList divides the replicas among cells once the list has grown, so that the
-// first request doesn't have to wait for it.
-func (n *Node) divideGrownList() {
-	if snap := n.snapshot.Load(); snap.divided || snap.config == nil || !snap.replicasLoaded {
-		return
+// prepareOwnership assigns the replicas to cells once the list has grown if this instance
+// will own one of them, so that the cell's first request doesn't have to wait for it. It
+// reports whether it has decided.
+func (n *Node) prepareOwnership() bool {
+	snap := n.snapshot.Load()
+	if snap.divided {
+		return true
 	}
 	n.watchedMu.Lock()
-	hasGrown := n.now()-n.replicas.grewAt >= growthWindow
+	hasGrown := snap.config != nil && snap.replicasLoaded && n.now()-n.replicas.grewAt >= growthWindow
 	n.watchedMu.Unlock()
-	if hasGrown {
+	if hasGrown && n.willOwnCell(snap) {
 		n.divideReplicas()
 	}
+	return hasGrown
+}
+
+// willOwnCell reports whether this instance is to own a cell of its region.
+func (n *Node) willOwnCell(snap *snapshot) bool {
+	live := n.live()
+	for local := range snap.cellCount(n.home) {
+		owner, ok := ownership.Owner(live, snap.regionMap.CellNumber(n.home, local), n.home)
+		if ok && owner.Name == n.settings.Name {
+			return true
+		}
+	}
+	return false
 }
 
-func newIndex(kinds map[string]listing.Kind) *listing.Index {
-	return listing.New(func(service string) listing.Kind { return kinds[service] }, maxPoolReplicasPerCell)
+func newIndex(kinds map[string]listing.Kind, divides bool) *listing.Index {
+	return listing.New(func(service string) listing.Kind { return kinds[service] }, maxPoolReplicasPerCell, divides)
 }
 
 // cellCount returns the number of cells of a region.
--- a/cmd/node/heartbeats.go
+++ b/cmd/node/heartbeats.go
@@ -23,6 +23,7 @@
 // change.
 func (n *Node) runHeartbeats(ctx context.Context) {
 	var seen *gossip.Live
+	isPrepared := false
 	membership := newMembershipLog()
 	process.Every(ctx, heartbeatInterval, func() {
 		live := n.live()
@@ -33,7 +34,7 @@
 		}
 		n.updateFleetLevel(live)
 		n.updateReaderRole(live)
-		n.divideGrownList()
+		isPrepared = isPrepared || n.prepareOwnership()
 		n.recordLocalSpeeds()
 		n.sendHeartbeats()
 		n.gossipMu.Lock()
--- a/cmd/node/held_answers.go
+++ b/cmd/node/held_answers.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"net/http"
 	"sync"
 	"time"
 
@@ -161,8 +162,8 @@
 	return q.wasFull
 }
 
-// clientWriteDeadline returns until when a client may take to read what is written next: a
-// client that reads slowly is served for as long as its request may take.
-func (s *requestHandler) clientWriteDeadline() time.Time {
-	return time.Now().Add(max(s.deadline-s.node.now(), clientWriteTimeout))
+// limitWriteTime sets until when the client may take to read what is written next: a client
+// that reads slowly is served for as long as its request may take.
+func (s *requestHandler) limitWriteTime(control *http.ResponseController) {
+	_ = control.SetWriteDeadline(time.Now().Add(max(s.deadline-s.node.now(), clientWriteTimeout)))
 }
--- a/cmd/node/owner_test.go
+++ b/cmd/node/owner_test.go
@@ -70,7 +70,7 @@
 }
 
 func indexOf(config *catalog.Configuration, replicas []catalog.Replica) *listing.Index {
-	index := newIndex(serviceKinds(config))
+	index := newIndex(serviceKinds(config), true)
 	var all []listing.Change
 	for i := range replicas {
 		all = append(all, listing.Change{Incarnation: replicas[i].ID, Replica: &replicas[i]})
--- a/cmd/node/regions.go
+++ b/cmd/node/regions.go
@@ -92,14 +92,14 @@
 // regionOrder returns the regions whose owners may be asked to run the request's
 // stages, in the order in which they are asked.
 func (s *requestHandler) regionOrder() []string {
-	n, snap, allowed := s.node, s.node.dividedSnapshot(), s.allowedRegions()
+	n, snap, allowed := s.node, s.node.snapshot.Load(), s.allowedRegions()
 	hasInstances := make(map[string]bool)
 	for _, i := range n.liveInstances() {
 		hasInstances[i.Region] = true
 	}
 	var all []regions.Candidate
 	for _, region := range snap.regionMap.Names() {
-		if allowed.Allows(region) && (region != "" || n.home == "" || snap.list.HasCellReplicas("")) {
+		if allowed.Allows(region) && (region != "" || n.home == "" || snap.list.HasPooled("")) {
 			all = append(all, regions.Candidate{Region: region, HasReplicas: snap.hasReplicasFor(region, s.route, s.service.Name), HasInstances: hasInstances[region]})
 		}
 	}
@@ -148,7 +148,7 @@
 // runStagesIn requests the stages from the cell's owner in one region.
 func (s *requestHandler) runStagesIn(ctx context.Context, ask *pb.StagesAsk, region string) (*stageJob, error) {
 	n := s.node
-	ask.Cell = uint32(n.dividedSnapshot().cellOfRequest(s.req, region))
+	ask.Cell = uint32(n.snapshot.Load().cellOfRequest(s.req, region))
 	roundTrip := n.roundTripTo(region)
 	req := &stagesRequest{
 		ask: ask, region: region, arrivedAt: s.req.ArrivedAt, allowedRegions: s.allowedRegions,
--- a/cmd/node/remote_cache.go
+++ b/cmd/node/remote_cache.go
@@ -109,7 +109,7 @@
 // cachedPrefixIn asks the owner of a region's cell for the longest prefix of a
 // prompt that an engine there has cached.
 func (n *Node) cachedPrefixIn(region, service string, shared []catalog.PromptPart) placement.CachedPrefix {
-	snap := n.dividedSnapshot()
+	snap := n.snapshot.Load()
 	cell := snap.regionMap.CellNumber(region, int(platform.HashString(shared[len(shared)-1].ID)%uint64(snap.cellCount(region))))
 	owner, ok := ownership.Owner(n.live(), cell, region)
 	if !ok || owner.Region != region { // no instance of that region owns the cell
--- a/cmd/node/replica_choice.go
+++ b/cmd/node/replica_choice.go
@@ -8,6 +8,7 @@
 
 	"quinceroad/coordination/advisory"
 	"quinceroad/coordination/health"
+	"quinceroad/platform"
 	"quinceroad/protocol/event"
 	"quinceroad/protocol/pb"
 	"quinceroad/state/catalog"
@@ -132,26 +133,24 @@
 }
 
 // candidates returns the replicas among which this instance chooses. Of many engines these
-// are the ones in the request's cell, so that the choice does not cost more in a larger
-// fleet; they also have most of the prompt's parts cached. When the request has tried some
-// of them, it may go to all.
+// are some, so that the choice does not cost more in a larger fleet: the same ones for all
+// requests that share a prompt. When the request has tried some of them, it may go to all.
 func (s *requestHandler) candidates(snap *snapshot) []catalog.Replica {
-	allowed := s.allowedRegions()
-	_, _, eligible := snap.list.Count(s.service.Name)
-	if s.service.Engine == nil || eligible <= maxComparedEngines || len(s.tried)+len(s.avoid) > 1 || !allowed.Allows(s.node.home) {
-		return replicasInRegions(allowed, snap.eligible(s.service.Name))
+	all := replicasInRegions(s.allowedRegions(), snap.eligible(s.service.Name))
+	if s.service.Engine == nil || len(all) <= maxComparedEngines || len(s.tried)+len(s.avoid) > 1 {
+		return all
 	}
-	divided := s.node.dividedSnapshot()
-	cell := divided.cell(divided.cellOfRequest(s.req, s.node.home))
-	if listed := cell.Eligible(s.service.Name); len(listed) >= minCellEngines {
-		return listed
+	key := s.req.ID
+	if shared := s.req.SharedPrefix(); len(shared) > 0 {
+		key = shared[len(shared)-1].ID
 	}
-	return replicasInRegions(allowed, snap.eligible(s.service.Name))
+	start := int(platform.HashString(key) % uint64(len(all)-comparedEngines))
+	return all[start : start+comparedEngines]
 }
 
 const (
-	maxComparedEngines = 400 // engines that are compared for a request
-	minCellEngines     = 10  // with fewer in a cell, one that is lost or full would matter
+	maxComparedEngines = 400 // engines of which all are compared for a request
+	comparedEngines    = 100 // of more, this many
 )
 
 // healthyCandidates returns the candidates that are untried and not ejected, and
--- a/cmd/node/replica_set.go
+++ b/cmd/node/replica_set.go
@@ -24,7 +24,7 @@
 	invalid        map[string]bool          // names of entries that can't be parsed and were logged
 	loggedWarming  map[string]time.Duration // end of the warm-up that was logged, by incarnation
 
-	divided     bool            // among cells; until then all services count as plain
+	divided     bool            // the replicas are assigned to cells
 	loaded      bool            // the list was read or received
 	grewAt      time.Duration   // last time at which it was loaded or many replicas changed at once
 	outdated    map[string]bool // incarnations whose drain was inferred or stated since they were last updated
@@ -43,8 +43,9 @@
 
 // serviceTraits is what the replicas in the index depend on of a service's configuration.
 type serviceTraits struct {
-	kind   listing.Kind
-	warmUp time.Duration // 0: none
+	kind    listing.Kind
+	divided bool          // its replicas are assigned to cells if it has any
+	warmUp  time.Duration // 0: none
 }
 
 func newReplicaSet() *replicaSet {
@@ -52,7 +53,7 @@
 		changeLog:      changes.New(platform.EquivalentReplicas),
 		records:        make(map[string]*replicaRecord),
 		addresses:      make(map[string]int),
-		index:          newIndex(nil),
+		index:          newIndex(nil, false),
 		inferredDrains: make(map[string]time.Duration),
 		invalid:        make(map[string]bool),
 		loggedWarming:  make(map[string]time.Duration),
@@ -86,7 +87,7 @@
 	}
 	if traits := s.traitsOf(n.config); !maps.Equal(traits, s.services) {
 		s.services = traits
-		s.rebuild(batch, newIndex(s.kindsOf(n.config)))
+		s.rebuild(batch, newIndex(serviceKinds(n.config), s.divided))
 	}
 	s.addOutdated(batch)
 	list := make([]listing.Change, 0, len(batch))
@@ -230,24 +231,16 @@
 	return inferred || n.advisories.isDraining(incarnation)
 }
 
-// kindsOf returns how the services of a configuration are divided among cells now.
-func (s *replicaSet) kindsOf(c *catalog.Configuration) map[string]listing.Kind {
-	if !s.divided {
-		return nil
-	}
-	return serviceKinds(c)
-}
-
 func (s *replicaSet) traitsOf(c *catalog.Configuration) map[string]serviceTraits {
 	traits := make(map[string]serviceTraits)
 	if c == nil {
 		return traits
 	}
-	kinds := s.kindsOf(c)
-	for name, s := range c.Services {
-		t := serviceTraits{kind: kinds[name]}
-		if s.WarmUp != nil {
-			t.warmUp = s.WarmUp.Duration
+	kinds := serviceKinds(c)
+	for name, service := range c.Services {
+		t := serviceTraits{kind: kinds[name], divided: s.divided}
+		if service.WarmUp != nil {
+			t.warmUp = service.WarmUp.Duration
 		}
 		traits[name] = t
 	}
--- a/cmd/node/stream.go
+++ b/cmd/node/stream.go
@@ -88,7 +88,7 @@
 			return err
 		}
 		a.startStream()
-		_ = control.SetWriteDeadline(a.clientWriteDeadline())
+		a.limitWriteTime(control)
 		if _, err := a.w.Write(e.bytes); err != nil {
 			return errClientGone
 		}
--- a/coordination/listing/index.go
+++ b/coordination/listing/index.go
@@ -27,7 +27,8 @@
 // are.
 type Index struct {
 	kindOf      func(service string) Kind
-	perCell     int // replicas of a pool in a cell
+	perCell     int  // replicas of a pool in a cell
+	divides     bool // the replicas are assigned to cells
 	list        *List
 	cellCounts  map[string]int // by region
 	assignments map[place]*cells.Assignment
@@ -37,11 +38,15 @@
 type place struct{ service, region string }
 
 // New returns an index of no replicas. perCell is the number of replicas of one pool that
-// a cell may have.
-func New(kindOf func(service string) Kind, perCell int) *Index {
-	return &Index{kindOf: kindOf, perCell: perCell, list: Empty(), cellCounts: make(map[string]int), assignments: make(map[place]*cells.Assignment)}
+// a cell may have. Unless divides is set, the replicas are not assigned to cells, which is
+// most of the work, and only the cells' number is known.
+func New(kindOf func(service string) Kind, perCell int, divides bool) *Index {
+	return &Index{kindOf: kindOf, perCell: perCell, divides: divides, list: Empty(), cellCounts: make(map[string]int), assignments: make(map[place]*cells.Assignment)}
 }
 
+// hasCells reports whether the replicas of a service are assigned to cells.
+func (x *Index) hasCells(service string) bool { return x.divides && x.kindOf(service) != Plain }
+
 // List returns the newest version.
 func (x *Index) List() *List { return x.list }
 
@@ -131,7 +136,7 @@
 	r.count(e, 1)
 	d.staged[c.Incarnation] = e
 	switch {
-	case d.index.kindOf(p.service) == Plain:
+	case !d.index.hasCells(p.service):
 		r.put(0, e)
 	case e.LocalCell == NoCell:
 		d.joined[p] = append(d.joined[p], c.Incarnation)
@@ -146,7 +151,7 @@
 	r.count(old, -1)
 	d.staged[old.ID] = nil
 	r.drop(max(old.LocalCell, 0), old.ID)
-	if d.index.kindOf(p.service) != Plain {
+	if d.index.hasCells(p.service) {
 		d.left[p] = append(d.left[p], old.ID)
 	}
 }
@@ -259,7 +264,7 @@
 }
 
 func (d *draft) copyService(name string) *service {
-	s := &service{hasCells: d.index.kindOf(name) != Plain, regions: make(map[string]*regionReplicas)}
+	s := &service{kind: d.index.kindOf(name), hasCells: d.index.hasCells(name), regions: make(map[string]*regionReplicas)}
 	if old := d.base.services[name]; old != nil {
 		maps.Copy(s.regions, old.regions)
 	}
--- a/coordination/listing/listing.go
+++ b/coordination/listing/listing.go
@@ -18,7 +18,7 @@
 	"quinceroad/state/catalog"
 )
 
-// NoCell is the cell of the replicas of services that have no cells.
+// NoCell is the cell of replicas that are assigned to none.
 const NoCell = -1
 
 // Entry is a listed replica. It is immutable.
@@ -37,7 +37,8 @@
 
 // service holds the replicas of one service in one version of the list.
 type service struct {
-	hasCells bool
+	kind     Kind
+	hasCells bool // its replicas are assigned to cells
 	regions  map[string]*regionReplicas
 
 	eligibleOnce sync.Once
@@ -194,10 +195,10 @@
 	return c
 }
 
-// HasCellReplicas reports whether any cell of a region has replicas.
-func (l *List) HasCellReplicas(region string) bool {
+// HasPooled reports whether a region has replicas of pools or engines.
+func (l *List) HasPooled(region string) bool {
 	for _, s := range l.services {
-		if r := s.regions[region]; s.hasCells && r != nil && r.listed > 0 {
+		if r := s.regions[region]; s.kind != Plain && r != nil && r.listed > 0 {
 			return true
 		}
 	}
@@ -219,17 +220,6 @@
 	return true
 }
 
-// Eligible returns the replicas of a service in the cell that accept work.
-func (c Cell) Eligible(service string) []catalog.Replica {
-	var out []catalog.Replica
-	for _, e := range c.groups[service] {
-		if e.AcceptsWork() {
-			out = append(out, e.Replica)
-		}
-	}
-	return out
-}
-
 // Replicas returns the replicas of the cell, by service and incarnation.
 func (c Cell) Replicas() []catalog.Replica {
 	var out []catalog.Replica
--- a/coordination/listing/listing_test.go
+++ b/coordination/listing/listing_test.go
@@ -33,7 +33,8 @@
 // cells.
 func TestListDependsOnWhatIsListedAlone(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		x := New(kindOf, perCell)
+		x := New(kindOf, perCell, true)
+		undivided := New(kindOf, perCell, false)
 		listed := make(map[string]*catalog.Replica) // by name
 		for range rapid.IntRange(1, 12).Draw(t, "batches") {
 			var batch []Change
@@ -61,6 +62,9 @@
 			if now := describe(before); now != wasBefore {
 				t.Fatalf("the earlier version has changed from\n%s to\n%s", wasBefore, now)
 			}
+			if counts := undivided.Apply(batch); counts.CellCount("n") != x.List().CellCount("n") || counts.CellCount("s") != x.List().CellCount("s") {
+				t.Fatalf("%d and %d cells without a division", counts.CellCount("n"), counts.CellCount("s"))
+			}
 			if want := describe(fromScratch(listed)); got != want {
 				t.Fatalf("listed\n%s, not\n%s", got, want)
 			}
@@ -73,7 +77,7 @@
 	for _, r := range listed {
 		all = append(all, Change{Incarnation: r.ID, Replica: r})
 	}
-	return New(kindOf, perCell).Apply(all)
+	return New(kindOf, perCell, true).Apply(all)
 }
 
 // describe returns everything that a list can be asked for.
@@ -92,7 +96,7 @@
 		}
 	}
 	for _, region := range []string{"n", "s"} {
-		out += fmt.Sprintln(region, l.CellCount(region), l.HasCellReplicas(region))
+		out += fmt.Sprintln(region, l.CellCount(region), l.HasPooled(region))
 		for cell := range l.CellCount(region) {
 			for _, r := range l.Cell(region, cell).Replicas() {
 				out += r.ID + " "
@@ -106,7 +110,7 @@
 // were, so that their owners have nothing to do.
 func TestUntouchedCellsAreShared(t *testing.T) {
 	const replicas = 4000
-	x := New(kindOf, 30)
+	x := New(kindOf, 30, true)
 	var all []Change
 	for n := range replicas {
 		r := replicaOf(n, 1, false, false)
@@ -130,7 +134,7 @@
 func TestWorkOfAChangeDoesNotGrowWithTheList(t *testing.T) {
 	var bytes []uint64
 	for _, replicas := range []int{600, 9600} {
-		x := New(kindOf, 30)
+		x := New(kindOf, 30, true)
 		var all []Change
 		for n := range replicas {
 			r := replicaOf(n, 1, false, false)
