Readers collect changes of replicas that come by the hundred

Ruled out: a shorter pause alone; the work of all instances follows how often a batch is put in force.

Change: after an answer of 200 changes or more the reader asks again at once, for a second at the most, and puts all in force and announces them together.

--- a/cmd/node/topic_follower.go
+++ b/cmd/node/topic_follower.go
@@ -16,9 +16,9 @@
 	// Pause after a change of the replicas, so that changes that follow shortly are applied
 	// together.
 	replicaChangeDelay = 250 * time.Millisecond
-	// Added for each change, up to maxReplicaChangeDelay: when hundreds of replicas come or
-	// go at once, the next ones follow.
-	replicaChangeExtra    = 1 * time.Millisecond
+	// Number of changes in one answer from which more are expected to follow at once, and the
+	// longest time for which they are collected.
+	manyReplicaChanges    = 200
 	maxReplicaChangeDelay = 1 * time.Second
 	minStoreRetryDelay    = 100 * time.Millisecond // pause after a failed call; doubles with each failure
 	// Upper bound of that pause, so that the end of an outage is detected within the 2 s in
@@ -254,9 +254,3 @@
 // readerKey is the key of what live instances determine about this instance's role as a
 // reader.
 type readerKey struct{}
-
-// replicaChangePause returns how long a reader waits after a number of changes of the
-// replicas before it asks for the next ones.
-func replicaChangePause(changed int) time.Duration {
-	return min(replicaChangeDelay+time.Duration(changed)*replicaChangeExtra, maxReplicaChangeDelay)
-}
--- a/cmd/node/topics.go
+++ b/cmd/node/topics.go
@@ -110,6 +110,7 @@
 }
 
 func (n *Node) followReplicas(ctx context.Context) {
+	var pending unpublishedChanges
 	f := topicFollower{node: n, storeRecovery: n.storeMonitor.recovery, name: "replicas", isLoaded: n.replicasLoaded, watchesAfterPeerUpdate: true}
 	f.read = func() (func(), error) {
 		items, at, err := n.store.Replicas()
@@ -126,26 +127,45 @@
 		}, err
 	}
 	f.watch = func(wait time.Duration) (func(), error) {
+		if pending.changed > 0 {
+			wait = 0
+		}
 		items, at, err := n.store.Watch(platform.TopicReplicas, n.replicasRevision(), wait)
-		return func() { n.applyReplicaChanges(ctx, items, at) }, err
+		return func() { n.applyReplicaChanges(ctx, &pending, items, at) }, err
 	}
 	f.run(ctx)
 }
 
-// applyReplicaChanges applies the changes of the replica list that a watch returned.
-func (n *Node) applyReplicaChanges(ctx context.Context, items []platform.Entry, at uint64) {
+// unpublishedChanges are changes of the replica list that this instance has received from
+// the store and has not put in force yet, as more are to follow at once.
+type unpublishedChanges struct {
+	since   uint64        // revision from which a peer lacks none but these
+	changed int           // number of changes
+	firstAt time.Duration // arrival of the first one
+}
+
+// applyReplicaChanges applies the changes of the replica list that a watch returned. When
+// hundreds come at once, they are put in force together with those that follow: what that
+// costs all instances depends on how often it happens.
+func (n *Node) applyReplicaChanges(ctx context.Context, pending *unpublishedChanges, items []platform.Entry, at uint64) {
 	entries := make([]changes.Entry, 0, len(items))
 	for _, i := range items {
 		entries = append(entries, changes.Entry{ID: i.ReplicaName(), Value: i.Value, Revision: i.Revision, Deleted: i.Deleted})
 	}
 	n.watchedMu.Lock()
-	before := n.replicas.changeLog.CompleteSince()
+	if pending.changed == 0 {
+		pending.since, pending.firstAt = n.replicas.changeLog.CompleteSince(), n.now()
+	}
 	changed := n.replicas.changeLog.ApplyChanges(entries, at)
 	n.watchedMu.Unlock()
-	if changed > 0 {
-		event.NodeReplicasChanged.Log(n.log, "from", fromStore, "changes", changed, "at", at)
-		n.publishSnapshot()
-		n.announceReplicaChanges(before)
-		process.Sleep(ctx, replicaChangePause(changed))
+	pending.changed += changed
+	moreFollow := changed >= manyReplicaChanges && n.now()-pending.firstAt < maxReplicaChangeDelay
+	if pending.changed == 0 || moreFollow {
+		return
 	}
+	event.NodeReplicasChanged.Log(n.log, "from", fromStore, "changes", pending.changed, "at", at)
+	n.publishSnapshot()
+	n.announceReplicaChanges(pending.since)
+	*pending = unpublishedChanges{}
+	process.Sleep(ctx, replicaChangeDelay)
 }
