--- /dev/null
+++ b/cmd/node/answer.go
@@ -0,0 +1,95 @@
+package node
+
+import (
+	"io"
+	"net/http"
+	"time"
+
+	"quinceroad/platform"
+	"quinceroad/state/catalog"
+)
+
+const (
+	// Bytes up to which an answer is read in full before the client gets it, so that the
+	// request can be sent to another replica if it breaks off. A longer one is passed on as
+	// it arrives.
+	maxBufferedAnswer = 256 << 10
+	forwardChunk      = 32 << 10 // bytes of a long answer that are read at a time
+)
+
+// forwardAnswer passes an answer to the client after its headers have arrived.
+func (a *attempt) forwardAnswer(timer *time.Timer) error {
+	status := a.exchange.Header.StatusCode()
+	switch {
+	case a.head.NotRun && status == http.StatusConflict:
+		_, _ = io.Copy(io.Discard, a.exchange)
+		return errMissingInputs
+	case a.head.NotRun:
+		_, _ = io.Copy(io.Discard, a.exchange)
+		return errReplicaRefused
+	case status < http.StatusMultipleChoices && !a.head.HasSignature():
+		return errAnswerBroken
+	case status < http.StatusMultipleChoices && a.route.Kind == catalog.Stream:
+		return a.forwardStream(timer)
+	}
+	body, err := io.ReadAll(io.LimitReader(a.exchange, maxBufferedAnswer))
+	isLong := err == nil && len(body) == maxBufferedAnswer && !a.exchange.IsComplete()
+	if err != nil || !a.exchange.IsComplete() && !isLong {
+		return a.abortReasonOr(errAnswerBroken)
+	}
+	timer.Stop()
+	if status >= http.StatusInternalServerError && a.shouldRetryFailure() {
+		return errReplicaFailed
+	}
+	if a.stream.headersSent {
+		return errStreamBroken
+	}
+	a.copyHeaders()
+	a.node.counters.answersWithStatus(status).Inc(1)
+	control := http.NewResponseController(a.w)
+	a.limitWriteTime(control)
+	a.w.WriteHeader(status)
+	_, _ = a.w.Write(body) // an error is that of a client that has gone
+	a.countAnswerBytes(len(body))
+	if isLong {
+		return a.forwardRest()
+	}
+	_ = control.SetWriteDeadline(time.Time{})
+	return nil
+}
+
+// forwardRest passes on the rest of a long answer as it arrives. A client that reads slowly
+// holds up the replica.
+func (a *attempt) forwardRest() error {
+	a.stream.headersSent = true // if the answer breaks off, it must not look complete
+	control := http.NewResponseController(a.w)
+	chunk := make([]byte, forwardChunk)
+	for {
+		n, err := a.exchange.Read(chunk)
+		a.limitWriteTime(control)
+		if _, writeErr := a.w.Write(chunk[:n]); writeErr != nil {
+			return errClientGone
+		}
+		a.countAnswerBytes(n)
+		if err == io.EOF {
+			_ = control.SetWriteDeadline(time.Time{})
+			return nil
+		}
+		if err != nil {
+			return a.abortReasonOr(errStreamBroken)
+		}
+	}
+}
+
+// copyHeaders copies the replica's headers to the client's answer.
+func (a *attempt) copyHeaders() {
+	h := a.w.Header()
+	for name, value := range a.exchange.Header.All() {
+		if platform.IsForwardedHeader(string(name)) {
+			h.Add(string(name), string(value))
+		}
+	}
+	if _, ok := h["Content-Type"]; !ok {
+		h["Content-Type"] = nil // keeps net/http from guessing a type
+	}
+}
--- a/cmd/node/attempt.go
+++ b/cmd/node/attempt.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"net/http"
 	"sync/atomic"
 	"time"
@@ -27,12 +26,8 @@
 	// wait of a client.
 	replicaConnectTimeout  = 250 * time.Millisecond
 	defaultReplicaConnIdle = 6 * time.Second // idle time of a connection to a replica that states none
-	// Size up to which an answer is read in full before the client gets it, so that the
-	// request can be sent to another replica if it breaks off. A longer one is passed on as
-	// it arrives.
-	maxBufferedAnswer     = 256 << 10
-	timeoutObjectiveShare = 0.6 // fraction of the objective that a repeatable request waits for one replica
-	timeoutMeanFactor     = 4   // the wait is at least this multiple of the replica's mean answer time
+	timeoutObjectiveShare  = 0.6             // fraction of the objective that a repeatable request waits for one replica
+	timeoutMeanFactor      = 4               // the wait is at least this multiple of the replica's mean answer time
 	// Multiple of the route's gap objective after which a resumable stream fails over to
 	// another replica.
 	eventGapFactor = 5
@@ -322,72 +317,6 @@
 	return 0
 }
 
-// forwardAnswer passes an answer to the client after its headers have arrived.
-func (a *attempt) forwardAnswer(timer *time.Timer) error {
-	status := a.exchange.Header.StatusCode()
-	switch {
-	case a.head.NotRun && status == http.StatusConflict:
-		_, _ = io.Copy(io.Discard, a.exchange)
-		return errMissingInputs
-	case a.head.NotRun:
-		_, _ = io.Copy(io.Discard, a.exchange)
-		return errReplicaRefused
-	case status < http.StatusMultipleChoices && !a.head.HasSignature():
-		return errAnswerBroken
-	case status < http.StatusMultipleChoices && a.route.Kind == catalog.Stream:
-		return a.forwardStream(timer)
-	}
-	body, err := io.ReadAll(io.LimitReader(a.exchange, maxBufferedAnswer))
-	isLong := err == nil && len(body) == maxBufferedAnswer && !a.exchange.IsComplete()
-	if err != nil || !a.exchange.IsComplete() && !isLong {
-		return a.abortReasonOr(errAnswerBroken)
-	}
-	timer.Stop()
-	if status >= http.StatusInternalServerError && a.shouldRetryFailure() {
-		return errReplicaFailed
-	}
-	if a.stream.headersSent {
-		return errStreamBroken
-	}
-	a.copyHeaders()
-	a.node.counters.answersWithStatus(status).Inc(1)
-	control := http.NewResponseController(a.w)
-	a.limitWriteTime(control)
-	a.w.WriteHeader(status)
-	_, _ = a.w.Write(body) // an error is that of a client that has gone
-	a.countAnswerBytes(len(body))
-	if isLong {
-		return a.forwardRest()
-	}
-	_ = control.SetWriteDeadline(time.Time{})
-	return nil
-}
-
-// forwardRest passes on the rest of a long answer as it arrives. A client that reads slowly
-// holds up the replica.
-func (a *attempt) forwardRest() error {
-	a.stream.headersSent = true // if the answer breaks off, it must not look complete
-	control := http.NewResponseController(a.w)
-	chunk := make([]byte, forwardChunk)
-	for {
-		n, err := a.exchange.Read(chunk)
-		a.limitWriteTime(control)
-		if _, writeErr := a.w.Write(chunk[:n]); writeErr != nil {
-			return errClientGone
-		}
-		a.countAnswerBytes(n)
-		if err == io.EOF {
-			_ = control.SetWriteDeadline(time.Time{})
-			return nil
-		}
-		if err != nil {
-			return a.abortReasonOr(errStreamBroken)
-		}
-	}
-}
-
-const forwardChunk = 32 << 10 // bytes of a long answer that are read at a time
-
 // shouldRetryFailure reports whether to try another replica after a replica
 // answered with a server error, and consumes the retry budget if so. Otherwise the
 // client gets that answer.
@@ -403,16 +332,3 @@
 	}
 	return false
 }
-
-// copyHeaders copies the replica's headers to the client's answer.
-func (a *attempt) copyHeaders() {
-	h := a.w.Header()
-	for name, value := range a.exchange.Header.All() {
-		if platform.IsForwardedHeader(string(name)) {
-			h.Add(string(name), string(value))
-		}
-	}
-	if _, ok := h["Content-Type"]; !ok {
-		h["Content-Type"] = nil // keeps net/http from guessing a type
-	}
-}
--- a/cmd/node/peer_pull.go
+++ b/cmd/node/peer_pull.go
@@ -226,10 +226,7 @@
 	if size < compressFrom {
 		return out, size
 	}
-	text, err := proto.Marshal(out)
-	if err == nil {
-		text, err = pack.CompressFast(text)
-	}
+	text, err := compressMessage(out)
 	if err != nil {
 		event.NodeMessageInvalid.Log(n.log, "what", "replica changes", "from", n.settings.Name, "error", err)
 		return out, size
@@ -242,10 +239,24 @@
 	if len(answer.Packed) == 0 {
 		return answer, nil
 	}
-	text, err := pack.Decompress(answer.Packed)
+	opened := &pb.ReplicaChanges{}
+	return opened, decompressMessage(answer.Packed, opened)
+}
+
+// compressMessage returns a message for peers, compressed.
+func compressMessage(m proto.Message) ([]byte, error) {
+	text, err := proto.Marshal(m)
 	if err != nil {
 		return nil, err
 	}
-	opened := &pb.ReplicaChanges{}
-	return opened, proto.Unmarshal(text, opened)
+	return pack.CompressFast(text)
+}
+
+// decompressMessage is the reverse of compressMessage.
+func decompressMessage(packed []byte, into proto.Message) error {
+	text, err := pack.Decompress(packed)
+	if err != nil {
+		return err
+	}
+	return proto.Unmarshal(text, into)
 }
--- a/cmd/node/rate_limits.go
+++ b/cmd/node/rate_limits.go
@@ -166,8 +166,11 @@
 func (n *Node) limitedStates(snap *snapshot) map[string]string {
 	var limited map[string]float64
 	n.advisories.withRateLimits(func(t *pace.Tracker) { limited = t.Limits() })
-	grantors := n.grantorLookup()
 	out := make(map[string]string, len(limited))
+	if len(limited) == 0 {
+		return out // looking up grantors assigns the replicas to cells
+	}
+	grantors := n.grantorLookup()
 	for incarnation, perSecond := range limited {
 		grantor := "nobody"
 		if r, ok := snap.replicaByIncarnation(incarnation); ok {
--- a/cmd/node/view_sync.go
+++ b/cmd/node/view_sync.go
@@ -11,7 +11,6 @@
 	"quinceroad/coordination/gossip"
 	"quinceroad/protocol/event"
 	"quinceroad/protocol/frame"
-	"quinceroad/protocol/pack"
 	"quinceroad/protocol/pb"
 )
 
@@ -89,10 +88,7 @@
 
 // compressSyncReply returns a compressed reply and its size in bytes.
 func (n *Node) compressSyncReply(reply *pb.SyncReply, size int) (*pb.SyncReply, int) {
-	text, err := proto.Marshal(reply)
-	if err == nil {
-		text, err = pack.CompressFast(text)
-	}
+	text, err := compressMessage(reply)
 	if err != nil {
 		event.NodeMessageInvalid.Log(n.log, "what", "view", "from", n.settings.Name, "error", err)
 		return reply, size
@@ -104,10 +100,6 @@
 	if len(reply.Packed) == 0 {
 		return reply, nil
 	}
-	text, err := pack.Decompress(reply.Packed)
-	if err != nil {
-		return nil, err
-	}
 	opened := &pb.SyncReply{}
-	return opened, proto.Unmarshal(text, opened)
+	return opened, decompressMessage(reply.Packed, opened)
 }
