rollouts: replicas are no longer withheld once the orders are gone

Cause, found by reading the diff: the list now keeps what a rollout made of it, where it was built anew; with an empty view of orders nothing took that back.

Change: the view is applied until nothing is withheld.

Result: TestWithheldReplicasServeWhenOrdersAreGone, red without the change (1 of 2 replicas), green with it.

--- a/cmd/node/rollout.go
+++ b/cmd/node/rollout.go
@@ -27,6 +27,7 @@
 	fullyShifted map[string]bool             // services whose requests all go to the target version in the current snapshot
 	batchAllowed map[string]bool             // pool services whose target replicas may get a full batch
 	inFlight     map[string]*replicaInFlight // by replica ID
+	withholds    bool                        // the list of replicas has some that get no work
 }
 
 // rolloutProgress is the progress of one order as seen by this instance.
--- a/cmd/node/rollout_test.go
+++ b/cmd/node/rollout_test.go
@@ -45,6 +45,23 @@
 	}
 }
 
+// When the orders are gone, no replica stays withheld: the list keeps what the last order
+// made of it.
+func TestWithheldReplicasServeWhenOrdersAreGone(t *testing.T) {
+	is := is.New(t)
+	r := newRollouts(&platform.Settings{CanaryShare: 0.1, CanarySlack: 50})
+	r.view.Replace(0, []rollout.Order{{Service: "s", Target: "v2", Revision: 3, TimeLimit: time.Minute}}, 3)
+	index := indexOf(nil, replicasOfVersions("v1", "v2"))
+	accepting := func() int {
+		r.apply(4, nil, index)
+		_, _, eligible := index.List().Count("s")
+		return eligible
+	}
+	is.Equal(accepting(), 1)
+	r.view = rollout.NewView()
+	is.Equal(accepting(), 2)
+}
+
 // If all old replicas of a service are in a drained hall, the new version must still get
 // no more than its share.
 func TestDrainedOldReplicasDoNotRaiseShare(t *testing.T) {
--- a/cmd/node/rollout_traffic.go
+++ b/cmd/node/rollout_traffic.go
@@ -35,9 +35,10 @@
 func (r *rollouts) apply(now time.Duration, config *catalog.Configuration, index *listing.Index) map[string]*trafficShift {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.view.Empty() {
+	if r.view.Empty() && !r.withholds {
 		return nil
 	}
+	r.withholds = false
 	shifts := make(map[string]*trafficShift)
 	clear(r.othersReady)
 	clear(r.fullyShifted)
@@ -52,6 +53,7 @@
 	for e := range index.List().All() {
 		x := e.Replica
 		x.HeldByRollout = r.view.Withheld(x.Service, x.Version, r.othersReady[x.Service], r.fullyShifted[x.Service]) || r.isWithheldFromPool(config, shifts[x.Service], &x)
+		r.withholds = r.withholds || x.HeldByRollout
 		if x.HeldByRollout != e.HeldByRollout {
 			changed = append(changed, listing.Change{Incarnation: x.ID, Replica: &x})
 		}
