--- a/cmd/node/heartbeats.go
+++ b/cmd/node/heartbeats.go
@@ -197,7 +197,7 @@
 	before := n.members.Self().Incarnation
 	for i, entry := range h.News {
 		isNew := n.members.Merge(now, decodeInstance(entry))
-		if isNew && (i == 0 && isAnnouncement || n.shouldGreet(entry, i, random)) {
+		if isNew && (i == 0 && isAnnouncement || n.shouldAnswerJoin(entry, i, random)) {
 			newPeers = append(newPeers, entry.Datagram)
 		}
 	}
@@ -238,11 +238,11 @@
 	n.recordPeerLimits(senderOf(h), h.Limits)
 }
 
-// shouldGreet reports whether to send the view to a newcomer, the entry of the given
+// shouldAnswerJoin reports whether to send the view to a newcomer, the entry of the given
 // number in a heartbeat. Instances of other regions receive the view from those that they
 // contact. The caller holds gossipMu.
-func (n *Node) shouldGreet(entry *pb.InstanceNews, number int, random *rand.Rand) bool {
-	return (number == 0 || entry.Region == n.home) && n.members.ShouldGreet(random)
+func (n *Node) shouldAnswerJoin(entry *pb.InstanceNews, number int, random *rand.Rand) bool {
+	return (number == 0 || entry.Region == n.home) && n.members.ShouldAnswerJoin(random)
 }
 
 // sendNewerIncarnation replies to a heartbeat with the sender's last recorded incarnation
--- a/coordination/gossip/gossip.go
+++ b/coordination/gossip/gossip.go
@@ -111,7 +111,7 @@
 	SeedFleetSize       int           // instances beyond which the seeds are contacted less often by each
 	SettleTime          time.Duration // time without a new incarnation after which the view is considered complete
 	MaxInstances        int           // entries that are kept; further ones are ignored
-	Greeters            float64       // approximate number of instances that send their view to a newcomer
+	JoinAnswers         float64       // approximate number of instances that send their view to a newcomer
 	SyncBacklog         int           // entries waiting to be announced beyond which whole views are exchanged instead
 }
 
@@ -132,7 +132,7 @@
 		RemoteTimeoutExtra:  time.Second,
 		SyncBacklog:         50,
 		MaxInstances:        8000,
-		Greeters:            30,
+		JoinAnswers:         30,
 	}
 }
 
--- a/coordination/gossip/start_test.go
+++ b/coordination/gossip/start_test.go
@@ -8,7 +8,7 @@
 )
 
 // startingFleet is a fleet whose instances all start at once and know only the seeds. It
-// delivers what a node sends: rounds, greetings of newcomers and exchanges of views.
+// delivers what a node sends: rounds, answers to newcomers and exchanges of views.
 type startingFleet struct {
 	views    []*View
 	byName   map[string]*View
@@ -78,20 +78,20 @@
 	}
 	f.messages++
 	f.entries += len(m.Entries)
-	var greet []string
+	var newcomers []string
 	for i, entry := range m.Entries {
-		if v.Merge(f.now, entry) && (i == 0 && m.IsAnnouncement() || v.ShouldGreet(f.random)) {
-			greet = append(greet, entry.HeartbeatAddress)
+		if v.Merge(f.now, entry) && (i == 0 && m.IsAnnouncement() || v.ShouldAnswerJoin(f.random)) {
+			newcomers = append(newcomers, entry.HeartbeatAddress)
 		}
 	}
 	for _, h := range m.Heartbeats {
 		v.MergeHeartbeat(f.now, h)
 	}
-	if len(greet) == 0 {
+	if len(newcomers) == 0 {
 		return
 	}
 	view := v.BuildMessage(f.now)
-	for _, peer := range greet {
+	for _, peer := range newcomers {
 		f.deliver(v, peer, view)
 	}
 }
@@ -107,7 +107,7 @@
 
 // When all instances of a fleet start at once, the entries that each one receives for each
 // other instance do not grow with the fleet, and the messages to it grow far less: with
-// four times the instances by less than three. (If every instance greeted each newcomer,
+// four times the instances by less than three. (If every instance answered each newcomer,
 // they would grow four times.)
 func TestMessagesOfAStartDoNotGrowWithTheFleet(t *testing.T) {
 	const (
--- a/coordination/gossip/sync.go
+++ b/coordination/gossip/sync.go
@@ -98,8 +98,8 @@
 	}
 }
 
-// ShouldGreet reports whether to send the view to a newcomer. All instances hear of it,
-// and a bounded number of them is to greet it.
-func (v *View) ShouldGreet(random *rand.Rand) bool {
-	return random.Float64()*float64(len(v.rows)) < v.opts.Greeters
+// ShouldAnswerJoin reports whether to send the view to a newcomer. All instances hear of it,
+// and a bounded number of them answers.
+func (v *View) ShouldAnswerJoin(random *rand.Rand) bool {
+	return random.Float64()*float64(len(v.rows)) < v.opts.JoinAnswers
 }
