--- a/coordination/gossip/gossip.go
+++ b/coordination/gossip/gossip.go
@@ -14,54 +14,9 @@
 	"cmp"
 	"math"
 	"slices"
-	"strconv"
 	"time"
-
-	"github.com/cespare/xxhash/v2"
-)
-
-// Instance is the entry that an instance announces about itself.
-type Instance struct {
-	Name             string
-	Hall             string
-	Region           string   // region of the hall; "": unknown
-	Incarnation      uint64   // increases with every start
-	HeartbeatCount   uint64   `json:"Count"` // heartbeats sent in this incarnation
-	Leaving          bool     // a planned shutdown has begun
-	ClientAddress    string   `json:"Front"`      // IP:port for clients
-	PeerAddress      string   `json:"Link"`       // IP:port for connections from peers
-	HeartbeatAddress string   `json:"Datagram"`   // IP:port for heartbeats
-	ConfigVersion    uint64   `json:"Configured"` // version of the configuration in force
-	OwnedCells       []uint32 `json:"Owns"`       // cells that the instance owns
-	CPUShare         uint32   `json:"Share"`      // share of a processor, in thousandths
-	IsReader         bool     `json:"Reads"`      // watches the store on behalf of its hall
-	StoreUnreachable bool     `json:"Blind"`      // its last attempt to reach the store failed
-	Level            uint32   // feature level of its build, see package featurelevel; 0: not announced
-
-	HeartbeatAge time.Duration `json:"Age"` // in messages: time since the counter last increased, as seen by the sender
-}
-
-const (
-	settledHeartbeats = 8 // heartbeats after which an instance counts as settled
-	cpuShareSteps     = 4 // granularity of the ranking by CPU share
 )
 
-// CPURankCount is the number of distinct ranks that CPURank returns.
-const CPURankCount = cpuShareSteps + 1
-
-// Settled reports whether the instance has run long enough to be relied on.
-func (i *Instance) Settled() bool { return i.HeartbeatCount >= settledHeartbeats }
-
-// CPURank returns a function that ranks instances by their CPU share: rank 0 has
-// about the largest share of the given instances.
-func CPURank(all []*Instance) func(*Instance) int {
-	largest := uint32(1)
-	for _, i := range all {
-		largest = max(largest, i.CPUShare)
-	}
-	return func(i *Instance) int { return cpuShareSteps - int(i.CPUShare*cpuShareSteps/largest) }
-}
-
 // View is one instance's view of the fleet. It is not safe for concurrent use.
 type View struct {
 	opts Options
@@ -303,102 +258,6 @@
 	}
 }
 
-// Message is the payload of a gossip round: the sender's entry, full entries of some
-// other instances, and only the counters of more.
-type Message struct {
-	Entries    []Instance // the sender's entry first
-	Heartbeats []Heartbeat
-}
-
-// IsAnnouncement reports whether the message tells of its sender alone, as a starting
-// instance does to the seeds. Whoever receives it answers with its view.
-func (m *Message) IsAnnouncement() bool { return len(m.Entries) == 1 && len(m.Heartbeats) == 0 }
-
-// Heartbeat is the counter of the incarnation with the given key.
-type Heartbeat struct {
-	Key   uint32
-	Count uint64
-}
-
-// Key returns a short hash that identifies an incarnation within a view.
-func (i *Instance) Key() uint32 {
-	return uint32(xxhash.Sum64String(i.Name + "/" + strconv.FormatUint(i.Incarnation, 36)))
-}
-
-// BuildMessage returns a message with recently changed entries and one more entry,
-// round-robin, in full. Half of its counters are the most recently updated ones, the
-// rest rotates through the other live instances. The work does not grow with the
-// fleet.
-func (v *View) BuildMessage(now time.Duration) Message {
-	m := Message{Entries: []Instance{v.self}}
-	if len(v.sorted) == 0 {
-		return m
-	}
-	v.messages++
-	v.cursor++
-	m.addEntry(v, now, v.sorted[v.cursor%len(v.sorted)])
-	for range min(len(v.pending), v.opts.FullEntries-1) {
-		r := v.pending[0]
-		v.pending = v.pending[1:]
-		r.announcements++
-		r.inPending = r.announcements < announcementsPerChange && v.rows[r.Name] == r
-		if r.inPending {
-			v.pending = append(v.pending, r)
-		}
-		m.addEntry(v, now, r)
-	}
-	v.addRecentCounters(now, &m)
-	v.addRotatedCounters(now, &m)
-	return m
-}
-
-func (m *Message) addEntry(v *View, now time.Duration, r *row) {
-	if r.message != v.messages {
-		r.message = v.messages
-		m.Entries = append(m.Entries, r.entry(now))
-	}
-}
-
-// addRecentCounters adds the counters that have increased last.
-func (v *View) addRecentCounters(now time.Duration, m *Message) {
-	visited := 0
-	for r := v.recent.first; r != nil && visited < v.opts.MaxHeartbeats && len(m.Heartbeats) < v.opts.MaxHeartbeats/2; r = r.older {
-		visited++
-		v.addCounter(now, m, r)
-	}
-}
-
-// addRotatedCounters adds the counters of the next live instances in turn.
-func (v *View) addRotatedCounters(now time.Duration, m *Message) {
-	for range min(len(v.sorted), 2*v.opts.MaxHeartbeats) {
-		if len(m.Heartbeats) >= v.opts.MaxHeartbeats {
-			return
-		}
-		v.rotation++
-		v.addCounter(now, m, v.sorted[v.rotation%len(v.sorted)])
-	}
-}
-
-func (v *View) addCounter(now time.Duration, m *Message, r *row) {
-	if r.message == v.messages || !v.alive(now, r) {
-		return
-	}
-	r.message = v.messages
-	m.Heartbeats = append(m.Heartbeats, Heartbeat{Key: r.key, Count: r.HeartbeatCount})
-}
-
-// entry returns a row as it is announced. Without the age, a dead instance would
-// look alive again to every receiver that has an older count of it, and through
-// that receiver to others.
-func (r *row) entry(now time.Duration) Instance {
-	i := r.Instance
-	i.HeartbeatAge = max(now-r.lastHeartbeat, 0)
-	return i
-}
-
-// announcementsPerChange is how often a changed entry is announced in full.
-const announcementsPerChange = 4
-
 // MergeHeartbeat applies a counter from a message.
 func (v *View) MergeHeartbeat(now time.Duration, h Heartbeat) {
 	r := v.byKey[h.Key]
--- a/coordination/gossip/targets.go
+++ b/coordination/gossip/targets.go
@@ -62,7 +62,7 @@
 	return append(sample(local, v.opts.Fanout-1, random), remote[random.IntN(len(remote))])
 }
 
-// sample returns up to n distinct elements, chosen at random. Its work depends on n
+// sample returns up to n distinct random elements. Its work depends on n
 // alone.
 func sample(all []string, n int, random *rand.Rand) []string {
 	if len(all) <= n {
