--- a/Makefile
+++ b/Makefile
@@ -18,6 +18,7 @@
 
 lint:
 	@out=$$(gofmt -l $$(git ls-files '*.go' 2>/dev/null)); if [ -n "$$out" ]; then echo "gofmt: $$out"; exit 1; fi
+	@built=$$(git ls-files '*.test' '*.o' '*.a' '*.so' '*.exe'; git grep -laP '\A\x7fELF'); if [ -n "$$built" ]; then echo "built files are tracked: $$built"; exit 1; fi
 	$(GO) vet ./...
 	$(GO) tool staticcheck ./...
 
