--- a/cmd/node/node.go
+++ b/cmd/node/node.go
@@ -111,19 +111,15 @@
 }
 
 // New returns a node that is not started.
-func New(s *platform.Settings, log hclog.Logger) *Node {
-	return NewWithClock(s, log, clock.New())
-}
-
-// NewWithClock returns a node that is not started and uses the given clock.
-func NewWithClock(s *platform.Settings, log hclog.Logger, c *clock.Clock) *Node {
+func New(s *platform.Settings, log hclog.Logger, opts ...Option) *Node {
+	o := buildOptions(opts)
 	n := &Node{
 		settings:       s,
 		log:            log,
 		store:          platform.NewStore(s.StoreAddress),
-		replicaClient:  upstream.NewWithClock(c),
+		replicaClient:  upstream.NewWithClock(o.clock).WithDialer(o.dialReplicaBy),
 		registry:       metrics.NewRegistry(),
-		clock:          c,
+		clock:          o.clock,
 		regionMap:      regions.New(s.RegionByHall),
 		replicas:       newReplicaSet(),
 		drainedHalls:   evacuation.New(),
--- a/transport/upstream/upstream.go
+++ b/transport/upstream/upstream.go
@@ -37,9 +37,18 @@
 	maxAnswerBytes = 4 << 20          // of an answer's body
 )
 
+// Dialer opens a connection to an address within a time limit.
+type Dialer func(addr string, timeout time.Duration) (net.Conn, error)
+
+// DialTCP is the Dialer of the machine's own network.
+func DialTCP(addr string, timeout time.Duration) (net.Conn, error) {
+	return net.DialTimeout("tcp", addr, timeout)
+}
+
 // Client opens connections to replicas and holds the idle ones by address.
 type Client struct {
 	clock *clock.Clock
+	dial  Dialer
 	mu    sync.Mutex
 	idle  map[string][]*Conn
 }
@@ -49,7 +58,16 @@
 
 // NewWithClock returns a client that uses the given clock, so that the idle time
 // of connections includes suspensions of the machine.
-func NewWithClock(c *clock.Clock) *Client { return &Client{clock: c, idle: make(map[string][]*Conn)} }
+func NewWithClock(c *clock.Clock) *Client {
+	return &Client{clock: c, dial: DialTCP, idle: make(map[string][]*Conn)}
+}
+
+// WithDialer has the client open its connections by the given function. It is called
+// before the client is used.
+func (c *Client) WithDialer(dial Dialer) *Client {
+	c.dial = dial
+	return c
+}
 
 // Conn is a connection to a replica that carries one request at a time.
 type Conn struct {
@@ -84,7 +102,7 @@
 
 // Dial opens a new connection to addr.
 func (c *Client) Dial(addr string, timeout time.Duration) (*Conn, error) {
-	n, err := net.DialTimeout("tcp", addr, timeout)
+	n, err := c.dial(addr, timeout)
 	if err != nil {
 		return nil, errors.Join(ErrConnect, err)
 	}
