relay: a connection to a replica over a stream between two instances

An end that the replica did not make in order, by a reset or the loss of the relaying instance, is told from one that it did: an answer that ends with its connection must not look complete when it is not (tests first written against a plain copy would pass a reset off as an end). Close reaches the other end, a reader that waits is ended, a requester that does not read holds the replica up.

upstream: relayed connections are pooled like others and tell themselves whether they are idle; those over the own link can be closed apart from them.

--- a/coordination/health/health.go
+++ b/coordination/health/health.go
@@ -123,6 +123,14 @@
 	r.isLocal = true
 }
 
+// Reinstate ends an ejection by this instance's own evidence. It is called when that evidence
+// turns out to be about the link to the replica.
+func (d *Detector) Reinstate(id string) {
+	if r := d.replicas[id]; r != nil && r.isLocal {
+		r.ejectedUntil, r.ejection = 0, 0
+	}
+}
+
 // RecordRemoteEjection adopts another instance's ejection of a replica with its
 // remaining time, at most MaxRemoteEjection.
 func (d *Detector) RecordRemoteEjection(now time.Duration, id string, remaining time.Duration) {
--- a/protocol/frame/frame.go
+++ b/protocol/frame/frame.go
@@ -35,6 +35,7 @@
 	TrialLease                       // TrialAsk -> TrialReply once the sender has the lease, then QuarantineCase; closing the stream ends it
 	SendGrant                        // PaceAsk -> PaceReply
 	SyncView                         // SyncAsk -> SyncReply
+	Relay                            // RelayAsk -> RelayReply, then the bytes of a connection to a replica (package relay)
 )
 
 // UnknownKind is the reply to a stream whose kind the peer does not know. It is the
--- /dev/null
+++ b/transport/relay/relay.go
@@ -0,0 +1,156 @@
+// Package relay carries a connection to a replica over a stream between two instances: the
+// requesting instance holds a Conn, the relaying one runs Serve between the stream and its own
+// connection to the replica.
+//
+// Bytes to the replica are sent as they are; closing the stream closes the connection. Bytes
+// from the replica come in blocks, each with its length in four bytes (big endian), and a
+// block of length 0 states that the replica closed its connection in order. A stream that
+// ends without it was broken off, so that an answer that ends with its connection does not
+// look complete when it is not.
+package relay
+
+import (
+	"bufio"
+	"encoding/binary"
+	"errors"
+	"io"
+	"net"
+	"os"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+const (
+	lengthBytes = 4
+	// blockBytes is the size of the largest block with its length. A relaying instance
+	// holds one, and what the stream's window allows, for each connection.
+	blockBytes = 16 << 10
+)
+
+// ErrBroken is returned by a Conn whose stream ended before the replica had closed its
+// connection, and for an invalid block.
+var ErrBroken = errors.New("relay: the connection broke off")
+
+// Conn is the requesting end of a relayed connection.
+type Conn struct {
+	net.Conn // the stream
+	r        *bufio.Reader
+	left     int  // bytes of the current block that are not read yet
+	hasEnded bool // the replica has closed its connection
+	isClosed atomic.Bool
+}
+
+// NewConn returns the requesting end on a stream whose relaying end is served by Serve.
+func NewConn(stream net.Conn) *Conn { return &Conn{Conn: stream, r: bufio.NewReader(stream)} }
+
+// Read implements net.Conn. It returns io.EOF only after the replica has closed its
+// connection in order.
+func (c *Conn) Read(b []byte) (int, error) {
+	if len(b) == 0 {
+		return 0, nil
+	}
+	if err := c.nextBlock(); err != nil {
+		return 0, err
+	}
+	n, err := c.r.Read(b[:min(len(b), c.left)])
+	c.left -= n
+	if n > 0 {
+		return n, nil
+	}
+	return 0, c.readError(err)
+}
+
+// nextBlock reads the length of the next block once the current one is read. A deadline
+// that passes meanwhile loses no byte.
+func (c *Conn) nextBlock() error {
+	if c.left > 0 {
+		return nil
+	}
+	if c.hasEnded {
+		return io.EOF
+	}
+	head, err := c.r.Peek(lengthBytes)
+	if err != nil {
+		return c.readError(err)
+	}
+	length := binary.BigEndian.Uint32(head)
+	if length > blockBytes {
+		return ErrBroken
+	}
+	_, _ = c.r.Discard(lengthBytes)
+	c.left = int(length)
+	if length == 0 {
+		c.hasEnded = true
+		return io.EOF
+	}
+	return nil
+}
+
+// readError returns the error for one of the stream.
+func (c *Conn) readError(err error) error {
+	var timeout net.Error
+	switch {
+	case c.isClosed.Load():
+		return net.ErrClosed
+	case errors.As(err, &timeout) && timeout.Timeout():
+		return os.ErrDeadlineExceeded
+	}
+	return errors.Join(ErrBroken, err)
+}
+
+// Close implements net.Conn. It ends a Read that waits, which the stream alone does not.
+func (c *Conn) Close() error {
+	c.isClosed.Store(true)
+	err := c.Conn.Close()
+	_ = c.Conn.SetReadDeadline(time.Unix(1, 0))
+	return err
+}
+
+// IsIdle reports whether the connection is open and has nothing to read.
+func (c *Conn) IsIdle() bool {
+	if c.left > 0 || c.hasEnded || c.isClosed.Load() || c.Conn.SetReadDeadline(time.Unix(1, 0)) != nil {
+		return false
+	}
+	_, err := c.r.Peek(1)
+	isIdle := errors.Is(c.readError(err), os.ErrDeadlineExceeded)
+	return c.Conn.SetReadDeadline(time.Time{}) == nil && isIdle
+}
+
+// Serve copies between a stream and a connection to a replica until one of them ends, and
+// closes both. It returns the bytes sent to the replica and received from it.
+func Serve(stream, replica net.Conn) (sent, received int64) {
+	var requester sync.WaitGroup
+	requester.Go(func() {
+		sent, _ = io.Copy(replica, stream) // ends when either side closes
+		_ = replica.Close()
+		_ = stream.Close()
+	})
+	received = copyBlocks(stream, replica)
+	_ = replica.Close()
+	_ = stream.Close()
+	_ = stream.SetReadDeadline(time.Unix(1, 0))
+	requester.Wait()
+	return sent, received
+}
+
+// copyBlocks copies what the replica sends, and its orderly close, to the stream.
+func copyBlocks(stream io.Writer, replica io.Reader) (received int64) {
+	block := make([]byte, blockBytes)
+	for {
+		n, err := replica.Read(block[lengthBytes:])
+		if n > 0 {
+			received += int64(n)
+			binary.BigEndian.PutUint32(block, uint32(n))
+			if _, err := stream.Write(block[:lengthBytes+n]); err != nil {
+				return received
+			}
+		}
+		if errors.Is(err, io.EOF) {
+			_, _ = stream.Write(make([]byte, lengthBytes))
+		}
+		if err != nil {
+			return received
+		}
+	}
+}
--- a/transport/upstream/exchange.go
+++ b/transport/upstream/exchange.go
@@ -142,7 +142,7 @@
 	}
 	x.released = true
 	if x.canReuse(idle) {
-		x.conn.keepIdle(idle)
+		x.conn.KeepIdle(idle)
 		return
 	}
 	x.conn.Close()
@@ -165,8 +165,8 @@
 	return x.conn.r.Buffered() == 0
 }
 
-// keepIdle returns the connection to its client, which may reuse it for idle.
-func (cn *Conn) keepIdle(idle time.Duration) {
+// KeepIdle returns the connection to its client, which may reuse it for idle.
+func (cn *Conn) KeepIdle(idle time.Duration) {
 	_ = cn.net.SetDeadline(time.Time{})
 	cn.idleUntil = cn.client.clock.Now() + idle
 	cn.client.putIdle(cn)
--- a/transport/upstream/upstream.go
+++ b/transport/upstream/upstream.go
@@ -12,6 +12,7 @@
 	"errors"
 	"net"
 	"os"
+	"slices"
 	"sync"
 	"time"
 
@@ -76,6 +77,7 @@
 	net       net.Conn
 	r         *bufio.Reader
 	w         *bufio.Writer
+	isRelayed bool
 	lastUsed  time.Duration
 	idleUntil time.Duration // when the upstream may close the idle connection; 0: idleTimeout after lastUsed
 }
@@ -102,13 +104,43 @@
 
 // Dial opens a new connection to addr.
 func (c *Client) Dial(addr string, timeout time.Duration) (*Conn, error) {
+	n, err := c.DialRaw(addr, timeout)
+	if err != nil {
+		return nil, err
+	}
+	return c.wrap(addr, n), nil
+}
+
+// DialRaw opens a connection to addr that carries whatever its caller sends.
+func (c *Client) DialRaw(addr string, timeout time.Duration) (net.Conn, error) {
 	n, err := c.dial(addr, timeout)
 	if err != nil {
 		return nil, errors.Join(ErrConnect, err)
 	}
-	return &Conn{client: c, addr: addr, net: n, r: bufio.NewReader(n), w: bufio.NewWriter(n)}, nil
+	return n, nil
 }
 
+func (c *Client) wrap(addr string, n net.Conn) *Conn {
+	return &Conn{client: c, addr: addr, net: n, r: bufio.NewReader(n), w: bufio.NewWriter(n)}
+}
+
+// Relayed returns a connection to addr that a peer opened and relays.
+func (c *Client) Relayed(addr string, n RelayedConn) *Conn {
+	cn := c.wrap(addr, n)
+	cn.isRelayed = true
+	return cn
+}
+
+// RelayedConn is a connection that tells itself whether it is idle.
+type RelayedConn interface {
+	net.Conn
+	// IsIdle reports whether the connection is open and has nothing to read.
+	IsIdle() bool
+}
+
+// IsRelayed reports whether a peer relays the connection.
+func (cn *Conn) IsRelayed() bool { return cn.isRelayed }
+
 // canReuse reports whether an idle connection may carry another request.
 func (cn *Conn) canReuse() bool {
 	idleUntil := cn.idleUntil
@@ -170,12 +202,34 @@
 // CloseIdle closes the idle connections to addr. It is called when the process that
 // accepted them has ended.
 func (c *Client) CloseIdle(addr string) {
+	c.closeIdle(addr, func(*Conn) bool { return true })
+}
+
+// CloseIdleRelayed closes the idle connections to addr that peers relay. It is called when
+// addr is reached without them.
+func (c *Client) CloseIdleRelayed(addr string) { c.closeIdle(addr, (*Conn).IsRelayed) }
+
+// CloseIdleDirect closes the idle connections to addr that no peer relays. It is called when
+// nothing arrives over them any more.
+func (c *Client) CloseIdleDirect(addr string) {
+	c.closeIdle(addr, func(cn *Conn) bool { return !cn.isRelayed })
+}
+
+func (c *Client) closeIdle(addr string, isAffected func(*Conn) bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	for _, cn := range c.idle[addr] {
-		_ = cn.net.Close()
+	kept := slices.DeleteFunc(c.idle[addr], func(cn *Conn) bool {
+		if isAffected(cn) {
+			_ = cn.net.Close()
+			return true
+		}
+		return false
+	})
+	if len(kept) == 0 {
+		delete(c.idle, addr)
+		return
 	}
-	delete(c.idle, addr)
+	c.idle[addr] = kept
 }
 
 // Close closes the connection, by which a replica cancels the request in
@@ -184,7 +238,12 @@
 
 // isIdle reports whether an idle connection is open and has nothing to read. A
 // request on a closed one would be lost, and unread bytes are a late answer.
-func isIdle(c net.Conn) bool { return peek.Inspect(c) == peek.Idle }
+func isIdle(c net.Conn) bool {
+	if r, ok := c.(RelayedConn); ok {
+		return r.IsIdle()
+	}
+	return peek.Inspect(c) == peek.Idle
+}
 
 // send writes the request; from then on it may have been executed.
 func (cn *Conn) send(d outcome.DispatchToken, req *fasthttp.Request) error {
