Instances reach replicas through a peer when their own link is cut

What callers saw: an instance cut from all replicas refused nearly all first tries (49 of 83 and 1 of 21 served, the others 184 of 187, 210 of 215); with the owner of the pools cut, every instance refused.

Cause: who serves, owns or chooses is given to whoever is alive, and the only way to a replica was the instance's own link. What it concluded from that link, refused or hanging, was counted against the replicas and told to the others.

Mend: the connection is what is missing, so the connection is what a peer lends. Whoever needs one (attempts, calls of pools, reports, liveness probes) gets it over the own link, or through a peer when that does not come up in 50 ms or is known to be cut; the peer that does connect is the proof that the link is cut. Deadlines, at most once, not run, cancelling, streams, budgets and grants stay where they were, with the instance that sends. A role need not move: a cut owner does its work through a peer. - Evidence from a cut link is dropped: ejections, ends of replicas, version judgements. - Open connections over a link that hangs, or that has broken one, are closed; one link of each other service is checked as soon as one is found cut; a call without an answer after 600 ms has its link checked, and is sent again through a peer if that is cut. - The own link is tried each 500 ms, one replica of a service at a time; when one is reached, all others at once. - A peer relays what its memory allows and refuses before; peers of the own region alone.

Ruled out: handing requests over (deadlines, attempts, streams and what has run would be kept twice), moving the owner (an owner that reaches its pool through a peer need not move).

--- a/cmd/node/attempt.go
+++ b/cmd/node/attempt.go
@@ -60,7 +60,7 @@
 	if !s.acquireSendGrant(ctx, &r) {
 		return errRateLimited
 	}
-	conn, err := n.connectReplica(ctx, r.Address, replicaConnectTimeout)
+	conn, err := n.connectReplica(ctx, targetOf(&r), replicaConnectTimeout)
 	if err != nil {
 		if !isDone(ctx) {
 			s.recordHealth(r.ID, health.Unreachable)
@@ -121,6 +121,22 @@
 
 // endingKind classifies how the attempt ended.
 func (a *attempt) endingKind(ctx context.Context, err error) sendresult.Kind {
+	kind := a.apparentEnding(ctx, err)
+	switch kind {
+	case sendresult.ConnectionBroken, sendresult.ResponseTimeout, sendresult.DeadlineExceeded:
+		if !a.isOverCutLink() {
+			return kind
+		}
+		if kind == sendresult.ConnectionBroken {
+			a.node.recordLostOpen(a.replica.ID)
+		}
+		return sendresult.LinkLost
+	}
+	return kind
+}
+
+// apparentEnding classifies how the attempt ended if its link is sound.
+func (a *attempt) apparentEnding(ctx context.Context, err error) sendresult.Kind {
 	switch {
 	case err == nil && a.exchange.Header.StatusCode() >= http.StatusInternalServerError:
 		return sendresult.Failed
@@ -176,6 +192,9 @@
 		a.record.MarkNotRun(a.token)
 		delete(a.tried, a.replica.ID)
 	}
+	if kind == sendresult.ResponseTimeout || kind == sendresult.DeadlineExceeded {
+		a.checkLinkLater()
+	}
 	evidence := kind.Evidence()
 	if evidence.Health != nil {
 		a.recordHealth(a.replica.ID, *evidence.Health)
--- a/cmd/node/cell.go
+++ b/cmd/node/cell.go
@@ -157,6 +157,10 @@
 	fingerprints := c.callFingerprints(call)
 	probe := n.recordBrokenAnswers(&catalog.Replica{ID: call.Replica, Service: call.Service, Address: call.Address}, sentAt, slices.Collect(maps.Values(fingerprints))...)
 	if !n.awaitLivenessProbe(ctx, probe) {
+		if n.replicaLinks.isCut(call.Replica) {
+			n.recordLostOpen(call.Replica)
+			return pipeline.LinkLost
+		}
 		return pipeline.Broken
 	}
 	for request, f := range fingerprints {
--- a/cmd/node/counters.go
+++ b/cmd/node/counters.go
@@ -49,6 +49,11 @@
 	pushedChanges       metrics.Counter // changes of replicas received with announcements
 	slowReaders         metrics.Counter // streams that were held up because their clients read slowly
 	syncedInstances     metrics.Counter // instances learned from exchanges of whole views
+	relayedConnections  metrics.Counter // connections to replicas that peers relay for this instance
+	relayFailures       metrics.Counter // connections that no peer could relay
+	peerConnections     metrics.Counter // connections to replicas that this instance relays for peers
+	peerRefusals        metrics.Counter // of those asked for, the ones that this instance refused as it relays too many
+	linkProbes          metrics.Counter // tries of the own link to replicas that are cut off
 	unknownFields       metrics.Counter // unknown fields in replicas' answers and reports
 }
 
@@ -95,6 +100,11 @@
 		pushedChanges:       counter("node.replicas_pushed"),
 		slowReaders:         counter("node.slow_readers"),
 		syncedInstances:     counter("node.view_synced"),
+		relayedConnections:  counter("node.relays.used"),
+		relayFailures:       counter("node.relays.none"),
+		peerConnections:     counter("node.relays.served"),
+		peerRefusals:        counter("node.relays.refused"),
+		linkProbes:          counter("node.relays.probes"),
 		unknownFields:       counter("node.words_unread"),
 	}
 }
--- a/cmd/node/heartbeats.go
+++ b/cmd/node/heartbeats.go
@@ -336,6 +336,8 @@
 		n.serveTrial(first, stream)
 	case frame.SendGrant:
 		_ = frame.Write(stream, frame.Reply, n.answerGrantRequest(first, stream.RemoteAddr().String()))
+	case frame.Relay:
+		n.serveRelay(first, stream)
 	case frame.RunStages:
 		n.owner.serveStagesStream(first, stream)
 	default: // a frame kind of a later build; the reply lets it distinguish this from a failure
--- a/cmd/node/liveness_probe.go
+++ b/cmd/node/liveness_probe.go
@@ -145,9 +145,9 @@
 	defer close(p.done)
 	incarnation := p.incarnation
 	n.counters.replicaProbes.Inc(1)
-	err := n.probeConnection(r.Address)
+	err := n.probeConnection(targetOf(&r))
 	for attempts := 1; errors.Is(err, errConnectionEnded) && attempts < maxProbeConnections; attempts++ {
-		err = n.probeConnection(r.Address)
+		err = n.probeConnection(targetOf(&r))
 	}
 	switch {
 	case err == nil, errors.Is(err, errConnectionEnded):
@@ -168,8 +168,8 @@
 var errConnectionEnded = errors.New("the connection was closed at once")
 
 // probeConnection opens a connection to a replica and checks that it stays open.
-func (n *Node) probeConnection(address string) error {
-	conn, err := n.replicaClient.Dial(address, livenessProbeTimeout)
+func (n *Node) probeConnection(t replicaTarget) error {
+	conn, err := n.dialReplica(context.Background(), t, livenessProbeTimeout)
 	if err != nil {
 		return err
 	}
--- a/cmd/node/node.go
+++ b/cmd/node/node.go
@@ -86,6 +86,7 @@
 	level          fleetLevel         // has its own lock; no other is acquired under it
 	customers      customerCounts     // has its own lock; no other is acquired under it
 	heldAnswers    *heldAnswers       // has its own lock; no other is acquired under it
+	replicaLinks   *replicaLinks      // has its own lock; no other is acquired under it
 
 	detectorMu     sync.Mutex // guards the fields up to deadlines
 	detector       *health.Detector
@@ -129,6 +130,7 @@
 		quarantine:     newQuarantineTracker(jitterOf(s.Name)),
 		advisories:     newAdvisories(),
 		heldAnswers:    newHeldAnswers(s),
+		replicaLinks:   newReplicaLinks(s.MemoryMB),
 		storeMonitor:   newStoreMonitor(),
 		jitter:         jitterOf(s.Name),
 		detector:       health.New(health.DefaultOptions()),
@@ -186,7 +188,7 @@
 	n.cancel = cancel
 	n.group, ctx = errgroup.WithContext(ctx)
 	loops := []func(context.Context){
-		n.followIntent, n.followReplicas, n.keepRegistered, n.monitorStore, n.runHeartbeats, n.receiveHeartbeats, n.syncViews, n.owner.runTicks, n.housekeeping, n.followRollouts, n.runAdvisorySweeps,
+		n.followIntent, n.followReplicas, n.keepRegistered, n.monitorStore, n.runHeartbeats, n.receiveHeartbeats, n.syncViews, n.owner.runTicks, n.housekeeping, n.followRollouts, n.runAdvisorySweeps, n.probeLinks,
 	}
 	for _, loop := range loops {
 		n.group.Go(func() error {
@@ -261,6 +263,7 @@
 		n.logDropped()
 		n.rollouts.prune()
 		n.pruneQuarantine()
+		n.pruneLinks()
 		n.replicaClient.CloseIdleExcept(n.isListedAddress)
 		n.links.Sweep(time.Now())
 		n.detectorMu.Lock()
--- a/cmd/node/replica_calls.go
+++ b/cmd/node/replica_calls.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"io"
+	"sync/atomic"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -44,6 +45,8 @@
 		return nil, pipeline.Refused
 	case errors.Is(err, upstream.ErrConnect):
 		return nil, pipeline.Unreachable
+	case errors.Is(err, errLinkLost):
+		return nil, pipeline.LinkLost
 	case err != nil && ctx.Err() != nil:
 		return nil, pipeline.TimedOut
 	case err != nil:
@@ -136,13 +139,26 @@
 }
 
 // callReplica calls a replica and reads its answer.
-func (n *Node) callReplica(ctx context.Context, c replicaCall) (int, platform.ResponseHead, []byte, error) {
-	cn, err := n.connectReplica(ctx, c.address, callConnectTimeout)
+func (n *Node) callReplica(ctx context.Context, c replicaCall) (status int, head platform.ResponseHead, data []byte, err error) {
+	target := replicaTarget{id: c.source.incarnation, service: c.source.service, address: c.address}
+	cn, err := n.connectReplica(ctx, target, callConnectTimeout)
 	if err != nil {
 		return 0, platform.ResponseHead{}, nil, err
 	}
 	stop := context.AfterFunc(ctx, cn.Close)
 	defer stop()
+	var isLinkLost atomic.Bool
+	if c.isWork && !cn.IsRelayed() {
+		defer n.watchLink(target, lateCallTime, func() {
+			isLinkLost.Store(true)
+			cn.Close()
+		})()
+	}
+	defer func() {
+		if err != nil && isLinkLost.Load() {
+			err = errors.Join(errLinkLost, err)
+		}
+	}()
 	advisoryAttempt, ok := n.beginCall(c)
 	if !ok {
 		cn.Close()
@@ -174,8 +190,8 @@
 		x.Release(0)
 		return 0, platform.ResponseHead{}, nil, err
 	}
-	head := n.recordAnswerHead(c.source, advisoryAttempt, &x.Header)
-	data, err := io.ReadAll(io.LimitReader(x, maxCallAnswerBytes))
+	head = n.recordAnswerHead(c.source, advisoryAttempt, &x.Header)
+	data, err = io.ReadAll(io.LimitReader(x, maxCallAnswerBytes))
 	if err == nil && !x.IsComplete() {
 		err = upstream.ErrIncomplete
 	}
@@ -197,18 +213,6 @@
 	return advisory.Attempt{}, true
 }
 
-// connectReplica returns a connection to a replica, a pooled one if there is one.
-func (n *Node) connectReplica(ctx context.Context, address string, within time.Duration) (*upstream.Conn, error) {
-	if cn := n.replicaClient.IdleConn(address); cn != nil {
-		return cn, nil
-	}
-	n.counters.connections.Inc(1)
-	if deadline, ok := ctx.Deadline(); ok {
-		within = min(within, time.Until(deadline))
-	}
-	return n.replicaClient.Dial(address, max(within, time.Millisecond))
-}
-
 // idleTimeoutAfter returns the time for which a connection may stay idle after an answer.
 func idleTimeoutAfter(h *platform.ResponseHead, defaultIdle time.Duration) time.Duration {
 	if h.ClosesConnection {
--- a/cmd/node/rollout_answers.go
+++ b/cmd/node/rollout_answers.go
@@ -140,6 +140,8 @@
 		return sendresult.ConnectionBroken
 	case pipeline.Crashed: // also if the crash was reported before the connection broke
 		return sendresult.ReplicaCrashed
+	case pipeline.LinkLost:
+		return sendresult.LinkLost
 	}
 	return sendresult.ResponseTimeout
 }
--- a/coordination/featurelevel/featurelevel.go
+++ b/coordination/featurelevel/featurelevel.go
@@ -23,11 +23,14 @@
 	// ReplicaIncarnations adds replica incarnations, trial leases for suspect requests,
 	// replica advisories and refused frames.
 	ReplicaIncarnations
+	// RelayedConnections adds connections to replicas that a peer opens and relays.
+	RelayedConnections
 )
 
 // features describes, for operators, what each level enables.
 var features = map[uint32]string{
 	ReplicaIncarnations: "replicas are named once, and a suspect has one arbiter",
+	RelayedConnections:  "an instance that is cut off from replicas reaches them through its peers",
 }
 
 // PendingFeatures returns the features of this build that need a higher level than the
@@ -41,7 +44,7 @@
 }
 
 // Current is the feature level of this build.
-const Current = ReplicaIncarnations
+const Current = RelayedConnections
 
 // SettleTime is the time for which all instances must have announced a level before it
 // takes effect. It exceeds the failure timeout of an instance, so that an instance that is
--- a/coordination/pipeline/call.go
+++ b/coordination/pipeline/call.go
@@ -303,6 +303,7 @@
 		r.pausedUntil = now + s.opts.RefusalPause
 	case WrongReplica:
 		r.draining = true
+	case LinkLost: // the next call takes another path
 	default:
 		r.recordFailure(now, &s.opts)
 	}
@@ -316,7 +317,7 @@
 		if s.jobs[j.id] != j || x.state != running || c.overdue {
 			continue
 		}
-		if outcome == Refused || outcome == WrongReplica || outcome == Unreachable {
+		if outcome == Refused || outcome == WrongReplica || outcome == Unreachable || outcome == LinkLost {
 			x.attempts--
 		}
 		s.requeue(now, x)
--- a/coordination/pipeline/pipeline.go
+++ b/coordination/pipeline/pipeline.go
@@ -60,6 +60,7 @@
 	Broken                      // sent, but the answer is missing or incomplete
 	Crashed                     // Broken, and the replica's incarnation has ended
 	TimedOut                    // sent, but no answer arrived in time
+	LinkLost                    // sent, but no answer can arrive: the caller is cut off from a sound replica
 )
 
 // Stage is one stage of a job.
--- a/coordination/pipeline/pipeline_test.go
+++ b/coordination/pipeline/pipeline_test.go
@@ -442,6 +442,25 @@
 	is.Equal(len(h.calls), 1)
 }
 
+// A call whose link is lost says nothing about its replica: its items run again at once, and
+// however often that happens, the replica counts as capacity.
+func TestReplicaWhoseLinkIsLostStaysInUse(t *testing.T) {
+	is := is.New(t)
+	h := newHarness(t)
+	v := h.submit(newTestJob("r", 1))
+	for range 10 {
+		is.Equal(len(h.calls), 1)
+		for replica := range h.calls {
+			h.answer(replica, LinkLost)
+		}
+	}
+	is.True(h.submit(newTestJob("next", 1)).Admitted)
+	for replica := range h.calls {
+		h.answer(replica, Answered)
+	}
+	is.Equal(len(h.delivered[v.ID]), 1)
+}
+
 // Replicas that have just refused calls because they are full will be free soon and count as
 // capacity; failing replicas don't.
 func TestFullReplicasAreCapacityButFailingOnesAreNot(t *testing.T) {
--- a/coordination/pipeline/property_test.go
+++ b/coordination/pipeline/property_test.go
@@ -91,7 +91,7 @@
 func (w *randomRun) answer(c Call) {
 	delete(w.calls, c.ID)
 	delete(w.runningCall, c.Replica)
-	outcome := Outcome(rapid.IntRange(0, int(TimedOut)).Draw(w.t, "outcome"))
+	outcome := Outcome(rapid.IntRange(0, int(LinkLost)).Draw(w.t, "outcome"))
 	if rapid.Bool().Draw(w.t, "well") {
 		outcome = Answered
 	}
--- a/coordination/sendresult/sendresult.go
+++ b/coordination/sendresult/sendresult.go
@@ -26,6 +26,7 @@
 	ResponseTimeout              // ended by this instance: no data for too long
 	DeadlineExceeded             // ended by this instance: the request's deadline passed
 	ClientGone                   // the client closed its connection
+	LinkLost                     // no answer can arrive: this instance is cut off from a sound replica
 )
 
 // VersionEvidence is what an end means for the version of the replica's software.
@@ -72,6 +73,7 @@
 	ResponseTimeout:  {Health: signal(health.Timeout), Version: VersionFailure, Request: RequestBlamed},
 	DeadlineExceeded: {Version: VersionAnswer, Request: RequestBlamed},
 	ClientGone:       {Request: RequestBlamed},
+	LinkLost:         {Request: RequestBlamed},
 }
 
 // Evidence returns what an end of this kind means.
--- a/coordination/sendresult/sendresult_test.go
+++ b/coordination/sendresult/sendresult_test.go
@@ -29,6 +29,7 @@
 		"this instance: no data for too long":        {ResponseTimeout, health.Timeout, VersionFailure, RequestBlamed},
 		"this instance: deadline exceeded":           {DeadlineExceeded, none, VersionAnswer, RequestBlamed},
 		"the client: connection closed":              {ClientGone, none, VersionNone, RequestBlamed},
+		"the link: cut, the replica is sound":        {LinkLost, none, VersionNone, RequestBlamed},
 	}
 	seen := make(map[Kind]bool)
 	for name, c := range cases {
