Brittle replicas: requests at a time by parts of their slots, refusals within what they tolerate

What callers see: replicas of a service that fell over one after the other, as each had to turn more requests away than it stated it survives (Server-Brittle, read by nobody).

Mend: the word is read once, in the adapter, and holds for the service, also for a replica that comes back empty. An instance sends a replica its part of the slots at a time; requests within the slots are not refused, however few may wait. Where the slots are unknown it begins with one and tries one more only when a refusal is affordable. Refusals use up the instance's part of half of what the replica tolerates; beyond that the replica gets nothing until it is back. 0, fractions and nonsense: the first two hold as stated, the last as 0 and is reported.

A keeper of slots over all instances is missing.

ResponseHead.Invalid was InvalidLimit, as it now tells of both words; a limit beside an unreadable Server-Brittle is still recorded (TestParseBrittle).

--- a/cmd/node/advisories.go
+++ b/cmd/node/advisories.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"net/http"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -28,6 +29,7 @@
 	rateLimits    *pace.Tracker
 	retrySchedule *pace.RetrySchedule
 	hasLimits     atomic.Bool // at least one replica has a rate limit
+	hasBrittle    atomic.Bool // a replica has stated that it is brittle
 
 	wasEmpty    bool // the tracker was empty at the last sweep; used by sweeps only
 	hadNoLimits bool // there were no rate limits at the last sweep; used by sweeps only
@@ -74,8 +76,8 @@
 
 // beginAttempt counts a request right before it is sent. It checks the advisories again,
 // because the replica may have been chosen a second ago.
-func (a *advisories) beginAttempt(now time.Duration, incarnation string) (attempt advisory.Attempt, ok bool) {
-	a.withTracker(func(t *advisory.Tracker) { attempt, ok = t.Begin(now, incarnation) })
+func (a *advisories) beginAttempt(now time.Duration, incarnation, service string) (attempt advisory.Attempt, ok bool) {
+	a.withTracker(func(t *advisory.Tracker) { attempt, ok = t.Begin(now, incarnation, service) })
 	return attempt, ok
 }
 
@@ -106,14 +108,37 @@
 	if h.Draining {
 		n.recordStatedDrain(from.incarnation, sourceOwnAnswer)
 	}
-	if h.Backoff > 0 {
+	n.recordBrittle(from, &h)
+	switch {
+	case h.Backoff > 0:
 		n.recordStatedBackoff(from, h.Backoff)
-	} else {
-		n.advisories.withTracker(func(t *advisory.Tracker) { t.RecordAnswer(attempt) })
+	case h.NotRun && header.StatusCode() == http.StatusServiceUnavailable:
+		n.advisories.withTracker(func(t *advisory.Tracker) { t.RecordRefusal(n.now(), attempt) })
+	default:
+		n.advisories.withTracker(func(t *advisory.Tracker) { t.RecordAnswer(n.now(), attempt) })
 	}
 	return h
 }
 
+// recordBrittle records whether a service's replicas state that they are brittle. Absence
+// means nothing in an auxiliary answer.
+func (n *Node) recordBrittle(from answerSource, h *platform.ResponseHead) {
+	a := n.advisories
+	if !h.Brittle.Stated && (from.auxiliary || !a.hasBrittle.Load()) {
+		return
+	}
+	report := advisory.BrittleReport{Service: from.service, Brittle: h.Brittle, Slots: h.Slots, Senders: n.liveInstanceCount()}
+	hasChanged := false
+	a.withTracker(func(t *advisory.Tracker) { hasChanged = t.RecordBrittle(report) })
+	switch {
+	case hasChanged && h.Brittle.Stated:
+		a.hasBrittle.Store(true)
+		event.NodeServiceBrittle.Log(n.log, "service", from.service, "replica", from.incarnation, "tolerates", h.Brittle.Tolerated)
+	case hasChanged:
+		event.NodeServiceSturdy.Log(n.log, "service", from.service)
+	}
+}
+
 // recordUnknownField records a header or report field that this build doesn't understand.
 // The field may ask for a change of behavior, so operators should see it before
 // ignoring it causes damage.
--- a/cmd/node/attempt.go
+++ b/cmd/node/attempt.go
@@ -73,7 +73,7 @@
 		conn.Close()
 		return errNoReplicaReached
 	}
-	advisoryAttempt, ok := n.advisories.beginAttempt(n.now(), r.ID)
+	advisoryAttempt, ok := n.advisories.beginAttempt(n.now(), r.ID, r.Service)
 	if !ok {
 		conn.Close()
 		return errNoReplicaReached
--- a/cmd/node/rate_limits.go
+++ b/cmd/node/rate_limits.go
@@ -21,9 +21,11 @@
 
 // recordAnswerLimit records the rate limit that an answer states, or its absence.
 func (n *Node) recordAnswerLimit(from answerSource, h *platform.ResponseHead) {
+	if h.Invalid != "" {
+		n.recordUnknownField(from.service, h.Invalid, "answer")
+	}
 	switch {
-	case h.InvalidLimit != "":
-		n.recordUnknownField(from.service, h.InvalidLimit, "answer")
+	case h.InvalidLimit:
 	case h.Limit.Stated, !from.auxiliary && n.advisories.hasLimits.Load():
 		n.recordLimit(pace.Report{Incarnation: from.incarnation, Limit: h.Limit}, sourceOwnAnswer)
 	}
--- a/cmd/node/replica_calls.go
+++ b/cmd/node/replica_calls.go
@@ -204,7 +204,7 @@
 // release of results.
 func (n *Node) beginCall(c replicaCall) (advisory.Attempt, bool) {
 	if c.isWork {
-		return n.advisories.beginAttempt(n.now(), c.source.incarnation)
+		return n.advisories.beginAttempt(n.now(), c.source.incarnation, c.source.service)
 	}
 	if _, inBackoff := n.advisories.backoffUntil(n.now(), c.source.incarnation); inBackoff {
 		return advisory.Attempt{}, false
--- a/coordination/advisory/advisory.go
+++ b/coordination/advisory/advisory.go
@@ -1,5 +1,5 @@
 // Package advisory tracks what replicas announce about themselves in their answers:
-// that they are draining, and that they want senders to back off.
+// that they are draining, that they want senders to back off, and that they are brittle.
 //
 // What is inferred about a replica (package health) may be wrong, so its effect is
 // bounded: it never takes more than half of a service out of use. An announcement by
@@ -35,11 +35,12 @@
 	// MaxUnlisted is the number of unlisted incarnations that are kept. It bounds memory
 	// against a peer that announces many.
 	MaxUnlisted int
+	Brittle     BrittleOptions
 }
 
 // DefaultOptions returns the options used in production.
 func DefaultOptions() Options {
-	return Options{RampAnswers: 4, RampInterval: 500 * time.Millisecond, UnlistedRetention: 2 * time.Minute, MaxUnlisted: 4096}
+	return Options{RampAnswers: 4, RampInterval: 500 * time.Millisecond, UnlistedRetention: 2 * time.Minute, MaxUnlisted: 4096, Brittle: DefaultBrittleOptions()}
 }
 
 // Tracker holds the drains and backoffs of replicas by incarnation. It is not safe for
@@ -47,7 +48,8 @@
 type Tracker struct {
 	opts    Options
 	entries map[string]*entry
-	cursor  int // position of the drain repeated last
+	brittle map[string]*brittleService // by service
+	cursor  int                        // position of the drain repeated last
 }
 
 type entry struct {
@@ -56,8 +58,9 @@
 	backoffUntil  time.Duration
 	backingOff    bool // the end at backoffUntil has not been reported yet
 	ramp          *ramp
-	listedAt      time.Duration // when this instance or a peer last listed it
-	isListed      bool          // it was listed when Expire last ran
+	brittle       *brittleWindow // nil: the replica doesn't state that it is brittle
+	listedAt      time.Duration  // when this instance or a peer last listed it
+	isListed      bool           // it was listed when Expire last ran
 }
 
 // ramp limits the requests to a replica after a backoff; nil: no limit.
@@ -69,7 +72,9 @@
 }
 
 // New returns an empty tracker.
-func New(o Options) *Tracker { return &Tracker{opts: o, entries: make(map[string]*entry)} }
+func New(o Options) *Tracker {
+	return &Tracker{opts: o, entries: make(map[string]*entry), brittle: make(map[string]*brittleService)}
+}
 
 func (t *Tracker) entry(now time.Duration, incarnation string) *entry {
 	r := t.entries[incarnation]
@@ -120,10 +125,13 @@
 		return false, Never
 	case now < r.backoffUntil:
 		return false, r.backoffUntil
-	case r.ramp == nil || r.ramp.inFlight < r.ramp.limit || now >= r.ramp.lastSent+t.opts.RampInterval:
-		return true, now
+	case r.ramp != nil && r.ramp.inFlight >= r.ramp.limit && now < r.ramp.lastSent+t.opts.RampInterval:
+		return false, now
 	}
-	return false, now
+	if w := r.window(); w != nil {
+		return w.admits(now)
+	}
+	return true, now
 }
 
 // Never is the time that CanSend returns for a draining incarnation.
@@ -141,27 +149,37 @@
 // Attempt is a request that may be sent. The caller reports its progress with
 // RecordAnswer and End.
 type Attempt struct {
-	ramp  *ramp
-	entry *entry
+	ramp   *ramp
+	window *brittleWindow
+	entry  *entry
 }
 
-// Begin counts a request right before it is sent, and returns false if it must not be
-// sent.
-func (t *Tracker) Begin(now time.Duration, incarnation string) (Attempt, bool) {
+// Begin counts a request to an incarnation of a service right before it is sent, and returns
+// false if it must not be sent.
+func (t *Tracker) Begin(now time.Duration, incarnation, service string) (Attempt, bool) {
 	if ok, _ := t.CanSend(now, incarnation); !ok {
 		return Attempt{}, false
 	}
+	w := t.windowFor(now, incarnation, service)
 	r := t.entries[incarnation]
-	if r == nil || r.ramp == nil {
+	if r == nil || r.ramp == nil && w == nil {
 		return Attempt{}, true
 	}
-	r.ramp.inFlight++
-	r.ramp.lastSent = now
-	return Attempt{ramp: r.ramp, entry: r}, true
+	if r.ramp != nil {
+		r.ramp.inFlight++
+		r.ramp.lastSent = now
+	}
+	if w != nil {
+		w.inFlight++
+	}
+	return Attempt{ramp: r.ramp, window: w, entry: r}, true
 }
 
 // RecordAnswer records that the answer has begun and didn't reject the request.
-func (t *Tracker) RecordAnswer(a Attempt) {
+func (t *Tracker) RecordAnswer(now time.Duration, a Attempt) {
+	if a.window != nil {
+		a.window.recordAnswer(now)
+	}
 	if a.ramp == nil || a.entry.ramp != a.ramp { // another backoff has arrived since
 		return
 	}
@@ -177,6 +195,9 @@
 	if a.ramp != nil {
 		a.ramp.inFlight--
 	}
+	if a.window != nil {
+		a.window.inFlight--
+	}
 }
 
 // Changes are the effects of Expire.
@@ -185,8 +206,8 @@
 	Removed      []string // draining incarnations that were removed
 }
 
-// Empty reports whether there are no drains, backoffs or ramps.
-func (t *Tracker) Empty() bool { return len(t.entries) == 0 }
+// Empty reports whether no advisory or ramp is in force.
+func (t *Tracker) Empty() bool { return len(t.entries) == 0 && len(t.brittle) == 0 }
 
 // Expire removes obsolete entries and returns what has changed by the passage of time.
 // isListed reports whether this instance lists an incarnation.
@@ -202,7 +223,7 @@
 		switch {
 		case r.isListed:
 			r.listedAt = now
-			if !r.draining && !r.backingOff && r.ramp == nil {
+			if !r.draining && !r.backingOff && r.ramp == nil && r.window() == nil {
 				delete(t.entries, incarnation)
 			}
 		case now-r.listedAt > t.opts.UnlistedRetention:
--- a/coordination/advisory/advisory_test.go
+++ b/coordination/advisory/advisory_test.go
@@ -61,30 +61,30 @@
 	is := is.New(t)
 	tr := New(DefaultOptions())
 	tr.RecordBackoff(0, "r", second)
-	_, ok := tr.Begin(second-1, "r")
+	_, ok := tr.Begin(second-1, "r", "s")
 	is.True(!ok)
-	first, ok := tr.Begin(second, "r")
+	first, ok := tr.Begin(second, "r", "s")
 	is.True(ok)
-	_, ok = tr.Begin(second+1, "r")
+	_, ok = tr.Begin(second+1, "r", "s")
 	is.True(!ok)
-	tr.RecordAnswer(first)
-	second2, ok := tr.Begin(second+2, "r") // the first may still be streaming
+	tr.RecordAnswer(0, first)
+	second2, ok := tr.Begin(second+2, "r", "s") // the first may still be streaming
 	is.True(ok)
 	tr.End(first)
-	third, ok := tr.Begin(second+3, "r")
+	third, ok := tr.Begin(second+3, "r", "s")
 	is.True(ok)
-	_, ok = tr.Begin(second+4, "r")
+	_, ok = tr.Begin(second+4, "r", "s")
 	is.True(!ok)
 	for _, attempt := range []Attempt{second2, third} {
-		tr.RecordAnswer(attempt)
+		tr.RecordAnswer(0, attempt)
 		tr.End(attempt)
 	}
-	last, ok := tr.Begin(second+5, "r")
+	last, ok := tr.Begin(second+5, "r", "s")
 	is.True(ok)
-	tr.RecordAnswer(last) // the fourth answer
+	tr.RecordAnswer(0, last) // the fourth answer
 	tr.End(last)
 	for range 100 {
-		_, ok := tr.Begin(second+6, "r")
+		_, ok := tr.Begin(second+6, "r", "s")
 		is.True(ok)
 	}
 	tr.Expire(second+7, all)
@@ -96,13 +96,13 @@
 	is := is.New(t)
 	tr := New(DefaultOptions())
 	tr.RecordBackoff(0, "r", second)
-	_, ok := tr.Begin(second, "r")
+	_, ok := tr.Begin(second, "r", "s")
 	is.True(ok)
 	ok, from := tr.CanSend(second+1, "r")
 	is.True(!ok && from == second+1)
-	_, ok = tr.Begin(second+tr.opts.RampInterval, "r")
+	_, ok = tr.Begin(second+tr.opts.RampInterval, "r", "s")
 	is.True(ok)
-	_, ok = tr.Begin(second+tr.opts.RampInterval, "r")
+	_, ok = tr.Begin(second+tr.opts.RampInterval, "r", "s")
 	is.True(!ok)
 }
 
@@ -111,13 +111,13 @@
 	is := is.New(t)
 	tr := New(DefaultOptions())
 	tr.RecordBackoff(0, "r", second)
-	old, _ := tr.Begin(second, "r")
+	old, _ := tr.Begin(second, "r", "s")
 	tr.RecordBackoff(second+1, "r", second)
-	tr.RecordAnswer(old)
+	tr.RecordAnswer(0, old)
 	tr.End(old)
-	_, ok := tr.Begin(2*second+1, "r")
+	_, ok := tr.Begin(2*second+1, "r", "s")
 	is.True(ok)
-	_, ok = tr.Begin(2*second+2, "r")
+	_, ok = tr.Begin(2*second+2, "r", "s")
 	is.True(!ok)
 }
 
@@ -216,7 +216,7 @@
 					draining[incarnation] = true
 				}
 			case 2, 3:
-				attempt, ok := tr.Begin(now, incarnation)
+				attempt, ok := tr.Begin(now, incarnation, "s")
 				if ok && (draining[incarnation] || now < backoffUntil[incarnation]) {
 					t.Fatalf("sent to %s at %v: draining %t, backoff until %v", incarnation, now, draining[incarnation], backoffUntil[incarnation])
 				}
@@ -225,7 +225,7 @@
 				}
 			case 4:
 				if len(attempts) > 0 {
-					tr.RecordAnswer(attempts[len(attempts)-1])
+					tr.RecordAnswer(now, attempts[len(attempts)-1])
 				}
 			case 5:
 				if len(attempts) > 0 {
