A link counts as cut once it fails again; who relays is told in logs, state and quincectl explain

Lines of requests and attempts name the peer that relayed (through), the state dump counts replicas that are cut off and connections relayed for peers, gauges node.replicas_cut_off, and quincectl explain says who was cut off from what.

--- a/cmd/ctl/trace.go
+++ b/cmd/ctl/trace.go
@@ -67,6 +67,7 @@
 	localEvents    = []*event.Event{
 		event.NodeStarted, event.NodeStopping, event.NodeHallDrained, event.NodeHallReturned, event.NodeStoreUnreachable, event.NodeStoreReachable,
 		event.NodeStoreUnresponsive, event.NodeStoreResponsive, event.NodeStoreCallAbandoned, event.NodePoolsOwned,
+		event.NodeServiceCut, event.NodeServiceReached, event.NodeServiceBrittle, event.NodeServiceSturdy,
 	}
 )
 
@@ -104,7 +105,17 @@
 
 // verdict describes how the request ended and why, and its spillover, if any.
 func (t *requestTrace) verdict() string {
-	return t.outcome() + t.spillover()
+	return t.outcome() + t.spillover() + t.relay()
+}
+
+// relay describes through whom the request reached its replica, if its instance's own link
+// to it was cut.
+func (t *requestTrace) relay() string {
+	end := t.last(event.NodeRequest)
+	if end == nil || end.field("through") == "" {
+		return ""
+	}
+	return fmt.Sprintf(" %s was cut off from replica %s, and %s relayed the connection.", end.instance, end.field("replica"), end.field("through"))
 }
 
 // spillover describes the request's spillover to another region, if any.
--- a/cmd/node/attempt.go
+++ b/cmd/node/attempt.go
@@ -67,6 +67,7 @@
 		}
 		return errNoReplicaReached
 	}
+	s.lastRelay = conn.RelayedBy()
 	// The request is counted before the checks of whether the replica may receive it.
 	defer n.rollouts.startRequest(&r, !s.canFailOver())()
 	if !s.allowedRegions().Allows(r.Region) || !n.admitSend(s.service, r.ID) || !n.rollouts.tryRecordSend(n.snapshot.Load().rolloutByService[s.service.Name], s.route.Name, r.ID, 1) {
@@ -173,7 +174,7 @@
 	suspended := n.clock.TotalSuspended() != a.suspendedBefore
 	if err != nil {
 		event.NodeAttemptFailed.Log(n.log, "request", a.req.ID, "fingerprint", a.fingerprint, "replica", a.replica.ID, "why", err,
-			"took", took, "kept", a.conn.IsReused(), "last_event", a.stream.lastEventID, "chosen", a.chosenBy, "rest", a.head.Backoff, "leaves", a.head.Draining)
+			"took", took, "kept", a.conn.IsReused(), "last_event", a.stream.lastEventID, "chosen", a.chosenBy, "rest", a.head.Backoff, "leaves", a.head.Draining, "through", a.conn.RelayedBy())
 	}
 	n.detectorMu.Lock()
 	if err == nil && !suspended {
--- a/cmd/node/relay.go
+++ b/cmd/node/relay.go
@@ -95,7 +95,7 @@
 		case a := <-answers:
 			answered++
 			if a.conn != nil {
-				return dialResult{conn: n.replicaClient.Relayed(t.address, a.conn), peer: a.peer}
+				return dialResult{conn: n.replicaClient.Relayed(t.address, a.peer, a.conn), peer: a.peer}
 			}
 			n.replicaLinks.recordPeerFailure(n.now(), a.peer)
 			if a.result == relayRefused || a.result == relaySilent {
--- a/cmd/node/replica_dial.go
+++ b/cmd/node/replica_dial.go
@@ -104,23 +104,36 @@
 	}()
 }
 
-// recordOwnLinkFailure records that a peer connected and the own link has not.
+// recordOwnLinkFailure records that a peer connected and the own link has not, unless it does
+// when it is tried once more: the replica may have been silent or its port closed for a
+// moment, and the peer's try began later. The wait for another silence delays nobody.
 func (n *Node) recordOwnLinkFailure(t replicaTarget, peer string, own <-chan dialResult, ownResult *dialResult) {
-	if ownResult != nil {
-		n.recordCut(t, peer, ownResult.err)
+	confirm := func(err error) {
+		if n.replicaLinks.isCut(t.id) || !n.tryOwnLinkWithin(t, confirmTimeout) {
+			n.recordCut(t, peer, err)
+		}
+	}
+	if ownResult != nil && !isSilence(ownResult.err) {
+		confirm(ownResult.err)
 		return
 	}
-	n.recordCut(t, peer, errOwnLinkSilent)
-	go func() {
-		r := <-own
-		if r.err == nil {
-			n.recordReached(t)
-			r.conn.KeepIdle(defaultReplicaConnIdle)
-			return
-		}
-	}()
+	go confirm(errOwnLinkSilent)
+	if ownResult == nil {
+		go n.keepLate(t, own)
+	}
+}
+
+// keepLate keeps a connection over the own link that comes up after a peer's.
+func (n *Node) keepLate(t replicaTarget, own <-chan dialResult) {
+	if r := <-own; r.err == nil {
+		n.recordReached(t)
+		r.conn.KeepIdle(defaultReplicaConnIdle)
+	}
 }
 
+// confirmTimeout is the time for the second try of the own link.
+const confirmTimeout = 100 * time.Millisecond
+
 var errOwnLinkSilent = errors.New("the own link got no answer")
 
 // dialOwnLink connects to a replica over this instance's own link.
--- a/cmd/node/replica_links.go
+++ b/cmd/node/replica_links.go
@@ -69,6 +69,13 @@
 	l.tracker.RecordPeerFailure(now, peer)
 }
 
+// cutOff returns how many replicas are cut off, by service.
+func (l *replicaLinks) cutOff() map[string]int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.tracker.CutCounts()
+}
+
 // isSilentlyCut reports whether a replica is known to be cut off so that open connections to
 // it hang.
 func (l *replicaLinks) isSilentlyCut(id string) bool {
@@ -269,17 +276,31 @@
 // probeLinks tries the own link to replicas that are cut off, so that a healed one is used
 // again.
 func (n *Node) probeLinks(ctx context.Context) {
+	hadCuts := false
 	process.Every(ctx, linkCheckInterval, func() {
 		l := n.replicaLinks
 		l.mu.Lock()
 		due := l.tracker.Probes(n.now())
+		cuts := l.tracker.CutCounts()
 		l.mu.Unlock()
+		if hadCuts || len(cuts) > 0 {
+			n.setCutGauges(cuts)
+		}
+		hadCuts = len(cuts) > 0
 		for _, r := range due {
 			go n.probeLink(r)
 		}
 	})
 }
 
+func (n *Node) setCutGauges(cuts map[string]int) {
+	byService := make(map[string]int64, len(cuts))
+	for service, count := range cuts {
+		byService[service] = int64(count)
+	}
+	n.counters.setReplicaGauges("cut_off", byService)
+}
+
 // probeLink tries the own link to a replica and, as long as it reaches one, to the next of its
 // service.
 func (n *Node) probeLink(r reachability.Replica) {
@@ -302,9 +323,11 @@
 }
 
 // tryOwnLink connects to a replica over this instance's own link and keeps the connection.
-func (n *Node) tryOwnLink(t replicaTarget) bool {
+func (n *Node) tryOwnLink(t replicaTarget) bool { return n.tryOwnLinkWithin(t, linkProbeTimeout) }
+
+func (n *Node) tryOwnLinkWithin(t replicaTarget, within time.Duration) bool {
 	n.counters.linkProbes.Inc(1)
-	cn, err := n.dialOwnLink(t, linkProbeTimeout)
+	cn, err := n.dialOwnLink(t, within)
 	if err != nil {
 		return false
 	}
--- a/cmd/node/request_handler.go
+++ b/cmd/node/request_handler.go
@@ -68,6 +68,7 @@
 	stageWaits          int                    // waits for the stages of a broken stream
 	lastReplica         string                 // replica of the last send
 	lastRegion          string                 // region of lastReplica
+	lastRelay           string                 // peer that relayed the last attempt; "": none
 	cachedRegionsConfig *catalog.Configuration // configuration that cachedRegions was read from
 	cachedRegions       regions.Allowed
 	lastOwner           string // last owner that was asked to run its stages
--- a/cmd/node/state.go
+++ b/cmd/node/state.go
@@ -42,6 +42,8 @@
 	DrainedHalls      []string          `json:"Emptied"`   // halls whose replicas get no new requests
 	Warming           []string          `json:"Cold"`      // warming replicas, whose load is limited
 	Ejected           []string          `json:"LeftAlone"` // replicas ejected by outlier detection
+	CutOff            map[string]int    // by service: replicas that this instance reaches through peers only
+	RelayedForPeers   int               // connections that it relays for peers
 	Rollouts          []RolloutState    // active rollouts
 	Quarantine        []QuarantineState // requests under which replicas crashed
 	Instances         []gossip.Instance
@@ -136,6 +138,7 @@
 		}
 	})
 	s.RateLimited = n.limitedStates(snap)
+	s.CutOff, s.RelayedForPeers = n.replicaLinks.cutOff(), len(n.replicaLinks.served)
 	s.Draining = append(s.Draining, n.recentInferredDrains(maxDrainsPerHeartbeat)...)
 	s.FleetLevel = n.level.inForce()
 	s.PendingFeatures = featurelevel.PendingFeatures(s.FleetLevel)
--- a/coordination/reachability/reachability.go
+++ b/coordination/reachability/reachability.go
@@ -237,6 +237,18 @@
 	return 0
 }
 
+// CutCounts returns how many replicas are cut off, by service; nil if none is.
+func (t *Tracker) CutCounts() map[string]int {
+	if len(t.services) == 0 {
+		return nil
+	}
+	out := make(map[string]int, len(t.services))
+	for name, s := range t.services {
+		out[name] = s.cut
+	}
+	return out
+}
+
 // Forget forgets a replica that is not listed any more.
 func (t *Tracker) Forget(id string) {
 	if t.cut[id] != nil {
--- a/transport/upstream/upstream.go
+++ b/transport/upstream/upstream.go
@@ -77,7 +77,7 @@
 	net       net.Conn
 	r         *bufio.Reader
 	w         *bufio.Writer
-	isRelayed bool
+	relayedBy string // name of the peer that relays it; "": none
 	lastUsed  time.Duration
 	idleUntil time.Duration // when the upstream may close the idle connection; 0: idleTimeout after lastUsed
 }
@@ -125,9 +125,9 @@
 }
 
 // Relayed returns a connection to addr that a peer opened and relays.
-func (c *Client) Relayed(addr string, n RelayedConn) *Conn {
+func (c *Client) Relayed(addr, peer string, n RelayedConn) *Conn {
 	cn := c.wrap(addr, n)
-	cn.isRelayed = true
+	cn.relayedBy = peer
 	return cn
 }
 
@@ -139,7 +139,10 @@
 }
 
 // IsRelayed reports whether a peer relays the connection.
-func (cn *Conn) IsRelayed() bool { return cn.isRelayed }
+func (cn *Conn) IsRelayed() bool { return cn.relayedBy != "" }
+
+// RelayedBy returns the name of the peer that relays the connection, "" if none does.
+func (cn *Conn) RelayedBy() string { return cn.relayedBy }
 
 // canReuse reports whether an idle connection may carry another request.
 func (cn *Conn) canReuse() bool {
@@ -212,7 +215,7 @@
 // CloseIdleDirect closes the idle connections to addr that no peer relays. It is called when
 // nothing arrives over them any more.
 func (c *Client) CloseIdleDirect(addr string) {
-	c.closeIdle(addr, func(cn *Conn) bool { return !cn.isRelayed })
+	c.closeIdle(addr, func(cn *Conn) bool { return !cn.IsRelayed() })
 }
 
 func (c *Client) closeIdle(addr string, isAffected func(*Conn) bool) {
