Deferred freeing of results outlasts another backoff

What callers would see: less room at a pool's replicas, as results lie there until they expire (jobs refused for want of room).

Cause: results to free wait for the end of a replica's backoff, or of its limit's interval; if another backoff had begun by then, the call was dropped with all results that were merged into it. Now it waits on, as long as the replica keeps the results.

--- a/cmd/node/advisories.go
+++ b/cmd/node/advisories.go
@@ -23,7 +23,7 @@
 type advisories struct {
 	mu            sync.Mutex
 	tracker       *advisory.Tracker
-	deferredFrees map[string]*pipeline.Free // by incarnation: results to free later
+	deferredFrees map[string]*deferredFree // by incarnation: results to free later
 
 	unknownFields *advisory.UnknownFields
 	rateLimits    *pace.Tracker
@@ -36,7 +36,7 @@
 }
 
 func newAdvisories() *advisories {
-	return &advisories{tracker: advisory.New(advisory.DefaultOptions()), deferredFrees: make(map[string]*pipeline.Free), unknownFields: advisory.NewUnknownFields(), rateLimits: pace.New(pace.DefaultOptions()), retrySchedule: pace.NewRetrySchedule(), wasEmpty: true, hadNoLimits: true}
+	return &advisories{tracker: advisory.New(advisory.DefaultOptions()), deferredFrees: make(map[string]*deferredFree), unknownFields: advisory.NewUnknownFields(), rateLimits: pace.New(pace.DefaultOptions()), retrySchedule: pace.NewRetrySchedule(), wasEmpty: true, hadNoLimits: true}
 }
 
 // withTracker runs f on the tracker of advisories.
@@ -259,31 +259,43 @@
 		}
 		until = now + interval
 	}
+	expiresAt := now + n.resultTTL(f.Service)
 	if deferred := a.deferredFrees[f.Replica]; deferred != nil {
 		deferred.Handles = append(deferred.Handles, f.Handles...)
+		deferred.expiresAt = expiresAt
 		return true
 	}
-	a.deferredFrees[f.Replica] = &f
-	if ttl := n.resultTTL(f.Service); until-now > ttl {
-		until = now + ttl // the replica has dropped them by then
-	}
-	time.AfterFunc(until-now, func() { n.sendDeferredFree(f.Replica) })
+	a.deferredFrees[f.Replica] = &deferredFree{Free: f, expiresAt: expiresAt}
+	time.AfterFunc(min(until, expiresAt)-now, func() { n.sendDeferredFree(f.Replica) })
 	return true
 }
 
-// sendDeferredFree sends a replica's deferred call that frees results.
+// deferredFree is a call to free results that is made later.
+type deferredFree struct {
+	pipeline.Free
+	expiresAt time.Duration // when the replica has dropped the last of them anyway
+}
+
+// sendDeferredFree sends a replica's deferred call that frees results, or defers it further
+// if another backoff has begun.
 func (n *Node) sendDeferredFree(incarnation string) {
 	a := n.advisories
+	now := n.now()
 	a.mu.Lock()
 	f := a.deferredFrees[incarnation]
+	until, inBackoff := a.tracker.BackoffUntil(now, incarnation)
+	if inBackoff && now < f.expiresAt {
+		time.AfterFunc(min(until, f.expiresAt)-now, func() { n.sendDeferredFree(incarnation) })
+		a.mu.Unlock()
+		return
+	}
 	delete(a.deferredFrees, incarnation)
-	_, inBackoff := a.tracker.BackoffUntil(n.now(), incarnation)
 	a.mu.Unlock()
-	if inBackoff { // the backoff exceeds the results' lifetime, or a new one has begun
+	if inBackoff {
 		n.logSideCallFailure("free results", incarnation, errAdvisoryForbids)
 		return
 	}
-	n.sendFreeResults(*f)
+	n.sendFreeResults(f.Free)
 }
 
 var errAdvisoryForbids = errors.New("the replica rests or leaves, as it says")
