A pool's batch allowance belongs to its order

What callers would see: a full batch at a version of which nothing is known yet, in the moment after an order for the same pool follows another. Cause: the allowance was kept by service and never cleared. It is kept as the order that it was given for. The test is red with the allowance by service.

--- a/cmd/node/rollout.go
+++ b/cmd/node/rollout.go
@@ -25,7 +25,7 @@
 	orders       map[uint64]*rolloutProgress // by revision of the order
 	othersReady  map[string]bool             // services for which replicas of other versions than the target accept work
 	fullyShifted map[string]bool             // services whose requests all go to the target version in the current snapshot
-	batchAllowed map[string]bool             // pool services whose target replicas may get a full batch
+	batchAllowed map[string]uint64           // by pool service: order whose target replicas may get a full batch
 	inFlight     map[string]*replicaInFlight // by replica ID
 	withholds    bool                        // the list of replicas has some that get no work
 }
@@ -54,7 +54,7 @@
 		orders:       make(map[uint64]*rolloutProgress),
 		othersReady:  make(map[string]bool),
 		fullyShifted: make(map[string]bool),
-		batchAllowed: make(map[string]bool),
+		batchAllowed: make(map[string]uint64),
 		inFlight:     make(map[string]*replicaInFlight),
 	}
 }
--- a/cmd/node/rollout_lead.go
+++ b/cmd/node/rollout_lead.go
@@ -119,7 +119,10 @@
 		if service == nil || service.Pool == nil || shift == nil {
 			continue
 		}
-		allowed := r.splitter.Allows(shift.order, "", shift.share, service.Pool.MaxBatch)
+		allowed := uint64(0)
+		if r.splitter.Allows(shift.order, "", shift.share, service.Pool.MaxBatch) {
+			allowed = shift.order
+		}
 		changed = changed || allowed != r.batchAllowed[s.Service]
 		r.batchAllowed[s.Service] = allowed
 	}
--- a/cmd/node/rollout_test.go
+++ b/cmd/node/rollout_test.go
@@ -5,9 +5,11 @@
 	"testing"
 	"time"
 
+	hclog "github.com/hashicorp/go-hclog"
 	"github.com/matryer/is"
 	"google.golang.org/protobuf/proto"
 
+	"quinceroad/coordination/listing"
 	"quinceroad/coordination/rollout"
 	"quinceroad/platform"
 	"quinceroad/protocol/pb"
@@ -122,3 +124,24 @@
 	}
 	is.Equal(failed, 1)
 }
+
+// That an order's target replicas may get a full batch says nothing of the next order for
+// the same pool, which begins with its share.
+func TestBatchAllowanceEndsWithItsOrder(t *testing.T) {
+	is := is.New(t)
+	n := New(&platform.Settings{Name: "n1", Hall: "h1", StoreAddress: "127.0.0.1:1", CanaryShare: 0.1, CanarySlack: 50}, hclog.NewNullLogger())
+	config := &catalog.Configuration{Services: map[string]*catalog.Service{"s": {Name: "s", Pool: &catalog.Pool{MaxBatch: 1}}}}
+	target := &catalog.Replica{ID: "r1", Service: "s"}
+	shift := func(order uint64) *trafficShift {
+		return &trafficShift{order: order, share: 0.5, otherCount: 1, targetReplicas: map[string]bool{"r1": true}, selected: map[string]bool{"r1": true}}
+	}
+	snap := &snapshot{config: config, regionMap: n.regionMap, list: listing.Empty(), rolloutByService: map[string]*trafficShift{"s": shift(3)}}
+	n.snapshot.Store(snap)
+	for range 40 { // until the share has saved up a batch
+		n.rollouts.splitter.Allows(3, "", 0.5, 0)
+		n.rollouts.tryRecordSend(shift(3), "", "r0", 1)
+		n.updateBatchAllowed([]rollout.OrderState{{Order: rollout.Order{Service: "s", Target: "v2", Revision: 3}}})
+	}
+	is.True(!n.rollouts.isWithheldFromPool(config, shift(3), target))
+	is.True(n.rollouts.isWithheldFromPool(config, shift(5), target))
+}
--- a/cmd/node/rollout_traffic.go
+++ b/cmd/node/rollout_traffic.go
@@ -93,7 +93,7 @@
 		return false
 	}
 	s := config.Services[x.Service]
-	return s != nil && s.Pool != nil && (!shift.selected[x.ID] || !r.batchAllowed[x.Service])
+	return s != nil && s.Pool != nil && (!shift.selected[x.ID] || r.batchAllowed[x.Service] != shift.order)
 }
 
 // withholdsWork reports whether a rollout withholds all work from a replica.
