--- a/cmd/node/replica_links.go
+++ b/cmd/node/replica_links.go
@@ -1,33 +1,25 @@
 package node
 
 import (
-	"context"
 	"errors"
 	"net"
 	"sync"
 	"time"
 
-	"quinceroad/cmd/process"
 	"quinceroad/coordination/reachability"
 	"quinceroad/protocol/event"
 )
 
 const (
-	linkCheckInterval    = 100 * time.Millisecond // interval between checks whether a cut link is to be tried
-	minLinkCheckInterval = 500 * time.Millisecond // between two checks of the link to a service for late answers
-	// Time without an answer to a call after which the link to its replica is checked. Calls
-	// usually take less.
-	lateCallTime      = 600 * time.Millisecond
 	minCutLogInterval = 10 * time.Second // interval between two log lines that a service is cut off
-	linkProbeTimeout  = replicaConnectTimeout
-	maxConcurrentAsks = 64 // connections that peers are asked for at the same time
+	maxConcurrentAsks = 64               // connections that peers are asked for at the same time
 )
 
 // replicaLinks tracks which replicas this instance reaches over its own link.
 type replicaLinks struct {
 	mu        sync.Mutex
 	tracker   *reachability.Tracker
-	logged    map[string]*cutLog       // by service
+	cutLogs   map[string]*cutLog       // by service
 	checkedAt map[string]time.Duration // by service: the last check of the link for a late answer
 	asks      chan struct{}            // one for each connection that peers are being asked for
 	served    chan struct{}            // one for each connection that is relayed for peers
@@ -43,7 +35,7 @@
 func newReplicaLinks(memoryMB float64) *replicaLinks {
 	return &replicaLinks{
 		tracker:   reachability.New(reachability.DefaultOptions()),
-		logged:    make(map[string]*cutLog),
+		cutLogs:   make(map[string]*cutLog),
 		checkedAt: make(map[string]time.Duration),
 		asks:      make(chan struct{}, maxConcurrentAsks),
 		served:    make(chan struct{}, max(minRelayed, int(memoryMB*relayMemoryShare/maxRelayedMB))),
@@ -164,23 +156,6 @@
 	}
 }
 
-// checkOtherServices checks the link to one replica of each other service, as the cut of one
-// service's link may be that of all, which would otherwise be found by requests.
-func (n *Node) checkOtherServices(found string) {
-	snap := n.snapshot.Load()
-	if snap.config == nil {
-		return
-	}
-	for name := range snap.config.Services {
-		replicas := snap.eligible(name)
-		if name == found || len(replicas) == 0 {
-			continue
-		}
-		r := replicas[newRandom().IntN(len(replicas))]
-		go n.checkLink(targetOf(&r))
-	}
-}
-
 // isSilence reports whether a failed try to connect got no answer, rather than a refusal.
 func isSilence(err error) bool {
 	var timeout net.Error
@@ -190,10 +165,10 @@
 // beginCut notes the beginning of a service's cut and reports whether to log it. The caller
 // holds mu.
 func (l *replicaLinks) beginCut(now time.Duration, service string) (isLogged bool, unlogged int) {
-	c := l.logged[service]
+	c := l.cutLogs[service]
 	if c == nil {
 		c = &cutLog{loggedAt: now - minCutLogInterval}
-		l.logged[service] = c
+		l.cutLogs[service] = c
 	}
 	c.since = now
 	if now-c.loggedAt < minCutLogInterval {
@@ -214,7 +189,7 @@
 	hasHealed, since, isLogged := false, time.Duration(0), false
 	if wasCut && l.tracker.CutCount(t.service) == 0 {
 		hasHealed = true
-		if c := l.logged[t.service]; c != nil {
+		if c := l.cutLogs[t.service]; c != nil {
 			since, isLogged = c.since, c.unlogged == 0
 		}
 	}
@@ -233,113 +208,6 @@
 	return !a.conn.IsRelayed() && a.node.replicaLinks.isCut(a.replica.ID)
 }
 
-// checkLinkLater checks the link over which an answer did not arrive in time, without
-// delaying the client.
-func (a *attempt) checkLinkLater() {
-	if !a.conn.IsRelayed() {
-		go a.node.checkLink(targetOf(&a.replica))
-	}
-}
-
-// errLinkLost ends a wait for an answer over a link that turned out to be cut.
-var errLinkLost = errors.New("the link to the replica is cut")
-
-// checkLink finds out whether the own link to a replica is cut, as an answer is late. It
-// reports whether connections that are open over it hang.
-func (n *Node) checkLink(t replicaTarget) bool {
-	l := n.replicaLinks
-	if !l.isCut(t.id) && l.mayCheck(n.now(), t.service) {
-		cn, err := n.dialReplica(context.Background(), t, replicaConnectTimeout)
-		if err == nil {
-			cn.KeepIdle(defaultReplicaConnIdle)
-		}
-	}
-	return l.isSilentlyCut(t.id)
-}
-
-// watchLink checks the link to a replica repeatedly once an answer is late, and calls onCut
-// if it is cut silently. The caller must call stop when the answer has arrived.
-func (n *Node) watchLink(t replicaTarget, late time.Duration, onCut func()) (stop func()) {
-	ctx, cancel := context.WithCancel(context.Background())
-	time.AfterFunc(late, func() {
-		for ctx.Err() == nil {
-			if n.checkLink(t) {
-				onCut()
-				return
-			}
-			process.Sleep(ctx, linkCheckInterval)
-		}
-	})
-	return cancel
-}
-
-// probeLinks tries the own link to replicas that are cut off, so that a healed one is used
-// again.
-func (n *Node) probeLinks(ctx context.Context) {
-	hadCuts := false
-	process.Every(ctx, linkCheckInterval, func() {
-		l := n.replicaLinks
-		l.mu.Lock()
-		due := l.tracker.Probes(n.now())
-		cuts := l.tracker.CutCounts()
-		l.mu.Unlock()
-		if hadCuts || len(cuts) > 0 {
-			n.setCutGauges(cuts)
-		}
-		hadCuts = len(cuts) > 0
-		for _, r := range due {
-			go n.probeLink(r)
-		}
-	})
-}
-
-func (n *Node) setCutGauges(cuts map[string]int) {
-	byService := make(map[string]int64, len(cuts))
-	for service, count := range cuts {
-		byService[service] = int64(count)
-	}
-	n.counters.setReplicaGauges("cut_off", byService)
-}
-
-// probeLink tries the own link to a replica and, as long as it reaches one, to the next of its
-// service.
-func (n *Node) probeLink(r reachability.Replica) {
-	l := n.replicaLinks
-	for {
-		listed, ok := n.snapshot.Load().list.Replica(r.ID)
-		hasReached := ok && n.tryOwnLink(targetOf(&listed))
-		l.mu.Lock()
-		if !ok {
-			l.tracker.Forget(r.ID)
-		}
-		l.tracker.EndProbe(n.now(), r.Service, hasReached)
-		next, isDue := l.tracker.NextProbe(n.now(), r.Service)
-		l.mu.Unlock()
-		if !isDue {
-			return
-		}
-		r = next
-	}
-}
-
-// tryOwnLink connects to a replica over this instance's own link and keeps the connection.
-func (n *Node) tryOwnLink(t replicaTarget) bool { return n.tryOwnLinkWithin(t, linkProbeTimeout) }
-
-func (n *Node) tryOwnLinkWithin(t replicaTarget, within time.Duration) bool {
-	n.counters.linkProbes.Inc(1)
-	cn, err := n.dialOwnLink(t, within)
-	if err != nil {
-		return false
-	}
-	if !cn.StaysOpen(minConnectionTime) {
-		cn.Close()
-		return false
-	}
-	n.recordReached(t)
-	cn.KeepIdle(defaultReplicaConnIdle)
-	return true
-}
-
 // pruneLinks forgets replicas that are not listed and peers that are not alive any more.
 func (n *Node) pruneLinks() {
 	list := n.snapshot.Load().list
@@ -352,9 +220,9 @@
 	defer l.mu.Unlock()
 	l.tracker.Keep(list.Has)
 	l.tracker.KeepPeers(func(name string) bool { return alive[name] })
-	for service, c := range l.logged {
+	for service, c := range l.cutLogs {
 		if l.tracker.CutCount(service) == 0 && n.now()-c.loggedAt > minCutLogInterval {
-			delete(l.logged, service)
+			delete(l.cutLogs, service)
 		}
 	}
 }
