Waits for grants are reckoned by each replica's grants, not by their mean rate

What callers saw: with all engines stating limits, a request was let in, waited, and was refused after .6 to 1 s ("stages failed: rest"), its stages run for nothing where it had some.

Cause: the wait was the first grant and then one each 1 / (sum of the limits). Grants of several replicas fall together, or begin late where a call beside requests took one: the second grant came at 2.72 s where 2.23 was reckoned (a trace of the test, lines of each grant). Now it is the time of the grant that follows those ahead, found by bisection over the replicas' own grants, and a tenth of the time is kept for grants that are taken late.

--- a/cmd/node/grant_queue.go
+++ b/cmd/node/grant_queue.go
@@ -12,7 +12,12 @@
 // Requests whose engines all state rate limits queue for send grants at the owner of
 // their cell, ordered by rank. A request that would wait too long is refused on arrival.
 
-const grantPollInterval = 20 * time.Millisecond // below the usual duration of an answer
+const (
+	grantPollInterval = 20 * time.Millisecond // below the usual duration of an answer
+	// Fraction of its time for which a request may have to wait for a grant when it arrives.
+	// Each grant before its own is taken some ms late.
+	grantWaitShare = 0.9
+)
 
 // queueForGrant adds the request to the grant queue if all its engines state rate limits.
 // If the request would wait too long, it refuses the request and returns false.
@@ -33,13 +38,14 @@
 		q.Add(r.queueID, int(r.ask.Rank))
 	}
 	c.mu.Unlock()
-	if wait <= r.maxGrantWait() || !n.allLimited(r) {
+	mayWait := time.Duration(float64(r.maxGrantWait()) * grantWaitShare)
+	if wait <= mayWait || !n.allLimited(r) {
 		return true
 	}
 	n.counters.jobsRefused.Inc(1)
-	event.NodeSendGrantRefused.Log(n.log, "request", r.ask.RequestId, "customer", r.ask.Customer, "rank", r.ask.Rank, "wait", wait, "may_wait", r.maxGrantWait(), "per_second", supply.PerSecond)
+	event.NodeSendGrantRefused.Log(n.log, "request", r.ask.RequestId, "customer", r.ask.Customer, "rank", r.ask.Rank, "wait", wait, "may_wait", mayWait, "per_second", supply.PerSecond)
 	// If sending fails, the peer sees the stream end.
-	_ = send(&pb.StagesReply{Refused: true, RetryAfterUs: (wait - r.maxGrantWait()).Microseconds()})
+	_ = send(&pb.StagesReply{Refused: true, RetryAfterUs: (wait - mayWait).Microseconds()})
 	return false
 }
 
--- a/coordination/pace/queue.go
+++ b/coordination/pace/queue.go
@@ -2,6 +2,9 @@
 
 import "time"
 
+// Never is a time that is not reached.
+const Never = time.Duration(1<<63 - 1)
+
 // Limiter schedules the send grants of replicas with rate limits.
 type Limiter interface {
 	HasLimits() bool                                                      // whether any replica has a limit
@@ -10,30 +13,61 @@
 	Consume(now time.Duration, incarnation string)                        // counts one request
 }
 
-// Supply is the rate of grants from the replicas that may run a request.
+// Supply is the grants of the replicas that may run a request.
 type Supply struct {
 	Next      time.Duration // earliest grant of any replica
 	PerSecond float64       // grants of all replicas together
 	Limited   bool          // all replicas have limits; otherwise no request has to wait
+
+	replicas []replicaGrants
 }
 
+// replicaGrants are the grants of one replica: one at next, and one after each interval.
+type replicaGrants struct{ next, interval time.Duration }
+
 // Add adds a replica with its next grant and the interval of its grants; first is true for
 // the first replica.
 func (s Supply) Add(first bool, nextGrant, interval time.Duration) Supply {
 	if first {
-		return Supply{Next: nextGrant, PerSecond: perSecond(interval), Limited: interval > 0}
+		s = Supply{Next: nextGrant, Limited: true}
 	}
 	s.Next = min(s.Next, nextGrant)
-	s.PerSecond += perSecond(interval)
 	s.Limited = s.Limited && interval > 0
+	if interval > 0 {
+		s.PerSecond += 1 / interval.Seconds()
+		s.replicas = append(s.replicas, replicaGrants{nextGrant, interval})
+	}
 	return s
 }
 
-func perSecond(interval time.Duration) float64 {
-	if interval <= 0 {
-		return 0
+// grantsUntil returns how many grants there are up to a time.
+func (s *Supply) grantsUntil(at time.Duration) int {
+	n := 0
+	for _, r := range s.replicas {
+		if at >= r.next {
+			n += 1 + int((at-r.next)/r.interval)
+		}
+	}
+	return n
+}
+
+// grant returns the time of the grant that follows the given number of others. The replicas'
+// grants may fall together or far apart, so their mean rate does not tell.
+func (s *Supply) grant(ahead int) time.Duration {
+	latest := Never
+	for _, r := range s.replicas {
+		latest = min(latest, r.next+time.Duration(ahead)*r.interval)
+	}
+	from := s.Next
+	for from < latest {
+		middle := from + (latest-from)/2
+		if s.grantsUntil(middle) > ahead {
+			latest = middle
+		} else {
+			from = middle + 1
+		}
 	}
-	return 1 / interval.Seconds()
+	return latest
 }
 
 // Queue holds the requests that need grants from a service's replicas: those waiting
@@ -95,5 +129,5 @@
 			ahead++
 		}
 	}
-	return max(s.Next-now, 0) + time.Duration(float64(ahead)/s.PerSecond*float64(time.Second))
+	return max(s.grant(ahead)-now, 0)
 }
