--- a/coordination/scheduler/pool.go
+++ b/coordination/scheduler/pool.go
@@ -42,7 +42,7 @@
 	rand         *rand.Rand // breaks ties, so that several schedulers don't pick the same replica
 	byID         map[string]*replica
 	list         []*replica
-	heap         replicaHeap
+	heap         elementHeap[*replica]
 	capacity     int     // tasks that all replicas together may run now
 	baseSlowness float64 // moving average of the ratio of measured to expected time over the whole service
 	cursor       int     // round-robin position in list
@@ -264,28 +264,6 @@
 	return out
 }
 
-type replicaHeap []*replica
+func (r *replica) before(other *replica) bool { return r.key < other.key }
 
-func (h replicaHeap) Len() int           { return len(h) }
-func (h replicaHeap) Less(i, j int) bool { return h[i].key < h[j].key }
-func (h replicaHeap) Swap(i, j int) {
-	h[i], h[j] = h[j], h[i]
-	h[i].heapIndex, h[j].heapIndex = i, j
-}
-
-// Push implements heap.Interface.
-func (h *replicaHeap) Push(x any) {
-	r := x.(*replica)
-	r.heapIndex = len(*h)
-	*h = append(*h, r)
-}
-
-// Pop implements heap.Interface.
-func (h *replicaHeap) Pop() any {
-	old := *h
-	r := old[len(old)-1]
-	old[len(old)-1] = nil
-	*h = old[:len(old)-1]
-	r.heapIndex = -1
-	return r
-}
+func (r *replica) setHeapIndex(i int) { r.heapIndex = i }
--- a/coordination/scheduler/queue.go
+++ b/coordination/scheduler/queue.go
@@ -13,10 +13,10 @@
 // finish times), then by least slack. All operations take logarithmic time.
 type queue struct {
 	classes    [classes]classQueue
-	byDropTime dropHeap
+	byDropTime elementHeap[*item]
 	byID       map[taskKey]*item
-	announced  map[taskKey]*item // announced, not yet submitted
-	byDeadline dropHeap          // the announced tasks by deadline
+	announced  map[taskKey]*item  // announced, not yet submitted
+	byDeadline elementHeap[*item] // the announced tasks by deadline
 }
 
 type taskKey struct {
@@ -33,7 +33,7 @@
 // classQueue holds the flows of one class; clock is its virtual time.
 type classQueue struct {
 	flows     map[string]*flow
-	active    flowHeap
+	active    elementHeap[*flow]
 	clock     float64
 	queued    int     // queued tasks
 	announced int     // announced tasks
@@ -45,7 +45,7 @@
 	customer  string
 	weight    float64
 	finish    float64 // virtual time at which its next task is due
-	tasks     slackHeap
+	tasks     elementHeap[*item]
 	queued    int // tasks, removed ones excluded
 	announced int // announced tasks
 	index     int
@@ -267,49 +267,10 @@
 	return nil
 }
 
-type slackHeap []*item
+func (it *item) before(other *item) bool { return it.dropAt < other.dropAt }
 
-func (h slackHeap) Len() int           { return len(h) }
-func (h slackHeap) Less(i, j int) bool { return h[i].dropAt < h[j].dropAt }
-func (h slackHeap) Swap(i, j int)      { h[i], h[j] = h[j], h[i] }
+func (it *item) setHeapIndex(int) {} // items are removed from the front only
 
-// Push implements heap.Interface.
-func (h *slackHeap) Push(x any) { *h = append(*h, x.(*item)) }
+func (f *flow) before(other *flow) bool { return f.finish < other.finish }
 
-// Pop implements heap.Interface.
-func (h *slackHeap) Pop() any {
-	old := *h
-	it := old[len(old)-1]
-	old[len(old)-1] = nil
-	*h = old[:len(old)-1]
-	return it
-}
-
-// dropHeap is a slackHeap of the items of all flows.
-type dropHeap = slackHeap
-
-type flowHeap []*flow
-
-func (h flowHeap) Len() int           { return len(h) }
-func (h flowHeap) Less(i, j int) bool { return h[i].finish < h[j].finish }
-func (h flowHeap) Swap(i, j int) {
-	h[i], h[j] = h[j], h[i]
-	h[i].index, h[j].index = i, j
-}
-
-// Push implements heap.Interface.
-func (h *flowHeap) Push(x any) {
-	f := x.(*flow)
-	f.index = len(*h)
-	*h = append(*h, f)
-}
-
-// Pop implements heap.Interface.
-func (h *flowHeap) Pop() any {
-	old := *h
-	f := old[len(old)-1]
-	old[len(old)-1] = nil
-	*h = old[:len(old)-1]
-	f.index = -1
-	return f
-}
+func (f *flow) setHeapIndex(i int) { f.index = i }
