A planned stop of an instance that relays lets the streams of others end

Cause: a stop waited for the instance's own requests alone. It waits for connections that it relays, too, up to the same end, relays no new ones, and the instances that use it close theirs as soon as they carry nothing.

--- a/cmd/node/heartbeats.go
+++ b/cmd/node/heartbeats.go
@@ -32,6 +32,7 @@
 			n.logMembership(membership, live.Instances)
 			n.recordHosts(live.Instances)
 		}
+		n.leaveStoppingRelays(live.Instances)
 		n.updateFleetLevel(live)
 		n.updateReaderRole(live)
 		isPrepared = isPrepared || n.prepareOwnership()
--- a/cmd/node/node.go
+++ b/cmd/node/node.go
@@ -215,7 +215,8 @@
 
 // Stop shuts the node down gracefully: it announces that it leaves, so that clients
 // are no longer given its address, accepts requests until clients have had time to
-// notice, and ends when nothing is in flight or the time limit is reached.
+// notice, and ends when nothing is in flight, here or relayed for peers, or the time limit
+// is reached.
 func (n *Node) Stop() {
 	start := n.now()
 	event.NodeStopping.Log(n.log, "in_flight", n.inFlight.Load())
@@ -226,7 +227,7 @@
 	n.gossipMu.Unlock()
 	n.sendHeartbeats()
 	time.Sleep(n.stopPlan.RequestsUntil)
-	for n.inFlight.Load() > 0 && n.now()-start < n.stopPlan.End {
+	for (n.inFlight.Load() > 0 || n.relayedForPeers() > 0) && n.now()-start < n.stopPlan.End {
 		time.Sleep(stopPollInterval)
 	}
 	event.NodeStopped.Log(n.log, "in_flight", n.inFlight.Load())
--- a/cmd/node/relay.go
+++ b/cmd/node/relay.go
@@ -222,6 +222,9 @@
 	if n.replicaLinks.isCut(replica.ID) {
 		return nil, relayCut
 	}
+	if n.stopping.Load() {
+		return nil, relayBusy
+	}
 	select {
 	case n.replicaLinks.served <- struct{}{}:
 	default:
@@ -239,3 +242,23 @@
 	}
 	return nil, relaySilent
 }
+
+// relayedForPeers returns how many connections this instance relays.
+func (n *Node) relayedForPeers() int { return len(n.replicaLinks.served) }
+
+// leaveStoppingRelays closes the idle connections through instances that are stopping, which
+// wait for those that they relay.
+func (n *Node) leaveStoppingRelays(live []gossip.Instance) {
+	if n.counters.relayedConnections.Count() == 0 {
+		return
+	}
+	leaving := make(map[string]bool)
+	for _, i := range live {
+		if i.Leaving {
+			leaving[i.Name] = true
+		}
+	}
+	if len(leaving) > 0 {
+		n.replicaClient.CloseIdleThrough(func(peer string) bool { return leaving[peer] })
+	}
+}
--- a/cmd/node/state.go
+++ b/cmd/node/state.go
@@ -138,7 +138,7 @@
 		}
 	})
 	s.RateLimited = n.limitedStates(snap)
-	s.CutOff, s.RelayedForPeers = n.replicaLinks.cutOff(), len(n.replicaLinks.served)
+	s.CutOff, s.RelayedForPeers = n.replicaLinks.cutOff(), n.relayedForPeers()
 	s.Draining = append(s.Draining, n.recentInferredDrains(maxDrainsPerHeartbeat)...)
 	s.FleetLevel = n.level.inForce()
 	s.PendingFeatures = featurelevel.PendingFeatures(s.FleetLevel)
--- a/transport/upstream/upstream.go
+++ b/transport/upstream/upstream.go
@@ -10,6 +10,7 @@
 import (
 	"bufio"
 	"errors"
+	"maps"
 	"net"
 	"os"
 	"slices"
@@ -218,6 +219,17 @@
 	c.closeIdle(addr, func(cn *Conn) bool { return !cn.IsRelayed() })
 }
 
+// CloseIdleThrough closes the idle connections to all addresses that the given peers relay. It
+// is called when they stop.
+func (c *Client) CloseIdleThrough(isAffected func(peer string) bool) {
+	c.mu.Lock()
+	addrs := slices.Collect(maps.Keys(c.idle))
+	c.mu.Unlock()
+	for _, addr := range addrs {
+		c.closeIdle(addr, func(cn *Conn) bool { return cn.IsRelayed() && isAffected(cn.relayedBy) })
+	}
+}
+
 func (c *Client) closeIdle(addr string, isAffected func(*Conn) bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
