balancer: why candidates are drawn with replacement

Read as a fault: the same replica may be drawn two or three times. With distinct draws a slow replica of a service of three would never be asked again, so its recovery would not be noticed.

--- a/coordination/balancer/balancer.go
+++ b/coordination/balancer/balancer.go
@@ -151,7 +151,8 @@
 }
 
 // bestOfThree returns the replica with the shortest expected time of three random
-// candidates.
+// candidates. They are drawn with replacement, so that a slow replica of a small service is
+// still tried now and then.
 func (b *Balancer) bestOfThree(now time.Duration, distance func(hall string) regions.Distance, candidates []catalog.Replica, random *rand.Rand) catalog.Replica {
 	best := candidates[random.IntN(len(candidates))]
 	for range min(len(candidates)-1, 2) {
