--- a/cmd/node/relay.go
+++ b/cmd/node/relay.go
@@ -126,26 +126,23 @@
 // regions, so only peers of this instance's own region are asked.
 func (n *Node) relayPeers(service string) []gossip.Instance {
 	live := n.live()
-	near := n.eligibleRelays(live.Hall(n.settings.Hall))
 	random := newRandom()
-	random.Shuffle(len(near), func(i, j int) { near[i], near[j] = near[j], near[i] })
-	names := near
+	candidates := n.eligibleRelays(live.Hall(n.settings.Hall))
+	random.Shuffle(len(candidates), func(i, j int) { candidates[i], candidates[j] = candidates[j], candidates[i] })
 	for range maxRelayPeers * 2 { // of the other halls some will do
-		if len(live.Instances) == 0 {
-			break
-		}
-		names = append(names, n.eligibleRelays([]*gossip.Instance{&live.Instances[random.IntN(len(live.Instances))]})...)
+		i := random.IntN(len(live.Instances))
+		candidates = append(candidates, n.eligibleRelays([]*gossip.Instance{&live.Instances[i]})...)
 	}
-	byName := make(map[string]gossip.Instance, len(names))
-	var order []string
-	for _, i := range names {
-		if _, ok := byName[i.Name]; !ok {
-			byName[i.Name] = i
-			order = append(order, i.Name)
+	byName := make(map[string]gossip.Instance, len(candidates))
+	var names []string
+	for _, c := range candidates {
+		if _, isKnown := byName[c.Name]; !isKnown {
+			byName[c.Name] = c
+			names = append(names, c.Name)
 		}
 	}
 	var out []gossip.Instance
-	for _, name := range n.replicaLinks.order(n.now(), service, order, maxRelayPeers) {
+	for _, name := range n.replicaLinks.order(n.now(), service, names, maxRelayPeers) {
 		out = append(out, byName[name])
 	}
 	return out
