Relays: who connected last is always asked, and halls take turns

Cause: the peers to ask were drawn anew for each connection, so the one that was known to connect was often not among them (of five others each was missed by 8 draws of 6 in 23 of 100), and peers of the own hall came first, though a whole hall may be cut off. Now the last peer is always among them, others are drawn without repetition, and near and far ones take turns.

--- a/cmd/node/relay.go
+++ b/cmd/node/relay.go
@@ -1,9 +1,11 @@
 package node
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"net"
+	"slices"
 	"syscall"
 	"time"
 
@@ -19,6 +21,8 @@
 
 const (
 	maxRelayPeers     = 4                      // peers asked for one connection
+	maxFarRelays      = 8                      // peers of other halls that are considered for one connection
+	maxFarDraws       = 32                     // random draws for them, which may fall on the same ones
 	relayHedgeDelay   = 30 * time.Millisecond  // after which the next peer is asked as well
 	relayDialTimeout  = 150 * time.Millisecond // for a peer to connect to the replica
 	relayReplyTimeout = relayDialTimeout + 50*time.Millisecond
@@ -122,41 +126,41 @@
 }
 
 // relayPeers returns the peers that may relay a connection to a replica of a service, in the
-// order in which they are asked: those of this hall first. A request may be restricted to
-// regions, so only peers of this instance's own region are asked.
+// order in which they are asked.
 func (n *Node) relayPeers(service string) []gossip.Instance {
 	live := n.live()
+	last := n.replicaLinks.lastPeer(service)
 	random := newRandom()
-	candidates := n.eligibleRelays(live.Hall(n.settings.Hall))
-	random.Shuffle(len(candidates), func(i, j int) { candidates[i], candidates[j] = candidates[j], candidates[i] })
-	for range maxRelayPeers * 2 { // of the other halls some will do
-		i := random.IntN(len(live.Instances))
-		candidates = append(candidates, n.eligibleRelays([]*gossip.Instance{&live.Instances[i]})...)
-	}
-	byName := make(map[string]gossip.Instance, len(candidates))
-	var names []string
-	for _, c := range candidates {
-		if _, isKnown := byName[c.Name]; !isKnown {
-			byName[c.Name] = c
-			names = append(names, c.Name)
+	byName := make(map[string]gossip.Instance)
+	add := func(names []string, i *gossip.Instance) []string {
+		if _, isKnown := byName[i.Name]; isKnown || !n.mayRelay(i) {
+			return names
 		}
+		byName[i.Name] = *i
+		return append(names, i.Name)
+	}
+	var near, far []string
+	for _, i := range live.Hall(n.settings.Hall) {
+		near = add(near, i)
+	}
+	random.Shuffle(len(near), func(i, j int) { near[i], near[j] = near[j], near[i] })
+	if i, ok := slices.BinarySearchFunc(live.Instances, last, func(x gossip.Instance, name string) int { return cmp.Compare(x.Name, name) }); ok {
+		far = add(far, &live.Instances[i])
+	}
+	for tries := 0; len(far) < maxFarRelays && tries < maxFarDraws; tries++ {
+		far = add(far, &live.Instances[random.IntN(len(live.Instances))])
 	}
 	var out []gossip.Instance
-	for _, name := range n.replicaLinks.order(n.now(), service, names, maxRelayPeers) {
+	for _, name := range n.replicaLinks.order(n.now(), service, near, far, maxRelayPeers) {
 		out = append(out, byName[name])
 	}
 	return out
 }
 
-// eligibleRelays returns the instances of a list that may relay for this one.
-func (n *Node) eligibleRelays(list []*gossip.Instance) []gossip.Instance {
-	var out []gossip.Instance
-	for _, i := range list {
-		if i.Name != n.settings.Name && !i.Leaving && i.Region == n.home && i.Level >= featurelevel.RelayedConnections {
-			out = append(out, *i)
-		}
-	}
-	return out
+// mayRelay reports whether an instance may relay for this one. A request may be restricted to
+// regions, so only those of this instance's own region may.
+func (n *Node) mayRelay(i *gossip.Instance) bool {
+	return i.Name != n.settings.Name && !i.Leaving && i.Region == n.home && i.Level >= featurelevel.RelayedConnections
 }
 
 // peerAnswer is a peer's answer to a request to relay a connection.
--- a/cmd/node/replica_links.go
+++ b/cmd/node/replica_links.go
@@ -95,11 +95,17 @@
 	return true
 }
 
+func (l *replicaLinks) lastPeer(service string) string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.tracker.LastPeer(service)
+}
+
 // order returns the peers to ask for a connection to a replica of a service.
-func (l *replicaLinks) order(now time.Duration, service string, peers []string, most int) []string {
+func (l *replicaLinks) order(now time.Duration, service string, near, far []string, most int) []string {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.tracker.Order(now, service, peers, most)
+	return l.tracker.Order(now, service, near, far, most)
 }
 
 // recordCut records that a peer connected to a replica that this instance's own link does not
--- a/coordination/reachability/reachability.go
+++ b/coordination/reachability/reachability.go
@@ -287,13 +287,26 @@
 	}
 }
 
-// Order returns at most n of the peers in the order in which they are asked for a service:
-// the one that connected last, the others as given, then those that failed lately.
-func (t *Tracker) Order(now time.Duration, serviceName string, names []string, n int) []string {
-	last := ""
+// LastPeer returns the peer that connected to a replica of a service last, "" if none is
+// known.
+func (t *Tracker) LastPeer(serviceName string) string {
 	if s := t.services[serviceName]; s != nil {
-		last = s.peer
+		return s.peer
 	}
+	return ""
+}
+
+// Order returns at most n peers in the order in which they are asked for a service: the one
+// that connected last, the others, then those that failed lately. Peers of the own hall,
+// near, and far ones take turns, as a whole hall may be cut off. The last peer must be
+// among them to be asked.
+func (t *Tracker) Order(now time.Duration, serviceName string, near, far []string, n int) []string {
+	out := make([]string, 0, len(near)+len(far))
+	for i := range max(len(near), len(far)) {
+		out = append(out, near[min(i, len(near)):min(i+1, len(near))]...)
+		out = append(out, far[min(i, len(far)):min(i+1, len(far))]...)
+	}
+	last := t.LastPeer(serviceName)
 	rank := func(name string) int {
 		switch {
 		case now < t.penalizedUntil[name]:
@@ -303,7 +316,6 @@
 		}
 		return 1
 	}
-	out := slices.Clone(names)
 	slices.SortStableFunc(out, func(a, b string) int { return cmp.Compare(rank(a), rank(b)) })
 	return out[:min(n, len(out))]
 }
--- a/coordination/reachability/reachability_test.go
+++ b/coordination/reachability/reachability_test.go
@@ -82,15 +82,18 @@
 	o := DefaultOptions()
 	tr := New(o)
 	all := []string{"a", "b", "c"}
-	is.Equal(tr.Order(0, "llm", all, 2), []string{"a", "b"})
+	is.Equal(tr.Order(0, "llm", []string{"n1", "n2", "n3"}, []string{"f1"}, 9), []string{"n1", "f1", "n2", "n3"})
+	is.Equal(tr.Order(0, "llm", all, nil, 2), []string{"a", "b"})
 	tr.RecordPeerFailure(0, "a")
-	is.Equal(tr.Order(0, "llm", all, 3), []string{"b", "c", "a"})
+	is.Equal(tr.Order(0, "llm", all, nil, 3), []string{"b", "c", "a"})
 	tr.RecordCut(0, engine(1), "c", true)
-	is.Equal(tr.Order(0, "llm", all, 3), []string{"c", "b", "a"})
-	is.Equal(tr.Order(o.PeerPenalty, "llm", all, 3), []string{"c", "a", "b"})
+	is.Equal(tr.Order(0, "llm", all, nil, 3), []string{"c", "b", "a"})
+	is.Equal(tr.Order(o.PeerPenalty, "llm", all, nil, 3), []string{"c", "a", "b"})
 	tr.RecordPeer("llm", "b")
-	is.Equal(tr.Order(o.PeerPenalty, "llm", all, 1), []string{"b"})
-	is.Equal(len(tr.Order(0, "llm", nil, 3)), 0)
+	is.Equal(tr.LastPeer("llm"), "b")
+	is.Equal(tr.LastPeer("desk"), "")
+	is.Equal(tr.Order(o.PeerPenalty, "llm", all, nil, 1), []string{"b"})
+	is.Equal(len(tr.Order(0, "llm", nil, nil, 3)), 0)
 }
 
 func TestUnlistedReplicasAndDeadPeersAreForgotten(t *testing.T) {
