--- a/cmd/node/link_checks.go
+++ b/cmd/node/link_checks.go
@@ -12,8 +12,7 @@
 const (
 	linkCheckInterval    = 100 * time.Millisecond // interval between checks whether a cut link is to be tried
 	minLinkCheckInterval = 500 * time.Millisecond // between two checks of the link to a service for late answers
-	// Time without an answer to a call after which the link to its replica is checked. Calls
-	// usually take less.
+	// Time without an answer to a call after which the link to its replica is checked.
 	lateCallTime     = 600 * time.Millisecond
 	linkProbeTimeout = replicaConnectTimeout
 )
--- a/cmd/node/relay.go
+++ b/cmd/node/relay.go
@@ -116,7 +116,7 @@
 	return dialResult{err: errPeersUnclear}
 }
 
-// closeLateRelays closes the connections of peers that answer after another one was chosen.
+// closeLateRelays closes the connections of peers that answer after another one has connected.
 func closeLateRelays(answers <-chan peerAnswer, pending int) {
 	for range pending {
 		if a := <-answers; a.conn != nil {
--- a/cmd/node/replica_dial.go
+++ b/cmd/node/replica_dial.go
@@ -91,7 +91,7 @@
 	return nil, n.connectError(ownResult.err, relayResult.err)
 }
 
-// closeLate closes a connection that comes up after another one was chosen. ended is the
+// closeLate closes a connection that comes up after another one is in use. ended is the
 // result if it is known already.
 func closeLate(results <-chan dialResult, ended *dialResult) {
 	if ended != nil {
--- a/coordination/reachability/reachability.go
+++ b/coordination/reachability/reachability.go
@@ -22,7 +22,7 @@
 // Options are the settings of a Tracker.
 type Options struct {
 	// HeadStart is how long a connection over the own link may take before a peer is asked
-	// as well: several times what it takes normally.
+	// as well.
 	HeadStart time.Duration
 	// ProbeInterval is the time between two tries of the own link to the replicas of a
 	// service that are cut off.
