Logs say which build a stream was sent to, and which one its client takes up again

Hypotheses: (1) failover within an answer takes any engine; (2) a client's next try does, as Resumes is read nowhere; (3) an engine that started again under its name runs another version than its entry says. The logs told a resumed stream by its last event only, and no version: not enough to tell (1), (2) and (3) apart.

--- a/cmd/node/attempt.go
+++ b/cmd/node/attempt.go
@@ -55,7 +55,7 @@
 // attempt sends the request to a replica and forwards the answer. It returns nil
 // once the client has an answer.
 func (s *requestHandler) attempt(ctx context.Context, r catalog.Replica, fetchFrom string) error {
-	s.lastReplica, s.lastRegion, s.lastFetchFrom = r.ID, r.Region, fetchFrom
+	s.lastReplica, s.lastBuild, s.lastRegion, s.lastFetchFrom = r.ID, r.Version, r.Region, fetchFrom
 	n := s.node
 	if !s.acquireSendGrant(ctx, &r) {
 		return errRateLimited
@@ -174,7 +174,7 @@
 	suspended := n.clock.TotalSuspended() != a.suspendedBefore
 	if err != nil {
 		event.NodeAttemptFailed.Log(n.log, "request", a.req.ID, "fingerprint", a.fingerprint, "replica", a.replica.ID, "why", err,
-			"took", took, "kept", a.conn.IsReused(), "last_event", a.stream.lastEventID, "chosen", a.chosenBy, "rest", a.head.Backoff, "leaves", a.head.Draining, "through", a.conn.RelayedBy())
+			"took", took, "kept", a.conn.IsReused(), "last_event", a.stream.lastEventID, "chosen", a.chosenBy, "rest", a.head.Backoff, "leaves", a.head.Draining, "through", a.conn.RelayedBy(), "build", a.replica.Version)
 	}
 	n.detectorMu.Lock()
 	if err == nil && !suspended {
--- a/cmd/node/request_end.go
+++ b/cmd/node/request_end.go
@@ -78,5 +78,6 @@
 		"attempts", len(s.tried), "replica", s.lastReplica, "took", s.elapsed(), "staged", s.stagesDuration, "expected", s.forecast.stages,
 		"engine_expected", s.forecast.engine, "reads", s.forecast.prefillTokens, "moves", s.forecast.transferTokens,
 		"first", s.timeToFirstEvent, "gap", s.maxEventGap, "tokens", s.req.InputTokens, "fetch", s.lastFetchFrom, "pieces", s.req.ItemCounts, "region", s.lastRegion,
-		"chosen", s.chosenBy, "through", s.lastRelay, "leaves", s.lastReplicaDrains, "short", s.forecast.standing.Resource, "asked", s.forecast.standing.Demand, "share", s.forecast.standing.Share)
+		"chosen", s.chosenBy, "through", s.lastRelay, "leaves", s.lastReplicaDrains, "short", s.forecast.standing.Resource, "asked", s.forecast.standing.Demand, "share", s.forecast.standing.Share,
+		"build", s.lastBuild, "resumes", s.req.ResumedID, "last_event", s.req.LastEventID)
 }
--- a/cmd/node/request_handler.go
+++ b/cmd/node/request_handler.go
@@ -67,6 +67,7 @@
 	stageReruns         int
 	stageWaits          int                    // waits for the stages of a broken stream
 	lastReplica         string                 // replica of the last send
+	lastBuild           string                 // software version of lastReplica
 	lastRegion          string                 // region of lastReplica
 	lastRelay           string                 // peer that relayed the last attempt; "": none
 	cachedRegionsConfig *catalog.Configuration // configuration that cachedRegions was read from
--- a/protocol/clientrequest/request.go
+++ b/protocol/clientrequest/request.go
@@ -27,6 +27,7 @@
 	MaxOutputTokens int // maximum number of generated tokens
 	Model           string
 	LastEventID     string
+	ResumedID       string        // ID of the request that brought the first event of the stream that this one continues; "": none
 	ArrivedAt       time.Duration // by the clock of the process that received it
 }
 
