A stream goes on only at the build that began it: failover within an answer (ORDER)

Callers saw streams with events of two software versions. Cause: nothing on the way from a broken stream to its next replica asks which build wrote the first event; the class is that what a request began binds what may go on with it.

Change: the first event binds the request to its replica's build (package origin). All doors that choose for it heed the binding: this instance's choice, before it cuts many candidates to some; the owner's, which is told in its ask, and the instance checks what comes back, as an older owner is not bound; stages are not run and a slow replica is not given up when no other of the build is left; then the stream breaks off. An entry's version belongs to its ID, which is checked with the connection in hand, and a replica of another ID answers 421, so no further check at the send is needed.

Ruled out: a filter on the owner's side alone, since a cell may hold no engine of the build.

--- a/cmd/node/attempt.go
+++ b/cmd/node/attempt.go
@@ -332,6 +332,9 @@
 	case a.route.Kind == catalog.Repeatable:
 		return max(time.Duration(float64(a.route.Objective)*timeoutObjectiveShare), timeoutMeanFactor*mean)
 	case a.route.Kind == catalog.Stream && a.route.Resumable:
+		if a.binding.IsBound() && !a.hasUntriedReplica() {
+			return 0
+		}
 		return max(a.route.Objective, time.Second)
 	}
 	return 0
@@ -345,7 +348,7 @@
 }
 
 func (a *attempt) hasUntriedReplica() bool {
-	for _, r := range replicasInRegions(a.allowedRegions(), a.node.snapshot.Load().eligible(a.service.Name)) {
+	for _, r := range a.eligibleReplicas(a.node.snapshot.Load()) {
 		if !a.tried[r.ID] && !a.avoid[r.ID] {
 			return true
 		}
--- a/cmd/node/backoff.go
+++ b/cmd/node/backoff.go
@@ -93,10 +93,13 @@
 func (s *requestHandler) checkServable() error {
 	snap := s.node.snapshot.Load()
 	now := s.node.now()
+	if s.binding.IsBound() && len(s.eligibleReplicas(snap)) == 0 {
+		return errNoReplicaOfBuild
+	}
 	if _, _, eligible := snap.list.Count(s.service.Name); eligible > 0 && !s.allowedRegions().IsRestricted() && s.node.advisories.areNone() {
 		return nil
 	}
-	listed := replicasInRegions(s.allowedRegions(), snap.eligible(s.service.Name))
+	listed := s.eligibleReplicas(snap)
 	if len(listed) == 0 {
 		return s.checkAllDraining(snap)
 	}
--- a/cmd/node/owned_request.go
+++ b/cmd/node/owned_request.go
@@ -7,6 +7,7 @@
 
 	"google.golang.org/protobuf/proto"
 
+	"quinceroad/coordination/origin"
 	"quinceroad/coordination/pipeline"
 	"quinceroad/coordination/placement"
 	"quinceroad/coordination/quarantine"
@@ -265,6 +266,9 @@
 		Avoid:        make(map[string]bool),
 		ReplicaEnds:  int(ask.Ended),
 	}
+	if ask.Bound {
+		r.Binding = origin.To(ask.Build)
+	}
 	for _, p := range ask.Parts {
 		r.Parts = append(r.Parts, catalog.PromptPart{ID: p.Id, Tokens: int(p.Tokens)})
 	}
--- a/cmd/node/replica_choice.go
+++ b/cmd/node/replica_choice.go
@@ -61,6 +61,7 @@
 		Fingerprint: uint64(s.fingerprint),
 		Customer:    boundedCustomerName(s.customer),
 	}
+	ask.Build, ask.Bound = s.binding.Build()
 	ask.CustomerPart, ask.CustomerOf = s.node.customers.recentShare(s.node.now(), ask.Customer)
 	for _, p := range s.req.Prompt {
 		ask.Parts = append(ask.Parts, &pb.PromptPart{Id: p.ID, Tokens: uint32(p.Tokens)})
@@ -105,6 +106,9 @@
 	snap := n.snapshot.Load() // replicas may have drained since the request arrived
 	now := n.now()
 	listed := s.candidates(snap)
+	if len(listed) == 0 && s.binding.IsBound() {
+		return catalog.Replica{}, "", errNoReplicaOfBuild
+	}
 	if _, _, eligible := snap.list.Count(s.service.Name); len(listed) == 0 && eligible > 0 {
 		return catalog.Replica{}, "", errNoAllowedRegion
 	}
@@ -136,7 +140,7 @@
 // are some, so that the choice does not cost more in a larger fleet: the same ones for all
 // requests that share a prompt. When the request has tried some of them, it may go to all.
 func (s *requestHandler) candidates(snap *snapshot) []catalog.Replica {
-	all := replicasInRegions(s.allowedRegions(), snap.eligible(s.service.Name))
+	all := s.eligibleReplicas(snap)
 	if s.service.Engine == nil || len(all) <= maxComparedEngines || len(s.tried)+len(s.avoid) > 1 {
 		return all
 	}
@@ -148,6 +152,15 @@
 	return all[start : start+comparedEngines]
 }
 
+// eligibleReplicas returns the replicas that accept work and at which the request may run.
+func (s *requestHandler) eligibleReplicas(snap *snapshot) []catalog.Replica {
+	all := snap.eligible(s.service.Name)
+	if build, bound := s.binding.Build(); bound {
+		all = snap.list.EligibleOfBuild(s.service.Name, build)
+	}
+	return replicasInRegions(s.allowedRegions(), all)
+}
+
 const (
 	maxComparedEngines = 400 // engines of which all are compared for a request
 	comparedEngines    = 100 // of more, this many
@@ -212,7 +225,7 @@
 		return catalog.Replica{}, false
 	}
 	r, listed := s.node.snapshot.Load().list.Replica(s.job.engine)
-	if !listed || r.Service != s.service.Name || !r.AcceptsWork() {
+	if !listed || r.Service != s.service.Name || !r.AcceptsWork() || !s.binding.Allows(r.Version) {
 		return catalog.Replica{}, false
 	}
 	return r, s.canSendToOwnerChoice()
--- a/cmd/node/request_handler.go
+++ b/cmd/node/request_handler.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"quinceroad/cmd/process"
+	"quinceroad/coordination/origin"
 	"quinceroad/coordination/outcome"
 	"quinceroad/coordination/quarantine"
 	"quinceroad/coordination/regions"
@@ -74,6 +75,7 @@
 	cachedRegions       regions.Allowed
 	lastOwner           string // last owner that was asked to run its stages
 	stream              streamState
+	binding             origin.Binding  // build that began its stream, once an event has arrived
 	stagesDuration      time.Duration   // time from its arrival until its stages were done
 	forecast            requestForecast // the owner's estimates
 	timeToFirstEvent    time.Duration   // from the request's arrival
@@ -226,6 +228,7 @@
 	errReplicaFailed    = errors.New("the replica failed the request")
 	errStreamBroken     = errors.New("the stream broke off midway")
 	errClientGone       = errors.New("the client has gone")
+	errNoReplicaOfBuild = errors.New("no replica of the build that began the stream accepts work")
 )
 
 // run makes attempts until the request is answered or may not be retried.
--- a/cmd/node/stream.go
+++ b/cmd/node/stream.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"time"
 
+	"quinceroad/coordination/origin"
 	"quinceroad/protocol/event"
 )
 
@@ -60,6 +61,7 @@
 		}
 		if lastEventAt == 0 {
 			a.answerStartedAt = a.node.now()
+			a.binding = origin.To(a.replica.Version)
 			if a.job != nil {
 				a.job.reportFirstEvent()
 			}
--- a/coordination/listing/listing.go
+++ b/coordination/listing/listing.go
@@ -43,6 +43,9 @@
 
 	eligibleOnce sync.Once
 	eligible     []catalog.Replica
+
+	byBuildOnce sync.Once
+	byBuild     map[string][]catalog.Replica // those that accept work
 }
 
 // regionReplicas holds the replicas of a service in a region.
@@ -146,6 +149,23 @@
 	return s.eligible
 }
 
+// EligibleOfBuild returns the replicas of a service that run a software version and accept
+// work. The result is shared; the caller must not change it. It is collected on first use
+// after a change of the service.
+func (l *List) EligibleOfBuild(name, build string) []catalog.Replica {
+	s := l.services[name]
+	if s == nil {
+		return nil
+	}
+	s.byBuildOnce.Do(func() {
+		s.byBuild = make(map[string][]catalog.Replica)
+		for _, r := range l.Eligible(name) {
+			s.byBuild[r.Version] = append(s.byBuild[r.Version], r)
+		}
+	})
+	return s.byBuild[build]
+}
+
 // Count returns how many replicas of a service are listed, are not draining, and accept
 // work.
 func (l *List) Count(name string) (listed, present, eligible int) {
--- a/coordination/placement/placement.go
+++ b/coordination/placement/placement.go
@@ -19,6 +19,7 @@
 	"slices"
 	"time"
 
+	"quinceroad/coordination/origin"
 	"quinceroad/coordination/pace"
 	"quinceroad/coordination/speed"
 	"quinceroad/coordination/warmup"
@@ -34,6 +35,7 @@
 	Slack        time.Duration        // time left until the first event is late
 	ResultBytes  map[string]int64     // bytes of results that the stream reads, by the hall that holds them
 	Avoid        map[string]bool      // IDs of excluded engines
+	Binding      origin.Binding       // build that began the stream, if it goes on
 	RemoteCache  CachedPrefix         // longest prefix cached in other regions
 	ReplicaEnds  int                  // replicas that ended while running this request; a request with any is a suspect
 }
@@ -200,7 +202,7 @@
 	out := make([]*engine, 0, len(all))
 	for i := range all {
 		e := all[(uint64(i)+r.ID*rotationMultiplier)%uint64(len(all))]
-		if e.AcceptsWork() && !r.Avoid[e.ID] && p.withinWarmUpRate(now, e) && p.hasSendGrant(now, e) {
+		if e.AcceptsWork() && !r.Avoid[e.ID] && r.Binding.Allows(e.Version) && p.withinWarmUpRate(now, e) && p.hasSendGrant(now, e) {
 			out = append(out, e)
 		}
 	}
@@ -258,7 +260,7 @@
 	}
 	first := true
 	for _, e := range p.byService[r.Service] {
-		if !e.AcceptsWork() || r.Avoid[e.ID] {
+		if !e.AcceptsWork() || r.Avoid[e.ID] || !r.Binding.Allows(e.Version) {
 			continue
 		}
 		s = s.Add(first, p.grants.NextGrant(now, e.ID), p.grants.Interval(e.ID))
