A stream that its client takes up again goes on only at its build (ORDER)

Callers saw streams of two builds over their tries. Cause: Resumes was read nowhere, and which build began a stream was known to nobody but the instance that served it, if to that.

Change: when a stream's first event arrives, its instance keeps which build of which service wrote it and tells two others, in two halls, by a hash ring over the live instances, without waiting: the client can't come back before it has the event. Who is asked to go on without a record asks the first six on the ring at once, and binds the stream to the service and build that began it. A key is a hash of customer and request, so another customer's ID is unknown. Unknown: goes on only if the service's replicas have had one build for as long as records live, as far as this instance and its peers know, else refused at once as not run. An ID that a client used for streams of two builds counts as unknown. Feature level 3; older builds are neither told nor asked.

Ruled out: records in the store (5,100 a second, it takes 400 writes); a record sent before the first event, which a failover would have to correct in order; asking replicas, which forget a stream with its connection. Known gap: with all instances killed at once nobody knows; a stream then goes on if all listed replicas have one build.

--- a/cmd/node/node.go
+++ b/cmd/node/node.go
@@ -19,6 +19,7 @@
 	metrics "github.com/rcrowley/go-metrics"
 	"golang.org/x/sync/errgroup"
 
+	"quinceroad/cmd/node/origins"
 	"quinceroad/cmd/process"
 	"quinceroad/coordination/balancer"
 	"quinceroad/coordination/evacuation"
@@ -87,6 +88,7 @@
 	customers      customerCounts     // has its own lock; no other is acquired under it
 	heldAnswers    *heldAnswers       // has its own lock; no other is acquired under it
 	replicaLinks   *replicaLinks      // has its own lock; no other is acquired under it
+	origins        *origins.Keeper    // has its own lock; no other is acquired under it
 
 	detectorMu     sync.Mutex // guards the fields up to deadlines
 	detector       *health.Detector
@@ -156,6 +158,9 @@
 		CPUShare:         uint32(s.CPUShare * 1000),
 		HeartbeatAddress: net.JoinHostPort(s.IP, strconv.Itoa(s.HeartbeatPort)),
 	}, gossip.DefaultOptions())
+	n.origins = origins.New(origins.Options{
+		Name: s.Name, Region: n.home, Now: n.now, Live: n.live, Peers: n.links, Log: log, Registry: n.registry, HasSeveralBuilds: n.hasSeveralBuilds,
+	})
 	n.owner = newOwner(n)
 	n.clock.OnResume(n.handleResume)
 	n.snapshot.Store(&snapshot{regionMap: n.regionMap, list: listing.Empty()})
@@ -265,6 +270,7 @@
 		n.rollouts.prune()
 		n.pruneQuarantine()
 		n.pruneLinks()
+		n.origins.Expire()
 		n.replicaClient.CloseIdleExcept(n.isListedAddress)
 		n.links.Sweep(time.Now())
 		n.detectorMu.Lock()
--- a/cmd/node/request_handler.go
+++ b/cmd/node/request_handler.go
@@ -75,7 +75,7 @@
 	cachedRegions       regions.Allowed
 	lastOwner           string // last owner that was asked to run its stages
 	stream              streamState
-	binding             origin.Binding  // build that began its stream, once an event has arrived
+	binding             origin.Binding  // build that began its stream, once an event has arrived, here or at an earlier try
 	stagesDuration      time.Duration   // time from its arrival until its stages were done
 	forecast            requestForecast // the owner's estimates
 	timeToFirstEvent    time.Duration   // from the request's arrival
@@ -233,6 +233,9 @@
 
 // run makes attempts until the request is answered or may not be retried.
 func (s *requestHandler) run(ctx context.Context) error {
+	if err := s.bindResumedStream(ctx); err != nil {
+		return err
+	}
 	for {
 		if err := s.checkQuarantine(ctx); err != nil {
 			return err
--- a/cmd/node/stream.go
+++ b/cmd/node/stream.go
@@ -7,7 +7,6 @@
 	"net/http"
 	"time"
 
-	"quinceroad/coordination/origin"
 	"quinceroad/protocol/event"
 )
 
@@ -61,7 +60,7 @@
 		}
 		if lastEventAt == 0 {
 			a.answerStartedAt = a.node.now()
-			a.binding = origin.To(a.replica.Version)
+			a.recordOrigin()
 			if a.job != nil {
 				a.job.reportFirstEvent()
 			}
--- a/coordination/featurelevel/featurelevel.go
+++ b/coordination/featurelevel/featurelevel.go
@@ -25,11 +25,14 @@
 	ReplicaIncarnations
 	// RelayedConnections adds connections to replicas that a peer opens and relays.
 	RelayedConnections
+	// StreamOrigins adds records of the builds that began streams.
+	StreamOrigins
 )
 
 // features describes, for operators, what each level enables.
 var features = map[uint32]string{
 	ReplicaIncarnations: "replicas are named once, and a suspect has one arbiter",
+	StreamOrigins:       "a stream that its client takes up again goes on at the build that began it",
 	RelayedConnections:  "an instance that is cut off from replicas reaches them through its peers",
 }
 
@@ -44,7 +47,7 @@
 }
 
 // Current is the feature level of this build.
-const Current = RelayedConnections
+const Current = StreamOrigins
 
 // SettleTime is the time for which all instances must have announced a level before it
 // takes effect. It exceeds the failure timeout of an instance, so that an instance that is
--- a/coordination/listing/listing.go
+++ b/coordination/listing/listing.go
@@ -46,6 +46,9 @@
 
 	byBuildOnce sync.Once
 	byBuild     map[string][]catalog.Replica // those that accept work
+
+	buildsOnce sync.Once
+	builds     []string
 }
 
 // regionReplicas holds the replicas of a service in a region.
@@ -166,6 +169,23 @@
 	return s.byBuild[build]
 }
 
+// Builds returns the software versions of a service's replicas, sorted. The result is shared;
+// the caller must not change it. It is collected on first use after a change of the service.
+func (l *List) Builds(name string) []string {
+	s := l.services[name]
+	if s == nil {
+		return nil
+	}
+	s.buildsOnce.Do(func() {
+		found := make(map[string]bool)
+		for e := range l.OfService(name) {
+			found[e.Version] = true
+		}
+		s.builds = slices.Sorted(maps.Keys(found))
+	})
+	return s.builds
+}
+
 // Count returns how many replicas of a service are listed, are not draining, and accept
 // work.
 func (l *List) Count(name string) (listed, present, eligible int) {
--- a/protocol/frame/frame.go
+++ b/protocol/frame/frame.go
@@ -36,6 +36,8 @@
 	SendGrant                        // PaceAsk -> PaceReply
 	SyncView                         // SyncAsk -> SyncReply
 	Relay                            // RelayAsk -> RelayReply, then the bytes of a connection to a replica (package relay)
+	RecordOrigin                     // OriginRecord -> OriginReply
+	FindOrigin                       // OriginAsk -> OriginReply
 )
 
 // UnknownKind is the reply to a stream whose kind the peer does not know. It is the
