--- a/cmd/node/counters.go
+++ b/cmd/node/counters.go
@@ -35,6 +35,7 @@
 	busyReplies         metrics.Counter // replies that referred a peer to another instance
 	logDropped          metrics.Counter
 	storeOutages        metrics.Counter // outages of the store, as observed by this instance
+	storeReturns        metrics.Counter // times that the store came back from a copy
 	cancelledStoreCalls metrics.Counter // calls cancelled because the store was unresponsive when it got them
 	invalidEntries      metrics.Counter // invalid entries of the replica list; each counts once until it is valid or removed
 	replicaRestarts     metrics.Counter // replicas that restarted under the same name
@@ -86,6 +87,7 @@
 		busyReplies:         counter("node.told_busy"),
 		logDropped:          counter("node.log_dropped"),
 		storeOutages:        counter("node.store_silences"),
+		storeReturns:        counter("node.store_returns"),
 		cancelledStoreCalls: counter("node.store_calls_given_up"),
 		invalidEntries:      counter("node.entries_broken"),
 		replicaRestarts:     counter("node.lives_over"),
--- a/cmd/node/node.go
+++ b/cmd/node/node.go
@@ -69,6 +69,7 @@
 	isReader     atomic.Bool // this instance watches the store on behalf of others
 	storeFailed  atomic.Bool // a call to the store has failed since startup
 	storeMonitor *storeMonitor
+	storeEra     atomic.Uint64 // of the store's history, as last observed; 0: it states none
 	configPull   peerPull
 	replicasPull peerPull
 	peerUpdates  updateServer
--- a/cmd/node/store.go
+++ b/cmd/node/store.go
@@ -11,6 +11,7 @@
 // simulate an unresponsive store under a fake clock.
 type store interface {
 	Probe(timeout time.Duration) error
+	Era() uint64
 	Intent() (platform.Intent, error)
 	Replicas() (items map[string][]byte, revision uint64, err error)
 	Watch(t platform.Topic, after uint64, wait time.Duration) (items []platform.Entry, revision uint64, err error)
--- a/cmd/node/store_monitor.go
+++ b/cmd/node/store_monitor.go
@@ -75,6 +75,7 @@
 			return
 		}
 		err := n.store.Probe(storeProbeTimeout)
+		n.observeEra()
 		n.setStoreReachable(err == nil)
 		switch changed := n.storeMonitor.record(err == nil); {
 		case changed && err != nil:
@@ -86,3 +87,15 @@
 		}
 	})
 }
+
+// observeEra reports that the store has come back from a copy, once for each era. The first
+// era that it states is none to report.
+func (n *Node) observeEra() {
+	era := n.store.Era()
+	was := n.storeEra.Swap(era)
+	if era == was || was == 0 {
+		return
+	}
+	n.counters.storeReturns.Inc(1)
+	event.NodeStoreReturned.Log(n.log, "era", era, "was", was, "replicas_at", n.replicasRevision())
+}
--- a/cmd/node/topic_follower.go
+++ b/cmd/node/topic_follower.go
@@ -92,6 +92,7 @@
 		}
 		startedAt := n.now()
 		err := f.nextCall(needsFullRead, answered)
+		n.observeEra()
 		waited := n.now() - startedAt
 		answered = err == nil
 		switch {
--- a/cmd/node/unresponsive_store_test.go
+++ b/cmd/node/unresponsive_store_test.go
@@ -80,6 +80,8 @@
 	return nil
 }
 
+func (s *fakeStore) Era() uint64 { return 0 }
+
 func (s *fakeStore) Intent() (platform.Intent, error) {
 	if err := s.Probe(platform.CallTimeout); err != nil {
 		return platform.Intent{}, err
