--- a/cmd/node/bad_list_test.go
+++ b/cmd/node/bad_list_test.go
@@ -33,7 +33,7 @@
 			values[name] = replicaEntry(t, &catalog.Replica{Service: "s", Address: "10.1.64.1:8080", Hall: "hall-1", Slots: 8})
 		}
 	}
-	n.replicas.changeLog.Replace(values, 100)
+	n.replicas.changeLog.Replace(0, values, pointAt(100))
 	n.publishSnapshot()
 	is.Equal(n.snapshot.Load().list.Len(), entries/2)
 	is.Equal(n.counters.invalidEntries.Count(), int64(entries/2))
@@ -41,7 +41,7 @@
 	is.True(log.Len() < 30000)
 	n.publishSnapshot()
 	is.Equal(n.counters.invalidEntries.Count(), int64(entries/2)) // each counts once
-	n.replicas.changeLog.ApplyChanges([]changes.Entry{{ID: "i-00000003", Value: replicaEntry(t, &catalog.Replica{Service: "s", Address: "10.1.64.1:8080", Hall: "hall-1", Slots: 8}), Revision: 101}}, 101)
+	n.replicas.changeLog.ApplyChanges([]changes.Entry{{ID: "i-00000003", Value: replicaEntry(t, &catalog.Replica{Service: "s", Address: "10.1.64.1:8080", Hall: "hall-1", Slots: 8}), Revision: 101}}, pointAt(101))
 	n.publishSnapshot()
 	is.Equal(n.snapshot.Load().list.Len(), entries/2+1)
 }
--- a/cmd/node/bench_test.go
+++ b/cmd/node/bench_test.go
@@ -34,7 +34,7 @@
 	}
 	n.config = benchmarkConfiguration()
 	n.replicas.divided = true
-	n.replicas.changeLog.Replace(entries, 100)
+	n.replicas.changeLog.Replace(0, entries, pointAt(100))
 	n.publishSnapshot()
 	return n
 }
@@ -103,7 +103,7 @@
 			for b.Loop() {
 				at++
 				value := replicaEntry(b, &catalog.Replica{Service: "s1", Address: "10.1.64.1:8080", Hall: "hall-1", Version: "v1", Slots: int(at%7 + 1)})
-				n.replicas.changeLog.ApplyUpdate(changes.Update{Revision: at, LastChange: at, Entries: []changes.Entry{{ID: "i-00000001", Value: value, Revision: at}}})
+				n.replicas.changeLog.ApplyUpdate(n.now(), changes.Update{At: pointAt(at), LastChange: pointAt(at), Entries: []changes.Entry{{ID: "i-00000001", Value: value, Revision: at}}})
 				n.publishSnapshot()
 			}
 		})
@@ -158,11 +158,11 @@
 	for _, replicas := range []int{600, 10000} {
 		b.Run(fmt.Sprint("replicas=", replicas), func(b *testing.B) {
 			from := fleetNode(b, 6, replicas)
-			update := from.replicas.changeLog.UpdateSince(0)
+			update := from.replicas.changeLog.UpdateSince(pointAt(0))
 			b.ReportAllocs()
 			for b.Loop() {
 				n := fleetNode(b, 6, 0)
-				n.replicas.changeLog.ApplyUpdate(update)
+				n.replicas.changeLog.ApplyUpdate(n.now(), update)
 				n.publishSnapshot()
 			}
 		})
@@ -183,11 +183,11 @@
 	for b.Loop() {
 		n := fleetNode(b, 6, 0)
 		n.replicas.divided = false
-		n.replicas.changeLog.Replace(map[string][]byte{}, 1)
+		n.replicas.changeLog.Replace(0, map[string][]byte{}, pointAt(1))
 		n.publishSnapshot()
 		for at := 0; at < len(entries); at += batch {
 			last := entries[at+batch-1].Revision
-			n.replicas.changeLog.ApplyUpdate(changes.Update{Revision: last, LastChange: last, Entries: entries[at : at+batch]})
+			n.replicas.changeLog.ApplyUpdate(n.now(), changes.Update{At: pointAt(last), LastChange: pointAt(last), Entries: entries[at : at+batch]})
 			n.publishSnapshot()
 		}
 		n.dividedSnapshot()
--- a/cmd/node/compatibility_test.go
+++ b/cmd/node/compatibility_test.go
@@ -26,9 +26,9 @@
 // time.
 func nodeWithOneReplica(t *testing.T) *Node {
 	n := newNodeWithReplicas(t, 0)
-	n.replicas.changeLog.Replace(map[string][]byte{"e1": replicaEntry(t, &catalog.Replica{
+	n.replicas.changeLog.Replace(0, map[string][]byte{"e1": replicaEntry(t, &catalog.Replica{
 		Service: "llm", Address: "10.0.0.1:80", Hall: "h", Version: "v", Slots: 1, StartMillis: 7,
-	})}, 101)
+	})}, pointAt(101))
 	n.publishSnapshot()
 	return n
 }
@@ -75,9 +75,9 @@
 		is.True(!n.replicaAcceptsWork("e1@7"))
 	}
 	is.True(n.replicaAcceptsWork("e2"))
-	n.replicas.changeLog.Replace(map[string][]byte{"e1": replicaEntry(t, &catalog.Replica{
+	n.replicas.changeLog.Replace(0, map[string][]byte{"e1": replicaEntry(t, &catalog.Replica{
 		Service: "llm", Address: "10.0.0.1:80", Hall: "h", Version: "v", Slots: 1, StartMillis: 8,
-	})}, 102)
+	})}, pointAt(102))
 	n.publishSnapshot()
 	is.True(n.replicaAcceptsWork("e1@8"))
 	is.Equal(len(n.snapshot.Load().eligible("llm")), 1)
--- a/cmd/node/heartbeats.go
+++ b/cmd/node/heartbeats.go
@@ -116,8 +116,9 @@
 // buildHeartbeat returns a heartbeat with what is announced in each.
 func (n *Node) buildHeartbeat(m gossip.Message) *pb.Heartbeat {
 	draining, stated := n.drainUpdates()
+	changed := n.lastReplicaChange()
 	h := &pb.Heartbeat{
-		Leaving: draining, LeavingStated: uint32(stated), Sick: n.ejectionUpdates(), Changed: n.lastReplicaChange(), Evacuations: n.drainedHallsUpdate(),
+		Leaving: draining, LeavingStated: uint32(stated), Sick: n.ejectionUpdates(), Changed: changed.Revision, ChangedEra: changed.Era, Evacuations: n.drainedHallsUpdate(),
 		Rollouts: n.rolloutUpdate(), Limits: n.limitUpdates(),
 	}
 	for _, i := range m.Entries {
--- a/cmd/node/node.go
+++ b/cmd/node/node.go
@@ -272,6 +272,7 @@
 		n.pruneQuarantine()
 		n.pruneLinks()
 		n.origins.Expire()
+		n.expirePreviousEra()
 		n.replicaClient.CloseIdleExcept(n.isListedAddress)
 		n.links.Sweep(time.Now())
 		n.detectorMu.Lock()
--- a/cmd/node/peer_pull.go
+++ b/cmd/node/peer_pull.go
@@ -6,6 +6,7 @@
 
 	"google.golang.org/protobuf/proto"
 
+	"quinceroad/coordination/history"
 	"quinceroad/protocol/event"
 	"quinceroad/protocol/frame"
 	"quinceroad/protocol/pack"
@@ -78,13 +79,18 @@
 		go n.pullConfig(from.Link, have)
 	}
 	n.watchedMu.Lock()
-	behind, have := n.replicas.changeLog.IsBehind(h.Changed), n.replicas.changeLog.Revision()
+	behind, have := n.replicas.changeLog.IsBehind(changedIn(h)), n.replicas.changeLog.At()
 	n.watchedMu.Unlock()
-	if behind && n.replicasPull.tryStart(now, n.pullDelay(from, have > 0)) {
+	if behind && n.replicasPull.tryStart(now, n.pullDelay(from, !have.IsZero())) {
 		go n.pullReplicas(from.Link, have)
 	}
 }
 
+// changedIn returns the newest change of the replicas that the sender of a heartbeat knows.
+func changedIn(h *pb.Heartbeat) history.Point {
+	return history.Point{Era: h.ChangedEra, Revision: h.Changed}
+}
+
 // pullDelay returns how long to wait before pulling from a peer. An instance that reads
 // the store should soon receive the update from there, and traffic between halls is
 // expensive, between regions even more so.
@@ -162,9 +168,9 @@
 	return &pb.Config{Revision: config.Version, Declaration: packed, Evacuations: n.drainedHallsUpdate(), Rollouts: n.rolloutUpdate()}
 }
 
-func (n *Node) pullReplicas(addr string, have uint64) {
+func (n *Node) pullReplicas(addr string, have history.Point) {
 	answer := &pb.ReplicaChanges{}
-	err := n.links.Call(addr, frame.PullReplicas, &pb.PullReplicas{Have: have}, answer, pullTimeout)
+	err := n.links.Call(addr, frame.PullReplicas, &pb.PullReplicas{Have: have.Revision, Era: have.Era}, answer, pullTimeout)
 	if err == nil {
 		n.countPullBytes(addr, answer)
 		answer, err = decompressChanges(answer)
@@ -181,11 +187,11 @@
 	defer n.replicasPull.finish()
 	update := decodeReplicaChanges(answer)
 	n.watchedMu.Lock()
-	n.replicas.changeLog.ApplyUpdate(update)
+	n.replicas.changeLog.ApplyUpdate(n.now(), update)
 	n.watchedMu.Unlock()
-	event.NodeReplicasChanged.Log(n.log, "from", addr, "changes", len(update.Entries), "at", update.Revision)
+	event.NodeReplicasChanged.Log(n.log, "from", addr, "changes", len(update.Entries), "at", update.At.Revision, "era", update.At.Era)
 	n.publishSnapshot()
-	if have == 0 {
+	if have.IsZero() {
 		n.sendHeartbeats() // other instances may have started at the same time and lack the list
 	}
 }
@@ -200,10 +206,11 @@
 	n.watchedMu.Lock()
 	changed := n.replicas.changeLog.LastChange()
 	n.watchedMu.Unlock()
-	answer, size := n.peerUpdates.cached(ask.Have, changed)
+	have := history.Point{Era: ask.Era, Revision: ask.Have}
+	answer, size := n.peerUpdates.cached(have, changed)
 	if answer == nil {
-		answer, size = n.buildReplicasAnswer(ask.Have)
-		n.peerUpdates.store(ask.Have, changed, answer, size)
+		answer, size = n.buildReplicasAnswer(have)
+		n.peerUpdates.store(have, changed, answer, size)
 	}
 	if !n.peerUpdates.allow(n.now(), size, n.settings.LinkBytesPerSecond) {
 		n.counters.busyReplies.Inc(1)
@@ -212,13 +219,13 @@
 	return answer
 }
 
-// buildReplicasAnswer returns the changes since a revision and their size in bytes. A
+// buildReplicasAnswer returns the changes since a point and their size in bytes. A
 // long answer is compressed.
-func (n *Node) buildReplicasAnswer(have uint64) (*pb.ReplicaChanges, int) {
+func (n *Node) buildReplicasAnswer(have history.Point) (*pb.ReplicaChanges, int) {
 	n.watchedMu.Lock()
 	update := n.replicas.changeLog.UpdateSince(have)
 	n.watchedMu.Unlock()
-	out := &pb.ReplicaChanges{Whole: update.Full, Gapped: update.HasGap, At: update.Revision, Changed: update.LastChange}
+	out := &pb.ReplicaChanges{Whole: update.Full, Gapped: update.HasGap, At: update.At.Revision, Changed: update.LastChange.Revision, Era: update.At.Era}
 	for _, e := range update.Entries {
 		out.Entries = append(out.Entries, &pb.ReplicaEntry{Id: e.ID, Value: e.Value, Revision: e.Revision, Gone: e.Deleted})
 	}
--- a/cmd/node/rate_limits_test.go
+++ b/cmd/node/rate_limits_test.go
@@ -47,7 +47,7 @@
 func TestLimitedReplicasGaugeFallsToZero(t *testing.T) {
 	is := is.New(t)
 	n := New(&platform.Settings{Name: "n1", Hall: "h1"}, hclog.NewNullLogger())
-	n.replicas.changeLog.Replace(map[string][]byte{"r": replicaEntry(t, &catalog.Replica{Service: "s", Address: "10.1.1.1:1", Hall: "h1", Slots: 1})}, 1)
+	n.replicas.changeLog.Replace(0, map[string][]byte{"r": replicaEntry(t, &catalog.Replica{Service: "s", Address: "10.1.1.1:1", Hall: "h1", Slots: 1})}, pointAt(1))
 	n.publishSnapshot()
 	gauge := func() int64 { return metrics.GetOrRegisterGauge("node.replicas_limited.s", n.registry).Value() }
 	n.recordLimit(pace.Report{Incarnation: "r", Limit: pace.Limit{PerSecond: 1, Stated: true}}, "peer")
--- a/cmd/node/relay_test.go
+++ b/cmd/node/relay_test.go
@@ -23,7 +23,7 @@
 	}
 	t.Cleanup(func() { _ = ln.Close() })
 	n := newNodeWithReplicas(t, 0)
-	n.replicas.changeLog.Replace(map[string][]byte{"e1": replicaEntry(t, &catalog.Replica{Service: "llm", Address: ln.Addr().String(), Hall: "h", Version: "v", Slots: 1})}, 101)
+	n.replicas.changeLog.Replace(0, map[string][]byte{"e1": replicaEntry(t, &catalog.Replica{Service: "llm", Address: ln.Addr().String(), Hall: "h", Version: "v", Slots: 1})}, pointAt(101))
 	n.publishSnapshot()
 	return n, ln
 }
--- a/cmd/node/replica_push.go
+++ b/cmd/node/replica_push.go
@@ -2,6 +2,7 @@
 
 import (
 	"quinceroad/coordination/changes"
+	"quinceroad/coordination/history"
 	"quinceroad/protocol/event"
 	"quinceroad/protocol/pb"
 )
@@ -10,17 +11,17 @@
 // with the rest. More changes are announced and pulled.
 const maxPushedChanges = 900
 
-// announceReplicaChanges sends the changes of the replicas after a revision to all
+// announceReplicaChanges sends the changes of the replicas after a point to all
 // instances of this instance's hall. Small ones go out with the announcement: if each
 // instance pulled them, a reader would answer as many calls as its hall has instances for
 // every replica that comes or goes.
-func (n *Node) announceReplicaChanges(since uint64) {
+func (n *Node) announceReplicaChanges(since history.Point) {
 	if n.socket == nil {
 		return
 	}
 	h := n.selfHeartbeat()
 	if message, size := n.buildReplicasAnswer(since); !message.Whole && size <= maxPushedChanges {
-		h.Replicas, h.ReplicasSince = message, since
+		h.Replicas, h.ReplicasSince = message, since.Revision
 	}
 	n.sendToHall(h)
 }
@@ -38,9 +39,11 @@
 	}
 	n.watchedMu.Lock()
 	log := n.replicas.changeLog
-	applies := log.IsLoaded() && log.Revision() >= h.ReplicasSince && log.IsBehind(pushed.Changed)
+	update := decodeReplicaChanges(pushed)
+	since := history.Point{Era: pushed.Era, Revision: h.ReplicasSince}
+	applies := log.IsLoaded() && log.At().Era == pushed.Era && !log.At().Before(since) && log.IsBehind(update.LastChange)
 	if applies {
-		log.ApplyUpdate(decodeReplicaChanges(pushed))
+		log.ApplyUpdate(n.now(), update)
 	}
 	n.watchedMu.Unlock()
 	if !applies {
@@ -52,7 +55,11 @@
 }
 
 func decodeReplicaChanges(m *pb.ReplicaChanges) changes.Update {
-	update := changes.Update{Full: m.Whole, HasGap: m.Gapped, Revision: m.At, LastChange: m.Changed}
+	update := changes.Update{
+		Full: m.Whole, HasGap: m.Gapped,
+		At:         history.Point{Era: m.Era, Revision: m.At},
+		LastChange: history.Point{Era: m.Era, Revision: m.Changed},
+	}
 	for _, e := range m.Entries {
 		update.Entries = append(update.Entries, changes.Entry{ID: e.Id, Value: e.Value, Revision: e.Revision, Deleted: e.Gone})
 	}
--- a/cmd/node/replica_set.go
+++ b/cmd/node/replica_set.go
@@ -22,6 +22,7 @@
 	index          *listing.Index
 	services       map[string]serviceTraits // of the configuration with which the index was built
 	inferredDrains map[string]time.Duration // by incarnation: time at which the drain was first inferred
+	listedDrains   map[string]time.Duration // by incarnation: last time at which its entry said that it drains
 	invalid        map[string]bool          // names of entries that can't be parsed and were logged
 	goneBuilds     *origin.History          // builds of the incarnations that are no longer listed
 	loggedWarming  map[string]time.Duration // end of the warm-up that was logged, by incarnation
@@ -57,6 +58,7 @@
 		addresses:      make(map[string]int),
 		index:          newIndex(nil, false),
 		inferredDrains: make(map[string]time.Duration),
+		listedDrains:   make(map[string]time.Duration),
 		invalid:        make(map[string]bool),
 		goneBuilds:     origin.NewHistory(),
 		loggedWarming:  make(map[string]time.Duration),
@@ -107,6 +109,17 @@
 	return out
 }
 
+// expirePreviousEra ends what of the list holds on from before the store's return when its time
+// is over.
+func (n *Node) expirePreviousEra() {
+	n.watchedMu.Lock()
+	changed := n.replicas.changeLog.Expire(n.now())
+	n.watchedMu.Unlock()
+	if changed {
+		n.publishSnapshot()
+	}
+}
+
 // parse parses a changed entry, and adds the incarnations that it adds and removes to the
 // batch.
 func (s *replicaSet) parse(now time.Duration, name string, batch map[string]*catalog.Replica, out *replicaSetChanges) {
@@ -130,6 +143,7 @@
 		return
 	}
 	delete(s.invalid, name)
+	r.Draining = s.holdDrain(now, &r)
 	if old != nil && old.incarnation != r.ID {
 		batch[old.incarnation] = nil
 	}
@@ -139,6 +153,26 @@
 	batch[r.ID] = &r
 }
 
+// holdDrain reports whether a parsed replica drains. A drain holds for the rest of an
+// incarnation, also if the store comes back from a copy in which the entry does not say so
+// yet.
+func (s *replicaSet) holdDrain(now time.Duration, r *catalog.Replica) bool {
+	_, held := s.listedDrains[r.ID]
+	if !held && !r.Draining {
+		return false
+	}
+	s.listedDrains[r.ID] = now
+	if len(s.listedDrains) > maxListedDrains {
+		maps.DeleteFunc(s.listedDrains, func(_ string, at time.Duration) bool { return now-at >= listedDrainTTL })
+	}
+	return true
+}
+
+const (
+	listedDrainTTL  = 5 * time.Minute // longer than a replica drains and a copy of the store lags
+	maxListedDrains = 1024            // from which on those older than listedDrainTTL are dropped
+)
+
 // unlist removes the incarnation of a name.
 func (s *replicaSet) unlist(name string, batch map[string]*catalog.Replica) {
 	if old := s.records[name]; old != nil {
--- a/cmd/node/snapshot.go
+++ b/cmd/node/snapshot.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"quinceroad/coordination/advisory"
+	"quinceroad/coordination/history"
 	"quinceroad/coordination/listing"
 	"quinceroad/coordination/regions"
 	"quinceroad/protocol/event"
@@ -64,17 +65,17 @@
 	return n.replicas.changeLog.IsLoaded()
 }
 
-// replicasRevision returns the store revision up to which this instance has all changes
-// of the replicas.
-func (n *Node) replicasRevision() uint64 {
+// replicasKnownAt returns the point in the store's history up to which this instance has all
+// changes of the replicas.
+func (n *Node) replicasKnownAt() history.Point {
 	n.watchedMu.Lock()
 	defer n.watchedMu.Unlock()
-	return n.replicas.changeLog.Revision()
+	return n.replicas.changeLog.At()
 }
 
-// lastReplicaChange returns the store revision of the newest change of the replicas that
-// this instance has received.
-func (n *Node) lastReplicaChange() uint64 {
+// lastReplicaChange returns the point of the newest change of the replicas that this
+// instance has received.
+func (n *Node) lastReplicaChange() history.Point {
 	n.watchedMu.Lock()
 	defer n.watchedMu.Unlock()
 	return n.replicas.changeLog.LastChange()
--- a/cmd/node/state.go
+++ b/cmd/node/state.go
@@ -32,7 +32,8 @@
 	Resumes           int64  `json:"Wakes"`    // resumes after suspensions of the machine
 	StoreUnresponsive bool   `json:"Silent"`   // the store did not answer this instance's last probe
 	ListRevision      uint64 `json:"ListedAt"` // store revision of the replica list
-	ConfigVersion     uint64 `json:"Version"`  // version of the configuration in force; 0: none
+	ListEra           uint64 // era of that revision; 0: the store states none
+	ConfigVersion     uint64 `json:"Version"` // version of the configuration in force; 0: none
 	Routes            int
 	Replicas          map[string]int    // by service: replicas that accept work
 	StartTimes        int               `json:"Lives"`     // number of replicas that report a start time
@@ -114,6 +115,7 @@
 // State returns the current state.
 func (n *Node) State() State {
 	snap := n.snapshot.Load()
+	listedAt := n.replicasKnownAt()
 	s := State{
 		Name:              n.settings.Name,
 		Build:             process.BuildVersion(),
@@ -124,7 +126,8 @@
 		IsReader:          n.isReader.Load(),
 		Resumes:           n.counters.resumes.Count(),
 		StoreUnresponsive: n.storeMonitor.isUnresponsive(),
-		ListRevision:      n.replicasRevision(),
+		ListRevision:      listedAt.Revision,
+		ListEra:           listedAt.Era,
 		Replicas:          make(map[string]int),
 		Backoffs:          make(map[string]string),
 		Instances:         n.liveInstances(),
--- a/cmd/node/store.go
+++ b/cmd/node/store.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"quinceroad/coordination/history"
 	"quinceroad/coordination/rollout"
 	"quinceroad/platform"
 )
@@ -13,8 +14,8 @@
 	Probe(timeout time.Duration) error
 	Era() uint64
 	Intent() (platform.Intent, error)
-	Replicas() (items map[string][]byte, revision uint64, err error)
-	Watch(t platform.Topic, after uint64, wait time.Duration) (items []platform.Entry, revision uint64, err error)
+	Replicas() (items map[string][]byte, at history.Point, err error)
+	Watch(t platform.Topic, after history.Point, wait time.Duration) (items []platform.Entry, at history.Point, err error)
 	Instances() (items map[string][]byte, err error)
 	GrantLease(ttl time.Duration) (lease uint64, err error)
 	RenewLease(lease uint64) error
--- a/cmd/node/topic_follower.go
+++ b/cmd/node/topic_follower.go
@@ -7,6 +7,7 @@
 
 	"quinceroad/cmd/process"
 	"quinceroad/coordination/gossip"
+	"quinceroad/coordination/history"
 	"quinceroad/coordination/readers"
 	"quinceroad/platform"
 	"quinceroad/protocol/event"
@@ -66,6 +67,8 @@
 	name          string
 	// isLoaded reports whether the topic was read or received from a peer.
 	isLoaded func() bool
+	// knownAt returns the point in the store's history up to which the topic is known.
+	knownAt func() history.Point
 	// A topic received from a peer is watched without a full read first.
 	watchesAfterPeerUpdate bool
 	// read reads the whole topic; apply applies the result.
@@ -80,6 +83,7 @@
 	outageStart := noOutage
 	needsFullRead := !f.watchesAfterPeerUpdate // the next call must read the whole topic
 	answered := false                          // the last call of this reader was answered
+	rereads := 0                               // full reads since the last watch that was answered
 	for ctx.Err() == nil {
 		switch {
 		case f.isLoaded() && !n.isReader.Load():
@@ -91,12 +95,20 @@
 			continue
 		}
 		startedAt := n.now()
+		if f.isLoaded() && n.store.Era() > f.knownAt().Era {
+			needsFullRead = true
+		}
 		err := f.nextCall(needsFullRead, answered)
 		n.observeEra()
 		waited := n.now() - startedAt
 		answered = err == nil
 		switch {
 		case err == nil:
+			if needsFullRead {
+				rereads++
+			} else {
+				rereads = 0
+			}
 			needsFullRead = false
 			retryDelay = minStoreRetryDelay
 			if outageStart != noOutage {
@@ -111,6 +123,9 @@
 			continue
 		case errors.Is(err, platform.ErrCompacted):
 			needsFullRead = true
+			if rereads > 0 { // the store's history does not contain what it has just answered
+				process.Sleep(ctx, min(time.Duration(rereads)*minStoreRetryDelay, maxStoreRetryDelay))
+			}
 			continue
 		case errors.Is(err, platform.ErrNoKey): // the topic was never written
 			process.Sleep(ctx, unwrittenTopicDelay)
--- a/cmd/node/topics.go
+++ b/cmd/node/topics.go
@@ -2,12 +2,13 @@
 
 import (
 	"context"
-	"sync/atomic"
+	"sync"
 	"time"
 
 	"quinceroad/cmd/process"
 	"quinceroad/coordination/changes"
 	"quinceroad/coordination/evacuation"
+	"quinceroad/coordination/history"
 	"quinceroad/platform"
 	"quinceroad/protocol/event"
 )
@@ -15,38 +16,57 @@
 // followIntent follows what operators write to the store: the configuration, the halls
 // to be drained, and the ordered rollouts.
 func (n *Node) followIntent(ctx context.Context) {
-	var at atomic.Uint64
-	f := topicFollower{node: n, storeRecovery: n.storeMonitor.recovery, name: "intent", isLoaded: func() bool { return n.configVersion() > 0 }}
+	var at intentPoint
+	f := topicFollower{node: n, storeRecovery: n.storeMonitor.recovery, name: "intent", isLoaded: func() bool { return n.configVersion() > 0 }, knownAt: at.load}
 	f.read = func() (func(), error) {
 		intent, err := n.store.Intent()
 		return func() {
-			at.Store(intent.Revision)
+			at.advance(intent.At)
 			n.applyIntent(intent)
 		}, err
 	}
 	f.watch = func(wait time.Duration) (func(), error) {
-		items, revision, err := n.store.Watch(platform.TopicIntent, at.Load(), wait)
+		items, known, err := n.store.Watch(platform.TopicIntent, at.load(), wait)
 		return func() {
-			at.Store(max(at.Load(), revision))
-			n.applyIntentChanges(items, at.Load())
+			at.advance(known)
+			n.applyIntentChanges(items, at.load())
 		}, err
 	}
 	f.run(ctx)
 }
 
+// intentPoint is the point in the store's history up to which the intent was read.
+type intentPoint struct {
+	mu sync.Mutex
+	at history.Point
+}
+
+func (p *intentPoint) load() history.Point {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.at
+}
+
+func (p *intentPoint) advance(at history.Point) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.at = history.Latest(p.at, at)
+}
+
 // applyIntent applies the operators' intent after it was read in full. Drained halls and
 // rollouts come first because requests are sent as soon as a configuration is in force.
 func (n *Node) applyIntent(i platform.Intent) {
 	n.changeDrainedHalls(fromStore, func(now time.Duration, v *evacuation.View) []evacuation.Change {
-		return v.Replace(now, i.DrainedHalls, i.Revision)
+		return v.Replace(now, i.DrainedHalls, i.At.Revision)
 	})
-	n.replaceRollouts(i.Rollouts, i.Revision)
+	n.replaceRollouts(i.Rollouts, i.At.Revision)
 	n.applyConfiguration(i.Configuration, fromStore)
 }
 
 // applyIntentChanges applies the changes that a watch returned, which include all up to a
-// revision.
-func (n *Node) applyIntentChanges(items []platform.Entry, at uint64) {
+// point.
+func (n *Node) applyIntentChanges(items []platform.Entry, known history.Point) {
+	at := known.Revision
 	var entries []evacuation.Entry
 	for i := range items {
 		if hall, ok := items[i].DrainedHall(); ok {
@@ -111,15 +131,15 @@
 
 func (n *Node) followReplicas(ctx context.Context) {
 	var pending unpublishedChanges
-	f := topicFollower{node: n, storeRecovery: n.storeMonitor.recovery, name: "replicas", isLoaded: n.replicasLoaded, watchesAfterPeerUpdate: true}
+	f := topicFollower{node: n, storeRecovery: n.storeMonitor.recovery, name: "replicas", isLoaded: n.replicasLoaded, knownAt: n.replicasKnownAt, watchesAfterPeerUpdate: true}
 	f.read = func() (func(), error) {
 		items, at, err := n.store.Replicas()
 		return func() {
 			n.watchedMu.Lock()
 			first := !n.replicas.changeLog.IsLoaded()
-			n.replicas.changeLog.Replace(items, at)
+			n.replicas.changeLog.Replace(n.now(), items, at)
 			n.watchedMu.Unlock()
-			event.NodeReplicasChanged.Log(n.log, "from", fromStore, "at", at, "known", len(items))
+			event.NodeReplicasChanged.Log(n.log, "from", fromStore, "at", at.Revision, "era", at.Era, "known", len(items))
 			n.publishSnapshot()
 			if first {
 				n.announceToHall() // other instances may be waiting for the list
@@ -130,7 +150,7 @@
 		if pending.changed > 0 {
 			wait = 0
 		}
-		items, at, err := n.store.Watch(platform.TopicReplicas, n.replicasRevision(), wait)
+		items, at, err := n.store.Watch(platform.TopicReplicas, n.replicasKnownAt(), wait)
 		return func() { n.applyReplicaChanges(ctx, &pending, items, at) }, err
 	}
 	f.run(ctx)
@@ -139,7 +159,7 @@
 // unpublishedChanges are changes of the replica list that this instance has received from
 // the store and has not put in force yet, as more are to follow at once.
 type unpublishedChanges struct {
-	since   uint64        // revision from which a peer lacks none but these
+	since   history.Point // point from which a peer lacks none but these
 	changed int           // number of changes
 	firstAt time.Duration // arrival of the first one
 }
@@ -147,7 +167,7 @@
 // applyReplicaChanges applies the changes of the replica list that a watch returned. When
 // hundreds come at once, they are put in force together with those that follow: what that
 // costs all instances depends on how often it happens.
-func (n *Node) applyReplicaChanges(ctx context.Context, pending *unpublishedChanges, items []platform.Entry, at uint64) {
+func (n *Node) applyReplicaChanges(ctx context.Context, pending *unpublishedChanges, items []platform.Entry, at history.Point) {
 	entries := make([]changes.Entry, 0, len(items))
 	for _, i := range items {
 		entries = append(entries, changes.Entry{ID: i.ReplicaName(), Value: i.Value, Revision: i.Revision, Deleted: i.Deleted})
@@ -163,7 +183,7 @@
 	if pending.changed == 0 || moreFollow {
 		return
 	}
-	event.NodeReplicasChanged.Log(n.log, "from", fromStore, "changes", pending.changed, "at", at)
+	event.NodeReplicasChanged.Log(n.log, "from", fromStore, "changes", pending.changed, "at", at.Revision, "era", at.Era)
 	n.publishSnapshot()
 	n.announceReplicaChanges(pending.since)
 	*pending = unpublishedChanges{}
--- a/cmd/node/unresponsive_store_test.go
+++ b/cmd/node/unresponsive_store_test.go
@@ -12,6 +12,7 @@
 	hclog "github.com/hashicorp/go-hclog"
 	"github.com/matryer/is"
 
+	"quinceroad/coordination/history"
 	"quinceroad/coordination/rollout"
 	"quinceroad/platform"
 )
@@ -27,6 +28,9 @@
 	inForceWithin   = recoveryTime + configApplyTime
 )
 
+// pointAt returns a point in the history of a store that states no era.
+func pointAt(revision uint64) history.Point { return history.Point{Revision: revision} }
+
 var errNoAnswer = errors.New("the store did not answer")
 
 // fakeStore is a store that can become unresponsive: it never answers calls that it
@@ -87,36 +91,37 @@
 		return platform.Intent{}, err
 	}
 	version, _, _, _ := s.state()
-	return platform.Intent{Configuration: configText(version), Revision: version}, nil
+	return platform.Intent{Configuration: configText(version), At: pointAt(version)}, nil
 }
 
 // Watch returns the next change, or nothing at the end of the wait, unless the store has
 // missed the call.
-func (s *fakeStore) Watch(t platform.Topic, after uint64, wait time.Duration) ([]platform.Entry, uint64, error) {
+func (s *fakeStore) Watch(t platform.Topic, known history.Point, wait time.Duration) ([]platform.Entry, history.Point, error) {
+	after := known.Revision
 	end := time.NewTimer(wait)
 	timeout := time.NewTimer(max(wait+platform.WatchGrace, platform.CallTimeout))
 	version, unresponsive, _, changed := s.state()
 	received, stalled := !unresponsive, false
 	for {
 		if received && !unresponsive && t == platform.TopicIntent && version > after {
-			return []platform.Entry{platform.ConfigurationEntry(configText(version), version)}, version, nil
+			return []platform.Entry{platform.ConfigurationEntry(configText(version), version)}, pointAt(version), nil
 		}
 		select {
 		case <-changed:
 		case <-end.C:
 			if received && !unresponsive {
-				return nil, max(after, version), nil
+				return nil, pointAt(max(after, version)), nil
 			}
 		case <-timeout.C:
-			return nil, 0, errNoAnswer
+			return nil, pointAt(0), errNoAnswer
 		}
 		version, unresponsive, stalled, changed = s.state()
 		received = received && !stalled
 	}
 }
 
-func (s *fakeStore) Replicas() (map[string][]byte, uint64, error) {
-	return nil, 1, s.Probe(platform.CallTimeout)
+func (s *fakeStore) Replicas() (map[string][]byte, history.Point, error) {
+	return nil, pointAt(1), s.Probe(platform.CallTimeout)
 }
 func (s *fakeStore) Instances() (map[string][]byte, error) {
 	return nil, s.Probe(platform.CallTimeout)
--- a/cmd/node/update_server.go
+++ b/cmd/node/update_server.go
@@ -4,6 +4,7 @@
 	"sync"
 	"time"
 
+	"quinceroad/coordination/history"
 	"quinceroad/protocol/pb"
 )
 
@@ -19,8 +20,8 @@
 // replica list. A refused peer can pull from any instance that has received it meanwhile.
 type updateServer struct {
 	mu         sync.Mutex
-	lastChange uint64 // revision of the newest change that the cached updates contain
-	cache      map[uint64]cachedUpdate
+	lastChange history.Point // newest change that the cached updates contain
+	cache      map[history.Point]cachedUpdate
 	credit     float64 // bytes that may be sent now; negative after a large update
 	creditedAt time.Duration
 }
@@ -31,9 +32,9 @@
 	size    int // bytes
 }
 
-// cached returns the update for a peer that has the changes up to revision have, or nil
+// cached returns the update for a peer that has the changes up to have, or nil
 // if none was built since the newest change.
-func (s *updateServer) cached(have, changed uint64) (*pb.ReplicaChanges, int) {
+func (s *updateServer) cached(have, changed history.Point) (*pb.ReplicaChanges, int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.lastChange != changed {
@@ -44,12 +45,12 @@
 }
 
 // store caches an update until the next change.
-func (s *updateServer) store(have, changed uint64, message *pb.ReplicaChanges, size int) {
+func (s *updateServer) store(have, changed history.Point, message *pb.ReplicaChanges, size int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	// The cache is nil if a peer asks before any list is loaded.
 	if s.cache == nil || s.lastChange != changed || len(s.cache) >= maxCachedUpdates {
-		s.lastChange, s.cache = changed, make(map[uint64]cachedUpdate)
+		s.lastChange, s.cache = changed, make(map[history.Point]cachedUpdate)
 	}
 	s.cache[have] = cachedUpdate{message, size}
 }
--- a/cmd/node/update_server_test.go
+++ b/cmd/node/update_server_test.go
@@ -30,7 +30,7 @@
 			Service: "huvo11a", Address: fmt.Sprintf("10.%d.%d.%d:8080", i%4, i%250, i%199), Hall: "hall-a", Version: "v1", Slots: 24,
 		})
 	}
-	n.replicas.changeLog.Replace(values, 100)
+	n.replicas.changeLog.Replace(0, values, pointAt(100))
 	return n
 }
 
@@ -56,7 +56,7 @@
 	is.Equal(len(unpacked.Entries), 3000)
 	n.peerUpdates.credit = 0 // as if time had passed
 	is.True(requestReplicaUpdate(t, n, 0) == first)
-	n.replicas.changeLog.ApplyChanges([]changes.Entry{{ID: "new", Value: []byte("{}"), Revision: 101}}, 101)
+	n.replicas.changeLog.ApplyChanges([]changes.Entry{{ID: "new", Value: []byte("{}"), Revision: 101}}, pointAt(101))
 	n.peerUpdates.credit = 0
 	unpacked, err = decompressChanges(requestReplicaUpdate(t, n, 0))
 	is.NoErr(err)
--- a/coordination/changes/changes.go
+++ b/coordination/changes/changes.go
@@ -7,18 +7,24 @@
 // key, so two instances that read at different times hold the same content at
 // different revisions. Whether an instance is behind therefore depends on the
 // revision of the newest known change, not on the revision of the last read.
+//
+// Revisions hold for one era of the store (see package history). At a new era the topic is
+// read whole, and the log starts anew; overlay.go tells what of the previous era holds on.
 package changes
 
 import (
 	"bytes"
 	"slices"
+	"time"
+
+	"quinceroad/coordination/history"
 )
 
 // Entry is the value of one key of the topic at a revision, or its deletion.
 type Entry struct {
 	ID       string
 	Value    []byte
-	Revision uint64
+	Revision uint64 // within the era of the point that comes with it
 	Deleted  bool
 }
 
@@ -26,11 +32,13 @@
 // use.
 type Log struct {
 	equal      func(a, b []byte) bool
-	values     map[string][]byte
+	values     map[string][]byte // as the store holds them
+	overlay    overlay
 	changed    map[string]bool // keys changed since the last call of TakeChanged
 	recent     []Entry         // changes, oldest first
 	recentFrom uint64          // recent holds every change after this revision, except those in gaps
 	gaps       []gap           // intervals whose intermediate changes are unknown
+	era        uint64          // of all revisions here
 	revision   uint64          // the content is complete up to this revision
 	lastChange uint64          // revision of the newest known change
 }
@@ -63,25 +71,32 @@
 // IsLoaded reports whether the topic has been read.
 func (l *Log) IsLoaded() bool { return l.revision > 0 }
 
-// LastChange returns the revision of the newest known change: 0 if the topic has not
+// LastChange returns the point of the newest known change: revision 0 if the topic has not
 // been read, initialChange if nothing has changed since the first read.
-func (l *Log) LastChange() uint64 { return l.lastChange }
+func (l *Log) LastChange() history.Point { return history.Point{Era: l.era, Revision: l.lastChange} }
 
-// CompleteSince returns the lowest revision from which a peer that has all changes up to it
+// CompleteSince returns the earliest point from which a peer that has all changes up to it
 // lacks none, as far as this log knows.
-func (l *Log) CompleteSince() uint64 { return max(l.lastChange, l.recentFrom) }
+func (l *Log) CompleteSince() history.Point {
+	return history.Point{Era: l.era, Revision: max(l.lastChange, l.recentFrom)}
+}
 
-// Revision returns the revision up to which the content is complete.
-func (l *Log) Revision() uint64 { return l.revision }
+// At returns the point up to which the content is complete.
+func (l *Log) At() history.Point { return history.Point{Era: l.era, Revision: l.revision} }
 
-// IsBehind reports whether a peer whose newest change has the given revision has
-// changes that this log lacks.
-func (l *Log) IsBehind(lastChange uint64) bool { return lastChange > l.revision }
+// IsBehind reports whether a peer whose newest change is at the given point has changes that
+// this log lacks.
+func (l *Log) IsBehind(lastChange history.Point) bool { return lastChange.After(l.At()) }
 
-// Value returns the value of a key, or false if there is none.
+// Value returns the value of a key that is in force, or false if there is none.
 func (l *Log) Value(id string) (value []byte, ok bool) {
-	value, ok = l.values[id]
-	return value, ok
+	if l.overlay.hides(id) {
+		return nil, false
+	}
+	if value, ok = l.values[id]; ok {
+		return value, true
+	}
+	return l.overlay.kept(id)
 }
 
 // TakeChanged returns the keys whose values may have changed since the last call.
@@ -91,21 +106,28 @@
 	return changed
 }
 
-// Replace sets the content to a full read of the topic at a revision. The differences
+// Replace sets the content to a full read of the topic at a point. The differences
 // are recorded as changes, as peers may have missed them too. Further changes may
 // have come and gone between the two reads, so a peer whose revision lies between
 // them gets a full update rather than the differences. A read older than the current
 // content is ignored.
-func (l *Log) Replace(values map[string][]byte, revision uint64) {
-	if revision < l.revision {
+func (l *Log) Replace(now time.Duration, values map[string][]byte, at history.Point) {
+	if at.Before(l.At()) {
+		return
+	}
+	if l.IsLoaded() && at.Era > l.era {
+		l.startEra(now, values, at)
 		return
 	}
+	l.era = at.Era
+	revision := at.Revision
 	previous := l.revision
 	changed := l.diff(values, revision)
 	loaded := l.IsLoaded()
 	l.values, l.revision = values, revision
 	for _, e := range changed {
 		l.changed[e.ID] = true
+		l.overlay.end(e.ID)
 	}
 	if !loaded {
 		l.lastChange = initialChange
@@ -123,6 +145,28 @@
 	}
 }
 
+// startEra replaces the content by a full read in a new era. Peers of earlier eras get a full
+// update.
+func (l *Log) startEra(now time.Duration, values map[string][]byte, at history.Point) {
+	for _, e := range l.diff(values, at.Revision) {
+		l.changed[e.ID] = true
+	}
+	l.overlay.startEra(now, l.values, values, l.recent)
+	l.values = values
+	l.era, l.revision, l.lastChange = at.Era, at.Revision, at.Revision
+	l.recentFrom, l.recent, l.gaps = at.Revision, nil, nil
+}
+
+// Expire ends what holds on of the previous era when its time is over, and reports whether
+// any value has changed.
+func (l *Log) Expire(now time.Duration) bool {
+	ended := l.overlay.expire(now)
+	for _, id := range ended {
+		l.changed[id] = true
+	}
+	return len(ended) > 0
+}
+
 // recordGap records a gap. At maxGaps, the two oldest gaps are merged.
 func (l *Log) recordGap(g gap) {
 	if len(l.gaps) == maxGaps {
@@ -149,8 +193,12 @@
 }
 
 // ApplyChanges applies changes in their order; the content is then complete up to
-// revision. It returns how many of the changes were new.
-func (l *Log) ApplyChanges(entries []Entry, revision uint64) int {
+// the given point. It returns how many of the changes were new. Changes of another era than
+// the content's are ignored.
+func (l *Log) ApplyChanges(entries []Entry, at history.Point) int {
+	if at.Era != l.era {
+		return 0
+	}
 	applied := 0
 	for _, e := range entries {
 		if e.Revision <= l.revision {
@@ -158,6 +206,7 @@
 		}
 		applied++
 		l.changed[e.ID] = true
+		l.overlay.end(e.ID)
 		if e.Deleted {
 			delete(l.values, e.ID)
 		} else {
@@ -165,7 +214,7 @@
 		}
 		l.recordChange(e)
 	}
-	l.revision = max(l.revision, revision)
+	l.revision = max(l.revision, at.Revision)
 	return applied
 }
 
@@ -189,14 +238,15 @@
 	Full       bool // Entries is the whole content
 	HasGap     bool // if not Full: Entries lacks keys that were created and deleted within a gap
 	Entries    []Entry
-	Revision   uint64
-	LastChange uint64
+	At         history.Point // up to which the receiver has all changes then
+	LastChange history.Point
 }
 
-// UpdateSince returns what an instance lacks whose content is complete up to revision.
-func (l *Log) UpdateSince(revision uint64) Update {
-	u := Update{Revision: l.revision, LastChange: l.lastChange}
-	if revision >= l.recentFrom && revision > 0 && !slices.ContainsFunc(l.gaps, func(g gap) bool { return g.from < revision && revision < g.to }) {
+// UpdateSince returns what an instance lacks whose content is complete up to a point.
+func (l *Log) UpdateSince(have history.Point) Update {
+	u := Update{At: l.At(), LastChange: l.LastChange()}
+	revision := have.Revision
+	if have.Era == l.era && revision >= l.recentFrom && revision > 0 && !slices.ContainsFunc(l.gaps, func(g gap) bool { return g.from < revision && revision < g.to }) {
 		for _, e := range l.recent {
 			if e.Revision > revision {
 				u.Entries = append(u.Entries, e)
@@ -213,21 +263,21 @@
 }
 
 // ApplyUpdate applies the response of another instance.
-func (l *Log) ApplyUpdate(u Update) {
-	if u.Revision < l.revision {
+func (l *Log) ApplyUpdate(now time.Duration, u Update) {
+	if u.At.Before(l.At()) {
 		return
 	}
 	if !u.Full {
-		if u.HasGap {
-			l.recordGap(gap{l.revision, u.Revision})
+		if u.HasGap && u.At.Era == l.era {
+			l.recordGap(gap{l.revision, u.At.Revision})
 		}
-		l.ApplyChanges(u.Entries, u.Revision)
+		l.ApplyChanges(u.Entries, u.At)
 		return
 	}
 	values := make(map[string][]byte, len(u.Entries))
 	for _, e := range u.Entries {
 		values[e.ID] = e.Value
 	}
-	l.Replace(values, u.Revision)
-	l.lastChange = max(l.lastChange, u.LastChange)
+	l.Replace(now, values, u.At)
+	l.lastChange = max(l.lastChange, u.LastChange.Revision)
 }
