Drained halls follow the store through its eras (DRAIN)

A view is at a point now, era first. A drain that the copy lacks holds on for 5 s, until the operator has written it again; an end that is written ends it at once. Peers are sent what the store says, with its era.

--- a/cmd/node/drained_halls.go
+++ b/cmd/node/drained_halls.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"quinceroad/coordination/evacuation"
+	"quinceroad/coordination/history"
 	"quinceroad/protocol/event"
 	"quinceroad/protocol/pb"
 )
@@ -13,7 +14,7 @@
 func (n *Node) changeDrainedHalls(from string, apply func(now time.Duration, v *evacuation.View) []evacuation.Change) {
 	n.watchedMu.Lock()
 	changes := apply(n.now(), n.drainedHalls)
-	revision := n.drainedHalls.Revision()
+	at := n.drainedHalls.At()
 	n.replicas.allOutdated = n.replicas.allOutdated || len(changes) > 0
 	n.watchedMu.Unlock()
 	if len(changes) == 0 {
@@ -23,10 +24,10 @@
 	for _, c := range changes {
 		if c.Drained {
 			n.counters.drainedHalls.Inc(1)
-			event.NodeHallDrained.Log(n.log, "hall", c.Hall, "from", from, "revision", revision)
+			event.NodeHallDrained.Log(n.log, "hall", c.Hall, "from", from, "revision", at.Revision)
 			continue
 		}
-		event.NodeHallReturned.Log(n.log, "hall", c.Hall, "from", from, "revision", revision)
+		event.NodeHallReturned.Log(n.log, "hall", c.Hall, "from", from, "revision", at.Revision)
 	}
 	n.sendHeartbeats()
 	if from == fromStore {
@@ -39,7 +40,7 @@
 	n.watchedMu.Lock()
 	update := n.drainedHalls.Update(n.now())
 	n.watchedMu.Unlock()
-	out := &pb.Evacuations{Revision: update.Revision, Emptied: update.Drained}
+	out := &pb.Evacuations{Revision: update.At.Revision, Era: update.At.Era, Emptied: update.Drained}
 	for _, r := range update.Returned {
 		out.Returned = append(out.Returned, &pb.ReturnedHall{Hall: r.Hall, AgoMs: uint32(r.Age.Milliseconds())})
 	}
@@ -51,7 +52,7 @@
 	if e == nil {
 		return
 	}
-	update := evacuation.Update{Revision: e.Revision, Drained: e.Emptied}
+	update := evacuation.Update{At: history.Point{Era: e.Era, Revision: e.Revision}, Drained: e.Emptied}
 	for _, r := range e.Returned {
 		update.Returned = append(update.Returned, evacuation.Return{Hall: r.Hall, Age: time.Duration(r.AgoMs) * time.Millisecond})
 	}
--- a/cmd/node/replica_set.go
+++ b/cmd/node/replica_set.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"quinceroad/coordination/changes"
+	"quinceroad/coordination/evacuation"
 	"quinceroad/coordination/listing"
 	"quinceroad/coordination/origin"
 	"quinceroad/platform"
@@ -109,7 +110,7 @@
 	return out
 }
 
-// expirePreviousEra ends what of the list holds on from before the store's return when its time
+// expirePreviousEra ends what of the list and of the drained halls holds on from before the store's return when its time
 // is over.
 func (n *Node) expirePreviousEra() {
 	n.watchedMu.Lock()
@@ -118,8 +119,13 @@
 	if changed {
 		n.publishSnapshot()
 	}
+	n.changeDrainedHalls(fromPreviousEra, func(now time.Duration, v *evacuation.View) []evacuation.Change { return v.Expire(now) })
 }
 
+// fromPreviousEra is the origin of changes that end what held on from before the store's
+// return.
+const fromPreviousEra = "previous era"
+
 // parse parses a changed entry, and adds the incarnations that it adds and removes to the
 // batch.
 func (s *replicaSet) parse(now time.Duration, name string, batch map[string]*catalog.Replica, out *replicaSetChanges) {
--- a/cmd/node/topics.go
+++ b/cmd/node/topics.go
@@ -57,7 +57,7 @@
 // rollouts come first because requests are sent as soon as a configuration is in force.
 func (n *Node) applyIntent(i platform.Intent) {
 	n.changeDrainedHalls(fromStore, func(now time.Duration, v *evacuation.View) []evacuation.Change {
-		return v.Replace(now, i.DrainedHalls, i.At.Revision)
+		return v.Replace(now, i.DrainedHalls, i.At)
 	})
 	n.replaceRollouts(i.Rollouts, i.At.Revision)
 	n.applyConfiguration(i.Configuration, fromStore)
@@ -74,7 +74,7 @@
 		}
 	}
 	n.changeDrainedHalls(fromStore, func(now time.Duration, v *evacuation.View) []evacuation.Change {
-		return v.Apply(now, entries, at)
+		return v.Apply(now, entries, known)
 	})
 	n.applyRollouts(items, at)
 	for i := range items {
--- a/coordination/evacuation/evacuation.go
+++ b/coordination/evacuation/evacuation.go
@@ -2,9 +2,10 @@
 // no new requests until the operator returns the hall to service.
 //
 // Unlike other operator commands a drain can be revoked, so the order of updates
-// matters. A view is the complete set of drained halls at one revision of the store. Of
-// two views the one with the higher revision wins, whoever sends it; older updates
-// neither drain a hall nor return it. A view is small enough to be part of every
+// matters. A view is the complete set of drained halls at one point in the store's history.
+// Of two views the later one wins, whoever sends it; older updates neither drain a hall nor
+// return it. When the store comes back from a copy that lacks a drain, the drain holds on for
+// a moment, until the operator has written it again. A view is small enough to be part of every
 // heartbeat. The package does no I/O and reads no clock: updates and times are passed
 // in, changes are returned.
 package evacuation
@@ -13,13 +14,15 @@
 	"maps"
 	"slices"
 	"time"
+
+	"quinceroad/coordination/history"
 )
 
 // Entry is the start or end of a hall's drain at a revision of the store.
 type Entry struct {
 	Hall     string
-	Revision uint64
-	Deleted  bool // the hall is returned to service
+	Revision uint64 // within the era of the point that comes with it
+	Deleted  bool   // the hall is returned to service
 }
 
 // Return is a hall that was returned to service.
@@ -30,7 +33,7 @@
 
 // Update is a view as instances send it to each other.
 type Update struct {
-	Revision uint64 // store revision of the view; 0: none was read
+	At       history.Point // of the view; zero: none was read
 	Drained  []string
 	Returned []Return // recently returned halls, so that newly started instances learn of them too
 }
@@ -44,24 +47,33 @@
 // View holds the drained halls as known to an instance. It is not safe for concurrent
 // use.
 type View struct {
-	revision uint64
-	drained  map[string]bool
+	at       history.Point
+	drained  map[string]bool          // as the store says
+	held     map[string]time.Duration // drains that the store's copy lacks, and until when they hold on
 	returned map[string]time.Duration // local time at which the return was first known
 }
 
 // New returns an empty view.
 func New() *View {
-	return &View{drained: make(map[string]bool), returned: make(map[string]time.Duration)}
+	return &View{drained: make(map[string]bool), held: make(map[string]time.Duration), returned: make(map[string]time.Duration)}
 }
 
-// Revision returns the store revision of the view.
-func (v *View) Revision() uint64 { return v.revision }
+// At returns the point in the store's history of the view.
+func (v *View) At() history.Point { return v.at }
 
 // IsDrained reports whether a hall is drained.
-func (v *View) IsDrained(hall string) bool { return v.drained[hall] }
+func (v *View) IsDrained(hall string) bool {
+	_, held := v.held[hall]
+	return held || v.drained[hall]
+}
 
 // Halls returns the names of the drained halls, sorted.
-func (v *View) Halls() []string { return slices.Sorted(maps.Keys(v.drained)) }
+func (v *View) Halls() []string {
+	all := slices.Collect(maps.Keys(v.drained))
+	all = slices.AppendSeq(all, maps.Keys(v.held))
+	slices.Sort(all)
+	return slices.Compact(all)
+}
 
 // ReturnedAt returns when a hall was returned to service, if that was recently.
 func (v *View) ReturnedAt(hall string) (time.Duration, bool) {
@@ -69,61 +81,97 @@
 	return at, ok
 }
 
-// Replace sets the drained halls to the complete set read at a store revision and
-// returns the changes.
-func (v *View) Replace(now time.Duration, halls []string, revision uint64) []Change {
-	if revision <= v.revision {
+// Replace sets the drained halls to the complete set read at a point and returns the changes.
+func (v *View) Replace(now time.Duration, halls []string, at history.Point) []Change {
+	if !at.After(v.at) {
 		return nil
 	}
+	if !v.at.IsZero() && at.Era > v.at.Era {
+		for hall := range v.drained {
+			v.held[hall] = now + heldDrainTTL
+		}
+	}
 	next := make(map[string]bool, len(halls))
 	for _, hall := range halls {
 		next[hall] = true
 	}
-	return v.setHalls(now, next, revision)
+	return v.setHalls(now, next, at)
+}
+
+// heldDrainTTL is the time for which a drain that the store's copy lacks holds on. Operators
+// write such orders again within seconds.
+const heldDrainTTL = 5 * time.Second
+
+// Expire ends the drains that the store's copy lacks and that were not ordered again.
+func (v *View) Expire(now time.Duration) []Change {
+	var out []Change
+	for _, hall := range slices.Sorted(maps.Keys(v.held)) {
+		if now < v.held[hall] {
+			continue
+		}
+		delete(v.held, hall)
+		if !v.drained[hall] {
+			v.returned[hall] = now
+			out = append(out, Change{Hall: hall})
+		}
+	}
+	return out
 }
 
 // Apply applies the changes from a watch in their order. The view is complete up to
-// revision at afterwards.
-func (v *View) Apply(now time.Duration, entries []Entry, at uint64) []Change {
+// the point afterwards. Changes of another era than the view's are ignored.
+func (v *View) Apply(now time.Duration, entries []Entry, at history.Point) []Change {
+	if at.Era != v.at.Era {
+		return nil
+	}
 	next := maps.Clone(v.drained)
 	for _, e := range entries {
 		switch {
-		case e.Revision <= v.revision:
+		case e.Revision <= v.at.Revision:
 		case e.Deleted:
 			delete(next, e.Hall)
+			v.endHeld(e.Hall)
 		default:
 			next[e.Hall] = true
 		}
 	}
-	return v.setHalls(now, next, max(at, v.revision))
+	return v.setHalls(now, next, history.Latest(at, v.at))
+}
+
+// endHeld ends a drain that the store's copy lacks, as the operator has ended it.
+func (v *View) endHeld(hall string) {
+	if _, held := v.held[hall]; held {
+		delete(v.held, hall)
+		v.drained[hall] = true // for setHalls to find the change
+	}
 }
 
 // Merge merges another instance's view.
 func (v *View) Merge(now time.Duration, u Update) []Change {
-	changes := v.Replace(now, u.Drained, u.Revision)
+	changes := v.Replace(now, u.Drained, u.At)
 	for _, r := range u.Returned {
-		if _, known := v.returned[r.Hall]; !known && !v.drained[r.Hall] && r.Age < returnTTL {
+		if _, known := v.returned[r.Hall]; !known && !v.IsDrained(r.Hall) && r.Age < returnTTL {
 			v.returned[r.Hall] = now - r.Age
 		}
 	}
 	return changes
 }
 
-func (v *View) setHalls(now time.Duration, next map[string]bool, revision uint64) []Change {
+func (v *View) setHalls(now time.Duration, next map[string]bool, at history.Point) []Change {
 	var out []Change
 	for hall := range next {
-		if !v.drained[hall] {
+		if !v.IsDrained(hall) {
 			out = append(out, Change{Hall: hall, Drained: true})
 			delete(v.returned, hall)
 		}
 	}
 	for hall := range v.drained {
-		if !next[hall] {
+		if _, held := v.held[hall]; !next[hall] && !held {
 			out = append(out, Change{Hall: hall})
 			v.returned[hall] = now
 		}
 	}
-	v.drained, v.revision = next, revision
+	v.drained, v.at = next, at
 	slices.SortFunc(out, func(a, b Change) int {
 		if a.Hall < b.Hall {
 			return -1
@@ -139,7 +187,7 @@
 
 // Update returns the view to send to other instances and drops expired returns.
 func (v *View) Update(now time.Duration) Update {
-	u := Update{Revision: v.revision, Drained: v.Halls()}
+	u := Update{At: v.at, Drained: slices.Sorted(maps.Keys(v.drained))}
 	for _, hall := range slices.Sorted(maps.Keys(v.returned)) {
 		age := now - v.returned[hall]
 		if age >= returnTTL {
