--- a/cmd/node/registration.go
+++ b/cmd/node/registration.go
@@ -20,6 +20,10 @@
 	// that the entry still exists afterwards.
 	registrationTTL           = 5 * time.Minute
 	registrationRenewInterval = time.Minute
+	// Interval between checks whether the store has lost the registration.
+	registrationCheckInterval = 200 * time.Millisecond
+	// Time over which the instances write their registrations again then.
+	registrationSpread = 500 * time.Millisecond
 	// Time after the start until an instance that has discovered no peer relies on the
 	// store.
 	discoveryTimeout = 250 * time.Millisecond
@@ -33,21 +37,26 @@
 // can discover it. It reads the other instances' entries when it registers.
 func (n *Node) keepRegistered(ctx context.Context) {
 	var lease uint64 // the store's lease ID; 0 if none is held
+	var era uint64   // of the store's history, in which the lease was granted
 	n.discoverPeers(ctx)
 	if n.liveInstanceCount() == 1 {
 		n.logSideCallFailure("instances", "store", n.mergeRegistered()) // the seeds may be gone; earlier readers may be back
 	}
 	process.Sleep(ctx, registrationDelay)
 	for ctx.Err() == nil {
+		if current := n.store.Era(); current != era { // the store has lost the lease, with the entry
+			lease, era = 0, current
+		}
 		if lease == 0 && !n.isReader.Load() {
 			process.Sleep(ctx, readerCheckInterval)
 			continue
 		}
 		err := n.renewRegistration(&lease)
 		if err == nil {
-			if !process.Sleep(ctx, registrationRenewInterval) {
-				return
+			if era == 0 {
+				era = n.store.Era() // the first one that the store states
 			}
+			n.awaitRenewal(ctx, era)
 			continue
 		}
 		if errors.Is(err, platform.ErrNoLease) {
@@ -59,6 +68,17 @@
 	}
 }
 
+// awaitRenewal waits until the registration has to be renewed, or to be written again as the
+// store has come back from a copy without it.
+func (n *Node) awaitRenewal(ctx context.Context, era uint64) {
+	until := n.now() + registrationRenewInterval
+	for n.now() < until && n.store.Era() == era && process.Sleep(ctx, registrationCheckInterval) {
+	}
+	if n.store.Era() != era { // not all readers at the same moment
+		process.Sleep(ctx, time.Duration(n.jitter*float64(registrationSpread)))
+	}
+}
+
 // discoverPeers announces this instance to the seeds and to the instances registered in
 // the store until a peer is discovered or discoveryTimeout has passed. When all
 // instances start together, they can't serve before they have discovered each other, and
