--- a/cmd/node/replica_set.go
+++ b/cmd/node/replica_set.go
@@ -9,6 +9,7 @@
 	"quinceroad/coordination/evacuation"
 	"quinceroad/coordination/listing"
 	"quinceroad/coordination/origin"
+	"quinceroad/coordination/rollout"
 	"quinceroad/platform"
 	"quinceroad/protocol/event"
 	"quinceroad/state/catalog"
@@ -120,6 +121,7 @@
 		n.publishSnapshot()
 	}
 	n.changeDrainedHalls(fromPreviousEra, func(now time.Duration, v *evacuation.View) []evacuation.Change { return v.Expire(now) })
+	n.changeRollouts(fromPreviousEra, func(now time.Duration, v *rollout.View) []rollout.Change { return v.Expire(now) })
 }
 
 // fromPreviousEra is the origin of changes that end what held on from before the store's
--- a/cmd/node/rollout.go
+++ b/cmd/node/rollout.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"quinceroad/coordination/history"
 	"quinceroad/coordination/rollout"
 	"quinceroad/platform"
 	"quinceroad/protocol/event"
@@ -22,10 +23,10 @@
 	mu           sync.Mutex
 	view         *rollout.View
 	splitter     *rollout.TrafficSplitter
-	orders       map[uint64]*rolloutProgress // by revision of the order
+	orders       map[history.Point]*rolloutProgress
 	othersReady  map[string]bool             // services for which replicas of other versions than the target accept work
 	fullyShifted map[string]bool             // services whose requests all go to the target version in the current snapshot
-	batchAllowed map[string]uint64           // by pool service: order whose target replicas may get a full batch
+	batchAllowed map[string]history.Point    // by pool service: order whose target replicas may get a full batch
 	inFlight     map[string]*replicaInFlight // by replica ID
 	withholds    bool                        // the list of replicas has some that get no work
 }
@@ -51,17 +52,17 @@
 		canarySlack:  s.CanarySlack,
 		view:         rollout.NewView(),
 		splitter:     rollout.NewTrafficSplitter(newRandom().Float64()),
-		orders:       make(map[uint64]*rolloutProgress),
+		orders:       make(map[history.Point]*rolloutProgress),
 		othersReady:  make(map[string]bool),
 		fullyShifted: make(map[string]bool),
-		batchAllowed: make(map[string]uint64),
+		batchAllowed: make(map[string]history.Point),
 		inFlight:     make(map[string]*replicaInFlight),
 	}
 }
 
 // progress returns the progress of an order, which it creates if needed. The caller
 // holds mu.
-func (r *rollouts) progress(order uint64) *rolloutProgress {
+func (r *rollouts) progress(order history.Point) *rolloutProgress {
 	o := r.orders[order]
 	if o == nil {
 		o = &rolloutProgress{
@@ -101,15 +102,27 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.splitter.Prune(r.view.Has)
-	maps.DeleteFunc(r.orders, func(order uint64, _ *rolloutProgress) bool { return !r.view.Has(order) })
+	maps.DeleteFunc(r.orders, func(order history.Point, _ *rolloutProgress) bool { return !r.view.Has(order) })
 }
 
-// replaceRollouts applies a full list of the orders, read at a store revision. For
+// rename moves what is known of orders to the points at which they were written again after
+// the store's return. Their status in the store has to be read again. The caller holds mu.
+func (r *rollouts) rename(all []rollout.Renamed) {
+	for _, renamed := range all {
+		r.splitter.Rename(renamed)
+		o := r.progress(renamed.Was)
+		delete(r.orders, renamed.Was)
+		o.status = rollout.Status{}
+		r.orders[renamed.Is] = o
+	}
+}
+
+// replaceRollouts applies a full list of the orders, read at a point. For
 // an entry that can't be parsed, the previous order stays in force.
-func (n *Node) replaceRollouts(items []platform.Entry, at uint64) {
+func (n *Node) replaceRollouts(items []platform.Entry, at history.Point) {
 	orders := make([]rollout.Order, 0, len(items))
 	for i := range items {
-		o, err := items[i].RolloutOrder()
+		o, err := items[i].RolloutOrder(at.Era)
 		if err == nil {
 			orders = append(orders, o)
 			continue
@@ -127,17 +140,17 @@
 
 // applyRollouts applies the changes that a watch returned, which include all up to a
 // revision.
-func (n *Node) applyRollouts(items []platform.Entry, at uint64) {
+func (n *Node) applyRollouts(items []platform.Entry, at history.Point) {
 	var entries []rollout.Entry
 	for i := range items {
 		service, ok := items[i].RolloutService()
 		if !ok {
 			continue
 		}
-		e := rollout.Entry{Order: rollout.Order{Service: service, Revision: items[i].Revision}, Deleted: items[i].Deleted}
+		e := rollout.Entry{Order: rollout.Order{Service: service, At: history.Point{Era: at.Era, Revision: items[i].Revision}}, Deleted: items[i].Deleted}
 		if !e.Deleted {
 			var err error
-			if e.Order, err = items[i].RolloutOrder(); err != nil {
+			if e.Order, err = items[i].RolloutOrder(at.Era); err != nil {
 				event.RolloutOrderInvalid.Log(n.log, "service", service, "error", err)
 				continue
 			}
@@ -154,6 +167,7 @@
 	now := n.now()
 	r.mu.Lock()
 	changes := apply(now, r.view)
+	r.rename(r.view.TakeRenamed())
 	r.mu.Unlock()
 	if len(changes) == 0 {
 		return
@@ -171,12 +185,12 @@
 func (n *Node) logRolloutChange(now time.Duration, from string, c *rollout.Change) {
 	switch {
 	case c.New:
-		event.RolloutOrdered.Log(n.log, "service", c.Service, "target", c.Target, "order", c.Revision, "for", c.TimeLimit, "from", from)
+		event.RolloutOrdered.Log(n.log, "service", c.Service, "target", c.Target, "order", c.At.Revision, "for", c.TimeLimit, "from", from)
 	case c.Ended:
-		event.RolloutEnded.Log(n.log, "service", c.Service, "target", c.Target, "order", c.Revision, "phase", c.Phase, "from", from)
+		event.RolloutEnded.Log(n.log, "service", c.Service, "target", c.Target, "order", c.At.Revision, "phase", c.Phase, "from", from)
 	default:
 		n.rolloutCounter(c.Service, c.Target, "phase_"+c.Phase.String()).Inc(1)
-		event.RolloutPhase.Log(n.log, "service", c.Service, "target", c.Target, "order", c.Revision, "phase", c.Phase, "from", from, "age", now-c.OrderedAt)
+		event.RolloutPhase.Log(n.log, "service", c.Service, "target", c.Target, "order", c.At.Revision, "phase", c.Phase, "from", from, "age", now-c.OrderedAt)
 	}
 }
 
@@ -190,10 +204,10 @@
 	}
 	now := n.now()
 	update := r.view.Update(now)
-	out := &pb.Rollouts{Revision: update.Revision}
+	out := &pb.Rollouts{Revision: update.At.Revision, Era: update.At.Era}
 	for _, s := range update.Orders {
 		out.Orders = append(out.Orders, &pb.RolloutOrder{
-			Service: s.Service, Target: s.Target, Revision: s.Revision, ForMs: s.TimeLimit.Milliseconds(), AgeMs: uint32(s.OrderedAt.Milliseconds()),
+			Service: s.Service, Target: s.Target, Revision: s.At.Revision, Era: s.At.Era, ForMs: s.TimeLimit.Milliseconds(), AgeMs: uint32(s.OrderedAt.Milliseconds()),
 			Phase: uint32(s.Phase), PhaseMs: uint32(s.PhaseSince.Milliseconds()), Ended: s.Ended,
 		})
 	}
@@ -213,10 +227,11 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for _, p := range h.Rollouts.Reports {
-		if !r.view.Has(p.Order) {
+		order := history.Point{Era: p.Era, Revision: p.Order}
+		if !r.view.Has(order) {
 			continue // later reports contain all counts
 		}
-		r.progress(p.Order).reports.Merge(h.News[0].Name, h.News[0].Incarnation, decodeRolloutReport(p))
+		r.progress(order).reports.Merge(h.News[0].Name, h.News[0].Incarnation, decodeRolloutReport(p))
 	}
 }
 
@@ -225,10 +240,10 @@
 	if p == nil {
 		return
 	}
-	update := rollout.Update{Revision: p.Revision}
+	update := rollout.Update{At: history.Point{Era: p.Era, Revision: p.Revision}}
 	for _, o := range p.Orders {
 		update.Orders = append(update.Orders, rollout.OrderState{
-			Order:      rollout.Order{Service: o.Service, Target: o.Target, Revision: o.Revision, TimeLimit: time.Duration(o.ForMs) * time.Millisecond},
+			Order:      rollout.Order{Service: o.Service, Target: o.Target, At: history.Point{Era: o.Era, Revision: o.Revision}, TimeLimit: time.Duration(o.ForMs) * time.Millisecond},
 			OrderedAt:  time.Duration(o.AgeMs) * time.Millisecond,
 			Phase:      rollout.Phase(min(o.Phase, uint32(rollout.Done))),
 			PhaseSince: time.Duration(o.PhaseMs) * time.Millisecond,
@@ -243,12 +258,12 @@
 const maxReportRows = 12
 
 // encodeRolloutReport encodes a report, split into messages that each fit one packet.
-func encodeRolloutReport(order uint64, rep rollout.Report) []*pb.RolloutReport {
+func encodeRolloutReport(order history.Point, rep rollout.Report) []*pb.RolloutReport {
 	var out []*pb.RolloutReport
 	var message *pb.RolloutReport
 	addMessage := func() {
 		message = &pb.RolloutReport{
-			Order: order, Count: rep.Sequence, Moved: rep.FullyShifted, Bound: uint32(rep.Pinned), InFlight: uint32(rep.InFlight),
+			Order: order.Revision, Era: order.Era, Count: rep.Sequence, Moved: rep.FullyShifted, Bound: uint32(rep.Pinned), InFlight: uint32(rep.InFlight),
 			LongestMs: uint32(rep.LongestRequest.Milliseconds()), Sent: uint32(rep.Sent),
 		}
 		out = append(out, message)
--- a/cmd/node/rollout_answers.go
+++ b/cmd/node/rollout_answers.go
@@ -31,7 +31,7 @@
 	if !ok || s.Phase >= rollout.Rejected || a.evidence == sendresult.VersionNone || a.evidence == sendresult.VersionAnswer && a.replica.WarmingUntil > n.now() {
 		return
 	}
-	own := &r.progress(s.Revision).ownReport
+	own := &r.progress(s.At).ownReport
 	if a.replica.Version == s.Target {
 		n.countTargetAnswer(&s, a.evidence)
 	}
--- a/cmd/node/rollout_lead.go
+++ b/cmd/node/rollout_lead.go
@@ -9,6 +9,7 @@
 
 	"quinceroad/cmd/process"
 	"quinceroad/coordination/gossip"
+	"quinceroad/coordination/history"
 	"quinceroad/coordination/rendezvous"
 	"quinceroad/coordination/rollout"
 	"quinceroad/platform"
@@ -62,7 +63,7 @@
 
 // loggedShare is the traffic share of a service's rollout that was last logged.
 type loggedShare struct {
-	order    uint64
+	order    history.Point
 	share    float64
 	selected int
 }
@@ -78,7 +79,7 @@
 			}
 			continue
 		}
-		if shift == nil || shift.order != active[i].Revision || shift.share != active[i].Share(now, n.rollouts.canaryShare) {
+		if shift == nil || shift.order != active[i].At || shift.share != active[i].Share(now, n.rollouts.canaryShare) {
 			return true
 		}
 		if old := logged[active[i].Service]; old.order != shift.order || old.share != shift.share || old.selected != len(shift.selected) {
@@ -98,7 +99,7 @@
 		now := loggedShare{order: shift.order, share: shift.share, selected: len(shift.selected)}
 		if logged[active[i].Service] != now {
 			logged[active[i].Service] = now
-			event.RolloutShare.Log(n.log, "service", active[i].Service, "target", shift.target, "order", shift.order, "share", shift.share, "replicas", len(shift.selected))
+			event.RolloutShare.Log(n.log, "service", active[i].Service, "target", shift.target, "order", shift.order.Revision, "share", shift.share, "replicas", len(shift.selected))
 		}
 	}
 }
@@ -119,7 +120,7 @@
 		if service == nil || service.Pool == nil || shift == nil {
 			continue
 		}
-		allowed := uint64(0)
+		allowed := history.Point{}
 		if r.splitter.Allows(shift.order, "", shift.share, service.Pool.MaxBatch) {
 			allowed = shift.order
 		}
@@ -144,7 +145,7 @@
 	self := encodeInstance(n.members.Self())
 	n.gossipMu.Unlock()
 	n.rollouts.mu.Lock()
-	messages := encodeRolloutReport(s.Revision, n.rollouts.buildReport(s))
+	messages := encodeRolloutReport(s.At, n.rollouts.buildReport(s))
 	n.rollouts.mu.Unlock()
 	for _, message := range messages {
 		h := &pb.Heartbeat{News: []*pb.InstanceNews{self}, Rollouts: &pb.Rollouts{Reports: []*pb.RolloutReport{message}}}
@@ -169,13 +170,13 @@
 	now := n.now()
 	rank := slices.IndexFunc(ranked, func(i gossip.Instance) bool { return i.Name == n.settings.Name })
 	r.mu.Lock()
-	o := r.progress(s.Revision)
+	o := r.progress(s.At)
 	rankChanged := rank != o.rank
 	o.rank = rank
 	ended := s.Phase >= rollout.Rejected && o.status.Ended()
 	r.mu.Unlock()
 	if rankChanged {
-		event.RolloutJudgedHere.Log(n.log, "service", s.Service, "order", s.Revision, "rank", rank)
+		event.RolloutJudgedHere.Log(n.log, "service", s.Service, "order", s.At.Revision, "rank", rank)
 	}
 	if rank < 0 || ended {
 		return
@@ -196,7 +197,7 @@
 	o.callPending = o.callPending || callStore
 	r.mu.Unlock()
 	if newReason && rank == 0 {
-		event.RolloutWaits.Log(n.log, "service", s.Service, "target", s.Target, "order", s.Revision, "why", step.Reason, "age", now-s.OrderedAt)
+		event.RolloutWaits.Log(n.log, "service", s.Service, "target", s.Target, "order", s.At.Revision, "why", step.Reason, "age", now-s.OrderedAt)
 	}
 	if due && step.SetPhase > s.Phase {
 		n.setRolloutPhase(s, step.SetPhase)
@@ -207,7 +208,7 @@
 }
 
 func (n *Node) setRolloutPhase(s *rollout.OrderState, phase rollout.Phase) {
-	n.changeRollouts(n.settings.Name, func(now time.Duration, v *rollout.View) []rollout.Change { return v.SetPhase(now, s.Revision, phase) })
+	n.changeRollouts(n.settings.Name, func(now time.Duration, v *rollout.View) []rollout.Change { return v.SetPhase(now, s.At, phase) })
 }
 
 // rolloutInputs collects the inputs for the decision on an order, and judges it.
@@ -231,7 +232,7 @@
 	n.gossipMu.Unlock()
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	o := r.progress(s.Revision)
+	o := r.progress(s.At)
 	o.reports.Merge(self.Name, self.Incarnation, r.buildReport(s))
 	rows, sent, longest := o.reports.Sums()
 	in.Status, in.Sent, in.LongestRequest = o.status, sent, longest
@@ -254,7 +255,7 @@
 
 func (n *Node) logJudgement(now time.Duration, s *rollout.OrderState, j *rollout.Judgement) {
 	worst := j.Worst()
-	event.RolloutJudged.Log(n.log, "service", s.Service, "target", s.Target, "order", s.Revision, "verdict", j.Verdict, "why", j.Reason,
+	event.RolloutJudged.Log(n.log, "service", s.Service, "target", s.Target, "order", s.At.Revision, "verdict", j.Verdict, "why", j.Reason,
 		"route", worst.Route, "new", worst.New, "new_bad", worst.NewBad, "old", worst.Old, "old_bad", worst.OldBad, "granted", worst.GrantedRate,
 		"against", worst.Against, "accepted", worst.Accepted, "age", now-s.OrderedAt)
 }
@@ -278,7 +279,7 @@
 	r := n.rollouts
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	o := r.progress(s.Revision)
+	o := r.progress(s.At)
 	o.status, o.callPending = status, false
 	o.stepSince, o.retryPause = n.now(), 0
 	if err != nil {
@@ -290,6 +291,6 @@
 }
 
 func (n *Node) logRolloutStatus(s *rollout.OrderState, operation string, status rollout.Status, err error) {
-	event.RolloutStatus.Log(n.log, "service", s.Service, "target", s.Target, "order", s.Revision, "did", operation,
+	event.RolloutStatus.Log(n.log, "service", s.Service, "target", s.Target, "order", s.At.Revision, "did", operation,
 		"state", status.State, "revision", status.Revision, "error", err)
 }
--- a/cmd/node/rollout_state.go
+++ b/cmd/node/rollout_state.go
@@ -32,9 +32,9 @@
 	defer r.mu.Unlock()
 	var out []RolloutState
 	for _, s := range r.view.Active() {
-		o := r.progress(s.Revision)
+		o := r.progress(s.At)
 		out = append(out, RolloutState{
-			Service: s.Service, Target: s.Target, Order: s.Revision, Phase: s.Phase.String(),
+			Service: s.Service, Target: s.Target, Order: s.At.Revision, Phase: s.Phase.String(),
 			Age: (now - s.OrderedAt).Round(time.Millisecond).String(), TimeLimit: s.TimeLimit.String(), Share: s.Share(now, r.canaryShare), Sent: o.ownReport.Sent,
 			Rank: o.rank, Status: o.status.State.String(), WaitReason: o.step.Reason, Judgement: o.judge.Latest(),
 		})
--- a/cmd/node/rollout_test.go
+++ b/cmd/node/rollout_test.go
@@ -9,6 +9,7 @@
 	"github.com/matryer/is"
 	"google.golang.org/protobuf/proto"
 
+	"quinceroad/coordination/history"
 	"quinceroad/coordination/listing"
 	"quinceroad/coordination/rollout"
 	"quinceroad/platform"
@@ -29,11 +30,11 @@
 func TestOrderBackToRunningVersionServes(t *testing.T) {
 	is := is.New(t)
 	r := newRollouts(&platform.Settings{CanaryShare: 0.1, CanarySlack: 50})
-	r.view.Replace(0, []rollout.Order{{Service: "s", Target: "v2", Revision: 3, TimeLimit: time.Minute}}, 3)
-	r.view.SetPhase(1, 3, rollout.Canary)
-	r.view.Replace(2, []rollout.Order{{Service: "s", Target: "v1", Revision: 5, TimeLimit: time.Minute}}, 5)
+	r.view.Replace(0, []rollout.Order{{Service: "s", Target: "v2", At: pointAt(3), TimeLimit: time.Minute}}, pointAt(3))
+	r.view.SetPhase(1, pointAt(3), rollout.Canary)
+	r.view.Replace(2, []rollout.Order{{Service: "s", Target: "v1", At: pointAt(5), TimeLimit: time.Minute}}, pointAt(5))
 	for _, phase := range []rollout.Phase{rollout.Pending, rollout.Canary, rollout.Promoted} {
-		r.view.SetPhase(3, 5, phase)
+		r.view.SetPhase(3, pointAt(5), phase)
 		index := indexOf(nil, replicasOfVersions("v1", "v1", "v2"))
 		shift := r.apply(4, nil, index)["s"]
 		is.Equal(index.List().Len(), 3)
@@ -52,7 +53,7 @@
 func TestWithheldReplicasServeWhenOrdersAreGone(t *testing.T) {
 	is := is.New(t)
 	r := newRollouts(&platform.Settings{CanaryShare: 0.1, CanarySlack: 50})
-	r.view.Replace(0, []rollout.Order{{Service: "s", Target: "v2", Revision: 3, TimeLimit: time.Minute}}, 3)
+	r.view.Replace(0, []rollout.Order{{Service: "s", Target: "v2", At: pointAt(3), TimeLimit: time.Minute}}, pointAt(3))
 	index := indexOf(nil, replicasOfVersions("v1", "v2"))
 	accepting := func() int {
 		r.apply(4, nil, index)
@@ -69,8 +70,8 @@
 func TestDrainedOldReplicasDoNotRaiseShare(t *testing.T) {
 	is := is.New(t)
 	r := newRollouts(&platform.Settings{CanaryShare: 0.1, CanarySlack: 50})
-	r.view.Replace(0, []rollout.Order{{Service: "s", Target: "v2", Revision: 3, TimeLimit: time.Minute}}, 3)
-	r.view.SetPhase(1, 3, rollout.Canary)
+	r.view.Replace(0, []rollout.Order{{Service: "s", Target: "v2", At: pointAt(3), TimeLimit: time.Minute}}, pointAt(3))
+	r.view.SetPhase(1, pointAt(3), rollout.Canary)
 	replicas := replicasOfVersions("v1", "v2", "v2")
 	replicas[0].HallDrained = true
 	shift := r.apply(4, nil, indexOf(nil, replicas))["s"]
@@ -95,7 +96,7 @@
 		rep.Rows[rollout.RowKey{Route: "claim-dossier-review", Replica: fmt.Sprint("i-7f3a91c2-", i)}] = tally
 	}
 	reports := rollout.NewReports()
-	for _, p := range encodeRolloutReport(3, rep) {
+	for _, p := range encodeRolloutReport(pointAt(3), rep) {
 		is.True(proto.Size(p) < compressFrom)
 		reports.Merge("n1", 1, decodeRolloutReport(p))
 	}
@@ -108,16 +109,16 @@
 func TestReportIsCountedOnceAcrossRestarts(t *testing.T) {
 	is := is.New(t)
 	n := newTwoReplicaNode()
-	n.rollouts.view.Replace(0, []rollout.Order{{Service: "s", Target: "v2", Revision: 3, TimeLimit: time.Minute}}, 3)
+	n.rollouts.view.Replace(0, []rollout.Order{{Service: "s", Target: "v2", At: pointAt(3), TimeLimit: time.Minute}}, pointAt(3))
 	rep := rollout.Report{Sequence: 1, Rows: map[rollout.RowKey]*rollout.Tally{{Route: "a", Replica: "v0"}: {Failed: 1}}}
-	heartbeat := &pb.Heartbeat{News: []*pb.InstanceNews{{Name: "n2", Incarnation: 1}}, Rollouts: &pb.Rollouts{Reports: encodeRolloutReport(3, rep)}}
+	heartbeat := &pb.Heartbeat{News: []*pb.InstanceNews{{Name: "n2", Incarnation: 1}}, Rollouts: &pb.Rollouts{Reports: encodeRolloutReport(pointAt(3), rep)}}
 	for i, incarnation := range []string{"v0", "v0@1", "v0@2", "v0@3"} {
 		snap := *n.snapshot.Load()
 		snap.list = indexOf(nil, []catalog.Replica{{ID: incarnation, Name: "v0", StartMillis: int64(i), Service: "s"}}).List()
 		n.snapshot.Store(&snap)
 		n.mergeRollouts(heartbeat)
 	}
-	rows, _, _ := n.rollouts.progress(3).reports.Sums()
+	rows, _, _ := n.rollouts.progress(pointAt(3)).reports.Sums()
 	failed := 0
 	for _, tally := range rows {
 		failed += int(tally.Failed)
@@ -132,16 +133,16 @@
 	n := New(&platform.Settings{Name: "n1", Hall: "h1", StoreAddress: "127.0.0.1:1", CanaryShare: 0.1, CanarySlack: 50}, hclog.NewNullLogger())
 	config := &catalog.Configuration{Services: map[string]*catalog.Service{"s": {Name: "s", Pool: &catalog.Pool{MaxBatch: 1}}}}
 	target := &catalog.Replica{ID: "r1", Service: "s"}
-	shift := func(order uint64) *trafficShift {
+	shift := func(order history.Point) *trafficShift {
 		return &trafficShift{order: order, share: 0.5, otherCount: 1, targetReplicas: map[string]bool{"r1": true}, selected: map[string]bool{"r1": true}}
 	}
-	snap := &snapshot{config: config, regionMap: n.regionMap, list: listing.Empty(), rolloutByService: map[string]*trafficShift{"s": shift(3)}}
+	snap := &snapshot{config: config, regionMap: n.regionMap, list: listing.Empty(), rolloutByService: map[string]*trafficShift{"s": shift(pointAt(3))}}
 	n.snapshot.Store(snap)
 	for range 40 { // until the share has saved up a batch
-		n.rollouts.splitter.Allows(3, "", 0.5, 0)
-		n.rollouts.tryRecordSend(shift(3), "", "r0", 1)
-		n.updateBatchAllowed([]rollout.OrderState{{Order: rollout.Order{Service: "s", Target: "v2", Revision: 3}}})
+		n.rollouts.splitter.Allows(pointAt(3), "", 0.5, 0)
+		n.rollouts.tryRecordSend(shift(pointAt(3)), "", "r0", 1)
+		n.updateBatchAllowed([]rollout.OrderState{{Order: rollout.Order{Service: "s", Target: "v2", At: pointAt(3)}}})
 	}
-	is.True(!n.rollouts.isWithheldFromPool(config, shift(3), target))
-	is.True(n.rollouts.isWithheldFromPool(config, shift(5), target))
+	is.True(!n.rollouts.isWithheldFromPool(config, shift(pointAt(3)), target))
+	is.True(n.rollouts.isWithheldFromPool(config, shift(pointAt(5)), target))
 }
--- a/cmd/node/rollout_traffic.go
+++ b/cmd/node/rollout_traffic.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"quinceroad/coordination/history"
 	"quinceroad/coordination/listing"
 	"quinceroad/coordination/rollout"
 	"quinceroad/state/catalog"
@@ -13,7 +14,7 @@
 // trafficShift is the state of a rollout that a snapshot applies to requests. It is
 // immutable.
 type trafficShift struct {
-	order          uint64
+	order          history.Point
 	target         string
 	share          float64         // share of this instance's requests that goes to the target version
 	targetReplicas map[string]bool // replicas of the target version
@@ -67,7 +68,7 @@
 // shiftOf returns the traffic share of an order's target version, and records whether
 // replicas of other versions accept work. The caller holds mu.
 func (r *rollouts) shiftOf(now time.Duration, s *rollout.OrderState, list *listing.List) *trafficShift {
-	shift := &trafficShift{order: s.Revision, target: s.Target, share: s.Share(now, r.canaryShare), targetReplicas: make(map[string]bool)}
+	shift := &trafficShift{order: s.At, target: s.Target, share: s.Share(now, r.canaryShare), targetReplicas: make(map[string]bool)}
 	var ready []string
 	for e := range list.OfService(s.Service) {
 		x := e.Replica
@@ -160,7 +161,7 @@
 
 // buildReport returns this incarnation's next report on an order. The caller holds mu.
 func (r *rollouts) buildReport(s *rollout.OrderState) rollout.Report {
-	o := r.progress(s.Revision)
+	o := r.progress(s.At)
 	o.ownReport.Sequence++
 	rep := o.ownReport
 	rep.FullyShifted = r.fullyShifted[s.Service]
--- a/cmd/node/topics.go
+++ b/cmd/node/topics.go
@@ -59,14 +59,13 @@
 	n.changeDrainedHalls(fromStore, func(now time.Duration, v *evacuation.View) []evacuation.Change {
 		return v.Replace(now, i.DrainedHalls, i.At)
 	})
-	n.replaceRollouts(i.Rollouts, i.At.Revision)
+	n.replaceRollouts(i.Rollouts, i.At)
 	n.applyConfiguration(i.Configuration, fromStore)
 }
 
 // applyIntentChanges applies the changes that a watch returned, which include all up to a
 // point.
 func (n *Node) applyIntentChanges(items []platform.Entry, known history.Point) {
-	at := known.Revision
 	var entries []evacuation.Entry
 	for i := range items {
 		if hall, ok := items[i].DrainedHall(); ok {
@@ -76,7 +75,7 @@
 	n.changeDrainedHalls(fromStore, func(now time.Duration, v *evacuation.View) []evacuation.Change {
 		return v.Apply(now, entries, known)
 	})
-	n.applyRollouts(items, at)
+	n.applyRollouts(items, known)
 	for i := range items {
 		if items[i].IsConfiguration() && !items[i].Deleted {
 			n.applyConfiguration(items[i].Value, fromStore)
--- a/coordination/rollout/ends_test.go
+++ b/coordination/rollout/ends_test.go
@@ -157,20 +157,20 @@
 func TestVersionPausesAfterReplicaRestart(t *testing.T) {
 	is := is.New(t)
 	v := NewView()
-	v.Replace(0, []Order{order("s", "v2", 5), order("t", "v2", 6)}, 7)
+	v.Replace(0, []Order{order("s", "v2", 5), order("t", "v2", 6)}, pointAt(7))
 	share := func(service string, now time.Duration) float64 {
 		s, _ := v.Current(service)
 		return s.Share(now, 0.1)
 	}
-	v.SetPhase(1, 5, Canary)
-	v.SetPhase(1, 6, Canary)
+	v.SetPhase(1, pointAt(5), Canary)
+	v.SetPhase(1, pointAt(6), Canary)
 	v.RecordRestart(time.Second, "s", "v2")
 	v.RecordRestart(time.Second+restartPause/2, "s", "v2")
 	v.RecordRestart(time.Second, "t", "v1") // of the old version
 	is.Equal(share("s", time.Second+restartPause), 0.0)
 	is.True(share("s", time.Second+3*restartPause/2) > 0)
 	is.True(share("t", time.Second) > 0)
-	v.SetPhase(2*time.Second, 5, Promoted)
+	v.SetPhase(2*time.Second, pointAt(5), Promoted)
 	v.RecordRestart(2*time.Second, "s", "v2")
 	is.True(share("s", 2*time.Second) > 0)
 	is.Equal(v.Update(3 * time.Second).Orders[1].PausedUntil, time.Duration(0)) // local time, not sent to others
--- a/coordination/rollout/orders.go
+++ b/coordination/rollout/orders.go
@@ -12,17 +12,18 @@
 package rollout
 
 import (
-	"cmp"
 	"maps"
 	"slices"
 	"time"
+
+	"quinceroad/coordination/history"
 )
 
 // Order is an operator's order to move a service to a version.
 type Order struct {
 	Service   string
 	Target    string        // the version
-	Revision  uint64        // store revision at which it was written; identifies the order
+	At        history.Point // in the store's history, at which it was written; identifies the order
 	TimeLimit time.Duration // time within which it should be completed
 }
 
@@ -57,13 +58,14 @@
 	Phase       Phase
 	PhaseSince  time.Duration // local time at which the phase was reached
 	Ended       bool          // it was withdrawn, or replaced by another order for its service
+	Rewritten   bool          // it was written again after the store's return, which may lack its status; local to this instance
 	PausedUntil time.Duration // the version gets no requests until then, as its replicas have restarted; local to this instance
 }
 
 // Update is a view as instances send it to each other.
 type Update struct {
-	Revision uint64       // store revision of the orders; 0: none was read
-	Orders   []OrderState // OrderedAt and PhaseSince hold ages instead of times
+	At     history.Point // in the store's history, of the set of orders; zero: none was read
+	Orders []OrderState  // OrderedAt and PhaseSince hold ages instead of times
 }
 
 // Change is a new order, a new phase, or an order's end.
@@ -74,19 +76,22 @@
 
 // View holds the orders that an instance knows.
 type View struct {
-	revision uint64
-	current  map[string]*OrderState // by service
-	all      map[uint64]*OrderState // by revision, including ended orders
+	at      history.Point
+	current map[string]*OrderState        // by service
+	all     map[history.Point]*OrderState // including ended orders
+	held    map[string]time.Duration      // see era.go
+	renamed []Renamed
 }
 
 // NewView returns an empty view.
 func NewView() *View {
-	return &View{current: make(map[string]*OrderState), all: make(map[uint64]*OrderState)}
+	return &View{
+		current: make(map[string]*OrderState),
+		all:     make(map[history.Point]*OrderState),
+		held:    make(map[string]time.Duration),
+	}
 }
 
-// Revision returns the store revision of the orders.
-func (v *View) Revision() uint64 { return v.revision }
-
 // Empty reports whether no order was ever known.
 func (v *View) Empty() bool { return len(v.all) == 0 }
 
@@ -109,12 +114,12 @@
 }
 
 // Unfinished returns the orders that an instance still has to lead, sorted by
-// revision: active ones that are not finished, and withdrawn ones without a newer order
+// their points: active ones that are not finished, and withdrawn ones without a newer order
 // for their service, unless they were completed.
 func (v *View) Unfinished(now time.Duration) []OrderState {
 	var out []OrderState
-	for _, revision := range slices.Sorted(maps.Keys(v.all)) {
-		s := v.all[revision]
+	for _, at := range v.points() {
+		s := v.all[at]
 		current := v.current[s.Service]
 		if current == s && !s.IsFinished(now) || current == nil && s.Phase != Done {
 			out = append(out, *s)
@@ -124,37 +129,51 @@
 }
 
 // Has reports whether an order is in the view, ended or not.
-func (v *View) Has(revision uint64) bool { return v.all[revision] != nil }
+func (v *View) Has(at history.Point) bool { return v.all[at] != nil }
+
+// points returns the points of all orders, sorted.
+func (v *View) points() []history.Point {
+	return slices.SortedFunc(maps.Keys(v.all), history.Point.Compare)
+}
 
-// Replace sets the orders to the complete set read at a store revision.
-func (v *View) Replace(now time.Duration, orders []Order, revision uint64) []Change {
-	if revision <= v.revision {
+// Replace sets the orders to the complete set read at a point in the store's history.
+func (v *View) Replace(now time.Duration, orders []Order, at history.Point) []Change {
+	if !at.After(v.at) {
 		return nil
 	}
+	if !v.at.IsZero() && at.Era > v.at.Era {
+		v.holdCurrent(now)
+	}
 	next := make(map[string]Order, len(orders))
 	for _, o := range orders {
 		next[o.Service] = o
 	}
-	return v.setOrders(now, next, revision)
+	return v.setOrders(now, next, at)
 }
 
 // Apply applies the changes from a watch in their order. The view is complete up to
-// revision at afterwards.
-func (v *View) Apply(now time.Duration, entries []Entry, at uint64) []Change {
+// the point afterwards. Changes of another era than the view's are ignored.
+func (v *View) Apply(now time.Duration, entries []Entry, at history.Point) []Change {
+	if at.Era != v.at.Era {
+		return nil
+	}
 	next := make(map[string]Order, len(v.current))
 	for service, s := range v.current {
-		next[service] = s.Order
+		if _, held := v.held[service]; !held {
+			next[service] = s.Order
+		}
 	}
 	for _, e := range entries {
 		switch {
-		case e.Revision <= v.revision:
+		case !e.At.After(v.at):
 		case e.Deleted:
 			delete(next, e.Service)
+			delete(v.held, e.Service)
 		default:
 			next[e.Service] = e.Order
 		}
 	}
-	return v.setOrders(now, next, max(at, v.revision))
+	return v.setOrders(now, next, history.Latest(at, v.at))
 }
 
 // Merge merges another instance's view: the set of orders with the newer revision,
@@ -166,7 +185,7 @@
 			orders = append(orders, s.Order)
 		}
 	}
-	changes := v.Replace(now, orders, u.Revision)
+	changes := v.Replace(now, orders, u.At)
 	for _, s := range u.Orders {
 		changes = append(changes, v.mergeOrder(now, s)...)
 	}
@@ -175,25 +194,25 @@
 
 // mergeOrder merges the received state of one order, which holds ages instead of times.
 func (v *View) mergeOrder(now time.Duration, s OrderState) []Change {
-	known := v.all[s.Revision]
+	known := v.all[s.At]
 	if known == nil {
 		if !s.Ended {
 			return nil // it belongs to an older set of orders than this view's
 		}
 		known = &OrderState{Order: s.Order, OrderedAt: now - s.OrderedAt, Ended: true}
-		v.all[s.Revision] = known
+		v.all[s.At] = known
 	}
 	known.OrderedAt = min(known.OrderedAt, now-s.OrderedAt)
-	return v.raisePhase(now-s.PhaseSince, s.Revision, s.Phase)
+	return v.raisePhase(now-s.PhaseSince, s.At, s.Phase)
 }
 
 // SetPhase raises the phase of an order; it ignores a phase lower than the known one.
-func (v *View) SetPhase(now time.Duration, revision uint64, phase Phase) []Change {
-	return v.raisePhase(now, revision, phase)
+func (v *View) SetPhase(now time.Duration, order history.Point, phase Phase) []Change {
+	return v.raisePhase(now, order, phase)
 }
 
-func (v *View) raisePhase(since time.Duration, revision uint64, phase Phase) []Change {
-	s := v.all[revision]
+func (v *View) raisePhase(since time.Duration, order history.Point, phase Phase) []Change {
+	s := v.all[order]
 	if s == nil || phase <= s.Phase {
 		return nil
 	}
@@ -211,32 +230,51 @@
 	}
 }
 
-func (v *View) setOrders(now time.Duration, next map[string]Order, revision uint64) []Change {
+func (v *View) setOrders(now time.Duration, next map[string]Order, at history.Point) []Change {
 	var out []Change
 	for service, s := range v.current {
-		if next[service].Revision == s.Revision {
+		o, listed := next[service]
+		_, held := v.held[service]
+		switch {
+		case listed && o.At == s.At:
+			delete(v.held, service)
+			continue
+		case listed && held && s.isSameAs(&o):
+			v.rename(now, s, o)
+			continue
+		case !listed && held:
 			continue
 		}
-		s.Ended = true
-		delete(v.current, service)
-		if s.Phase < Rejected {
-			s.Phase, s.PhaseSince = Rejected, now
-		}
-		out = append(out, Change{OrderState: *s})
+		delete(v.held, service)
+		out = append(out, v.end(now, s))
 	}
 	for service, o := range next {
 		if v.current[service] != nil {
 			continue
 		}
-		s := &OrderState{Order: o, OrderedAt: now, PhaseSince: now}
-		v.current[service], v.all[o.Revision] = s, s
+		s := v.all[o.At]
+		if s == nil {
+			s = &OrderState{Order: o, OrderedAt: now, PhaseSince: now}
+		}
+		s.Ended = false
+		v.current[service], v.all[o.At] = s, s
 		out = append(out, Change{OrderState: *s, New: true})
 	}
-	v.revision = revision
-	slices.SortFunc(out, func(a, b Change) int { return cmp.Compare(a.Revision, b.Revision) })
+	v.at = at
+	slices.SortFunc(out, func(a, b Change) int { return a.At.Compare(b.At) })
 	return out
 }
 
+// end ends an active order.
+func (v *View) end(now time.Duration, s *OrderState) Change {
+	s.Ended = true
+	delete(v.current, s.Service)
+	if s.Phase < Rejected {
+		s.Phase, s.PhaseSince = Rejected, now
+	}
+	return Change{OrderState: *s}
+}
+
 // maxEndedOrders is the number of ended orders that are kept and sent, the newest
 // first. It is bounded so that a heartbeat fits into one datagram.
 const maxEndedOrders = 8
@@ -244,17 +282,20 @@
 // Update returns the view to send to other instances and drops ended orders beyond
 // maxEndedOrders.
 func (v *View) Update(now time.Duration) Update {
-	n := Update{Revision: v.revision}
+	n := Update{At: v.at}
 	ended := 0
-	for _, revision := range slices.Backward(slices.Sorted(maps.Keys(v.all))) {
-		s := *v.all[revision]
+	for _, at := range slices.Backward(v.points()) {
+		s := *v.all[at]
+		if _, held := v.held[s.Service]; held && !s.Ended {
+			continue // not in the set of orders of this point
+		}
 		if s.Ended {
 			if ended++; ended > maxEndedOrders {
-				delete(v.all, revision)
+				delete(v.all, at)
 				continue
 			}
 		}
-		s.OrderedAt, s.PhaseSince, s.PausedUntil = now-s.OrderedAt, now-s.PhaseSince, 0
+		s.OrderedAt, s.PhaseSince, s.PausedUntil, s.Rewritten = now-s.OrderedAt, now-s.PhaseSince, 0, false
 		n.Orders = append(n.Orders, s)
 	}
 	return n
--- a/coordination/rollout/plan.go
+++ b/coordination/rollout/plan.go
@@ -80,6 +80,8 @@
 	switch {
 	case !f.Status.Known:
 		return Step{ReadStatus: true, Reason: "its status is not read yet"}
+	case s.Phase == Done && s.Rewritten && f.Status.State != Completed:
+		return Step{WriteState: Completed, Reason: "the store has lost its completion"}
 	case s.Phase == Done:
 		return Step{}
 	case f.Status.State == Completed:
--- a/coordination/rollout/random_test.go
+++ b/coordination/rollout/random_test.go
@@ -101,7 +101,7 @@
 		}
 		f.deliver(n, i)
 		if f.now == orderedAt || i.view.Empty() && i.cutOffUntil <= f.now && f.random.IntN(3) == 0 { // reads the store
-			i.view.Replace(f.time(), []Order{{Service: "s", Target: "v2", Revision: 1, TimeLimit: deadline * tick}}, 1)
+			i.view.Replace(f.time(), []Order{{Service: "s", Target: "v2", At: pointAt(1), TimeLimit: deadline * tick}}, pointAt(1))
 		}
 		f.serve(i)
 		f.broadcast(n, i)
@@ -146,8 +146,8 @@
 		toTarget := false
 		if ordered && !i.view.Withheld("s", "v2", true, false) {
 			share := s.Share(f.time(), 0.1)
-			toTarget = i.splitter.Allows(1, route, share, 1)
-			i.splitter.Record(1, route, share, 1, toTarget)
+			toTarget = i.splitter.Allows(pointAt(1), route, share, 1)
+			i.splitter.Record(pointAt(1), route, share, 1, toTarget)
 			i.own.Sent++
 		}
 		f.count(i, route, toTarget)
@@ -262,7 +262,7 @@
 		return
 	}
 	if step.SetPhase == Rejected {
-		i.view.SetPhase(f.time(), 1, Rejected)
+		i.view.SetPhase(f.time(), pointAt(1), Rejected)
 	}
 	if step.ReadStatus != i.last.ReadStatus || step.SetPhase != i.last.SetPhase || step.WriteState != i.last.WriteState {
 		i.due = f.now
@@ -272,7 +272,7 @@
 		return
 	}
 	if step.SetPhase > s.Phase {
-		i.view.SetPhase(f.time(), 1, step.SetPhase)
+		i.view.SetPhase(f.time(), pointAt(1), step.SetPhase)
 	}
 	if step.ReadStatus || step.WriteState != None {
 		f.call(i, step)
--- a/coordination/rollout/rollout_test.go
+++ b/coordination/rollout/rollout_test.go
@@ -7,10 +7,15 @@
 
 	"github.com/matryer/is"
 	"pgregory.net/rapid"
+
+	"quinceroad/coordination/history"
 )
 
+// pointAt returns a point in the history of a store that states no era.
+func pointAt(revision uint64) history.Point { return history.Point{Revision: revision} }
+
 func order(service, target string, revision uint64) Order {
-	return Order{Service: service, Target: target, Revision: revision, TimeLimit: 10 * time.Second}
+	return Order{Service: service, Target: target, At: pointAt(revision), TimeLimit: 10 * time.Second}
 }
 
 // Covers a second order for a service, a withdrawn order, and phases that arrive late
@@ -18,22 +23,22 @@
 func TestOrdersFollowOneAnother(t *testing.T) {
 	is := is.New(t)
 	v := NewView()
-	v.Replace(0, []Order{order("s", "v2", 5), order("t", "v9", 6)}, 7)
-	v.SetPhase(1, 5, Canary)
-	v.Apply(2, []Entry{{Order: order("s", "v3", 9)}}, 9)
+	v.Replace(0, []Order{order("s", "v2", 5), order("t", "v9", 6)}, pointAt(7))
+	v.SetPhase(1, pointAt(5), Canary)
+	v.Apply(2, []Entry{{Order: order("s", "v3", 9)}}, pointAt(9))
 	is.True(v.Withheld("s", "v2", true, false)) // replaced before completion: no more requests
 	is.True(v.Withheld("s", "v3", true, false)) // its status is not known yet
 	is.True(!v.Withheld("s", "v1", true, false))
-	is.Equal(len(v.SetPhase(3, 5, Canary)), 0) // phase of the replaced order
-	v.SetPhase(4, 9, Canary)
+	is.Equal(len(v.SetPhase(3, pointAt(5), Canary)), 0) // phase of the replaced order
+	v.SetPhase(4, pointAt(9), Canary)
 	is.True(!v.Withheld("s", "v3", true, false))
-	changes := v.Apply(5, []Entry{{Order: Order{Service: "s", Revision: 11}, Deleted: true}}, 11)
+	changes := v.Apply(5, []Entry{{Order: Order{Service: "s", At: pointAt(11)}, Deleted: true}}, pointAt(11))
 	is.Equal(len(changes), 1)
 	is.Equal(changes[0].Phase, Rejected)
 	is.True(v.Withheld("s", "v3", true, false))
 	is.Equal(len(v.Unfinished(6)), 3) // withdrawn orders still need their final status, and t is active
-	v.Apply(7, []Entry{{Order: order("s", "v3", 12)}}, 12)
-	v.SetPhase(7, 12, Canary)
+	v.Apply(7, []Entry{{Order: order("s", "v3", 12)}}, pointAt(12))
+	v.SetPhase(7, pointAt(12), Canary)
 	is.True(!v.Withheld("s", "v3", true, false)) // ordered again
 }
 
@@ -42,7 +47,7 @@
 func TestCompletedVersionServesAfterFullRestart(t *testing.T) {
 	is := is.New(t)
 	v := NewView()
-	v.Replace(0, []Order{order("s", "v2", 5)}, 7)
+	v.Replace(0, []Order{order("s", "v2", 5)}, pointAt(7))
 	is.True(!v.Withheld("s", "v2", false, false))
 }
 
@@ -52,12 +57,12 @@
 	is := is.New(t)
 	a, b := NewView(), NewView()
 	for _, v := range []*View{a, b} {
-		v.Replace(0, []Order{order("s", "v2", 5)}, 7)
-		v.SetPhase(1, 5, Promoted)
+		v.Replace(0, []Order{order("s", "v2", 5)}, pointAt(7))
+		v.SetPhase(1, pointAt(5), Promoted)
 	}
-	a.SetPhase(2, 5, Done)
+	a.SetPhase(2, pointAt(5), Done)
 	for _, v := range []*View{a, b} {
-		v.Apply(3, []Entry{{Order: Order{Service: "s", Revision: 9}, Deleted: true}}, 9)
+		v.Apply(3, []Entry{{Order: Order{Service: "s", At: pointAt(9)}, Deleted: true}}, pointAt(9))
 	}
 	is.True(!a.Withheld("s", "v2", false, false))
 	b.Merge(4, a.Update(4))
@@ -73,8 +78,8 @@
 		splitter := NewTrafficSplitter((float64(i) + 0.5) / 78)
 		for n := range 16 {
 			route := fmt.Sprint("r", n%5/4) // a fifth of the requests on one of two routes
-			toTarget := splitter.Allows(1, route, 0.07, 1)
-			splitter.Record(1, route, 0.07, 1, toTarget)
+			toTarget := splitter.Allows(pointAt(1), route, 0.07, 1)
+			splitter.Record(pointAt(1), route, 0.07, 1, toTarget)
 			all++
 			if toTarget {
 				sentToTarget++
@@ -94,8 +99,8 @@
 		splitter := NewTrafficSplitter(initialCredit)
 		all, sentToTarget, largest := 0, 0, 0
 		for _, n := range rapid.SliceOf(rapid.IntRange(1, 60)).Draw(t, "sends") {
-			toTarget := splitter.Allows(1, "r", share, n)
-			splitter.Record(1, "r", share, n, toTarget)
+			toTarget := splitter.Allows(pointAt(1), "r", share, n)
+			splitter.Record(pointAt(1), "r", share, n, toTarget)
 			all += n
 			if toTarget {
 				sentToTarget += n
@@ -312,3 +317,43 @@
 		})
 	}
 }
+
+// An order that is written again after the store came back from a copy is the same order,
+// with its phase; another one, and one that is not written again, ends it.
+func TestOrdersOutliveAnEra(t *testing.T) {
+	is := is.New(t)
+	point := func(era, revision uint64) history.Point { return history.Point{Era: era, Revision: revision} }
+	written := func(service string, at history.Point) Order {
+		return Order{Service: service, Target: "v2", At: at, TimeLimit: time.Minute}
+	}
+	v := NewView()
+	v.Replace(0, []Order{written("bad", point(1, 41)), written("done", point(1, 42)), written("lost", point(1, 43)), written("changed", point(1, 44))}, point(1, 50))
+	v.SetPhase(1, point(1, 41), Rejected)
+	v.SetPhase(1, point(1, 42), Done)
+	v.SetPhase(1, point(1, 43), Canary)
+	is.Equal(len(v.Replace(time.Hour, nil, point(2, 20))), 0) // the copy has none of them
+	is.Equal(len(v.Update(time.Hour).Orders), 0)
+	is.Equal(len(v.Apply(time.Hour, []Entry{{Order: written("bad", point(1, 51)), Deleted: true}}, point(1, 51))), 0) // late, of the previous era
+	other := written("changed", point(2, 23))
+	other.Target = "v3"
+	v.Apply(time.Hour, []Entry{{Order: written("bad", point(2, 21))}, {Order: written("done", point(2, 22))}, {Order: other}}, point(2, 23))
+	is.Equal(v.TakeRenamed(), []Renamed{{point(1, 41), point(2, 21)}, {point(1, 42), point(2, 22)}})
+	bad, _ := v.Current("bad")
+	is.Equal(bad.Phase, Rejected) // it is not tried anew
+	is.Equal(bad.At, point(2, 21))
+	is.True(v.Withheld("bad", "v2", true, false))
+	done, _ := v.Current("done")
+	is.Equal(done.Phase, Done)
+	is.True(!done.IsFinished(time.Hour)) // its status has to be written again
+	changed, _ := v.Current("changed")
+	is.Equal(changed.Target, "v3")
+	is.Equal(changed.Phase, Pending)
+	lost, ok := v.Current("lost")
+	is.True(ok && lost.Phase == Canary)
+	is.Equal(len(v.Expire(time.Hour+heldOrderTTL-1)), 0)
+	is.Equal(len(v.Expire(time.Hour+heldOrderTTL)), 1)
+	_, ok = v.Current("lost")
+	is.True(!ok)
+	step := Decide(time.Hour, &Inputs{Order: done, Status: Status{Known: true}})
+	is.Equal(step.WriteState, Completed)
+}
--- a/coordination/rollout/share.go
+++ b/coordination/rollout/share.go
@@ -4,6 +4,7 @@
 	"math"
 	"time"
 
+	"quinceroad/coordination/history"
 	"quinceroad/coordination/rendezvous"
 )
 
@@ -71,7 +72,7 @@
 func (v *View) latestOrder(service, version string) *OrderState {
 	var last *OrderState
 	for _, s := range v.all {
-		if s.Service == service && s.Target == version && (last == nil || s.Revision > last.Revision) {
+		if s.Service == service && s.Target == version && (last == nil || s.At.After(last.At)) {
 			last = s
 		}
 	}
@@ -110,7 +111,7 @@
 }
 
 type sendKey struct {
-	order uint64
+	order history.Point
 	route string
 	share float64 // counts start at 0 for each new share
 }
@@ -125,7 +126,7 @@
 	return &TrafficSplitter{initialCredit: initialCredit, counts: make(map[sendKey]*sendCounts)}
 }
 
-func (t *TrafficSplitter) countsFor(order uint64, route string, share float64) *sendCounts {
+func (t *TrafficSplitter) countsFor(order history.Point, route string, share float64) *sendCounts {
 	k := sendKey{order, route, share}
 	s := t.counts[k]
 	if s == nil {
@@ -136,7 +137,7 @@
 }
 
 // Allows reports whether n more requests may go to an order's version.
-func (t *TrafficSplitter) Allows(order uint64, route string, share float64, n int) bool {
+func (t *TrafficSplitter) Allows(order history.Point, route string, share float64, n int) bool {
 	if share <= 0 || share >= 1 {
 		return share >= 1
 	}
@@ -145,7 +146,7 @@
 }
 
 // Record counts n requests that were sent, to the order's version if toTarget is true.
-func (t *TrafficSplitter) Record(order uint64, route string, share float64, n int, toTarget bool) {
+func (t *TrafficSplitter) Record(order history.Point, route string, share float64, n int, toTarget bool) {
 	s := t.countsFor(order, route, share)
 	s.all += float64(n)
 	if toTarget {
@@ -154,10 +155,20 @@
 }
 
 // Prune drops the counts of orders for which keep returns false.
-func (t *TrafficSplitter) Prune(keep func(order uint64) bool) {
+func (t *TrafficSplitter) Prune(keep func(order history.Point) bool) {
 	for k := range t.counts {
 		if !keep(k.order) {
 			delete(t.counts, k)
 		}
 	}
 }
+
+// Rename moves the counts of an order to the point at which it was written again.
+func (t *TrafficSplitter) Rename(r Renamed) {
+	for k, counts := range t.counts {
+		if k.order == r.Was {
+			delete(t.counts, k)
+			t.counts[sendKey{r.Is, k.route, k.share}] = counts
+		}
+	}
+}
