A package of its own for the events of a stream

Moved from cmd/node to cmd/node/eventstream: the reader that splits an answer into events, the queue of those that a client has not read, and the bound of all such queues, with their tests and the fuzz target; names without what the package says.

--- a/cmd/node/stream_test.go
+++ b/cmd/node/eventstream/eventstream_test.go
@@ -1,4 +1,4 @@
-package node
+package eventstream
 
 import (
 	"bytes"
@@ -14,10 +14,10 @@
 	f.Add([]byte("id: 1\ndata: a\n\nid: 2\ndata: b\n\n"))
 	f.Add([]byte("id: 1\r\ndata: a\r\n\r\nid: 2\nda"))
 	f.Fuzz(func(t *testing.T, data []byte) {
-		events := newEventReader(bytes.NewReader(data))
+		events := NewReader(bytes.NewReader(data))
 		var passed []byte
 		for {
-			e, err := events.next()
+			e, err := events.Next()
 			if err != nil {
 				rest := data[len(passed):]
 				if err == io.EOF && len(rest) > 0 {
@@ -25,9 +25,9 @@
 				}
 				break
 			}
-			passed = append(passed, e.bytes...)
-			if len(e.bytes) == 0 || !bytes.HasSuffix(e.bytes, []byte("\n")) {
-				t.Errorf("event %q", e.bytes)
+			passed = append(passed, e.Bytes...)
+			if len(e.Bytes) == 0 || !bytes.HasSuffix(e.Bytes, []byte("\n")) {
+				t.Errorf("event %q", e.Bytes)
 			}
 		}
 		if !bytes.HasPrefix(data, passed) {
@@ -44,21 +44,21 @@
 		eventSize = 1000
 		limit     = 10 * maxHeldPerAnswer
 	)
-	held := &heldAnswers{limit: limit}
-	var queues []*eventQueue
+	held := &Held{limit: limit}
+	var queues []*Queue
 	waiting := make(chan struct{}, clients)
 	var replicas sync.WaitGroup
 	for range clients {
-		q := newEventQueue(held)
+		q := NewQueue(held)
 		queues = append(queues, q)
 		replicas.Go(func() {
 			for i := range 10 * maxHeldPerAnswer / eventSize {
-				e := streamEvent{bytes: make([]byte, eventSize), id: strconv.Itoa(i)}
-				if !q.push(e, func() { waiting <- struct{}{} }) {
+				e := Event{Bytes: make([]byte, eventSize), ID: strconv.Itoa(i)}
+				if !q.Push(e, func() { waiting <- struct{}{} }) {
 					return
 				}
 			}
-			q.end(nil)
+			q.End(nil)
 		})
 	}
 	for range clients {
@@ -76,18 +76,18 @@
 	for _, q := range queues[:clients/2] {
 		count := 0
 		for {
-			e, ok, err := q.first()
+			e, ok, err := q.First()
 			if !ok {
 				if err != nil {
 					t.Fatal(err)
 				}
 				break
 			}
-			if e.id != strconv.Itoa(count) {
-				t.Fatalf("event %s after %d others", e.id, count)
+			if e.ID != strconv.Itoa(count) {
+				t.Fatalf("event %s after %d others", e.ID, count)
 			}
 			count++
-			q.removeFirst()
+			q.RemoveFirst()
 			for len(waiting) > 0 {
 				<-waiting
 			}
@@ -97,7 +97,7 @@
 		}
 	}
 	for _, q := range queues {
-		q.close()
+		q.Close()
 	}
 	replicas.Wait()
 	if held.Bytes() != 0 {
@@ -107,10 +107,10 @@
 
 // A stream of one endless line ends as broken instead of filling the memory.
 func TestEndlessEventIsBroken(t *testing.T) {
-	events := newEventReader(io.LimitReader(endlessLine{}, 100*maxEventBytes))
-	e, err := events.next()
-	if err != errStreamBroken || len(e.bytes) > 2*maxEventBytes {
-		t.Errorf("%d bytes are held, %v", len(e.bytes), err)
+	events := NewReader(io.LimitReader(endlessLine{}, 100*maxEventBytes))
+	e, err := events.Next()
+	if err != ErrBroken || len(e.Bytes) > 2*maxEventBytes {
+		t.Errorf("%d bytes are held, %v", len(e.Bytes), err)
 	}
 }
 
--- a/cmd/node/node.go
+++ b/cmd/node/node.go
@@ -19,6 +19,7 @@
 	metrics "github.com/rcrowley/go-metrics"
 	"golang.org/x/sync/errgroup"
 
+	"quinceroad/cmd/node/eventstream"
 	"quinceroad/cmd/node/origins"
 	"quinceroad/cmd/process"
 	"quinceroad/coordination/balancer"
@@ -87,7 +88,7 @@
 	advisories     *advisories        // has its own lock; no other is acquired under it
 	level          fleetLevel         // has its own lock; no other is acquired under it
 	customers      customerCounts     // has its own lock; no other is acquired under it
-	heldAnswers    *heldAnswers       // has its own lock; no other is acquired under it
+	heldAnswers    *eventstream.Held  // has its own lock; no other is acquired under it
 	replicaLinks   *replicaLinks      // has its own lock; no other is acquired under it
 	origins        *origins.Keeper    // has its own lock; no other is acquired under it
 
@@ -132,7 +133,7 @@
 		activeRequests: newRequestRegistry(),
 		quarantine:     newQuarantineTracker(jitterOf(s.Name)),
 		advisories:     newAdvisories(),
-		heldAnswers:    newHeldAnswers(s),
+		heldAnswers:    eventstream.NewHeld(s.MemoryMB * bytesPerMB),
 		replicaLinks:   newReplicaLinks(s.MemoryMB),
 		storeMonitor:   newStoreMonitor(),
 		jitter:         jitterOf(s.Name),
--- a/cmd/node/request_handler.go
+++ b/cmd/node/request_handler.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"time"
 
+	"quinceroad/cmd/node/eventstream"
 	"quinceroad/cmd/process"
 	"quinceroad/coordination/origin"
 	"quinceroad/coordination/outcome"
@@ -226,7 +227,7 @@
 	errReplicaTimeout   = errors.New("the replica did not answer in time")
 	errReplicaRestarted = errors.New("the replica has started again")
 	errReplicaFailed    = errors.New("the replica failed the request")
-	errStreamBroken     = errors.New("the stream broke off midway")
+	errStreamBroken     = eventstream.ErrBroken
 	errClientGone       = errors.New("the client has gone")
 	errNoReplicaOfBuild = errors.New("no replica of the build that began the stream accepts work")
 )
--- a/cmd/node/stream.go
+++ b/cmd/node/stream.go
@@ -1,12 +1,11 @@
 package node
 
 import (
-	"bufio"
-	"bytes"
 	"io"
 	"net/http"
 	"time"
 
+	"quinceroad/cmd/node/eventstream"
 	"quinceroad/protocol/event"
 )
 
@@ -20,20 +19,20 @@
 // forwardStream forwards events as they arrive, each one complete. A client that reads
 // slowly holds up the replica only when the queue between them is full.
 func (a *attempt) forwardStream(timer *time.Timer) error {
-	q := newEventQueue(a.node.heldAnswers)
+	q := eventstream.NewQueue(a.node.heldAnswers)
 	received := make(chan struct{})
 	go func() {
 		defer close(received)
-		q.end(a.receiveEvents(q, timer))
+		q.End(a.receiveEvents(q, timer))
 	}()
 	err := a.sendEvents(q)
 	if err != nil {
-		q.close()
+		q.Close()
 		a.conn.Close() // ends receiveEvents
 	}
 	<-received
 	timer.Stop()
-	if q.hasWaited() {
+	if q.HasWaited() {
 		a.node.counters.slowReaders.Inc(1)
 		event.NodeClientReadsSlowly.Log(a.node.log, "request", a.req.ID, "customer", a.customer, "replica", a.replica.ID, "complete", err == nil)
 	}
@@ -47,11 +46,11 @@
 
 // receiveEvents puts the replica's events into the queue. It returns nil after the last
 // one of a complete stream. The timer runs only while the replica is to send.
-func (a *attempt) receiveEvents(q *eventQueue, timer *time.Timer) error {
-	events := newEventReader(a.exchange)
+func (a *attempt) receiveEvents(q *eventstream.Queue, timer *time.Timer) error {
+	events := eventstream.NewReader(a.exchange)
 	lastEventAt := time.Duration(0) // 0: no event yet
 	for {
-		e, err := events.next()
+		e, err := events.Next()
 		if err == io.EOF {
 			return nil
 		}
@@ -67,8 +66,8 @@
 		} else {
 			a.maxEventGap = max(a.maxEventGap, a.node.now()-lastEventAt)
 		}
-		a.countAnswerBytes(len(e.bytes))
-		if !q.push(e, func() { timer.Stop() }) {
+		a.countAnswerBytes(len(e.Bytes))
+		if !q.Push(e, func() { timer.Stop() }) {
 			return errClientGone
 		}
 		lastEventAt = a.node.now()
@@ -81,25 +80,25 @@
 }
 
 // sendEvents sends the queued events to the client. It returns the result of the stream.
-func (a *attempt) sendEvents(q *eventQueue) error {
+func (a *attempt) sendEvents(q *eventstream.Queue) error {
 	control := http.NewResponseController(a.w)
 	for {
-		e, ok, err := q.first()
+		e, ok, err := q.First()
 		if !ok {
 			return err
 		}
 		a.startStream()
 		a.limitWriteTime(control)
-		if _, err := a.w.Write(e.bytes); err != nil {
+		if _, err := a.w.Write(e.Bytes); err != nil {
 			return errClientGone
 		}
 		if err := control.Flush(); err != nil {
 			return errClientGone
 		}
-		if e.id != "" {
-			a.stream.lastEventID = e.id
+		if e.ID != "" {
+			a.stream.lastEventID = e.ID
 		}
-		q.removeFirst()
+		q.RemoveFirst()
 	}
 }
 
@@ -121,48 +120,8 @@
 	return a.route.Resumable && len(a.tried) < a.route.MaxAttempts
 }
 
-// streamEvent is one event of a stream, including the blank line that ends it.
-type streamEvent struct {
-	bytes      []byte
-	id         string
-	isReserved bool // counted in heldAnswers
-}
-
-// eventReader splits a stream into complete events.
-type eventReader struct{ r *bufio.Reader }
-
-func newEventReader(r io.Reader) *eventReader { return &eventReader{r: bufio.NewReader(r)} }
-
-// maxEventBytes is the maximum size of an event. An event is held until it is complete.
-const maxEventBytes = 1 << 20
-
-var idField = []byte("id:")
-
-// next returns the next complete event, io.EOF after the last one of a complete
-// stream, and another error if the stream broke off.
-func (e *eventReader) next() (streamEvent, error) {
-	var ev streamEvent
-	lineStart := 0
-	for {
-		part, err := e.r.ReadSlice('\n')
-		ev.bytes = append(ev.bytes, part...)
-		switch {
-		case len(ev.bytes) > maxEventBytes:
-			return ev, errStreamBroken
-		case err == bufio.ErrBufferFull: // a long line
-			continue
-		case err == io.EOF && len(ev.bytes) > 0:
-			return ev, errStreamBroken // incomplete event
-		case err != nil:
-			return ev, err
-		}
-		text := bytes.TrimRight(ev.bytes[lineStart:], "\r\n")
-		lineStart = len(ev.bytes)
-		if len(text) == 0 {
-			return ev, nil
-		}
-		if id, ok := bytes.CutPrefix(text, idField); ok {
-			ev.id = string(bytes.TrimSpace(id))
-		}
-	}
+// limitWriteTime sets until when the client may take to read what is written next: a client
+// that reads slowly is served for as long as its request may take.
+func (s *requestHandler) limitWriteTime(control *http.ResponseController) {
+	_ = control.SetWriteDeadline(time.Now().Add(max(s.deadline-s.node.now(), clientWriteTimeout)))
 }
