A package of its own for what instances that are behind exchange

Moved from cmd/node to cmd/node/peersync: how often an instance pulls from its peers, and what of its link it spends on those that pull, with their tests.

--- a/cmd/node/node.go
+++ b/cmd/node/node.go
@@ -21,6 +21,7 @@
 
 	"quinceroad/cmd/node/eventstream"
 	"quinceroad/cmd/node/origins"
+	"quinceroad/cmd/node/peersync"
 	"quinceroad/cmd/process"
 	"quinceroad/coordination/balancer"
 	"quinceroad/coordination/evacuation"
@@ -71,9 +72,9 @@
 	storeFailed  atomic.Bool // a call to the store has failed since startup
 	storeMonitor *storeMonitor
 	storeEra     atomic.Uint64 // of the store's history, as last observed; 0: it states none
-	configPull   peerPull
-	replicasPull peerPull
-	peerUpdates  updateServer
+	configPull   peersync.Pull
+	replicasPull peersync.Pull
+	peerUpdates  peersync.UpdateServer
 
 	gossipMu sync.Mutex // guards members
 	members  *gossip.View
--- a/cmd/node/peer_pull.go
+++ b/cmd/node/peer_pull.go
@@ -25,63 +25,21 @@
 	// force.
 	remoteRegionPullDelay = 900 * time.Millisecond
 
-	initialPullDelay = time.Second     // delay before a reader without any data pulls
-	behindExpiry     = 2 * time.Second // age at which behindSince is out of date
-)
-
-// peerPull limits the pulls of one topic from peers to one at a time.
-type peerPull struct {
-	mu          sync.Mutex
-	inProgress  bool
-	notBefore   time.Duration // time of the next attempt after a busy peer refused one
-	behindSince time.Duration // time since which this instance is behind a peer; 0: it is not
-}
+	initialPullDelay = time.Second // delay before a reader without any data pulls
 
-// tryStart reports whether to pull from a peer with newer data now, and marks the pull
-// as in progress.
-func (p *peerPull) tryStart(now time.Duration, delay time.Duration) bool {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if p.inProgress || now < p.notBefore {
-		return false
-	}
-	if p.behindSince == 0 || now-p.behindSince > behindExpiry {
-		p.behindSince = now
-	}
-	if now-p.behindSince < delay {
-		return false
-	}
-	p.inProgress = true
-	return true
-}
-
-func (p *peerPull) finish() {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.inProgress, p.behindSince = false, 0
-}
-
-// finishBusy ends a pull that a busy peer refused. The next one starts after a moment, as
-// all instances that are behind hear from the same peers.
-func (p *peerPull) finishBusy(now time.Duration, random float64) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.inProgress, p.notBefore = false, now+time.Duration(random*float64(maxBusyPause))
-}
-
-// maxBusyPause is the longest pause after a busy peer has refused a pull.
-const maxBusyPause = 150 * time.Millisecond
+	compressFrom = 1400 // bytes; larger updates are compressed, smaller ones fit one packet
+)
 
 // pullMissing pulls what the sender of a heartbeat has and this instance lacks.
 func (n *Node) pullMissing(now time.Duration, h *pb.Heartbeat) {
 	from := h.News[0]
-	if have := n.configVersion(); from.Configured > have && n.configPull.tryStart(now, n.pullDelay(from, have > 0)) {
+	if have := n.configVersion(); from.Configured > have && n.configPull.TryStart(now, n.pullDelay(from, have > 0)) {
 		go n.pullConfig(from.Link, have)
 	}
 	n.watchedMu.Lock()
 	behind, have := n.replicas.changeLog.IsBehind(changedIn(h)), n.replicas.changeLog.At()
 	n.watchedMu.Unlock()
-	if behind && n.replicasPull.tryStart(now, n.pullDelay(from, !have.IsZero())) {
+	if behind && n.replicasPull.TryStart(now, n.pullDelay(from, !have.IsZero())) {
 		go n.pullReplicas(from.Link, have)
 	}
 }
@@ -110,16 +68,16 @@
 func (n *Node) pullConfig(addr string, have uint64) {
 	answer := &pb.Config{}
 	if err := n.links.Call(addr, frame.PullConfig, &pb.PullConfig{Have: have}, answer, pullTimeout); err != nil {
-		n.configPull.finish()
+		n.configPull.Finish()
 		n.logSideCallFailure("configuration", addr, err)
 		return
 	}
 	n.countPullBytes(addr, answer)
 	if answer.Busy {
-		n.configPull.finishBusy(n.now(), newRandom().Float64())
+		n.configPull.FinishBusy(n.now(), newRandom().Float64())
 		return
 	}
-	defer n.configPull.finish()
+	defer n.configPull.Finish()
 	n.mergeDrainedHalls(addr, answer.Evacuations) // before the configuration, which allows requests to be sent
 	n.mergeRolloutOrders(addr, answer.Rollouts)
 	if len(answer.Declaration) == 0 {
@@ -161,7 +119,7 @@
 		return &pb.Config{}
 	}
 	packed := raw.compressForPeers()
-	if !n.peerUpdates.allow(n.now(), len(packed), n.settings.LinkBytesPerSecond) {
+	if !n.peerUpdates.Allow(n.now(), len(packed), n.settings.LinkBytesPerSecond) {
 		n.counters.busyReplies.Inc(1)
 		return &pb.Config{Busy: true}
 	}
@@ -176,15 +134,15 @@
 		answer, err = decompressChanges(answer)
 	}
 	if err != nil {
-		n.replicasPull.finish()
+		n.replicasPull.Finish()
 		n.logSideCallFailure("replicas", addr, err)
 		return
 	}
 	if answer.Busy {
-		n.replicasPull.finishBusy(n.now(), newRandom().Float64())
+		n.replicasPull.FinishBusy(n.now(), newRandom().Float64())
 		return
 	}
-	defer n.replicasPull.finish()
+	defer n.replicasPull.Finish()
 	update := decodeReplicaChanges(answer)
 	n.watchedMu.Lock()
 	n.replicas.changeLog.ApplyUpdate(n.now(), update)
@@ -207,12 +165,12 @@
 	changed := n.replicas.changeLog.LastChange()
 	n.watchedMu.Unlock()
 	have := history.Point{Era: ask.Era, Revision: ask.Have}
-	answer, size := n.peerUpdates.cached(have, changed)
+	answer, size := n.peerUpdates.Cached(have, changed)
 	if answer == nil {
 		answer, size = n.buildReplicasAnswer(have)
-		n.peerUpdates.store(have, changed, answer, size)
+		n.peerUpdates.Store(have, changed, answer, size)
 	}
-	if !n.peerUpdates.allow(n.now(), size, n.settings.LinkBytesPerSecond) {
+	if !n.peerUpdates.Allow(n.now(), size, n.settings.LinkBytesPerSecond) {
 		n.counters.busyReplies.Inc(1)
 		return &pb.ReplicaChanges{Busy: true}
 	}
--- a/cmd/node/update_server.go
+++ b/cmd/node/peersync/update_server.go
@@ -1,4 +1,4 @@
-package node
+package peersync
 
 import (
 	"sync"
@@ -9,16 +9,15 @@
 )
 
 const (
-	compressFrom        = 1400 // bytes; larger updates are compressed, smaller ones fit one packet
 	maxCachedUpdates    = 64
 	updateLinkShare     = 0.25 // fraction of the link for updates to peers that are behind; the rest is for clients
 	unmeteredUpdateSize = 4096 // bytes; updates up to this size are never refused
 )
 
-// updateServer limits the bandwidth of updates to peers that are behind, and caches the
+// UpdateServer limits the bandwidth of updates to peers that are behind, and caches the
 // updates. When all instances start together, hundreds pull from the few that have the
 // replica list. A refused peer can pull from any instance that has received it meanwhile.
-type updateServer struct {
+type UpdateServer struct {
 	mu         sync.Mutex
 	lastChange history.Point // newest change that the cached updates contain
 	cache      map[history.Point]cachedUpdate
@@ -32,9 +31,9 @@
 	size    int // bytes
 }
 
-// cached returns the update for a peer that has the changes up to have, or nil
+// Cached returns the update for a peer that has the changes up to have, or nil
 // if none was built since the newest change.
-func (s *updateServer) cached(have, changed history.Point) (*pb.ReplicaChanges, int) {
+func (s *UpdateServer) Cached(have, changed history.Point) (*pb.ReplicaChanges, int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.lastChange != changed {
@@ -44,8 +43,8 @@
 	return a.message, a.size
 }
 
-// store caches an update until the next change.
-func (s *updateServer) store(have, changed history.Point, message *pb.ReplicaChanges, size int) {
+// Store caches an update until the next change.
+func (s *UpdateServer) Store(have, changed history.Point, message *pb.ReplicaChanges, size int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	// The cache is nil if a peer asks before any list is loaded.
@@ -55,10 +54,10 @@
 	s.cache[have] = cachedUpdate{message, size}
 }
 
-// allow reports whether an update of size bytes may be sent over a link of link bytes a
+// Allow reports whether an update of size bytes may be sent over a link of link bytes a
 // second, and charges its size to the credit. Any credit that is not negative suffices,
 // so an update may be larger than the credit.
-func (s *updateServer) allow(now time.Duration, size int, link float64) bool {
+func (s *UpdateServer) Allow(now time.Duration, size int, link float64) bool {
 	if size <= unmeteredUpdateSize {
 		return true
 	}
--- a/cmd/node/view_sync.go
+++ b/cmd/node/view_sync.go
@@ -79,7 +79,7 @@
 	if size >= compressFrom {
 		reply, size = n.compressSyncReply(reply, size)
 	}
-	if !n.peerUpdates.allow(n.now(), size, n.settings.LinkBytesPerSecond) {
+	if !n.peerUpdates.Allow(n.now(), size, n.settings.LinkBytesPerSecond) {
 		n.counters.busyReplies.Inc(1)
 		return &pb.SyncReply{Busy: true}
 	}
