--- a/cmd/node/replica_set.go
+++ b/cmd/node/replica_set.go
@@ -6,10 +6,8 @@
 	"time"
 
 	"quinceroad/coordination/changes"
-	"quinceroad/coordination/evacuation"
 	"quinceroad/coordination/listing"
 	"quinceroad/coordination/origin"
-	"quinceroad/coordination/rollout"
 	"quinceroad/platform"
 	"quinceroad/protocol/event"
 	"quinceroad/state/catalog"
@@ -111,23 +109,6 @@
 	return out
 }
 
-// expirePreviousEra ends what of the list and of the drained halls holds on from before the store's return when its time
-// is over.
-func (n *Node) expirePreviousEra() {
-	n.watchedMu.Lock()
-	changed := n.replicas.changeLog.Expire(n.now())
-	n.watchedMu.Unlock()
-	if changed {
-		n.publishSnapshot()
-	}
-	n.changeDrainedHalls(fromPreviousEra, func(now time.Duration, v *evacuation.View) []evacuation.Change { return v.Expire(now) })
-	n.changeRollouts(fromPreviousEra, func(now time.Duration, v *rollout.View) []rollout.Change { return v.Expire(now) })
-}
-
-// fromPreviousEra is the origin of changes that end what held on from before the store's
-// return.
-const fromPreviousEra = "previous era"
-
 // parse parses a changed entry, and adds the incarnations that it adds and removes to the
 // batch.
 func (s *replicaSet) parse(now time.Duration, name string, batch map[string]*catalog.Replica, out *replicaSetChanges) {
--- a/cmd/node/store_monitor.go
+++ b/cmd/node/store_monitor.go
@@ -87,17 +87,3 @@
 		}
 	})
 }
-
-// observeEra reports that the store has come back from a copy, once for each era, and ends the
-// pending watches, which wait for changes of the previous era. The first era that it states
-// is none to report.
-func (n *Node) observeEra() {
-	era := n.store.Era()
-	was := n.storeEra.Swap(era)
-	if era == was || was == 0 {
-		return
-	}
-	n.counters.storeReturns.Inc(1)
-	event.NodeStoreReturned.Log(n.log, "era", era, "was", was, "replicas_at", n.replicasKnownAt().Revision)
-	n.storeMonitor.abandonCalls()
-}
