quincectl explain says which stream a request took up, and at which build it went on

From a complaint to its cause: the request that began the stream, the last event that the client had, and the build; the verdict before it gives the reason of a refusal. Test of two verdicts.

--- a/cmd/ctl/explain_test.go
+++ b/cmd/ctl/explain_test.go
@@ -43,6 +43,8 @@
 2026-01-01T00:00:05.601Z [INFO]  node: request: instance=i1 event=3050 request=limited why="stages refused, back in 500ms" objective=3.6s owner=i2 took=2ms
 2026-01-01T00:00:05.700Z [WARN]  node: cut off from replicas: instance=i1 event=3210 service=llm replica=e3 through=i2 silent=true unlogged=0
 2026-01-01T00:00:05.800Z [INFO]  node: request: instance=i1 event=3050 request=relayed why=served objective=2s owner=i2 attempts=1 replica=e3 through=i2 took=1s
+2026-01-01T00:00:05.900Z [INFO]  node: request: instance=i1 event=3050 request=taken-up why=served objective=2s owner=i2 attempts=1 replica=e3 through="" took=1s build=v1 resumes=first last_event=7
+2026-01-01T00:00:05.950Z [INFO]  node: request: instance=i1 event=3050 request=unknown why="it is not known which build began the stream" objective=2s owner="" attempts=0 replica="" through="" took=3ms build="" resumes="" last_event=7
 2026-01-01T00:00:06.000Z [INFO]  node: node stopping: instance=i2 event=3002 in_flight=3
 `
 
@@ -51,12 +53,14 @@
 	name := filepath.Join(t.TempDir(), "all.log")
 	is.NoErr(os.WriteFile(name, []byte(explainLogs), 0o600))
 	for id, want := range map[string][]string{
-		"refused": {"Refused by i2", "after 4s against 3.2s of its objective", "read:9 waiting", "1s by themselves and 3s of waiting, longest for read", "400ms of its objective were taken before, 398ms of it for its engine", "refused, pool read"},
-		"limited": {"Refused by i2", "state limits, 1.2 requests a second together", "after 4s, it could wait 3.5s"},
-		"relayed": {"Served", "i1 was cut off from replica e3, and i2 relayed the connection.", "Beside it, from 10s before it:\n\n2026-01-01T00:00:05.700Z  i1                 cut off from replicas"},
-		"lost":    {"Lost at replica d7 after 40ms", "Beside it, from 10s before it:\n\n2026-01-01T00:00:00.000Z  i2                 replica left alone"},
-		"slow":    {"Served late", "its engine (expected to take 400ms to the first event, reading 5000 tokens and fetching 200; took 2.3s)"},
-		"late":    {"Served late: it began after 2.8s against an objective of 2s", "its stages, at i2", "[1, 6]", "its stages were expected to take 700ms and took 2.5s"},
+		"refused":  {"Refused by i2", "after 4s against 3.2s of its objective", "read:9 waiting", "1s by themselves and 3s of waiting, longest for read", "400ms of its objective were taken before, 398ms of it for its engine", "refused, pool read"},
+		"limited":  {"Refused by i2", "state limits, 1.2 requests a second together", "after 4s, it could wait 3.5s"},
+		"taken-up": {"Served", "Its client took up the stream that request first began, after event 7. It went on at build v1."},
+		"unknown":  {"Ended by i1 after 3ms: it is not known which build began the stream.", "the stream that a request that its client does not name began, after event 7."},
+		"relayed":  {"Served", "i1 was cut off from replica e3, and i2 relayed the connection.", "Beside it, from 10s before it:\n\n2026-01-01T00:00:05.700Z  i1                 cut off from replicas"},
+		"lost":     {"Lost at replica d7 after 40ms", "Beside it, from 10s before it:\n\n2026-01-01T00:00:00.000Z  i2                 replica left alone"},
+		"slow":     {"Served late", "its engine (expected to take 400ms to the first event, reading 5000 tokens and fetching 200; took 2.3s)"},
+		"late":     {"Served late: it began after 2.8s against an objective of 2s", "its stages, at i2", "[1, 6]", "its stages were expected to take 700ms and took 2.5s"},
 	} {
 		var out, errOut bytes.Buffer
 		is.Equal(Main([]string{"explain", id, name}, &out, &errOut), 0)
--- a/cmd/ctl/trace.go
+++ b/cmd/ctl/trace.go
@@ -105,7 +105,25 @@
 
 // verdict describes how the request ended and why, and its spillover, if any.
 func (t *requestTrace) verdict() string {
-	return t.outcome() + t.spillover() + t.relay()
+	return t.outcome() + t.spillover() + t.relay() + t.resumption()
+}
+
+// resumption describes which stream the request took up again, if it did, and at which build
+// of its service that went on.
+func (t *requestTrace) resumption() string {
+	end := t.last(event.NodeRequest)
+	if end == nil || end.field("last_event") == "" {
+		return ""
+	}
+	began := "a request that its client does not name"
+	if id := end.field("resumes"); id != "" {
+		began = "request " + id
+	}
+	text := fmt.Sprintf(" Its client took up the stream that %s began, after event %s.", began, end.field("last_event"))
+	if build := end.field("build"); build != "" {
+		text += fmt.Sprintf(" It went on at build %s.", build)
+	}
+	return text
 }
 
 // relay describes through whom the request reached its replica, if its instance's own link
