Drains that are held are dropped by their age, once in five minutes (DRAIN)

From 1,024 drains on each further one walked all of them (by reading). Now they are walked once in the time for which they are kept, however many there are.

--- a/cmd/node/replica_set.go
+++ b/cmd/node/replica_set.go
@@ -23,6 +23,7 @@
 	services       map[string]serviceTraits // of the configuration with which the index was built
 	inferredDrains map[string]time.Duration // by incarnation: time at which the drain was first inferred
 	listedDrains   map[string]time.Duration // by incarnation: last time at which its entry said that it drains
+	drainsPrunedAt time.Duration
 	invalid        map[string]bool          // names of entries that can't be parsed and were logged
 	goneBuilds     *origin.History          // builds of the incarnations that are no longer listed
 	loggedWarming  map[string]time.Duration // end of the warm-up that was logged, by incarnation
@@ -83,6 +84,7 @@
 	if s.changeLog.IsLoaded() && !s.loaded {
 		s.loaded, s.grewAt = true, now
 	}
+	s.pruneListedDrains(now)
 	for name := range s.changeLog.TakeChanged() {
 		s.parse(now, name, batch, &out)
 	}
@@ -151,16 +153,20 @@
 		return false
 	}
 	s.listedDrains[r.ID] = now
-	if len(s.listedDrains) > maxListedDrains {
-		maps.DeleteFunc(s.listedDrains, func(_ string, at time.Duration) bool { return now-at >= listedDrainTTL })
-	}
 	return true
 }
 
-const (
-	listedDrainTTL  = 5 * time.Minute // longer than a replica drains and a copy of the store lags
-	maxListedDrains = 1024            // from which on those older than listedDrainTTL are dropped
-)
+// listedDrainTTL is longer than a replica drains and a copy of the store lags.
+const listedDrainTTL = 5 * time.Minute
+
+// pruneListedDrains drops the drains that are older than listedDrainTTL, once in that time.
+func (s *replicaSet) pruneListedDrains(now time.Duration) {
+	if now-s.drainsPrunedAt < listedDrainTTL {
+		return
+	}
+	s.drainsPrunedAt = now
+	maps.DeleteFunc(s.listedDrains, func(_ string, at time.Duration) bool { return now-at >= listedDrainTTL })
+}
 
 // unlist removes the incarnation of a name.
 func (s *replicaSet) unlist(name string, batch map[string]*catalog.Replica) {
