A late answer of an earlier era changes no drained hall (DRAIN)

Found by reading the diff: a watch that is answered from an earlier era was applied as of the current point, so its drains and orders were taken for new ones. Callers would see a hall emptied that is not. The answer is dropped now, as the list of replicas does it. Measured: TestLateAnswerOfAnEarlierEraIsIgnored red before (hall h1 drained), green now.

--- a/cmd/node/topics.go
+++ b/cmd/node/topics.go
@@ -28,6 +28,9 @@
 	f.watch = func(wait time.Duration) (func(), error) {
 		items, known, err := n.store.Watch(platform.TopicIntent, at.load(), wait)
 		return func() {
+			if known.Era < at.load().Era {
+				return // a late answer of an earlier era
+			}
 			at.advance(known)
 			n.applyIntentChanges(items, at.load())
 		}, err
