--- a/coordination/rollout/orders.go
+++ b/coordination/rollout/orders.go
@@ -232,7 +232,8 @@
 
 func (v *View) setOrders(now time.Duration, next map[string]Order, at history.Point) []Change {
 	var out []Change
-	for service, s := range v.current {
+	for _, service := range slices.Sorted(maps.Keys(v.current)) { // in the same order at all instances
+		s := v.current[service]
 		o, listed := next[service]
 		_, held := v.held[service]
 		switch {
