Brittle replicas of many senders: leases on their slots, and paced requests where nobody issues any (TestBrittleReplicasOfManySenders)

Cause: an instance's part of the slots is one at least, so 60 or 295 instances together send 60 or 295 requests at a time to 8 slots. Nobody knows what the others send.

(1) SlotLeases: one instance, a replica's grantor, leases its slots to all others; what is refused is counted there, for all senders. A new grantor frees the slots over a second; in a partition each side leases its part. A deputy forwards what can't reach the grantor. (2) Where no lease is to be had from anybody, requests of instances that outnumber the slots are paced by the load of which a loss system refuses no more than is affordable (Erlang B). Where leases exist but this instance reaches no grantor, its requests are as rare as affordable refusals. Nothing in the product asks for leases yet; (2) is in force.

--- a/coordination/advisory/advisory.go
+++ b/coordination/advisory/advisory.go
@@ -58,9 +58,10 @@
 	backoffUntil  time.Duration
 	backingOff    bool // the end at backoffUntil has not been reported yet
 	ramp          *ramp
-	brittle       *brittleWindow // nil: the replica doesn't state that it is brittle
-	listedAt      time.Duration  // when this instance or a peer last listed it
-	isListed      bool           // it was listed when Expire last ran
+	brittle       *brittleWindow // of requests without a slot lease; nil: there were none
+	grantor       grantorState
+	listedAt      time.Duration // when this instance or a peer last listed it
+	isListed      bool          // it was listed when Expire last ran
 }
 
 // ramp limits the requests to a replica after a backoff; nil: no limit.
@@ -118,19 +119,32 @@
 // on: Never while it drains, now if it may once another request is answered.
 func (t *Tracker) CanSend(now time.Duration, incarnation string) (ok bool, from time.Duration) {
 	r := t.entries[incarnation]
-	switch {
-	case r == nil:
+	if r == nil {
 		return true, now
+	}
+	if ok, from := r.mayStart(now, t.opts.RampInterval); !ok {
+		return false, from
+	}
+	if ok, from, decided := r.grantor.admits(now); decided {
+		return ok, from
+	}
+	if w := r.window(); w != nil {
+		return w.admits(now)
+	}
+	return true, now
+}
+
+// mayStart reports whether the incarnation's drain, backoff and ramp allow a request now, and
+// if not, from when on.
+func (r *entry) mayStart(now, rampInterval time.Duration) (ok bool, from time.Duration) {
+	switch {
 	case r.draining:
 		return false, Never
 	case now < r.backoffUntil:
 		return false, r.backoffUntil
-	case r.ramp != nil && r.ramp.inFlight >= r.ramp.limit && now < r.ramp.lastSent+t.opts.RampInterval:
+	case r.ramp != nil && r.ramp.inFlight >= r.ramp.limit && now < r.ramp.lastSent+rampInterval:
 		return false, now
 	}
-	if w := r.window(); w != nil {
-		return w.admits(now)
-	}
 	return true, now
 }
 
@@ -152,6 +166,8 @@
 	ramp   *ramp
 	window *brittleWindow
 	entry  *entry
+
+	startedAt time.Duration
 }
 
 // Begin counts a request to an incarnation of a service right before it is sent, and returns
@@ -165,20 +181,32 @@
 	if r == nil || r.ramp == nil && w == nil {
 		return Attempt{}, true
 	}
-	if r.ramp != nil {
-		r.ramp.inFlight++
-		r.ramp.lastSent = now
-	}
 	if w != nil {
-		w.inFlight++
+		if ok, _ := w.admits(now); !ok {
+			return Attempt{}, false
+		}
+		w.begin(now)
 	}
-	return Attempt{ramp: r.ramp, window: w, entry: r}, true
+	r.ramp.begin(now)
+	return Attempt{ramp: r.ramp, window: w, entry: r, startedAt: now}, true
+}
+
+// begin counts a request that is sent now.
+func (r *ramp) begin(now time.Duration) {
+	if r == nil {
+		return
+	}
+	r.inFlight++
+	r.lastSent = now
 }
 
 // RecordAnswer records that the answer has begun and didn't reject the request.
 func (t *Tracker) RecordAnswer(now time.Duration, a Attempt) {
 	if a.window != nil {
 		a.window.recordAnswer(now)
+		if a.window.holdTime == 0 {
+			a.window.recordHold(now - a.startedAt)
+		}
 	}
 	if a.ramp == nil || a.entry.ramp != a.ramp { // another backoff has arrived since
 		return
--- a/coordination/advisory/brittle.go
+++ b/coordination/advisory/brittle.go
@@ -1,6 +1,9 @@
 package advisory
 
-import "time"
+import (
+	"math/rand/v2"
+	"time"
+)
 
 // Brittle is what a replica states of itself when it is brittle: it falls over when it has to
 // refuse more requests than it tolerates in a second, from all senders together.
@@ -15,11 +18,17 @@
 	RefusalShare float64
 	// MaxPause is the longest time for which a replica gets nothing after refusals.
 	MaxPause time.Duration
+	// InitialHoldTime is the time for which a request is assumed to hold a slot before any
+	// has ended.
+	InitialHoldTime time.Duration
+	// Random returns a number in [0, 1). It keeps instances that don't know of each other
+	// from sending at the same time.
+	Random func() float64
 }
 
 // DefaultBrittleOptions returns the options used in production.
 func DefaultBrittleOptions() BrittleOptions {
-	return BrittleOptions{RefusalShare: 0.5, MaxPause: 10 * time.Second}
+	return BrittleOptions{RefusalShare: 0.5, MaxPause: 10 * time.Second, InitialHoldTime: 100 * time.Millisecond, Random: rand.Float64}
 }
 
 // brittleService is a service whose replicas state that they are brittle. It holds for all of
@@ -30,17 +39,63 @@
 	senders   int // instances that send to the service's replicas
 	slots     int // requests that one of its replicas runs at a time; 0: unknown
 	hasEnded  bool
+
+	holdTime time.Duration // mean time for which a request holds a slot; 0: not measured
+	load     safeLoad
+	hasBegun bool // a window has been opened
 }
 
 // share returns how many of a replica's slots are this instance's part. A request for which a
 // slot is free is not refused, however few may wait.
 func (s *brittleService) share() int { return max(1, s.slots/max(s.senders, 1)) }
 
+// isOversubscribed reports whether more instances send than a replica has slots, so that one
+// request of each is too many.
+func (s *brittleService) isOversubscribed() bool { return s.slots > 0 && s.senders > s.slots }
+
+// safeInterval returns the time between two requests of this instance to the same replica at
+// which all instances together offer the replica a safe load.
+func (s *brittleService) safeInterval() time.Duration {
+	holdTime := s.expectedHold()
+	erlangs := s.load.forInputs(s.slots, s.tolerated, holdTime)
+	return s.intervalAt(erlangs / holdTime.Seconds())
+}
+
+// expectedHold returns the time for which a request is expected to hold a slot.
+func (s *brittleService) expectedHold() time.Duration {
+	if s.holdTime == 0 {
+		return s.opts.InitialHoldTime
+	}
+	return s.holdTime
+}
+
+// intervalAt returns the time between two requests of this instance at which all instances
+// together send the given number per second.
+func (s *brittleService) intervalAt(perSecond float64) time.Duration {
+	seconds := float64(max(s.senders, 1)) / perSecond
+	return time.Duration(min(seconds, maxInterval.Seconds()) * float64(time.Second))
+}
+
+// maxInterval is an upper bound of the time between two requests to a replica.
+const maxInterval = time.Hour
+
+// recordHold records for how long a request has held a slot.
+func (s *brittleService) recordHold(held time.Duration) {
+	if s.holdTime == 0 {
+		s.holdTime = held
+		return
+	}
+	s.holdTime += time.Duration(holdTimeWeight * float64(held-s.holdTime))
+}
+
+// holdTimeWeight is the weight of the latest request in the mean hold time.
+const holdTimeWeight = 0.1
+
 // brittleWindow bounds the concurrent requests of this instance to a brittle replica to its
 // part of the replica's slots. If these are not known, it begins with one and is found by
 // answers. Each refusal uses up this instance's part of what the replica tolerates: once that is spent, the
 // replica gets nothing for a while, and a window that may be too wide is only tried when
-// there is some left.
+// there is some left. With more instances than slots the window also bounds the rate.
 type brittleWindow struct {
 	*brittleService
 	size     int // concurrent requests
@@ -49,6 +104,16 @@
 
 	budget    float64       // refusals that may still happen now; negative after too many
 	updatedAt time.Duration // when budget was updated
+
+	nextSend  time.Duration // no request before this time
+	isGuarded bool          // other instances may use all slots, with leases
+}
+
+// resize sets the number of slots that the window has for itself. What refusals have taken
+// off stays off.
+func (w *brittleWindow) resize(slots int) {
+	w.size = min(max(w.size+slots-w.slots, 1), slots)
+	w.slots = slots
 }
 
 // rate returns the refusals per second that are this instance's part.
@@ -106,8 +171,13 @@
 // IsBrittle reports whether the replicas of a service state that they are brittle.
 func (t *Tracker) IsBrittle(service string) bool { return t.brittle[service] != nil }
 
+func newBrittleWindow(now time.Duration, s *brittleService) *brittleWindow {
+	return &brittleWindow{brittleService: s, size: s.share(), ceiling: s.share() + 1, updatedAt: now}
+}
+
 // windowFor returns the window of an incarnation, which is new if there was none; nil if its
-// service is not brittle.
+// service is not brittle. The first window after the statement may be used at once: this
+// instance has just had an answer, which made room.
 func (t *Tracker) windowFor(now time.Duration, incarnation, service string) *brittleWindow {
 	s := t.brittle[service]
 	if s == nil {
@@ -115,9 +185,15 @@
 	}
 	r := t.entry(now, incarnation)
 	if w := r.window(); w != nil {
+		w.isGuarded = r.grantor.isKnown
 		return w
 	}
-	r.brittle = &brittleWindow{brittleService: s, size: s.share(), ceiling: s.share() + 1, updatedAt: now}
+	r.brittle = newBrittleWindow(now, s)
+	r.brittle.isGuarded = r.grantor.isKnown
+	if s.hasBegun || r.brittle.isGuarded {
+		r.brittle.nextSend = now + time.Duration(s.opts.Random()*float64(r.brittle.interval()))
+	}
+	s.hasBegun = true
 	return r.brittle
 }
 
@@ -135,12 +211,33 @@
 	switch until := w.pausedUntil(); {
 	case now < until:
 		return false, until
+	case now < w.nextSend:
+		return false, w.nextSend
 	case w.inFlight >= w.size:
 		return false, now
 	}
 	return true, now
 }
 
+// interval returns the mean time between two requests; 0: as often as answers allow. Where
+// others may use all slots, each request is one that may be refused.
+func (w *brittleWindow) interval() time.Duration {
+	switch {
+	case w.isGuarded:
+		return w.intervalAt(affordableRefusals(w.tolerated))
+	case w.isOversubscribed():
+		return w.safeInterval()
+	}
+	return 0
+}
+
+// begin counts a request that is sent now.
+func (w *brittleWindow) begin(now time.Duration) {
+	w.inFlight++
+	jitter := 0.5 + w.opts.Random()
+	w.nextSend = now + time.Duration(jitter*float64(w.interval()))
+}
+
 // recordAnswer widens the window after an answer that made full use of it: up to this
 // instance's part of the slots, or step by step if the slots are not known.
 func (w *brittleWindow) recordAnswer(now time.Duration) {
--- /dev/null
+++ b/coordination/advisory/slot_leases_test.go
@@ -0,0 +1,259 @@
+package advisory
+
+import (
+	"math"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+func slotAsk(slots int) SlotAsk {
+	return SlotAsk{Incarnation: "r", Tolerated: 2, Slots: slots, Share: 1, Hold: 10 * second}
+}
+
+// settledLeases returns leases of a replica whose slots the grantor knows to be free.
+func settledLeases(slots int) (*SlotLeases, time.Duration) {
+	l := NewSlotLeases(DefaultSlotLeaseOptions())
+	l.Grant(0, slotAsk(slots))
+	return l, l.opts.TakeoverTime
+}
+
+// grantAll takes all leases that there are at a time.
+func grantAll(l *SlotLeases, now time.Duration, ask SlotAsk) (ids []LeaseID, wait time.Duration) {
+	for {
+		id, wait, ok := l.Grant(now, ask)
+		if !ok {
+			return ids, wait
+		}
+		ids = append(ids, id)
+	}
+}
+
+func TestNoMoreLeasesThanSlots(t *testing.T) {
+	is := is.New(t)
+	l, now := settledLeases(8)
+	ids, _ := grantAll(l, now, slotAsk(8))
+	is.Equal(len(ids), 8)
+	l.Release(now, "r", ids[0], LeaseCompleted)
+	l.Release(now, "r", ids[0], LeaseCompleted) // twice
+	l.Release(now, "r", 1000, LeaseCompleted)   // of another grantor
+	l.Release(now, "other", ids[1], LeaseCompleted)
+	ids, _ = grantAll(l, now, slotAsk(8))
+	is.Equal(len(ids), 1)
+}
+
+// A new grantor knows nothing of what its predecessor leased.
+func TestNewGrantorFreesSlotsOneAfterTheOther(t *testing.T) {
+	is := is.New(t)
+	l := NewSlotLeases(DefaultSlotLeaseOptions())
+	leased := 0
+	for now := time.Duration(0); now <= l.opts.TakeoverTime; now += l.opts.TakeoverTime / 8 {
+		ids, _ := grantAll(l, now, slotAsk(8))
+		leased += len(ids)
+		is.Equal(leased, int(8*now/l.opts.TakeoverTime))
+	}
+}
+
+// The two sides of a partition lease the parts of the slots that belong to their instances,
+// and those that they get back when it heals one after the other.
+func TestGrantorLeasesItsShareOfTheSlots(t *testing.T) {
+	is := is.New(t)
+	l, now := settledLeases(8)
+	ask := slotAsk(8)
+	ask.Share = 0.33
+	ids, _ := grantAll(l, now, ask)
+	is.Equal(len(ids), 3)
+	ids, _ = grantAll(l, now, slotAsk(8))
+	is.Equal(len(ids), 0)
+	now += l.opts.TakeoverTime
+	ids, _ = grantAll(l, now, slotAsk(8))
+	is.Equal(len(ids), 5)
+}
+
+// What a replica tolerates bounds the refusals of all its senders together.
+func TestRefusalsPauseLeases(t *testing.T) {
+	is := is.New(t)
+	l, now := settledLeases(8)
+	ids, _ := grantAll(l, now, slotAsk(8))
+	for _, id := range ids[:2] {
+		l.Release(now, "r", id, LeaseRefused)
+	}
+	_, wait, ok := l.Grant(now, slotAsk(8))
+	is.True(!ok)
+	is.True(wait >= second) // one refusal a second is affordable
+	for _, id := range ids[2:] {
+		l.Release(now, "r", id, LeaseCompleted)
+	}
+	ids, _ = grantAll(l, now+wait, slotAsk(8))
+	is.True(len(ids) > 0 && len(ids) < 8)
+}
+
+// A replica may go on with a request that its sender has given up.
+func TestAbandonedRequestKeepsItsSlotForAWhile(t *testing.T) {
+	is := is.New(t)
+	l, now := settledLeases(1)
+	ids, _ := grantAll(l, now, slotAsk(1))
+	now += 50 * time.Millisecond
+	l.Release(now, "r", ids[0], LeaseCompleted)
+	ids, _ = grantAll(l, now, slotAsk(1))
+	is.Equal(len(ids), 1)
+	l.Release(now, "r", ids[0], LeaseAbandoned)
+	_, _, ok := l.Grant(now+199*time.Millisecond, slotAsk(1))
+	is.True(!ok)
+	_, _, ok = l.Grant(now+200*time.Millisecond, slotAsk(1))
+	is.True(ok)
+}
+
+// A holder that is gone without a word keeps its slot until the lease expires.
+func TestLeaseExpires(t *testing.T) {
+	is := is.New(t)
+	l, now := settledLeases(2)
+	grantAll(l, now, slotAsk(2))
+	_, _, ok := l.Grant(now+10*second-1, slotAsk(2))
+	is.True(!ok)
+	ids, _ := grantAll(l, now+10*second, slotAsk(2))
+	is.Equal(len(ids), 2)
+}
+
+// Senders without a lease come back one after the other, and not later than bounded.
+func TestDeniedSendersComeBackOneAfterTheOther(t *testing.T) {
+	is := is.New(t)
+	l, now := settledLeases(8)
+	grantAll(l, now, slotAsk(8))
+	previous := time.Duration(0)
+	for range 10 {
+		_, wait, ok := l.Grant(now, slotAsk(8))
+		is.True(!ok && wait > previous)
+		previous = wait
+	}
+	for range 10000 {
+		_, wait, _ := l.Grant(now, slotAsk(8))
+		is.True(wait <= l.opts.MaxDenial)
+	}
+}
+
+// A request for a lease comes from a peer. Whatever it says, at least one slot is leased and
+// no more than the replica has.
+func TestOddAsksAreBounded(t *testing.T) {
+	for _, ask := range []SlotAsk{
+		{Incarnation: "r"},
+		{Incarnation: "r", Slots: -3, Share: 1, Hold: -second},
+		{Incarnation: "r", Slots: 4, Share: math.NaN(), Hold: second},
+		{Incarnation: "r", Slots: 4, Share: math.Inf(1), Tolerated: math.Inf(1), Hold: second},
+		{Incarnation: "r", Slots: math.MaxInt, Share: 1, Tolerated: math.NaN(), Hold: second},
+	} {
+		is := is.New(t)
+		l := NewSlotLeases(DefaultSlotLeaseOptions())
+		l.Grant(0, ask)
+		_, _, ok := l.Grant(l.opts.TakeoverTime, ask)
+		is.True(ok)
+		is.True(l.replicas["r"].window.size <= maxLeasedSlots)
+	}
+}
+
+// Replicas are kept for as long as somebody asks and this instance is their grantor.
+func TestLeasesOfReplicasExpire(t *testing.T) {
+	is := is.New(t)
+	l, now := settledLeases(1)
+	l.Expire(now, func(string) bool { return true })
+	is.True(!l.Empty())
+	l.Expire(now+2*l.opts.IdleRetention, func(string) bool { return true })
+	is.True(l.Empty())
+	l, now = settledLeases(1)
+	l.Expire(now, func(string) bool { return false })
+	is.True(l.Empty())
+}
+
+// The work for a lease doesn't grow with the slots that are in use: leases are visited only
+// when one has expired.
+func TestWorkForALeaseDoesNotGrowWithTheSlots(t *testing.T) {
+	visits := func(slots int) int {
+		l, now := settledLeases(slots)
+		for range slots {
+			l.Grant(now, slotAsk(slots))
+		}
+		before := l.visited
+		for range 1000 {
+			l.Grant(now+second, slotAsk(slots))
+		}
+		return l.visited - before
+	}
+	if small, large := visits(8), visits(800); small != 0 || large != 0 {
+		t.Errorf("%d leases visited of 8, %d of 800", small, large)
+	}
+}
+
+func TestLargestLoadIsRefusedAsOftenAsAllowed(t *testing.T) {
+	is := is.New(t)
+	is.True(math.Abs(blocking(8, 4)-0.0304) < 0.0001)
+	is.True(math.Abs(blocking(1, 1)-0.5) < 0.0001)
+	previous := 0.0
+	for _, slots := range []int{1, 2, 8, 64, 1024} {
+		load := largestLoad(slots, 0.001)
+		is.True(load > previous && load < float64(slots))
+		is.True(math.Abs(load*blocking(slots, load)-0.001) < 0.0001)
+		previous = load
+	}
+}
+
+// The more is tolerated, the more may be refused on average, and never as much as that.
+func TestAffordableRefusals(t *testing.T) {
+	is := is.New(t)
+	previous := 0.0
+	for _, tolerated := range []float64{0, 0.5, 1, 3, 10, 30, 1e6} {
+		mean := affordableRefusals(tolerated)
+		is.True(mean > 0 && mean >= previous)
+		is.True(tolerated == 0 || mean < tolerated/3)
+		previous = mean
+	}
+}
+
+// A sender that reaches no grantor may send while others use all slots with leases. Its
+// requests are as rare as refusals have to be.
+func TestRequestsBesideLeasesAreRare(t *testing.T) {
+	is := is.New(t)
+	tr := New(DefaultOptions())
+	tr.RecordBrittle(brittle(10, 60, 8))
+	for rank := range Grantors {
+		got, ok := tr.NextGrantor(0, "r")
+		is.True(ok)
+		is.Equal(got, rank)
+		tr.RecordGrantorLost(0, "r", rank, 1000*second)
+	}
+	_, ok := tr.NextGrantor(0, "r")
+	is.True(!ok)
+	sent := 0
+	for now := time.Duration(0); now < 1000*second; now += second / 10 {
+		if a, ok := tr.Begin(now, "r", "s"); ok {
+			sent++
+			tr.RecordAnswer(now+second/20, a)
+			tr.End(a)
+		}
+	}
+	is.True(sent >= 20 && sent <= 60) // 2.5 a second for 60 senders
+	rank, ok := tr.NextGrantor(1000*second, "r")
+	is.True(ok)
+	is.Equal(rank, 0)
+}
+
+// A denied lease keeps requests away until there is a slot, and a grantor that issues none
+// leaves the sender to itself.
+func TestDenialsOfLeases(t *testing.T) {
+	is := is.New(t)
+	tr := New(DefaultOptions())
+	tr.RecordBrittle(brittle(10, 6, 8))
+	tr.RecordLeaseDenied(0, "r", second)
+	ok, from := tr.CanSend(0, "r")
+	is.True(!ok)
+	is.Equal(from, second)
+	is.True(canSend(tr, second, "r"))
+	tr.RecordNoLeases(second, "r", 2*second)
+	_, ok = tr.NextGrantor(second, "r")
+	is.True(!ok)
+	_, ok = tr.Begin(second, "r", "s")
+	is.True(ok)
+	tr.RecordDrain(2*second, "r")
+	_, ok = tr.BeginLeased(2*second, "r")
+	is.True(!ok)
+}
