The product leases the slots of brittle replicas (TestBrittleReplicasOfManySenders)

What callers saw: replicas of a service that state that they are brittle fell over again and again when more instances sent than they had slots, and their requests failed meanwhile.

Change: before each send to a brittle replica (requests, streams, calls of items) an instance asks the replica's grantor for a lease on one of its slots: of pools and engines the owner of their cell, of the others an instance of the hall by rendezvous, as for rate limits; from now on determined once for each view of the instances. The stream of the question stays open: the sender writes how the request has ended (whole, refused, abandoned). Where no slot is free the request waits in the grantor's queue, if it is to have one in time (an eighth of the objective, or for as long as the answer is of use once its stages are done), and is refused at once otherwise, with a moment to come back. A grantor that doesn't answer costs 150 ms, then its deputy forwards for 300 ms; where neither answers the requests are as rare as affordable refusals. A build that doesn't know the frame leaves the sender to the paced requests.

Not covered: at plain services the queue goes by arrival, not by rank.

--- a/cmd/node/advisories.go
+++ b/cmd/node/advisories.go
@@ -10,6 +10,7 @@
 
 	"github.com/valyala/fasthttp"
 
+	"quinceroad/cmd/node/slotlease"
 	"quinceroad/cmd/process"
 	"quinceroad/coordination/advisory"
 	"quinceroad/coordination/pace"
@@ -75,14 +76,24 @@
 }
 
 // beginAttempt counts a request right before it is sent. It checks the advisories again,
-// because the replica may have been chosen a second ago.
-func (a *advisories) beginAttempt(now time.Duration, incarnation, service string) (attempt advisory.Attempt, ok bool) {
-	a.withTracker(func(t *advisory.Tracker) { attempt, ok = t.Begin(now, incarnation, service) })
+// because the replica may have been chosen a second ago. The lease is nil if the request has
+// no slot of its own.
+func (a *advisories) beginAttempt(now time.Duration, incarnation, service string, lease *slotlease.Lease) (attempt advisory.Attempt, ok bool) {
+	a.withTracker(func(t *advisory.Tracker) {
+		if lease != nil {
+			attempt, ok = t.BeginLeased(now, incarnation)
+		} else {
+			attempt, ok = t.Begin(now, incarnation, service)
+		}
+	})
 	return attempt, ok
 }
 
-func (a *advisories) endAttempt(attempt advisory.Attempt) {
-	a.withTracker(func(t *advisory.Tracker) { t.End(attempt) })
+func (a *advisories) endAttempt(now time.Duration, attempt advisory.Attempt) {
+	a.withTracker(func(t *advisory.Tracker) {
+		t.RecordHold(now, attempt)
+		t.End(attempt)
+	})
 }
 
 // answerSource is the incarnation that sent an answer.
@@ -191,6 +202,7 @@
 func (n *Node) sweepAdvisories() {
 	a := n.advisories
 	n.sweepLimits()
+	n.slots.Sweep()
 	hadNone := a.wasEmpty
 	a.withTracker(func(t *advisory.Tracker) { a.wasEmpty = t.Empty() })
 	if a.wasEmpty && hadNone {
--- a/cmd/node/attempt.go
+++ b/cmd/node/attempt.go
@@ -60,6 +60,12 @@
 	if !s.acquireSendGrant(ctx, &r) {
 		return errRateLimited
 	}
+	lease, err := n.acquireSlot(ctx, &r, s.deadline-n.now(), s.latestStart()-n.now())
+	if err != nil {
+		return err
+	}
+	slotEnd := advisory.LeaseCompleted // nothing has been sent
+	defer func() { lease.End(slotEnd) }()
 	conn, err := n.connectReplica(ctx, targetOf(&r), replicaConnectTimeout)
 	if err != nil {
 		if !isDone(ctx) {
@@ -74,12 +80,12 @@
 		conn.Close()
 		return errNoReplicaReached
 	}
-	advisoryAttempt, ok := n.advisories.beginAttempt(n.now(), r.ID, r.Service)
+	advisoryAttempt, ok := n.advisories.beginAttempt(n.now(), r.ID, r.Service, lease)
 	if !ok {
 		conn.Close()
 		return errNoReplicaReached
 	}
-	defer func() { n.advisories.endAttempt(advisoryAttempt) }()
+	defer func() { n.advisories.endAttempt(n.now(), advisoryAttempt) }()
 	a := &attempt{requestHandler: s, replica: r, conn: conn, sentAt: n.now(), suspendedBefore: n.clock.TotalSuspended(), advisoryAttempt: advisoryAttempt}
 	token, ok := s.record.Dispatch()
 	if !ok {
@@ -104,7 +110,8 @@
 		defer n.trackSuspect(s.fingerprint, r.ID)()
 	}
 	err = a.sendAndReceive(ctx, fetchFrom)
-	a.finish(ctx, err)
+	kind := a.finish(ctx, err)
+	slotEnd = leaseEnd(kind, a.head.Backoff > 0)
 	return err
 }
 
@@ -162,9 +169,9 @@
 }
 
 // finish records how the attempt ended: in the balancer, the health detector, the
-// quarantine and the rollout. It may wait for the probe of a replica whose answer broke
-// off.
-func (a *attempt) finish(ctx context.Context, err error) {
+// quarantine and the rollout, and returns that. It may wait for the probe of a replica whose
+// answer broke off.
+func (a *attempt) finish(ctx context.Context, err error) sendresult.Kind {
 	n := a.node
 	took := n.now() - a.sentAt
 	if err != nil && errors.Is(ctx.Err(), context.Canceled) {
@@ -212,6 +219,7 @@
 	if evidence.Request == sendresult.RequestProbe && a.canFailOver() && len(a.tried) < a.route.MaxAttempts {
 		n.awaitLivenessProbe(ctx, a.probe) // without a further attempt there is nothing to wait for
 	}
+	return kind
 }
 
 // sendAndReceive sends the request and forwards the answer.
--- a/cmd/node/backoff.go
+++ b/cmd/node/backoff.go
@@ -129,20 +129,29 @@
 	return nil
 }
 
+// hasResults reports whether the request's stages are done, or its answer has begun.
+func (s *requestHandler) hasResults() bool {
+	return s.stream.headersSent || s.job != nil && len(s.job.handles) > 0
+}
+
+// latestStart returns until when the request may wait for a replica. One that has results
+// waits for as long as the answer is of use; other requests wait only briefly.
+func (s *requestHandler) latestStart() time.Duration {
+	if s.hasResults() {
+		return s.latestUsefulAnswer()
+	}
+	return s.req.ArrivedAt + time.Duration(float64(s.route.Objective)*maxWaitShare)
+}
+
 // waitForBackoff waits until a replica may receive the request again, if that is better
-// than refusing it, and reports whether to try again. A request whose stages are done, or
-// whose answer has begun, waits for as long as the answer is of use; other requests wait
-// only briefly.
+// than refusing it, and reports whether to try again.
 func (s *requestHandler) waitForBackoff(ctx context.Context, err error) bool {
 	var backoff *backoffError
 	if !errors.As(err, &backoff) {
 		return false
 	}
 	now := s.node.now()
-	latest := s.req.ArrivedAt + time.Duration(float64(s.route.Objective)*maxWaitShare)
-	if s.stream.headersSent || s.job != nil && len(s.job.handles) > 0 {
-		latest = s.latestUsefulAnswer()
-	}
+	latest := s.latestStart()
 	if backoff.until > latest || now >= latest {
 		return false
 	}
--- a/cmd/node/heartbeats.go
+++ b/cmd/node/heartbeats.go
@@ -344,6 +344,8 @@
 		_ = frame.Write(stream, frame.Reply, n.origins.ServeRecord(first))
 	case frame.FindOrigin:
 		_ = frame.Write(stream, frame.Reply, n.origins.ServeFind(first))
+	case frame.SlotLease:
+		n.slots.Serve(first, stream)
 	case frame.RunStages:
 		n.owner.serveStagesStream(first, stream)
 	default: // a frame kind of a later build; the reply lets it distinguish this from a failure
--- a/cmd/node/node.go
+++ b/cmd/node/node.go
@@ -22,6 +22,7 @@
 	"quinceroad/cmd/node/eventstream"
 	"quinceroad/cmd/node/origins"
 	"quinceroad/cmd/node/peersync"
+	"quinceroad/cmd/node/slotlease"
 	"quinceroad/cmd/process"
 	"quinceroad/coordination/balancer"
 	"quinceroad/coordination/evacuation"
@@ -92,6 +93,7 @@
 	heldAnswers    *eventstream.Held  // has its own lock; no other is acquired under it
 	replicaLinks   *replicaLinks      // has its own lock; no other is acquired under it
 	origins        *origins.Keeper    // has its own lock; no other is acquired under it
+	slots          *slotlease.Service // has its own lock; no other is acquired under it
 
 	detectorMu     sync.Mutex // guards the fields up to deadlines
 	detector       *health.Detector
@@ -164,6 +166,7 @@
 	n.origins = origins.New(origins.Options{
 		Name: s.Name, Region: n.home, Now: n.now, Live: n.live, Peers: n.links, Log: log, Registry: n.registry, HasSeveralBuilds: n.hasSeveralBuilds,
 	})
+	n.slots = n.newSlotService()
 	n.owner = newOwner(n)
 	n.clock.OnResume(n.handleResume)
 	n.snapshot.Store(&snapshot{regionMap: n.regionMap, list: listing.Empty()})
--- a/cmd/node/replica_calls.go
+++ b/cmd/node/replica_calls.go
@@ -9,6 +9,7 @@
 
 	"github.com/valyala/fasthttp"
 
+	"quinceroad/cmd/node/slotlease"
 	"quinceroad/coordination/advisory"
 	"quinceroad/coordination/outcome"
 	"quinceroad/coordination/pipeline"
@@ -27,6 +28,9 @@
 	// results expire.
 	freeTimeout        = 500 * time.Millisecond
 	maxCallAnswerBytes = 1 << 20 // maximum size of an answer
+	// Longest wait of a call for a slot of a brittle replica. The scheduler knows which slots
+	// its calls use, so that only those of others are waited for.
+	callSlotWait = 100 * time.Millisecond
 )
 
 // runBatch sends a batch of items to a replica.
@@ -140,6 +144,12 @@
 
 // callReplica calls a replica and reads its answer.
 func (n *Node) callReplica(ctx context.Context, c replicaCall) (status int, head platform.ResponseHead, data []byte, err error) {
+	lease, err := n.acquireCallSlot(ctx, &c)
+	if err != nil {
+		return 0, platform.ResponseHead{}, nil, err
+	}
+	slotEnd := advisory.LeaseCompleted // nothing has been sent
+	defer func() { lease.End(slotEnd) }()
 	target := replicaTarget{id: c.source.incarnation, service: c.source.service, address: c.address}
 	cn, err := n.connectReplica(ctx, target, callConnectTimeout)
 	if err != nil {
@@ -159,12 +169,12 @@
 			err = errors.Join(errLinkLost, err)
 		}
 	}()
-	advisoryAttempt, ok := n.beginCall(c)
+	advisoryAttempt, ok := n.beginCall(c, lease)
 	if !ok {
 		cn.Close()
 		return 0, platform.ResponseHead{}, nil, errAdvisoryForbids
 	}
-	defer n.advisories.endAttempt(advisoryAttempt)
+	defer func() { n.advisories.endAttempt(n.now(), advisoryAttempt) }()
 	req := fasthttp.AcquireRequest()
 	defer fasthttp.ReleaseRequest(req)
 	req.Header.DisableNormalizing()
@@ -181,6 +191,7 @@
 	req.SetBody(c.body)
 	record := outcome.NewRecord()
 	token, _ := record.Dispatch()
+	slotEnd = advisory.LeaseAbandoned
 	x, err := cn.Begin(token, req)
 	if err != nil {
 		cn.Close()
@@ -195,16 +206,40 @@
 	if err == nil && !x.IsComplete() {
 		err = upstream.ErrIncomplete
 	}
+	if err == nil {
+		slotEnd = callLeaseEnd(&head, x.Header.StatusCode())
+	}
 	x.Release(idleTimeoutAfter(&head, defaultCallConnIdle))
 	return x.Header.StatusCode(), head, data, err
 }
 
+// acquireCallSlot obtains a slot for a call that carries work, as acquireSlot does.
+func (n *Node) acquireCallSlot(ctx context.Context, c *replicaCall) (*slotlease.Lease, error) {
+	r, listed := n.snapshot.Load().replicaByIncarnation(c.source.incarnation)
+	if !c.isWork || !listed {
+		return nil, nil
+	}
+	lease, err := n.acquireSlot(ctx, &r, defaultTimeLimit, callSlotWait)
+	if err != nil {
+		return nil, errors.Join(errAdvisoryForbids, err)
+	}
+	return lease, nil
+}
+
+// callLeaseEnd returns what a complete answer to a call means for the slot that it used.
+func callLeaseEnd(h *platform.ResponseHead, status int) advisory.LeaseEnd {
+	if h.NotRun && status == fasthttp.StatusServiceUnavailable && h.Backoff == 0 {
+		return advisory.LeaseRefused
+	}
+	return advisory.LeaseCompleted
+}
+
 // beginCall reports, right before a call is sent, whether the replica's advisories
 // allow it. A draining replica still gets calls that carry no work, such as the
 // release of results.
-func (n *Node) beginCall(c replicaCall) (advisory.Attempt, bool) {
+func (n *Node) beginCall(c replicaCall, lease *slotlease.Lease) (advisory.Attempt, bool) {
 	if c.isWork {
-		return n.advisories.beginAttempt(n.now(), c.source.incarnation, c.source.service)
+		return n.advisories.beginAttempt(n.now(), c.source.incarnation, c.source.service, lease)
 	}
 	if _, inBackoff := n.advisories.backoffUntil(n.now(), c.source.incarnation); inBackoff {
 		return advisory.Attempt{}, false
--- a/cmd/node/request_end.go
+++ b/cmd/node/request_end.go
@@ -26,7 +26,10 @@
 	var refused *refusedError
 	var failed *failedError
 	var backoff *backoffError
+	var denied *slotDenial
 	switch {
+	case errors.As(err, &denied):
+		retryAfter = max(denied.wait, shortRetryAfter) + retryJitter()
 	case errors.As(err, &backoff) && backoff.rateLimited:
 		retryAfter = s.node.reserveRetry(s.service.Name, backoff)
 	case errors.As(err, &backoff):
--- a/cmd/node/request_handler.go
+++ b/cmd/node/request_handler.go
@@ -26,6 +26,7 @@
 	// per second.
 	longRetryAfter     = time.Second
 	maxUnexecutedSends = 4 // sends of one request that reached no replica or were refused
+	maxSlotDenials     = 4 // slots of brittle replicas that one request is denied
 	// Waits for the stages of a broken stream. With shortRetryAfter they last 1.8 s, less
 	// than clients wait for an event.
 	maxStageWaits     = 6
@@ -66,6 +67,7 @@
 	tried               map[string]bool // replicas that may have run the request
 	avoid               map[string]bool // replicas that refused it or were not reached
 	unexecutedSends     int
+	slotDenials         int
 	stageReruns         int
 	stageWaits          int                    // waits for the stages of a broken stream
 	lastReplica         string                 // replica of the last send
@@ -321,9 +323,13 @@
 // shouldRetry decides whether the request is sent again after an attempt ended
 // with err.
 func (s *requestHandler) shouldRetry(err error) bool {
+	var denied *slotDenial
 	switch {
 	case errors.Is(err, errRateLimited): // the denial has recorded the time of the next send grant
 		return true
+	case errors.As(err, &denied): // the grantor is not asked again before that time
+		s.slotDenials++
+		return s.slotDenials < maxSlotDenials || s.hasResults()
 	case errors.Is(err, errNoReplicaReached):
 		s.avoid[s.lastReplica] = true
 		s.unexecutedSends++
--- a/cmd/node/send_grants.go
+++ b/cmd/node/send_grants.go
@@ -7,6 +7,7 @@
 
 	"google.golang.org/protobuf/proto"
 
+	"quinceroad/coordination/advisory"
 	"quinceroad/coordination/gossip"
 	"quinceroad/coordination/ownership"
 	"quinceroad/coordination/pace"
@@ -69,13 +70,28 @@
 
 // grantorOf returns the grantor of a replica, or false if there is none.
 func (l *grantorLookup) grantorOf(r *catalog.Replica) (gossip.Instance, bool) {
-	cell, pooled := l.snapshot.cellOfReplica(r.ID)
-	if !pooled {
-		return pace.SelectGrantor(l.live.Instances, r.ID, pace.Location{Hall: r.Hall, Region: r.Region})
+	grantors := l.grantorsOf(r)
+	if len(grantors) == 0 {
+		return gossip.Instance{}, false
 	}
-	return ownership.Owner(l.live, cell, r.Region)
+	return grantors[0], true
 }
 
+// grantorsOf returns the grantor of a replica and its deputies.
+func (l *grantorLookup) grantorsOf(r *catalog.Replica) []gossip.Instance {
+	if cell, pooled := l.snapshot.cellOfReplica(r.ID); pooled {
+		candidates := ownership.Candidates(l.live, cell, r.Region)
+		return candidates[:min(len(candidates), advisory.Grantors)]
+	}
+	return l.live.Derive(grantorsKey(r.ID), func() any {
+		return pace.SelectGrantors(l.live.Instances, r.ID, pace.Location{Hall: r.Hall, Region: r.Region}, advisory.Grantors)
+	}).([]gossip.Instance)
+}
+
+// grantorsKey is the key under which the grantors of an incarnation are kept for as long as
+// the live instances stay the same.
+type grantorsKey string
+
 // isSelf reports whether this instance is the grantor of a replica, either according to
 // its own view or because other instances treat it as the owner of the cell.
 func (l *grantorLookup) isSelf(r *catalog.Replica) bool {
--- /dev/null
+++ b/cmd/node/slotlease/remote.go
@@ -0,0 +1,104 @@
+package slotlease
+
+import (
+	"context"
+	"net"
+	"time"
+
+	"quinceroad/coordination/advisory"
+	"quinceroad/coordination/gossip"
+	"quinceroad/protocol/frame"
+	"quinceroad/protocol/pb"
+)
+
+const (
+	askTimeout = 150 * time.Millisecond // for a grantor to answer, which it does at once
+	// deputyTimeout is askTimeout for a deputy, which may have to wait for the grantor.
+	deputyTimeout = 2 * askTimeout
+)
+
+// answer is the last reply to a request for a lease, and its stream.
+type answer struct {
+	stream net.Conn
+	reply  *pb.SlotReply
+	err    error
+}
+
+// acquireRemote asks another instance for a lease. It calls queued when that instance has no
+// slot yet. A lease that arrives too late is lost to all until the grantor takes it for
+// abandoned.
+func (s *Service) acquireRemote(ctx context.Context, grantor *gossip.Instance, ask *pb.SlotAsk, timeout time.Duration, queued func()) (lease *Lease, wait time.Duration, err error) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	timer := time.AfterFunc(timeout, cancel)
+	defer timer.Stop()
+	answers := make(chan answer, 1)
+	go func() { // opening a link takes longer than the timeout where the peer is gone
+		answers <- s.request(ctx, grantor.PeerAddress, ask, func() {
+			timer.Reset(timeout + time.Duration(ask.MaxWaitUs)*time.Microsecond)
+			queued()
+		})
+	}()
+	select {
+	case a := <-answers:
+		return a.lease()
+	case <-ctx.Done():
+		go closeLate(answers)
+		return nil, 0, context.DeadlineExceeded
+	}
+}
+
+// lease returns the lease that was granted, or the time after which to ask again.
+func (a answer) lease() (lease *Lease, wait time.Duration, err error) {
+	switch {
+	case a.err != nil:
+		return nil, 0, a.err
+	case a.reply.Granted:
+		return remoteLease(a.stream), 0, nil
+	}
+	_ = a.stream.Close()
+	if a.reply.Elsewhere {
+		return nil, 0, ErrElsewhere
+	}
+	return nil, max(time.Duration(a.reply.WaitUs)*time.Microsecond, 0), nil
+}
+
+// closeLate closes the stream of an answer that nobody waits for.
+func closeLate(answers <-chan answer) {
+	if a := <-answers; a.err == nil {
+		_ = a.stream.Close()
+	}
+}
+
+// request opens the stream of a lease and reads the replies until the last one.
+func (s *Service) request(ctx context.Context, address string, ask *pb.SlotAsk, queued func()) answer {
+	stream, err := s.opts.Peers.Open(address, frame.SlotLease, ask)
+	if err != nil {
+		return answer{err: err}
+	}
+	stop := context.AfterFunc(ctx, func() { _ = stream.Close() })
+	reply := &pb.SlotReply{}
+	err = frame.Read(stream, reply)
+	if err == nil && reply.Queued {
+		queued()
+		reply = &pb.SlotReply{}
+		err = frame.Read(stream, reply)
+	}
+	if !stop() && err == nil {
+		err = ctx.Err()
+	}
+	if err != nil {
+		_ = stream.Close()
+		return answer{err: err}
+	}
+	return answer{stream: stream, reply: reply}
+}
+
+// remoteLease returns the lease whose stream the grantor keeps open.
+func remoteLease(stream net.Conn) *Lease {
+	return newLease(func(how advisory.LeaseEnd) {
+		// If the message is lost, the grantor takes the request for abandoned.
+		_ = frame.Write(stream, frame.SlotLease, encodeEnd(how))
+		_ = stream.Close()
+	})
+}
--- a/cmd/node/state.go
+++ b/cmd/node/state.go
@@ -36,10 +36,11 @@
 	ConfigVersion     uint64 `json:"Version"` // version of the configuration in force; 0: none
 	Routes            int
 	Replicas          map[string]int    // by service: replicas that accept work
-	StartTimes        int               `json:"Lives"`     // number of replicas that report a start time
-	Draining          []string          `json:"Leaving"`   // replicas that stated a drain, or whose drain was inferred recently
-	Backoffs          map[string]string `json:"Resting"`   // replicas in backoff for this instance, and the time left
-	RateLimited       map[string]string `json:"Limited"`   // replicas with a rate limit: requests per second and the grantor
+	StartTimes        int               `json:"Lives"`   // number of replicas that report a start time
+	Draining          []string          `json:"Leaving"` // replicas that stated a drain, or whose drain was inferred recently
+	Backoffs          map[string]string `json:"Resting"` // replicas in backoff for this instance, and the time left
+	RateLimited       map[string]string `json:"Limited"` // replicas with a rate limit: requests per second and the grantor
+	SlotLeases        map[string]int    // by brittle replica of which this instance is the grantor: slots in use
 	DrainedHalls      []string          `json:"Emptied"`   // halls whose replicas get no new requests
 	Warming           []string          `json:"Cold"`      // warming replicas, whose load is limited
 	Ejected           []string          `json:"LeftAlone"` // replicas ejected by outlier detection
@@ -141,6 +142,7 @@
 		}
 	})
 	s.RateLimited = n.limitedStates(snap)
+	s.SlotLeases = n.slots.Held()
 	s.CutOff, s.RelayedForPeers = n.replicaLinks.cutOff(), n.relayedForPeers()
 	s.Draining = append(s.Draining, n.recentInferredDrains(maxDrainsPerHeartbeat)...)
 	s.FleetLevel = n.level.inForce()
--- a/coordination/advisory/brittle.go
+++ b/coordination/advisory/brittle.go
@@ -171,6 +171,23 @@
 // IsBrittle reports whether the replicas of a service state that they are brittle.
 func (t *Tracker) IsBrittle(service string) bool { return t.brittle[service] != nil }
 
+// SlotAsk returns the request for a slot lease of a replica, or false if its service is not
+// brittle.
+func (t *Tracker) SlotAsk(service, incarnation string) (SlotAsk, bool) {
+	s := t.brittle[service]
+	if s == nil {
+		return SlotAsk{}, false
+	}
+	return SlotAsk{Incarnation: incarnation, Tolerated: s.tolerated, Slots: s.slots}, true
+}
+
+// RecordHold records for how long a request that has ended held its slot.
+func (t *Tracker) RecordHold(now time.Duration, a Attempt) {
+	if a.window != nil {
+		a.window.recordHold(now - a.startedAt)
+	}
+}
+
 func newBrittleWindow(now time.Duration, s *brittleService) *brittleWindow {
 	return &brittleWindow{brittleService: s, size: s.share(), ceiling: s.share() + 1, updatedAt: now}
 }
--- a/coordination/advisory/leased_fleet_test.go
+++ b/coordination/advisory/leased_fleet_test.go
@@ -18,10 +18,12 @@
 	cutFrom   []int         // the grantors that they can't reach, by rank
 	split     bool          // the deputies can't reach the grantors in that time either
 	abandoned float64       // fraction of requests whose end their sender doesn't see
+	maxWait   time.Duration // of a request for a slot
 
 	now      time.Duration
 	random   *rand.Rand
 	events   map[time.Duration][]func() // by step
+	queued   map[queuedAt]func()
 	trackers []*Tracker
 	grantors [][]*SlotLeases // by replica, then by rank before any was lost
 	states   []*leasedReplicaState
@@ -41,6 +43,7 @@
 
 const (
 	leaseStep        = time.Millisecond
+	advanceInterval  = 20 * time.Millisecond
 	leaseAskTimeout  = 150 * time.Millisecond
 	grantorLostPause = 300 * time.Millisecond
 	// Time within which all instances notice that another is lost or cut off.
@@ -59,6 +62,7 @@
 func (m *leasedModel) play(seed uint64) {
 	m.random = rand.New(rand.NewPCG(seed, seed))
 	m.events = make(map[time.Duration][]func())
+	m.queued = make(map[queuedAt]func())
 	m.trackers = make([]*Tracker, m.senders)
 	for i := range m.trackers {
 		m.trackers[i] = New(DefaultOptions())
@@ -79,6 +83,9 @@
 			run()
 		}
 		delete(m.events, m.now)
+		if m.now%advanceInterval == 0 {
+			m.advanceAll()
+		}
 		for sender := range m.senders {
 			for range int(m.demand*leaseStep.Seconds() + m.random.Float64()) {
 				m.request(sender, m.random.IntN(m.replicas))
@@ -87,6 +94,15 @@
 	}
 }
 
+// advanceAll has all grantors grant what has become free by the passage of time.
+func (m *leasedModel) advanceAll() {
+	for r, ranked := range m.grantors {
+		for _, g := range ranked {
+			m.advance(g, m.name(r))
+		}
+	}
+}
+
 func (m *leasedModel) name(r int) string { return fmt.Sprintf("r%d@%d", r, m.states[r].downUntil) }
 
 func (m *leasedModel) isLost(r int) bool {
@@ -182,18 +198,38 @@
 		return
 	}
 	g := m.grantors[r][grantor]
-	id, wait, ok := g.Grant(m.now, SlotAsk{Incarnation: name, Tolerated: m.tolerated, Slots: m.slots, Share: m.share(grantor), Hold: time.Second})
+	reply := g.Ask(m.now, SlotAsk{Incarnation: name, Tolerated: m.tolerated, Slots: m.slots, Share: m.share(grantor), Hold: time.Second, MaxWait: m.maxWait})
 	t := m.trackers[sender]
-	m.after(delay, func() {
-		if !ok {
-			t.RecordLeaseDenied(m.now, name, m.now+wait)
-			return
-		}
+	use := func() {
 		a, _ := t.BeginLeased(m.now, name)
 		m.send(sender, r, name, a, func(end LeaseEnd) {
-			m.after(delay, func() { g.Release(m.now, name, id, end) })
+			m.after(delay, func() {
+				g.Release(m.now, name, reply.ID, end)
+				m.advance(g, name)
+			})
 		})
-	})
+	}
+	switch {
+	case reply.Granted:
+		m.after(delay, use)
+	case reply.Queued:
+		m.queued[queuedAt{g, reply.ID}] = func() { m.after(delay, use) }
+	default:
+		m.after(delay, func() { t.RecordLeaseDenied(m.now, name, m.now+reply.Wait) })
+	}
+}
+
+// queuedAt identifies a request that waits for a slot.
+type queuedAt struct {
+	grantor *SlotLeases
+	id      LeaseID
+}
+
+// advance has a grantor tell those that wait that they have a slot.
+func (m *leasedModel) advance(g *SlotLeases, name string) {
+	for _, id := range g.Advance(m.now, name) {
+		m.queued[queuedAt{g, id}]()
+	}
 }
 
 func (m *leasedModel) sendAlone(sender, r int, name string) {
@@ -268,6 +304,7 @@
 	const replicas, slots = 10, 8
 	cases := map[string]leasedModel{
 		"undisturbed":                       {},
+		"requests wait for slots":           {maxWait: 150 * time.Millisecond},
 		"slow links":                        {delay: 10 * time.Millisecond},
 		"grantors are lost":                 {crashes: true},
 		"a third reaches only deputies":     {cutOff: 33, cutFrom: []int{0}},
--- a/coordination/advisory/slot_leases.go
+++ b/coordination/advisory/slot_leases.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 )
 
@@ -49,6 +50,7 @@
 type leasedReplica struct {
 	window      *brittleWindow
 	leases      map[LeaseID]slotLease
+	queue       []queuedAsk   // those that wait for a slot, the first one first
 	taken       int           // slots that others may have used at takenAt
 	takenAt     time.Duration // when this instance became the grantor, or that of more slots
 	nextExpiry  time.Duration // no lease expires before
@@ -58,6 +60,11 @@
 
 type slotLease struct{ grantedAt, expiresAt time.Duration }
 
+type queuedAsk struct {
+	id   LeaseID
+	hold time.Duration
+}
+
 // SlotAsk is a sender's request for a lease, with what it knows of the replica.
 type SlotAsk struct {
 	Incarnation string
@@ -65,6 +72,15 @@
 	Slots       int           // requests that the replica runs at a time
 	Share       float64       // fraction of the slots that this grantor may lease, so that the two sides of a partition don't lease all of them twice; at least one slot is leased
 	Hold        time.Duration // longest time for which the sender needs the slot
+	MaxWait     time.Duration // for which the sender would wait for a slot
+}
+
+// SlotReply is the answer to a SlotAsk. One that is neither granted nor queued is denied.
+type SlotReply struct {
+	ID      LeaseID       // if it is granted or queued
+	Granted bool          // the slot may be used
+	Queued  bool          // it will be granted once there is a slot, unless it is released before
+	Wait    time.Duration // if it is denied: until the sender may ask again
 }
 
 // maxLeasedSlots bounds the leases of one replica.
@@ -95,23 +111,64 @@
 	return &SlotLeases{opts: o, replicas: make(map[string]*leasedReplica)}
 }
 
-// Grant issues a lease on a slot of a replica. If none is free it returns the time after
-// which the sender may ask again.
-func (l *SlotLeases) Grant(now time.Duration, ask SlotAsk) (id LeaseID, wait time.Duration, ok bool) {
+// Ask answers a sender's request for a lease.
+func (l *SlotLeases) Ask(now time.Duration, ask SlotAsk) SlotReply {
 	r := l.replica(now, ask)
 	l.visited += r.expire(now)
-	r.window.inFlight = len(r.leases) + r.unknown(now, l.opts.TakeoverTime)
-	if free, from := r.window.admits(now); !free {
-		return 0, max(from-now, r.reserveAsk(now, l.opts.MaxDenial)), false
+	free, from := l.admits(now, r)
+	if free && len(r.queue) == 0 {
+		l.lastID++
+		r.grant(now, queuedAsk{id: l.lastID, hold: ask.Hold})
+		return SlotReply{ID: l.lastID, Granted: true}
+	}
+	wait := max(from-now, 0) + time.Duration(len(r.queue)+1)*r.turn()
+	if wait > ask.MaxWait {
+		return SlotReply{Wait: max(wait-ask.MaxWait, r.reserveAsk(now, l.opts.MaxDenial))}
 	}
 	l.lastID++
-	expiresAt := now + max(ask.Hold, 0)
+	r.queue = append(r.queue, queuedAsk{id: l.lastID, hold: ask.Hold})
+	return SlotReply{ID: l.lastID, Queued: true}
+}
+
+// Advance grants leases to those that wait for slots of a replica, as far as there are slots,
+// and returns the IDs.
+func (l *SlotLeases) Advance(now time.Duration, incarnation string) []LeaseID {
+	r := l.replicas[incarnation]
+	if r == nil || len(r.queue) == 0 {
+		return nil
+	}
+	l.visited += r.expire(now)
+	var granted []LeaseID
+	for len(r.queue) > 0 {
+		if free, _ := l.admits(now, r); !free {
+			break
+		}
+		first := r.queue[0]
+		r.queue = r.queue[1:]
+		r.grant(now, first)
+		granted = append(granted, first.id)
+	}
+	return granted
+}
+
+// admits reports whether a replica has a free slot, and if not, from when on it may have one.
+func (l *SlotLeases) admits(now time.Duration, r *leasedReplica) (ok bool, from time.Duration) {
+	r.window.inFlight = len(r.leases) + r.unknown(now, l.opts.TakeoverTime)
+	return r.window.admits(now)
+}
+
+func (r *leasedReplica) grant(now time.Duration, ask queuedAsk) {
+	expiresAt := now + max(ask.hold, 0)
 	if len(r.leases) == 0 {
 		r.nextExpiry = expiresAt
 	}
-	r.leases[l.lastID] = slotLease{grantedAt: now, expiresAt: expiresAt}
 	r.nextExpiry = min(r.nextExpiry, expiresAt)
-	return l.lastID, 0, true
+	r.leases[ask.id] = slotLease{grantedAt: now, expiresAt: expiresAt}
+}
+
+// turn returns the mean time between two slots that become free.
+func (r *leasedReplica) turn() time.Duration {
+	return r.window.expectedHold() / time.Duration(r.window.size)
 }
 
 // replica returns the entry for the replica of a request, updated with what the sender knows.
@@ -163,12 +220,12 @@
 // reserveAsk returns after how long a denied sender may ask again. Denied senders come back
 // one after the other, as slots become free.
 func (r *leasedReplica) reserveAsk(now, maxDenial time.Duration) time.Duration {
-	r.nextAsk = max(r.nextAsk, now) + r.window.expectedHold()/time.Duration(r.window.size)
+	r.nextAsk = max(r.nextAsk, now) + r.turn()
 	r.nextAsk = min(r.nextAsk, now+maxDenial)
 	return r.nextAsk - now
 }
 
-// Release ends a lease.
+// Release ends a lease, or takes back a request that waits for one.
 func (l *SlotLeases) Release(now time.Duration, incarnation string, id LeaseID, end LeaseEnd) {
 	r := l.replicas[incarnation]
 	if r == nil {
@@ -176,6 +233,7 @@
 	}
 	lease, ok := r.leases[id]
 	if !ok {
+		r.queue = slices.DeleteFunc(r.queue, func(q queuedAsk) bool { return q.id == id })
 		return
 	}
 	if end == LeaseAbandoned {
@@ -211,11 +269,8 @@
 	return out
 }
 
-// Empty reports whether no replica's slots are leased.
-func (l *SlotLeases) Empty() bool { return len(l.replicas) == 0 }
-
 // Expire removes replicas that nobody has asked for lately, and those for which this
-// instance is not the grantor any more.
+// instance is not the grantor any more. Who waits for a slot there gets none.
 func (l *SlotLeases) Expire(now time.Duration, isGrantor func(incarnation string) bool) {
 	for incarnation, r := range l.replicas {
 		if now-r.lastAskedAt > l.opts.IdleRetention || !isGrantor(incarnation) {
--- a/coordination/advisory/slot_leases_test.go
+++ b/coordination/advisory/slot_leases_test.go
@@ -15,18 +15,18 @@
 // settledLeases returns leases of a replica whose slots the grantor knows to be free.
 func settledLeases(slots int) (*SlotLeases, time.Duration) {
 	l := NewSlotLeases(DefaultSlotLeaseOptions())
-	l.Grant(0, slotAsk(slots))
+	l.Ask(0, slotAsk(slots))
 	return l, l.opts.TakeoverTime
 }
 
 // grantAll takes all leases that there are at a time.
 func grantAll(l *SlotLeases, now time.Duration, ask SlotAsk) (ids []LeaseID, wait time.Duration) {
 	for {
-		id, wait, ok := l.Grant(now, ask)
-		if !ok {
-			return ids, wait
+		reply := l.Ask(now, ask)
+		if !reply.Granted {
+			return ids, reply.Wait
 		}
-		ids = append(ids, id)
+		ids = append(ids, reply.ID)
 	}
 }
 
@@ -79,8 +79,7 @@
 	for _, id := range ids[:2] {
 		l.Release(now, "r", id, LeaseRefused)
 	}
-	_, wait, ok := l.Grant(now, slotAsk(8))
-	is.True(!ok)
+	wait := l.Ask(now, slotAsk(8)).Wait
 	is.True(wait >= second) // one refusal a second is affordable
 	for _, id := range ids[2:] {
 		l.Release(now, "r", id, LeaseCompleted)
@@ -99,10 +98,8 @@
 	ids, _ = grantAll(l, now, slotAsk(1))
 	is.Equal(len(ids), 1)
 	l.Release(now, "r", ids[0], LeaseAbandoned)
-	_, _, ok := l.Grant(now+199*time.Millisecond, slotAsk(1))
-	is.True(!ok)
-	_, _, ok = l.Grant(now+200*time.Millisecond, slotAsk(1))
-	is.True(ok)
+	is.True(!l.Ask(now+199*time.Millisecond, slotAsk(1)).Granted)
+	is.True(l.Ask(now+200*time.Millisecond, slotAsk(1)).Granted)
 }
 
 // A holder that is gone without a word keeps its slot until the lease expires.
@@ -110,8 +107,7 @@
 	is := is.New(t)
 	l, now := settledLeases(2)
 	grantAll(l, now, slotAsk(2))
-	_, _, ok := l.Grant(now+10*second-1, slotAsk(2))
-	is.True(!ok)
+	is.True(!l.Ask(now+10*second-1, slotAsk(2)).Granted)
 	ids, _ := grantAll(l, now+10*second, slotAsk(2))
 	is.Equal(len(ids), 2)
 }
@@ -123,13 +119,12 @@
 	grantAll(l, now, slotAsk(8))
 	previous := time.Duration(0)
 	for range 10 {
-		_, wait, ok := l.Grant(now, slotAsk(8))
-		is.True(!ok && wait > previous)
-		previous = wait
+		reply := l.Ask(now, slotAsk(8))
+		is.True(!reply.Granted && !reply.Queued && reply.Wait > previous)
+		previous = reply.Wait
 	}
 	for range 10000 {
-		_, wait, _ := l.Grant(now, slotAsk(8))
-		is.True(wait <= l.opts.MaxDenial)
+		is.True(l.Ask(now, slotAsk(8)).Wait <= l.opts.MaxDenial)
 	}
 }
 
@@ -145,24 +140,52 @@
 	} {
 		is := is.New(t)
 		l := NewSlotLeases(DefaultSlotLeaseOptions())
-		l.Grant(0, ask)
-		_, _, ok := l.Grant(l.opts.TakeoverTime, ask)
-		is.True(ok)
+		l.Ask(0, ask)
+		is.True(l.Ask(l.opts.TakeoverTime, ask).Granted)
 		is.True(l.replicas["r"].window.size <= maxLeasedSlots)
 	}
 }
 
+// Who would wait longer than it may is denied at once. The others get the slots in the order
+// in which they asked.
+func TestSendersWaitForSlotsInTheirOrder(t *testing.T) {
+	is := is.New(t)
+	l, now := settledLeases(2)
+	first, _ := grantAll(l, now, slotAsk(2))
+	now += 100 * time.Millisecond
+	l.Release(now, "r", first[0], LeaseCompleted) // a slot is free each 50 ms
+	first = append(first[1:], l.Ask(now, slotAsk(2)).ID)
+	ask := slotAsk(2)
+	ask.MaxWait = 160 * time.Millisecond
+	var queued []LeaseID
+	for range 3 {
+		reply := l.Ask(now, ask)
+		is.True(reply.Queued && !reply.Granted)
+		queued = append(queued, reply.ID)
+	}
+	denied := l.Ask(now, ask)
+	is.True(!denied.Queued && !denied.Granted && denied.Wait > 0)
+	is.Equal(len(l.Advance(now, "r")), 0)
+	l.Release(now, "r", queued[1], LeaseCompleted) // its sender has gone
+	for _, id := range first {
+		l.Release(now, "r", id, LeaseCompleted)
+	}
+	is.Equal(l.Advance(now, "r"), []LeaseID{queued[0], queued[2]})
+	is.Equal(l.Held()["r"], 2)
+	is.Equal(len(l.Advance(now, "other")), 0)
+}
+
 // Replicas are kept for as long as somebody asks and this instance is their grantor.
 func TestLeasesOfReplicasExpire(t *testing.T) {
 	is := is.New(t)
 	l, now := settledLeases(1)
 	l.Expire(now, func(string) bool { return true })
-	is.True(!l.Empty())
+	is.Equal(len(l.Held()), 1)
 	l.Expire(now+2*l.opts.IdleRetention, func(string) bool { return true })
-	is.True(l.Empty())
+	is.Equal(len(l.Held()), 0)
 	l, now = settledLeases(1)
 	l.Expire(now, func(string) bool { return false })
-	is.True(l.Empty())
+	is.Equal(len(l.Held()), 0)
 }
 
 // The work for a lease doesn't grow with the slots that are in use: leases are visited only
@@ -171,11 +194,11 @@
 	visits := func(slots int) int {
 		l, now := settledLeases(slots)
 		for range slots {
-			l.Grant(now, slotAsk(slots))
+			l.Ask(now, slotAsk(slots))
 		}
 		before := l.visited
 		for range 1000 {
-			l.Grant(now+second, slotAsk(slots))
+			l.Ask(now+second, slotAsk(slots))
 		}
 		return l.visited - before
 	}
--- a/coordination/pace/grantor.go
+++ b/coordination/pace/grantor.go
@@ -1,6 +1,9 @@
 package pace
 
 import (
+	"cmp"
+	"slices"
+
 	"quinceroad/coordination/gossip"
 	"quinceroad/coordination/rendezvous"
 )
@@ -36,20 +39,41 @@
 // instance that is leaving only when all are. Instances with the same view select the
 // same grantor. It returns false when no instance is alive.
 func SelectGrantor(alive []gossip.Instance, incarnation string, replica Location) (gossip.Instance, bool) {
-	best, bestDistance, bestWeight := -1, 0, uint64(0)
+	first := SelectGrantors(alive, incarnation, replica, 1)
+	if len(first) == 0 {
+		return gossip.Instance{}, false
+	}
+	return first[0], true
+}
+
+// SelectGrantors returns the first n instances in the order in which SelectGrantor prefers
+// them.
+func SelectGrantors(alive []gossip.Instance, incarnation string, replica Location, n int) []gossip.Instance {
+	best := make([]candidate, 0, n+1)
 	for i := range alive {
-		x := &alive[i]
-		distance := replica.distance(x)
-		if best >= 0 && distance > bestDistance {
+		c := candidate{instance: &alive[i], distance: replica.distance(&alive[i])}
+		if len(best) == n && c.distance > best[n-1].distance {
 			continue
 		}
-		weight := rendezvous.Weight(incarnation, x.Name)
-		if best < 0 || distance < bestDistance || weight > bestWeight || weight == bestWeight && x.Name < alive[best].Name {
-			best, bestDistance, bestWeight = i, distance, weight
-		}
+		c.weight = rendezvous.Weight(incarnation, c.instance.Name)
+		at, _ := slices.BinarySearchFunc(best, c, candidate.compare)
+		best = slices.Insert(best, at, c)
+		best = best[:min(len(best), n)]
 	}
-	if best < 0 {
-		return gossip.Instance{}, false
+	out := make([]gossip.Instance, len(best))
+	for i, c := range best {
+		out[i] = *c.instance
 	}
-	return alive[best], true
+	return out
+}
+
+// candidate is an instance with what determines its place in the order.
+type candidate struct {
+	instance *gossip.Instance
+	distance int
+	weight   uint64
+}
+
+func (c candidate) compare(other candidate) int {
+	return cmp.Or(cmp.Compare(c.distance, other.distance), cmp.Compare(other.weight, c.weight), cmp.Compare(c.instance.Name, other.instance.Name))
 }
--- a/protocol/frame/frame.go
+++ b/protocol/frame/frame.go
@@ -38,6 +38,7 @@
 	Relay                            // RelayAsk -> RelayReply, then the bytes of a connection to a replica (package relay)
 	RecordOrigin                     // OriginRecord -> OriginReply
 	FindOrigin                       // OriginAsk -> OriginReply
+	SlotLease                        // SlotAsk -> SlotReply, and another one if it is queued, then SlotEnd if it is granted
 )
 
 // UnknownKind is the reply to a stream whose kind the peer does not know. It is the
