Slots of brittle replicas are known from the list where answers don't state their load

Cause: what a brittle replica has slots for was taken from the head of its answers alone, which plain services don't fill in; without leases their requests were bounded by answers, not paced.

Now: the list's slots where the head states none.

--- a/cmd/node/advisories.go
+++ b/cmd/node/advisories.go
@@ -138,7 +138,11 @@
 	if !h.Brittle.Stated && (from.auxiliary || !a.hasBrittle.Load()) {
 		return
 	}
-	report := advisory.BrittleReport{Service: from.service, Brittle: h.Brittle, Slots: h.Slots, Senders: n.liveInstanceCount()}
+	slots := h.Slots
+	if r, listed := n.snapshot.Load().replicaByIncarnation(from.incarnation); listed && slots == 0 {
+		slots = r.Slots
+	}
+	report := advisory.BrittleReport{Service: from.service, Brittle: h.Brittle, Slots: slots, Senders: n.liveInstanceCount()}
 	hasChanged := false
 	a.withTracker(func(t *advisory.Tracker) { hasChanged = t.RecordBrittle(report) })
 	switch {
--- a/cmd/node/slots.go
+++ b/cmd/node/slots.go
@@ -81,9 +81,6 @@
 			rank, ok = t.NextGrantor(now, r.ID)
 		}
 	})
-	if ask.Slots == 0 {
-		ask.Slots = r.Slots
-	}
 	return ask, rank, ok
 }
 
