Paced requests to brittle replicas count the senders that there are (Engset)

Cause: the safe pace assumed very many senders (Erlang B).

Change: the pace by Engset's formula for that many senders with one request each.

Left: with 9 to 12 senders parts of the slots still serve more where 10 are tolerated; this holds only where nobody issues leases.

--- a/coordination/advisory/brittle.go
+++ b/coordination/advisory/brittle.go
@@ -41,7 +41,7 @@
 	hasEnded  bool
 
 	holdTime time.Duration // mean time for which a request holds a slot; 0: not measured
-	load     safeLoad
+	pace     safePace
 	hasBegun bool // a window has been opened
 }
 
@@ -53,12 +53,10 @@
 // request of each is too many.
 func (s *brittleService) isOversubscribed() bool { return s.slots > 0 && s.senders > s.slots }
 
-// safeInterval returns the time between two requests of this instance to the same replica at
-// which all instances together offer the replica a safe load.
+// safeInterval returns the time between two requests of this instance to the same replica if
+// all instances together are to be refused few enough.
 func (s *brittleService) safeInterval() time.Duration {
-	holdTime := s.expectedHold()
-	erlangs := s.load.forInputs(s.slots, s.tolerated, holdTime)
-	return s.intervalAt(erlangs / holdTime.Seconds())
+	return s.pace.intervalFor(s.senders, s.slots, s.tolerated, s.expectedHold())
 }
 
 // expectedHold returns the time for which a request is expected to hold a slot.
@@ -72,13 +70,9 @@
 // intervalAt returns the time between two requests of this instance at which all instances
 // together send the given number per second.
 func (s *brittleService) intervalAt(perSecond float64) time.Duration {
-	seconds := float64(max(s.senders, 1)) / perSecond
-	return time.Duration(min(seconds, maxInterval.Seconds()) * float64(time.Second))
+	return boundedInterval(float64(max(s.senders, 1)) / perSecond)
 }
 
-// maxInterval is an upper bound of the time between two requests to a replica.
-const maxInterval = time.Hour
-
 // recordHold records for how long a request has held a slot.
 func (s *brittleService) recordHold(held time.Duration) {
 	if s.holdTime == 0 {
--- a/coordination/advisory/slot_leases_test.go
+++ b/coordination/advisory/slot_leases_test.go
@@ -207,17 +207,24 @@
 	}
 }
 
-func TestLargestLoadIsRefusedAsOftenAsAllowed(t *testing.T) {
+// With very many senders the loss formula is Erlang's, and one sender more than slots is
+// refused only while all others have a slot.
+func TestLargestIntensityIsRefusedAsOftenAsAllowed(t *testing.T) {
 	is := is.New(t)
-	is.True(math.Abs(blocking(8, 4)-0.0304) < 0.0001)
-	is.True(math.Abs(blocking(1, 1)-0.5) < 0.0001)
-	previous := 0.0
-	for _, slots := range []int{1, 2, 8, 64, 1024} {
-		load := largestLoad(slots, 0.001)
-		is.True(load > previous && load < float64(slots))
-		is.True(math.Abs(load*blocking(slots, load)-0.001) < 0.0001)
-		previous = load
+	const many = 1_000_000
+	is.True(math.Abs(blocking(many, 8, 4.0/many)-0.0304) < 0.0001)
+	is.True(math.Abs(blocking(many, 1, 1.0/many)-0.5) < 0.0001)
+	is.True(math.Abs(blocking(3, 2, 1)-3.0/7) < 0.0001)
+	for _, senders := range []int{9, 60, 295, 985} {
+		previous := 0.0
+		for _, slots := range []int{1, 2, 8} {
+			x := largestIntensity(senders, slots, 0.001)
+			is.True(x > previous)
+			is.True(math.Abs(float64(senders-slots)*x*blocking(senders, slots, x)-0.001) < 0.0001)
+			previous = x
+		}
 	}
+	is.True(largestIntensity(9, 8, 1000) > maxIntensity/2)
 }
 
 // The more is tolerated, the more may be refused on average, and never as much as that.
