A package of its own for the counts of customers' requests

Names lose the prefix that the package now says: customers.Counts, Count, Record, RecentShare, All. Nothing else changed; the state dump has the same fields.

--- a/cmd/node/customer_counts.go
+++ b/cmd/node/customers/customers.go
@@ -1,4 +1,6 @@
-package node
+// Package customers counts the outcomes of customers' requests at one instance, and which
+// share of the recent ones is whose.
+package customers
 
 import (
 	"math"
@@ -6,32 +8,32 @@
 	"time"
 )
 
-// customerCount counts the outcomes of a customer's requests at one instance.
-type customerCount struct {
+// Count counts the outcomes of a customer's requests at one instance.
+type Count struct {
 	Sent, Served, NotServed int64
 	OverShare               int64 `json:"Beyond"` // refused because the customer is over its share; included in NotServed
 
 	recent float64 // decayed number of requests, without those over the share
 }
 
-// customerCounts counts requests by customer. Customers beyond the first
-// maxCountedCustomers are counted together, to bound memory.
-type customerCounts struct {
+// Counts counts requests by customer. Customers beyond the first maxCustomers are counted
+// together, to bound memory. The zero value is ready for use.
+type Counts struct {
 	mu         sync.Mutex
-	byCustomer map[string]*customerCount
+	byCustomer map[string]*Count
 	recent     float64       // sum over all customers
 	decayedAt  time.Duration // time of the last decay of the recent counts
 }
 
 const (
-	maxCountedCustomers  = 1000
+	maxCustomers         = 1000
 	otherCustomers       = "(all others)"
 	recentRequestsWindow = time.Minute // time constant of the decay
 	recentDecayInterval  = time.Second
 )
 
-// recentShare returns a customer's share of the recent requests and their total.
-func (c *customerCounts) recentShare(now time.Duration, customer string) (share float32, total uint32) {
+// RecentShare returns a customer's share of the recent requests and their total.
+func (c *Counts) RecentShare(now time.Duration, customer string) (share float32, total uint32) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.decay(now)
@@ -41,7 +43,7 @@
 	return share, uint32(c.recent)
 }
 
-func (c *customerCounts) decay(now time.Duration) {
+func (c *Counts) decay(now time.Duration) {
 	if now-c.decayedAt < recentDecayInterval {
 		return
 	}
@@ -53,20 +55,20 @@
 	}
 }
 
-// record counts the outcome of a request.
-func (c *customerCounts) record(customer string, err error, overShare bool) {
+// Record counts the outcome of a request.
+func (c *Counts) Record(customer string, err error, overShare bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.byCustomer == nil {
-		c.byCustomer = make(map[string]*customerCount)
+		c.byCustomer = make(map[string]*Count)
 	}
 	n := c.byCustomer[customer]
-	if n == nil && len(c.byCustomer) >= maxCountedCustomers {
+	if n == nil && len(c.byCustomer) >= maxCustomers {
 		customer = otherCustomers
 		n = c.byCustomer[customer]
 	}
 	if n == nil {
-		n = &customerCount{}
+		n = &Count{}
 		c.byCustomer[customer] = n
 	}
 	n.Sent++
@@ -85,11 +87,11 @@
 	}
 }
 
-// counts returns a copy of the counts.
-func (c *customerCounts) counts() map[string]customerCount {
+// All returns a copy of the counts by customer.
+func (c *Counts) All() map[string]Count {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	out := make(map[string]customerCount, len(c.byCustomer))
+	out := make(map[string]Count, len(c.byCustomer))
 	for customer, n := range c.byCustomer {
 		out[customer] = *n
 	}
--- a/cmd/node/node.go
+++ b/cmd/node/node.go
@@ -19,6 +19,7 @@
 	metrics "github.com/rcrowley/go-metrics"
 	"golang.org/x/sync/errgroup"
 
+	"quinceroad/cmd/node/customers"
 	"quinceroad/cmd/node/eventstream"
 	"quinceroad/cmd/node/origins"
 	"quinceroad/cmd/node/peersync"
@@ -89,7 +90,7 @@
 	quarantine     *quarantineTracker // has its own lock; no other is acquired under it
 	advisories     *advisories        // has its own lock; no other is acquired under it
 	level          fleetLevel         // has its own lock; no other is acquired under it
-	customers      customerCounts     // has its own lock; no other is acquired under it
+	customers      customers.Counts   // has its own lock; no other is acquired under it
 	heldAnswers    *eventstream.Held  // has its own lock; no other is acquired under it
 	replicaLinks   *replicaLinks      // has its own lock; no other is acquired under it
 	origins        *origins.Keeper    // has its own lock; no other is acquired under it
--- a/cmd/node/replica_choice.go
+++ b/cmd/node/replica_choice.go
@@ -62,7 +62,7 @@
 		Customer:    boundedCustomerName(s.customer),
 	}
 	ask.Build, ask.Bound = s.binding.Build()
-	ask.CustomerPart, ask.CustomerOf = s.node.customers.recentShare(s.node.now(), ask.Customer)
+	ask.CustomerPart, ask.CustomerOf = s.node.customers.RecentShare(s.node.now(), ask.Customer)
 	for _, p := range s.req.Prompt {
 		ask.Parts = append(ask.Parts, &pb.PromptPart{Id: p.ID, Tokens: uint32(p.Tokens)})
 	}
--- a/cmd/node/request_handler.go
+++ b/cmd/node/request_handler.go
@@ -112,7 +112,7 @@
 	if err != nil && errors.Is(ctx.Err(), context.Canceled) {
 		err = errClientGone // whatever error the attempt ended with
 	}
-	s.node.customers.record(boundedCustomerName(s.customer), err, s.isOverShare(err))
+	s.node.customers.Record(boundedCustomerName(s.customer), err, s.isOverShare(err))
 	s.logRequest(err)
 	if err != nil {
 		s.answerFailure(ctx, err)
--- a/cmd/node/state.go
+++ b/cmd/node/state.go
@@ -6,6 +6,7 @@
 	"strconv"
 	"time"
 
+	"quinceroad/cmd/node/customers"
 	"quinceroad/cmd/process"
 	"quinceroad/coordination/advisory"
 	"quinceroad/coordination/featurelevel"
@@ -50,10 +51,10 @@
 	Quarantine        []QuarantineState // requests under which replicas crashed
 	Instances         []gossip.Instance
 	Cells             []CellState
-	Region            string                   // region of this node; "": its hall belongs to no region
-	Regions           map[string]RegionState   // by name; "" holds halls that belong to no region
-	PeerLinks         int                      `json:"LinkedTo"`
-	Customers         map[string]customerCount // outcomes of their requests at this node
+	Region            string                     // region of this node; "": its hall belongs to no region
+	Regions           map[string]RegionState     // by name; "" holds halls that belong to no region
+	PeerLinks         int                        `json:"LinkedTo"`
+	Customers         map[string]customers.Count // outcomes of their requests at this node
 }
 
 // RegionState is a node's view of a region.
@@ -133,7 +134,7 @@
 		Backoffs:          make(map[string]string),
 		Instances:         n.liveInstances(),
 		PeerLinks:         n.links.Len(),
-		Customers:         n.customers.counts(),
+		Customers:         n.customers.All(),
 	}
 	n.advisories.withTracker(func(t *advisory.Tracker) {
 		s.Draining = t.Draining()
