A package of its own for trial leases of suspect requests

cmd/node/triallease: who asks, grants and ends them, the table of running trials (it was part of the quarantine's) and the builds without them (it was part of the fleet's level). The node keeps the records that the messages carry and hands them in. Two tests of its own: one trial at a time whoever asks, and the end of a wait.

--- a/cmd/node/compatibility_test.go
+++ b/cmd/node/compatibility_test.go
@@ -136,10 +136,10 @@
 	}
 	for f := range 20 {
 		ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
-		trial, err := n.acquireTrial(ctx, quarantine.Fingerprint(f+1))
+		trial, err := n.trials.Acquire(ctx, quarantine.Fingerprint(f+1))
 		cancel()
 		is.NoErr(err)
-		trial.release()
+		trial.Release()
 	}
 	is.True(len(asked) <= 3) // each instance at most once
 }
--- a/cmd/node/fleet_level.go
+++ b/cmd/node/fleet_level.go
@@ -14,12 +14,10 @@
 // buildLevel is the feature level of this build.
 const buildLevel = featurelevel.Current
 
-// fleetLevel tracks the feature level that all instances support, and the instances that
-// were found not to support trial leases.
+// fleetLevel tracks the feature level that all instances support.
 type fleetLevel struct {
-	mu            sync.Mutex
-	tracker       featurelevel.Tracker
-	noTrialLeases map[string]uint64 // by instance name: the incarnation that closed the stream of a request for a trial lease
+	mu      sync.Mutex
+	tracker featurelevel.Tracker
 }
 
 // observe updates the tracker with the lowest level of all live instances, and reports
@@ -36,24 +34,6 @@
 	return l.tracker.InForce()
 }
 
-// lacksTrialLeases reports whether an instance's build is known not to support trial
-// leases for suspect requests. Such an instance is asked once per incarnation.
-func (l *fleetLevel) lacksTrialLeases(i gossip.Instance) bool {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	incarnation, ok := l.noTrialLeases[i.Name]
-	return ok && incarnation == i.Incarnation
-}
-
-func (l *fleetLevel) recordNoTrialLeases(i gossip.Instance) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if l.noTrialLeases == nil {
-		l.noTrialLeases = make(map[string]uint64)
-	}
-	l.noTrialLeases[i.Name] = i.Incarnation
-}
-
 // updateFleetLevel updates the fleet's level with those that the live instances
 // announce.
 func (n *Node) updateFleetLevel(live *gossip.Live) {
--- a/cmd/node/heartbeats.go
+++ b/cmd/node/heartbeats.go
@@ -335,7 +335,7 @@
 	case frame.CachedPrefix:
 		_ = frame.Write(stream, frame.Reply, n.answerCacheQuery(first))
 	case frame.TrialLease:
-		n.serveTrial(first, stream)
+		n.trials.Serve(first, stream)
 	case frame.SendGrant:
 		_ = frame.Write(stream, frame.Reply, n.answerGrantRequest(first, stream.RemoteAddr().String()))
 	case frame.Relay:
--- a/cmd/node/node.go
+++ b/cmd/node/node.go
@@ -24,6 +24,7 @@
 	"quinceroad/cmd/node/origins"
 	"quinceroad/cmd/node/peersync"
 	"quinceroad/cmd/node/slotlease"
+	"quinceroad/cmd/node/triallease"
 	"quinceroad/cmd/process"
 	"quinceroad/coordination/balancer"
 	"quinceroad/coordination/evacuation"
@@ -86,15 +87,16 @@
 	warmUp   *warmUpLimiter // has its own lock, which is acquired last
 	rollouts *rollouts      // has its own lock, which is acquired last
 
-	activeRequests *requestRegistry   // has its own lock; no other is acquired under it
-	quarantine     *quarantineTracker // has its own lock; no other is acquired under it
-	advisories     *advisories        // has its own lock; no other is acquired under it
-	level          fleetLevel         // has its own lock; no other is acquired under it
-	customers      customers.Counts   // has its own lock; no other is acquired under it
-	heldAnswers    *eventstream.Held  // has its own lock; no other is acquired under it
-	replicaLinks   *replicaLinks      // has its own lock; no other is acquired under it
-	origins        *origins.Keeper    // has its own lock; no other is acquired under it
-	slots          *slotlease.Service // has its own lock; no other is acquired under it
+	activeRequests *requestRegistry    // has its own lock; no other is acquired under it
+	quarantine     *quarantineTracker  // has its own lock; no other is acquired under it
+	advisories     *advisories         // has its own lock; no other is acquired under it
+	level          fleetLevel          // has its own lock; no other is acquired under it
+	customers      customers.Counts    // has its own lock; no other is acquired under it
+	heldAnswers    *eventstream.Held   // has its own lock; no other is acquired under it
+	replicaLinks   *replicaLinks       // has its own lock; no other is acquired under it
+	origins        *origins.Keeper     // has its own lock; no other is acquired under it
+	slots          *slotlease.Service  // has its own lock; no other is acquired under it
+	trials         *triallease.Service // has its own lock; no other is acquired under it
 
 	detectorMu     sync.Mutex // guards the fields up to deadlines
 	detector       *health.Detector
@@ -167,7 +169,7 @@
 	n.origins = origins.New(origins.Options{
 		Name: s.Name, Region: n.home, Now: n.now, Live: n.live, Peers: n.links, Log: log, Registry: n.registry, HasSeveralBuilds: n.hasSeveralBuilds,
 	})
-	n.slots = n.newSlotService()
+	n.slots, n.trials = n.newSlotService(), n.newTrialService()
 	n.owner = newOwner(n)
 	n.clock.OnResume(n.handleResume)
 	n.snapshot.Store(&snapshot{regionMap: n.regionMap, list: listing.Empty()})
--- a/cmd/node/quarantine.go
+++ b/cmd/node/quarantine.go
@@ -5,12 +5,21 @@
 	"sync"
 	"time"
 
+	"quinceroad/cmd/node/triallease"
 	"quinceroad/coordination/quarantine"
 	"quinceroad/protocol/event"
 	"quinceroad/protocol/pb"
 	"quinceroad/state/catalog"
 )
 
+// newTrialService returns the service that leases trials of suspect requests.
+func (n *Node) newTrialService() *triallease.Service {
+	return triallease.New(triallease.Options{
+		Name: n.settings.Name, Peers: n.links, Live: n.liveInstances, Log: n.log, Case: n.quarantineCase,
+		Merge: func(c *pb.QuarantineCase) { n.mergeQuarantine([]*pb.QuarantineCase{c}) },
+	})
+}
+
 const (
 	// Minimum interval between extra announcements. A replica's end causes several changes
 	// within a few ms.
@@ -29,7 +38,6 @@
 	announcedAt time.Duration                                  // time of the last extra announcement
 	probes      map[string]*livenessProbe                      // by incarnation
 	ends        map[string]*incarnationEnds                    // by listed incarnation
-	trials      map[quarantine.Fingerprint]chan struct{}       // trials with this instance as arbiter; closed at their end
 	suspects    map[string]map[quarantine.Fingerprint]struct{} // by replica ID: suspect requests that this instance runs there
 }
 
@@ -38,7 +46,6 @@
 		tracker:  quarantine.New(quarantine.DefaultOptions(), int(jitter*quarantineOffsets)),
 		probes:   make(map[string]*livenessProbe),
 		ends:     make(map[string]*incarnationEnds),
-		trials:   make(map[quarantine.Fingerprint]chan struct{}),
 		suspects: make(map[string]map[quarantine.Fingerprint]struct{}),
 	}
 }
@@ -171,6 +178,19 @@
 	return e
 }
 
+// quarantineCase returns the message with this instance's record of a request, which has
+// only the fingerprint if there is no record.
+func (n *Node) quarantineCase(f quarantine.Fingerprint) *pb.QuarantineCase {
+	q := n.quarantine
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	e, ok := q.tracker.Lookup(n.now(), f)
+	if !ok {
+		e.Fingerprint = f
+	}
+	return encodeCase(e)
+}
+
 // pruneQuarantine removes expired cases, probes and crash counts.
 func (n *Node) pruneQuarantine() {
 	n.updateQuarantine(causeAge, func(t *quarantine.Tracker, now time.Duration) []quarantine.Change { return t.Expire(now) })
--- a/cmd/node/request_end.go
+++ b/cmd/node/request_end.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"time"
 
+	"quinceroad/cmd/node/triallease"
 	"quinceroad/coordination/pipeline"
 	"quinceroad/protocol/event"
 )
@@ -44,7 +45,7 @@
 		if failed.reason == pipeline.ReasonBackoff || failed.reason == pipeline.ReasonShare {
 			retryAfter += retryJitter()
 		}
-	case errors.Is(err, errHallsDrained), errors.Is(err, errReplicasWarming), errors.Is(err, errNoAllowedRegion), errors.Is(err, errNoReplicaOfBuild), errors.Is(err, errOriginMoved), errors.Is(err, errNoTrial):
+	case errors.Is(err, errHallsDrained), errors.Is(err, errReplicasWarming), errors.Is(err, errNoAllowedRegion), errors.Is(err, errNoReplicaOfBuild), errors.Is(err, errOriginMoved), errors.Is(err, triallease.ErrNoTrial):
 		retryAfter = longRetryAfter
 	}
 	left := s.req.Timeout - s.elapsed()
--- a/cmd/node/request_handler.go
+++ b/cmd/node/request_handler.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"quinceroad/cmd/node/eventstream"
+	"quinceroad/cmd/node/triallease"
 	"quinceroad/cmd/process"
 	"quinceroad/coordination/origin"
 	"quinceroad/coordination/outcome"
@@ -60,7 +61,7 @@
 	record      *outcome.Record
 	deadline    time.Duration          // time at which the answer is due, by the process's clock
 	probe       *livenessProbe         // probe of the last attempt's replica; nil: none
-	trial       *trialLease            // trial lease of a suspect request; nil: none
+	trial       *triallease.Lease      // trial lease of a suspect request; nil: none
 	fingerprint quarantine.Fingerprint // identifies the request across a caller's retries
 
 	job                 *stageJob
@@ -276,7 +277,7 @@
 func (s *requestHandler) checkQuarantine(ctx context.Context) error {
 	verdict := s.node.verdict(s.fingerprint)
 	if verdict == quarantine.Suspect && s.trial == nil {
-		t, err := s.node.acquireTrial(ctx, s.fingerprint)
+		t, err := s.node.trials.Acquire(ctx, s.fingerprint)
 		if err != nil {
 			s.node.counters.trialsDenied.Inc(1)
 			return err
@@ -299,11 +300,11 @@
 	switch {
 	case t == nil:
 	case p == nil:
-		t.release()
+		t.Release()
 	default:
 		go func() {
 			s.node.awaitLivenessProbe(context.Background(), p)
-			t.release()
+			t.Release()
 		}()
 	}
 }
--- /dev/null
+++ b/cmd/node/triallease/triallease_test.go
@@ -0,0 +1,100 @@
+package triallease
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	hclog "github.com/hashicorp/go-hclog"
+	"github.com/matryer/is"
+	"google.golang.org/protobuf/proto"
+
+	"quinceroad/coordination/gossip"
+	"quinceroad/coordination/quarantine"
+	"quinceroad/protocol/frame"
+	"quinceroad/protocol/pb"
+)
+
+// fleet is a set of services that open streams to each other.
+type fleet struct {
+	services  map[string]*Service // by peer address
+	instances []gossip.Instance
+	merged    atomic.Int64 // records that were sent
+}
+
+func newFleet(count int) *fleet {
+	f := &fleet{services: make(map[string]*Service)}
+	for i := range count {
+		name := fmt.Sprint("n", i)
+		f.instances = append(f.instances, gossip.Instance{Name: name, PeerAddress: name})
+		f.services[name] = New(Options{
+			Name: name, Peers: f, Live: func() []gossip.Instance { return f.instances }, Log: hclog.NewNullLogger(),
+			Case:  func(f quarantine.Fingerprint) *pb.QuarantineCase { return &pb.QuarantineCase{Fingerprint: uint64(f)} },
+			Merge: func(*pb.QuarantineCase) { f.merged.Add(1) },
+		})
+	}
+	return f
+}
+
+// Open implements Peers.
+func (f *fleet) Open(address string, _ frame.Kind, first proto.Message) (net.Conn, error) {
+	message, err := proto.Marshal(first)
+	if err != nil {
+		return nil, err
+	}
+	client, server := net.Pipe()
+	go func() {
+		defer server.Close()
+		f.services[address].Serve(message, server)
+	}()
+	return client, nil
+}
+
+// A suspect request is tried by one instance at a time, whichever instances ask.
+func TestOneTrialAtATime(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(5)
+	var running, most atomic.Int64
+	done := make(chan error)
+	for _, s := range f.services {
+		go func() {
+			lease, err := s.Acquire(context.Background(), 7)
+			if err == nil {
+				if now := running.Add(1); now > most.Load() {
+					most.Store(now)
+				}
+				time.Sleep(10 * time.Millisecond)
+				running.Add(-1)
+				lease.Release()
+			}
+			done <- err
+		}()
+	}
+	for range f.services {
+		is.NoErr(<-done)
+	}
+	is.Equal(most.Load(), int64(1))
+	is.True(f.merged.Load() > 0)
+}
+
+// Who doesn't get the lease in time is told that the request is being tried elsewhere.
+func TestWaitForATrialEnds(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(2)
+	lease, err := f.services["n0"].Acquire(context.Background(), 7)
+	is.NoErr(err)
+	ctx, cancel := context.WithTimeout(context.Background(), 50*time.Millisecond)
+	defer cancel()
+	_, err = f.services["n1"].Acquire(ctx, 7)
+	is.True(err != nil)
+	other, err := f.services["n1"].Acquire(context.Background(), 8)
+	is.NoErr(err)
+	other.Release()
+	lease.Release()
+	again, err := f.services["n1"].Acquire(context.Background(), 7)
+	is.NoErr(err)
+	again.Release()
+}
