A package of its own for the engine speeds that instances exchange

cmd/node/speeds holds the table with its lock, the messages and what a heartbeat carries; the node keeps what belongs to cells, gauges and log lines. Names lose the prefix that the package says. Behaviour is the same but that the combined speeds of several services are read one by one: each service's is independent.

The tests of cmd/node pass; they drive the table through nodes as before.

--- a/cmd/node/heartbeats.go
+++ b/cmd/node/heartbeats.go
@@ -55,7 +55,7 @@
 	n.gossipMu.Lock()
 	to, m := n.members.Round(n.now(), newRandom())
 	n.gossipMu.Unlock()
-	n.sendHeartbeatTo(to, m, n.speedUpdates(false), n.quarantineUpdate())
+	n.sendHeartbeatTo(to, m, n.speeds.Updates(n.now(), false), n.quarantineUpdate())
 }
 
 // announceToHall announces this instance's newest data to all instances of its hall.
@@ -218,7 +218,7 @@
 	}
 	if len(newPeers) > 0 {
 		// A starting instance thus discovers the others at once.
-		n.sendHeartbeatTo(newPeers, fullView, n.speedUpdates(true), n.quarantineSnapshot())
+		n.sendHeartbeatTo(newPeers, fullView, n.speeds.Updates(n.now(), true), n.quarantineSnapshot())
 	}
 	n.mergeDrainedHalls(senderOf(h), h.Evacuations)
 	n.mergeRollouts(h)
--- a/cmd/node/node.go
+++ b/cmd/node/node.go
@@ -24,6 +24,7 @@
 	"quinceroad/cmd/node/origins"
 	"quinceroad/cmd/node/peersync"
 	"quinceroad/cmd/node/slotlease"
+	"quinceroad/cmd/node/speeds"
 	"quinceroad/cmd/node/triallease"
 	"quinceroad/cmd/process"
 	"quinceroad/coordination/balancer"
@@ -82,7 +83,7 @@
 	gossipMu sync.Mutex // guards members
 	members  *gossip.View
 
-	speeds engineSpeeds // has its own lock
+	speeds speeds.Table // has its own lock
 
 	warmUp   *warmUpLimiter // has its own lock, which is acquired last
 	rollouts *rollouts      // has its own lock, which is acquired last
--- a/cmd/node/speeds.go
+++ b/cmd/node/speeds.go
@@ -1,7 +1,6 @@
 package node
 
 import (
-	"sync"
 	"time"
 
 	metrics "github.com/rcrowley/go-metrics"
@@ -11,12 +10,6 @@
 	"quinceroad/protocol/pb"
 )
 
-// engineSpeeds holds the engine speeds that this instance and its peers have observed.
-type engineSpeeds struct {
-	mu      sync.Mutex
-	records speed.Records
-}
-
 // cellSpeed is the speed of a service's engines that a cell has observed.
 type cellSpeed struct {
 	origin  uint32
@@ -30,10 +23,7 @@
 func (n *Node) recordLocalSpeeds() {
 	now := n.now()
 	for _, o := range n.localSpeeds() {
-		n.speeds.mu.Lock()
-		changed := n.speeds.records.RecordLocal(now, o.origin, o.service, o.figures)
-		n.speeds.mu.Unlock()
-		if !changed {
+		if !n.speeds.RecordLocal(now, o.origin, o.service, o.figures) {
 			continue
 		}
 		n.updateSpeedGauges(o.service, &o.figures)
@@ -77,18 +67,7 @@
 // mergeSpeeds merges the speeds received from a peer, and seeds those of this instance's
 // cells that have few observations.
 func (n *Node) mergeSpeeds(received []*pb.EngineSpeed) {
-	now := n.now()
-	updated := make(map[string]speed.Estimate)
-	n.speeds.mu.Lock()
-	for _, p := range received {
-		if !n.speeds.records.Merge(now, decodeSpeed(p)) {
-			continue
-		}
-		if f, ok := n.speeds.records.Combined(now, p.Service); ok {
-			updated[p.Service] = f
-		}
-	}
-	n.speeds.mu.Unlock()
+	updated := n.speeds.Merge(n.now(), received)
 	if len(updated) == 0 {
 		return
 	}
@@ -104,13 +83,11 @@
 	if snap.config == nil {
 		return out
 	}
-	n.speeds.mu.Lock()
-	defer n.speeds.mu.Unlock()
 	for name, s := range snap.config.Services {
 		if s.Engine == nil {
 			continue
 		}
-		if f, ok := n.speeds.records.Combined(now, name); ok {
+		if f, ok := n.speeds.Combined(now, name); ok {
 			out[name] = f
 		}
 	}
@@ -129,44 +106,3 @@
 		}
 	}
 }
-
-// speedUpdates returns the speeds for one round of heartbeats, or all of them, for an
-// instance that has just started.
-func (n *Node) speedUpdates(all bool) []*pb.EngineSpeed {
-	n.speeds.mu.Lock()
-	defer n.speeds.mu.Unlock()
-	records := n.speeds.records.Snapshot(n.now())
-	if !all {
-		records = n.speeds.records.Updates(n.now())
-	}
-	out := make([]*pb.EngineSpeed, 0, len(records))
-	for _, r := range records {
-		out = append(out, encodeSpeed(&r))
-	}
-	return out
-}
-
-func encodeSpeed(r *speed.Record) *pb.EngineSpeed {
-	f := &r.Estimate
-	return &pb.EngineSpeed{
-		Service: r.Service, Origin: r.Origin, Count: uint32(f.Count), AgeS: uint32(r.Age.Seconds()),
-		BaseUs: uint32(f.Median.Base.Microseconds()), TokenNs: uint32(f.Median.PerToken),
-		LikelyBaseUs: uint32(f.UpperBound.Base.Microseconds()), LikelyTokenNs: uint32(f.UpperBound.PerToken),
-		OutUs: uint32(f.PerOutputToken.Microseconds()), Longest: uint32(f.LongestPrompt),
-	}
-}
-
-func decodeSpeed(p *pb.EngineSpeed) speed.Record {
-	return speed.Record{
-		Service: p.Service, Origin: p.Origin, Age: time.Duration(p.AgeS) * time.Second,
-		Estimate: speed.Estimate{
-			Median:         speed.Line{Base: micros(p.BaseUs), PerToken: time.Duration(p.TokenNs)},
-			UpperBound:     speed.Line{Base: micros(p.LikelyBaseUs), PerToken: time.Duration(p.LikelyTokenNs)},
-			PerOutputToken: micros(p.OutUs),
-			LongestPrompt:  int(p.Longest),
-			Count:          int(p.Count),
-		},
-	}
-}
-
-func micros(n uint32) time.Duration { return time.Duration(n) * time.Microsecond }
--- a/cmd/node/speeds_test.go
+++ b/cmd/node/speeds_test.go
@@ -9,6 +9,7 @@
 	"github.com/matryer/is"
 	"google.golang.org/protobuf/proto"
 
+	"quinceroad/cmd/node/speeds"
 	"quinceroad/coordination/listing"
 	"quinceroad/coordination/regions"
 	"quinceroad/coordination/speed"
@@ -35,7 +36,7 @@
 // announcedSpeeds returns the speeds of a node's heartbeat after encoding and decoding.
 func announcedSpeeds(t *testing.T, n *Node) []*pb.EngineSpeed {
 	t.Helper()
-	b, err := proto.Marshal(&pb.Heartbeat{Speeds: n.speedUpdates(false)})
+	b, err := proto.Marshal(&pb.Heartbeat{Speeds: n.speeds.Updates(n.now(), false)})
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -83,10 +84,10 @@
 	f := speed.Prior(9 * time.Microsecond)
 	f.Count, f.LongestPrompt = 5000, 50_000
 	for i := range uint32(100) {
-		n.mergeSpeeds([]*pb.EngineSpeed{encodeSpeed(&speed.Record{Origin: i * 1e7, Service: fmt.Sprint("service-", i%3), Estimate: f})})
+		n.mergeSpeeds([]*pb.EngineSpeed{speeds.Encode(&speed.Record{Origin: i * 1e7, Service: fmt.Sprint("service-", i%3), Estimate: f})})
 	}
 	for range 50 {
-		is.True(proto.Size(&pb.Heartbeat{Speeds: n.speedUpdates(false)}) < 200)
+		is.True(proto.Size(&pb.Heartbeat{Speeds: n.speeds.Updates(n.now(), false)}) < 200)
 	}
-	is.True(proto.Size(&pb.Heartbeat{Speeds: n.speedUpdates(true)}) < 200)
+	is.True(proto.Size(&pb.Heartbeat{Speeds: n.speeds.Updates(n.now(), true)}) < 200)
 }
