--- a/coordination/advisory/advisory.go
+++ b/coordination/advisory/advisory.go
@@ -251,7 +251,7 @@
 		switch {
 		case r.isListed:
 			r.listedAt = now
-			if !r.draining && !r.backingOff && r.ramp == nil && r.window() == nil {
+			if !r.draining && !r.backingOff && r.ramp == nil && r.window() == nil && r.grantor.isOver(now) {
 				delete(t.entries, incarnation)
 			}
 		case now-r.listedAt > t.opts.UnlistedRetention:
--- a/coordination/advisory/grantors.go
+++ b/coordination/advisory/grantors.go
@@ -1,6 +1,9 @@
 package advisory
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // Grantors is the number of instances that a sender asks for a slot lease of a replica: the
 // grantor, and if that doesn't answer, its deputy.
@@ -32,6 +35,11 @@
 	return now >= g.deniedUntil, max(now, g.deniedUntil), true
 }
 
+// isOver reports whether nothing that is known holds on.
+func (g *grantorState) isOver(now time.Duration) bool {
+	return now >= g.deniedUntil && now >= slices.Max(g.lostUntil[:])
+}
+
 // NextGrantor returns the rank of the grantor to ask for a lease of a replica, or false if
 // none can be asked now.
 func (t *Tracker) NextGrantor(now time.Duration, incarnation string) (rank int, ok bool) {
--- a/coordination/advisory/slot_leases_test.go
+++ b/coordination/advisory/slot_leases_test.go
@@ -277,7 +277,11 @@
 	ok, from := tr.CanSend(0, "r")
 	is.True(!ok)
 	is.Equal(from, second)
+	tr.Expire(second-1, all)
+	is.True(!canSend(tr, second-1, "r")) // the sweep has not forgotten it
 	is.True(canSend(tr, second, "r"))
+	tr.Expire(second, all)
+	is.Equal(len(tr.entries), 0)
 	tr.RecordNoLeases(second, "r", 2*second)
 	_, ok = tr.NextGrantor(second, "r")
 	is.True(!ok)
