A lease that was not used is not taken for a request

Cause, found by reading: a lease that ended before anything was sent (no connection, a drain heard meanwhile, a wait that ended) counted as a request answered within no time: the mean time of requests fell, and with it the waits that are foretold and the hold of abandoned slots.

Change: an end of its own, LeaseUnused (field unused of SlotEnd). TestUnusedLeaseIsNotMeasured does not compile on the code before; by the code the measured time would have been 45 ms for 50 ms after one of them.

--- a/cmd/node/attempt.go
+++ b/cmd/node/attempt.go
@@ -64,7 +64,7 @@
 	if err != nil {
 		return err
 	}
-	slotEnd := advisory.LeaseCompleted // nothing has been sent
+	slotEnd := advisory.LeaseUnused
 	defer func() { lease.End(slotEnd) }()
 	conn, err := n.connectReplica(ctx, targetOf(&r), replicaConnectTimeout)
 	if err != nil {
--- a/cmd/node/replica_calls.go
+++ b/cmd/node/replica_calls.go
@@ -148,7 +148,7 @@
 	if err != nil {
 		return 0, platform.ResponseHead{}, nil, err
 	}
-	slotEnd := advisory.LeaseCompleted // nothing has been sent
+	slotEnd := advisory.LeaseUnused
 	defer func() { lease.End(slotEnd) }()
 	target := replicaTarget{id: c.source.incarnation, service: c.source.service, address: c.address}
 	cn, err := n.connectReplica(ctx, target, callConnectTimeout)
--- a/cmd/node/slotlease/serve.go
+++ b/cmd/node/slotlease/serve.go
@@ -84,6 +84,8 @@
 		return advisory.LeaseAbandoned
 	case end.Refused:
 		return advisory.LeaseRefused
+	case end.Unused:
+		return advisory.LeaseUnused
 	}
 	return advisory.LeaseCompleted
 }
@@ -113,5 +115,5 @@
 }
 
 func encodeEnd(how advisory.LeaseEnd) *pb.SlotEnd {
-	return &pb.SlotEnd{Refused: how == advisory.LeaseRefused, Abandoned: how == advisory.LeaseAbandoned}
+	return &pb.SlotEnd{Refused: how == advisory.LeaseRefused, Abandoned: how == advisory.LeaseAbandoned, Unused: how == advisory.LeaseUnused}
 }
--- a/cmd/node/slotlease/slotlease.go
+++ b/cmd/node/slotlease/slotlease.go
@@ -220,7 +220,7 @@
 		return true
 	}
 	delete(s.waiting, id)
-	s.leases.Release(s.opts.Now(), incarnation, id, advisory.LeaseCompleted)
+	s.leases.Release(s.opts.Now(), incarnation, id, advisory.LeaseUnused)
 	return false
 }
 
--- a/coordination/advisory/leased_fleet_test.go
+++ b/coordination/advisory/leased_fleet_test.go
@@ -243,7 +243,7 @@
 	t, s := m.trackers[sender], m.states[r]
 	if name != m.name(r) || m.now < s.downUntil { // the replica has fallen over since
 		t.End(a)
-		release(LeaseCompleted)
+		release(LeaseUnused)
 		return
 	}
 	if len(s.running) >= m.room(m.now) {
--- a/coordination/advisory/slot_leases.go
+++ b/coordination/advisory/slot_leases.go
@@ -101,9 +101,10 @@
 
 // The possible ends.
 const (
-	LeaseCompleted LeaseEnd = iota // the whole answer has arrived, or nothing was sent
+	LeaseCompleted LeaseEnd = iota // the whole answer has arrived
 	LeaseRefused                   // the replica refused the request for want of room
 	LeaseAbandoned                 // the replica may still work on the request
+	LeaseUnused                    // nothing was sent
 )
 
 // NewSlotLeases returns an empty table.
@@ -236,16 +237,16 @@
 		r.queue = slices.DeleteFunc(r.queue, func(q queuedAsk) bool { return q.id == id })
 		return
 	}
-	if end == LeaseAbandoned {
+	r.window.inFlight = len(r.leases)
+	switch end {
+	case LeaseAbandoned:
 		lease.expiresAt = min(lease.expiresAt, now+l.abandonedHold(r))
 		r.leases[id] = lease
 		r.nextExpiry = min(r.nextExpiry, lease.expiresAt)
 		return
-	}
-	r.window.inFlight = len(r.leases)
-	if end == LeaseRefused {
+	case LeaseRefused:
 		r.window.recordRefusal(now)
-	} else {
+	case LeaseCompleted:
 		r.window.recordAnswer(now)
 		r.window.recordHold(now - lease.grantedAt)
 	}
--- a/coordination/advisory/slot_leases_test.go
+++ b/coordination/advisory/slot_leases_test.go
@@ -102,6 +102,20 @@
 	is.True(l.Ask(now+200*time.Millisecond, slotAsk(1)).Granted)
 }
 
+// A lease that was not used says nothing of how long requests take.
+func TestUnusedLeaseIsNotMeasured(t *testing.T) {
+	is := is.New(t)
+	l, now := settledLeases(2)
+	ids, _ := grantAll(l, now, slotAsk(2))
+	l.Release(now+50*time.Millisecond, "r", ids[0], LeaseCompleted)
+	l.Release(now+50*time.Millisecond, "r", ids[1], LeaseUnused)
+	now += 50 * time.Millisecond
+	ids, _ = grantAll(l, now, slotAsk(2))
+	is.Equal(len(ids), 2)
+	l.Release(now, "r", ids[0], LeaseUnused)
+	is.Equal(l.replicas["r"].window.holdTime, 50*time.Millisecond)
+}
+
 // A holder that is gone without a word keeps its slot until the lease expires.
 func TestLeaseExpires(t *testing.T) {
 	is := is.New(t)
