--- a/coordination/advisory/brittle.go
+++ b/coordination/advisory/brittle.go
@@ -40,7 +40,7 @@
 	slots     int // requests that one of its replicas runs at a time; 0: unknown
 	hasEnded  bool
 
-	holdTime time.Duration // mean time for which a request holds a slot; 0: not measured
+	holdTime time.Duration // mean time for which a request holds a slot; 0: none has ended yet
 	pace     safePace
 	hasBegun bool // a window has been opened
 }
@@ -99,8 +99,8 @@
 	budget    float64       // refusals that may still happen now; negative after too many
 	updatedAt time.Duration // when budget was updated
 
-	nextSend  time.Duration // no request before this time
-	isGuarded bool          // other instances may use all slots, with leases
+	nextSend     time.Duration // no request before this time
+	besideLeases bool          // other instances may use all slots, with leases
 }
 
 // resize sets the number of slots that the window has for itself. What refusals have taken
@@ -196,12 +196,12 @@
 	}
 	r := t.entry(now, incarnation)
 	if w := r.window(); w != nil {
-		w.isGuarded = r.grantor.isKnown
+		w.besideLeases = r.grantor.isKnown
 		return w
 	}
 	r.brittle = newBrittleWindow(now, s)
-	r.brittle.isGuarded = r.grantor.isKnown
-	if s.hasBegun || r.brittle.isGuarded {
+	r.brittle.besideLeases = r.grantor.isKnown
+	if s.hasBegun || r.brittle.besideLeases {
 		r.brittle.nextSend = now + time.Duration(s.opts.Random()*float64(r.brittle.interval()))
 	}
 	s.hasBegun = true
@@ -234,7 +234,7 @@
 // others may use all slots, each request is one that may be refused.
 func (w *brittleWindow) interval() time.Duration {
 	switch {
-	case w.isGuarded:
+	case w.besideLeases:
 		return w.intervalAt(affordableRefusals(w.tolerated))
 	case w.isOversubscribed():
 		return w.safeInterval()
--- a/coordination/advisory/slot_leases.go
+++ b/coordination/advisory/slot_leases.go
@@ -70,9 +70,12 @@
 	Incarnation string
 	Tolerated   float64       // refusals per second that the replica survives
 	Slots       int           // requests that the replica runs at a time
-	Share       float64       // fraction of the slots that this grantor may lease, so that the two sides of a partition don't lease all of them twice; at least one slot is leased
 	Hold        time.Duration // longest time for which the sender needs the slot
 	MaxWait     time.Duration // for which the sender would wait for a slot
+
+	// Share is the fraction of the slots that this grantor may lease, one slot at least. It
+	// keeps the two sides of a partition from leasing all slots twice.
+	Share float64
 }
 
 // SlotReply is the answer to a SlotAsk. One that is neither granted nor queued is denied.
@@ -122,7 +125,7 @@
 		r.grant(now, queuedAsk{id: l.lastID, hold: ask.Hold})
 		return SlotReply{ID: l.lastID, Granted: true}
 	}
-	wait := max(from-now, 0) + time.Duration(len(r.queue)+1)*r.turn()
+	wait := max(from-now, 0) + time.Duration(len(r.queue)+1)*r.slotInterval()
 	if wait > ask.MaxWait {
 		return SlotReply{Wait: max(wait-ask.MaxWait, r.reserveAsk(now, l.opts.MaxDenial))}
 	}
@@ -154,7 +157,7 @@
 
 // admits reports whether a replica has a free slot, and if not, from when on it may have one.
 func (l *SlotLeases) admits(now time.Duration, r *leasedReplica) (ok bool, from time.Duration) {
-	r.window.inFlight = len(r.leases) + r.unknown(now, l.opts.TakeoverTime)
+	r.window.inFlight = len(r.leases) + r.unaccounted(now, l.opts.TakeoverTime)
 	return r.window.admits(now)
 }
 
@@ -167,8 +170,8 @@
 	r.leases[ask.id] = slotLease{grantedAt: now, expiresAt: expiresAt}
 }
 
-// turn returns the mean time between two slots that become free.
-func (r *leasedReplica) turn() time.Duration {
+// slotInterval returns the mean time between two slots that become free.
+func (r *leasedReplica) slotInterval() time.Duration {
 	return r.window.expectedHold() / time.Duration(r.window.size)
 }
 
@@ -182,7 +185,7 @@
 		l.replicas[ask.Incarnation] = r
 	}
 	if added := slots - r.window.slots; added > 0 {
-		r.taken, r.takenAt = r.unknown(now, l.opts.TakeoverTime)+added, now
+		r.taken, r.takenAt = r.unaccounted(now, l.opts.TakeoverTime)+added, now
 	}
 	r.window.resize(slots)
 	r.window.tolerated = ask.Tolerated
@@ -190,9 +193,9 @@
 	return r
 }
 
-// unknown returns how many slots may still be in use by requests without a lease of this
+// unaccounted returns how many slots may still be in use by requests without a lease of this
 // grantor.
-func (r *leasedReplica) unknown(now, takeoverTime time.Duration) int {
+func (r *leasedReplica) unaccounted(now, takeoverTime time.Duration) int {
 	left := r.takenAt + takeoverTime - now
 	if left <= 0 {
 		return 0
@@ -221,7 +224,7 @@
 // reserveAsk returns after how long a denied sender may ask again. Denied senders come back
 // one after the other, as slots become free.
 func (r *leasedReplica) reserveAsk(now, maxDenial time.Duration) time.Duration {
-	r.nextAsk = max(r.nextAsk, now) + r.turn()
+	r.nextAsk = max(r.nextAsk, now) + r.slotInterval()
 	r.nextAsk = min(r.nextAsk, now+maxDenial)
 	return r.nextAsk - now
 }
