A grantor that answers late is slow, not lost (TestBrittleReplicasOfManySenders)

What callers would see: on a busy machine a grantor's answer takes more than 150 ms; it was taken for lost, its deputy was as busy, and for 300 ms all requests of that instance to that replica were turned away.

Change: 300 ms for an answer, and an instance that has answered within a second is slow: the request is denied and the next one asks again. A refused or broken connection is a loss at once, as before.

--- a/cmd/node/slotlease/remote.go
+++ b/cmd/node/slotlease/remote.go
@@ -12,9 +12,14 @@
 )
 
 const (
-	askTimeout = 150 * time.Millisecond // for a grantor to answer, which it does at once
+	// askTimeout is the timeout for a grantor to answer. It does so at once, but its machine may
+	// be busy.
+	askTimeout = 300 * time.Millisecond
 	// deputyTimeout is askTimeout for a deputy, which may have to wait for the grantor.
 	deputyTimeout = 2 * askTimeout
+	// slowGrace is the time after an answer in which an instance that doesn't answer counts as
+	// slow rather than lost. It is well below the time in which a loss becomes known.
+	slowGrace = time.Second
 )
 
 // answer is the last reply to a request for a lease, and its stream.
@@ -35,19 +40,41 @@
 	answers := make(chan answer, 1)
 	go func() { // opening a link takes longer than the timeout where the peer is gone
 		answers <- s.request(ctx, grantor.PeerAddress, ask, func() {
+			s.recordAnswer(grantor.Name)
 			timer.Reset(timeout + time.Duration(ask.MaxWaitUs)*time.Microsecond)
 			queued()
 		})
 	}()
 	select {
 	case a := <-answers:
+		if a.err == nil {
+			s.recordAnswer(grantor.Name)
+		}
 		return a.lease()
 	case <-ctx.Done():
-		go closeLate(answers)
+		go s.closeLate(grantor.Name, answers)
+		if s.hasAnsweredLately(grantor.Name) {
+			return nil, 0, ErrSlow
+		}
 		return nil, 0, context.DeadlineExceeded
 	}
 }
 
+func (s *Service) recordAnswer(grantor string) {
+	now := s.opts.Now()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.answeredAt[grantor] = now
+}
+
+func (s *Service) hasAnsweredLately(grantor string) bool {
+	now := s.opts.Now()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	at, ok := s.answeredAt[grantor]
+	return ok && now-at < slowGrace
+}
+
 // lease returns the lease that was granted, or the time after which to ask again.
 func (a answer) lease() (lease *Lease, wait time.Duration, err error) {
 	switch {
@@ -63,9 +90,10 @@
 	return nil, max(time.Duration(a.reply.WaitUs)*time.Microsecond, 0), nil
 }
 
-// closeLate closes the stream of an answer that nobody waits for.
-func closeLate(answers <-chan answer) {
+// closeLate closes the stream of an answer that nobody waits for any more.
+func (s *Service) closeLate(grantor string, answers <-chan answer) {
 	if a := <-answers; a.err == nil {
+		s.recordAnswer(grantor)
 		_ = a.stream.Close()
 	}
 }
--- a/cmd/node/slotlease/slotlease.go
+++ b/cmd/node/slotlease/slotlease.go
@@ -14,6 +14,7 @@
 import (
 	"context"
 	"errors"
+	"maps"
 	"net"
 	"sync"
 	"time"
@@ -35,6 +36,7 @@
 var (
 	ErrNoGrantor = errors.New("no such grantor of the replica's slots")      // none of that rank is alive
 	ErrElsewhere = errors.New("another instance leases the replica's slots") // as the one that was asked sees it
+	ErrSlow      = errors.New("the grantor of the replica's slots is slow")  // it has answered lately, but not this time
 )
 
 // Peers opens streams to other instances.
@@ -66,6 +68,8 @@
 	waiting map[advisory.LeaseID]chan struct{} // closed when the lease is granted
 	peak    livePeak
 
+	answeredAt map[string]time.Duration // by instance: when it last answered a request for a lease
+
 	granted, denied, forwarded metrics.Counter
 }
 
@@ -75,9 +79,12 @@
 		return metrics.NewRegisteredCounter("node.slots."+name, o.Registry)
 	}
 	return &Service{
-		opts:      o,
-		leases:    advisory.NewSlotLeases(advisory.DefaultSlotLeaseOptions()),
-		waiting:   make(map[advisory.LeaseID]chan struct{}),
+		opts:    o,
+		leases:  advisory.NewSlotLeases(advisory.DefaultSlotLeaseOptions()),
+		waiting: make(map[advisory.LeaseID]chan struct{}),
+
+		answeredAt: make(map[string]time.Duration),
+
 		granted:   counter("issued"),    // leases that this instance issued as grantor
 		denied:    counter("denied"),    // those asked for while no slot was free
 		forwarded: counter("forwarded"), // those that it asked the grantor for in place of a peer
@@ -141,6 +148,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.peak.observe(now, live)
+	maps.DeleteFunc(s.answeredAt, func(_ string, at time.Duration) bool { return now-at >= slowGrace })
 	s.leases.Expire(now, func(incarnation string) bool { return isGrantor[incarnation] })
 }
 
--- a/cmd/node/slots.go
+++ b/cmd/node/slots.go
@@ -66,6 +66,9 @@
 		case errors.Is(err, frame.ErrUnknownKind): // a build without leases
 			a.withTracker(func(t *advisory.Tracker) { t.RecordNoLeases(now, r.ID, now+grantorLostDelay) })
 			return nil, nil
+		case errors.Is(err, slotlease.ErrSlow): // another request may be luckier
+			a.withTracker(func(t *advisory.Tracker) { t.RecordLeaseDenied(now, r.ID, now+backoffPollInterval) })
+			return nil, &slotDenial{wait: backoffPollInterval}
 		default:
 			n.logSideCallFailure("slot lease", r.ID, err)
 			a.withTracker(func(t *advisory.Tracker) { t.RecordGrantorLost(now, r.ID, rank, now+grantorLostDelay) })
