Logs name the parts of prompts, and whether an answer stated its end

Change: field parts (hashes of the shared parts, at most 64), field framed. A part's hash leaves out the customer.

--- a/cmd/node/attempt.go
+++ b/cmd/node/attempt.go
@@ -180,8 +180,8 @@
 	kind := a.endingKind(ctx, err)
 	suspended := n.clock.TotalSuspended() != a.suspendedBefore
 	if err != nil {
-		event.NodeAttemptFailed.Log(n.log, "request", a.req.ID, "fingerprint", a.fingerprint, "replica", a.replica.ID, "why", err,
-			"took", took, "kept", a.conn.IsReused(), "last_event", a.stream.lastEventID, "chosen", a.chosenBy, "rest", a.head.Backoff, "leaves", a.head.Draining, "through", a.conn.RelayedBy(), "build", a.replica.Version)
+		event.NodeAttemptFailed.Log(n.log, "request", a.req.ID, "fingerprint", a.fingerprint, "parts", a.parts, "replica", a.replica.ID, "why", err,
+			"took", took, "framed", a.isAnswerFramed(), "kept", a.conn.IsReused(), "last_event", a.stream.lastEventID, "chosen", a.chosenBy, "rest", a.head.Backoff, "leaves", a.head.Draining, "through", a.conn.RelayedBy(), "build", a.replica.Version)
 	}
 	n.detectorMu.Lock()
 	if err == nil && !suspended {
@@ -252,6 +252,10 @@
 	return a.forwardAnswer(timer)
 }
 
+// isAnswerFramed reports whether the answer's head, if it arrived, states how the answer ends: by
+// a length or chunks.
+func (a *attempt) isAnswerFramed() bool { return a.exchange == nil || a.exchange.IsFramed() }
+
 // abort ends the attempt with this instance's own reason. The first reason wins.
 func (a *attempt) abort(why error) {
 	a.abortReason.CompareAndSwap(nil, &why)
--- a/cmd/node/request_end.go
+++ b/cmd/node/request_end.go
@@ -77,7 +77,7 @@
 	if err != nil {
 		why = err.Error()
 	}
-	event.NodeRequest.Log(s.node.log, "request", s.req.ID, "customer", boundedCustomerName(s.customer), "fingerprint", s.fingerprint, "route", s.route.Name, "rank", s.route.Priority, "why", why,
+	event.NodeRequest.Log(s.node.log, "request", s.req.ID, "customer", boundedCustomerName(s.customer), "fingerprint", s.fingerprint, "parts", s.parts, "route", s.route.Name, "rank", s.route.Priority, "why", why,
 		"objective", s.route.Objective, "deadline", s.req.Timeout, "version", s.snapshot.config.Version, "owner", s.lastOwner,
 		"attempts", len(s.tried), "replica", s.lastReplica, "took", s.elapsed(), "staged", s.stagesDuration, "expected", s.forecast.stages,
 		"engine_expected", s.forecast.engine, "reads", s.forecast.prefillTokens, "moves", s.forecast.transferTokens,
--- a/cmd/node/request_handler.go
+++ b/cmd/node/request_handler.go
@@ -59,10 +59,11 @@
 	customer    string
 	rank        int
 	record      *outcome.Record
-	deadline    time.Duration          // time at which the answer is due, by the process's clock
-	probe       *livenessProbe         // probe of the last attempt's replica; nil: none
-	trial       *triallease.Lease      // trial lease of a suspect request; nil: none
-	fingerprint quarantine.Fingerprint // identifies the request across a caller's retries
+	deadline    time.Duration            // time at which the answer is due, by the process's clock
+	probe       *livenessProbe           // probe of the last attempt's replica; nil: none
+	trial       *triallease.Lease        // trial lease of a suspect request; nil: none
+	fingerprint quarantine.Fingerprint   // identifies the request across a caller's retries
+	parts       []quarantine.Fingerprint // of the prompt parts that it shares with other requests
 
 	job                 *stageJob
 	tried               map[string]bool // replicas that may have run the request
@@ -162,6 +163,9 @@
 	}
 	s.deadline = req.ArrivedAt + s.timeLimit()
 	s.fingerprint = quarantine.FingerprintOf(s.customer, req.Method, req.Host, req.Target, req.Body)
+	if s.service.Engine != nil {
+		s.parts = quarantine.PartFingerprints(s.service.Name, req.SharedPrefix())
+	}
 	s.withServiceRates(func(r *serviceRates) { r.budget.RecordSuccess() })
 	return s, nil
 }
--- a/coordination/quarantine/fingerprint.go
+++ b/coordination/quarantine/fingerprint.go
@@ -3,13 +3,17 @@
 import (
 	"crypto/sha256"
 	"encoding/binary"
+	"slices"
 	"strconv"
+	"strings"
+
+	"github.com/cespare/xxhash/v2"
+
+	"quinceroad/state/catalog"
 )
 
-// Fingerprint identifies a request by the parts that stay the same when a caller
-// repeats it: customer, method, host, target and body. It is a truncated
-// cryptographic hash, which prevents callers from forging a request that is
-// mistaken for another customer's.
+// Fingerprint identifies a feature of requests: a whole request as its caller repeats it, or
+// a part of prompts. The fingerprints of different features do not collide in practice.
 type Fingerprint uint64
 
 // String returns the hexadecimal form used in logs and by operators.
@@ -21,9 +25,11 @@
 	return Fingerprint(v), err
 }
 
-// FingerprintOf returns the fingerprint of a customer's request; target is its path
-// and query. Parts that differ between attempts, like ids, deadlines and the offset
-// from which a stream resumes, are not included.
+// FingerprintOf returns the fingerprint of a customer's whole request by what stays the same
+// when its caller repeats it; target is its path and query. What differs between attempts, like
+// ids, deadlines and the offset from which a stream resumes, is not included. It is a truncated
+// cryptographic hash, which prevents callers from forging a request that is mistaken for
+// another customer's.
 func FingerprintOf(customer, method, host, target string, body []byte) Fingerprint {
 	h := sha256.New()
 	for _, part := range []string{customer, method, host, target} {
@@ -35,3 +41,31 @@
 	h.Write(body)
 	return Fingerprint(binary.BigEndian.Uint64(h.Sum(nil)))
 }
+
+// maxPartsPerRequest bounds the parts of one prompt that are tracked. Prompts have a few parts;
+// a caller can list a thousand.
+const maxPartsPerRequest = 64
+
+// PartFingerprints returns the fingerprints of the parts that a request to a service shares
+// with others, each once: all but the last part of its prompt, which is its own. The customer
+// is not included, as a part crashes replicas whoever sends it.
+func PartFingerprints(service string, shared []catalog.PromptPart) []Fingerprint {
+	var out []Fingerprint
+	for _, p := range shared {
+		if len(out) == maxPartsPerRequest {
+			break
+		}
+		if f := partFingerprint(service, p.ID); !slices.Contains(out, f) {
+			out = append(out, f)
+		}
+	}
+	return out
+}
+
+// partFingerprint needs no cryptographic hash: a caller that wants to be taken for a user of
+// another's part can name that part itself.
+func partFingerprint(service, id string) Fingerprint {
+	h := xxhash.New()
+	_, _ = h.WriteString("part\x00" + service + "\x00" + strings.ToLower(id))
+	return Fingerprint(h.Sum64())
+}
--- a/transport/upstream/exchange.go
+++ b/transport/upstream/exchange.go
@@ -130,7 +130,14 @@
 	return n, io.EOF
 }
 
-// IsComplete reports whether the complete body was read.
+// IsFramed reports whether the head states where the body ends, by its length or by chunks. A
+// body that is not framed ends with the connection, and looks the same if that breaks.
+func (x *Exchange) IsFramed() bool {
+	return x.noBody || x.Header.ContentLength() != lengthUnknown
+}
+
+// IsComplete reports whether the body was read to its end. Of one that is not framed, the end
+// may be that of a broken connection.
 func (x *Exchange) IsComplete() bool { return x.complete }
 
 // Release ends the exchange. The connection is kept open for reuse for idle if
