--- a/cmd/node/answer.go
+++ b/cmd/node/answer.go
@@ -38,6 +38,7 @@
 		return a.abortReasonOr(errAnswerBroken)
 	}
 	timer.Stop()
+	a.answerBegan.Store(len(body) > 0)
 	if status >= http.StatusInternalServerError && a.shouldRetryFailure() {
 		return errReplicaFailed
 	}
--- a/cmd/node/attempt.go
+++ b/cmd/node/attempt.go
@@ -13,6 +13,7 @@
 	"quinceroad/coordination/balancer"
 	"quinceroad/coordination/health"
 	"quinceroad/coordination/outcome"
+	"quinceroad/coordination/quarantine"
 	"quinceroad/coordination/regions"
 	"quinceroad/coordination/sendresult"
 	"quinceroad/platform"
@@ -50,6 +51,7 @@
 	sentAt          time.Duration
 	suspendedBefore time.Duration // total time that the machine was suspended before the send
 	answerStartedAt time.Duration // arrival of the answer, or of a stream's first event; 0: not yet
+	answerBegan     atomic.Bool   // its body, or a stream's first event, has arrived
 }
 
 // attempt sends the request to a replica and forwards the answer. It returns nil
@@ -106,7 +108,7 @@
 	n.detectorMu.Lock()
 	n.loads.Begin(r.ID)
 	n.detectorMu.Unlock()
-	if n.crashCount(s.fingerprint) > 0 {
+	if n.judge(s.features()).Verdict != quarantine.Unsuspected {
 		defer n.trackSuspect(s.fingerprint, r.ID)()
 	}
 	err = a.sendAndReceive(ctx, fetchFrom)
@@ -158,7 +160,7 @@
 		return sendresult.Failed
 	case errors.Is(err, errReplicaTimeout):
 		return sendresult.ResponseTimeout
-	case errors.Is(err, errClientGone):
+	case errors.Is(err, errClientGone), errors.Is(err, errQuarantined):
 		return sendresult.ClientGone
 	case isDone(ctx):
 		return sendresult.DeadlineExceeded
@@ -209,10 +211,11 @@
 	}
 	switch evidence.Request {
 	case sendresult.RequestCleared:
-		n.recordCompleteAnswer(a.fingerprint)
+		a.recordWholeAnswer()
 	case sendresult.RequestBlamed:
-		n.recordAbandonedRequest(a.replica.ID, a.sentAt, a.fingerprint)
+		n.recordAbandonedRequest(a.replica.ID, a.sentAt, a.features(), a.heldTrials())
 	case sendresult.RequestProbe:
+		n.recordBrokenParts(a.replica.ID, a.sentAt, a.parts, a.heldTrials())
 		a.probe = n.recordBrokenAnswers(&a.replica, a.sentAt, a.fingerprint)
 	}
 	a.recordRollout(kind, suspended, took)
@@ -229,6 +232,9 @@
 	stop := context.AfterFunc(ctx, a.conn.Close)
 	defer stop()
 	defer a.node.activeRequests.add(a.replica.ID, func() { a.abort(errReplicaRestarted) })()
+	for _, f := range a.parts {
+		defer a.node.requestsByFeature.add(f.String(), a.abortQuarantined)()
+	}
 	timer := a.startTimeout()
 	defer timer.Stop()
 
@@ -262,6 +268,14 @@
 	a.conn.Close()
 }
 
+// abortQuarantined aborts the attempt because the request has become quarantined, unless its
+// answer has begun or it is what tells its parts apart.
+func (a *attempt) abortQuarantined() {
+	if !a.answerBegan.Load() && a.node.judge(a.features()).Verdict == quarantine.Quarantined {
+		a.abort(errQuarantined)
+	}
+}
+
 // abortReasonOr returns this instance's reason to abort the attempt, or else the
 // apparent error.
 func (a *attempt) abortReasonOr(apparent error) error {
@@ -367,3 +381,13 @@
 	}
 	return false
 }
+
+// recordWholeAnswer records what a complete answer shows: the request did not crash its
+// replica, and if the replica wrote on the prompt and certainly ended, its parts don't either.
+func (a *attempt) recordWholeAnswer() {
+	var sound []quarantine.Fingerprint
+	if a.answerBegan.Load() && a.exchange.Header.StatusCode() < http.StatusMultipleChoices {
+		sound = a.parts
+	}
+	a.node.recordCompleteAnswer(a.fingerprint, sound)
+}
--- a/cmd/node/counters.go
+++ b/cmd/node/counters.go
@@ -43,6 +43,7 @@
 	replicaProbes       metrics.Counter // liveness probes of replicas
 	quarantined         metrics.Counter // requests refused because they are quarantined
 	trialsDenied        metrics.Counter // suspect requests refused because they got no trial lease
+	quarantinedInFlight metrics.Counter // requests cancelled at their replicas because they became quarantined
 	backoffs            metrics.Counter // backoffs stated by replicas
 	sendGrants          metrics.Counter // send grants obtained for replicas with a rate limit
 	sendGrantDenials    metrics.Counter // requests for send grants that were denied
@@ -95,6 +96,7 @@
 		replicaProbes:       counter("node.quarantine.looks"),
 		quarantined:         counter("node.quarantine.condemned"),
 		trialsDenied:        counter("node.quarantine.no_turn"),
+		quarantinedInFlight: counter("node.quarantine.in_flight"),
 		backoffs:            counter("node.rests"),
 		sendGrants:          counter("node.pace.turns"),
 		sendGrantDenials:    counter("node.pace.none"),
--- a/cmd/node/isolation.go
+++ b/cmd/node/isolation.go
@@ -20,7 +20,7 @@
 // to isolationTimeout for an engine without other suspects. The owner makes the choice, as
 // only it knows which requests run concurrently at an engine.
 func (s *requestHandler) isolateSuspect(ctx context.Context) {
-	if s.trial == nil || s.job == nil || s.service.Engine == nil {
+	if len(s.trials) == 0 || s.job == nil || s.service.Engine == nil {
 		return
 	}
 	if s.isEngineChoiceStale() && !s.requestNewEngine(ctx) {
@@ -38,7 +38,7 @@
 // was chosen before another replica crashed under the request.
 func (s *requestHandler) isEngineChoiceStale() bool {
 	_, usable := s.ownerChoice()
-	return !usable || s.job.crashes != s.node.crashCount(s.fingerprint)
+	return !usable || s.job.crashes != s.node.judge(s.features()).Ends
 }
 
 // hasConcurrentSuspects reports whether other suspects at the engine would make the
--- a/cmd/node/liveness_probe.go
+++ b/cmd/node/liveness_probe.go
@@ -66,10 +66,19 @@
 // its answer was complete. If the replica ends within seconds, the request may be the
 // cause: a client that sends such a request and disconnects at once must not go
 // undetected.
-func (n *Node) recordAbandonedRequest(replica string, sentAt time.Duration, f quarantine.Fingerprint) {
+func (n *Node) recordAbandonedRequest(replica string, sentAt time.Duration, r quarantine.Request, trials []quarantine.Fingerprint) {
 	incarnation := quarantine.IncarnationOf(n.quarantine.incarnationAt(replica, sentAt))
 	n.updateQuarantine(causeReplicaEnd, func(t *quarantine.Tracker, now time.Duration) []quarantine.Change {
-		return t.RecordBroken(now, f, incarnation)
+		return append(t.RecordBroken(now, r.Whole, incarnation), t.RecordBrokenParts(now, r.Parts, trials, incarnation)...)
+	})
+}
+
+// recordBrokenParts records that the answer to a request sent to a replica at sentAt has broken
+// off, for the parts of its prompt. trials are the features whose trial leases it held.
+func (n *Node) recordBrokenParts(replica string, sentAt time.Duration, parts, trials []quarantine.Fingerprint) {
+	incarnation := quarantine.IncarnationOf(n.quarantine.incarnationAt(replica, sentAt))
+	n.updateQuarantine(causeReplicaEnd, func(t *quarantine.Tracker, now time.Duration) []quarantine.Change {
+		return t.RecordBrokenParts(now, parts, trials, incarnation)
 	})
 }
 
--- a/cmd/node/node.go
+++ b/cmd/node/node.go
@@ -88,16 +88,17 @@
 	warmUp   *warmUpLimiter // has its own lock, which is acquired last
 	rollouts *rollouts      // has its own lock, which is acquired last
 
-	activeRequests *requestRegistry    // has its own lock; no other is acquired under it
-	quarantine     *quarantineTracker  // has its own lock; no other is acquired under it
-	advisories     *advisories         // has its own lock; no other is acquired under it
-	level          fleetLevel          // has its own lock; no other is acquired under it
-	customers      customers.Counts    // has its own lock; no other is acquired under it
-	heldAnswers    *eventstream.Held   // has its own lock; no other is acquired under it
-	replicaLinks   *replicaLinks       // has its own lock; no other is acquired under it
-	origins        *origins.Keeper     // has its own lock; no other is acquired under it
-	slots          *slotlease.Service  // has its own lock; no other is acquired under it
-	trials         *triallease.Service // has its own lock; no other is acquired under it
+	activeRequests    *requestRegistry    // has its own lock; no other is acquired under it
+	quarantine        *quarantineTracker  // has its own lock; no other is acquired under it
+	requestsByFeature *requestRegistry    // requests whose answers have not begun, by fingerprint of their features
+	advisories        *advisories         // has its own lock; no other is acquired under it
+	level             fleetLevel          // has its own lock; no other is acquired under it
+	customers         customers.Counts    // has its own lock; no other is acquired under it
+	heldAnswers       *eventstream.Held   // has its own lock; no other is acquired under it
+	replicaLinks      *replicaLinks       // has its own lock; no other is acquired under it
+	origins           *origins.Keeper     // has its own lock; no other is acquired under it
+	slots             *slotlease.Service  // has its own lock; no other is acquired under it
+	trials            *triallease.Service // has its own lock; no other is acquired under it
 
 	detectorMu     sync.Mutex // guards the fields up to deadlines
 	detector       *health.Detector
@@ -126,30 +127,31 @@
 func New(s *platform.Settings, log hclog.Logger, opts ...Option) *Node {
 	o := buildOptions(opts)
 	n := &Node{
-		settings:       s,
-		log:            log,
-		store:          platform.NewStore(s.StoreAddress),
-		replicaClient:  upstream.NewWithClock(o.clock).WithDialer(o.dialReplicaBy),
-		registry:       metrics.NewRegistry(),
-		clock:          o.clock,
-		regionMap:      regions.New(s.RegionByHall),
-		replicas:       newReplicaSet(),
-		drainedHalls:   evacuation.New(),
-		warmUp:         newWarmUpLimiter(s),
-		rollouts:       newRollouts(s),
-		activeRequests: newRequestRegistry(),
-		quarantine:     newQuarantineTracker(jitterOf(s.Name)),
-		advisories:     newAdvisories(),
-		heldAnswers:    eventstream.NewHeld(s.MemoryMB * bytesPerMB),
-		replicaLinks:   newReplicaLinks(s.MemoryMB),
-		storeMonitor:   newStoreMonitor(),
-		jitter:         jitterOf(s.Name),
-		detector:       health.New(health.DefaultOptions()),
-		loads:          balancer.New(),
-		rates:          make(map[string]*serviceRates),
-		deadlines:      make(longestDeadlines),
-		regionTrackers: newRegionTrackers(),
-		stopPlan:       shutdown.NewPlan(s.GracePeriod),
+		settings:          s,
+		log:               log,
+		store:             platform.NewStore(s.StoreAddress),
+		replicaClient:     upstream.NewWithClock(o.clock).WithDialer(o.dialReplicaBy),
+		registry:          metrics.NewRegistry(),
+		clock:             o.clock,
+		regionMap:         regions.New(s.RegionByHall),
+		replicas:          newReplicaSet(),
+		drainedHalls:      evacuation.New(),
+		warmUp:            newWarmUpLimiter(s),
+		rollouts:          newRollouts(s),
+		activeRequests:    newRequestRegistry(),
+		quarantine:        newQuarantineTracker(jitterOf(s.Name)),
+		requestsByFeature: newRequestRegistry(),
+		advisories:        newAdvisories(),
+		heldAnswers:       eventstream.NewHeld(s.MemoryMB * bytesPerMB),
+		replicaLinks:      newReplicaLinks(s.MemoryMB),
+		storeMonitor:      newStoreMonitor(),
+		jitter:            jitterOf(s.Name),
+		detector:          health.New(health.DefaultOptions()),
+		loads:             balancer.New(),
+		rates:             make(map[string]*serviceRates),
+		deadlines:         make(longestDeadlines),
+		regionTrackers:    newRegionTrackers(),
+		stopPlan:          shutdown.NewPlan(s.GracePeriod),
 	}
 	n.seeds.Store(&s.Seeds)
 	n.links = link.NewPool(&n.traffic)
--- a/cmd/node/quarantine.go
+++ b/cmd/node/quarantine.go
@@ -58,13 +58,12 @@
 	return q.tracker.Check(n.now(), f)
 }
 
-// crashCount returns how many replicas have crashed under a request.
-func (n *Node) crashCount(f quarantine.Fingerprint) int {
+// judge returns the verdict on a request by its features.
+func (n *Node) judge(r quarantine.Request) quarantine.Judgement {
 	q := n.quarantine
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	e, _ := q.tracker.Lookup(n.now(), f)
-	return len(e.Ended)
+	return q.tracker.Judge(n.now(), r)
 }
 
 // updateQuarantine applies an event to the tracker, logs the changes and announces them.
@@ -75,6 +74,9 @@
 	q.mu.Unlock()
 	for _, c := range changes {
 		n.logQuarantineChange(c, cause)
+		if c.Before != quarantine.Quarantined && c.After == quarantine.Quarantined {
+			n.cancelUnbegun(c.Fingerprint)
+		}
 	}
 	if len(changes) > 0 && cause != causePeer {
 		n.announceQuarantine()
@@ -113,17 +115,28 @@
 	}
 	switch c.After {
 	case quarantine.Unsuspected:
-		event.NodeRequestReleased.Log(n.log, "fingerprint", c.Fingerprint, "was", c.Before, "why", cause)
+		event.NodeRequestReleased.Log(n.log, "fingerprint", c.Fingerprint, "kind", c.Kind, "was", c.Before, "why", cause)
 	case quarantine.Suspect:
-		event.NodeRequestSuspected.Log(n.log, "fingerprint", c.Fingerprint, "ended", c.Ended, "why", cause)
+		event.NodeRequestSuspected.Log(n.log, "fingerprint", c.Fingerprint, "kind", c.Kind, "ended", c.Ended, "tried", c.Tried, "why", cause)
 	case quarantine.Quarantined:
-		event.NodeRequestQuarantined.Log(n.log, "fingerprint", c.Fingerprint, "ended", c.Ended, "why", cause)
+		event.NodeRequestQuarantined.Log(n.log, "fingerprint", c.Fingerprint, "kind", c.Kind, "ended", c.Ended, "tried", c.Tried, "why", cause)
 	}
 }
 
-// recordCompleteAnswer records that a request got a complete answer.
-func (n *Node) recordCompleteAnswer(f quarantine.Fingerprint) {
-	n.updateQuarantine(causeAnswer, func(t *quarantine.Tracker, now time.Duration) []quarantine.Change { return t.RecordSuccess(now, f) })
+// recordCompleteAnswer records that a request got a complete answer, and which parts of its
+// prompt that shows to be sound.
+func (n *Node) recordCompleteAnswer(f quarantine.Fingerprint, soundParts []quarantine.Fingerprint) {
+	n.updateQuarantine(causeAnswer, func(t *quarantine.Tracker, now time.Duration) []quarantine.Change {
+		return append(t.RecordSuccess(now, f), t.RecordSoundParts(now, soundParts)...)
+	})
+}
+
+// cancelUnbegun cancels this instance's requests with a feature that has become quarantined, if
+// their answers have not begun: each may crash one more replica.
+func (n *Node) cancelUnbegun(f quarantine.Fingerprint) {
+	if cancelled := n.requestsByFeature.cancel(f.String()); cancelled > 0 {
+		n.counters.quarantinedInFlight.Inc(int64(cancelled))
+	}
 }
 
 // quarantineUpdate returns the suspect and quarantined requests for a heartbeat.
@@ -157,7 +170,10 @@
 }
 
 func encodeCase(e quarantine.Entry) *pb.QuarantineCase {
-	c := &pb.QuarantineCase{Fingerprint: uint64(e.Fingerprint), AgeS: uint32(e.Age.Seconds())}
+	c := &pb.QuarantineCase{Fingerprint: uint64(e.Fingerprint), AgeS: uint32(e.Age.Seconds()), Part: e.Kind == quarantine.PromptPart}
+	for _, inc := range e.Tried {
+		c.Tried = append(c.Tried, uint32(inc))
+	}
 	for _, inc := range e.Ended {
 		c.Ended = append(c.Ended, uint32(inc))
 	}
@@ -169,6 +185,12 @@
 
 func decodeCase(c *pb.QuarantineCase) quarantine.Entry {
 	e := quarantine.Entry{Fingerprint: quarantine.Fingerprint(c.GetFingerprint()), Age: time.Duration(c.GetAgeS()) * time.Second}
+	if c.GetPart() {
+		e.Kind = quarantine.PromptPart
+	}
+	for _, inc := range c.GetTried() {
+		e.Tried = append(e.Tried, quarantine.Incarnation(inc))
+	}
 	for _, inc := range c.GetEnded() {
 		e.Ended = append(e.Ended, quarantine.Incarnation(inc))
 	}
@@ -250,3 +272,10 @@
 	}
 	return out
 }
+
+// isPartBlamed reports whether a part of prompts is blamed for the end of an incarnation.
+func (q *quarantineTracker) isPartBlamed(incarnation string) bool {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return q.tracker.IsPartBlamed(quarantine.IncarnationOf(incarnation))
+}
--- a/cmd/node/quarantine_state.go
+++ b/cmd/node/quarantine_state.go
@@ -10,8 +10,10 @@
 // QuarantineState is a node's record of a request under which replicas crashed.
 type QuarantineState struct {
 	Fingerprint   string
+	Kind          string // "request" or "part", of prompts
 	Verdict       string
 	Ended         int    // number of replicas that crashed under it
+	Tried         int    // those that crashed in a trial of a part
 	Cleared       int    // number of replicas that ended while running it before a complete answer cleared the request
 	LastRequested string `json:"Asked"` // time since a caller last sent it or its entry changed
 }
@@ -24,8 +26,8 @@
 	var out []QuarantineState
 	for _, e := range q.tracker.All(now) {
 		out = append(out, QuarantineState{
-			Fingerprint: e.Fingerprint.String(), Verdict: q.tracker.Verdict(e.Fingerprint).String(),
-			Ended: len(e.Ended), Cleared: len(e.Cleared), LastRequested: e.Age.Round(time.Second).String(),
+			Fingerprint: e.Fingerprint.String(), Kind: e.Kind.String(), Verdict: q.tracker.Verdict(e.Fingerprint).String(),
+			Ended: len(e.Ended), Tried: len(e.Tried), Cleared: len(e.Cleared), LastRequested: e.Age.Round(time.Second).String(),
 		})
 	}
 	return out
--- a/cmd/node/replica_choice.go
+++ b/cmd/node/replica_choice.go
@@ -56,7 +56,7 @@
 		SlackUs:   (s.route.Objective - s.elapsed()).Microseconds(),
 		Again:     s.isClientRetry() || s.stageReruns > 0 || len(s.tried) > 0,
 		Newer:     s.allowsTarget(s.node.snapshot.Load()),
-		Ended:     uint32(s.node.crashCount(s.fingerprint)),
+		Ended:     uint32(s.node.judge(s.features()).Ends),
 
 		Fingerprint: uint64(s.fingerprint),
 		Customer:    boundedCustomerName(s.customer),
@@ -128,7 +128,7 @@
 	if s.service.Engine == nil {
 		return n.loads.PickReplica(now, n.distanceTo, candidates, newRandom()), "", nil
 	}
-	if s.trial != nil { // at random: a choice by cached prefix would put the same requests together at one engine again
+	if len(s.trials) > 0 { // at random: a choice by cached prefix would put the same requests together at one engine again
 		r := candidates[newRandom().IntN(len(candidates))]
 		return r, "", nil
 	}
--- a/cmd/node/request_handler.go
+++ b/cmd/node/request_handler.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"errors"
+	"maps"
 	"net/http"
+	"slices"
 	"time"
 
 	"quinceroad/cmd/node/eventstream"
@@ -59,11 +61,11 @@
 	customer    string
 	rank        int
 	record      *outcome.Record
-	deadline    time.Duration            // time at which the answer is due, by the process's clock
-	probe       *livenessProbe           // probe of the last attempt's replica; nil: none
-	trial       *triallease.Lease        // trial lease of a suspect request; nil: none
-	fingerprint quarantine.Fingerprint   // identifies the request across a caller's retries
-	parts       []quarantine.Fingerprint // of the prompt parts that it shares with other requests
+	deadline    time.Duration                                // time at which the answer is due, by the process's clock
+	probe       *livenessProbe                               // probe of the last attempt's replica; nil: none
+	trials      map[quarantine.Fingerprint]*triallease.Lease // trial leases of its suspect features
+	fingerprint quarantine.Fingerprint                       // identifies the request across a caller's retries
+	parts       []quarantine.Fingerprint                     // of the prompt parts that it shares with other requests
 
 	job                 *stageJob
 	tried               map[string]bool // replicas that may have run the request
@@ -276,40 +278,81 @@
 	}
 }
 
-// checkQuarantine rejects a quarantined request, and has a suspect request wait
-// for its trial lease.
+// features names the features of the request, any of which may crash its replicas.
+func (s *requestHandler) features() quarantine.Request {
+	return quarantine.Request{Whole: s.fingerprint, Parts: s.parts}
+}
+
+// checkQuarantine rejects a quarantined request, and has a suspect request wait for the trial
+// leases of its suspect features.
 func (s *requestHandler) checkQuarantine(ctx context.Context) error {
-	verdict := s.node.verdict(s.fingerprint)
-	if verdict == quarantine.Suspect && s.trial == nil {
-		t, err := s.node.trials.Acquire(ctx, s.fingerprint)
-		if err != nil {
+	j := s.node.judge(s.features())
+	for j.Verdict == quarantine.Suspect && !s.holdsTrials(j.Trials) {
+		if err := s.acquireTrials(ctx, j.Trials); err != nil {
 			s.node.counters.trialsDenied.Inc(1)
 			return err
 		}
-		s.trial = t
-		verdict = s.node.verdict(s.fingerprint) // the previous trial may have changed it
-		event.NodeSuspectTried.Log(s.node.log, "request", s.req.ID, "fingerprint", s.fingerprint, "verdict", verdict)
+		j = s.node.judge(s.features()) // the previous trial may have changed it
+		event.NodeSuspectTried.Log(s.node.log, "request", s.req.ID, "fingerprint", s.fingerprint, "features", j.Trials, "verdict", j.Verdict)
 	}
-	if verdict == quarantine.Quarantined {
+	if j.Verdict == quarantine.Quarantined {
 		s.node.counters.quarantined.Inc(1)
 		return errQuarantined
 	}
 	return nil
 }
 
-// endTrial releases the request's trial lease. If a probe of the replica is running, it
-// releases the lease after the probe's result, without delaying the client's answer.
+func (s *requestHandler) holdsTrials(features []quarantine.Fingerprint) bool {
+	for _, f := range features {
+		if s.trials[f] == nil {
+			return false
+		}
+	}
+	return true
+}
+
+// acquireTrials waits for the trial leases that the request lacks.
+func (s *requestHandler) acquireTrials(ctx context.Context, features []quarantine.Fingerprint) error {
+	for _, f := range features {
+		if s.trials[f] != nil {
+			continue
+		}
+		lease, err := s.node.trials.Acquire(ctx, f)
+		if err != nil {
+			return err
+		}
+		if s.trials == nil {
+			s.trials = make(map[quarantine.Fingerprint]*triallease.Lease)
+		}
+		s.trials[f] = lease
+	}
+	return nil
+}
+
+// heldTrials returns the features whose trial leases the request holds.
+func (s *requestHandler) heldTrials() []quarantine.Fingerprint {
+	return slices.Collect(maps.Keys(s.trials))
+}
+
+// endTrial releases the request's trial leases. If a probe of the replica is running, it
+// releases them after the probe's result, without delaying the client's answer.
 func (s *requestHandler) endTrial() {
-	t, p := s.trial, s.probe
-	switch {
-	case t == nil:
-	case p == nil:
-		t.Release()
-	default:
-		go func() {
-			s.node.awaitLivenessProbe(context.Background(), p)
-			t.Release()
-		}()
+	if len(s.trials) == 0 {
+		return
+	}
+	if s.probe == nil {
+		s.releaseTrials()
+		return
+	}
+	go func() {
+		s.node.awaitLivenessProbe(context.Background(), s.probe)
+		s.releaseTrials()
+	}()
+}
+
+func (s *requestHandler) releaseTrials() {
+	for _, lease := range s.trials {
+		lease.Release()
 	}
 }
 
--- a/cmd/node/rollout_answers.go
+++ b/cmd/node/rollout_answers.go
@@ -92,6 +92,9 @@
 	probe := a.probe
 	go func() {
 		if n.awaitLivenessProbe(context.Background(), probe) {
+			if n.quarantine.isPartBlamed(probe.incarnation) {
+				return // the requests ended it, not the version
+			}
 			answer.evidence = sendresult.ReplicaCrashed.Evidence().Version
 		}
 		n.recordRolloutAnswer(answer)
--- a/cmd/node/stream.go
+++ b/cmd/node/stream.go
@@ -59,6 +59,7 @@
 		}
 		if lastEventAt == 0 {
 			a.answerStartedAt = a.node.now()
+			a.answerBegan.Store(true)
 			a.recordOrigin()
 			if a.job != nil {
 				a.job.reportFirstEvent()
--- a/coordination/quarantine/exchange.go
+++ b/coordination/quarantine/exchange.go
@@ -72,7 +72,7 @@
 }
 
 func (c *Case) entry(now time.Duration) Entry {
-	return Entry{Fingerprint: c.Fingerprint, Ended: slices.Clone(c.Ended), Cleared: slices.Clone(c.Cleared), Age: now - c.LastRequested}
+	return Entry{Fingerprint: c.Fingerprint, Kind: c.Kind, Ended: slices.Clone(c.Ended), Tried: slices.Clone(c.Tried), Cleared: slices.Clone(c.Cleared), Age: now - c.LastRequested}
 }
 
 // Merge merges an entry of another instance. Entries older than the case's TTL are
@@ -88,12 +88,14 @@
 		c.LastRequested = now - e.Age
 	}
 	ended, cleared := t.mergeIncarnations(now, c, e)
-	if len(ended) == len(c.Ended) && len(cleared) == len(c.Cleared) {
+	tried := mergeTried(c, e, ended)
+	kind := max(c.Kind, e.Kind) // builds that do not know parts leave it out
+	if len(ended) == len(c.Ended) && len(cleared) == len(c.Cleared) && len(tried) == len(c.Tried) && kind == c.Kind {
 		c.LastRequested = max(c.LastRequested, now-e.Age)
 		return nil
 	}
 	lastRequested := max(c.LastRequested, now-e.Age)
-	out := t.update(now, c, func() { c.Ended, c.Cleared = ended, cleared })
+	out := t.update(now, c, func() { c.Kind, c.Ended, c.Tried, c.Cleared = kind, ended, tried, cleared })
 	c.LastRequested = lastRequested
 	return out
 }
@@ -107,7 +109,7 @@
 			cleared = append(cleared, inc)
 		}
 	}
-	good := t.successes.has(now, c.Fingerprint)
+	good := t.hasSucceeded(now, c.Fingerprint)
 	for _, inc := range slices.Concat(c.Ended, e.Ended) {
 		switch {
 		case slices.Contains(cleared, inc) || slices.Contains(ended, inc):
@@ -119,3 +121,14 @@
 	}
 	return ended, t.newest(cleared)
 }
+
+// mergeTried returns the merged incarnations that ended in trials, of those that still count.
+func mergeTried(c *Case, e Entry, ended []Incarnation) []Incarnation {
+	var out []Incarnation
+	for _, inc := range ended {
+		if slices.Contains(c.Tried, inc) || slices.Contains(e.Tried, inc) {
+			out = append(out, inc)
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/coordination/quarantine/parts.go
@@ -0,0 +1,155 @@
+package quarantine
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+// A part of prompts is in many requests, and most parts of a request that crashes its replica
+// are sound. So the ends under a part alone do not quarantine it:
+//
+//   - What many requests share is answered all the time, which clears it.
+//   - What is left with Options.PartSuspectAt ends is suspect: of the requests with it one is
+//     sent at a time.
+//   - A part is quarantined if a replica ends in such a trial as well.
+//   - Parts that were always together have the same ends. A request with some of them only tells
+//     them apart, so it is tried although they are quarantined.
+
+// maxTrialsPerRequest bounds the features of one request that are tried at once.
+const maxTrialsPerRequest = 4
+
+// Request names the features of a request.
+type Request struct {
+	Whole Fingerprint
+	Parts []Fingerprint // of its prompt, those that it shares with other requests
+}
+
+// Judgement is the verdict on a request by its features.
+type Judgement struct {
+	Verdict Verdict
+	Ends    int           // number of replicas that ended under its most suspect feature
+	Trials  []Fingerprint // suspect features, in ascending order: the request may be sent with a trial lease of each
+	Cause   Fingerprint   // the feature that is quarantined, if the verdict is Quarantined
+}
+
+// Judge returns the verdict on a request that a caller sends and renews its cases.
+func (t *Tracker) Judge(now time.Duration, r Request) Judgement {
+	var j Judgement
+	var suspects []*Case
+	for _, f := range append([]Fingerprint{r.Whole}, r.Parts...) {
+		c := t.cases[f]
+		if c == nil {
+			continue
+		}
+		c.LastRequested = now
+		switch t.verdictIn(now, c, r) {
+		case Suspect:
+			suspects = append(suspects, c)
+			j.Ends = max(j.Ends, len(c.Ended))
+			j.Verdict = max(j.Verdict, Suspect)
+		case Quarantined:
+			return Judgement{Verdict: Quarantined, Ends: len(c.Ended), Cause: f}
+		}
+	}
+	slices.SortStableFunc(suspects, func(a, b *Case) int { return cmp.Compare(len(b.Ended), len(a.Ended)) })
+	for _, c := range suspects[:min(len(suspects), maxTrialsPerRequest)] {
+		j.Trials = append(j.Trials, c.Fingerprint)
+	}
+	slices.Sort(j.Trials) // leases that are acquired in the same order by all can't block each other
+	return j
+}
+
+// partVerdict returns the verdict on a part, whatever else its requests hold.
+func (t *Tracker) partVerdict(c *Case) Verdict {
+	switch {
+	case len(c.Ended) < t.opts.PartSuspectAt:
+		return Unsuspected
+	case len(c.Ended) >= t.opts.QuarantineAt && len(c.Tried) > 0:
+		return Quarantined
+	}
+	return Suspect
+}
+
+// verdictIn returns the verdict on a feature in a certain request.
+func (t *Tracker) verdictIn(now time.Duration, c *Case, r Request) Verdict {
+	v := t.verdictOf(c)
+	switch {
+	case v == Unsuspected:
+		return v
+	case c.Kind == PromptPart && v == Quarantined:
+		if t.mayRetry(now, c, r) {
+			return Suspect
+		}
+		return v
+	case t.isExplained(c, r, func(x *Case) bool { return t.verdictOf(x) == Quarantined }):
+		return v - 1 // it was beside what ended its replicas
+	}
+	return v
+}
+
+// mayRetry reports whether a request with a quarantined part is sent all the same, in a trial:
+// after a pause, or if the request tells the part apart from another one.
+func (t *Tracker) mayRetry(now time.Duration, c *Case, r Request) bool {
+	if len(c.Tried) >= t.opts.MaxTrialEnds {
+		return false
+	}
+	return now-c.triedAt >= t.opts.RetrialPause || t.isExplained(c, r, func(*Case) bool { return true })
+}
+
+// isExplained reports whether all replicas that ended under a feature also ended under a part
+// that a request does not hold.
+func (t *Tracker) isExplained(c *Case, r Request, by func(*Case) bool) bool {
+	for _, x := range t.order {
+		if x.Kind != PromptPart || x == c || len(x.Ended) < len(c.Ended) || slices.Contains(r.Parts, x.Fingerprint) {
+			continue
+		}
+		if by(x) && containsAll(x.Ended, c.Ended) {
+			return true
+		}
+	}
+	return false
+}
+
+func containsAll(set, of []Incarnation) bool {
+	for _, inc := range of {
+		if !slices.Contains(set, inc) {
+			return false
+		}
+	}
+	return true
+}
+
+// RecordBrokenParts records that an answer broke off at a replica, for the parts of its prompt.
+// trials are the features for which the request held trial leases.
+func (t *Tracker) RecordBrokenParts(now time.Duration, parts, trials []Fingerprint, inc Incarnation) []Change {
+	var out []Change
+	for _, f := range parts {
+		if t.sound.has(now, f) {
+			continue
+		}
+		out = append(out, t.recordBroken(brokenAnswer{
+			fingerprint: f, kind: PromptPart, inTrial: slices.Contains(trials, f), incarnation: inc, brokenAt: now,
+		})...)
+	}
+	return out
+}
+
+// RecordSoundParts records that the parts of a prompt were in a request that certainly got a
+// complete answer. It clears them of the known ends and, for up to PartSuccessTTL, of later ones.
+func (t *Tracker) RecordSoundParts(now time.Duration, parts []Fingerprint) []Change {
+	var out []Change
+	for _, f := range parts {
+		t.sound.record(now, f)
+		out = append(out, t.Release(now, f)...)
+	}
+	return out
+}
+
+// IsPartBlamed reports whether the end of a replica is one of those for which a part of prompts
+// is suspect or quarantined.
+func (t *Tracker) IsPartBlamed(inc Incarnation) bool {
+	return slices.ContainsFunc(t.order, func(c *Case) bool {
+		return c.Kind == PromptPart && t.verdictOf(c) != Unsuspected && slices.Contains(c.Ended, inc)
+	})
+}
--- a/coordination/quarantine/quarantine.go
+++ b/coordination/quarantine/quarantine.go
@@ -1,11 +1,13 @@
 // Package quarantine distinguishes requests that crash their replicas (queries of
 // death, poison messages) from requests that only ran concurrently with one.
 //
-// A request is blamed for each replica incarnation that ended while running it. A
-// complete answer clears it, as a request that crashes its replica never gets one. A
-// blamed request is suspect: it is tried at one replica at a time, isolated from other
-// suspects. A request blamed for Options.QuarantineAt incarnations is quarantined and
-// not sent any more.
+// What crashes a replica is a feature of a request: the request as a whole, or one part of its
+// prompt. A feature is blamed for each replica incarnation that ended while running a request
+// with it. A complete answer clears the features of its request, as one that crashes replicas
+// never gets one. A request with a blamed feature is suspect: it is tried at one replica at a
+// time, isolated from other suspects. A whole request that is blamed for Options.QuarantineAt
+// incarnations is quarantined and not sent any more. A part of prompts is quarantined once one
+// of these ended in a trial (see parts.go).
 //
 // The records of instances are merged by set union, so messages may arrive in any
 // order and clocks need not agree. A Tracker does no I/O and reads no clock: events
@@ -25,7 +27,19 @@
 // IncarnationOf returns the identifier of a replica's incarnation.
 func IncarnationOf(replica string) Incarnation { return Incarnation(xxhash.Sum64String(replica)) }
 
-// Verdict is the state of a request.
+// Kind is what a feature is.
+type Kind int
+
+// The kinds of features.
+const (
+	WholeRequest Kind = iota
+	PromptPart
+)
+
+// String returns the kind's name for logs.
+func (k Kind) String() string { return [...]string{"request", "part"}[k] }
+
+// Verdict is the state of a feature, or of a request by its features.
 type Verdict int
 
 // The verdicts.
@@ -42,9 +56,13 @@
 
 // Options are the settings of a Tracker.
 type Options struct {
-	QuarantineAt         int           // number of replicas that must end while running a request to quarantine it
+	QuarantineAt         int           // number of replicas that must end while running requests with a feature to quarantine it
+	PartSuspectAt        int           // number of replicas that must end to suspect a part of prompts
+	MaxTrialEnds         int           // replicas that may end in trials of a part; then it is not tried any more
+	RetrialPause         time.Duration // time after which a quarantined part is tried once more
 	MaxEndDelay          time.Duration // maximum time between a broken answer and the replica's end
 	SuccessTTL           time.Duration // time for which a complete answer clears all attempts of a request, whichever replicas end
+	PartSuccessTTL       time.Duration // the same for the parts of its prompt
 	SuspectTTL           time.Duration // time without changes after which a suspect expires
 	QuarantineTTL        time.Duration // time without attempts after which a quarantined request expires
 	MaxCases             int           // cases kept; the one with the fewest ended replicas is evicted first
@@ -61,48 +79,61 @@
 		// The most that the requirements allow. With two, a request that ran concurrently
 		// with a poisonous one twice would be quarantined.
 		QuarantineAt:         3,
+		PartSuspectAt:        2, // many rare parts see one end beside others
+		MaxTrialEnds:         2,
+		RetrialPause:         time.Minute,
 		MaxEndDelay:          5 * time.Second,  // a replica's registration is removed about 3 s after its end
 		SuccessTTL:           10 * time.Second, // frequent requests are answered more often than that
+		PartSuccessTTL:       time.Minute,      // one that many requests share is answered more often than that
 		SuspectTTL:           time.Minute,      // longer than callers retry a failed request
 		QuarantineTTL:        time.Hour,
 		MaxCases:             4096, // about 0.5 MB
-		MaxIncarnations:      8,
-		Announcements:        6, // rounds of heartbeats; five reach all of 390 instances
+		MaxIncarnations:      16,   // as many as may end before the first is known
+		Announcements:        6,    // rounds of heartbeats; five reach all of 390 instances
 		MaxChangedPerMessage: 16,
 		MaxPerSnapshot:       200, // about 8 KB, half of the largest datagram
 		RepeatsPerMessage:    8,
 	}
 }
 
-// Case is the record of one request.
+// Case is the record of one feature.
 type Case struct {
 	Fingerprint   Fingerprint
+	Kind          Kind
 	Ended         []Incarnation // ended while running it
-	Cleared       []Incarnation // ended while running it, but a complete answer since has cleared the request
+	Tried         []Incarnation // those of them that ended in a trial; of parts only
+	Cleared       []Incarnation // ended while running it, but a complete answer since has cleared the feature
 	LastRequested time.Duration // time of the last attempt, or of the last change by an end or an answer
 
-	announced int // messages that announced it since it changed
+	triedAt   time.Duration // time at which the last end of Tried became known
+	announced int           // messages that announced it since it changed
 }
 
 // Entry is a case as exchanged between instances.
 type Entry struct {
 	Fingerprint Fingerprint
+	Kind        Kind
 	Ended       []Incarnation
+	Tried       []Incarnation
 	Cleared     []Incarnation
 	Age         time.Duration // since it was last requested or changed, as known to the sender
 }
 
-// Change is the effect of an event on a request.
+// Change is the effect of an event on a feature.
 type Change struct {
 	Fingerprint   Fingerprint
+	Kind          Kind
 	Before, After Verdict
 	Ended         int // number of replicas that ended while running it
+	Tried         int // those of them that ended in a trial
 }
 
 // brokenAnswer is an answer that broke off, while it is unknown whether its replica
 // ended.
 type brokenAnswer struct {
 	fingerprint Fingerprint
+	kind        Kind
+	inTrial     bool
 	incarnation Incarnation
 	brokenAt    time.Duration
 	reconnected bool // the replica has accepted a connection since
@@ -118,13 +149,14 @@
 	broken       []brokenAnswer
 	ended        map[Incarnation]time.Duration // incarnations that ended recently, with the time of their end
 	successes    successes
+	sound        successes // parts of prompts
 }
 
 // New returns an empty tracker. repeatCursor should differ between instances: they then
 // repeat quarantined cases in different order, so that an instance that receives
 // messages of several learns all cases sooner.
 func New(o Options, repeatCursor int) *Tracker {
-	return &Tracker{opts: o, repeatCursor: repeatCursor, cases: make(map[Fingerprint]*Case), ended: make(map[Incarnation]time.Duration), successes: newSuccesses(o.SuccessTTL)}
+	return &Tracker{opts: o, repeatCursor: repeatCursor, cases: make(map[Fingerprint]*Case), ended: make(map[Incarnation]time.Duration), successes: newSuccesses(o.SuccessTTL), sound: newSuccesses(o.PartSuccessTTL)}
 }
 
 // Check returns the verdict on a request that a caller sends and renews its case.
@@ -138,6 +170,9 @@
 }
 
 func (t *Tracker) verdictOf(c *Case) Verdict {
+	if c.Kind == PromptPart {
+		return t.partVerdict(c)
+	}
 	switch {
 	case len(c.Ended) == 0:
 		return Unsuspected
@@ -150,11 +185,16 @@
 // RecordBroken records that an answer broke off at a replica, which may have ended. The
 // request is blamed if the replica's end is reported within MaxEndDelay, before or after.
 func (t *Tracker) RecordBroken(now time.Duration, f Fingerprint, inc Incarnation) []Change {
-	if at, ok := t.ended[inc]; ok && now-at <= t.opts.MaxEndDelay {
-		return t.blame(now, f, inc)
+	return t.recordBroken(brokenAnswer{fingerprint: f, incarnation: inc, brokenAt: now})
+}
+
+func (t *Tracker) recordBroken(x brokenAnswer) []Change {
+	now := x.brokenAt
+	if at, ok := t.ended[x.incarnation]; ok && now-at <= t.opts.MaxEndDelay {
+		return t.blame(now, x)
 	}
-	t.dropBroken(func(x brokenAnswer) bool { return now-x.brokenAt > t.opts.MaxEndDelay })
-	t.broken = append(t.broken, brokenAnswer{fingerprint: f, incarnation: inc, brokenAt: now})
+	t.dropOldBroken(now)
+	t.broken = append(t.broken, x)
 	return nil
 }
 
@@ -176,7 +216,7 @@
 	var out []Change
 	for _, x := range t.broken {
 		if x.incarnation == inc && now-x.brokenAt <= t.opts.MaxEndDelay && counts(x) {
-			out = append(out, t.blame(now, x.fingerprint, inc)...)
+			out = append(out, t.blame(now, x)...)
 		}
 	}
 	t.dropBroken(func(x brokenAnswer) bool { return x.incarnation == inc })
@@ -204,6 +244,16 @@
 	t.broken = slices.DeleteFunc(t.broken, match)
 }
 
+// dropOldBroken drops the broken answers whose replicas were not reported as ended in time.
+// They are in the order of time.
+func (t *Tracker) dropOldBroken(now time.Duration) {
+	old := 0
+	for old < len(t.broken) && now-t.broken[old].brokenAt > t.opts.MaxEndDelay {
+		old++
+	}
+	t.broken = t.broken[old:]
+}
+
 // RecordSuccess records that a request got a complete answer. It clears the request of
 // the known ends and, for up to SuccessTTL, of later ones.
 func (t *Tracker) RecordSuccess(now time.Duration, f Fingerprint) []Change {
@@ -219,28 +269,46 @@
 	}
 	return t.update(now, c, func() {
 		c.Cleared = t.newest(append(c.Cleared, c.Ended...))
-		c.Ended = nil
+		c.Ended, c.Tried = nil, nil
 	})
 }
 
-// blame counts the end of a replica against a request.
-func (t *Tracker) blame(now time.Duration, f Fingerprint, inc Incarnation) []Change {
-	if t.successes.has(now, f) {
+// blame counts the end of a replica against a feature of a request whose answer broke off.
+func (t *Tracker) blame(now time.Duration, x brokenAnswer) []Change {
+	if t.hasSucceeded(now, x.fingerprint) {
 		return nil
 	}
-	c := t.caseFor(now, f)
-	if slices.Contains(c.Cleared, inc) || slices.Contains(c.Ended, inc) || len(c.Ended) >= t.opts.MaxIncarnations {
+	c, inc := t.caseFor(now, x.fingerprint), x.incarnation
+	c.Kind = max(c.Kind, x.kind)
+	isNew := !slices.Contains(c.Ended, inc) && len(c.Ended) < t.opts.MaxIncarnations
+	newlyTried := x.inTrial && !slices.Contains(c.Tried, inc) && len(c.Tried) < t.opts.MaxIncarnations
+	if slices.Contains(c.Cleared, inc) || !isNew && !newlyTried {
 		return nil
 	}
-	return t.update(now, c, func() { c.Ended = append(c.Ended, inc) })
+	return t.update(now, c, func() {
+		if isNew {
+			c.Ended = append(c.Ended, inc)
+		}
+		if newlyTried {
+			c.Tried = append(c.Tried, inc)
+		}
+	})
+}
+
+// hasSucceeded reports whether a request with a feature got a complete answer recently.
+func (t *Tracker) hasSucceeded(now time.Duration, f Fingerprint) bool {
+	return t.successes.has(now, f) || t.sound.has(now, f)
 }
 
 // update applies an edit to a case, which is then announced to others.
 func (t *Tracker) update(now time.Duration, c *Case, edit func()) []Change {
-	before := t.verdictOf(c)
+	before, tried := t.verdictOf(c), len(c.Tried)
 	edit()
 	c.LastRequested, c.announced = now, 0
-	return []Change{{Fingerprint: c.Fingerprint, Before: before, After: t.verdictOf(c), Ended: len(c.Ended)}}
+	if len(c.Tried) > tried {
+		c.triedAt = now
+	}
+	return []Change{{Fingerprint: c.Fingerprint, Kind: c.Kind, Before: before, After: t.verdictOf(c), Ended: len(c.Ended), Tried: len(c.Tried)}}
 }
 
 // newest returns the last MaxIncarnations incarnations.
@@ -251,7 +319,7 @@
 	return slices.Clone(incarnations[len(incarnations)-t.opts.MaxIncarnations:])
 }
 
-// caseFor returns the case of a request, a new one if there is none.
+// caseFor returns the case of a feature, a new one if there is none.
 func (t *Tracker) caseFor(now time.Duration, f Fingerprint) *Case {
 	c := t.cases[f]
 	if c == nil {
@@ -305,11 +373,11 @@
 			return false
 		}
 		if before := t.verdictOf(c); before != Unsuspected {
-			out = append(out, Change{Fingerprint: c.Fingerprint, Before: before, After: Unsuspected})
+			out = append(out, Change{Fingerprint: c.Fingerprint, Kind: c.Kind, Before: before, After: Unsuspected})
 		}
 		return true
 	})
-	t.dropBroken(func(x brokenAnswer) bool { return now-x.brokenAt > t.opts.MaxEndDelay })
+	t.dropOldBroken(now)
 	for inc, at := range t.ended {
 		if now-at > t.opts.MaxEndDelay {
 			delete(t.ended, inc)
