--- a/cmd/node/answer.go
+++ b/cmd/node/answer.go
@@ -39,6 +39,9 @@
 	}
 	timer.Stop()
 	a.answerBegan.Store(len(body) > 0)
+	if !isLong && a.checkUnframedEnd() != nil {
+		return errAnswerBroken
+	}
 	if status >= http.StatusInternalServerError && a.shouldRetryFailure() {
 		return errReplicaFailed
 	}
@@ -74,7 +77,7 @@
 		a.countAnswerBytes(n)
 		if err == io.EOF {
 			_ = control.SetWriteDeadline(time.Time{})
-			return nil
+			return a.checkUnframedEnd()
 		}
 		if err != nil {
 			return a.abortReasonOr(errStreamBroken)
--- a/cmd/node/attempt.go
+++ b/cmd/node/attempt.go
@@ -52,6 +52,7 @@
 	suspendedBefore time.Duration // total time that the machine was suspended before the send
 	answerStartedAt time.Duration // arrival of the answer, or of a stream's first event; 0: not yet
 	answerBegan     atomic.Bool   // its body, or a stream's first event, has arrived
+	endIsUncertain  bool          // the answer ended with its connection, and its replica could not be asked whether it runs
 }
 
 // attempt sends the request to a replica and forwards the answer. It returns nil
@@ -381,13 +382,3 @@
 	}
 	return false
 }
-
-// recordWholeAnswer records what a complete answer shows: the request did not crash its
-// replica, and if the replica wrote on the prompt and certainly ended, its parts don't either.
-func (a *attempt) recordWholeAnswer() {
-	var sound []quarantine.Fingerprint
-	if a.answerBegan.Load() && a.exchange.Header.StatusCode() < http.StatusMultipleChoices {
-		sound = a.parts
-	}
-	a.node.recordCompleteAnswer(a.fingerprint, sound)
-}
--- a/cmd/node/counters.go
+++ b/cmd/node/counters.go
@@ -42,6 +42,7 @@
 	resumes             metrics.Counter // resumes after suspensions of the machine
 	replicaProbes       metrics.Counter // liveness probes of replicas
 	quarantined         metrics.Counter // requests refused because they are quarantined
+	unframedBroken      metrics.Counter // answers without a stated end that their replica's end broke off
 	trialsDenied        metrics.Counter // suspect requests refused because they got no trial lease
 	quarantinedInFlight metrics.Counter // requests cancelled at their replicas because they became quarantined
 	backoffs            metrics.Counter // backoffs stated by replicas
@@ -95,6 +96,7 @@
 		resumes:             counter("node.wakes"),
 		replicaProbes:       counter("node.quarantine.looks"),
 		quarantined:         counter("node.quarantine.condemned"),
+		unframedBroken:      counter("node.answers.unframed_broken"),
 		trialsDenied:        counter("node.quarantine.no_turn"),
 		quarantinedInFlight: counter("node.quarantine.in_flight"),
 		backoffs:            counter("node.rests"),
--- a/cmd/node/liveness_probe.go
+++ b/cmd/node/liveness_probe.go
@@ -34,6 +34,17 @@
 	incarnation string
 	done        chan struct{} // closed when the probe has ended
 	startedAt   time.Duration
+	alive       bool // the replica runs; set before done is closed
+}
+
+// isAlive reports whether the probe has ended and shown that the replica runs.
+func (p *livenessProbe) isAlive() bool {
+	select {
+	case <-p.done:
+		return p.alive
+	default:
+		return false
+	}
 }
 
 // recordBrokenAnswers records that the answers to requests sent to a replica at sentAt
@@ -134,11 +145,28 @@
 
 // probeLiveness starts a probe of an incarnation, or returns the recent one.
 func (n *Node) probeLiveness(r *catalog.Replica, incarnation string) *livenessProbe {
+	return n.probeLivenessUnless(r, incarnation, func(p *livenessProbe) bool { return n.now()-p.startedAt < livenessProbeTTL })
+}
+
+// probeLivenessNow starts a probe of an incarnation, or returns the running one: an earlier one
+// says nothing about what has ended since.
+func (n *Node) probeLivenessNow(r *catalog.Replica, incarnation string) *livenessProbe {
+	return n.probeLivenessUnless(r, incarnation, func(p *livenessProbe) bool {
+		select {
+		case <-p.done:
+			return false
+		default:
+			return true
+		}
+	})
+}
+
+func (n *Node) probeLivenessUnless(r *catalog.Replica, incarnation string, serves func(*livenessProbe) bool) *livenessProbe {
 	q := n.quarantine
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	p := q.probes[incarnation]
-	if p != nil && n.now()-p.startedAt < livenessProbeTTL {
+	if p != nil && serves(p) {
 		return p
 	}
 	p = &livenessProbe{incarnation: incarnation, done: make(chan struct{}), startedAt: n.now()}
@@ -160,6 +188,7 @@
 	}
 	switch {
 	case err == nil, errors.Is(err, errConnectionEnded):
+		p.alive = err == nil
 		n.updateQuarantine(causeReplicaEnd, func(t *quarantine.Tracker, _ time.Duration) []quarantine.Change {
 			t.RecordConnection(quarantine.IncarnationOf(incarnation))
 			return nil
--- a/cmd/node/stream.go
+++ b/cmd/node/stream.go
@@ -52,7 +52,7 @@
 	for {
 		e, err := events.Next()
 		if err == io.EOF {
-			return nil
+			return a.checkUnframedEnd()
 		}
 		if err != nil {
 			return a.abortReasonOr(errStreamBroken)
