Tests of roll-outs are a package of their own, on a harness that both use

Change: the stand-ins and the system under test move to platform/platformtest, exported; TestMain, the upgrade tests and all others stay; 13 tests of roll-outs move to platform/rollouttest. Each package has a range of ports of its own. No check, sleep or bound changes; the layers' test and that of clocks pass over platformtest as over _test files, and the first now refuses product code that imports it.

--- a/layers_test.go
+++ b/layers_test.go
@@ -20,6 +20,9 @@
 // own layer and of those after it.
 var layers = []string{"proctest", "cmd", "platform", "transport", "protocol", "coordination", "state"}
 
+// testHarness is the package with the stand-ins of the tests of the whole system.
+const testHarness = "platform/platformtest"
+
 func TestImportsFollowLayers(t *testing.T) {
 	is := is.New(t)
 	files := 0
@@ -27,7 +30,7 @@
 		if err != nil || !strings.HasSuffix(path, ".go") || !strings.Contains(path, "/") {
 			return err
 		}
-		if strings.HasPrefix(path, "platform/") && strings.HasSuffix(path, "_test.go") {
+		if strings.HasPrefix(path, "platform/") && strings.HasSuffix(path, "_test.go") || strings.HasPrefix(path, testHarness+"/") {
 			return nil // tests of the whole system import packages of higher layers
 		}
 		files++
@@ -39,6 +42,9 @@
 		for _, i := range f.Imports {
 			name, _ := strconv.Unquote(i.Path.Value)
 			rest, ours := strings.CutPrefix(name, "quinceroad/")
+			if rest == testHarness {
+				t.Errorf("%s imports %s, which is for tests only", path, name)
+			}
 			if to := slices.Index(layers, strings.Split(rest, "/")[0]); ours && (from < 0 || to < from) {
 				t.Errorf("%s imports %s, which belongs to a higher layer", path, name)
 			}
@@ -86,7 +92,7 @@
 	for _, dir := range []string{"cmd/node", "coordination", "state", "platform", "transport/upstream"} {
 		err := filepath.WalkDir(dir, func(path string, d fs.DirEntry, err error) error {
 			// call.go belongs to the deployment with entry and coord processes.
-			if err != nil || !strings.HasSuffix(path, ".go") || strings.HasSuffix(path, "_test.go") || path == "transport/upstream/call.go" {
+			if err != nil || !strings.HasSuffix(path, ".go") || strings.HasSuffix(path, "_test.go") || strings.HasPrefix(path, testHarness+"/") || path == "transport/upstream/call.go" {
 				return err
 			}
 			files++
