Parts of one crashing request are not held against others (LOST; TestPartOfOneCrashingRequestIsNotBlamed)

Cause: only another part could explain the ends under a part, not a whole request; and who waited for a lease did not hear that it needed none any more. Change: any feature that a request does not hold and that has the same ends explains them; what is explained is no suspect, and a quarantined part is tried. Who waits for a lease looks every 20 ms whether it still needs it. Also: the reason, explain and the listing name the part; a gauge of what is held.

--- a/cmd/ctl/explain_test.go
+++ b/cmd/ctl/explain_test.go
@@ -151,3 +151,18 @@
 	is.True(strings.Contains(out.String(), "request condemned"))
 	is.True(!strings.Contains(out.String(), "cd"))
 }
+
+// The trace of a request that a part of its prompt keeps from being sent has the evidence against
+// that part.
+func TestExplainReportsThePartToBlame(t *testing.T) {
+	is := is.New(t)
+	name := filepath.Join(t.TempDir(), "node.log")
+	is.NoErr(os.WriteFile(name, []byte(`2026-01-01T00:00:01.100Z [ERROR] node: request condemned: instance=i2 event=3173 fingerprint=cd kind=part ended=3 tried=1 why="a replica's end"
+2026-01-01T00:00:01.200Z [ERROR] node: request condemned: instance=i2 event=3173 fingerprint=99 kind=part ended=3 tried=1 why="a replica's end"
+2026-01-01T00:00:02.000Z [INFO]  node: request: instance=i1 event=3050 request=r2 fingerprint=ab parts="[ce cd]" why="`+event.ReasonPartQuarantined+`" took=1ms
+`), 0o600))
+	var out, errOut bytes.Buffer
+	is.Equal(Main([]string{"explain", "r2", name}, &out, &errOut), 0)
+	is.True(strings.Contains(out.String(), "Not sent by i1: replicas have ended under requests with a part of its prompt (parts ce cd)"))
+	is.Equal(strings.Count(out.String(), "request condemned"), 1) // not that of another part
+}
--- a/cmd/ctl/quarantine.go
+++ b/cmd/ctl/quarantine.go
@@ -13,13 +13,13 @@
 	"quinceroad/transport/web"
 )
 
-// nodeQuarantine is the part of a node's state dump that describes suspected and
-// quarantined requests: requests during whose execution replicas have ended.
+// nodeQuarantine is the part of a node's state dump that describes suspected and quarantined
+// requests and parts of prompts: those during whose execution replicas have ended.
 type nodeQuarantine struct {
 	Name       string
 	Quarantine []struct {
-		Fingerprint, Verdict, Asked string
-		Ended, Cleared              int
+		Fingerprint, Kind, Verdict, Asked string
+		Ended, Tried, Cleared             int
 	}
 }
 
@@ -35,10 +35,10 @@
 func printQuarantine(out io.Writer, all []nodeQuarantine) {
 	t := tabwriter.NewWriter(out, 0, 0, padding, ' ', 0)
 	defer func() { _ = t.Flush() }()
-	fmt.Fprintln(t, "NODE\tFINGERPRINT\tVERDICT\tENDED\tCLEARED\tASKED")
+	fmt.Fprintln(t, "NODE\tFINGERPRINT\tKIND\tVERDICT\tENDED\tTRIED\tCLEARED\tASKED")
 	for _, n := range all {
 		for _, q := range n.Quarantine {
-			fmt.Fprintf(t, "%s\t%s\t%s\t%d\t%d\t%s ago\n", n.Name, q.Fingerprint, q.Verdict, q.Ended, q.Cleared, q.Asked)
+			fmt.Fprintf(t, "%s\t%s\t%s\t%s\t%d\t%d\t%d\t%s ago\n", n.Name, q.Fingerprint, q.Kind, q.Verdict, q.Ended, q.Tried, q.Cleared, q.Asked)
 		}
 	}
 }
--- a/cmd/ctl/trace.go
+++ b/cmd/ctl/trace.go
@@ -13,6 +13,7 @@
 type requestTrace struct {
 	id           string
 	fingerprint  string          // of the request; "" until a line with it is read
+	parts        []string        // fingerprints of the parts of its prompt
 	requestLines []*logLine      // lines with the request's id
 	contextLines []*logLine      // concurrent events of the replicas and instances involved
 	replicas     map[string]bool // replicas that it was sent to
@@ -38,6 +39,9 @@
 	if f := l.field("fingerprint"); f != "" {
 		t.fingerprint = f
 	}
+	if parts := strings.Fields(strings.Trim(l.field("parts"), "[]")); len(parts) > 0 {
+		t.parts = parts
+	}
 	t.instances[l.instance] = true
 	if owner := l.field("owner"); owner != "" {
 		t.instances[owner] = true
@@ -83,6 +87,7 @@
 	case l.field("why") == "hearsay" && !t.instances[l.instance]:
 		return // the same evidence, repeated by an instance not involved in the request
 	case t.fingerprint != "" && l.field("fingerprint") == t.fingerprint: // includes the client's other attempts
+	case slices.Contains(t.parts, l.field("fingerprint")):
 	case slices.ContainsFunc(replicaEvents, is) && t.replicas[l.field("replica")]:
 	case slices.ContainsFunc(instanceEvents, is) && (t.instances[l.field("name")] || t.instances[l.field("owner")]):
 	case slices.ContainsFunc(localEvents, is) && t.instances[l.instance]:
@@ -169,6 +174,8 @@
 		return fmt.Sprintf("Admitted, then given up by %s after %s: %s.", failed.instance, failed.field("after"), failed.field("why"))
 	case reason == event.ReasonQuarantined:
 		return fmt.Sprintf("Not sent by %s: replicas have ended under this request before (fingerprint %s); see the lines beside it.", end.instance, t.fingerprint)
+	case reason == event.ReasonPartQuarantined:
+		return fmt.Sprintf("Not sent by %s: replicas have ended under requests with a part of its prompt (parts %s); see the lines beside it.", end.instance, strings.Join(t.parts, " "))
 	case attempt != nil:
 		return fmt.Sprintf("Lost at replica %s after %s: %s; %s attempts in all, on a connection used before: %s.",
 			attempt.field("replica"), attempt.field("took"), attempt.field("why"), end.field("attempts"), attempt.field("kept"))
--- a/cmd/node/attempt.go
+++ b/cmd/node/attempt.go
@@ -272,8 +272,11 @@
 // abortQuarantined aborts the attempt because the request has become quarantined, unless its
 // answer has begun or it is what tells its parts apart.
 func (a *attempt) abortQuarantined() {
-	if !a.answerBegan.Load() && a.node.judge(a.features()).Verdict == quarantine.Quarantined {
-		a.abort(errQuarantined)
+	if a.answerBegan.Load() {
+		return
+	}
+	if j := a.node.judge(a.features()); j.Verdict == quarantine.Quarantined {
+		a.abort(a.quarantineError(j))
 	}
 }
 
--- a/cmd/node/counters.go
+++ b/cmd/node/counters.go
@@ -5,6 +5,8 @@
 	"strings"
 
 	metrics "github.com/rcrowley/go-metrics"
+
+	"quinceroad/coordination/quarantine"
 )
 
 // counters are the metrics of the process. Their registered names are stable.
@@ -139,3 +141,10 @@
 func (c *counters) answersWithStatus(code int) metrics.Counter {
 	return metrics.GetOrRegisterCounter("node.answers."+strconv.Itoa(code), c.registry)
 }
+
+// setQuarantined sets the gauges with the number of quarantined requests and parts of prompts.
+func (c *counters) setQuarantined(counts map[quarantine.Kind]int) {
+	for _, kind := range []quarantine.Kind{quarantine.WholeRequest, quarantine.PromptPart} {
+		metrics.GetOrRegisterGauge("node.quarantine.held."+kind.String(), c.registry).Update(int64(counts[kind]))
+	}
+}
--- a/cmd/node/quarantine.go
+++ b/cmd/node/quarantine.go
@@ -30,6 +30,16 @@
 
 var errQuarantined = errors.New(event.ReasonQuarantined)
 
+// errPartQuarantined is the errQuarantined of requests with a quarantined part in their prompts.
+var errPartQuarantined error = partQuarantinedError{}
+
+type partQuarantinedError struct{}
+
+func (partQuarantinedError) Error() string { return event.ReasonPartQuarantined }
+
+// Is implements the interface of errors.Is.
+func (partQuarantinedError) Is(target error) bool { return target == errQuarantined }
+
 // quarantineTracker tracks the requests that crash replicas, as observed by this instance
 // and reported by peers.
 type quarantineTracker struct {
@@ -213,12 +223,13 @@
 	return encodeCase(e)
 }
 
-// pruneQuarantine removes expired cases, probes and crash counts.
+// pruneQuarantine removes expired cases, probes and crash counts, and counts what is quarantined.
 func (n *Node) pruneQuarantine() {
 	n.updateQuarantine(causeAge, func(t *quarantine.Tracker, now time.Duration) []quarantine.Change { return t.Expire(now) })
 	q := n.quarantine
 	q.mu.Lock()
 	defer q.mu.Unlock()
+	n.counters.setQuarantined(q.tracker.CountQuarantined())
 	for id, probe := range q.probes {
 		if n.now()-probe.startedAt > livenessProbeTTL {
 			delete(q.probes, id)
--- a/cmd/node/request_handler.go
+++ b/cmd/node/request_handler.go
@@ -175,6 +175,10 @@
 // elapsed returns the time since the request arrived.
 func (s *requestHandler) elapsed() time.Duration { return s.node.now() - s.req.ArrivedAt }
 
+// trialCheckInterval is the interval between checks whether a waiting request still needs a trial
+// lease.
+const trialCheckInterval = 20 * time.Millisecond
+
 // customerRankFactor ranks requests by their customer's priority first, then by
 // their route's.
 const customerRankFactor = 10
@@ -297,11 +301,19 @@
 	}
 	if j.Verdict == quarantine.Quarantined {
 		s.node.counters.quarantined.Inc(1)
-		return errQuarantined
+		return s.quarantineError(j)
 	}
 	return nil
 }
 
+// quarantineError returns the error of a request that is quarantined.
+func (s *requestHandler) quarantineError(j quarantine.Judgement) error {
+	if j.Cause != s.fingerprint {
+		return errPartQuarantined
+	}
+	return errQuarantined
+}
+
 func (s *requestHandler) holdsTrials(features []quarantine.Fingerprint) bool {
 	for _, f := range features {
 		if s.trials[f] == nil {
@@ -311,13 +323,21 @@
 	return true
 }
 
-// acquireTrials waits for the trial leases that the request lacks.
+// acquireTrials waits for the trial leases that the request lacks. It also returns if the request
+// needs one of them no more, as another's trial or a peer has told more about it.
 func (s *requestHandler) acquireTrials(ctx context.Context, features []quarantine.Fingerprint) error {
 	for _, f := range features {
 		if s.trials[f] != nil {
 			continue
 		}
-		lease, err := s.node.trials.Acquire(ctx, f)
+		waitCtx, cancel := context.WithCancel(ctx)
+		go s.cancelWhenCleared(waitCtx, f, cancel)
+		lease, err := s.node.trials.Acquire(waitCtx, f)
+		cleared := waitCtx.Err() != nil && ctx.Err() == nil
+		cancel()
+		if err != nil && cleared {
+			return nil
+		}
 		if err != nil {
 			return err
 		}
@@ -329,6 +349,17 @@
 	return nil
 }
 
+// cancelWhenCleared calls cancel once the request may be sent without a trial of a feature, or is
+// not sent at all.
+func (s *requestHandler) cancelWhenCleared(ctx context.Context, f quarantine.Fingerprint, cancel func()) {
+	for process.Sleep(ctx, trialCheckInterval) {
+		if !slices.Contains(s.node.judge(s.features()).Trials, f) {
+			cancel()
+			return
+		}
+	}
+}
+
 // heldTrials returns the features whose trial leases the request holds.
 func (s *requestHandler) heldTrials() []quarantine.Fingerprint {
 	return slices.Collect(maps.Keys(s.trials))
--- a/coordination/quarantine/parts.go
+++ b/coordination/quarantine/parts.go
@@ -13,8 +13,9 @@
 //   - What is left with Options.PartSuspectAt ends is suspect: of the requests with it one is
 //     sent at a time.
 //   - A part is quarantined if a replica ends in such a trial as well.
-//   - Parts that were always together have the same ends. A request with some of them only tells
-//     them apart, so it is tried although they are quarantined.
+//   - Features that were always together have the same ends: parts, or a part and the one request
+//     that crashes replicas by the rest of it. A request with some of them only tells them apart:
+//     it is no suspect for their ends, and is tried although they are quarantined.
 
 // maxTrialsPerRequest bounds the features of one request that are tried at once.
 const maxTrialsPerRequest = 4
@@ -82,26 +83,34 @@
 			return Suspect
 		}
 		return v
-	case t.isExplained(c, r, func(x *Case) bool { return t.verdictOf(x) == Quarantined }):
+	case c.Kind == PromptPart:
+		if t.isExplained(c, r, func(*Case) bool { return true }) {
+			return Unsuspected
+		}
+		return v
+	case t.isExplained(c, r, func(x *Case) bool { return x.Kind == PromptPart && t.verdictOf(x) == Quarantined }):
 		return v - 1 // it was beside what ended its replicas
 	}
 	return v
 }
 
 // mayRetry reports whether a request with a quarantined part is sent all the same, in a trial:
-// after a pause, or if the request tells the part apart from another one.
+// once more after a pause, or if it tells the part apart from others.
 func (t *Tracker) mayRetry(now time.Duration, c *Case, r Request) bool {
-	if len(c.Tried) >= t.opts.MaxTrialEnds {
+	switch tried := len(c.Tried); {
+	case tried >= t.opts.MaxTrialEnds:
 		return false
+	case tried == 1 && now-c.triedAt >= t.opts.RetrialPause:
+		return true
 	}
-	return now-c.triedAt >= t.opts.RetrialPause || t.isExplained(c, r, func(*Case) bool { return true })
+	return t.isExplained(c, r, func(*Case) bool { return true })
 }
 
-// isExplained reports whether all replicas that ended under a feature also ended under a part
-// that a request does not hold.
+// isExplained reports whether all replicas that ended under a feature also ended under another
+// one that a request does not hold.
 func (t *Tracker) isExplained(c *Case, r Request, by func(*Case) bool) bool {
 	for _, x := range t.order {
-		if x.Kind != PromptPart || x == c || len(x.Ended) < len(c.Ended) || slices.Contains(r.Parts, x.Fingerprint) {
+		if x == c || len(x.Ended) < len(c.Ended) || x.Fingerprint == r.Whole || slices.Contains(r.Parts, x.Fingerprint) {
 			continue
 		}
 		if by(x) && containsAll(x.Ended, c.Ended) {
@@ -153,3 +162,14 @@
 		return c.Kind == PromptPart && t.verdictOf(c) != Unsuspected && slices.Contains(c.Ended, inc)
 	})
 }
+
+// CountQuarantined returns the number of quarantined features by kind.
+func (t *Tracker) CountQuarantined() map[Kind]int {
+	counts := make(map[Kind]int)
+	for _, c := range t.order {
+		if t.verdictOf(c) == Quarantined {
+			counts[c.Kind]++
+		}
+	}
+	return counts
+}
--- a/coordination/quarantine/parts_test.go
+++ b/coordination/quarantine/parts_test.go
@@ -90,6 +90,26 @@
 	})
 }
 
+// LOST: a part of the one request that crashes replicas is not held against other requests with
+// it: as long as that request explains all ends, they are no suspects, and then they are tried.
+func TestPartOfOneCrashingRequestIsNotBlamed(t *testing.T) {
+	is := is.New(t)
+	tr := New(DefaultOptions(), 0)
+	const guilty, part = 50, 7
+	for n := range 2 {
+		crash(tr, 0, n, guilty)
+		crashParts(tr, 0, n, nil, part)
+	}
+	is.Equal(verdictOn(tr, 0, part), Unsuspected)
+	crash(tr, 0, 2, guilty)
+	crashParts(tr, 0, 2, []Fingerprint{part}, part)
+	is.Equal(tr.Judge(0, Request{Whole: guilty, Parts: []Fingerprint{part}}).Verdict, Quarantined)
+	is.Equal(verdictOn(tr, 0, part), Suspect)
+	crashParts(tr, 0, 3, nil, part)
+	crashParts(tr, 0, 4, []Fingerprint{part}, part)
+	is.Equal(verdictOn(tr, 0, part), Quarantined) // the request does not explain these
+}
+
 // A part that crashed a replica by chance in its only trial is tried once more after a pause, and
 // no more than that.
 func TestQuarantinedPartIsTriedOnceMore(t *testing.T) {
--- a/coordination/quarantine/quarantine.go
+++ b/coordination/quarantine/quarantine.go
@@ -59,7 +59,7 @@
 	QuarantineAt         int           // number of replicas that must end while running requests with a feature to quarantine it
 	PartSuspectAt        int           // number of replicas that must end to suspect a part of prompts
 	MaxTrialEnds         int           // replicas that may end in trials of a part; then it is not tried any more
-	RetrialPause         time.Duration // time after which a quarantined part is tried once more
+	RetrialPause         time.Duration // time after which a part that one trial quarantined is tried once more
 	MaxEndDelay          time.Duration // maximum time between a broken answer and the replica's end
 	SuccessTTL           time.Duration // time for which a complete answer clears all attempts of a request, whichever replicas end
 	PartSuccessTTL       time.Duration // the same for the parts of its prompt
@@ -80,7 +80,7 @@
 		// with a poisonous one twice would be quarantined.
 		QuarantineAt:         3,
 		PartSuspectAt:        2, // many rare parts see one end beside others
-		MaxTrialEnds:         2,
+		MaxTrialEnds:         3, // the most that the requirements allow after the fifth end
 		RetrialPause:         time.Minute,
 		MaxEndDelay:          5 * time.Second,  // a replica's registration is removed about 3 s after its end
 		SuccessTTL:           10 * time.Second, // frequent requests are answered more often than that
--- a/protocol/event/event.go
+++ b/protocol/event/event.go
@@ -31,6 +31,9 @@
 // returned to the caller and logged with the request's end.
 const ReasonQuarantined = "replicas have ended under this request; it is not sent to any more of them"
 
+// ReasonPartQuarantined is the same for a part of the request's prompt.
+const ReasonPartQuarantined = "replicas have ended under a part of this prompt; requests with it are not sent to any more of them"
+
 // Events of the entry.
 var (
 	EntryStarted          = add(1001, hclog.Info, "entry started", "incarnation, http", "The entry accepts requests.", noAction)
