A key of items that crashes replicas is quarantined like a part of prompts (TestSegmentKeyThatCrashesReplicasIsQuarantined)

Found by looking for the same cause elsewhere: what requests share and a fingerprint of the whole request swallows. Callers' requests with one key of items, all different, ended three replicas of a pool each. Change: the key of items, by customer, is a shared part as those of prompts are: blamed at the owner for crashes of calls, cleared by results with it. Where a key becomes suspect, jobs with it that hold no trial lease are given up and run again with one.

--- a/cmd/ctl/explain_test.go
+++ b/cmd/ctl/explain_test.go
@@ -163,6 +163,6 @@
 `), 0o600))
 	var out, errOut bytes.Buffer
 	is.Equal(Main([]string{"explain", "r2", name}, &out, &errOut), 0)
-	is.True(strings.Contains(out.String(), "Not sent by i1: replicas have ended under requests with a part of its prompt (parts ce cd)"))
+	is.True(strings.Contains(out.String(), "Not sent by i1: replicas have ended under requests with a part that it shares with others (parts ce cd)"))
 	is.Equal(strings.Count(out.String(), "request condemned"), 1) // not that of another part
 }
--- a/cmd/ctl/trace.go
+++ b/cmd/ctl/trace.go
@@ -13,7 +13,7 @@
 type requestTrace struct {
 	id           string
 	fingerprint  string          // of the request; "" until a line with it is read
-	parts        []string        // fingerprints of the parts of its prompt
+	parts        []string        // fingerprints of what it shares with other requests
 	requestLines []*logLine      // lines with the request's id
 	contextLines []*logLine      // concurrent events of the replicas and instances involved
 	replicas     map[string]bool // replicas that it was sent to
@@ -175,7 +175,7 @@
 	case reason == event.ReasonQuarantined:
 		return fmt.Sprintf("Not sent by %s: replicas have ended under this request before (fingerprint %s); see the lines beside it.", end.instance, t.fingerprint)
 	case reason == event.ReasonPartQuarantined:
-		return fmt.Sprintf("Not sent by %s: replicas have ended under requests with a part of its prompt (parts %s); see the lines beside it.", end.instance, strings.Join(t.parts, " "))
+		return fmt.Sprintf("Not sent by %s: replicas have ended under requests with a part that it shares with others (parts %s); see the lines beside it.", end.instance, strings.Join(t.parts, " "))
 	case attempt != nil:
 		return fmt.Sprintf("Lost at replica %s after %s: %s; %s attempts in all, on a connection used before: %s.",
 			attempt.field("replica"), attempt.field("took"), attempt.field("why"), end.field("attempts"), attempt.field("kept"))
--- a/cmd/node/cell.go
+++ b/cmd/node/cell.go
@@ -3,8 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"maps"
-	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -13,7 +11,6 @@
 	"quinceroad/coordination/pace"
 	"quinceroad/coordination/pipeline"
 	"quinceroad/coordination/placement"
-	"quinceroad/coordination/quarantine"
 	"quinceroad/protocol/event"
 	"quinceroad/state/catalog"
 )
@@ -31,9 +28,9 @@
 	lastRequestID uint64                          // ID of the latest request in engines and grantQueues
 	jobOutcomes   map[uint64]chan pipeline.Action // by job: receives Deliver or Fail
 	calls         map[uint64]context.CancelFunc
-	lastRequestAt time.Duration                     // arrival of the latest request; 0: this instance does not own the cell
-	grantQueues   map[string]*pace.Queue            // by service: requests waiting for a send grant of its engines
-	fingerprints  map[string]quarantine.Fingerprint // by request ID, while the stages run
+	lastRequestAt time.Duration           // arrival of the latest request; 0: this instance does not own the cell
+	grantQueues   map[string]*pace.Queue  // by service: requests waiting for a send grant of its engines
+	features      map[string]callFeatures // by request ID, while the stages run
 
 	config *catalog.Configuration // as of the last refresh
 	listed listing.Cell           // as of the last refresh
@@ -121,6 +118,7 @@
 		outcome = c.classifyBrokenCall(ctx, call, startedAt)
 	}
 	if outcome == pipeline.Answered {
+		c.recordSoundKeys(call, results)
 		c.finishAfterResults(call.Service, finishRequest)
 	} else {
 		finishRequest()
@@ -150,56 +148,6 @@
 	})
 }
 
-// classifyBrokenCall probes whether the replica of a broken call has crashed. A crash
-// counts against all requests in the call.
-func (c *cell) classifyBrokenCall(ctx context.Context, call pipeline.Call, sentAt time.Duration) pipeline.Outcome {
-	n := c.owner.node
-	fingerprints := c.callFingerprints(call)
-	probe := n.recordBrokenAnswers(&catalog.Replica{ID: call.Replica, Service: call.Service, Address: call.Address}, sentAt, slices.Collect(maps.Values(fingerprints))...)
-	if !n.awaitLivenessProbe(ctx, probe) {
-		if n.replicaLinks.isCut(call.Replica) {
-			n.recordLostOpen(call.Replica)
-			return pipeline.LinkLost
-		}
-		return pipeline.Broken
-	}
-	for request, f := range fingerprints {
-		if n.verdict(f) == quarantine.Quarantined {
-			c.failQuarantined(request)
-		}
-	}
-	return pipeline.Crashed
-}
-
-// callFingerprints returns the fingerprints of the requests in a call, by request ID.
-func (c *cell) callFingerprints(call pipeline.Call) map[string]quarantine.Fingerprint {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	out := make(map[string]quarantine.Fingerprint)
-	for _, item := range call.Items {
-		if f, ok := c.fingerprints[item.RequestID]; ok {
-			out[item.RequestID] = f
-		}
-	}
-	return out
-}
-
-func (c *cell) removeFingerprint(request string) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	delete(c.fingerprints, request)
-}
-
-// failQuarantined fails the job of a quarantined request.
-func (c *cell) failQuarantined(request string) {
-	c.runStep(func(now time.Duration) []pipeline.Action {
-		return c.scheduler.FailRequest(now, request, reasonQuarantined)
-	})
-}
-
-// reasonQuarantined is the failure reason of a job whose request is quarantined.
-const reasonQuarantined = "condemned"
-
 func (c *cell) logCall(call pipeline.Call, results []pipeline.Result, duration time.Duration) {
 	n := c.owner.node
 	if !n.log.IsDebug() || len(results) == 0 {
--- a/cmd/node/counters.go
+++ b/cmd/node/counters.go
@@ -144,7 +144,7 @@
 
 // setQuarantined sets the gauges with the number of quarantined requests and parts of prompts.
 func (c *counters) setQuarantined(counts map[quarantine.Kind]int) {
-	for _, kind := range []quarantine.Kind{quarantine.WholeRequest, quarantine.PromptPart} {
+	for _, kind := range []quarantine.Kind{quarantine.WholeRequest, quarantine.SharedPart} {
 		metrics.GetOrRegisterGauge("node.quarantine.held."+kind.String(), c.registry).Update(int64(counts[kind]))
 	}
 }
--- a/cmd/node/owned_request.go
+++ b/cmd/node/owned_request.go
@@ -10,7 +10,6 @@
 	"quinceroad/coordination/origin"
 	"quinceroad/coordination/pipeline"
 	"quinceroad/coordination/placement"
-	"quinceroad/coordination/quarantine"
 	"quinceroad/coordination/shares"
 	"quinceroad/protocol/event"
 	"quinceroad/protocol/frame"
@@ -94,7 +93,7 @@
 	}
 	outcome := make(chan pipeline.Action, 1)
 	c.mu.Lock()
-	c.fingerprints[job.RequestID] = quarantine.Fingerprint(r.ask.Fingerprint)
+	c.features[job.RequestID] = featuresOf(r.ask)
 	reply := r.reserveEngineTime(&job)
 	verdict, actions := c.scheduler.Submit(n.now(), job)
 	if verdict.Admitted {
@@ -104,7 +103,7 @@
 	c.mu.Unlock()
 	c.executeActions(actions)
 	if !verdict.Admitted {
-		c.removeFingerprint(job.RequestID)
+		c.removeFeatures(job.RequestID)
 		n.counters.jobsRefused.Inc(1)
 		event.NodeJobRefused.Log(n.log, "request", job.RequestID, "customer", job.Customer, "rank", job.Rank, "again", job.Retry,
 			"short", verdict.Standing.Resource, "asked", verdict.Standing.Demand, "share", verdict.Standing.Share,
@@ -243,7 +242,7 @@
 	c := r.cell
 	c.mu.Lock()
 	delete(c.jobOutcomes, job)
-	delete(c.fingerprints, r.ask.RequestId)
+	delete(c.features, r.ask.RequestId)
 	c.mu.Unlock()
 	c.runStep(func(now time.Duration) []pipeline.Action { return c.scheduler.Release(now, job) })
 }
--- a/cmd/node/owner.go
+++ b/cmd/node/owner.go
@@ -10,7 +10,6 @@
 	"quinceroad/coordination/pace"
 	"quinceroad/coordination/pipeline"
 	"quinceroad/coordination/placement"
-	"quinceroad/coordination/quarantine"
 	"quinceroad/coordination/speed"
 	"quinceroad/protocol/event"
 )
@@ -45,14 +44,14 @@
 	c := o.cells[number]
 	if c == nil {
 		c = &cell{
-			owner:        o,
-			number:       number,
-			scheduler:    pipeline.New(pipeline.WithWarmUpLimit(o.node.warmUp.limit), pipeline.WithSendGrants(cellGrants{o.node}), pipeline.WithWorth(o.node.settings.LateWorth, o.node.settings.ServedWorth)),
-			engines:      placement.New(o.node.placementOptions(), o.node.warmUp.limit).WithSendGrants(cellGrants{o.node}),
-			jobOutcomes:  make(map[uint64]chan pipeline.Action),
-			calls:        make(map[uint64]context.CancelFunc),
-			grantQueues:  make(map[string]*pace.Queue),
-			fingerprints: make(map[string]quarantine.Fingerprint),
+			owner:       o,
+			number:      number,
+			scheduler:   pipeline.New(pipeline.WithWarmUpLimit(o.node.warmUp.limit), pipeline.WithSendGrants(cellGrants{o.node}), pipeline.WithWorth(o.node.settings.LateWorth, o.node.settings.ServedWorth)),
+			engines:     placement.New(o.node.placementOptions(), o.node.warmUp.limit).WithSendGrants(cellGrants{o.node}),
+			jobOutcomes: make(map[uint64]chan pipeline.Action),
+			calls:       make(map[uint64]context.CancelFunc),
+			grantQueues: make(map[string]*pace.Queue),
+			features:    make(map[string]callFeatures),
 		}
 		o.cells[number] = c
 		event.NodePoolsOwned.Log(o.node.log, "cell", number)
--- a/cmd/node/quarantine.go
+++ b/cmd/node/quarantine.go
@@ -30,7 +30,11 @@
 
 var errQuarantined = errors.New(event.ReasonQuarantined)
 
-// errPartQuarantined is the errQuarantined of requests with a quarantined part in their prompts.
+// errBecameSuspect means that an owner gave up the stages of a request, as replicas have ended
+// under a part that it shares with others.
+var errBecameSuspect = errors.New("the request became suspect while its stages ran")
+
+// errPartQuarantined is the errQuarantined of requests that share a quarantined part with others.
 var errPartQuarantined error = partQuarantinedError{}
 
 type partQuarantinedError struct{}
@@ -141,6 +145,13 @@
 	})
 }
 
+// recordSoundParts records that replicas ran requests with some shared parts to their end.
+func (n *Node) recordSoundParts(parts []quarantine.Fingerprint) {
+	n.updateQuarantine(causeAnswer, func(t *quarantine.Tracker, now time.Duration) []quarantine.Change {
+		return t.RecordSoundParts(now, parts)
+	})
+}
+
 // cancelUnbegun cancels this instance's requests with a feature that has become quarantined, if
 // their answers have not begun: each may crash one more replica.
 func (n *Node) cancelUnbegun(f quarantine.Fingerprint) {
@@ -180,7 +191,7 @@
 }
 
 func encodeCase(e quarantine.Entry) *pb.QuarantineCase {
-	c := &pb.QuarantineCase{Fingerprint: uint64(e.Fingerprint), AgeS: uint32(e.Age.Seconds()), Part: e.Kind == quarantine.PromptPart}
+	c := &pb.QuarantineCase{Fingerprint: uint64(e.Fingerprint), AgeS: uint32(e.Age.Seconds()), Part: e.Kind == quarantine.SharedPart}
 	for _, inc := range e.Tried {
 		c.Tried = append(c.Tried, uint32(inc))
 	}
@@ -196,7 +207,7 @@
 func decodeCase(c *pb.QuarantineCase) quarantine.Entry {
 	e := quarantine.Entry{Fingerprint: quarantine.Fingerprint(c.GetFingerprint()), Age: time.Duration(c.GetAgeS()) * time.Second}
 	if c.GetPart() {
-		e.Kind = quarantine.PromptPart
+		e.Kind = quarantine.SharedPart
 	}
 	for _, inc := range c.GetTried() {
 		e.Tried = append(e.Tried, quarantine.Incarnation(inc))
--- a/cmd/node/request_handler.go
+++ b/cmd/node/request_handler.go
@@ -65,7 +65,7 @@
 	probe       *livenessProbe                               // probe of the last attempt's replica; nil: none
 	trials      map[quarantine.Fingerprint]*triallease.Lease // trial leases of its suspect features
 	fingerprint quarantine.Fingerprint                       // identifies the request across a caller's retries
-	parts       []quarantine.Fingerprint                     // of the prompt parts that it shares with other requests
+	parts       []quarantine.Fingerprint                     // of what it shares with other requests: parts of its prompt, the key of its items
 
 	job                 *stageJob
 	tried               map[string]bool // replicas that may have run the request
@@ -168,6 +168,9 @@
 	if s.service.Engine != nil {
 		s.parts = quarantine.PartFingerprints(s.service.Name, req.SharedPrefix())
 	}
+	if len(route.Stages) > 0 && req.ItemKey != "" {
+		s.parts = append(s.parts, quarantine.KeyFingerprint(boundedCustomerName(s.customer), req.ItemKey))
+	}
 	s.withServiceRates(func(r *serviceRates) { r.budget.RecordSuccess() })
 	return s, nil
 }
@@ -255,7 +258,7 @@
 			return err
 		}
 		if err := s.prepareStages(ctx); err != nil {
-			if s.waitToRetryStages(ctx, err) || s.waitForBackoff(ctx, err) {
+			if s.retriesInTrial(err) || s.waitToRetryStages(ctx, err) || s.waitForBackoff(ctx, err) {
 				continue
 			}
 			return err
@@ -387,6 +390,16 @@
 	}
 }
 
+// retriesInTrial reports whether the stages are run again because the owner gave them up when the
+// request became suspect: with its trial leases.
+func (s *requestHandler) retriesInTrial(err error) bool {
+	if !errors.Is(err, errBecameSuspect) || s.stageReruns >= maxStageReruns {
+		return false
+	}
+	s.stageReruns++
+	return s.consumeRetryBudget()
+}
+
 // waitToRetryStages pauses and reports whether a stream that broke off midway may
 // request its stages again: it can't be refused any more, as its headers are sent.
 func (s *requestHandler) waitToRetryStages(ctx context.Context, err error) bool {
--- a/cmd/node/stages.go
+++ b/cmd/node/stages.go
@@ -157,7 +157,7 @@
 		}
 		var refused *refusedError
 		var failed *failedError
-		if errors.As(err, &refused) || errors.As(err, &failed) || errors.Is(err, errRegionDisallowed) || errors.Is(err, errQuarantined) || ctx.Err() != nil {
+		if errors.As(err, &refused) || errors.As(err, &failed) || errors.Is(err, errRegionDisallowed) || errors.Is(err, errQuarantined) || errors.Is(err, errBecameSuspect) || ctx.Err() != nil {
 			return nil, err
 		}
 		event.NodeOwnerUnreachable.Log(n.log, "owner", owner.Name, "request", ask.RequestId, "error", err)
@@ -273,6 +273,9 @@
 				if r.Failed == reasonQuarantined {
 					return nil, errQuarantined
 				}
+				if r.Failed == reasonSuspect {
+					return nil, errBecameSuspect
+				}
 				return nil, &failedError{reason: r.Failed, retryAfter: time.Duration(r.RetryAfterUs) * time.Microsecond}
 			case r.Admitted:
 				admitted = true
--- a/coordination/quarantine/fingerprint.go
+++ b/coordination/quarantine/fingerprint.go
@@ -13,7 +13,7 @@
 )
 
 // Fingerprint identifies a feature of requests: a whole request as its caller repeats it, or
-// a part of prompts. The fingerprints of different features do not collide in practice.
+// a part that requests share. The fingerprints of different features do not collide in practice.
 type Fingerprint uint64
 
 // String returns the hexadecimal form used in logs and by operators.
@@ -55,17 +55,22 @@
 		if len(out) == maxPartsPerRequest {
 			break
 		}
-		if f := partFingerprint(service, p.ID); !slices.Contains(out, f) {
+		if f := sharedFingerprint("part", service, strings.ToLower(p.ID)); !slices.Contains(out, f) {
 			out = append(out, f)
 		}
 	}
 	return out
 }
 
-// partFingerprint needs no cryptographic hash: a caller that wants to be taken for a user of
+// KeyFingerprint returns the fingerprint of the key of items that a customer's requests share.
+func KeyFingerprint(customer, key string) Fingerprint {
+	return sharedFingerprint("key", customer, key)
+}
+
+// sharedFingerprint needs no cryptographic hash: a caller that wants to be taken for a user of
 // another's part can name that part itself.
-func partFingerprint(service, id string) Fingerprint {
+func sharedFingerprint(what, scope, name string) Fingerprint {
 	h := xxhash.New()
-	_, _ = h.WriteString("part\x00" + service + "\x00" + strings.ToLower(id))
+	_, _ = h.WriteString(what + "\x00" + scope + "\x00" + name)
 	return Fingerprint(h.Sum64())
 }
--- a/coordination/quarantine/parts.go
+++ b/coordination/quarantine/parts.go
@@ -6,8 +6,8 @@
 	"time"
 )
 
-// A part of prompts is in many requests, and most parts of a request that crashes its replica
-// are sound. So the ends under a part alone do not quarantine it:
+// A shared part is in many requests, and most parts of a request that crashes its replica are
+// sound. So the ends under a part alone do not quarantine it:
 //
 //   - What many requests share is answered all the time, which clears it.
 //   - What is left with Options.PartSuspectAt ends is suspect: of the requests with it one is
@@ -23,7 +23,7 @@
 // Request names the features of a request.
 type Request struct {
 	Whole Fingerprint
-	Parts []Fingerprint // of its prompt, those that it shares with other requests
+	Parts []Fingerprint // those that it shares with other requests
 }
 
 // Judgement is the verdict on a request by its features.
@@ -78,17 +78,17 @@
 	switch {
 	case v == Unsuspected:
 		return v
-	case c.Kind == PromptPart && v == Quarantined:
+	case c.Kind == SharedPart && v == Quarantined:
 		if t.mayRetry(now, c, r) {
 			return Suspect
 		}
 		return v
-	case c.Kind == PromptPart:
+	case c.Kind == SharedPart:
 		if t.isExplained(c, r, func(*Case) bool { return true }) {
 			return Unsuspected
 		}
 		return v
-	case t.isExplained(c, r, func(x *Case) bool { return x.Kind == PromptPart && t.verdictOf(x) == Quarantined }):
+	case t.isExplained(c, r, func(x *Case) bool { return x.Kind == SharedPart && t.verdictOf(x) == Quarantined }):
 		return v - 1 // it was beside what ended its replicas
 	}
 	return v
@@ -138,7 +138,7 @@
 			continue
 		}
 		out = append(out, t.recordBroken(brokenAnswer{
-			fingerprint: f, kind: PromptPart, inTrial: slices.Contains(trials, f), incarnation: inc, brokenAt: now,
+			fingerprint: f, kind: SharedPart, inTrial: slices.Contains(trials, f), incarnation: inc, brokenAt: now,
 		})...)
 	}
 	return out
@@ -159,7 +159,7 @@
 // is suspect or quarantined.
 func (t *Tracker) IsPartBlamed(inc Incarnation) bool {
 	return slices.ContainsFunc(t.order, func(c *Case) bool {
-		return c.Kind == PromptPart && t.verdictOf(c) != Unsuspected && slices.Contains(c.Ended, inc)
+		return c.Kind == SharedPart && t.verdictOf(c) != Unsuspected && slices.Contains(c.Ended, inc)
 	})
 }
 
--- a/coordination/quarantine/quarantine.go
+++ b/coordination/quarantine/quarantine.go
@@ -1,13 +1,13 @@
 // Package quarantine distinguishes requests that crash their replicas (queries of
 // death, poison messages) from requests that only ran concurrently with one.
 //
-// What crashes a replica is a feature of a request: the request as a whole, or one part of its
-// prompt. A feature is blamed for each replica incarnation that ended while running a request
+// What crashes a replica is a feature of a request: the request as a whole, or a part that it
+// shares with others, of its prompt or the key of its items. A feature is blamed for each replica incarnation that ended while running a request
 // with it. A complete answer clears the features of its request, as one that crashes replicas
 // never gets one. A request with a blamed feature is suspect: it is tried at one replica at a
 // time, isolated from other suspects. A whole request that is blamed for Options.QuarantineAt
-// incarnations is quarantined and not sent any more. A part of prompts is quarantined once one
-// of these ended in a trial (see parts.go).
+// incarnations is quarantined and not sent any more. A shared part is quarantined once one of
+// these ended in a trial (see parts.go).
 //
 // The records of instances are merged by set union, so messages may arrive in any
 // order and clocks need not agree. A Tracker does no I/O and reads no clock: events
@@ -33,7 +33,7 @@
 // The kinds of features.
 const (
 	WholeRequest Kind = iota
-	PromptPart
+	SharedPart        // a part of prompts, or the key of items
 )
 
 // String returns the kind's name for logs.
@@ -170,7 +170,7 @@
 }
 
 func (t *Tracker) verdictOf(c *Case) Verdict {
-	if c.Kind == PromptPart {
+	if c.Kind == SharedPart {
 		return t.partVerdict(c)
 	}
 	switch {
