--- a/coordination/quarantine/parts_test.go
+++ b/coordination/quarantine/parts_test.go
@@ -179,3 +179,48 @@
 	is.Equal(verdictOn(a, 0, 7), Unsuspected)
 	is.Equal(verdictOn(b, 0, 7), Unsuspected)
 }
+
+// An instance that has just started learns which parts are quarantined; what came through a build
+// that does not know parts is known as a part again as soon as one who does tells of it.
+func TestStartedInstancesLearnQuarantinedParts(t *testing.T) {
+	is := is.New(t)
+	a, started, throughOld := New(DefaultOptions(), 0), New(DefaultOptions(), 0), New(DefaultOptions(), 0)
+	for n := range 3 {
+		crashParts(a, 0, n, []Fingerprint{7}, 7)
+	}
+	crashParts(a, 0, 3, nil, 8)
+	crashParts(a, 0, 4, nil, 8)
+	for _, e := range a.Snapshot(0) {
+		started.Merge(0, e)
+		e.Kind, e.Tried = WholeRequest, nil // as an older build passes it on
+		throughOld.Merge(0, e)
+	}
+	is.Equal(verdictOn(started, 0, 7), Quarantined)
+	is.Equal(verdictOn(started, 0, 8), Suspect)
+	is.Equal(verdictOn(throughOld, 0, 7), Quarantined)
+	is.Equal(verdictOn(throughOld, 0, 8), Suspect)
+	announce(0, a, throughOld)
+	is.Equal(verdictOn(throughOld, 0, 7), Quarantined)
+	is.Equal(throughOld.All(0)[0].Kind, SharedPart)
+}
+
+// What is exchanged stays bounded: a message holds at most the changed and the repeated cases
+// that the options state, whatever number of parts is held, with none it holds nothing.
+func TestPartsInMessagesAreBounded(t *testing.T) {
+	is := is.New(t)
+	o := DefaultOptions()
+	for _, parts := range []int{0, 1, 100, 1000} {
+		tr := New(o, 0)
+		for f := range parts {
+			for n := range 3 {
+				crashParts(tr, 0, 3*f+n, []Fingerprint{Fingerprint(f)}, Fingerprint(f))
+			}
+		}
+		for range 200 {
+			entries := tr.Updates(0)
+			is.True(len(entries) <= o.MaxChangedPerMessage+o.RepeatsPerMessage)
+			is.True(parts > 0 || len(entries) == 0)
+		}
+		is.True(len(tr.Snapshot(0)) <= o.MaxPerSnapshot)
+	}
+}
