--- a/cmd/node/attempt.go
+++ b/cmd/node/attempt.go
@@ -232,9 +232,9 @@
 	_ = a.conn.SetDeadline(time.Now().Add(a.deadline - a.node.now() + time.Second))
 	stop := context.AfterFunc(ctx, a.conn.Close)
 	defer stop()
-	defer a.node.activeRequests.add(a.replica.ID, func() { a.abort(errReplicaRestarted) })()
+	defer a.node.activeRequests.Add(a.replica.ID, func() { a.abort(errReplicaRestarted) })()
 	for _, f := range a.parts {
-		defer a.node.requestsByFeature.add(f.String(), a.abortQuarantined)()
+		defer a.node.requestsByFeature.Add(f.String(), a.abortQuarantined)()
 	}
 	timer := a.startTimeout()
 	defer timer.Stop()
@@ -276,6 +276,7 @@
 		return
 	}
 	if j := a.node.judge(a.features()); j.Verdict == quarantine.Quarantined {
+		a.node.counters.quarantinedInFlight.Inc(1)
 		a.abort(a.quarantineError(j))
 	}
 }
--- a/cmd/node/cell.go
+++ b/cmd/node/cell.go
@@ -111,7 +111,7 @@
 	replica := catalog.Replica{ID: call.Replica, Service: call.Service, Version: n.versionOf(call.Replica)}
 	ctx, stop := context.WithCancel(ctx)
 	defer stop()
-	defer n.activeRequests.add(call.Replica, stop)()
+	defer n.activeRequests.Add(call.Replica, stop)()
 	finishRequest := n.rollouts.startRequest(&replica, false) // not pinned: items can be sent to another replica
 	results, outcome := n.runBatch(ctx, call)
 	if outcome == pipeline.Broken || outcome == pipeline.TimedOut && n.quarantine.hasEnded(call.Replica) {
--- a/cmd/node/node.go
+++ b/cmd/node/node.go
@@ -21,6 +21,7 @@
 
 	"quinceroad/cmd/node/customers"
 	"quinceroad/cmd/node/eventstream"
+	"quinceroad/cmd/node/inflight"
 	"quinceroad/cmd/node/origins"
 	"quinceroad/cmd/node/peersync"
 	"quinceroad/cmd/node/slotlease"
@@ -88,9 +89,9 @@
 	warmUp   *warmUpLimiter // has its own lock, which is acquired last
 	rollouts *rollouts      // has its own lock, which is acquired last
 
-	activeRequests    *requestRegistry    // has its own lock; no other is acquired under it
+	activeRequests    *inflight.Registry  // by incarnation of the replica, whose connections may never report its end
 	quarantine        *quarantineTracker  // has its own lock; no other is acquired under it
-	requestsByFeature *requestRegistry    // requests whose answers have not begun, by fingerprint of their features
+	requestsByFeature *inflight.Registry  // requests whose answers have not begun, by fingerprint of their features
 	advisories        *advisories         // has its own lock; no other is acquired under it
 	level             fleetLevel          // has its own lock; no other is acquired under it
 	customers         customers.Counts    // has its own lock; no other is acquired under it
@@ -138,9 +139,9 @@
 		drainedHalls:      evacuation.New(),
 		warmUp:            newWarmUpLimiter(s),
 		rollouts:          newRollouts(s),
-		activeRequests:    newRequestRegistry(),
+		activeRequests:    inflight.NewRegistry(),
 		quarantine:        newQuarantineTracker(jitterOf(s.Name)),
-		requestsByFeature: newRequestRegistry(),
+		requestsByFeature: inflight.NewRegistry(),
 		advisories:        newAdvisories(),
 		heldAnswers:       eventstream.NewHeld(s.MemoryMB * bytesPerMB),
 		replicaLinks:      newReplicaLinks(s.MemoryMB),
--- a/cmd/node/quarantine.go
+++ b/cmd/node/quarantine.go
@@ -155,9 +155,7 @@
 // cancelUnbegun cancels this instance's requests with a feature that has become quarantined, if
 // their answers have not begun: each may crash one more replica.
 func (n *Node) cancelUnbegun(f quarantine.Fingerprint) {
-	if cancelled := n.requestsByFeature.cancel(f.String()); cancelled > 0 {
-		n.counters.quarantinedInFlight.Inc(int64(cancelled))
-	}
+	n.requestsByFeature.Cancel(f.String())
 }
 
 // quarantineUpdate returns the suspect and quarantined requests for a heartbeat.
