--- a/cmd/node/quarantine.go
+++ b/cmd/node/quarantine.go
@@ -137,8 +137,8 @@
 	}
 }
 
-// recordCompleteAnswer records that a request got a complete answer, and which parts of its
-// prompt that shows to be sound.
+// recordCompleteAnswer records that a request got a complete answer, and which of its shared
+// parts that shows to be sound.
 func (n *Node) recordCompleteAnswer(f quarantine.Fingerprint, soundParts []quarantine.Fingerprint) {
 	n.updateQuarantine(causeAnswer, func(t *quarantine.Tracker, now time.Duration) []quarantine.Change {
 		return append(t.RecordSuccess(now, f), t.RecordSoundParts(now, soundParts)...)
@@ -293,7 +293,7 @@
 	return out
 }
 
-// isPartBlamed reports whether a part of prompts is blamed for the end of an incarnation.
+// isPartBlamed reports whether a part that requests share is blamed for the end of an incarnation.
 func (q *quarantineTracker) isPartBlamed(incarnation string) bool {
 	q.mu.Lock()
 	defer q.mu.Unlock()
--- a/cmd/node/quarantine_state.go
+++ b/cmd/node/quarantine_state.go
@@ -10,7 +10,7 @@
 // QuarantineState is a node's record of a request under which replicas crashed.
 type QuarantineState struct {
 	Fingerprint   string
-	Kind          string // "request" or "part", of prompts
+	Kind          string // "request", or "part" that requests share
 	Verdict       string
 	Ended         int    // number of replicas that crashed under it
 	Tried         int    // those that crashed in a trial of a part
--- a/transport/upstream/exchange.go
+++ b/transport/upstream/exchange.go
@@ -37,6 +37,7 @@
 	written  chan error // result of a concurrent write of the request; nil if it was written before Begin returned
 	body     io.Reader
 	chunked  bool
+	unframed bool // the body ends with the connection
 	complete bool
 	released bool
 }
@@ -82,7 +83,7 @@
 }
 
 func (x *Exchange) readOneHead() error {
-	x.complete, x.chunked, x.body = false, false, nil
+	x.complete, x.chunked, x.unframed, x.body = false, false, false, nil
 	for {
 		if err := x.Header.Read(x.conn.r); err != nil {
 			return errors.Join(ErrIncomplete, err)
@@ -99,6 +100,7 @@
 		x.chunked = true
 		x.body = httputil.NewChunkedReader(x.conn.r)
 	case length == lengthUnknown:
+		x.unframed = true
 		x.body = x.conn.r
 	default:
 		x.body = &io.LimitedReader{R: x.conn.r, N: int64(length)}
@@ -132,9 +134,7 @@
 
 // IsFramed reports whether the head states where the body ends, by its length or by chunks. A
 // body that is not framed ends with the connection, and looks the same if that breaks.
-func (x *Exchange) IsFramed() bool {
-	return x.noBody || x.Header.ContentLength() != lengthUnknown
-}
+func (x *Exchange) IsFramed() bool { return !x.unframed }
 
 // IsComplete reports whether the body was read to its end. Of one that is not framed, the end
 // may be that of a broken connection.
