--- a/cmd/node/triallease/triallease.go
+++ b/cmd/node/triallease/triallease.go
@@ -1,7 +1,8 @@
 // Package triallease lets one instance at a time try a suspect feature of requests, that is, a
-// request or a part that requests share under which replicas have crashed. The arbiter of its fingerprint, chosen by rendezvous hashing over
-// the live instances, grants the trial lease. If instances briefly disagree on the arbiter, one
-// more replica may crash, but no guarantee is broken.
+// request or a part that requests share under which replicas have crashed. The arbiter of its
+// fingerprint, by rendezvous hashing over the live instances, grants the trial lease. If
+// instances briefly disagree on the arbiter, one more replica may crash, but no guarantee is
+// broken.
 package triallease
 
 import (
--- a/coordination/quarantine/parts.go
+++ b/coordination/quarantine/parts.go
@@ -94,8 +94,8 @@
 	return v
 }
 
-// mayRetry reports whether a request with a quarantined part is sent all the same, in a trial:
-// once more after a pause, or if it tells the part apart from others.
+// mayRetry reports whether a request with a quarantined part is tried all the same: once more
+// after a pause, or if it tells the part apart from others.
 func (t *Tracker) mayRetry(now time.Duration, c *Case, r Request) bool {
 	switch tried := len(c.Tried); {
 	case tried >= t.opts.MaxTrialEnds:
