review: case 3, a superseded configuration acts on after connections to the store went silent

A watch on a silent connection is noticed after up to 4 s, where machines are in touch again after 3 s and a configuration must be in force 2 s after its acknowledgement; the two spans don't add up.

--- a/review/_standin/main.go
+++ b/review/_standin/main.go
@@ -48,7 +48,7 @@
 		fmt.Fprintln(os.Stderr, "usage: standin CASE RECORD")
 		os.Exit(2)
 	}
-	play, ok := map[string]func(*site) error{"surplus": playSurplus}[os.Args[1]]
+	play, ok := map[string]func(*site) error{"surplus": playSurplus, "silent": playSilent}[os.Args[1]]
 	if !ok {
 		fmt.Fprintln(os.Stderr, "no such case")
 		os.Exit(2)
@@ -163,10 +163,11 @@
 	id, key, body string
 	segments      []int
 	deadline      time.Duration
+	apiKey        string
 }
 
 func (s *site) newRequest(segments []int, deadline time.Duration) *sent {
-	return &sent{id: s.w.newHex(8), key: s.w.newHex(6), body: s.w.newHex(300), segments: segments, deadline: deadline}
+	return &sent{id: s.w.newHex(8), key: s.w.newHex(6), body: s.w.newHex(300), segments: segments, deadline: deadline, apiKey: tenantKey}
 }
 
 // expected is the content that the request's inputs have if every piece got its own inputs.
@@ -207,7 +208,7 @@
 	}
 	defer c.Close()
 	_ = c.SetDeadline(time.Now().Add(q.deadline))
-	head := fmt.Sprintf("POST %s%s HTTP/1.1\r\nHost: %s\r\nAttempt-Id: %s\r\nAuthorization: Bearer %s\r\nDeadline-Ms: %d\r\nContent-Length: %d\r\n", path, q.id[:4], host, q.id, tenantKey, q.deadline.Milliseconds(), len(q.body))
+	head := fmt.Sprintf("POST %s%s HTTP/1.1\r\nHost: %s\r\nAttempt-Id: %s\r\nAuthorization: Bearer %s\r\nDeadline-Ms: %d\r\nContent-Length: %d\r\n", path, q.id[:4], host, q.id, q.apiKey, q.deadline.Milliseconds(), len(q.body))
 	if len(q.segments) > 0 {
 		head += fmt.Sprintf("Segments: %s\r\nSegment-Key: %s\r\nModel: m\r\nToken-Count: 300,18\r\nPrompt-Prefix: 5c1e07a2:200,%s:100\r\n", strings.Join(counts, ","), q.key, q.id[:8])
 	}
--- a/review/_standin/store.go
+++ b/review/_standin/store.go
@@ -40,10 +40,20 @@
 	leases   map[uint64]time.Time
 	ttls     map[uint64]time.Duration
 	nextID   uint64
+	silent   chan struct{} // closed when the connections on which a watch waits go silent
+}
+
+// silence makes all connections on which a watch waits silent for good, without a reset. New
+// connections, and those on which no call waits, work on.
+func (s *store) silence() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	close(s.silent)
+	s.silent = make(chan struct{})
 }
 
 func newStore() *store {
-	s := &store{items: make(map[string]*item), revision: 100, changed: make(chan struct{}), leases: make(map[uint64]time.Time), ttls: make(map[uint64]time.Duration), nextID: 1000}
+	s := &store{items: make(map[string]*item), revision: 100, changed: make(chan struct{}), leases: make(map[uint64]time.Time), ttls: make(map[uint64]time.Duration), nextID: 1000, silent: make(chan struct{})}
 	go func() {
 		for range time.Tick(100 * time.Millisecond) {
 			s.expire()
@@ -198,6 +208,9 @@
 	wait, _ := strconv.Atoi(q.Get("wait_ms"))
 	timer := time.NewTimer(time.Duration(wait) * time.Millisecond)
 	defer timer.Stop()
+	s.mu.Lock()
+	silent := s.silent
+	s.mu.Unlock()
 	for {
 		s.mu.Lock()
 		out := []change{}
@@ -213,6 +226,9 @@
 			return
 		}
 		select {
+		case <-silent:
+			<-r.Context().Done() // no answer and no close; the caller gives up
+			panic(http.ErrAbortHandler)
 		case <-changed:
 		case <-timer.C:
 			answer(w, 200, map[string]any{"events": out, "at": at})
