--- a/review/_standin/main.go
+++ b/review/_standin/main.go
@@ -48,7 +48,7 @@
 		fmt.Fprintln(os.Stderr, "usage: standin CASE RECORD")
 		os.Exit(2)
 	}
-	play, ok := map[string]func(*site) error{"surplus": playSurplus, "silent": playSilent}[os.Args[1]]
+	play, ok := map[string]func(*site) error{"surplus": playSurplus, "silent": playSilent, "full": playFull}[os.Args[1]]
 	if !ok {
 		fmt.Fprintln(os.Stderr, "no such case")
 		os.Exit(2)
--- a/review/_standin/servers.go
+++ b/review/_standin/servers.go
@@ -78,6 +78,8 @@
 	itemTime time.Duration
 	room     int // results that it holds at most
 	surplus  float64
+	work     time.Duration // of a plain request
+	closes   float64       // share of a plain replica's answers with Connection: close
 
 	mu      sync.Mutex
 	waiting int
@@ -204,7 +206,7 @@
 			r.w.rec.add("server %s: before its answer to %s %s it sends the surplus answer of %s", r.id, req.Method, req.URL.Path, lateOf)
 			out, late = append(late, out...), nil
 		}
-		if _, err := c.Write(out); err != nil {
+		if _, err := c.Write(out); err != nil || bytes.Contains(out, []byte("\r\nConnection: close\r\n")) {
 			return
 		}
 		if isRun && r.w.trouble && r.surplus > 0 && r.w.chance(r.surplus) {
@@ -434,9 +436,30 @@
 	if id == "" {
 		return head(400, map[string]string{"Not-Executed": "1"}, nil)
 	}
+	headers := map[string]string{"Attempt-Id": id}
+	if r.closes > 0 && r.w.chance(r.closes) {
+		headers["Connection"] = "close"
+	}
+	r.mu.Lock()
+	if r.waiting >= r.slots+r.queue {
+		r.mu.Unlock()
+		headers["Not-Executed"] = "1"
+		r.w.rec.add("server %s is full: 503, Not-Executed, to %s, Connection: %q", r.id, id, headers["Connection"])
+		return head(503, headers, nil)
+	}
+	r.waiting++
+	r.mu.Unlock()
+	<-r.turn
+	defer func() {
+		r.turn <- struct{}{}
+		r.mu.Lock()
+		r.waiting--
+		r.mu.Unlock()
+	}()
 	r.w.rec.ran(r, id)
-	time.Sleep(15 * time.Millisecond)
-	return head(200, map[string]string{"Attempt-Id": id, "Replica-Signature": r.id + "." + contentOf(id, r.id)}, []byte("answer "+contentOf(string(body), id)))
+	time.Sleep(r.work)
+	headers["Replica-Signature"] = r.id + "." + contentOf(id, r.id)
+	return head(200, headers, []byte("answer "+contentOf(string(body), id)))
 }
 
 // sinks returns the stages that no other comes after.
--- a/review/_standin/silent.go
+++ b/review/_standin/silent.go
@@ -19,7 +19,7 @@
 	)
 	services := []string{"desk-a", "desk-b"}
 	for i := range 8 {
-		if _, err := s.addReplica(&replica{service: services[i%2], zone: zones[i/2%len(zones)], slots: 6}); err != nil {
+		if _, err := s.addReplica(&replica{service: services[i%2], zone: zones[i/2%len(zones)], slots: 6, queue: 24, work: 15 * time.Millisecond}); err != nil {
 			return err
 		}
 	}
