--- a/review/_standin/full.go
+++ b/review/_standin/full.go
@@ -11,11 +11,11 @@
 // Connection: close, as those of sound replicas do now and then.
 func playFull(s *site) error {
 	const (
-		usual     = 40.0 // requests a second, of 133 that the replicas can run
+		usual     = 46.0 // requests a second, of 133 that the replicas can run
 		times     = 2.6  // the burst
 		faultAt   = 15 * time.Second
 		down      = time.Second
-		burstFor  = 6 * time.Second
+		burstFor  = 6500 * time.Millisecond
 		recovery  = 12 * time.Second // recover_s
 		measured  = 20 * time.Second
 		closes    = 0.05
