--- a/review/_standin/main.go
+++ b/review/_standin/main.go
@@ -295,7 +295,7 @@
 	}
 	var served, wrong, other atomic.Int64
 	var clients sync.WaitGroup
-	const perSecond, length = 14, 60 * time.Second
+	const perSecond, length = 14, 88 * time.Second
 	for end := time.Now().Add(length); time.Now().Before(end); {
 		s.w.mu.Lock()
 		pause := time.Duration(s.w.random.ExpFloat64() / perSecond * float64(time.Second))
