--- a/cmd/node/unframed.go
+++ b/cmd/node/unframed.go
@@ -18,7 +18,10 @@
 	n := a.node
 	incarnation := n.quarantine.incarnationAt(a.replica.ID, a.sentAt)
 	p := n.probeLivenessNow(&a.replica, incarnation)
+	began := n.now()
 	ended := n.awaitLivenessProbe(context.Background(), p)
+	event.NodeUnframedAnswerEnded.Log(n.log, "request", a.req.ID, "replica", a.replica.ID, "through", a.conn.RelayedBy(),
+		"end", a.exchange.EndError(), "ended", ended, "runs", p.isAlive(), "waited", n.now()-began)
 	switch {
 	case ended && !a.head.Draining: // one that drains may end after its last answer
 		event.NodeUnframedAnswerBroken.Log(n.log, "request", a.req.ID, "fingerprint", a.fingerprint, "replica", a.replica.ID)
