--- a/transport/relay/relay.go
+++ b/transport/relay/relay.go
@@ -29,7 +29,7 @@
 )
 
 // ErrBroken is returned by a Conn whose stream ended before the replica had closed its
-// connection, and for an invalid block.
+// connection, and for an invalid block. It never matches io.EOF, which states an orderly end.
 var ErrBroken = errors.New("relay: the connection broke off")
 
 // Conn is the requesting end of a relayed connection.
@@ -87,7 +87,8 @@
 	return nil
 }
 
-// readError returns the error for one of the stream.
+// readError returns the error for one of the stream. The stream's own end is none of the
+// replica's.
 func (c *Conn) readError(err error) error {
 	var timeout net.Error
 	switch {
@@ -95,6 +96,8 @@
 		return net.ErrClosed
 	case errors.As(err, &timeout) && timeout.Timeout():
 		return os.ErrDeadlineExceeded
+	case errors.Is(err, io.EOF):
+		return errors.Join(ErrBroken, io.ErrUnexpectedEOF)
 	}
 	return errors.Join(ErrBroken, err)
 }
--- a/transport/relay/relay_test.go
+++ b/transport/relay/relay_test.go
@@ -88,6 +88,7 @@
 	is.NoErr(replica.Close())
 	_, err = c.Read(got)
 	is.True(errors.Is(err, ErrBroken))
+	is.True(!errors.Is(err, io.EOF)) // a reader that looks for it would take it for the end
 }
 
 // MIXED: the same if the relaying instance itself is lost.
@@ -102,6 +103,7 @@
 	got, err := io.ReadAll(c)
 	is.Equal(string(got), "ok")
 	is.True(errors.Is(err, ErrBroken))
+	is.True(!errors.Is(err, io.EOF))
 }
 
 func TestInvalidBlockIsRefused(t *testing.T) {
--- a/transport/upstream/exchange.go
+++ b/transport/upstream/exchange.go
@@ -109,13 +109,14 @@
 	return nil
 }
 
-// Read reads the answer's body; it returns io.EOF once the body is complete.
+// Read reads the answer's body; it returns io.EOF once the body is complete. Only io.EOF itself
+// is an end: an error that merely wraps it tells of a connection that broke.
 func (x *Exchange) Read(b []byte) (int, error) {
 	if x.complete {
 		return 0, io.EOF
 	}
 	n, err := x.body.Read(b)
-	if !errors.Is(err, io.EOF) {
+	if err != io.EOF {
 		if err != nil {
 			err = errors.Join(ErrIncomplete, err)
 		}
