--- a/cmd/node/answer.go
+++ b/cmd/node/answer.go
@@ -39,8 +39,10 @@
 	}
 	timer.Stop()
 	a.answerBegan.Store(len(body) > 0)
-	if !isLong && a.checkUnframedEnd() != nil {
-		return errAnswerBroken
+	if !isLong {
+		if err := a.checkUnframedEnd(); err != nil {
+			return err
+		}
 	}
 	if status >= http.StatusInternalServerError && a.shouldRetryFailure() {
 		return errReplicaFailed
--- a/cmd/node/attempt.go
+++ b/cmd/node/attempt.go
@@ -52,7 +52,6 @@
 	suspendedBefore time.Duration // total time that the machine was suspended before the send
 	answerStartedAt time.Duration // arrival of the answer, or of a stream's first event; 0: not yet
 	answerBegan     atomic.Bool   // its body, or a stream's first event, has arrived
-	endIsUncertain  bool          // the answer ended with its connection, and its replica could not be asked whether it runs
 }
 
 // attempt sends the request to a replica and forwards the answer. It returns nil
@@ -163,6 +162,8 @@
 		return sendresult.ResponseTimeout
 	case errors.Is(err, errClientGone), errors.Is(err, errQuarantined):
 		return sendresult.ClientGone
+	case errors.Is(err, errEndDoubtful):
+		return sendresult.EndDoubtful
 	case isDone(ctx):
 		return sendresult.DeadlineExceeded
 	case errors.Is(err, errReplicaRestarted):
--- a/cmd/node/counters.go
+++ b/cmd/node/counters.go
@@ -6,6 +6,7 @@
 
 	metrics "github.com/rcrowley/go-metrics"
 
+	"quinceroad/coordination/answerend"
 	"quinceroad/coordination/quarantine"
 )
 
@@ -36,30 +37,30 @@
 	drainedHalls        metrics.Counter // drains of halls of which this instance was informed
 	busyReplies         metrics.Counter // replies that referred a peer to another instance
 	logDropped          metrics.Counter
-	storeOutages        metrics.Counter // outages of the store, as observed by this instance
-	storeReturns        metrics.Counter // times that the store came back from a copy
-	cancelledStoreCalls metrics.Counter // calls cancelled because the store was unresponsive when it got them
-	invalidEntries      metrics.Counter // invalid entries of the replica list; each counts once until it is valid or removed
-	replicaRestarts     metrics.Counter // replicas that restarted under the same name
-	resumes             metrics.Counter // resumes after suspensions of the machine
-	replicaProbes       metrics.Counter // liveness probes of replicas
-	quarantined         metrics.Counter // requests refused because they are quarantined
-	unframedBroken      metrics.Counter // answers without a stated end that their replica's end broke off
-	trialsDenied        metrics.Counter // suspect requests refused because they got no trial lease
-	quarantinedInFlight metrics.Counter // requests cancelled at their replicas because they became quarantined
-	backoffs            metrics.Counter // backoffs stated by replicas
-	sendGrants          metrics.Counter // send grants obtained for replicas with a rate limit
-	sendGrantDenials    metrics.Counter // requests for send grants that were denied
-	localSendGrants     metrics.Counter // send grants from this instance's own fraction of a limit, if the grantor could not be asked
-	pushedChanges       metrics.Counter // changes of replicas received with announcements
-	slowReaders         metrics.Counter // streams that were held up because their clients read slowly
-	syncedInstances     metrics.Counter // instances learned from exchanges of whole views
-	relayedConnections  metrics.Counter // connections to replicas that peers relay for this instance
-	relayFailures       metrics.Counter // connections that no peer could relay
-	peerConnections     metrics.Counter // connections to replicas that this instance relays for peers
-	peerRefusals        metrics.Counter // of those asked for, the ones that this instance refused as it relays too many
-	linkProbes          metrics.Counter // tries of the own link to replicas that are cut off
-	unknownFields       metrics.Counter // unknown fields in replicas' answers and reports
+	storeOutages        metrics.Counter    // outages of the store, as observed by this instance
+	storeReturns        metrics.Counter    // times that the store came back from a copy
+	cancelledStoreCalls metrics.Counter    // calls cancelled because the store was unresponsive when it got them
+	invalidEntries      metrics.Counter    // invalid entries of the replica list; each counts once until it is valid or removed
+	replicaRestarts     metrics.Counter    // replicas that restarted under the same name
+	resumes             metrics.Counter    // resumes after suspensions of the machine
+	replicaProbes       metrics.Counter    // liveness probes of replicas
+	quarantined         metrics.Counter    // requests refused because they are quarantined
+	unframedAnswers     [3]metrics.Counter // answers without a stated end, by answerend.Verdict
+	trialsDenied        metrics.Counter    // suspect requests refused because they got no trial lease
+	quarantinedInFlight metrics.Counter    // requests cancelled at their replicas because they became quarantined
+	backoffs            metrics.Counter    // backoffs stated by replicas
+	sendGrants          metrics.Counter    // send grants obtained for replicas with a rate limit
+	sendGrantDenials    metrics.Counter    // requests for send grants that were denied
+	localSendGrants     metrics.Counter    // send grants from this instance's own fraction of a limit, if the grantor could not be asked
+	pushedChanges       metrics.Counter    // changes of replicas received with announcements
+	slowReaders         metrics.Counter    // streams that were held up because their clients read slowly
+	syncedInstances     metrics.Counter    // instances learned from exchanges of whole views
+	relayedConnections  metrics.Counter    // connections to replicas that peers relay for this instance
+	relayFailures       metrics.Counter    // connections that no peer could relay
+	peerConnections     metrics.Counter    // connections to replicas that this instance relays for peers
+	peerRefusals        metrics.Counter    // of those asked for, the ones that this instance refused as it relays too many
+	linkProbes          metrics.Counter    // tries of the own link to replicas that are cut off
+	unknownFields       metrics.Counter    // unknown fields in replicas' answers and reports
 }
 
 func newCounters(r metrics.Registry) counters {
@@ -98,7 +99,11 @@
 		resumes:             counter("node.wakes"),
 		replicaProbes:       counter("node.quarantine.looks"),
 		quarantined:         counter("node.quarantine.condemned"),
-		unframedBroken:      counter("node.answers.unframed_broken"),
+		unframedAnswers: [...]metrics.Counter{
+			answerend.Whole:    counter("node.answers.unframed_whole"),
+			answerend.Broken:   counter("node.answers.unframed_broken"),
+			answerend.Doubtful: counter("node.answers.unframed_doubtful"),
+		},
 		trialsDenied:        counter("node.quarantine.no_turn"),
 		quarantinedInFlight: counter("node.quarantine.in_flight"),
 		backoffs:            counter("node.rests"),
--- a/cmd/node/liveness_probe.go
+++ b/cmd/node/liveness_probe.go
@@ -7,9 +7,11 @@
 	"syscall"
 	"time"
 
+	"quinceroad/coordination/answerend"
 	"quinceroad/coordination/quarantine"
 	"quinceroad/protocol/event"
 	"quinceroad/state/catalog"
+	"quinceroad/transport/upstream"
 )
 
 const (
@@ -34,16 +36,16 @@
 	incarnation string
 	done        chan struct{} // closed when the probe has ended
 	startedAt   time.Duration
-	alive       bool // the replica runs; set before done is closed
+	life        answerend.Life // what it has found; set before done is closed
 }
 
-// isAlive reports whether the probe has ended and shown that the replica runs.
-func (p *livenessProbe) isAlive() bool {
+// result returns what the probe has found, unknown unless it has ended.
+func (p *livenessProbe) result() answerend.Life {
 	select {
 	case <-p.done:
-		return p.alive
+		return p.life
 	default:
-		return false
+		return answerend.Unknown
 	}
 }
 
@@ -60,6 +62,15 @@
 	return n.probeLiveness(r, incarnation)
 }
 
+// awaitLife waits up to livenessProbeWait for a probe, and returns what is known of the
+// incarnation then. An end that others have told counts, too.
+func (n *Node) awaitLife(ctx context.Context, p *livenessProbe) answerend.Life {
+	if n.awaitLivenessProbe(ctx, p) {
+		return answerend.Ended
+	}
+	return p.result()
+}
+
 // awaitLivenessProbe waits up to livenessProbeWait for a probe, and reports whether the
 // replica has ended. Before that is known, a retry would be a guess.
 func (n *Node) awaitLivenessProbe(ctx context.Context, p *livenessProbe) (ended bool) {
@@ -188,12 +199,15 @@
 	}
 	switch {
 	case err == nil, errors.Is(err, errConnectionEnded):
-		p.alive = err == nil
+		if err == nil {
+			p.life = answerend.Runs
+		}
 		n.updateQuarantine(causeReplicaEnd, func(t *quarantine.Tracker, _ time.Duration) []quarantine.Change {
 			t.RecordConnection(quarantine.IncarnationOf(incarnation))
 			return nil
 		})
-	case errors.Is(err, syscall.ECONNREFUSED):
+	case errors.Is(err, syscall.ECONNREFUSED), errors.Is(err, errPeersRefused):
+		p.life = answerend.Ended
 		event.NodeReplicaEnded.Log(n.log, "replica", incarnation, "service", r.Service, "sign", "its port refuses")
 		n.quarantine.recordIncarnationEnd(n.now(), r.ID, incarnation)
 		n.updateQuarantine(causeReplicaEnd, func(t *quarantine.Tracker, now time.Duration) []quarantine.Change {
@@ -207,7 +221,7 @@
 
 // probeConnection opens a connection to a replica and checks that it stays open.
 func (n *Node) probeConnection(t replicaTarget) error {
-	conn, err := n.dialReplica(context.Background(), t, livenessProbeTimeout)
+	conn, err := n.dialForProbe(t)
 	if err != nil {
 		return err
 	}
@@ -218,6 +232,18 @@
 	return nil
 }
 
+// dialForProbe opens a connection to a replica to find out whether it runs. Over a cut link the
+// peers that reach the replica say that sooner than its silence.
+func (n *Node) dialForProbe(t replicaTarget) (*upstream.Conn, error) {
+	if n.replicaLinks.isCut(t.id) {
+		r := n.dialThroughPeers(context.Background(), t, livenessProbeTimeout)
+		if r.err == nil || errors.Is(r.err, errPeersRefused) {
+			return r.conn, r.err
+		}
+	}
+	return n.dialReplica(context.Background(), t, livenessProbeTimeout)
+}
+
 // recordReplicaRestart records that a replica runs a new incarnation.
 func (n *Node) recordReplicaRestart(listed string) {
 	incarnation := n.quarantine.incarnationAt(listed, n.now())
--- a/cmd/node/relay.go
+++ b/cmd/node/relay.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"context"
 	"errors"
+	"fmt"
 	"net"
 	"slices"
 	"syscall"
@@ -52,6 +53,8 @@
 	errNoPeer            = errors.New("no peer can relay a connection")
 	errPeersNotConnected = errors.New("peers do not reach the replica either")
 	errPeersUnclear      = errors.New("no peer knows whether the replica can be reached")
+	// errPeersRefused also matches errPeersNotConnected.
+	errPeersRefused = fmt.Errorf("%w: its port refuses them", errPeersNotConnected)
 )
 
 // dialThroughPeers asks peers for a connection to a replica, the next one a moment after the
@@ -85,7 +88,7 @@
 	answers := make(chan peerAnswer, len(peers))
 	next := time.NewTimer(0)
 	defer next.Stop()
-	asked, answered, agreeing := 0, 0, 0
+	asked, answered, agreeing, refused := 0, 0, 0, 0
 	defer func() { go closeLateRelays(answers, asked-answered) }()
 	for answered < len(peers) && agreeing < minAgreeingPeers {
 		select {
@@ -105,12 +108,18 @@
 			if a.result == relayRefused || a.result == relaySilent {
 				agreeing++
 			}
+			if a.result == relayRefused {
+				refused++
+			}
 			next.Reset(0)
 		case <-ctx.Done():
 			return dialResult{err: errPeersUnclear}
 		}
 	}
-	if agreeing >= minAgreeingPeers || agreeing == len(peers) {
+	switch enough := min(minAgreeingPeers, len(peers)); {
+	case refused >= enough:
+		return dialResult{err: errPeersRefused}
+	case agreeing >= enough:
 		return dialResult{err: errPeersNotConnected}
 	}
 	return dialResult{err: errPeersUnclear}
--- a/cmd/node/unframed.go
+++ b/cmd/node/unframed.go
@@ -2,44 +2,50 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
 
+	"quinceroad/coordination/answerend"
 	"quinceroad/coordination/quarantine"
 	"quinceroad/protocol/event"
 )
 
+// errEndDoubtful is the error of an answer that may be a part of one.
+var errEndDoubtful = errors.New("nobody could tell whether the answer is complete")
+
 // checkUnframedEnd checks an answer that was read to its end. One with neither a length nor
-// chunks ends with its connection, and so does one whose replica crashes: if the replica does
-// not run any more, the answer has broken off.
+// chunks is complete only if its replica runs after it.
 func (a *attempt) checkUnframedEnd() error {
 	if a.isAnswerFramed() {
 		return nil
 	}
 	n := a.node
 	incarnation := n.quarantine.incarnationAt(a.replica.ID, a.sentAt)
-	p := n.probeLivenessNow(&a.replica, incarnation)
-	began := n.now()
-	ended := n.awaitLivenessProbe(context.Background(), p)
-	event.NodeUnframedAnswerEnded.Log(n.log, "request", a.req.ID, "replica", a.replica.ID, "through", a.conn.RelayedBy(),
-		"end", a.exchange.EndError(), "ended", ended, "runs", p.isAlive(), "waited", n.now()-began)
-	switch {
-	case ended && !a.head.Draining: // one that drains may end after its last answer
-		event.NodeUnframedAnswerBroken.Log(n.log, "request", a.req.ID, "fingerprint", a.fingerprint, "replica", a.replica.ID)
-		n.counters.unframedBroken.Inc(1)
+	askedAt := n.now()
+	end := answerend.End{Life: n.awaitLife(context.Background(), n.probeLivenessNow(&a.replica, incarnation))}
+	verdict := end.Verdict()
+	if verdict == answerend.Broken && a.head.Draining { // one that drains may end after its last answer
+		verdict = answerend.Whole
+	}
+	n.counters.unframedAnswers[verdict].Inc(1)
+	logged := event.NodeUnframedAnswerEnded
+	if verdict != answerend.Whole {
+		logged = event.NodeUnframedAnswerBroken
+	}
+	logged.Log(n.log, "request", a.req.ID, "fingerprint", a.fingerprint, "replica", a.replica.ID, "through", a.conn.RelayedBy(),
+		"verdict", verdict, "life", end.Life, "leaves", a.head.Draining, "waited", n.now()-askedAt)
+	switch verdict {
+	case answerend.Broken:
 		return errStreamBroken
-	case ended || !p.isAlive():
-		a.endIsUncertain = true
+	case answerend.Doubtful:
+		return errEndDoubtful
 	}
 	return nil
 }
 
 // recordWholeAnswer records what a complete answer shows: the request did not crash its
-// replica, and if the replica wrote on the prompt and certainly ended, its parts don't either.
+// replica, and if the replica wrote on the prompt, its parts don't either.
 func (a *attempt) recordWholeAnswer() {
-	if a.endIsUncertain {
-		a.node.recordAbandonedRequest(a.replica.ID, a.sentAt, a.features(), a.heldTrials())
-		return
-	}
 	var sound []quarantine.Fingerprint
 	if a.answerBegan.Load() && a.exchange.Header.StatusCode() < http.StatusMultipleChoices {
 		sound = a.parts
--- a/coordination/sendresult/sendresult.go
+++ b/coordination/sendresult/sendresult.go
@@ -27,6 +27,7 @@
 	DeadlineExceeded             // ended by this instance: the request's deadline passed
 	ClientGone                   // the client closed its connection
 	LinkLost                     // no answer can arrive: this instance is cut off from a sound replica
+	EndDoubtful                  // the answer ended with its connection, and nobody could tell whether its replica runs
 )
 
 // VersionEvidence is what an end means for the version of the replica's software.
@@ -74,6 +75,7 @@
 	DeadlineExceeded: {Version: VersionAnswer, Request: RequestBlamed},
 	ClientGone:       {Request: RequestBlamed},
 	LinkLost:         {Request: RequestBlamed},
+	EndDoubtful:      {Request: RequestBlamed},
 }
 
 // Evidence returns what an end of this kind means.
--- a/coordination/sendresult/sendresult_test.go
+++ b/coordination/sendresult/sendresult_test.go
@@ -30,6 +30,7 @@
 		"this instance: deadline exceeded":           {DeadlineExceeded, none, VersionAnswer, RequestBlamed},
 		"the client: connection closed":              {ClientGone, none, VersionNone, RequestBlamed},
 		"the link: cut, the replica is sound":        {LinkLost, none, VersionNone, RequestBlamed},
+		"nobody knows: the answer may be a part":     {EndDoubtful, none, VersionNone, RequestBlamed},
 	}
 	seen := make(map[Kind]bool)
 	for name, c := range cases {
--- a/transport/upstream/exchange.go
+++ b/transport/upstream/exchange.go
@@ -39,7 +39,6 @@
 	chunked  bool
 	unframed bool // the body ends with the connection
 	complete bool
-	endErr   error // with which a body that is not framed ended
 	released bool
 }
 
@@ -84,7 +83,7 @@
 }
 
 func (x *Exchange) readOneHead() error {
-	x.complete, x.chunked, x.unframed, x.body, x.endErr = false, false, false, nil, nil
+	x.complete, x.chunked, x.unframed, x.body = false, false, false, nil
 	for {
 		if err := x.Header.Read(x.conn.r); err != nil {
 			return errors.Join(ErrIncomplete, err)
@@ -131,15 +130,9 @@
 		}
 	}
 	x.complete = true
-	if x.unframed {
-		x.endErr = err
-	}
 	return n, io.EOF
 }
 
-// EndError returns the error of the connection with which a body that is not framed has ended.
-func (x *Exchange) EndError() error { return x.endErr }
-
 // IsFramed reports whether the head states where the body ends, by its length or by chunks. A
 // body that is not framed ends with the connection, and looks the same if that breaks.
 func (x *Exchange) IsFramed() bool { return !x.unframed }
