--- a/cmd/node/unframed.go
+++ b/cmd/node/unframed.go
@@ -22,11 +22,8 @@
 	n := a.node
 	incarnation := n.quarantine.incarnationAt(a.replica.ID, a.sentAt)
 	askedAt := n.now()
-	end := answerend.End{Life: n.awaitLife(context.Background(), n.probeLivenessNow(&a.replica, incarnation))}
+	end := answerend.End{Life: n.awaitLife(context.Background(), n.probeLivenessNow(&a.replica, incarnation)), Leaving: a.head.Draining}
 	verdict := end.Verdict()
-	if verdict == answerend.Broken && a.head.Draining { // one that drains may end after its last answer
-		verdict = answerend.Whole
-	}
 	n.counters.unframedAnswers[verdict].Inc(1)
 	logged := event.NodeUnframedAnswerEnded
 	if verdict != answerend.Whole {
--- a/coordination/answerend/answerend.go
+++ b/coordination/answerend/answerend.go
@@ -23,8 +23,9 @@
 
 // End is the end of an answer that was read to it without an error.
 type End struct {
-	Framed bool // the head states where the body ends
-	Life   Life // of the replica after the end; only unframed answers need it
+	Framed  bool // the head states where the body ends
+	Life    Life // of the replica after the end; only unframed answers need it
+	Leaving bool // the replica has announced that it ends
 }
 
 // Verdict is what an end means for the answer.
@@ -45,8 +46,9 @@
 	switch {
 	case e.Framed, e.Life == Runs:
 		return Whole
-	case e.Life == Ended:
+	case e.Life == Ended && !e.Leaving:
 		return Broken
 	}
+	// One that is leaving may end after its last answer, or crash in the middle of it.
 	return Doubtful
 }
--- a/coordination/answerend/answerend_test.go
+++ b/coordination/answerend/answerend_test.go
@@ -13,11 +13,14 @@
 		end  End
 		want Verdict
 	}{
-		"framed, not asked":        {End{Framed: true}, Whole},
-		"framed, the replica ends": {End{Framed: true, Life: Ended}, Whole},
-		"unframed, it runs":        {End{Life: Runs}, Whole},
-		"unframed, it has ended":   {End{Life: Ended}, Broken},
-		"unframed, nobody knows":   {End{}, Doubtful},
+		"framed, not asked":               {End{Framed: true}, Whole},
+		"framed, the replica ends":        {End{Framed: true, Life: Ended}, Whole},
+		"unframed, it runs":               {End{Life: Runs}, Whole},
+		"unframed, it has ended":          {End{Life: Ended}, Broken},
+		"unframed, nobody knows":          {End{}, Doubtful},
+		"unframed, leaving, runs":         {End{Life: Runs, Leaving: true}, Whole},
+		"unframed, leaving, ended":        {End{Life: Ended, Leaving: true}, Doubtful},
+		"unframed, leaving, nobody knows": {End{Leaving: true}, Doubtful},
 	}
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) { is.New(t).Equal(c.end.Verdict(), c.want) })
