--- a/cmd/node/liveness_probe.go
+++ b/cmd/node/liveness_probe.go
@@ -7,8 +7,12 @@
 	"syscall"
 	"time"
 
+	"github.com/valyala/fasthttp"
+
 	"quinceroad/coordination/answerend"
+	"quinceroad/coordination/outcome"
 	"quinceroad/coordination/quarantine"
+	"quinceroad/platform"
 	"quinceroad/protocol/event"
 	"quinceroad/state/catalog"
 	"quinceroad/transport/upstream"
@@ -29,6 +33,9 @@
 	// One probe covers all answers of an incarnation that break off within this time. A
 	// replica that ends is not back sooner.
 	livenessProbeTTL = 300 * time.Millisecond
+	// Timeout for a replica's word on who it is. It leaves time to connect within
+	// livenessProbeWait.
+	identityTimeout = 120 * time.Millisecond
 )
 
 // livenessProbe checks whether a replica's incarnation has ended.
@@ -186,19 +193,19 @@
 	return p
 }
 
-// runLivenessProbe determines whether an incarnation has ended. The port of an ended
-// replica refuses connections, a replica behind a broken link does not respond, and one
-// that has only closed connections accepts a new one.
+// runLivenessProbe determines whether an incarnation has ended. The port of an ended replica
+// refuses connections, or the next one at its address says that it is another; a replica behind
+// a broken link does not respond, and one that has only closed connections answers on a new one.
 func (n *Node) runLivenessProbe(r catalog.Replica, p *livenessProbe) {
 	defer close(p.done)
 	incarnation := p.incarnation
 	n.counters.replicaProbes.Inc(1)
-	err := n.probeConnection(targetOf(&r))
+	err := n.probeConnection(&r)
 	for attempts := 1; errors.Is(err, errConnectionEnded) && attempts < maxProbeConnections; attempts++ {
-		err = n.probeConnection(targetOf(&r))
+		err = n.probeConnection(&r)
 	}
 	switch {
-	case err == nil, errors.Is(err, errConnectionEnded):
+	case err == nil, errors.Is(err, errConnectionEnded), errors.Is(err, errReplicaIsSilent):
 		if err == nil {
 			p.life = answerend.Runs
 		}
@@ -206,9 +213,13 @@
 			t.RecordConnection(quarantine.IncarnationOf(incarnation))
 			return nil
 		})
-	case errors.Is(err, syscall.ECONNREFUSED), errors.Is(err, errPeersRefused):
+	case errors.Is(err, syscall.ECONNREFUSED), errors.Is(err, errPeersRefused), errors.Is(err, errAnotherReplica):
 		p.life = answerend.Ended
-		event.NodeReplicaEnded.Log(n.log, "replica", incarnation, "service", r.Service, "sign", "its port refuses")
+		sign := "its port refuses"
+		if errors.Is(err, errAnotherReplica) {
+			sign = err.Error()
+		}
+		event.NodeReplicaEnded.Log(n.log, "replica", incarnation, "service", r.Service, "sign", sign)
 		n.quarantine.recordIncarnationEnd(n.now(), r.ID, incarnation)
 		n.updateQuarantine(causeReplicaEnd, func(t *quarantine.Tracker, now time.Duration) []quarantine.Change {
 			return t.RecordEnd(now, quarantine.IncarnationOf(incarnation))
@@ -216,22 +227,73 @@
 	}
 }
 
-// errConnectionEnded means that a replica accepted a connection and closed it at once.
-var errConnectionEnded = errors.New("the connection was closed at once")
+// Errors of a probe's connection.
+var (
+	errConnectionEnded = errors.New("the connection was closed at once")
+	errAnotherReplica  = errors.New("another replica listens at the address")
+	errReplicaIsSilent = errors.New("the connection stays open, and nothing answers")
+)
 
-// probeConnection opens a connection to a replica and checks that it stays open.
-func (n *Node) probeConnection(t replicaTarget) error {
-	conn, err := n.dialForProbe(t)
+// probeConnection opens a connection to a replica and asks there whether it is still that
+// replica. A new connection carries no earlier exchange that its answer could belong to.
+func (n *Node) probeConnection(r *catalog.Replica) error {
+	conn, err := n.dialForProbe(targetOf(r))
 	if err != nil {
 		return err
 	}
 	defer conn.Close()
+	if path := n.identityPath(r.Service); path != "" {
+		return askIdentity(conn, r, path)
+	}
 	if !conn.StaysOpen(minConnectionTime) {
 		return errConnectionEnded
 	}
 	return nil
 }
 
+// identityPath returns the path of a call that the replicas of a service answer without work, ""
+// if they have none.
+func (n *Node) identityPath(service string) string {
+	config := n.snapshot.Load().config
+	if config == nil || config.Services[service] == nil {
+		return ""
+	}
+	s := config.Services[service]
+	if s.Engine != nil || s.Pool != nil {
+		return platform.PathReport
+	}
+	return s.HealthPath
+}
+
+// askIdentity asks whoever listens at a replica's address whether it is that replica. Any answer
+// but that of another one says so; silence says nothing.
+func askIdentity(conn *upstream.Conn, r *catalog.Replica, path string) error {
+	deadline := time.Now().Add(identityTimeout)
+	_ = conn.SetDeadline(deadline)
+	name := catalog.ReplicaName(r.ID)
+	req := fasthttp.AcquireRequest()
+	defer fasthttp.ReleaseRequest(req)
+	req.Header.DisableNormalizing()
+	req.Header.SetMethod(fasthttp.MethodGet)
+	req.SetRequestURI(path)
+	req.Header.SetHost(r.Address)
+	platform.SetExpectedReplica(name, req.Header.Set)
+	token, _ := outcome.NewRecord().Dispatch()
+	x, err := conn.Begin(token, req)
+	if err == nil {
+		err = x.ReadHead(func(*fasthttp.ResponseHeader) bool { return true })
+	}
+	switch {
+	case err != nil && !time.Now().Before(deadline):
+		return errReplicaIsSilent
+	case err != nil:
+		return errConnectionEnded
+	case !platform.AnswersAs(x.Header.StatusCode(), name, func(h string) string { return string(x.Header.Peek(h)) }):
+		return errAnotherReplica
+	}
+	return nil
+}
+
 // dialForProbe opens a connection to a replica to find out whether it runs. Over a cut link the
 // peers that reach the replica say that sooner than its silence.
 func (n *Node) dialForProbe(t replicaTarget) (*upstream.Conn, error) {
