--- a/cmd/node/liveness_probe.go
+++ b/cmd/node/liveness_probe.go
@@ -46,14 +46,22 @@
 	life        answerend.Life // what it has found; set before done is closed
 }
 
-// result returns what the probe has found, unknown unless it has ended.
-func (p *livenessProbe) result() answerend.Life {
+// hasEnded reports whether the probe has ended.
+func (p *livenessProbe) hasEnded() bool {
 	select {
 	case <-p.done:
-		return p.life
+		return true
 	default:
+		return false
+	}
+}
+
+// result returns what the probe has found, unknown unless it has ended.
+func (p *livenessProbe) result() answerend.Life {
+	if !p.hasEnded() {
 		return answerend.Unknown
 	}
+	return p.life
 }
 
 // recordBrokenAnswers records that the answers to requests sent to a replica at sentAt
@@ -163,32 +171,46 @@
 
 // probeLiveness starts a probe of an incarnation, or returns the recent one.
 func (n *Node) probeLiveness(r *catalog.Replica, incarnation string) *livenessProbe {
-	return n.probeLivenessUnless(r, incarnation, func(p *livenessProbe) bool { return n.now()-p.startedAt < livenessProbeTTL })
-}
-
-// probeLivenessNow starts a probe of an incarnation, or returns the running one: an earlier one
-// says nothing about what has ended since.
-func (n *Node) probeLivenessNow(r *catalog.Replica, incarnation string) *livenessProbe {
-	return n.probeLivenessUnless(r, incarnation, func(p *livenessProbe) bool {
-		select {
-		case <-p.done:
-			return false
-		default:
-			return true
-		}
-	})
+	q := n.quarantine
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if p := q.probes[incarnation]; p != nil && n.now()-p.startedAt < livenessProbeTTL {
+		return p
+	}
+	return n.startLivenessProbe(r, incarnation)
 }
 
-func (n *Node) probeLivenessUnless(r *catalog.Replica, incarnation string, serves func(*livenessProbe) bool) *livenessProbe {
+// probeLivenessAfter starts a probe of an incarnation that begins after the call, or returns the
+// one that is about to: one that has begun may have asked before what has ended since.
+func (n *Node) probeLivenessAfter(r *catalog.Replica, incarnation string) *livenessProbe {
 	q := n.quarantine
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	p := q.probes[incarnation]
-	if p != nil && serves(p) {
+	if p := q.waitingProbes[incarnation]; p != nil {
 		return p
 	}
-	p = &livenessProbe{incarnation: incarnation, done: make(chan struct{}), startedAt: n.now()}
-	q.probes[incarnation] = p
+	running := q.probes[incarnation]
+	if running == nil || running.hasEnded() {
+		return n.startLivenessProbe(r, incarnation)
+	}
+	p := &livenessProbe{incarnation: incarnation, done: make(chan struct{})}
+	q.waitingProbes[incarnation] = p
+	go func() {
+		<-running.done
+		q.mu.Lock()
+		delete(q.waitingProbes, incarnation)
+		p.startedAt = n.now()
+		q.probes[incarnation] = p
+		q.mu.Unlock()
+		n.runLivenessProbe(*r, p)
+	}()
+	return p
+}
+
+// startLivenessProbe starts a probe. The caller holds mu of the quarantine.
+func (n *Node) startLivenessProbe(r *catalog.Replica, incarnation string) *livenessProbe {
+	p := &livenessProbe{incarnation: incarnation, done: make(chan struct{}), startedAt: n.now()}
+	n.quarantine.probes[incarnation] = p
 	go n.runLivenessProbe(*r, p)
 	return p
 }
--- a/cmd/node/liveness_probe_test.go
+++ b/cmd/node/liveness_probe_test.go
@@ -6,6 +6,7 @@
 
 	"github.com/matryer/is"
 
+	"quinceroad/coordination/answerend"
 	"quinceroad/coordination/quarantine"
 	"quinceroad/state/catalog"
 )
@@ -42,3 +43,24 @@
 	is.True(!n.quarantine.hasEnded("r"))
 	is.Equal(n.verdict(7), quarantine.Unsuspected)
 }
+
+// Guards against MIXED: an answer that ended was vouched for by a probe that had asked before its
+// end. Those that end meanwhile share the next one.
+func TestProbeBegunBeforeAnEndDoesNotAnswerForIt(t *testing.T) {
+	is := is.New(t)
+	n := newTwoReplicaNode()
+	ln, err := net.Listen("tcp4", "127.0.0.1:0")
+	is.NoErr(err)
+	r := &catalog.Replica{ID: "r", Address: ln.Addr().String()}
+	early := n.probeLivenessAfter(r, "r")
+	_, err = ln.Accept()
+	is.NoErr(err)
+	is.NoErr(ln.Close()) // the replica ends while the probe holds its connection
+	first, second := n.probeLivenessAfter(r, "r"), n.probeLivenessAfter(r, "r")
+	is.True(first != early)
+	is.Equal(first, second)
+	<-early.done
+	<-first.done
+	is.Equal(early.result(), answerend.Runs)
+	is.Equal(first.result(), answerend.Ended)
+}
--- a/cmd/node/quarantine.go
+++ b/cmd/node/quarantine.go
@@ -47,20 +47,22 @@
 // quarantineTracker tracks the requests that crash replicas, as observed by this instance
 // and reported by peers.
 type quarantineTracker struct {
-	mu          sync.Mutex
-	tracker     *quarantine.Tracker
-	announcedAt time.Duration                                  // time of the last extra announcement
-	probes      map[string]*livenessProbe                      // by incarnation
-	ends        map[string]*incarnationEnds                    // by listed incarnation
-	suspects    map[string]map[quarantine.Fingerprint]struct{} // by replica ID: suspect requests that this instance runs there
+	mu            sync.Mutex
+	tracker       *quarantine.Tracker
+	announcedAt   time.Duration                                  // time of the last extra announcement
+	probes        map[string]*livenessProbe                      // by incarnation: the last that has begun
+	waitingProbes map[string]*livenessProbe                      // by incarnation: the one that begins when that has ended
+	ends          map[string]*incarnationEnds                    // by listed incarnation
+	suspects      map[string]map[quarantine.Fingerprint]struct{} // by replica ID: suspect requests that this instance runs there
 }
 
 func newQuarantineTracker(jitter float64) *quarantineTracker {
 	return &quarantineTracker{
-		tracker:  quarantine.New(quarantine.DefaultOptions(), int(jitter*quarantineOffsets)),
-		probes:   make(map[string]*livenessProbe),
-		ends:     make(map[string]*incarnationEnds),
-		suspects: make(map[string]map[quarantine.Fingerprint]struct{}),
+		tracker:       quarantine.New(quarantine.DefaultOptions(), int(jitter*quarantineOffsets)),
+		probes:        make(map[string]*livenessProbe),
+		waitingProbes: make(map[string]*livenessProbe),
+		ends:          make(map[string]*incarnationEnds),
+		suspects:      make(map[string]map[quarantine.Fingerprint]struct{}),
 	}
 }
 
@@ -240,7 +242,7 @@
 	defer q.mu.Unlock()
 	n.counters.setQuarantined(q.tracker.CountQuarantined())
 	for id, probe := range q.probes {
-		if n.now()-probe.startedAt > livenessProbeTTL {
+		if probe.hasEnded() && n.now()-probe.startedAt > livenessProbeTTL {
 			delete(q.probes, id)
 		}
 	}
