--- a/cmd/node/liveness_probe.go
+++ b/cmd/node/liveness_probe.go
@@ -78,12 +78,15 @@
 }
 
 // awaitLife waits up to livenessProbeWait for a probe, and returns what is known of the
-// incarnation then. An end that others have told counts, too.
+// incarnation then. Without the replica's own word, an end that others have told of counts; it may
+// be that of an earlier incarnation, as each instance numbers the restarts that it has seen.
 func (n *Node) awaitLife(ctx context.Context, p *livenessProbe) answerend.Life {
-	if n.awaitLivenessProbe(ctx, p) {
+	hasEnded := n.awaitLivenessProbe(ctx, p)
+	life := p.result()
+	if life == answerend.Unknown && hasEnded {
 		return answerend.Ended
 	}
-	return p.result()
+	return life
 }
 
 // awaitLivenessProbe waits up to livenessProbeWait for a probe, and reports whether the
--- a/cmd/node/liveness_probe_test.go
+++ b/cmd/node/liveness_probe_test.go
@@ -1,8 +1,10 @@
 package node
 
 import (
+	"context"
 	"net"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 
@@ -64,3 +66,21 @@
 	is.Equal(early.result(), answerend.Runs)
 	is.Equal(first.result(), answerend.Ended)
 }
+
+// Guards against sound unframed answers taken for broken: peers number the restarts of a replica as
+// each has seen them, so that the end they tell of may be an earlier one. What answers by the
+// replica's name after the end of the answer counts more.
+func TestReplicaThatAnswersOutweighsWhatPeersTellOfItsEnd(t *testing.T) {
+	is := is.New(t)
+	n := newTwoReplicaNode()
+	ln, err := net.Listen("tcp4", "127.0.0.1:0")
+	is.NoErr(err)
+	r := &catalog.Replica{ID: "r", Address: ln.Addr().String()}
+	n.updateQuarantine(causeReplicaEnd, func(t *quarantine.Tracker, now time.Duration) []quarantine.Change {
+		return t.RecordEnd(now, quarantine.IncarnationOf("r"))
+	})
+	is.True(n.quarantine.hasEnded("r"))
+	is.Equal(n.awaitLife(context.Background(), n.probeLivenessAfter(r, "r")), answerend.Runs)
+	is.NoErr(ln.Close())
+	is.Equal(n.awaitLife(context.Background(), n.probeLivenessAfter(r, "r")), answerend.Ended)
+}
