--- a/transport/upstream/exchange.go
+++ b/transport/upstream/exchange.go
@@ -27,6 +27,10 @@
 // connection.
 const maxWrongAnswers = 2
 
+// writeErrorDelay is the time in which a write of a request hears that its connection was reset,
+// after the reader of the answer has seen the end.
+const writeErrorDelay = 10 * time.Millisecond
+
 // Exchange is one request on a connection and its answer; the answer's header is
 // read before its body.
 type Exchange struct {
@@ -34,7 +38,8 @@
 
 	conn     *Conn
 	noBody   bool
-	written  chan error // result of a concurrent write of the request; nil if it was written before Begin returned
+	written  chan struct{} // closed when a concurrent write of the request has ended; nil if that was before Begin returned
+	writeErr error         // how it ended; set before written is closed
 	body     io.Reader
 	chunked  bool
 	unframed bool // the body ends with the connection
@@ -51,8 +56,11 @@
 	if !d.Valid() {
 		return x, ErrNotDispatched
 	}
-	x.written = make(chan error, 1)
-	go func() { x.written <- cn.send(d, req) }()
+	x.written = make(chan struct{})
+	go func() {
+		defer close(x.written)
+		x.writeErr = cn.send(d, req)
+	}()
 	return x, nil
 }
 
@@ -129,6 +137,9 @@
 			return n, errors.Join(ErrIncomplete, err)
 		}
 	}
+	if x.unframed && x.hasWriteFailed() {
+		return n, errors.Join(ErrIncomplete, x.writeErr)
+	}
 	x.complete = true
 	return n, io.EOF
 }
@@ -162,8 +173,8 @@
 	}
 	if x.written != nil {
 		select {
-		case err := <-x.written:
-			if err != nil {
+		case <-x.written:
+			if x.writeErr != nil {
 				return false
 			}
 		default:
@@ -173,6 +184,23 @@
 	return x.conn.r.Buffered() == 0
 }
 
+// hasWriteFailed reports whether the write of the request has failed. A reset that a write hears
+// of leaves the reader what looks like an orderly end; one that is still writing hears of it
+// within writeErrorDelay.
+func (x *Exchange) hasWriteFailed() bool {
+	if x.written == nil {
+		return false
+	}
+	timer := time.NewTimer(writeErrorDelay)
+	defer timer.Stop()
+	select {
+	case <-x.written:
+		return x.writeErr != nil
+	case <-timer.C:
+		return false
+	}
+}
+
 // KeepIdle returns the connection to its client, which may reuse it for idle.
 func (cn *Conn) KeepIdle(idle time.Duration) {
 	_ = cn.net.SetDeadline(time.Time{})
--- a/transport/upstream/exchange_test.go
+++ b/transport/upstream/exchange_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 	"github.com/valyala/fasthttp"
@@ -55,3 +56,49 @@
 		})
 	}
 }
+
+// Guards against MIXED: a request that is still being written when its answer is reset takes the
+// error of the reset, so that the reader sees what looks like an orderly end.
+func TestResetThatTheWriterHearsOfIsNoEndOfAnAnswer(t *testing.T) {
+	const tries = 100
+	is := is.New(t)
+	ln, err := net.Listen("tcp4", "127.0.0.1:0")
+	is.NoErr(err)
+	defer ln.Close()
+	go func() {
+		for {
+			conn, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			go answerPartAndReset(conn.(*net.TCPConn))
+		}
+	}()
+	client := New()
+	req := fasthttp.AcquireRequest()
+	req.Header.SetMethod(fasthttp.MethodPost)
+	req.SetRequestURI("http://replica/")
+	req.SetBodyRaw(make([]byte, 8<<20)) // more than the buffers between the two take
+	for range tries {
+		conn, err := client.Dial(ln.Addr().String(), time.Second)
+		is.NoErr(err)
+		x, err := conn.Begin(newDispatchToken(t), req)
+		is.NoErr(err)
+		if x.ReadHead(func(*fasthttp.ResponseHeader) bool { return true }) != nil {
+			continue // the reset came first
+		}
+		body, err := io.ReadAll(x)
+		if err == nil {
+			t.Fatalf("%q is taken for the whole answer", body)
+		}
+		x.Release(0)
+	}
+}
+
+func answerPartAndReset(conn *net.TCPConn) {
+	_, _ = conn.Read(make([]byte, 100))
+	_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\n\r\npart")
+	time.Sleep(2 * time.Millisecond) // a reset may overtake it
+	_ = conn.SetLinger(0)
+	_ = conn.Close()
+}
