--- a/transport/relay/relay.go
+++ b/transport/relay/relay.go
@@ -26,6 +26,9 @@
 	// blockBytes is the size of the largest block with its length. A relaying instance
 	// holds one, and what the stream's window allows, for each connection.
 	blockBytes = 16 << 10
+	// writeErrorDelay is the time in which a write to a replica hears that the connection was
+	// reset, after its reader has seen the end.
+	writeErrorDelay = 10 * time.Millisecond
 )
 
 // ErrBroken is returned by a Conn whose stream ended before the replica had closed its
@@ -123,13 +126,14 @@
 // Serve copies between a stream and a connection to a replica until one of them ends, and
 // closes both. It returns the bytes sent to the replica and received from it.
 func Serve(stream, replica net.Conn) (sent, received int64) {
+	requests := &requestWriter{to: replica}
 	var requester sync.WaitGroup
 	requester.Go(func() {
-		sent, _ = io.Copy(replica, stream) // ends when either side closes
+		sent, _ = io.Copy(requests, stream) // ends when either side closes
 		_ = replica.Close()
 		_ = stream.Close()
 	})
-	received = copyBlocks(stream, replica)
+	received = copyBlocks(stream, replica, requests)
 	_ = replica.Close()
 	_ = stream.Close()
 	_ = stream.SetReadDeadline(time.Unix(1, 0))
@@ -137,8 +141,45 @@
 	return sent, received
 }
 
-// copyBlocks copies what the replica sends, and its orderly close, to the stream.
-func copyBlocks(stream io.Writer, replica io.Reader) (received int64) {
+// requestWriter writes to a replica and remembers whether that has failed.
+type requestWriter struct {
+	to io.Writer
+
+	mu      sync.Mutex // held while it writes
+	lastErr atomic.Pointer[error]
+}
+
+// Write implements io.Writer.
+func (w *requestWriter) Write(b []byte) (int, error) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	n, err := w.to.Write(b)
+	if err != nil {
+		w.lastErr.Store(&err)
+	}
+	return n, err
+}
+
+// hasFailed reports whether a write has failed. A reset that a write hears of leaves the reader
+// what looks like an orderly end; one that still writes hears of it within writeErrorDelay.
+func (w *requestWriter) hasFailed() bool {
+	for end := time.Now().Add(writeErrorDelay); ; time.Sleep(writeErrorDelay / 10) {
+		if w.lastErr.Load() != nil {
+			return true
+		}
+		if w.mu.TryLock() {
+			w.mu.Unlock()
+			return w.lastErr.Load() != nil
+		}
+		if time.Now().After(end) {
+			return false
+		}
+	}
+}
+
+// copyBlocks copies what the replica sends, and its orderly close, to the stream. The close is
+// orderly only if no write to the replica has failed.
+func copyBlocks(stream io.Writer, replica io.Reader, requests *requestWriter) (received int64) {
 	block := make([]byte, blockBytes)
 	for {
 		n, err := replica.Read(block[lengthBytes:])
@@ -149,7 +190,7 @@
 				return received
 			}
 		}
-		if errors.Is(err, io.EOF) {
+		if errors.Is(err, io.EOF) && !requests.hasFailed() {
 			_, _ = stream.Write(make([]byte, lengthBytes))
 		}
 		if err != nil {
--- a/transport/relay/relay_test.go
+++ b/transport/relay/relay_test.go
@@ -213,3 +213,31 @@
 		}
 	})
 }
+
+// Guards against MIXED: the same if the relaying end hears of the reset while it writes a request,
+// so that reading shows what looks like an orderly end.
+func TestResetThatTheWriterHearsOfIsNoEnd(t *testing.T) {
+	const tries = 100
+	is := is.New(t)
+	request := make([]byte, 64<<10)
+	for range tries {
+		c, replica := relayed(t)
+		go func() {
+			for {
+				if _, err := c.Write(request); err != nil {
+					return
+				}
+			}
+		}()
+		_, err := replica.Write([]byte("part"))
+		is.NoErr(err)
+		time.Sleep(2 * time.Millisecond) // a reset may overtake it
+		is.NoErr(replica.SetLinger(0))
+		is.NoErr(replica.Close())
+		got, err := io.ReadAll(c)
+		if err == nil {
+			t.Fatalf("%q is taken for the whole answer", got)
+		}
+		is.NoErr(c.Close())
+	}
+}
