--- a/cmd/node/listeners.go
+++ b/cmd/node/listeners.go
@@ -77,12 +77,29 @@
 			if p != http.ErrAbortHandler {
 				event.NodePanicked.Log(n.log, "panic", p)
 			}
+			if !r.ProtoAtLeast(1, 1) {
+				n.resetConnection(w)
+			}
 			panic(http.ErrAbortHandler) // closes the connection, so that the answer does not look complete
 		}()
 		h.ServeHTTP(w, r)
 	})
 }
 
+// resetConnection resets a client's connection. A client that knows no chunks takes an orderly
+// end for that of the answer.
+func (n *Node) resetConnection(w http.ResponseWriter) {
+	conn, _, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		n.logSideCallFailure("reset a client's connection", "client", err)
+		return
+	}
+	if tcp, ok := conn.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0)
+	}
+	_ = conn.Close()
+}
+
 func (n *Node) serveReady(w http.ResponseWriter, r *http.Request) {
 	if r.URL.Path != platform.PathReady {
 		http.NotFound(w, r)
