--- a/cmd/node/triallease/triallease.go
+++ b/cmd/node/triallease/triallease.go
@@ -18,6 +18,7 @@
 	hclog "github.com/hashicorp/go-hclog"
 	"google.golang.org/protobuf/proto"
 
+	"quinceroad/coordination/featurelevel"
 	"quinceroad/coordination/gossip"
 	"quinceroad/coordination/quarantine"
 	"quinceroad/coordination/rendezvous"
@@ -89,7 +90,7 @@
 		if lease, err = s.request(ctx, arbiter, f); err == nil {
 			return lease, nil
 		}
-		if errors.Is(err, io.EOF) || errors.Is(err, frame.ErrUnknownKind) { // builds without trial leases close unknown streams
+		if statesNoLeases(arbiter, err) {
 			s.recordNoLeases(arbiter)
 			continue
 		}
@@ -102,6 +103,14 @@
 	return nil, errors.Join(ErrNoTrial, err)
 }
 
+// statesNoLeases reports whether an error says that an instance's build does not support trial
+// leases. The oldest builds close streams of unknown kinds; with others, the end of a stream only
+// tells of a connection that broke.
+func statesNoLeases(i gossip.Instance, err error) bool {
+	isOldest := i.Level == featurelevel.Unannounced
+	return errors.Is(err, frame.ErrUnknownKind) || isOldest && errors.Is(err, io.EOF)
+}
+
 // lacksLeases reports whether an instance's build is known not to support trial leases. Such
 // an instance is asked once per incarnation.
 func (s *Service) lacksLeases(i gossip.Instance) bool {
--- a/cmd/node/triallease/triallease_test.go
+++ b/cmd/node/triallease/triallease_test.go
@@ -12,6 +12,7 @@
 	"github.com/matryer/is"
 	"google.golang.org/protobuf/proto"
 
+	"quinceroad/coordination/featurelevel"
 	"quinceroad/coordination/gossip"
 	"quinceroad/coordination/quarantine"
 	"quinceroad/protocol/frame"
@@ -20,6 +21,7 @@
 
 // fleet is a set of services that open streams to each other.
 type fleet struct {
+	breaks    atomic.Bool         // connections break before they carry an answer
 	services  map[string]*Service // by peer address
 	instances []gossip.Instance
 	merged    atomic.Int64 // records that were sent
@@ -48,6 +50,9 @@
 	client, server := net.Pipe()
 	go func() {
 		defer server.Close()
+		if f.breaks.Load() {
+			return
+		}
 		f.services[address].Serve(message, server)
 	}()
 	return client, nil
@@ -98,3 +103,27 @@
 	is.NoErr(err)
 	again.Release()
 }
+
+// Guards against two trials of a suspect at a time: a connection to its arbiter that broke was
+// taken for the word of a build without trial leases, and the next one was asked for as long as
+// the arbiter ran.
+func TestBrokenConnectionIsNoWordOfAnOlderBuild(t *testing.T) {
+	for _, level := range []uint32{featurelevel.Unannounced, featurelevel.ReplicaIncarnations} {
+		is := is.New(t)
+		f := newFleet(3)
+		for i := range f.instances {
+			f.instances[i].Level = level
+		}
+		asker := f.services["n0"]
+		feature := quarantine.Fingerprint(0)
+		for asker.arbiters(feature)[0].Name == "n0" {
+			feature++
+		}
+		arbiter := asker.arbiters(feature)[0]
+		f.breaks.Store(true)
+		if lease, err := asker.Acquire(context.Background(), feature); err == nil {
+			lease.Release()
+		}
+		is.Equal(asker.lacksLeases(arbiter), level == featurelevel.Unannounced)
+	}
+}
