--- a/cmd/node/cell.go
+++ b/cmd/node/cell.go
@@ -81,6 +81,9 @@
 			c.deliverOutcome(a.Job, a)
 		case pipeline.Fail:
 			c.deliverOutcome(a.Job, a)
+		case pipeline.ForeignHandle:
+			c.owner.node.counters.foreignHandles.Inc(1)
+			event.NodeForeignHandle.Log(c.owner.node.log, "replica", a.Replica, "service", a.Service, "handle", a.Handle, "request", a.Request, "owner", a.Owner)
 		case pipeline.Cancel:
 			c.mu.Lock()
 			cancel := c.calls[a.Call]
--- a/cmd/node/counters.go
+++ b/cmd/node/counters.go
@@ -46,6 +46,8 @@
 	replicaProbes       metrics.Counter    // liveness probes of replicas
 	quarantined         metrics.Counter    // requests refused because they are quarantined
 	unframedAnswers     [3]metrics.Counter // answers without a stated end, by answerend.Verdict
+	foreignHandles      metrics.Counter    // handles that replicas returned for an item while they held them for another
+	surplusAnswers      metrics.Counter    // answers of replicas to earlier calls, skipped
 	trialsDenied        metrics.Counter    // suspect requests refused because they got no trial lease
 	quarantinedInFlight metrics.Counter    // requests cancelled at their replicas because they became quarantined
 	backoffs            metrics.Counter    // backoffs stated by replicas
@@ -104,6 +106,8 @@
 			answerend.Broken:   counter("node.answers.unframed_broken"),
 			answerend.Doubtful: counter("node.answers.unframed_doubtful"),
 		},
+		foreignHandles:      counter("node.answers.foreign_handles"),
+		surplusAnswers:      counter("node.answers.surplus"),
 		trialsDenied:        counter("node.quarantine.no_turn"),
 		quarantinedInFlight: counter("node.quarantine.in_flight"),
 		backoffs:            counter("node.rests"),
--- a/cmd/node/replica_calls.go
+++ b/cmd/node/replica_calls.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"sync/atomic"
 	"time"
@@ -28,6 +29,10 @@
 	// results expire.
 	freeTimeout        = 500 * time.Millisecond
 	maxCallAnswerBytes = 1 << 20 // maximum size of an answer
+	maxSurplusAnswers  = 2       // answers to earlier calls that are skipped for one call
+	// Time in which an answer must follow one that does not answer its call: a surplus answer
+	// comes where the next one is due.
+	surplusWait = 100 * time.Millisecond
 	// Longest wait of a call for a slot of a brittle replica. The scheduler knows which slots
 	// its calls use, so that only those of others are waited for.
 	callSlotWait = 100 * time.Millisecond
@@ -43,7 +48,12 @@
 	if !n.replicaAcceptsWork(c.Replica) || !n.rollouts.tryRecordSend(n.snapshot.Load().rolloutByService[c.Service], "", c.Replica, len(c.Items)) {
 		return nil, pipeline.Refused
 	}
-	status, head, data, err := n.callReplica(ctx, replicaCall{address: c.Address, expectedReplica: c.Name, source: answerSource{incarnation: c.Replica, service: c.Service}, isWork: true, method: fasthttp.MethodPost, path: path, body: body})
+	var results []pipeline.Result
+	parse := func(data []byte) (handed []upstream.Handed, err error) {
+		results, err = platform.ParseBatchResponse(data, len(c.Items))
+		return handedResults(c.Items, results), err
+	}
+	status, head, _, err := n.callReplica(ctx, replicaCall{address: c.Address, expectedReplica: c.Name, source: answerSource{incarnation: c.Replica, service: c.Service}, isWork: true, method: fasthttp.MethodPost, path: path, body: body, parse: parse})
 	switch {
 	case errors.Is(err, errAdvisoryForbids):
 		return nil, pipeline.Refused
@@ -51,6 +61,9 @@
 		return nil, pipeline.Unreachable
 	case errors.Is(err, errLinkLost):
 		return nil, pipeline.LinkLost
+	case errors.Is(err, errInvalidAnswer):
+		event.NodeMessageInvalid.Log(n.log, "what", "results of a batch", "from", c.Replica, "error", err)
+		return nil, pipeline.Broken
 	case err != nil && ctx.Err() != nil:
 		return nil, pipeline.TimedOut
 	case err != nil:
@@ -62,14 +75,20 @@
 	case status != fasthttp.StatusOK:
 		return nil, pipeline.Broken
 	}
-	results, err := platform.ParseBatchResponse(data, len(c.Items))
-	if err != nil {
-		event.NodeMessageInvalid.Log(n.log, "what", "results of a batch", "from", c.Replica, "error", err)
-		return nil, pipeline.Broken
-	}
 	return results, pipeline.Answered
 }
 
+// handedResults returns the handles of results with the items that they are results of.
+func handedResults(items []pipeline.Item, results []pipeline.Result) []upstream.Handed {
+	var out []upstream.Handed
+	for i, r := range results {
+		if r.Handle != "" {
+			out = append(out, upstream.Handed{Name: r.Handle, For: fmt.Sprintf("%s/%d/%d", items[i].RequestID, items[i].Stage, items[i].Index)})
+		}
+	}
+	return out
+}
+
 // freeResults frees results at a replica that are no longer needed, now or later. A lost
 // call costs result memory until the results expire.
 func (n *Node) freeResults(f pipeline.Free) {
@@ -103,14 +122,16 @@
 func (n *Node) fetchReplicaReport(r catalog.Replica) (platform.Report, error) {
 	ctx, cancel := context.WithTimeout(context.Background(), reportTimeout)
 	defer cancel()
-	status, _, data, err := n.callReplica(ctx, replicaCall{address: r.Address, expectedReplica: r.Name, source: answerSource{incarnation: r.ID, service: r.Service, auxiliary: true}, method: fasthttp.MethodGet, path: platform.PathReport})
-	if err != nil {
-		return platform.Report{}, err
+	var report platform.Report
+	parse := func(data []byte) (_ []upstream.Handed, err error) {
+		report, err = platform.ParseReport(data)
+		return nil, err
 	}
-	if status != fasthttp.StatusOK {
-		return platform.Report{}, upstream.ErrIncomplete
+	status, _, _, err := n.callReplica(ctx, replicaCall{address: r.Address, expectedReplica: r.Name, source: answerSource{incarnation: r.ID, service: r.Service, auxiliary: true}, method: fasthttp.MethodGet, path: platform.PathReport, parse: parse})
+	if err == nil && status != fasthttp.StatusOK {
+		err = upstream.ErrIncomplete
 	}
-	return platform.ParseReport(data)
+	return report, err
 }
 
 // cacheReportTimeout is the timeout of an engine's report of its cache. An engine answers
@@ -121,14 +142,16 @@
 func (n *Node) fetchCachedParts(r catalog.Replica) ([]catalog.PromptPart, error) {
 	ctx, cancel := context.WithTimeout(context.Background(), cacheReportTimeout)
 	defer cancel()
-	status, _, data, err := n.callReplica(ctx, replicaCall{address: r.Address, expectedReplica: r.Name, source: answerSource{incarnation: r.ID, service: r.Service, auxiliary: true}, method: fasthttp.MethodGet, path: platform.PathCachedParts})
-	if err != nil {
+	var parts []catalog.PromptPart
+	parse := func(data []byte) (_ []upstream.Handed, err error) {
+		parts, err = platform.ParseCachedParts(data)
 		return nil, err
 	}
-	if status != fasthttp.StatusOK {
-		return nil, upstream.ErrIncomplete
+	status, _, _, err := n.callReplica(ctx, replicaCall{address: r.Address, expectedReplica: r.Name, source: answerSource{incarnation: r.ID, service: r.Service, auxiliary: true}, method: fasthttp.MethodGet, path: platform.PathCachedParts, parse: parse})
+	if err == nil && status != fasthttp.StatusOK {
+		err = upstream.ErrIncomplete
 	}
-	return platform.ParseCachedParts(data)
+	return parts, err
 }
 
 // replicaCall is a call to a replica that forwards no client request.
@@ -140,6 +163,9 @@
 	method          string
 	path            string
 	body            []byte
+	// parse parses the body of a successful answer and returns what it hands out, or an error if
+	// it does not answer this call. nil: the body is not read.
+	parse func(data []byte) (handed []upstream.Handed, err error)
 }
 
 // callReplica calls a replica and reads its answer.
@@ -197,20 +223,60 @@
 		cn.Close()
 		return 0, platform.ResponseHead{}, nil, err
 	}
-	if err := x.ReadHead(func(*fasthttp.ResponseHeader) bool { return true }); err != nil {
+	data, hasSurplus, err := n.readCallAnswer(cn, x, &c)
+	if err != nil {
 		x.Release(0)
 		return 0, platform.ResponseHead{}, nil, err
 	}
 	head = n.recordAnswerHead(c.source, advisoryAttempt, &x.Header)
-	data, err = io.ReadAll(io.LimitReader(x, maxCallAnswerBytes))
+	slotEnd = callLeaseEnd(&head, x.Header.StatusCode())
+	if hasSurplus {
+		x.Release(0)
+	} else {
+		x.Release(idleTimeoutAfter(&head, defaultCallConnIdle))
+	}
+	return x.Header.StatusCode(), head, data, nil
+}
+
+// errInvalidAnswer is the error of a successful answer that does not answer its call.
+var errInvalidAnswer = errors.New("the answer is invalid")
+
+// readCallAnswer reads the answer to a call. A surplus answer to an earlier call on the connection
+// may come before it and is skipped.
+func (n *Node) readCallAnswer(cn *upstream.Conn, x *upstream.Exchange, c *replicaCall) (data []byte, hasSurplus bool, err error) {
+	for range maxSurplusAnswers + 1 {
+		if data, err = readWholeAnswer(x); err != nil {
+			return nil, hasSurplus, err
+		}
+		if c.parse == nil || x.Header.StatusCode() != fasthttp.StatusOK {
+			return data, hasSurplus, nil
+		}
+		handed, invalid := c.parse(data)
+		switch {
+		case invalid != nil && !cn.IsReused():
+			return nil, hasSurplus, errors.Join(errInvalidAnswer, invalid)
+		case invalid != nil: // if it is the call's own, none follows
+			_ = cn.SetDeadline(time.Now().Add(surplusWait))
+		case !cn.RecordHanded(handed):
+			return data, hasSurplus, nil
+		}
+		hasSurplus = true
+		n.counters.surplusAnswers.Inc(1)
+		event.NodeSurplusAnswer.Log(n.log, "replica", c.source.incarnation, "service", c.source.service, "path", c.path, "through", cn.RelayedBy(), "invalid", invalid)
+	}
+	return nil, hasSurplus, errInvalidAnswer
+}
+
+// readWholeAnswer reads an answer's head and body.
+func readWholeAnswer(x *upstream.Exchange) ([]byte, error) {
+	if err := x.ReadHead(func(*fasthttp.ResponseHeader) bool { return true }); err != nil {
+		return nil, err
+	}
+	data, err := io.ReadAll(io.LimitReader(x, maxCallAnswerBytes))
 	if err == nil && !x.IsComplete() {
 		err = upstream.ErrIncomplete
 	}
-	if err == nil {
-		slotEnd = callLeaseEnd(&head, x.Header.StatusCode())
-	}
-	x.Release(idleTimeoutAfter(&head, defaultCallConnIdle))
-	return x.Header.StatusCode(), head, data, err
+	return data, err
 }
 
 // acquireCallSlot obtains a slot for a call that carries work, as acquireSlot does.
--- a/coordination/pipeline/call.go
+++ b/coordination/pipeline/call.go
@@ -232,8 +232,12 @@
 func (s *Scheduler) recordResult(now time.Duration, c *call, x *stageItem, res Result) {
 	j := x.stage.job
 	wanted := s.jobs[j.id] == j && x.state != done && !x.stage.freed
+	if held := c.replica.results[res.Handle]; held != nil && held.item != x {
+		s.emit(ForeignHandle{Service: c.replica.Service, Replica: c.replica.ID, Handle: res.Handle, Request: j.RequestID, Owner: held.item.stage.job.RequestID})
+		res = Result{Reason: ItemFailed}
+	}
 	if res.Handle != "" {
-		c.replica.results[res.Handle] = &heldResult{bytes: x.stage.def.ResultBytes, expiresAt: now + c.pool.def.ResultTTL}
+		c.replica.results[res.Handle] = &heldResult{item: x, bytes: x.stage.def.ResultBytes, expiresAt: now + c.pool.def.ResultTTL}
 		c.replica.heldBytes += x.stage.def.ResultBytes
 		if !wanted {
 			s.freeResult(c.replica, res.Handle)
--- a/coordination/pipeline/pipeline.go
+++ b/coordination/pipeline/pipeline.go
@@ -145,11 +145,22 @@
 // Cancel aborts a call whose answer is no longer needed.
 type Cancel struct{ Call uint64 }
 
-func (Call) action()    {}
-func (Deliver) action() {}
-func (Fail) action()    {}
-func (Free) action()    {}
-func (Cancel) action()  {}
+// ForeignHandle tells that a replica has returned a handle for an item while it holds it for
+// another one. It is refused, and the item runs again.
+type ForeignHandle struct {
+	Service string
+	Replica string // ID of the incarnation
+	Handle  string
+	Request string // of the item
+	Owner   string // request of the item that the handle belongs to
+}
+
+func (Call) action()          {}
+func (ForeignHandle) action() {}
+func (Deliver) action()       {}
+func (Fail) action()          {}
+func (Free) action()          {}
+func (Cancel) action()        {}
 
 // Scheduler owns the replicas of its pools. It is not safe for concurrent use.
 type Scheduler struct {
--- a/coordination/pipeline/pipeline_test.go
+++ b/coordination/pipeline/pipeline_test.go
@@ -45,6 +45,7 @@
 	delivered  map[uint64][]string
 	failed     map[uint64]Fail
 	freed      []string
+	foreign    []ForeignHandle
 	lastHandle int
 }
 
@@ -71,6 +72,8 @@
 			h.failed[a.Job] = a
 		case Free:
 			h.freed = append(h.freed, a.Handles...)
+		case ForeignHandle:
+			h.foreign = append(h.foreign, a)
 		}
 	}
 }
--- a/coordination/pipeline/pool.go
+++ b/coordination/pipeline/pool.go
@@ -58,6 +58,7 @@
 
 // heldResult is a result that its producer holds.
 type heldResult struct {
+	item      *stageItem
 	bytes     int64
 	expiresAt time.Duration // when the producer drops it by itself
 }
--- a/transport/upstream/upstream.go
+++ b/transport/upstream/upstream.go
@@ -80,7 +80,8 @@
 	w         *bufio.Writer
 	relayedBy string // name of the peer that relays it; "": none
 	lastUsed  time.Duration
-	idleUntil time.Duration // when the upstream may close the idle connection; 0: idleTimeout after lastUsed
+	handed    [][]handedHash // what its last answers handed out, the latest last
+	idleUntil time.Duration  // when the upstream may close the idle connection; 0: idleTimeout after lastUsed
 }
 
 // Connect returns a connection to addr without a request in progress, reusing an
