--- a/cmd/node/topic_follower.go
+++ b/cmd/node/topic_follower.go
@@ -36,7 +36,7 @@
 // Bounds of the duration of a watch, and the time that is reserved for the changes after
 // its end.
 const (
-	minWatchTime = 1 * time.Second // limits a reader to two calls a second, including WatchGrace
+	minWatchTime = 300 * time.Millisecond // limits a reader to about three calls a second for a topic
 	maxWatchTime = 8 * time.Second // upper bound, whatever the settings allow
 	// Covers the next call, the pause before it and the propagation to peers: 0.6 s in
 	// simulations.
@@ -46,9 +46,10 @@
 // watchTimeFor returns the duration of a watch. A connection may hang for good while the
 // store answers on others, which can't be distinguished from a topic without changes. A watch
 // therefore ends early enough for the changes that it missed to be in force within the
-// deployment's time limits.
+// deployment's time limits: that after a disturbance and that after a change run from the same
+// moment if the change is made then.
 func watchTimeFor(s *platform.Settings) time.Duration {
-	allowed := s.RecoveryTime + min(s.ConfigApplyTime, s.DrainTime, s.HallDrainTime)
+	allowed := max(s.RecoveryTime, min(s.ConfigApplyTime, s.DrainTime, s.HallDrainTime))
 	return min(max(allowed-platform.WatchGrace-changePropagationTime, minWatchTime), maxWatchTime)
 }
 
