--- a/cmd/node/attempt.go
+++ b/cmd/node/attempt.go
@@ -197,8 +197,15 @@
 		n.loads.RecordLoad(n.now(), a.replica.ID, balancer.Load{Running: a.head.Running + a.head.Waiting - 1, Slowdown: a.head.Slowdown})
 	}
 	n.detectorMu.Unlock()
-	if a.head.WrongReplica || a.closedAfterRefusal() {
+	switch {
+	case a.head.WrongReplica:
 		n.recordInferredDrain(a.replica.ID, "answer")
+	case a.closedAfterRefusal():
+		n.recordRefusalDrain(&a.replica)
+	case kind == sendresult.Succeeded && !a.head.Draining:
+		if r, listed := n.snapshot.Load().list.Replica(a.replica.ID); listed && !r.AcceptsWork() {
+			n.endRefusalDrain(a.replica.ID)
+		}
 	}
 	if kind == sendresult.Refused || kind == sendresult.MissingInputs {
 		a.record.MarkNotRun(a.token)
--- a/cmd/node/counters.go
+++ b/cmd/node/counters.go
@@ -47,6 +47,7 @@
 	quarantined         metrics.Counter    // requests refused because they are quarantined
 	unframedAnswers     [3]metrics.Counter // answers without a stated end, by answerend.Verdict
 	foreignHandles      metrics.Counter    // handles that replicas returned for an item while they held them for another
+	overruledDrains     metrics.Counter    // drains inferred from refusals that were not believed, or ended by a served request
 	surplusAnswers      metrics.Counter    // answers of replicas to earlier calls, skipped
 	trialsDenied        metrics.Counter    // suspect requests refused because they got no trial lease
 	quarantinedInFlight metrics.Counter    // requests cancelled at their replicas because they became quarantined
@@ -107,6 +108,7 @@
 			answerend.Doubtful: counter("node.answers.unframed_doubtful"),
 		},
 		foreignHandles:      counter("node.answers.foreign_handles"),
+		overruledDrains:     counter("node.drains_overruled"),
 		surplusAnswers:      counter("node.answers.surplus"),
 		trialsDenied:        counter("node.quarantine.no_turn"),
 		quarantinedInFlight: counter("node.quarantine.in_flight"),
--- a/cmd/node/replica_set.go
+++ b/cmd/node/replica_set.go
@@ -21,7 +21,7 @@
 	addresses      map[string]int            // number of replicas by address (IP:port)
 	index          *listing.Index
 	services       map[string]serviceTraits // of the configuration with which the index was built
-	inferredDrains map[string]time.Duration // by incarnation: time at which the drain was first inferred
+	inferredDrains map[string]inferredDrain // by incarnation
 	listedDrains   map[string]time.Duration // by incarnation: last time at which its entry said that it drains
 	drainsPrunedAt time.Duration
 	invalid        map[string]bool          // names of entries that can't be parsed and were logged
@@ -58,7 +58,7 @@
 		records:        make(map[string]*replicaRecord),
 		addresses:      make(map[string]int),
 		index:          newIndex(nil, false),
-		inferredDrains: make(map[string]time.Duration),
+		inferredDrains: make(map[string]inferredDrain),
 		listedDrains:   make(map[string]time.Duration),
 		invalid:        make(map[string]bool),
 		goneBuilds:     origin.NewHistory(),
--- a/cmd/node/snapshot.go
+++ b/cmd/node/snapshot.go
@@ -81,50 +81,117 @@
 	return n.replicas.changeLog.LastChange()
 }
 
-// inferredDrainTTL is the time for which an inferred drain is in force. A drain is
-// inferred if the replica refuses a request and closes the connection, or if another
-// replica answers at its address. This may be wrong, so the replica is tried again
-// afterwards. A drain that the replica states itself lasts for its whole incarnation (see
-// recordStatedDrain).
-const inferredDrainTTL = 2 * time.Minute
+// An inferred drain may be wrong, so the replica is tried again afterwards. A drain that the
+// replica states itself lasts for its whole incarnation (see recordStatedDrain).
+const (
+	// Time for which a drain is in force that is inferred from another replica's answer at the
+	// address, or that a peer tells of.
+	inferredDrainTTL = 2 * time.Minute
+	// The same for one that is inferred from a refusal that closes its connection, as full
+	// replicas now and then do, too: by then the store's list shows those that drain.
+	weakDrainTTL = 3 * time.Second
+)
+
+// inferredDrain is a drain that a replica has not stated.
+type inferredDrain struct {
+	at     time.Duration // time at which it was first inferred
+	isWeak bool          // inferred from a refusal: not told to peers, and not in force for most of a service
+}
+
+// hasExpired reports whether the replica is to be tried again.
+func (d inferredDrain) hasExpired(now time.Duration) bool {
+	if d.isWeak {
+		return now-d.at > weakDrainTTL
+	}
+	return now-d.at > inferredDrainTTL
+}
 
 // recordInferredDrain records a drain that this instance or a peer has inferred from the
 // given sign.
 func (n *Node) recordInferredDrain(id, sign string) {
+	n.addInferredDrain(id, sign, inferredDrain{at: n.now()})
+}
+
+// recordRefusalDrain records a drain that is inferred from a refusal that closed its connection,
+// unless that would leave a service less than half of its replicas: more likely they are full.
+func (n *Node) recordRefusalDrain(r *catalog.Replica) {
+	listed, _, eligible := n.snapshot.Load().list.Count(r.Service)
+	if (eligible-1)*2 < listed {
+		n.counters.overruledDrains.Inc(1)
+		return
+	}
+	n.addInferredDrain(r.ID, "answer", inferredDrain{at: n.now(), isWeak: true})
+}
+
+func (n *Node) addInferredDrain(id, sign string, d inferredDrain) {
 	n.watchedMu.Lock()
-	_, known := n.replicas.inferredDrains[id]
-	if !known {
-		n.replicas.inferredDrains[id] = n.now()
+	known, ok := n.replicas.inferredDrains[id]
+	isNew := !ok || known.isWeak && !d.isWeak
+	if isNew {
+		n.replicas.inferredDrains[id] = d
 		n.replicas.outdated[id] = true
 	}
 	n.watchedMu.Unlock()
-	if known {
+	if !isNew {
 		return
 	}
 	event.NodeReplicaDraining.Log(n.log, "replica", id, "sign", sign)
 	n.publishSnapshot()
 }
 
+// endRefusalDrain ends a drain that was inferred from a refusal, as the replica has served a
+// request.
+func (n *Node) endRefusalDrain(id string) {
+	n.watchedMu.Lock()
+	d, ok := n.replicas.inferredDrains[id]
+	isOver := ok && d.isWeak
+	if isOver {
+		delete(n.replicas.inferredDrains, id)
+		n.replicas.outdated[id] = true
+	}
+	n.watchedMu.Unlock()
+	if isOver {
+		n.counters.overruledDrains.Inc(1)
+		n.publishSnapshot()
+	}
+}
+
 // drainUpdates returns the draining replicas to announce to other instances. The drains
 // of the first stated ones were stated by the replicas, the others are inferred.
 func (n *Node) drainUpdates() (out []string, stated int) {
 	n.advisories.withTracker(func(t *advisory.Tracker) { out = t.Updates(n.now(), drainAnnounceWindow, maxDrainsPerHeartbeat) })
 	stated = len(out)
+	n.expireInferredDrains()
 	out = append(out, n.recentInferredDrains(maxDrainsPerHeartbeat-stated)...)
 	return n.announcedReplicaIDs(out), stated
 }
 
-// recentInferredDrains returns at most limit replicas whose drain was inferred recently.
-func (n *Node) recentInferredDrains(limit int) []string {
+// expireInferredDrains ends the inferred drains whose replicas are to be tried again.
+func (n *Node) expireInferredDrains() {
 	n.watchedMu.Lock()
-	defer n.watchedMu.Unlock()
-	var out []string
-	for id, at := range n.replicas.inferredDrains {
-		switch age := n.now() - at; {
-		case age > inferredDrainTTL:
+	now := n.now()
+	anyExpired := false
+	for id, d := range n.replicas.inferredDrains {
+		if d.hasExpired(now) {
 			delete(n.replicas.inferredDrains, id)
 			n.replicas.outdated[id] = true
-		case age < drainAnnounceWindow && len(out) < limit:
+			anyExpired = true
+		}
+	}
+	n.watchedMu.Unlock()
+	if anyExpired {
+		n.publishSnapshot()
+	}
+}
+
+// recentInferredDrains returns at most limit replicas whose drain was inferred recently and is
+// told to peers.
+func (n *Node) recentInferredDrains(limit int) (out []string) {
+	n.watchedMu.Lock()
+	defer n.watchedMu.Unlock()
+	now := n.now()
+	for id, d := range n.replicas.inferredDrains {
+		if !d.isWeak && now-d.at < drainAnnounceWindow && len(out) < limit {
 			out = append(out, id)
 		}
 	}
--- a/cmd/node/topic_follower.go
+++ b/cmd/node/topic_follower.go
@@ -37,7 +37,7 @@
 // its end.
 const (
 	minWatchTime = 300 * time.Millisecond // limits a reader to about three calls a second for a topic
-	maxWatchTime = 8 * time.Second // upper bound, whatever the settings allow
+	maxWatchTime = 8 * time.Second        // upper bound, whatever the settings allow
 	// Covers the next call, the pause before it and the propagation to peers: 0.6 s in
 	// simulations.
 	changePropagationTime = 1 * time.Second
