--- a/coordination/pipeline/call.go
+++ b/coordination/pipeline/call.go
@@ -285,16 +285,36 @@
 			}
 		}
 	}
+	x.stage.job.blockReaders()
 	s.unblock(now, x.stage.job)
 }
 
+// blockReaders blocks the items that wait for a call while results that they read are made again.
+func (j *job) blockReaders() {
+	for _, st := range j.stages {
+		if st.inputsDone() {
+			continue
+		}
+		for _, x := range st.items {
+			if x.state == ready {
+				st.pool.removeReady(x)
+				x.state = blocked
+			}
+		}
+	}
+}
+
 func (s *Scheduler) requeue(now time.Duration, x *stageItem) {
 	if x.attempts >= s.opts.MaxAttempts {
 		s.fail(now, x.stage.job, "tries", s.opts.DefaultRetryAfter)
 		return
 	}
-	x.state = ready
 	x.addToLoad()
+	if !x.stage.inputsDone() { // they are being made again
+		x.state = blocked
+		return
+	}
+	x.state = ready
 	x.stage.pool.ready = append(x.stage.pool.ready, x)
 }
 
--- a/coordination/pipeline/property_test.go
+++ b/coordination/pipeline/property_test.go
@@ -79,8 +79,8 @@
 			w.t.Fatalf("an item has %d inputs and the key %q", len(i.Inputs), i.Key)
 		}
 		for _, h := range i.Inputs {
-			if w.freed[h] {
-				w.t.Fatalf("an item reads %s, which was freed", h)
+			if !w.made[h] || w.freed[h] {
+				w.t.Fatalf("an item reads %q, which was never made or was freed", h)
 			}
 		}
 	}
