--- a/cmd/node/liveness_probe.go
+++ b/cmd/node/liveness_probe.go
@@ -293,8 +293,7 @@
 // askIdentity asks whoever listens at a replica's address whether it is that replica. Any answer
 // but that of another one says so; silence says nothing.
 func askIdentity(conn *upstream.Conn, r *catalog.Replica, path string) error {
-	deadline := time.Now().Add(identityTimeout)
-	_ = conn.SetDeadline(deadline)
+	_ = conn.SetDeadline(time.Now().Add(identityTimeout))
 	name := catalog.ReplicaName(r.ID)
 	req := fasthttp.AcquireRequest()
 	defer fasthttp.ReleaseRequest(req)
@@ -309,7 +308,7 @@
 		err = x.ReadHead(func(*fasthttp.ResponseHeader) bool { return true })
 	}
 	switch {
-	case err != nil && !time.Now().Before(deadline):
+	case errors.Is(err, fasthttp.ErrTimeout):
 		return errReplicaIsSilent
 	case err != nil:
 		return errConnectionEnded
