--- a/layers_test.go
+++ b/layers_test.go
@@ -18,7 +18,7 @@
 
 // layers lists the layers from top to bottom: a package may import packages of its
 // own layer and of those after it.
-var layers = []string{"proctest", "cmd", "platform", "transport", "protocol", "coordination", "state"}
+var layers = []string{"deploy", "proctest", "cmd", "platform", "transport", "protocol", "coordination", "state"}
 
 // testHarness is the package with the stand-ins of the tests of the whole system.
 const testHarness = "platform/platformtest"
