--- a/cmd/node/link_checks.go
+++ b/cmd/node/link_checks.go
@@ -5,6 +5,7 @@
 	"errors"
 	"time"
 
+	"quinceroad/cmd/node/liveness"
 	"quinceroad/cmd/process"
 	"quinceroad/coordination/reachability"
 )
@@ -110,7 +111,7 @@
 	if err != nil {
 		return false
 	}
-	if !cn.StaysOpen(minConnectionTime) {
+	if !cn.StaysOpen(liveness.MinConnectionTime) {
 		cn.Close()
 		return false
 	}
--- a/cmd/node/liveness_probe_test.go
+++ b/cmd/node/liveness_probe_test.go
@@ -29,7 +29,7 @@
 		_ = conn.Close()
 	}()
 	r := &catalog.Replica{ID: "r", Address: ln.Addr().String()}
-	<-n.recordBrokenAnswers(r, n.now(), 7).done
+	<-n.recordBrokenAnswers(r, n.now(), 7).Done()
 	is.True(n.quarantine.hasEnded("r"))
 	is.Equal(n.verdict(7), quarantine.Suspect)
 }
@@ -41,32 +41,11 @@
 	ln, err := net.Listen("tcp4", "127.0.0.1:0")
 	is.NoErr(err)
 	defer ln.Close()
-	<-n.recordBrokenAnswers(&catalog.Replica{ID: "r", Address: ln.Addr().String()}, n.now(), 7).done
+	<-n.recordBrokenAnswers(&catalog.Replica{ID: "r", Address: ln.Addr().String()}, n.now(), 7).Done()
 	is.True(!n.quarantine.hasEnded("r"))
 	is.Equal(n.verdict(7), quarantine.Unsuspected)
 }
 
-// Guards against MIXED: an answer that ended was vouched for by a probe that had asked before its
-// end. Those that end meanwhile share the next one.
-func TestProbeBegunBeforeAnEndDoesNotAnswerForIt(t *testing.T) {
-	is := is.New(t)
-	n := newTwoReplicaNode()
-	ln, err := net.Listen("tcp4", "127.0.0.1:0")
-	is.NoErr(err)
-	r := &catalog.Replica{ID: "r", Address: ln.Addr().String()}
-	early := n.probeLivenessAfter(r, "r")
-	_, err = ln.Accept()
-	is.NoErr(err)
-	is.NoErr(ln.Close()) // the replica ends while the probe holds its connection
-	first, second := n.probeLivenessAfter(r, "r"), n.probeLivenessAfter(r, "r")
-	is.True(first != early)
-	is.Equal(first, second)
-	<-early.done
-	<-first.done
-	is.Equal(early.result(), answerend.Runs)
-	is.Equal(first.result(), answerend.Ended)
-}
-
 // Guards against sound unframed answers taken for broken: peers number the restarts of a replica as
 // each has seen them, so that the end they tell of may be an earlier one. What answers by the
 // replica's name after the end of the answer counts more.
@@ -80,7 +59,7 @@
 		return t.RecordEnd(now, quarantine.IncarnationOf("r"))
 	})
 	is.True(n.quarantine.hasEnded("r"))
-	is.Equal(n.awaitLife(context.Background(), n.probeLivenessAfter(r, "r")), answerend.Runs)
+	is.Equal(n.awaitLife(context.Background(), n.prober.After(r, "r")), answerend.Runs)
 	is.NoErr(ln.Close())
-	is.Equal(n.awaitLife(context.Background(), n.probeLivenessAfter(r, "r")), answerend.Ended)
+	is.Equal(n.awaitLife(context.Background(), n.prober.After(r, "r")), answerend.Ended)
 }
--- a/cmd/node/node.go
+++ b/cmd/node/node.go
@@ -22,6 +22,7 @@
 	"quinceroad/cmd/node/customers"
 	"quinceroad/cmd/node/eventstream"
 	"quinceroad/cmd/node/inflight"
+	"quinceroad/cmd/node/liveness"
 	"quinceroad/cmd/node/origins"
 	"quinceroad/cmd/node/peersync"
 	"quinceroad/cmd/node/slotlease"
@@ -91,6 +92,7 @@
 
 	activeRequests    *inflight.Registry  // by incarnation of the replica, whose connections may never report its end
 	quarantine        *quarantineTracker  // has its own lock; no other is acquired under it
+	prober            *liveness.Prober    // has its own lock; no other is acquired under it
 	requestsByFeature *inflight.Registry  // requests whose answers have not begun, by fingerprint of their features
 	advisories        *advisories         // has its own lock; no other is acquired under it
 	level             fleetLevel          // has its own lock; no other is acquired under it
@@ -174,6 +176,7 @@
 		Name: s.Name, Region: n.home, Now: n.now, Live: n.live, Peers: n.links, Log: log, Registry: n.registry, HasSeveralBuilds: n.hasSeveralBuilds,
 	})
 	n.slots, n.trials = n.newSlotService(), n.newTrialService()
+	n.prober = liveness.New(liveness.Options{Now: n.now, Ask: n.askLife})
 	n.owner = newOwner(n)
 	n.clock.OnResume(n.handleResume)
 	n.snapshot.Store(&snapshot{regionMap: n.regionMap, list: listing.Empty()})
--- a/cmd/node/quarantine.go
+++ b/cmd/node/quarantine.go
@@ -47,22 +47,18 @@
 // quarantineTracker tracks the requests that crash replicas, as observed by this instance
 // and reported by peers.
 type quarantineTracker struct {
-	mu            sync.Mutex
-	tracker       *quarantine.Tracker
-	announcedAt   time.Duration                                  // time of the last extra announcement
-	probes        map[string]*livenessProbe                      // by incarnation: the last that has begun
-	waitingProbes map[string]*livenessProbe                      // by incarnation: the one that begins when that has ended
-	ends          map[string]*incarnationEnds                    // by listed incarnation
-	suspects      map[string]map[quarantine.Fingerprint]struct{} // by replica ID: suspect requests that this instance runs there
+	mu          sync.Mutex
+	tracker     *quarantine.Tracker
+	announcedAt time.Duration                                  // time of the last extra announcement
+	ends        map[string]*incarnationEnds                    // by listed incarnation
+	suspects    map[string]map[quarantine.Fingerprint]struct{} // by replica ID: suspect requests that this instance runs there
 }
 
 func newQuarantineTracker(jitter float64) *quarantineTracker {
 	return &quarantineTracker{
-		tracker:       quarantine.New(quarantine.DefaultOptions(), int(jitter*quarantineOffsets)),
-		probes:        make(map[string]*livenessProbe),
-		waitingProbes: make(map[string]*livenessProbe),
-		ends:          make(map[string]*incarnationEnds),
-		suspects:      make(map[string]map[quarantine.Fingerprint]struct{}),
+		tracker:  quarantine.New(quarantine.DefaultOptions(), int(jitter*quarantineOffsets)),
+		ends:     make(map[string]*incarnationEnds),
+		suspects: make(map[string]map[quarantine.Fingerprint]struct{}),
 	}
 }
 
@@ -237,15 +233,11 @@
 // pruneQuarantine removes expired cases, probes and crash counts, and counts what is quarantined.
 func (n *Node) pruneQuarantine() {
 	n.updateQuarantine(causeAge, func(t *quarantine.Tracker, now time.Duration) []quarantine.Change { return t.Expire(now) })
+	n.prober.Prune()
 	q := n.quarantine
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	n.counters.setQuarantined(q.tracker.CountQuarantined())
-	for id, probe := range q.probes {
-		if probe.hasEnded() && n.now()-probe.startedAt > livenessProbeTTL {
-			delete(q.probes, id)
-		}
-	}
 	for id, e := range q.ends {
 		if n.now()-e.last > pruneAfter {
 			delete(q.ends, id)
--- a/cmd/node/request_handler.go
+++ b/cmd/node/request_handler.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"quinceroad/cmd/node/eventstream"
+	"quinceroad/cmd/node/liveness"
 	"quinceroad/cmd/node/triallease"
 	"quinceroad/cmd/process"
 	"quinceroad/coordination/origin"
@@ -59,7 +60,7 @@
 	rank        int
 	record      *outcome.Record
 	deadline    time.Duration                                // time at which the answer is due, by the process's clock
-	probe       *livenessProbe                               // probe of the last attempt's replica; nil: none
+	probe       *liveness.Probe                              // probe of the last attempt's replica; nil: none
 	trials      map[quarantine.Fingerprint]*triallease.Lease // trial leases of its suspect features
 	fingerprint quarantine.Fingerprint                       // identifies the request across a caller's retries
 	parts       []quarantine.Fingerprint                     // of what it shares with other requests: parts of its prompt, the key of its items
--- a/cmd/node/rollout_answers.go
+++ b/cmd/node/rollout_answers.go
@@ -92,7 +92,7 @@
 	probe := a.probe
 	go func() {
 		if n.awaitLivenessProbe(context.Background(), probe) {
-			if n.quarantine.isPartBlamed(probe.incarnation) {
+			if n.quarantine.isPartBlamed(probe.Incarnation) {
 				return // the requests ended it, not the version
 			}
 			answer.evidence = sendresult.ReplicaCrashed.Evidence().Version
--- a/cmd/node/unframed.go
+++ b/cmd/node/unframed.go
@@ -22,7 +22,7 @@
 	n := a.node
 	incarnation := n.quarantine.incarnationAt(a.replica.ID, a.sentAt)
 	askedAt := n.now()
-	end := answerend.End{Life: n.awaitLife(context.Background(), n.probeLivenessAfter(&a.replica, incarnation)), Leaving: a.head.Draining}
+	end := answerend.End{Life: n.awaitLife(context.Background(), n.prober.After(&a.replica, incarnation)), Leaving: a.head.Draining}
 	verdict := end.Verdict()
 	n.counters.unframedAnswers[verdict].Inc(1)
 	logged := event.NodeUnframedAnswerEnded
