--- a/cmd/node/refusal_drain_test.go
+++ b/cmd/node/refusal_drain_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/matryer/is"
 
+	"quinceroad/coordination/drains"
 	"quinceroad/state/catalog"
 	"quinceroad/transport/clock"
 )
@@ -44,7 +45,7 @@
 		is.True(left < count || count == 1)
 		announced, _ := n.drainUpdates()
 		is.Equal(len(announced), 0) // others find out for themselves
-		source.elapsed += weakDrainTTL + time.Millisecond
+		source.elapsed += drains.WeakTTL + time.Millisecond
 		n.drainUpdates()
 		is.Equal(len(n.snapshot.Load().eligible("llm")), count)
 	}
--- a/cmd/node/replica_set.go
+++ b/cmd/node/replica_set.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"quinceroad/coordination/changes"
+	"quinceroad/coordination/drains"
 	"quinceroad/coordination/listing"
 	"quinceroad/coordination/origin"
 	"quinceroad/platform"
@@ -21,7 +22,7 @@
 	addresses      map[string]int            // number of replicas by address (IP:port)
 	index          *listing.Index
 	services       map[string]serviceTraits // of the configuration with which the index was built
-	inferredDrains map[string]inferredDrain // by incarnation
+	inferredDrains *drains.Table
 	listedDrains   map[string]time.Duration // by incarnation: last time at which its entry said that it drains
 	drainsPrunedAt time.Duration
 	invalid        map[string]bool          // names of entries that can't be parsed and were logged
@@ -58,7 +59,7 @@
 		records:        make(map[string]*replicaRecord),
 		addresses:      make(map[string]int),
 		index:          newIndex(nil, false),
-		inferredDrains: make(map[string]inferredDrain),
+		inferredDrains: drains.NewTable(),
 		listedDrains:   make(map[string]time.Duration),
 		invalid:        make(map[string]bool),
 		goneBuilds:     origin.NewHistory(),
@@ -260,8 +261,7 @@
 // isDraining reports whether a drain of an incarnation was inferred or stated. The caller
 // holds watchedMu.
 func (n *Node) isDraining(incarnation string) bool {
-	_, inferred := n.replicas.inferredDrains[incarnation]
-	return inferred || n.advisories.isDraining(incarnation)
+	return n.replicas.inferredDrains.Has(incarnation) || n.advisories.isDraining(incarnation)
 }
 
 func (s *replicaSet) traitsOf(c *catalog.Configuration) map[string]serviceTraits {
--- a/cmd/node/snapshot.go
+++ b/cmd/node/snapshot.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"quinceroad/coordination/advisory"
+	"quinceroad/coordination/drains"
 	"quinceroad/coordination/history"
 	"quinceroad/coordination/listing"
 	"quinceroad/coordination/regions"
@@ -81,54 +82,25 @@
 	return n.replicas.changeLog.LastChange()
 }
 
-// An inferred drain may be wrong, so the replica is tried again afterwards. A drain that the
-// replica states itself lasts for its whole incarnation (see recordStatedDrain).
-const (
-	// Time for which a drain is in force that is inferred from another replica's answer at the
-	// address, or that a peer tells of.
-	inferredDrainTTL = 2 * time.Minute
-	// The same for one that is inferred from a refusal that closes its connection, as full
-	// replicas now and then do, too: by then the store's list shows those that drain.
-	weakDrainTTL = 3 * time.Second
-)
-
-// inferredDrain is a drain that a replica has not stated.
-type inferredDrain struct {
-	at     time.Duration // time at which it was first inferred
-	isWeak bool          // inferred from a refusal: not told to peers, and not in force for most of a service
-}
-
-// hasExpired reports whether the replica is to be tried again.
-func (d inferredDrain) hasExpired(now time.Duration) bool {
-	if d.isWeak {
-		return now-d.at > weakDrainTTL
-	}
-	return now-d.at > inferredDrainTTL
-}
-
 // recordInferredDrain records a drain that this instance or a peer has inferred from the
-// given sign.
-func (n *Node) recordInferredDrain(id, sign string) {
-	n.addInferredDrain(id, sign, inferredDrain{at: n.now()})
-}
+// given sign. A drain that the replica states itself lasts for its whole incarnation (see
+// recordStatedDrain).
+func (n *Node) recordInferredDrain(id, sign string) { n.addInferredDrain(id, sign, drains.Strong) }
 
-// recordRefusalDrain records a drain that is inferred from a refusal that closed its connection,
-// unless that would leave a service less than half of its replicas: more likely they are full.
+// recordRefusalDrain records a drain that is inferred from a refusal that closed its connection.
 func (n *Node) recordRefusalDrain(r *catalog.Replica) {
 	listed, _, eligible := n.snapshot.Load().list.Count(r.Service)
-	if (eligible-1)*2 < listed {
+	if !drains.MayInferWeakly(listed, eligible) {
 		n.counters.overruledDrains.Inc(1)
 		return
 	}
-	n.addInferredDrain(r.ID, "answer", inferredDrain{at: n.now(), isWeak: true})
+	n.addInferredDrain(r.ID, "answer", drains.Weak)
 }
 
-func (n *Node) addInferredDrain(id, sign string, d inferredDrain) {
+func (n *Node) addInferredDrain(id, sign string, s drains.Strength) {
 	n.watchedMu.Lock()
-	known, ok := n.replicas.inferredDrains[id]
-	isNew := !ok || known.isWeak && !d.isWeak
+	isNew := n.replicas.inferredDrains.Add(n.now(), id, s)
 	if isNew {
-		n.replicas.inferredDrains[id] = d
 		n.replicas.outdated[id] = true
 	}
 	n.watchedMu.Unlock()
@@ -143,10 +115,8 @@
 // request.
 func (n *Node) endRefusalDrain(id string) {
 	n.watchedMu.Lock()
-	d, ok := n.replicas.inferredDrains[id]
-	isOver := ok && d.isWeak
+	isOver := n.replicas.inferredDrains.RecordServed(id)
 	if isOver {
-		delete(n.replicas.inferredDrains, id)
 		n.replicas.outdated[id] = true
 	}
 	n.watchedMu.Unlock()
@@ -169,33 +139,22 @@
 // expireInferredDrains ends the inferred drains whose replicas are to be tried again.
 func (n *Node) expireInferredDrains() {
 	n.watchedMu.Lock()
-	now := n.now()
-	anyExpired := false
-	for id, d := range n.replicas.inferredDrains {
-		if d.hasExpired(now) {
-			delete(n.replicas.inferredDrains, id)
-			n.replicas.outdated[id] = true
-			anyExpired = true
-		}
+	expired := n.replicas.inferredDrains.Expire(n.now())
+	for _, id := range expired {
+		n.replicas.outdated[id] = true
 	}
 	n.watchedMu.Unlock()
-	if anyExpired {
+	if len(expired) > 0 {
 		n.publishSnapshot()
 	}
 }
 
 // recentInferredDrains returns at most limit replicas whose drain was inferred recently and is
 // told to peers.
-func (n *Node) recentInferredDrains(limit int) (out []string) {
+func (n *Node) recentInferredDrains(limit int) []string {
 	n.watchedMu.Lock()
 	defer n.watchedMu.Unlock()
-	now := n.now()
-	for id, d := range n.replicas.inferredDrains {
-		if !d.isWeak && now-d.at < drainAnnounceWindow && len(out) < limit {
-			out = append(out, id)
-		}
-	}
-	return out
+	return n.replicas.inferredDrains.Recent(n.now(), drainAnnounceWindow, limit)
 }
 
 const (
