--- a/coordination/pipeline/foreign_handle_test.go
+++ b/coordination/pipeline/foreign_handle_test.go
@@ -48,3 +48,35 @@
 	delete(h.calls, replica)
 	return c
 }
+
+// Guards against MIXED: when one item of a stage found its inputs gone, others that waited for a
+// call were sent with empty handles while these were made again.
+func TestItemsWaitForInputsThatAreMadeAgain(t *testing.T) {
+	is := is.New(t)
+	h := newHarness(t)
+	j := newTestJob("j", 2)
+	j.Stages = append(j.Stages, Stage{Service: "rank", After: []int{0}, Items: 40, ResultBytes: 10_000}) // more than the calls at a time take
+	h.submit(j)
+	for r := h.busyReplica("read"); r != ""; r = h.busyReplica("read") {
+		h.answer(r, Answered)
+	}
+	is.Equal(h.busyReplicas("rank"), 2)
+	first := h.busyReplica("rank")
+	h.answer(first, Answered, InputMissing)
+	is.True(h.busyReplicas("read") > 0) // the inputs are being made again
+	for _, c := range h.calls {
+		for _, item := range c.Items {
+			is.True(!slices.Contains(item.Inputs, ""))
+		}
+	}
+	for r := h.busyReplica("read"); r != ""; r = h.busyReplica("read") {
+		h.answer(r, Answered)
+	}
+	for r := h.busyReplica("rank"); r != ""; r = h.busyReplica("rank") {
+		for _, item := range h.calls[r].Items {
+			is.True(!slices.Contains(item.Inputs, ""))
+		}
+		h.answer(r, Answered)
+	}
+	is.Equal(len(h.delivered), 1)
+}
