--- a/cmd/node/replica_calls.go
+++ b/cmd/node/replica_calls.go
@@ -4,15 +4,14 @@
 	"context"
 	"errors"
 	"fmt"
-	"io"
 	"sync/atomic"
 	"time"
 
 	"github.com/valyala/fasthttp"
 
+	"quinceroad/cmd/node/replicacall"
 	"quinceroad/cmd/node/slotlease"
 	"quinceroad/coordination/advisory"
-	"quinceroad/coordination/outcome"
 	"quinceroad/coordination/pipeline"
 	"quinceroad/platform"
 	"quinceroad/protocol/event"
@@ -27,12 +26,7 @@
 	defaultCallConnIdle = 8 * time.Second // idle time of a connection to a pool's replica
 	// Timeout of a call that frees results. A lost one costs result memory until the
 	// results expire.
-	freeTimeout        = 500 * time.Millisecond
-	maxCallAnswerBytes = 1 << 20 // maximum size of an answer
-	maxSurplusAnswers  = 2       // answers to earlier calls that are skipped for one call
-	// Time in which an answer must follow one that does not answer its call: a surplus answer
-	// comes where the next one is due.
-	surplusWait = 100 * time.Millisecond
+	freeTimeout = 500 * time.Millisecond
 	// Longest wait of a call for a slot of a brittle replica. The scheduler knows which slots
 	// its calls use, so that only those of others are waited for.
 	callSlotWait = 100 * time.Millisecond
@@ -53,7 +47,10 @@
 		results, err = platform.ParseBatchResponse(data, len(c.Items))
 		return handedResults(c.Items, results), err
 	}
-	status, head, _, err := n.callReplica(ctx, replicaCall{address: c.Address, expectedReplica: c.Name, source: answerSource{incarnation: c.Replica, service: c.Service}, isWork: true, method: fasthttp.MethodPost, path: path, body: body, parse: parse})
+	head, err := n.callReplica(ctx, replicaCall{
+		call:   replicacall.Call{Address: c.Address, ExpectedReplica: c.Name, Method: fasthttp.MethodPost, Path: path, Body: body, Parse: parse},
+		source: answerSource{incarnation: c.Replica, service: c.Service}, isWork: true,
+	})
 	switch {
 	case errors.Is(err, errAdvisoryForbids):
 		return nil, pipeline.Refused
@@ -61,7 +58,7 @@
 		return nil, pipeline.Unreachable
 	case errors.Is(err, errLinkLost):
 		return nil, pipeline.LinkLost
-	case errors.Is(err, errInvalidAnswer):
+	case errors.Is(err, replicacall.ErrInvalid):
 		event.NodeMessageInvalid.Log(n.log, "what", "results of a batch", "from", c.Replica, "error", err)
 		return nil, pipeline.Broken
 	case err != nil && ctx.Err() != nil:
@@ -72,7 +69,7 @@
 		return nil, pipeline.WrongReplica
 	case head.NotRun:
 		return nil, pipeline.Refused
-	case status != fasthttp.StatusOK:
+	case head.Status != fasthttp.StatusOK:
 		return nil, pipeline.Broken
 	}
 	return results, pipeline.Answered
@@ -105,7 +102,10 @@
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), freeTimeout)
 	defer cancel()
-	_, _, _, err = n.callReplica(ctx, replicaCall{address: f.Address, source: answerSource{incarnation: f.Replica, service: f.Service, auxiliary: true}, method: fasthttp.MethodPost, path: path, body: body})
+	_, err = n.callReplica(ctx, replicaCall{
+		call:   replicacall.Call{Address: f.Address, Method: fasthttp.MethodPost, Path: path, Body: body},
+		source: answerSource{incarnation: f.Replica, service: f.Service, auxiliary: true},
+	})
 	n.logSideCallFailure("free results", f.Replica, err)
 }
 
@@ -127,13 +127,22 @@
 		report, err = platform.ParseReport(data)
 		return nil, err
 	}
-	status, _, _, err := n.callReplica(ctx, replicaCall{address: r.Address, expectedReplica: r.Name, source: answerSource{incarnation: r.ID, service: r.Service, auxiliary: true}, method: fasthttp.MethodGet, path: platform.PathReport, parse: parse})
-	if err == nil && status != fasthttp.StatusOK {
-		err = upstream.ErrIncomplete
-	}
+	err := n.queryReplica(ctx, &r, platform.PathReport, parse)
 	return report, err
 }
 
+// queryReplica asks a replica for something of its own. parse parses the answer.
+func (n *Node) queryReplica(ctx context.Context, r *catalog.Replica, path string, parse func([]byte) ([]upstream.Handed, error)) error {
+	head, err := n.callReplica(ctx, replicaCall{
+		call:   replicacall.Call{Address: r.Address, ExpectedReplica: r.Name, Method: fasthttp.MethodGet, Path: path, Parse: parse},
+		source: answerSource{incarnation: r.ID, service: r.Service, auxiliary: true},
+	})
+	if err == nil && head.Status != fasthttp.StatusOK {
+		err = errCallFailed
+	}
+	return err
+}
+
 // cacheReportTimeout is the timeout of an engine's report of its cache. An engine answers
 // only between two steps of its work.
 const cacheReportTimeout = time.Second
@@ -147,39 +156,32 @@
 		parts, err = platform.ParseCachedParts(data)
 		return nil, err
 	}
-	status, _, _, err := n.callReplica(ctx, replicaCall{address: r.Address, expectedReplica: r.Name, source: answerSource{incarnation: r.ID, service: r.Service, auxiliary: true}, method: fasthttp.MethodGet, path: platform.PathCachedParts, parse: parse})
-	if err == nil && status != fasthttp.StatusOK {
-		err = upstream.ErrIncomplete
-	}
+	err := n.queryReplica(ctx, &r, platform.PathCachedParts, parse)
 	return parts, err
 }
 
 // replicaCall is a call to a replica that forwards no client request.
 type replicaCall struct {
-	address         string
-	expectedReplica string       // name of the replica that must answer; "" for any at the address
-	source          answerSource // incarnation and service to which the answer's advisories apply
-	isWork          bool         // not sent to a draining replica, and counted in the ramp after a backoff
-	method          string
-	path            string
-	body            []byte
-	// parse parses the body of a successful answer and returns what it hands out, or an error if
-	// it does not answer this call. nil: the body is not read.
-	parse func(data []byte) (handed []upstream.Handed, err error)
+	call   replicacall.Call
+	source answerSource // incarnation and service to which the answer's advisories apply
+	isWork bool         // not sent to a draining replica, and counted in the ramp after a backoff
 }
 
+// errCallFailed is the error of a call whose answer is a failure.
+var errCallFailed = errors.New("the replica failed the call")
+
 // callReplica calls a replica and reads its answer.
-func (n *Node) callReplica(ctx context.Context, c replicaCall) (status int, head platform.ResponseHead, data []byte, err error) {
+func (n *Node) callReplica(ctx context.Context, c replicaCall) (head platform.ResponseHead, err error) {
 	lease, err := n.acquireCallSlot(ctx, &c)
 	if err != nil {
-		return 0, platform.ResponseHead{}, nil, err
+		return platform.ResponseHead{}, err
 	}
 	slotEnd := advisory.LeaseUnused
 	defer func() { lease.End(slotEnd) }()
-	target := replicaTarget{id: c.source.incarnation, service: c.source.service, address: c.address}
+	target := replicaTarget{id: c.source.incarnation, service: c.source.service, address: c.call.Address}
 	cn, err := n.connectReplica(ctx, target, callConnectTimeout)
 	if err != nil {
-		return 0, platform.ResponseHead{}, nil, err
+		return platform.ResponseHead{}, err
 	}
 	stop := context.AfterFunc(ctx, cn.Close)
 	defer stop()
@@ -198,85 +200,22 @@
 	advisoryAttempt, ok := n.beginCall(c, lease)
 	if !ok {
 		cn.Close()
-		return 0, platform.ResponseHead{}, nil, errAdvisoryForbids
+		return platform.ResponseHead{}, errAdvisoryForbids
 	}
 	defer func() { n.advisories.endAttempt(n.now(), advisoryAttempt) }()
-	req := fasthttp.AcquireRequest()
-	defer fasthttp.ReleaseRequest(req)
-	req.Header.DisableNormalizing()
-	req.Header.SetNoDefaultContentType(true)
-	req.Header.SetMethod(c.method)
-	req.SetRequestURI(c.path)
-	req.Header.SetHost(c.address)
-	if len(c.body) > 0 {
-		req.Header.SetContentType("application/json")
-	}
-	if c.expectedReplica != "" {
-		platform.SetExpectedReplica(c.expectedReplica, req.Header.Set)
-	}
-	req.SetBody(c.body)
-	record := outcome.NewRecord()
-	token, _ := record.Dispatch()
 	slotEnd = advisory.LeaseAbandoned
-	x, err := cn.Begin(token, req)
-	if err != nil {
-		cn.Close()
-		return 0, platform.ResponseHead{}, nil, err
-	}
-	data, hasSurplus, err := n.readCallAnswer(cn, x, &c)
-	if err != nil {
-		x.Release(0)
-		return 0, platform.ResponseHead{}, nil, err
-	}
-	head = n.recordAnswerHead(c.source, advisoryAttempt, &x.Header)
-	slotEnd = callLeaseEnd(&head, x.Header.StatusCode())
-	if hasSurplus {
-		x.Release(0)
-	} else {
-		x.Release(idleTimeoutAfter(&head, defaultCallConnIdle))
-	}
-	return x.Header.StatusCode(), head, data, nil
-}
-
-// errInvalidAnswer is the error of a successful answer that does not answer its call.
-var errInvalidAnswer = errors.New("the answer is invalid")
-
-// readCallAnswer reads the answer to a call. A surplus answer to an earlier call on the connection
-// may come before it and is skipped.
-func (n *Node) readCallAnswer(cn *upstream.Conn, x *upstream.Exchange, c *replicaCall) (data []byte, hasSurplus bool, err error) {
-	for range maxSurplusAnswers + 1 {
-		if data, err = readWholeAnswer(x); err != nil {
-			return nil, hasSurplus, err
-		}
-		if c.parse == nil || x.Header.StatusCode() != fasthttp.StatusOK {
-			return data, hasSurplus, nil
-		}
-		handed, invalid := c.parse(data)
-		switch {
-		case invalid != nil && !cn.IsReused():
-			return nil, hasSurplus, errors.Join(errInvalidAnswer, invalid)
-		case invalid != nil: // if it is the call's own, none follows
-			_ = cn.SetDeadline(time.Now().Add(surplusWait))
-		case !cn.RecordHanded(handed):
-			return data, hasSurplus, nil
-		}
-		hasSurplus = true
+	c.call.OnSurplus = func(invalid error) {
 		n.counters.surplusAnswers.Inc(1)
-		event.NodeSurplusAnswer.Log(n.log, "replica", c.source.incarnation, "service", c.source.service, "path", c.path, "through", cn.RelayedBy(), "invalid", invalid)
-	}
-	return nil, hasSurplus, errInvalidAnswer
-}
-
-// readWholeAnswer reads an answer's head and body.
-func readWholeAnswer(x *upstream.Exchange) ([]byte, error) {
-	if err := x.ReadHead(func(*fasthttp.ResponseHeader) bool { return true }); err != nil {
-		return nil, err
+		event.NodeSurplusAnswer.Log(n.log, "replica", c.source.incarnation, "service", c.source.service, "path", c.call.Path, "through", cn.RelayedBy(), "invalid", invalid)
 	}
-	data, err := io.ReadAll(io.LimitReader(x, maxCallAnswerBytes))
-	if err == nil && !x.IsComplete() {
-		err = upstream.ErrIncomplete
+	answer, err := replicacall.Do(cn, &c.call)
+	if err != nil {
+		return platform.ResponseHead{}, err
 	}
-	return data, err
+	head = n.recordAnswerHead(c.source, advisoryAttempt, answer.Header)
+	slotEnd = callLeaseEnd(&head)
+	answer.Release(idleTimeoutAfter(&head, defaultCallConnIdle))
+	return head, nil
 }
 
 // acquireCallSlot obtains a slot for a call that carries work, as acquireSlot does.
@@ -293,8 +232,8 @@
 }
 
 // callLeaseEnd returns what a complete answer to a call means for the slot that it used.
-func callLeaseEnd(h *platform.ResponseHead, status int) advisory.LeaseEnd {
-	if h.NotRun && status == fasthttp.StatusServiceUnavailable && h.Backoff == 0 {
+func callLeaseEnd(h *platform.ResponseHead) advisory.LeaseEnd {
+	if h.NotRun && h.Status == fasthttp.StatusServiceUnavailable && h.Backoff == 0 {
 		return advisory.LeaseRefused
 	}
 	return advisory.LeaseCompleted
