--- a/cmd/node/unframed.go
+++ b/cmd/node/unframed.go
@@ -33,7 +33,7 @@
 		"verdict", verdict, "life", end.Life, "leaves", a.head.Draining, "waited", n.now()-askedAt)
 	switch verdict {
 	case answerend.Broken:
-		return errStreamBroken
+		return errAnswerBroken
 	case answerend.Doubtful:
 		return errEndDoubtful
 	}
