--- a/cmd/node/topic_follower.go
+++ b/cmd/node/topic_follower.go
@@ -43,9 +43,9 @@
 	changePropagationTime = 1 * time.Second
 )
 
-// watchTimeFor returns the duration of a watch. A connection may hang for good while the
-// store answers on others, which can't be distinguished from a topic without changes. A watch
-// therefore ends early enough for the changes that it missed to be in force within the
+// watchTimeFor returns the time within which some reader's watch must end. A connection may hang for
+// good while the store answers on others, which can't be distinguished from a topic without
+// changes. So one ends early enough for the changes that all missed to be in force within the
 // deployment's time limits: that after a disturbance and that after a change run from the same
 // moment if the change is made then.
 func watchTimeFor(s *platform.Settings) time.Duration {
@@ -76,6 +76,8 @@
 	read func() (apply func(), err error)
 	// watch returns changes, and waits up to the given time for the first one.
 	watch func(wait time.Duration) (apply func(), err error)
+
+	lastChange time.Duration // time at which a watch last returned changes; 0: none has
 }
 
 func (f *topicFollower) run(ctx context.Context) {
@@ -153,11 +155,24 @@
 	case needsFullRead:
 		return f.applyCall(f.read)
 	case answered:
-		return f.applyCall(func() (func(), error) { return f.watch(watchTimeFor(f.node.settings)) })
+		return f.watchInTurn()
 	}
 	return f.applyCall(func() (func(), error) { return f.watch(0) })
 }
 
+// watchInTurn watches the topic for as long as this reader's turn among the others allows.
+func (f *topicFollower) watchInTurn() error {
+	n := f.node
+	turn := readers.TurnOf(n.settings.Name, n.liveInstances())
+	startedAt := n.now()
+	wait := turn.WatchTime(startedAt, f.lastChange, watchTimeFor(n.settings), maxWatchTime)
+	err := f.applyCall(func() (func(), error) { return f.watch(wait) })
+	if now := n.now(); err == nil && now-startedAt < wait {
+		f.lastChange = now
+	}
+	return err
+}
+
 // storeResult is the result of a call to the store; apply applies the data.
 type storeResult struct {
 	apply func()
