--- a/cmd/node/unresponsive_store_test.go
+++ b/cmd/node/unresponsive_store_test.go
@@ -200,8 +200,7 @@
 	for phase := time.Duration(0); phase < storeProbeInterval; phase += 100 * time.Millisecond {
 		withFollower(t, func(t *testing.T, n *Node, s *fakeStore) {
 			n.isReader.Store(false)
-			time.Sleep(10*time.Second + phase)    // its calls as a reader have ended
-			n.settings.RecoveryTime = time.Minute // its watches are long, as those of one reader among many
+			time.Sleep(10*time.Second + phase) // its calls as a reader have ended
 			s.setUnresponsive(true)
 			n.isReader.Store(true)
 			time.Sleep(300 * time.Millisecond)
