Logs tell on what grounds a stream that is taken up is bound to a build

Event 3220 says by what (record, only build), how many instances were asked and answered, and how long the process has run; 3214 says the latter as well. Find returns what it found as a type. No decision has changed.

--- a/cmd/node/origins/origins.go
+++ b/cmd/node/origins/origins.go
@@ -137,32 +137,41 @@
 // holdsRecords reports whether an instance's build knows records of streams.
 func holdsRecords(i *gossip.Instance) bool { return i.Level >= featurelevel.StreamOrigins }
 
-// Find returns the record of a stream that a client takes up again, or false if it is not
-// known. Several reports in this case whether replicas of the service have had several
-// builds lately, as far as this instance and its peers know.
-func (k *Keeper) Find(ctx context.Context, key origin.Key, service string) (r origin.Record, ok, several bool) {
-	if r, ok = k.table.get(k.opts.Now(), key); !ok {
-		k.asked.Inc(1)
-		r, ok, several = k.ask(ctx, key, service)
+// Finding is what a search for the record of a stream has found.
+type Finding struct {
+	Record          origin.Record
+	Known           bool // there is a record
+	Several         bool // there is none, and the service's replicas have had several builds lately, as far as is known
+	Asked, Answered int  // peers that were asked for the record, and of these the ones that answered
+}
+
+// Find searches for the record of a stream that a client takes up again.
+func (k *Keeper) Find(ctx context.Context, key origin.Key, service string) Finding {
+	if r, ok := k.table.get(k.opts.Now(), key); ok {
+		k.found.Inc(1)
+		return Finding{Record: r, Known: true}
 	}
-	if ok {
+	k.asked.Inc(1)
+	f := k.ask(ctx, key, service)
+	if f.Known {
 		k.found.Inc(1)
-		return r, true, false
+		return f
 	}
 	k.unknown.Inc(1)
-	return origin.Record{}, false, several || k.opts.HasSeveralBuilds(service)
+	f.Several = f.Several || k.opts.HasSeveralBuilds(service)
+	return f
 }
 
-// ask asks the instances that may hold a record, all at once, and returns the first one
-// that is found.
-func (k *Keeper) ask(ctx context.Context, key origin.Key, service string) (r origin.Record, ok, several bool) {
+// ask asks the instances that may hold a record, all at once, until one of them has it.
+func (k *Keeper) ask(ctx context.Context, key origin.Key, service string) (f Finding) {
 	defer k.finding.Add(-1)
 	if k.finding.Add(1) > maxFinding {
-		return origin.Record{}, false, true
+		return Finding{Several: true}
 	}
 	ctx, cancel := context.WithTimeout(ctx, findTimeout)
 	defer cancel()
 	candidates := k.candidates(key)
+	f.Asked = len(candidates)
 	replies := make(chan *pb.OriginReply, len(candidates))
 	for _, i := range candidates {
 		go func() { replies <- k.askOne(i, key, service) }()
@@ -170,15 +179,19 @@
 	for range candidates {
 		select {
 		case reply := <-replies:
+			if reply != nil {
+				f.Answered++
+			}
 			if reply.GetKnown() {
-				return origin.Record{Key: key, Service: reply.Service, Build: reply.Build}, true, false
+				f.Record, f.Known = origin.Record{Key: key, Service: reply.Service, Build: reply.Build}, true
+				return f
 			}
-			several = several || reply.GetSeveral()
+			f.Several = f.Several || reply.GetSeveral()
 		case <-ctx.Done():
-			return origin.Record{}, false, several
+			return f
 		}
 	}
-	return origin.Record{}, false, several
+	return f
 }
 
 // askOne asks an instance for a record. It returns nil if the instance did not answer.
--- a/cmd/node/origins/origins_test.go
+++ b/cmd/node/origins/origins_test.go
@@ -102,9 +102,9 @@
 		f.record(t, "n0000", origin.Record{Key: key, Service: "llm", Build: "v1"})
 		is.Equal(f.takeCalls(), origin.Copies)
 		for _, x := range f.instance[:50] {
-			r, ok, _ := f.keepers[x.Name].Find(context.Background(), key, "llm")
-			is.True(ok)
-			is.Equal(r.Build, "v1")
+			found := f.keepers[x.Name].Find(context.Background(), key, "llm")
+			is.True(found.Known)
+			is.Equal(found.Record.Build, "v1")
 		}
 		is.True(f.takeCalls() <= 50*origin.Asked)
 	}
@@ -136,16 +136,17 @@
 func TestUnknownStream(t *testing.T) {
 	is := is.New(t)
 	f := newFleet(6)
-	_, ok, several := f.keepers["n0000"].Find(context.Background(), origin.KeyOf("c", "nobody"), "llm")
-	is.True(!ok && !several)
+	found := f.keepers["n0000"].Find(context.Background(), origin.KeyOf("c", "nobody"), "llm")
+	is.True(!found.Known && !found.Several)
+	is.Equal([2]int{found.Asked, found.Answered}, [2]int{5, 5})
 	f.several = true
-	_, ok, several = f.keepers["n0000"].Find(context.Background(), origin.KeyOf("c", "nobody"), "llm")
-	is.True(!ok && several)
+	found = f.keepers["n0000"].Find(context.Background(), origin.KeyOf("c", "nobody"), "llm")
+	is.True(!found.Known && found.Several)
 	is.Equal(f.keepers["n0000"].unknown.Count(), int64(2))
 	f.keepers["n0000"].finding.Store(maxFinding) // many unknown IDs at once
 	f.takeCalls()
-	_, ok, several = f.keepers["n0000"].Find(context.Background(), origin.KeyOf("c", "nobody"), "llm")
-	is.True(!ok && several)
+	found = f.keepers["n0000"].Find(context.Background(), origin.KeyOf("c", "nobody"), "llm")
+	is.True(!found.Known && found.Several)
 	is.Equal(f.takeCalls(), 0)
 }
 
--- a/cmd/node/resumed_stream.go
+++ b/cmd/node/resumed_stream.go
@@ -5,6 +5,7 @@
 	"errors"
 	"slices"
 
+	"quinceroad/cmd/node/origins"
 	"quinceroad/coordination/origin"
 	"quinceroad/protocol/event"
 	"quinceroad/state/catalog"
@@ -23,23 +24,32 @@
 	if s.route.Kind != catalog.Stream || s.req.LastEventID == "" {
 		return nil
 	}
-	several := false
+	var found origins.Finding
 	if s.req.ResumedID != "" {
-		record, ok, peersKnowSeveral := s.node.origins.Find(ctx, s.originKey(), s.service.Name)
-		if ok {
-			return s.bindTo(record)
+		found = s.node.origins.Find(ctx, s.originKey(), s.service.Name)
+		if found.Known {
+			s.logTakenUp("record", found.Record.Build, &found)
+			return s.bindTo(found.Record)
 		}
-		several = peersKnowSeveral
 	}
 	build, sole := s.node.soleBuild(s.service.Name)
-	if several || !sole || len(s.route.Targets) > 1 {
-		event.NodeOriginUnknown.Log(s.node.log, "request", s.req.ID, "resumes", s.req.ResumedID, "last_event", s.req.LastEventID, "service", s.service.Name)
+	if found.Several || !sole || len(s.route.Targets) > 1 {
+		event.NodeOriginUnknown.Log(s.node.log, "request", s.req.ID, "resumes", s.req.ResumedID, "last_event", s.req.LastEventID, "service", s.service.Name,
+			"asked", found.Asked, "answered", found.Answered, "watched", s.node.now())
 		return errOriginUnknown
 	}
+	s.logTakenUp("only build", build, &found)
 	s.binding = origin.To(build)
 	return nil
 }
 
+// logTakenUp logs on what grounds a stream that its client takes up again is bound to a
+// build.
+func (s *requestHandler) logTakenUp(by, build string, found *origins.Finding) {
+	event.NodeStreamTakenUp.Log(s.node.log, "request", s.req.ID, "resumes", s.req.ResumedID, "last_event", s.req.LastEventID, "service", s.service.Name, "build", build,
+		"by", by, "asked", found.Asked, "answered", found.Answered, "watched", s.node.now())
+}
+
 // bindTo binds the request to the service and build of a record, if the route still goes to
 // that service.
 func (s *requestHandler) bindTo(r origin.Record) error {
