--- a/coordination/origin/table.go
+++ b/coordination/origin/table.go
@@ -28,6 +28,11 @@
 	Build   string
 }
 
+// IsValid reports whether the names of a record are within their bounds.
+func (r *Record) IsValid() bool {
+	return len(r.Service) <= MaxNameLength && len(r.Build) <= MaxNameLength
+}
+
 const (
 	// RecordTTL is how long a record is kept: longer than a stream runs and its client waits
 	// before it takes the stream up again.
@@ -49,6 +54,7 @@
 	service, build unique.Handle[string]
 	until          time.Duration
 	ambiguous      bool // several builds began streams with this key
+	own            bool // this instance served the stream
 }
 
 type expiry struct {
@@ -59,15 +65,27 @@
 // NewTable returns an empty table.
 func NewTable() *Table { return &Table{records: make(map[Key]entry)} }
 
+// PutOwn adds the record of a stream that this instance serves.
+func (t *Table) PutOwn(now time.Duration, r Record) bool {
+	if !t.Put(now, r) {
+		return false
+	}
+	e := t.records[r.Key]
+	e.own = true
+	t.records[r.Key] = e
+	return true
+}
+
 // Put adds a record, or keeps one that is there for another RecordTTL. It returns false for
 // a record whose names are too long.
 func (t *Table) Put(now time.Duration, r Record) bool {
-	if len(r.Service) > MaxNameLength || len(r.Build) > MaxNameLength {
+	if !r.IsValid() {
 		return false
 	}
 	e := entry{service: unique.Make(r.Service), build: unique.Make(r.Build), until: now + RecordTTL}
 	if old, ok := t.records[r.Key]; ok && now < old.until {
 		e.ambiguous = old.ambiguous || old.service != e.service || old.build != e.build
+		e.own = old.own
 	}
 	t.records[r.Key] = e
 	t.order = append(t.order, expiry{r.Key, e.until})
@@ -85,6 +103,18 @@
 	return Record{Key: k, Service: e.service.Value(), Build: e.build.Value()}, true
 }
 
+// Own returns the records of the streams of a service that this instance served.
+func (t *Table) Own(now time.Duration, service string) []Record {
+	wanted := unique.Make(service)
+	var out []Record
+	for k, e := range t.records {
+		if e.own && e.service == wanted && now < e.until {
+			out = append(out, Record{Key: k, Service: service, Build: e.build.Value()})
+		}
+	}
+	return out
+}
+
 // Expire drops the records whose time is over, and the oldest beyond MaxRecords.
 func (t *Table) Expire(now time.Duration) {
 	for len(t.order) > 0 && (len(t.order) > MaxRecords || now >= t.order[0].until) {
