Streams go on at their build after the loss of all instances

What callers saw: with two builds in service, or the old one just gone, all instances lose power; streams that are taken up again are answered 200 and go on at the other build (ORDER). The same at an instance out of step.

Cause: "this process has seen no other build" was taken for "there was no other build". A process that has just started, was cut off or stood still has no such knowledge, and an instance that did not answer was counted as one that knows of no second build. The class: where we can't know, we believed what is convenient.

Change: what is known is typed (origin.Verdict; its zero value is "not known"). The first event of a resumable stream is passed on only once the store has acknowledged that the log of the service holds the replica's build and the route (package buildlog). A stream that is taken up without a record has the logs read anew, by this instance or a peer: a complete log with one build proves it. While there are several builds, records of streams go to the store as well, collected by shard, and are looked for there. All else is refused. Feature level BuildLogs: while an instance of an older release is live no log proves anything, and the logs become incomplete.

Why it works: a stream that broke off had its build acknowledged before its first event, so that a read of the store that begins later shows it, whatever this instance has missed.

Tests that changed: TestSoleBuild went with History.Sole. TestUnknownStream asks for the same counts of asked and answered peers, and for a verdict.

--- a/cmd/node/attempt.go
+++ b/cmd/node/attempt.go
@@ -59,6 +59,9 @@
 func (s *requestHandler) attempt(ctx context.Context, r catalog.Replica, fetchFrom string) error {
 	s.lastReplica, s.lastBuild, s.lastRegion, s.lastFetchFrom = r.ID, r.Version, r.Region, fetchFrom
 	n := s.node
+	if !s.awaitLogged(ctx, &r) {
+		return errBuildNotLogged
+	}
 	if !s.acquireSendGrant(ctx, &r) {
 		return errRateLimited
 	}
@@ -160,7 +163,7 @@
 		return sendresult.Failed
 	case errors.Is(err, errReplicaTimeout):
 		return sendresult.ResponseTimeout
-	case errors.Is(err, errClientGone), errors.Is(err, errQuarantined):
+	case errors.Is(err, errClientGone), errors.Is(err, errQuarantined), errors.Is(err, errBuildNotLogged):
 		return sendresult.ClientGone
 	case errors.Is(err, errEndDoubtful):
 		return sendresult.EndDoubtful
--- a/cmd/node/heartbeats.go
+++ b/cmd/node/heartbeats.go
@@ -344,6 +344,10 @@
 		_ = frame.Write(stream, frame.Reply, n.origins.ServeRecord(first))
 	case frame.FindOrigin:
 		_ = frame.Write(stream, frame.Reply, n.origins.ServeFind(first))
+	case frame.CollectOrigins:
+		_ = frame.Write(stream, frame.Reply, n.origins.ServeCollect(first))
+	case frame.ReadBuildLogs:
+		_ = frame.Write(stream, frame.Reply, n.origins.ServeBuildLogs(first))
 	case frame.SlotLease:
 		n.slots.Serve(first, stream)
 	case frame.RunStages:
--- a/cmd/node/node.go
+++ b/cmd/node/node.go
@@ -172,9 +172,7 @@
 		CPUShare:         uint32(s.CPUShare * 1000),
 		HeartbeatAddress: net.JoinHostPort(s.IP, strconv.Itoa(s.HeartbeatPort)),
 	}, gossip.DefaultOptions())
-	n.origins = origins.New(origins.Options{
-		Name: s.Name, Region: n.home, Now: n.now, Live: n.live, Peers: n.links, Log: log, Registry: n.registry, HasSeveralBuilds: n.hasSeveralBuilds,
-	})
+	n.origins = n.newOrigins()
 	n.slots, n.trials = n.newSlotService(), n.newTrialService()
 	n.prober = liveness.New(liveness.Options{Now: n.now, Ask: n.askLife})
 	n.owner = newOwner(n)
@@ -209,7 +207,7 @@
 	n.cancel = cancel
 	n.group, ctx = errgroup.WithContext(ctx)
 	loops := []func(context.Context){
-		n.followIntent, n.followReplicas, n.keepRegistered, n.monitorStore, n.runHeartbeats, n.receiveHeartbeats, n.syncViews, n.owner.runTicks, n.housekeeping, n.followRollouts, n.runAdvisorySweeps, n.probeLinks,
+		n.followIntent, n.followReplicas, n.keepRegistered, n.monitorStore, n.runHeartbeats, n.receiveHeartbeats, n.syncViews, n.owner.runTicks, n.housekeeping, n.followRollouts, n.runAdvisorySweeps, n.probeLinks, n.origins.Run,
 	}
 	for _, loop := range loops {
 		n.group.Go(func() error {
--- a/cmd/node/origins/origins.go
+++ b/cmd/node/origins/origins.go
@@ -1,7 +1,9 @@
 // Package origins keeps which build began a stream, so that a client may take the stream up
-// again at any instance, also after the loss of the one that served it. An instance gives the
-// record of a stream to others when the first event arrives (see package origin for which),
-// and asks them for the record of a stream that it did not serve.
+// again at any instance, also after the loss of the one that served it, or of all. An instance
+// gives the record of a stream to others when the first event arrives (see package origin for
+// which), and asks them for the record of a stream that it did not serve. The logs of builds
+// (package buildlog) tell for which services a record is needed at all, and for these the
+// records are written to the platform's store, too.
 //
 // Records are soft state. One that is lost costs the stream, as it can't be continued then,
 // but never mixes two builds.
@@ -12,10 +14,10 @@
 	"sync/atomic"
 	"time"
 
-	hclog "github.com/hashicorp/go-hclog"
 	metrics "github.com/rcrowley/go-metrics"
 	"google.golang.org/protobuf/proto"
 
+	"quinceroad/coordination/buildlog"
 	"quinceroad/coordination/featurelevel"
 	"quinceroad/coordination/gossip"
 	"quinceroad/coordination/origin"
@@ -26,34 +28,19 @@
 
 const (
 	recordTimeout = 300 * time.Millisecond // for a peer to take a record; then another peer gets it
-	findTimeout   = 250 * time.Millisecond // for peers to answer; a fraction of the time for which clients wait
+	findTimeout   = 250 * time.Millisecond // for peers to answer from memory; a fraction of the time for which clients wait
+	storeTimeout  = 1 * time.Second        // for the store to answer, itself or through a peer
+	maxFindTime   = 2 * time.Second        // until a stream of which nothing was found is refused
 	maxSending    = 1024                   // records that are being given to peers at a time
 	maxFinding    = 256                    // streams whose records are asked for at a time
 )
 
-// Peers makes calls to other instances.
-type Peers interface {
-	Call(address string, k frame.Kind, request, reply proto.Message, timeout time.Duration) error
-}
-
-// Options are what a Keeper uses of its instance.
-type Options struct {
-	Name     string // of this instance
-	Region   string
-	Now      func() time.Duration
-	Live     func() *gossip.Live
-	Peers    Peers
-	Log      hclog.Logger
-	Registry metrics.Registry
-	// HasSeveralBuilds reports whether the replicas of a service have had several builds
-	// lately.
-	HasSeveralBuilds func(service string) bool
-}
-
 // Keeper holds the records of this instance.
 type Keeper struct {
-	opts  Options
-	table lockedTable
+	opts   Options
+	table  lockedTable
+	logs   *logs
+	stored *storedRecords
 
 	sending, finding atomic.Int64 // current numbers
 
@@ -74,17 +61,33 @@
 		asked:   counter("asked"),   // of the streams taken up again, those for which peers were asked
 		unknown: counter("unknown"), // streams taken up again without a record
 	}
+	k.logs = newLogs(k)
+	k.stored = newStoredRecords(k)
 	metrics.NewRegisteredFunctionalGauge("node.origins.kept", o.Registry, k.table.len)
 	return k
 }
 
-// Expire drops the records whose time is over.
-func (k *Keeper) Expire() { k.table.expire(k.opts.Now()) }
+// Run keeps the logs of builds up to date and writes records to the store until the context
+// ends.
+func (k *Keeper) Run(ctx context.Context) {
+	go k.stored.run(ctx)
+	k.logs.run(ctx)
+}
+
+// Expire drops the records whose time is over, and has logs settle. It has to be called every
+// few seconds.
+func (k *Keeper) Expire() {
+	k.table.expire(k.opts.Now())
+	k.logs.settle()
+}
 
 // Record keeps the record of a stream whose first event has arrived, and gives it to other
 // instances without waiting for them.
 func (k *Keeper) Record(r origin.Record) {
-	k.table.put(k.opts.Now(), r)
+	k.table.putOwn(k.opts.Now(), r)
+	if k.logs.hasSeveral(r.Service) {
+		k.stored.send(r)
+	}
 	candidates := k.candidates(r.Key)
 	copies := min(origin.Copies, len(candidates))
 	if k.sending.Add(int64(copies)) > maxSending {
@@ -103,7 +106,7 @@
 
 // sendCopy gives a record to the next candidate that takes it.
 func (k *Keeper) sendCopy(r origin.Record, candidates []*gossip.Instance, next *atomic.Int64) {
-	message := &pb.OriginRecord{Key: uint64(r.Key), Service: r.Service, Build: r.Build}
+	message := encodeRecord(r)
 	for {
 		i := int(next.Add(1) - 1)
 		if i >= len(candidates) {
@@ -119,9 +122,22 @@
 	}
 }
 
+func encodeRecord(r origin.Record) *pb.OriginRecord {
+	return &pb.OriginRecord{Key: uint64(r.Key), Service: r.Service, Build: r.Build}
+}
+
+func decodeRecord(m *pb.OriginRecord) origin.Record {
+	return origin.Record{Key: origin.Key(m.Key), Service: m.Service, Build: m.Build}
+}
+
 // candidates returns the other instances that should hold a record, in order.
 func (k *Keeper) candidates(key origin.Key) []*gossip.Instance {
 	all := origin.Holders(k.opts.Live(), k.opts.Region, key, holderRole, holdsRecords)
+	return k.withoutSelf(all)
+}
+
+// withoutSelf returns the other ones of some instances.
+func (k *Keeper) withoutSelf(all []*gossip.Instance) []*gossip.Instance {
 	out := make([]*gossip.Instance, 0, len(all))
 	for _, i := range all {
 		if i.Name != k.opts.Name {
@@ -131,73 +147,127 @@
 	return out
 }
 
-// holderRole is the role of the instances that hold records.
-const holderRole = "origins"
+// The roles of the instances that hold records, and of those that collect them for the store.
+const (
+	holderRole    = "origins"
+	collectorRole = "stored origins"
+)
 
 // holdsRecords reports whether an instance's build knows records of streams.
 func holdsRecords(i *gossip.Instance) bool { return i.Level >= featurelevel.StreamOrigins }
 
-// Finding is what a search for the record of a stream has found.
-type Finding struct {
-	Record          origin.Record
-	Known           bool // there is a record
-	Several         bool // there is none, and the service's replicas have had several builds lately, as far as is known
-	Asked, Answered int  // peers that were asked for the record, and of these the ones that answered
+// knowsLogs reports whether an instance's build knows logs of builds.
+func knowsLogs(i *gossip.Instance) bool { return i.Level >= featurelevel.BuildLogs }
+
+// hasOlderPeers reports whether a live instance begins streams without the logs of builds.
+func (k *Keeper) hasOlderPeers() bool {
+	live := k.opts.Live()
+	return live.Derive(olderPeersKey{}, func() any {
+		for i := range live.Instances {
+			if !knowsLogs(&live.Instances[i]) {
+				return true
+			}
+		}
+		return false
+	}).(bool)
+}
+
+// olderPeersKey is the key of what live instances determine about older ones.
+type olderPeersKey struct{}
+
+// TakeUp identifies a stream that a client takes up again.
+type TakeUp struct {
+	Key     origin.Key // of the record
+	IsNamed bool       // the client names the request that brought the first event, so that the key can be known
+	Service string     // to which the client's new request goes
+	Route   buildlog.Route
 }
 
-// Find searches for the record of a stream that a client takes up again.
-func (k *Keeper) Find(ctx context.Context, key origin.Key, service string) Finding {
-	if r, ok := k.table.get(k.opts.Now(), key); ok {
+// Find tells which build began a stream that a client takes up again.
+func (k *Keeper) Find(ctx context.Context, t TakeUp) origin.Verdict {
+	ctx, cancel := context.WithTimeout(ctx, maxFindTime)
+	defer cancel()
+	v := k.find(ctx, t)
+	if _, known := v.Record(); !known {
+		k.unknown.Inc(1)
+	} else if v.Grounds() != origin.OnlyBuild {
 		k.found.Inc(1)
-		return Finding{Record: r, Known: true}
 	}
-	k.asked.Inc(1)
-	f := k.ask(ctx, key, service)
-	if f.Known {
-		k.found.Inc(1)
-		return f
+	return v
+}
+
+func (k *Keeper) find(ctx context.Context, t TakeUp) origin.Verdict {
+	peers := origin.Verdict{}
+	if t.IsNamed {
+		if r, ok := k.table.get(k.opts.Now(), t.Key); ok {
+			return origin.KnownBy(origin.OwnRecord, r)
+		}
+		if peers = k.ask(ctx, t); peers.IsKnown() {
+			return peers
+		}
 	}
-	k.unknown.Inc(1)
-	f.Several = f.Several || k.opts.HasSeveralBuilds(service)
-	return f
+	return k.findStored(ctx, t).WithPeers(peers.Peers())
+}
+
+// findStored tells what the store proves. The logs are read for each stream, as whatever this
+// instance knew of them before may be outdated.
+func (k *Keeper) findStored(ctx context.Context, t TakeUp) origin.Verdict {
+	logs, err := k.logs.readFresh(ctx)
+	if err != nil {
+		return origin.Unknown(origin.Unread)
+	}
+	why := origin.Several
+	build, sole := logs.Sole(t.Service, t.Route)
+	switch {
+	case k.hasOlderPeers():
+		why = origin.Uncovered
+	case sole:
+		return origin.KnownBy(origin.OnlyBuild, origin.Record{Key: t.Key, Service: t.Service, Build: build})
+	}
+	if r, ok := k.stored.search(ctx, t); ok {
+		return origin.KnownBy(origin.StoredRecord, r)
+	}
+	return origin.Unknown(why)
 }
 
 // ask asks the instances that may hold a record, all at once, until one of them has it.
-func (k *Keeper) ask(ctx context.Context, key origin.Key, service string) (f Finding) {
+func (k *Keeper) ask(ctx context.Context, t TakeUp) origin.Verdict {
+	k.asked.Inc(1)
 	defer k.finding.Add(-1)
 	if k.finding.Add(1) > maxFinding {
-		return Finding{Several: true}
+		return origin.Unknown(origin.Several)
 	}
 	ctx, cancel := context.WithTimeout(ctx, findTimeout)
 	defer cancel()
-	candidates := k.candidates(key)
-	f.Asked = len(candidates)
+	candidates := k.candidates(t.Key)
 	replies := make(chan *pb.OriginReply, len(candidates))
 	for _, i := range candidates {
-		go func() { replies <- k.askOne(i, key, service) }()
+		go func() { replies <- k.askOne(i, t, false, findTimeout) }()
 	}
+	answered := 0
 	for range candidates {
 		select {
 		case reply := <-replies:
 			if reply != nil {
-				f.Answered++
+				answered++
 			}
 			if reply.GetKnown() {
-				f.Record, f.Known = origin.Record{Key: key, Service: reply.Service, Build: reply.Build}, true
-				return f
+				r := origin.Record{Key: t.Key, Service: reply.Service, Build: reply.Build}
+				return origin.KnownBy(origin.PeersRecord, r).WithPeers(len(candidates), answered)
 			}
-			f.Several = f.Several || reply.GetSeveral()
 		case <-ctx.Done():
-			return f
+			return origin.Unknown(origin.Several).WithPeers(len(candidates), answered)
 		}
 	}
-	return f
+	return origin.Unknown(origin.Several).WithPeers(len(candidates), answered)
 }
 
-// askOne asks an instance for a record. It returns nil if the instance did not answer.
-func (k *Keeper) askOne(i *gossip.Instance, key origin.Key, service string) *pb.OriginReply {
+// askOne asks an instance for a record, and to look into the store for it if stored is set. It
+// returns nil if the instance did not answer.
+func (k *Keeper) askOne(i *gossip.Instance, t TakeUp, stored bool, timeout time.Duration) *pb.OriginReply {
 	reply := &pb.OriginReply{}
-	if err := k.opts.Peers.Call(i.PeerAddress, frame.FindOrigin, &pb.OriginAsk{Key: uint64(key), Service: service}, reply, findTimeout); err != nil {
+	ask := &pb.OriginAsk{Key: uint64(t.Key), Service: t.Service, Stored: stored}
+	if err := k.opts.Peers.Call(i.PeerAddress, frame.FindOrigin, ask, reply, timeout); err != nil {
 		event.NodeSideCallFailed.Log(k.opts.Log, "what", "query for a stream's build", "to", i.Name, "error", err)
 		return nil
 	}
@@ -207,7 +277,7 @@
 // ServeRecord keeps a record that a peer sends.
 func (k *Keeper) ServeRecord(message []byte) proto.Message {
 	m := &pb.OriginRecord{}
-	if err := proto.Unmarshal(message, m); err != nil || !k.table.put(k.opts.Now(), origin.Record{Key: origin.Key(m.Key), Service: m.Service, Build: m.Build}) {
+	if err := proto.Unmarshal(message, m); err != nil || !k.table.put(k.opts.Now(), decodeRecord(m)) {
 		event.NodeMessageInvalid.Log(k.opts.Log, "what", "record of a stream's build", "from", "", "error", err)
 	}
 	return &pb.OriginReply{}
@@ -220,9 +290,17 @@
 		event.NodeMessageInvalid.Log(k.opts.Log, "what", "query for a stream's build", "from", "", "error", err)
 		return &pb.OriginReply{}
 	}
-	r, ok := k.table.get(k.opts.Now(), origin.Key(m.Key))
+	key := origin.Key(m.Key)
+	r, ok := k.table.get(k.opts.Now(), key)
+	searched := false
+	if !ok && m.Stored {
+		ctx, cancel := context.WithTimeout(context.Background(), storeTimeout)
+		defer cancel()
+		r, ok, searched = k.stored.readShard(ctx, key)
+	}
 	if !ok {
-		return &pb.OriginReply{Several: k.opts.HasSeveralBuilds(m.Service)}
+		// An instance without logs of builds takes "not several" for a proof of one build.
+		return &pb.OriginReply{Several: true, Searched: searched}
 	}
 	return &pb.OriginReply{Known: true, Service: r.Service, Build: r.Build}
 }
--- a/cmd/node/origins/origins_test.go
+++ b/cmd/node/origins/origins_test.go
@@ -13,6 +13,7 @@
 	metrics "github.com/rcrowley/go-metrics"
 	"google.golang.org/protobuf/proto"
 
+	"quinceroad/coordination/buildlog"
 	"quinceroad/coordination/featurelevel"
 	"quinceroad/coordination/gossip"
 	"quinceroad/coordination/origin"
@@ -26,33 +27,75 @@
 	calls    int
 	keepers  map[string]*Keeper // by peer address
 	dead     map[string]bool
-	several  bool
+	store    *memoryStore
+	readRate float64 // calls a second
+	started  time.Time
 	instance []gossip.Instance
 }
 
+// route is that of all streams of the tests.
+const route = buildlog.Route("h/chat/")
+
+// wanted is what the logs shall hold in all tests.
+var wanted = buildlog.Wanted{Builds: []string{"v1"}, Routes: []buildlog.Route{route}}
+
 var errDead = errors.New("no answer")
 
-func newFleet(instances int) *fleet {
-	f := &fleet{keepers: make(map[string]*Keeper), dead: make(map[string]bool)}
+func newFleet(instances int) *fleet { return newFleetOf(instances, 1e6) }
+
+// newFleetOf returns instances before a store that takes so many reads a second.
+func newFleetOf(instances int, readRate float64) *fleet {
+	f := &fleet{keepers: make(map[string]*Keeper), dead: make(map[string]bool), store: newMemoryStore(), readRate: readRate, started: time.Now()}
 	for i := range instances {
 		name := fmt.Sprintf("n%04d", i)
-		f.instance = append(f.instance, gossip.Instance{Name: name, Hall: fmt.Sprint("h", i%4), PeerAddress: name, Level: featurelevel.StreamOrigins})
+		f.instance = append(f.instance, gossip.Instance{Name: name, Hall: fmt.Sprint("h", i%4), PeerAddress: name, Level: featurelevel.Current})
 	}
-	live := gossip.NewLive(f.instance)
 	for _, x := range f.instance {
-		f.keepers[x.Name] = New(Options{
-			Name: x.Name, Now: func() time.Duration { return 0 }, Live: func() *gossip.Live { return live }, Peers: f,
-			Log: hclog.NewNullLogger(), Registry: metrics.NewRegistry(), HasSeveralBuilds: func(string) bool { return f.several },
-		})
+		f.start(x.Name)
 	}
 	return f
 }
 
+// start starts an instance, which knows nothing.
+func (f *fleet) start(name string) *Keeper {
+	live := gossip.NewLive(f.instance)
+	k := New(Options{
+		Name: name, Now: func() time.Duration { return time.Since(f.started) }, Live: func() *gossip.Live { return live }, Peers: f, Store: f.store,
+		Log: hclog.NewNullLogger(), Registry: metrics.NewRegistry(), StoreRates: StoreRates{Writes: 400, Reads: f.readRate},
+		Wanted:    func() map[string]buildlog.Wanted { return map[string]buildlog.Wanted{"llm": wanted} },
+		IsInTouch: func() bool { return true }, IsReader: func() bool { return true }, IsFirstStart: true,
+	})
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.keepers[name] = k
+	return k
+}
+
+// kill has an instance answer nobody.
+func (f *fleet) kill(name string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.dead[name] = true
+}
+
+// run starts what a keeper does by itself, until the test ends.
+func (f *fleet) run(t *testing.T, k *Keeper) {
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	go k.Run(ctx)
+}
+
+// takeUp is a stream that is taken up again, with the name of its request or without.
+func takeUp(id string) TakeUp {
+	return TakeUp{Key: origin.KeyOf("c", id), IsNamed: id != "", Service: "llm", Route: route}
+}
+
 // Call implements Peers.
 func (f *fleet) Call(address string, k frame.Kind, request, reply proto.Message, _ time.Duration) error {
 	f.mu.Lock()
 	f.calls++
 	dead := f.dead[address]
+	keeper := f.keepers[address]
 	f.mu.Unlock()
 	if dead {
 		return errDead
@@ -61,10 +104,10 @@
 	if err != nil {
 		return err
 	}
-	serve := f.keepers[address].ServeFind
-	if k == frame.RecordOrigin {
-		serve = f.keepers[address].ServeRecord
-	}
+	serve := map[frame.Kind]func([]byte) proto.Message{
+		frame.FindOrigin: keeper.ServeFind, frame.RecordOrigin: keeper.ServeRecord,
+		frame.CollectOrigins: keeper.ServeCollect, frame.ReadBuildLogs: keeper.ServeBuildLogs,
+	}[k]
 	answer, err := proto.Marshal(serve(message))
 	if err != nil {
 		return err
@@ -102,11 +145,12 @@
 		f.record(t, "n0000", origin.Record{Key: key, Service: "llm", Build: "v1"})
 		is.Equal(f.takeCalls(), origin.Copies)
 		for _, x := range f.instance[:50] {
-			found := f.keepers[x.Name].Find(context.Background(), key, "llm")
-			is.True(found.Known)
-			is.Equal(found.Record.Build, "v1")
+			r, known := f.keepers[x.Name].Find(context.Background(), takeUp("id")).Record()
+			is.True(known)
+			is.Equal(r.Build, "v1")
 		}
 		is.True(f.takeCalls() <= 50*origin.Asked)
+		is.Equal(f.store.calls(), 0)
 	}
 }
 
@@ -132,22 +176,28 @@
 	is.Equal(f.keepers["n0000"].unsent.Count(), int64(origin.Copies))
 }
 
-// What nobody knows is unknown, and peers tell that there were several builds.
+// What nobody knows is unknown, however many are asked, and with too many unknown IDs at once
+// no further peers are.
 func TestUnknownStream(t *testing.T) {
 	is := is.New(t)
 	f := newFleet(6)
-	found := f.keepers["n0000"].Find(context.Background(), origin.KeyOf("c", "nobody"), "llm")
-	is.True(!found.Known && !found.Several)
-	is.Equal([2]int{found.Asked, found.Answered}, [2]int{5, 5})
-	f.several = true
-	found = f.keepers["n0000"].Find(context.Background(), origin.KeyOf("c", "nobody"), "llm")
-	is.True(!found.Known && found.Several)
-	is.Equal(f.keepers["n0000"].unknown.Count(), int64(2))
-	f.keepers["n0000"].finding.Store(maxFinding) // many unknown IDs at once
-	f.takeCalls()
-	found = f.keepers["n0000"].Find(context.Background(), origin.KeyOf("c", "nobody"), "llm")
-	is.True(!found.Known && found.Several)
-	is.Equal(f.takeCalls(), 0)
+	k := f.keepers["n0000"]
+	v := k.Find(context.Background(), takeUp("nobody's"))
+	is.True(!v.IsKnown())
+	asked, answered := v.Peers()
+	is.Equal([2]int{asked, answered}, [2]int{5, 5})
+	f.kill("n0001")
+	v = k.Find(context.Background(), takeUp("nobody's"))
+	is.True(!v.IsKnown())
+	asked, answered = v.Peers()
+	is.Equal([2]int{asked, answered}, [2]int{5, 4})
+	is.Equal(k.unknown.Count(), int64(2))
+	k.finding.Store(maxFinding)
+	v = k.Find(context.Background(), takeUp("nobody's"))
+	is.True(!v.IsKnown())
+	asked, _ = v.Peers()
+	is.Equal(asked, 0)
+	is.Equal(k.unknown.Count(), int64(3))
 }
 
 // A message that can't be read, or has names without a bound, changes nothing.
--- a/cmd/node/origins/table.go
+++ b/cmd/node/origins/table.go
@@ -20,6 +20,18 @@
 	return t.table.Put(now, r)
 }
 
+func (t *lockedTable) putOwn(now time.Duration, r origin.Record) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.table.PutOwn(now, r)
+}
+
+func (t *lockedTable) own(now time.Duration, service string) []origin.Record {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.table.Own(now, service)
+}
+
 func (t *lockedTable) get(now time.Duration, k origin.Key) (origin.Record, bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
--- a/cmd/node/replica_choice.go
+++ b/cmd/node/replica_choice.go
@@ -158,7 +158,7 @@
 	if build, bound := s.binding.Build(); bound {
 		all = snap.list.EligibleOfBuild(s.service.Name, build)
 	}
-	return replicasInRegions(s.allowedRegions(), all)
+	return replicasInRegions(s.allowedRegions(), s.loggedReplicas(snap, all))
 }
 
 const (
@@ -224,8 +224,9 @@
 	if s.job == nil || s.job.engine == "" || s.tried[s.job.engine] || s.avoid[s.job.engine] {
 		return catalog.Replica{}, false
 	}
-	r, listed := s.node.snapshot.Load().list.Replica(s.job.engine)
-	if !listed || r.Service != s.service.Name || !r.AcceptsWork() || !s.binding.Allows(r.Version) {
+	snap := s.node.snapshot.Load()
+	r, listed := snap.list.Replica(s.job.engine)
+	if !listed || r.Service != s.service.Name || !r.AcceptsWork() || !s.binding.Allows(r.Version) || !s.mayBeginAt(snap, &r) {
 		return catalog.Replica{}, false
 	}
 	return r, s.canSendToOwnerChoice()
--- a/cmd/node/replica_set.go
+++ b/cmd/node/replica_set.go
@@ -8,7 +8,6 @@
 	"quinceroad/coordination/changes"
 	"quinceroad/coordination/drains"
 	"quinceroad/coordination/listing"
-	"quinceroad/coordination/origin"
 	"quinceroad/platform"
 	"quinceroad/protocol/event"
 	"quinceroad/state/catalog"
@@ -26,7 +25,6 @@
 	listedDrains   map[string]time.Duration // by incarnation: last time at which its entry said that it drains
 	drainsPrunedAt time.Duration
 	invalid        map[string]bool          // names of entries that can't be parsed and were logged
-	goneBuilds     *origin.History          // builds of the incarnations that are no longer listed
 	loggedWarming  map[string]time.Duration // end of the warm-up that was logged, by incarnation
 
 	divided     bool            // the replicas are assigned to cells
@@ -62,7 +60,6 @@
 		inferredDrains: drains.NewTable(),
 		listedDrains:   make(map[string]time.Duration),
 		invalid:        make(map[string]bool),
-		goneBuilds:     origin.NewHistory(),
 		loggedWarming:  make(map[string]time.Duration),
 		outdated:       make(map[string]bool),
 	}
@@ -89,7 +86,7 @@
 	for name := range s.changeLog.TakeChanged() {
 		s.parse(now, name, batch, &out)
 	}
-	n.sortRemoved(now, batch, &out)
+	n.sortRemoved(batch, &out)
 	if len(batch) >= growthBatch {
 		s.grewAt = now
 	}
@@ -198,13 +195,12 @@
 
 // sortRemoved adds the removed incarnations of a batch to those whose replica has
 // restarted or to those that are no longer listed without a drain.
-func (n *Node) sortRemoved(now time.Duration, batch map[string]*catalog.Replica, out *replicaSetChanges) {
+func (n *Node) sortRemoved(batch map[string]*catalog.Replica, out *replicaSetChanges) {
 	for incarnation, r := range batch {
 		old, known := n.replicas.index.List().Replica(incarnation)
 		if r != nil || !known {
 			continue
 		}
-		n.replicas.goneBuilds.RecordGone(now, old.Service, old.Version)
 		if n.replicas.records[old.Name] != nil {
 			out.restarted = append(out.restarted, old)
 		} else if !old.Draining && !n.isDraining(incarnation) {
--- a/cmd/node/request_handler.go
+++ b/cmd/node/request_handler.go
@@ -301,6 +301,8 @@
 	case errors.As(err, &denied): // the grantor is not asked again before that time
 		s.slotDenials++
 		return s.slotDenials < maxSlotDenials || s.hasResults()
+	case errors.Is(err, errBuildNotLogged): // the same holds for all replicas among which to choose
+		return false
 	case errors.Is(err, errNoReplicaReached):
 		s.avoid[s.lastReplica] = true
 		s.unexecutedSends++
--- a/cmd/node/snapshot.go
+++ b/cmd/node/snapshot.go
@@ -56,6 +56,7 @@
 			event.NodeReplicaWarming.Log(n.log, "replica", r.ID, "hall", r.Hall, "for", r.WarmingUntil-now)
 		}
 		n.owner.refreshCells()
+		n.origins.Refresh()
 	}
 }
 
--- a/cmd/node/state.go
+++ b/cmd/node/state.go
@@ -36,6 +36,7 @@
 	ListEra           uint64 // era of that revision; 0: the store states none
 	ConfigVersion     uint64 `json:"Version"` // version of the configuration in force; 0: none
 	Routes            int
+	Unlogged          []string          // services whose log does not hold all listed builds: streams wait or begin at others
 	Replicas          map[string]int    // by service: replicas that accept work
 	StartTimes        int               `json:"Lives"`   // number of replicas that report a start time
 	Draining          []string          `json:"Leaving"` // replicas that stated a drain, or whose drain was inferred recently
@@ -160,7 +161,7 @@
 		}
 	}
 	if snap.config != nil {
-		s.ConfigVersion, s.Routes = snap.config.Version, len(snap.config.Routes)
+		s.ConfigVersion, s.Routes, s.Unlogged = snap.config.Version, len(snap.config.Routes), n.origins.Unlogged()
 	}
 	for service := range snap.list.Services() {
 		if _, _, eligible := snap.list.Count(service); eligible > 0 {
--- a/cmd/node/store.go
+++ b/cmd/node/store.go
@@ -3,7 +3,9 @@
 import (
 	"time"
 
+	"quinceroad/coordination/buildlog"
 	"quinceroad/coordination/history"
+	"quinceroad/coordination/origin"
 	"quinceroad/coordination/rollout"
 	"quinceroad/platform"
 )
@@ -21,5 +23,10 @@
 	RenewLease(lease uint64) error
 	Register(name string, entry []byte, lease uint64) error
 	RolloutStatus(o rollout.Order) (rollout.Status, error)
+	BuildLogs() (buildlog.Snapshot, error)
+	WriteBuildLogs(logs map[string]buildlog.Entry) error
+	StreamRecords(shard origin.Shard) ([]origin.Record, error)
+	WriteStreamRecords(name string, batches []platform.StreamRecords, lease uint64) error
+	GrantRecordsLease() (uint64, error)
 	WriteRolloutStatus(o rollout.OrderState, last rollout.Status, state rollout.State) error
 }
--- a/cmd/node/stream.go
+++ b/cmd/node/stream.go
@@ -58,9 +58,12 @@
 			return a.abortReasonOr(errStreamBroken)
 		}
 		if lastEventAt == 0 {
+			timer.Stop()
 			a.answerStartedAt = a.node.now()
+			if err := a.beginStream(); err != nil {
+				return err
+			}
 			a.answerBegan.Store(true)
-			a.recordOrigin()
 			if a.job != nil {
 				a.job.reportFirstEvent()
 			}
--- a/cmd/node/unresponsive_store_test.go
+++ b/cmd/node/unresponsive_store_test.go
@@ -38,6 +38,7 @@
 // receives meanwhile. It holds a configuration and no replicas, and runs on the test's
 // fake clock.
 type fakeStore struct {
+	noStreams
 	mu           sync.Mutex
 	version      uint64
 	unresponsive bool
--- a/coordination/featurelevel/featurelevel.go
+++ b/coordination/featurelevel/featurelevel.go
@@ -27,12 +27,16 @@
 	RelayedConnections
 	// StreamOrigins adds records of the builds that began streams.
 	StreamOrigins
+	// BuildLogs adds logs of the builds that may have begun streams, and records of streams,
+	// in the platform's store.
+	BuildLogs
 )
 
 // features describes, for operators, what each level enables.
 var features = map[uint32]string{
 	ReplicaIncarnations: "replicas are named once, and a suspect has one arbiter",
 	StreamOrigins:       "a stream that its client takes up again goes on at the build that began it",
+	BuildLogs:           "the build that began a stream is known after the loss of all instances",
 	RelayedConnections:  "an instance that is cut off from replicas reaches them through its peers",
 }
 
@@ -47,7 +51,7 @@
 }
 
 // Current is the feature level of this build.
-const Current = StreamOrigins
+const Current = BuildLogs
 
 // SettleTime is the time for which all instances must have announced a level before it
 // takes effect. It exceeds the failure timeout of an instance, so that an instance that is
--- a/coordination/origin/origin_test.go
+++ b/coordination/origin/origin_test.go
@@ -78,28 +78,6 @@
 	is.True(!table.Put(0, Record{2, "llm", string(make([]byte, MaxNameLength+1))}))
 }
 
-func TestSoleBuild(t *testing.T) {
-	is := is.New(t)
-	h := NewHistory()
-	_, ok := h.Sole(0, "llm", nil)
-	is.True(!ok)
-	build, ok := h.Sole(0, "llm", []string{"v1"})
-	is.True(ok && build == "v1")
-	_, ok = h.Sole(0, "llm", []string{"v1", "v2"})
-	is.True(!ok)
-	h.RecordGone(time.Second, "llm", "v2")
-	_, ok = h.Sole(2*time.Second, "llm", []string{"v1"})
-	is.True(!ok) // a stream of v2 may come again
-	_, ok = h.Sole(2*time.Second, "other", []string{"v1"})
-	is.True(ok)
-	build, ok = h.Sole(time.Second+RecordTTL, "llm", []string{"v1"})
-	is.True(ok && build == "v1")
-	for i := range 1000 {
-		h.RecordGone(0, "llm", fmt.Sprint(i))
-	}
-	is.True(len(h.gone["llm"]) <= maxGoneBuilds)
-}
-
 // The number of instances that hold or are asked for a record, and the points visited for
 // it, don't grow with the fleet.
 func TestHoldersDoNotGrowWithTheFleet(t *testing.T) {
--- a/protocol/frame/frame.go
+++ b/protocol/frame/frame.go
@@ -39,6 +39,8 @@
 	RecordOrigin                     // OriginRecord -> OriginReply
 	FindOrigin                       // OriginAsk -> OriginReply
 	SlotLease                        // SlotAsk -> SlotReply, and another one if it is queued, then SlotEnd if it is granted
+	CollectOrigins                   // OriginRecords -> OriginReply
+	ReadBuildLogs                    // BuildLogAsk -> BuildLogReply
 )
 
 // UnknownKind is the reply to a stream whose kind the peer does not know. It is the
--- a/protocol/frame/frame_test.go
+++ b/protocol/frame/frame_test.go
@@ -47,7 +47,7 @@
 	for kind, number := range map[Kind]byte{
 		Beat: 1, PullConfig: 2, PullMembers: 3, Watch: 4, Permits: 5, Run: 6, Handover: 7, DrainingReplicas: 8, Limits: 9, Drain: 10, Reply: 11,
 		RunStages: 12, PullReplicas: 13, CachedPrefix: 14, TrialLease: 15, SendGrant: 16, SyncView: 17, Relay: 18,
-		RecordOrigin: 19, FindOrigin: 20, SlotLease: 21, UnknownKind: 255,
+		RecordOrigin: 19, FindOrigin: 20, SlotLease: 21, CollectOrigins: 22, ReadBuildLogs: 23, UnknownKind: 255,
 	} {
 		is.Equal(byte(kind), number)
 	}
