--- a/deploy/days/make.sh
+++ b/deploy/days/make.sh
@@ -253,4 +253,12 @@
   day "rare-hall-cut-release" "$(entry 5.0 'kind = "release", share = 0.5, x = 4.0, gap_s = 0.8')" "$(entry 6.0 "kind = \"zone_cut\", zone = \"$z\", for_s = 6.0")
 $(entry 18.0 "kind = \"zone_loss\", zone = \"$z\", for_s = 3.0")"
 fi
+# rejoined.toml, with the first service that has an engine in place of scribe-pool and its first kind of stream that
+# clients ask again in place of manual-digest.
+engine=$(awk '/^services = \[/{p=1;next} p&&/^\]/{exit} p&&/model = "llm"/{split($0,f,"\"");print f[2];exit}' "$site")
+stream=$(awk -v service="service = \"$engine\"" '/^classes = \[/{p=1;next} p&&/^\]/{exit}
+  p&&/kind = "stream"/&&/retries = [1-9]/&&index($0,service){split($0,f,"\"");print f[2];exit}' "$site")
+if [ -n "$engine" ] && [ -n "$stream" ]; then
+  sed -e "s/scribe-pool/$engine/g" -e "s/manual-digest/$stream/g" "$(dirname "$0")/rejoined.toml" >"$out/rejoined.toml"
+fi
 echo "$(ls "$out" | wc -l) days in $out"
--- a/deploy/days/play.sh
+++ b/deploy/days/play.sh
@@ -13,7 +13,7 @@
   '"$0" run "$1" "$2" --jobs 1 --why "own day $(basename "$2" .toml)" >"$3/out/$(basename "$2" .toml).txt" 2>&1 || true' "$bench" "$site" {} "$days"
 broken=0
 for f in "$days"/out/*.txt; do
-  if ! grep -qE '^(fault|plan|special|place|rare)-' "$f"; then
+  if ! grep -qE '^((fault|plan|special|place|rare)-|rejoined )' "$f"; then
     echo "$(basename "$f" .txt): not played: $(tail -1 "$f")"
     broken=$((broken + 1))
   elif grep -q BROKEN "$f"; then
