Interim answers without end are given up

Callers saw: a replica that wrote 1xx answers without end was listened to until the request's deadline. Requests that may not be repeated got 504 after 4 s of 4 s, repeatable ones another replica's answer after 0.9 s, resumable streams after 1.9 s, and the connection stayed open meanwhile.

Cause: the head of an answer is bounded by the buffer that reads it (4 KiB), but the heads of interim answers before it were skipped in a loop without a bound.

Change: at most eight interim answers come before an answer (maxInterimAnswers); then there is none, and the connection is closed. The buffer's size has a name (maxHeadBytes).

--- a/transport/upstream/exchange.go
+++ b/transport/upstream/exchange.go
@@ -27,6 +27,12 @@
 // connection.
 const maxWrongAnswers = 2
 
+// errInterimAnswers is the error of an answer that follows too many interim ones.
+var errInterimAnswers = errors.New("upstream: too many interim answers")
+
+// maxInterimAnswers is how many interim answers (1xx) may come before an answer.
+const maxInterimAnswers = 8
+
 // writeErrorDelay is the time in which a write of a request hears that its connection was reset,
 // after the reader of the answer has seen the end.
 const writeErrorDelay = 10 * time.Millisecond
@@ -92,13 +98,8 @@
 
 func (x *Exchange) readOneHead() error {
 	x.complete, x.chunked, x.unframed, x.body = false, false, false, nil
-	for {
-		if err := x.Header.Read(x.conn.r); err != nil {
-			return errors.Join(ErrIncomplete, err)
-		}
-		if x.Header.StatusCode() >= fasthttp.StatusOK {
-			break
-		}
+	if err := x.readFinalHeader(); err != nil {
+		return err
 	}
 	length := x.Header.ContentLength()
 	switch {
@@ -116,6 +117,19 @@
 	return nil
 }
 
+// readFinalHeader reads a header after the interim answers before it.
+func (x *Exchange) readFinalHeader() error {
+	for range maxInterimAnswers + 1 {
+		if err := x.Header.Read(x.conn.r); err != nil {
+			return errors.Join(ErrIncomplete, err)
+		}
+		if x.Header.StatusCode() >= fasthttp.StatusOK {
+			return nil
+		}
+	}
+	return errors.Join(ErrIncomplete, errInterimAnswers)
+}
+
 // Read reads the answer's body; it returns io.EOF once the body is complete. Only io.EOF itself
 // is an end: an error that merely wraps it tells of a connection that broke.
 func (x *Exchange) Read(b []byte) (int, error) {
--- a/transport/upstream/upstream.go
+++ b/transport/upstream/upstream.go
@@ -37,6 +37,7 @@
 	maxIdleConns   = 32               // per replica
 	idleTimeout    = 20 * time.Second // below the idle timeout of the replicas' servers
 	maxAnswerBytes = 4 << 20          // of an answer's body
+	maxHeadBytes   = 4 << 10          // of an answer's head: it must fit into the buffer of its reader
 )
 
 // Dialer opens a connection to an address within a time limit.
@@ -123,7 +124,7 @@
 }
 
 func (c *Client) wrap(addr string, n net.Conn) *Conn {
-	return &Conn{client: c, addr: addr, net: n, r: bufio.NewReader(n), w: bufio.NewWriter(n)}
+	return &Conn{client: c, addr: addr, net: n, r: bufio.NewReaderSize(n, maxHeadBytes), w: bufio.NewWriter(n)}
 }
 
 // Relayed returns a connection to addr that a peer opened and relays.
