Answers to other requests that have no end are given up

Callers saw: an answer that carried another request's id was skipped so that the own one could follow, for as long as its body lasted. Without an end, requests that may not be repeated got 504 after 4 s of 4 s, repeatable ones another replica's answer after 0.9 s, resumable streams after 1.6 to 1.9 s.

Cause: the body was copied to nowhere without a bound, also that of an answer without a length, which nothing can follow on its connection.

Change: at most 1 MiB of such bodies is skipped on a connection (maxSkippedBytes), and none of one that ends with its connection; then there is no answer and the connection is closed.

Whole answers to others without end, one after the other, held before (three are skipped).

--- a/transport/upstream/endless_test.go
+++ b/transport/upstream/endless_test.go
@@ -84,14 +84,19 @@
 		conn endlessConn
 		most int // bytes that are read at most
 	}{
-		"no line end":          {endlessConn{block: longBlock}, maxHeadBytes},
-		"empty lines":          {endlessConn{block: "\r\n"}, maxHeadBytes},
-		"status line":          {endlessConn{beginning: "HTTP/1.1 200 ", block: longBlock}, maxHeadBytes},
-		"header line":          {endlessConn{beginning: "HTTP/1.1 200 OK\r\nA: ", block: longBlock}, maxHeadBytes},
-		"header lines":         {endlessConn{beginning: "HTTP/1.1 200 OK\r\n", block: "A: b\r\n"}, maxHeadBytes},
-		"interim answers":      {endlessConn{block: "HTTP/1.1 100 Continue\r\n\r\n"}, maxHeadBytes * (maxInterimAnswers + 1)},
-		"long interim answers": {endlessConn{block: "HTTP/1.1 103 Early Hints\r\nA: " + strings.Repeat("x", 4000) + "\r\n\r\n"}, maxHeadBytes * (maxInterimAnswers + 1)},
-		"answers to others":    {endlessConn{block: "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nno"}, readAhead},
+		"no line end":                {endlessConn{block: longBlock}, maxHeadBytes},
+		"empty lines":                {endlessConn{block: "\r\n"}, maxHeadBytes},
+		"status line":                {endlessConn{beginning: "HTTP/1.1 200 ", block: longBlock}, maxHeadBytes},
+		"header line":                {endlessConn{beginning: "HTTP/1.1 200 OK\r\nA: ", block: longBlock}, maxHeadBytes},
+		"header lines":               {endlessConn{beginning: "HTTP/1.1 200 OK\r\n", block: "A: b\r\n"}, maxHeadBytes},
+		"interim answers":            {endlessConn{block: "HTTP/1.1 100 Continue\r\n\r\n"}, maxHeadBytes * (maxInterimAnswers + 1)},
+		"long interim answers":       {endlessConn{block: "HTTP/1.1 103 Early Hints\r\nA: " + strings.Repeat("x", 4000) + "\r\n\r\n"}, maxHeadBytes * (maxInterimAnswers + 1)},
+		"answers to others":          {endlessConn{block: "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nno"}, readAhead},
+		"an answer without a length": {endlessConn{beginning: "HTTP/1.1 200 OK\r\n\r\n", block: longBlock}, readAhead},
+		"an answer of great length":  {endlessConn{beginning: "HTTP/1.1 200 OK\r\nContent-Length: 1000000000000\r\n\r\n", block: longBlock}, maxSkippedBytes + readAhead},
+		"an answer of great chunks":  {endlessConn{beginning: "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nfffffffffff\r\n", block: longBlock}, maxSkippedBytes + readAhead},
+		"an answer of small chunks":  {endlessConn{beginning: "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", block: "1\r\nx\r\n"}, 6*maxSkippedBytes + readAhead},
+		"a chunk's length":           {endlessConn{beginning: "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1", block: longBlock}, readAhead},
 	}
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
--- a/transport/upstream/exchange.go
+++ b/transport/upstream/exchange.go
@@ -27,8 +27,15 @@
 // connection.
 const maxWrongAnswers = 2
 
-// errInterimAnswers is the error of an answer that follows too many interim ones.
-var errInterimAnswers = errors.New("upstream: too many interim answers")
+// maxSkippedBytes is how many bytes of bodies of answers to other requests are skipped on one
+// connection, so that a late answer does not cost it. A longer answer is given up with it.
+const maxSkippedBytes = 1 << 20
+
+// Errors of an answer that comes after more than is skipped.
+var (
+	errInterimAnswers  = errors.New("upstream: too many interim answers")
+	errLongWrongAnswer = errors.New("upstream: the answer to another request is too long")
+)
 
 // maxInterimAnswers is how many interim answers (1xx) may come before an answer.
 const maxInterimAnswers = 8
@@ -79,6 +86,7 @@
 // ReadHead reads the answer's header. It skips late answers to other requests,
 // for which isOwn returns false.
 func (x *Exchange) ReadHead(isOwn func(*fasthttp.ResponseHeader) bool) error {
+	left := int64(maxSkippedBytes)
 	for range maxWrongAnswers + 1 {
 		if err := x.readOneHead(); err != nil {
 			return err
@@ -86,12 +94,17 @@
 		if isOwn(&x.Header) {
 			return nil
 		}
-		if _, err := io.Copy(io.Discard, x); err != nil {
+		if x.unframed { // no answer follows it
+			return ErrWrongRequest
+		}
+		n, err := io.Copy(io.Discard, io.LimitReader(x, left))
+		if err != nil {
 			return errors.Join(ErrWrongRequest, err)
 		}
-		if !x.complete || x.Header.ContentLength() == lengthUnknown {
-			return ErrWrongRequest
+		if !x.complete {
+			return errors.Join(ErrWrongRequest, errLongWrongAnswer)
 		}
+		left -= n
 	}
 	return ErrWrongRequest
 }
