Trailers that come slowly end their connection

Cause: after the last chunk two bytes were discarded as the line end, whatever they were. If a trailer's first two bytes were all that had arrived, nothing was left over to forbid that the connection is used again. (If more had arrived, it was closed.)

Change: the two bytes are compared; anything but a line end is a trailer, which is not read and ends its connection. The body before it is whole, as before.

Measured in the package's test: of three ends (line end, "A:", CR and "x") the two that are none left the connection among the idle ones before; both close it after.

--- a/transport/upstream/endless_test.go
+++ b/transport/upstream/endless_test.go
@@ -163,3 +163,54 @@
 		})
 	}
 }
+
+// pausingConn gives its parts one at a time, as they arrive.
+type pausingConn struct {
+	net.Conn
+	parts  []string
+	closed bool
+}
+
+func (c *pausingConn) Read(b []byte) (int, error) {
+	if len(c.parts) == 0 {
+		return 0, errors.New("read on after the answer")
+	}
+	n := copy(b, c.parts[0])
+	if c.parts[0] = c.parts[0][n:]; c.parts[0] == "" {
+		c.parts = c.parts[1:]
+	}
+	return n, nil
+}
+
+func (c *pausingConn) Write(b []byte) (int, error) { return len(b), nil }
+
+func (c *pausingConn) Close() error {
+	c.closed = true
+	return nil
+}
+
+func (c *pausingConn) SetDeadline(time.Time) error { return nil }
+
+// Guards against MIXED: the first two bytes of a trailer were taken for the line end after the last
+// chunk, and the rest of the trailer came where the next answer was due.
+func TestTrailerThatComesSlowlyEndsItsConnection(t *testing.T) {
+	const head = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n"
+	for end, isReused := range map[string]bool{"\r\n": true, "A:": false, "\rx": false} {
+		t.Run(end, func(t *testing.T) {
+			is := is.New(t)
+			c := &pausingConn{parts: []string{head, end}}
+			client := New()
+			req := fasthttp.AcquireRequest()
+			req.SetRequestURI("http://replica/")
+			x, err := client.wrap("replica", c).Begin(newDispatchToken(t), req)
+			is.NoErr(err)
+			is.NoErr(x.ReadHead(func(*fasthttp.ResponseHeader) bool { return true }))
+			body, err := io.ReadAll(x)
+			is.NoErr(err)
+			is.Equal(string(body), "ok")
+			x.Release(time.Minute)
+			is.Equal(c.closed, !isReused)
+			is.Equal(len(client.idle["replica"]) == 1, isReused)
+		})
+	}
+}
--- a/transport/upstream/exchange.go
+++ b/transport/upstream/exchange.go
@@ -49,15 +49,16 @@
 type Exchange struct {
 	Header fasthttp.ResponseHeader
 
-	conn     *Conn
-	noBody   bool
-	written  chan struct{} // closed when a concurrent write of the request has ended; nil if that was before Begin returned
-	writeErr error         // how it ended; set before written is closed
-	body     io.Reader
-	chunked  bool
-	unframed bool // the body ends with the connection
-	complete bool
-	released bool
+	conn        *Conn
+	noBody      bool
+	written     chan struct{} // closed when a concurrent write of the request has ended; nil if that was before Begin returned
+	writeErr    error         // how it ended; set before written is closed
+	body        io.Reader
+	chunked     bool
+	unframed    bool // the body ends with the connection
+	hasTrailers bool // unread ones follow the body
+	complete    bool
+	released    bool
 }
 
 // Begin writes a request; from then on it may have been executed.
@@ -101,7 +102,7 @@
 		if err != nil {
 			return errors.Join(ErrWrongRequest, err)
 		}
-		if !x.complete {
+		if !x.complete || x.hasTrailers {
 			return errors.Join(ErrWrongRequest, errLongWrongAnswer)
 		}
 		left -= n
@@ -110,7 +111,7 @@
 }
 
 func (x *Exchange) readOneHead() error {
-	x.complete, x.chunked, x.unframed, x.body = false, false, false, nil
+	x.complete, x.chunked, x.unframed, x.hasTrailers, x.body = false, false, false, false, nil
 	if err := x.readFinalHeader(); err != nil {
 		return err
 	}
@@ -160,7 +161,7 @@
 		return n, errors.Join(ErrIncomplete, io.ErrUnexpectedEOF)
 	}
 	if x.chunked {
-		if _, err := x.conn.r.Discard(len("\r\n")); err != nil { // after the last chunk
+		if err := x.endChunks(); err != nil {
 			return n, errors.Join(ErrIncomplete, err)
 		}
 	}
@@ -171,6 +172,17 @@
 	return n, io.EOF
 }
 
+// endChunks reads the line end after the last chunk. Trailers may come in its place: they belong to
+// no body, have no bound and are not read.
+func (x *Exchange) endChunks() error {
+	var end [len("\r\n")]byte
+	if _, err := io.ReadFull(x.conn.r, end[:]); err != nil {
+		return err
+	}
+	x.hasTrailers = string(end[:]) != "\r\n"
+	return nil
+}
+
 // IsFramed reports whether the head states where the body ends, by its length or by chunks. A
 // body that is not framed ends with the connection, and looks the same if that breaks.
 func (x *Exchange) IsFramed() bool { return !x.unframed }
@@ -195,7 +207,7 @@
 }
 
 func (x *Exchange) canReuse(idle time.Duration) bool {
-	if !x.complete || idle <= 0 || x.Header.ConnectionClose() || x.Header.ContentLength() == lengthUnknown {
+	if !x.complete || x.hasTrailers || idle <= 0 || x.Header.ConnectionClose() || x.Header.ContentLength() == lengthUnknown {
 		return false
 	}
 	if x.written != nil {
