The body of a refusal holds no request up

Callers saw: a replica refused a request (Not-Executed), and the body of the refusal had no end, or came a byte at a time: the request was held until its deadline. Requests that may not be repeated got 503 after 4 s of 4 s instead of the other replica's answer; repeatable ones and resumable streams too, or the other replica's answer after 0.9 and 1.5 s. The connection stayed open meanwhile.

Cause: the body was read to its end, whatever that took, so that the connection could be used again.

Change: at most 64 KiB of it are read, within 100 ms (maxRefusalBytes, maxRefusalTime); else the connection is closed. The head alone says that the request was not run, as before, and it goes to another replica.

--- a/cmd/node/answer.go
+++ b/cmd/node/answer.go
@@ -15,6 +15,10 @@
 	// it arrives.
 	maxBufferedAnswer = 256 << 10
 	forwardChunk      = 32 << 10 // bytes of a long answer that are read at a time
+	// Bytes of the body of a refusal that are read, so that its connection can be used again, and
+	// the time for them. The head has said everything.
+	maxRefusalBytes = 64 << 10
+	maxRefusalTime  = 100 * time.Millisecond
 )
 
 // forwardAnswer passes an answer to the client after its headers have arrived.
@@ -22,10 +26,10 @@
 	status := a.exchange.Header.StatusCode()
 	switch {
 	case a.head.NotRun && status == http.StatusConflict:
-		_, _ = io.Copy(io.Discard, a.exchange)
+		a.skipRefusalBody()
 		return errMissingInputs
 	case a.head.NotRun:
-		_, _ = io.Copy(io.Discard, a.exchange)
+		a.skipRefusalBody()
 		return errReplicaRefused
 	case status < http.StatusMultipleChoices && !a.head.HasSignature():
 		return errAnswerBroken
@@ -64,6 +68,13 @@
 	return nil
 }
 
+// skipRefusalBody reads what follows the head of a refusal. If that does not end soon, the
+// connection is closed with the exchange.
+func (a *attempt) skipRefusalBody() {
+	_ = a.conn.SetDeadline(time.Now().Add(maxRefusalTime))
+	_, _ = io.Copy(io.Discard, io.LimitReader(a.exchange, maxRefusalBytes))
+}
+
 // forwardRest passes on the rest of a long answer as it arrives. A client that reads slowly
 // holds up the replica.
 func (a *attempt) forwardRest() error {
