Nothing follows the part of an answer that broke off

Callers saw: an answer of more than 256 KiB broke off after its beginning had been passed on. A safe request was then sent to another replica for nothing: its answer can't be passed on any more. A failure of a stream that may be resumed was worse: the stream of the next replica was put behind the part of the failure's body, and the client got a 500 that looked whole, of two replicas (MIXED).

Cause: a request that may be repeated is sent again as long as tries are left, also when what its client has begun to get is no stream.

Change: once the head of such an answer is passed on, no other attempt is made and the client's connection is reset.

--- a/cmd/node/answer.go
+++ b/cmd/node/answer.go
@@ -78,7 +78,7 @@
 // forwardRest passes on the rest of a long answer as it arrives. A client that reads slowly
 // holds up the replica.
 func (a *attempt) forwardRest() error {
-	a.stream.headersSent = true // if the answer breaks off, it must not look complete
+	a.stream.headersSent, a.stream.isAnswer = true, true // if it breaks off, it must not look complete
 	control := http.NewResponseController(a.w)
 	chunk := make([]byte, forwardChunk)
 	for {
--- a/cmd/node/request_handler.go
+++ b/cmd/node/request_handler.go
@@ -296,6 +296,8 @@
 func (s *requestHandler) shouldRetry(err error) bool {
 	var denied *slotDenial
 	switch {
+	case s.stream.isAnswer:
+		return false
 	case errors.Is(err, errRateLimited): // the denial has recorded the time of the next send grant
 		return true
 	case errors.As(err, &denied): // the grantor is not asked again before that time
--- a/cmd/node/stream.go
+++ b/cmd/node/stream.go
@@ -14,6 +14,7 @@
 type streamState struct {
 	headersSent bool
 	lastEventID string // ID of the last complete event that has one
+	isAnswer    bool   // what was sent is no stream, so that no other attempt can continue it
 }
 
 // forwardStream forwards events as they arrive, each one complete. A client that reads
