Answers and streams without end are broken off

Callers saw: an answer whose body had no end, or a stream whose events had none, was passed on until the request's deadline; with a length stated that no answer has (1 TB), too, also for requests that another replica could have answered. Clients got hundreds of megabytes and a reset after 4 s or more.

Cause: what is held of an answer is bounded (256 KiB, one event of 1 MiB); what is passed on was not, and a stated length was not looked at.

Change: an answer that states more than 16 MiB is none (maxAnswerBytes): a request that may be repeated goes to another replica, else the client gets 502. One that turns out longer, or a stream with as much, is broken off there, so that the client can try again while it has time.

--- a/cmd/node/answer.go
+++ b/cmd/node/answer.go
@@ -15,6 +15,9 @@
 	// it arrives.
 	maxBufferedAnswer = 256 << 10
 	forwardChunk      = 32 << 10 // bytes of a long answer that are read at a time
+	// Bytes of an answer's body, or of all events of a stream, after which it is taken for one without
+	// end. Answers and streams in use are far shorter.
+	maxAnswerBytes = 16 << 20
 	// Bytes of the body of a refusal that are read, so that its connection can be used again, and
 	// the time for them. The head has said everything.
 	maxRefusalBytes = 64 << 10
@@ -31,7 +34,7 @@
 	case a.head.NotRun:
 		a.skipRefusalBody()
 		return errReplicaRefused
-	case status < http.StatusMultipleChoices && !a.head.HasSignature():
+	case status < http.StatusMultipleChoices && !a.head.HasSignature(), a.exchange.Header.ContentLength() > maxAnswerBytes:
 		return errAnswerBroken
 	case status < http.StatusMultipleChoices && a.route.Kind == catalog.Stream:
 		return a.forwardStream(timer)
@@ -62,7 +65,7 @@
 	_, _ = a.w.Write(body) // an error is that of a client that has gone
 	a.countAnswerBytes(len(body))
 	if isLong {
-		return a.forwardRest()
+		return a.forwardRest(len(body))
 	}
 	_ = control.SetWriteDeadline(time.Time{})
 	return nil
@@ -75,9 +78,9 @@
 	_, _ = io.Copy(io.Discard, io.LimitReader(a.exchange, maxRefusalBytes))
 }
 
-// forwardRest passes on the rest of a long answer as it arrives. A client that reads slowly
-// holds up the replica.
-func (a *attempt) forwardRest() error {
+// forwardRest passes on the rest of a long answer, of which the given bytes are passed on already,
+// as it arrives. A client that reads slowly holds up the replica.
+func (a *attempt) forwardRest(passed int) error {
 	a.stream.headersSent, a.stream.isAnswer = true, true // if it breaks off, it must not look complete
 	control := http.NewResponseController(a.w)
 	chunk := make([]byte, forwardChunk)
@@ -88,11 +91,12 @@
 			return errClientGone
 		}
 		a.countAnswerBytes(n)
+		passed += n
 		if err == io.EOF {
 			_ = control.SetWriteDeadline(time.Time{})
 			return a.checkUnframedEnd()
 		}
-		if err != nil {
+		if err != nil || passed > maxAnswerBytes {
 			return a.abortReasonOr(errStreamBroken)
 		}
 	}
--- a/cmd/node/stream.go
+++ b/cmd/node/stream.go
@@ -50,12 +50,13 @@
 func (a *attempt) receiveEvents(q *eventstream.Queue, timer *time.Timer) error {
 	events := eventstream.NewReader(a.exchange)
 	lastEventAt := time.Duration(0) // 0: no event yet
+	received := 0                   // bytes
 	for {
 		e, err := events.Next()
 		if err == io.EOF {
 			return a.checkUnframedEnd()
 		}
-		if err != nil {
+		if received += len(e.Bytes); err != nil || received > maxAnswerBytes {
 			return a.abortReasonOr(errStreamBroken)
 		}
 		if lastEventAt == 0 {
