Idle connections on which a replica writes are closed

Callers saw nothing. The replica saw a connection that stays open: one that writes on after a whole answer, just after the connection had become idle, held a place of its max_conns and what the kernel buffers of both ends take.

Cause: an idle connection was looked at only when a request was to use it, and the latest one is used first. The others were kept until their address was no longer listed, also after their time was over.

Change: what closes the idle connections of addresses that are gone, every two seconds, also closes those that can carry no further request: they have something to read, are closed by the replica, or their time is over.

Measured: in the package's test 2 of 2 connections were kept before, the silent one of 2 after.

--- a/transport/upstream/endless_test.go
+++ b/transport/upstream/endless_test.go
@@ -10,6 +10,8 @@
 
 	"github.com/matryer/is"
 	"github.com/valyala/fasthttp"
+
+	"quinceroad/transport/peek"
 )
 
 // endOfPatience is how many bytes an endlessConn gives before it breaks off: far more than any
@@ -214,3 +216,33 @@
 		})
 	}
 }
+
+// BOUND: a replica that writes on after a whole answer, once its connection is idle, is cut off although
+// no request follows on it.
+func TestIdleConnectionOnWhichAReplicaWritesIsClosed(t *testing.T) {
+	is := is.New(t)
+	ln, err := net.Listen("tcp4", "127.0.0.1:0")
+	is.NoErr(err)
+	defer ln.Close()
+	client := New()
+	var idle, replicas []*net.TCPConn
+	for range 2 {
+		conn, err := client.Dial(ln.Addr().String(), time.Second)
+		is.NoErr(err)
+		conn.KeepIdle(time.Minute)
+		idle = append(idle, conn.net.(*net.TCPConn))
+		accepted, err := ln.Accept()
+		is.NoErr(err)
+		replicas = append(replicas, accepted.(*net.TCPConn))
+		defer accepted.Close()
+	}
+	_, err = io.WriteString(replicas[0], longBlock)
+	is.NoErr(err)
+	for end := time.Now().Add(10 * time.Second); peek.Inspect(idle[0]) == peek.Idle && time.Now().Before(end); {
+		time.Sleep(time.Millisecond)
+	}
+	client.CloseIdleExcept(func(string) bool { return true })
+	is.Equal(len(client.idle[ln.Addr().String()]), 1) // the silent one
+	is.Equal(peek.Inspect(idle[0]), peek.Closed)
+	is.Equal(peek.Inspect(idle[1]), peek.Idle)
+}
--- a/transport/upstream/upstream.go
+++ b/transport/upstream/upstream.go
@@ -180,18 +180,15 @@
 }
 
 // CloseIdleExcept closes the idle connections to all addresses for which keep returns
-// false.
+// false, and to the others those that carry no further request: a replica may write on one for as
+// long as nobody closes it. It is called every few seconds.
 func (c *Client) CloseIdleExcept(keep func(address string) bool) {
 	c.mu.Lock()
-	defer c.mu.Unlock()
-	for addr, list := range c.idle {
-		if keep(addr) {
-			continue
-		}
-		for _, cn := range list {
-			_ = cn.net.Close()
-		}
-		delete(c.idle, addr)
+	addrs := slices.Collect(maps.Keys(c.idle))
+	c.mu.Unlock()
+	for _, addr := range addrs {
+		isKept := keep(addr)
+		c.closeIdle(addr, func(cn *Conn) bool { return !isKept || !cn.canReuse() })
 	}
 }
 
