The stated length of a peer's frame costs no memory

Callers saw nothing. A peer that states a long frame and sends none of it cost its receiver 8 MiB for each stream, for as long as the session lives; an instance has 32 MB for control.

Cause: the memory for a frame was taken when its head had come, up to the longest frame.

Change: 64 KiB are taken at once (readStep), and more as it arrives, doubling; a frame below that is read as before.

Measured in the package's test, bytes held for a frame of 8 MiB of which nothing arrives: 8,388,607 before, 65,536 after. Held before: of bytes that are no frame 5 are read, of a long frame its length.

--- a/protocol/frame/frame.go
+++ b/protocol/frame/frame.go
@@ -50,6 +50,10 @@
 // frame ends the stream.
 const MaxLen = 8 << 20
 
+// readStep is how many bytes of a frame are held before any of them has arrived. A longer one is held as
+// it arrives, so that its stated length alone costs no memory.
+const readStep = 64 << 10
+
 const (
 	lengthBytes = 4
 	headerBytes = lengthBytes + 1
@@ -91,11 +95,30 @@
 	if n == 0 || n > MaxLen {
 		return 0, nil, ErrTooLarge
 	}
-	b := make([]byte, n-1)
-	_, err := io.ReadFull(r, b)
+	b, err := readMessage(r, int(n-1))
 	return Kind(head[lengthBytes]), b, err
 }
 
+// readMessage reads a message of a length.
+func readMessage(r io.Reader, length int) ([]byte, error) {
+	b := make([]byte, min(length, readStep))
+	for read := 0; ; {
+		n, err := io.ReadFull(r, b[read:])
+		if read += n; err != nil {
+			if read > 0 && err == io.EOF {
+				err = io.ErrUnexpectedEOF
+			}
+			return b[:read], err
+		}
+		if read == length {
+			return b, nil
+		}
+		longer := make([]byte, min(length, 2*read))
+		copy(longer, b)
+		b = longer
+	}
+}
+
 // Read reads one frame of any kind and decodes its message into m.
 func Read(r io.Reader, m proto.Message) error {
 	k, b, err := ReadRaw(r)
--- a/protocol/frame/frame_test.go
+++ b/protocol/frame/frame_test.go
@@ -26,6 +26,61 @@
 	is.Equal(Read(&b, &m), io.EOF)
 }
 
+// greedyReader gives the head of a frame and counts the memory that is offered for the rest.
+type greedyReader struct {
+	head    []byte
+	offered int // bytes
+}
+
+func (r *greedyReader) Read(b []byte) (int, error) {
+	if len(r.head) > 0 {
+		n := copy(b, r.head)
+		r.head = r.head[n:]
+		return n, nil
+	}
+	r.offered = max(r.offered, len(b))
+	return 0, io.ErrUnexpectedEOF
+}
+
+// BOUND: a peer that states a long frame and sends none of it costs little memory.
+func TestStatedLengthCostsNoMemory(t *testing.T) {
+	is := is.New(t)
+	r := &greedyReader{head: []byte{0, 0x80, 0, 0, byte(Beat)}} // MaxLen
+	_, _, err := ReadRaw(r)
+	is.Equal(err, io.ErrUnexpectedEOF)
+	t.Logf("%d bytes held", r.offered)
+	is.True(r.offered <= 2*readStep)
+}
+
+// endlessReader gives the same frames again and again.
+type endlessReader struct {
+	frame []byte
+	read  int // bytes
+}
+
+func (r *endlessReader) Read(b []byte) (int, error) {
+	for n := range b {
+		b[n] = r.frame[(r.read+n)%len(r.frame)]
+	}
+	r.read += len(b)
+	return len(b), nil
+}
+
+// BOUND: of bytes that are no frame only a head is read, and of a long frame no more than its length.
+func TestBytesWithoutEndAreNoFrame(t *testing.T) {
+	is := is.New(t)
+	r := &endlessReader{frame: []byte("x")}
+	_, _, err := ReadRaw(r)
+	is.Equal(err, ErrTooLarge)
+	is.Equal(r.read, headerBytes)
+	long := &endlessReader{frame: append([]byte{0, 0x80, 0, 0, byte(Beat)}, make([]byte, MaxLen)...)}
+	_, message, err := ReadRaw(long)
+	is.NoErr(err)
+	is.Equal(len(message), MaxLen-1)
+	is.Equal(long.read, MaxLen+lengthBytes)
+	is.True(cap(message) <= 2*MaxLen)
+}
+
 func FuzzReadRaw(f *testing.F) {
 	f.Add([]byte{0, 0, 0, 1, 1})
 	f.Add([]byte{255, 255, 255, 255, 1})
