A stream of tokens without end is given up

Cause: an answer with a length is bounded (4 MiB); a stream was not, nor a line of it.

Change: of all lines of a stream no more than that is read (maxAnswerBytes); then the answer is incomplete and the connection is closed.

--- a/transport/upstream/call.go
+++ b/transport/upstream/call.go
@@ -135,11 +135,15 @@
 
 // readStream reads server-sent tokens up to the end event and verifies them.
 func (cn *Conn) readStream(c *Call, a *Answer) error {
-	body := newLineReader(httputil.NewChunkedReader(cn.r))
+	limited := &io.LimitedReader{R: httputil.NewChunkedReader(cn.r), N: maxAnswerBytes}
+	body := newLineReader(limited)
 	ended := false
 	var end StreamEnd
 	for {
 		line, err := body.next()
+		if limited.N == 0 {
+			return ErrIncomplete // too long
+		}
 		if err == io.EOF && ended {
 			break
 		}
--- a/transport/upstream/endless_test.go
+++ b/transport/upstream/endless_test.go
@@ -11,6 +11,7 @@
 	"github.com/matryer/is"
 	"github.com/valyala/fasthttp"
 
+	"quinceroad/protocol/api"
 	"quinceroad/transport/peek"
 )
 
@@ -246,3 +247,32 @@
 	is.Equal(peek.Inspect(idle[0]), peek.Closed)
 	is.Equal(peek.Inspect(idle[1]), peek.Idle)
 }
+
+// BOUND: a stream of tokens whose lines, or whose line, have no end is given up. A line is held until it
+// is complete, and tokens until the stream is checked.
+func TestTokensWithoutEndAreGivenUp(t *testing.T) {
+	c := &Call{Request: "r", Stage: "s", Attempt: 1, Deadline: time.Now().Add(time.Minute)}
+	head := "HTTP/1.1 200 OK\r\n" + api.HeaderRequest + ": r\r\n" + api.HeaderStage + ": s\r\n" + api.HeaderAttempt + ": 1\r\n" +
+		api.HeaderInputDigest + ": " + Digest(nil) + "\r\n"
+	chunked := head + "Transfer-Encoding: chunked\r\n\r\n"
+	cases := map[string]*endlessConn{
+		"a line":            {beginning: chunked + greatChunk, block: longBlock},
+		"a token's line":    {beginning: chunked + greatChunk + "data: ", block: longBlock},
+		"tokens":            {beginning: chunked + greatChunk, block: "data: {\"text\":\"" + longBlock + "\"}\n"},
+		"lines for nothing": {beginning: chunked + greatChunk, block: "\n"},
+		"great length":      {beginning: head + "Content-Length: 1000000000000\r\n\r\n", block: longBlock},
+		"no length":         {beginning: head + "\r\n", block: longBlock},
+	}
+	for name, conn := range cases {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			_, err := New().wrap("replica", conn).Do(newDispatchToken(t), c)
+			is.True(errors.Is(err, ErrIncomplete))
+			t.Logf("%d bytes read", conn.read)
+			is.True(conn.closed)
+			is.True(conn.read <= maxAnswerBytes+readAhead)
+		})
+	}
+}
+
+const greatChunk = "fffffffffff\r\n"
--- a/transport/upstream/upstream.go
+++ b/transport/upstream/upstream.go
@@ -36,7 +36,7 @@
 	dialTimeout    = 300 * time.Millisecond
 	maxIdleConns   = 32               // per replica
 	idleTimeout    = 20 * time.Second // below the idle timeout of the replicas' servers
-	maxAnswerBytes = 4 << 20          // of an answer's body
+	maxAnswerBytes = 4 << 20          // of an answer's body, or of all lines of a stream
 	maxHeadBytes   = 4 << 10          // of an answer's head: it must fit into the buffer of its reader
 )
 
