--- a/transport/upstream/endless_test.go
+++ b/transport/upstream/endless_test.go
@@ -12,65 +12,14 @@
 	"github.com/valyala/fasthttp"
 
 	"quinceroad/protocol/api"
+	"quinceroad/transport/endlesstest"
 	"quinceroad/transport/peek"
 )
 
-// endOfPatience is how many bytes an endlessConn gives before it breaks off: far more than any
-// bound on what is read.
-const endOfPatience = 64 << 20
-
-// readAhead is how many bytes more than an answer's own are read at most, as reads are buffered.
-const readAhead = 64 << 10
-
-// endlessConn is a connection to a replica that writes a beginning and then a block again and again,
-// without end. It counts what is read.
-type endlessConn struct {
-	net.Conn
-	beginning, block string
-	at               int // bytes of the beginning, then of the block, that are read
-	read             int // bytes
-	closed           bool
-}
-
-func (c *endlessConn) Read(b []byte) (int, error) {
-	if c.read > endOfPatience {
-		return 0, errors.New("nobody closed the connection")
-	}
-	if c.closed {
-		return 0, net.ErrClosed
-	}
-	n := 0
-	for n < len(b) {
-		text := c.beginning
-		if text == "" {
-			text = c.block
-		}
-		k := copy(b[n:], text[c.at:])
-		n, c.at = n+k, c.at+k
-		if c.at == len(text) {
-			c.at, c.beginning = 0, ""
-		}
-	}
-	c.read += n
-	return n, nil
-}
-
-func (c *endlessConn) Write(b []byte) (int, error) { return len(b), nil }
-
-func (c *endlessConn) Close() error {
-	c.closed = true
-	return nil
-}
-
-func (c *endlessConn) SetDeadline(time.Time) error { return nil }
-
-// longBlock is a block of text without a line end.
-var longBlock = strings.Repeat("x", 32<<10)
-
 const ownID = "X-Own: 1\r\n" // marks the answer to the request
 
-// ask sends a request and reads the head of its answer.
-func (c *endlessConn) ask(t *testing.T) (*Exchange, error) {
+// ask sends a request over a connection and reads the head of its answer.
+func ask(t *testing.T, c net.Conn) (*Exchange, error) {
 	req := fasthttp.AcquireRequest()
 	req.SetRequestURI("http://replica/")
 	x, err := New().wrap("replica", c).Begin(newDispatchToken(t), req)
@@ -84,32 +33,32 @@
 // caller hears that there is no answer, and the connection is closed.
 func TestHeadWithoutEndIsGivenUp(t *testing.T) {
 	cases := map[string]struct {
-		conn endlessConn
+		conn *endlesstest.Conn
 		most int // bytes that are read at most
 	}{
-		"no line end":                {endlessConn{block: longBlock}, maxHeadBytes},
-		"empty lines":                {endlessConn{block: "\r\n"}, maxHeadBytes},
-		"status line":                {endlessConn{beginning: "HTTP/1.1 200 ", block: longBlock}, maxHeadBytes},
-		"header line":                {endlessConn{beginning: "HTTP/1.1 200 OK\r\nA: ", block: longBlock}, maxHeadBytes},
-		"header lines":               {endlessConn{beginning: "HTTP/1.1 200 OK\r\n", block: "A: b\r\n"}, maxHeadBytes},
-		"interim answers":            {endlessConn{block: "HTTP/1.1 100 Continue\r\n\r\n"}, maxHeadBytes * (maxInterimAnswers + 1)},
-		"long interim answers":       {endlessConn{block: "HTTP/1.1 103 Early Hints\r\nA: " + strings.Repeat("x", 4000) + "\r\n\r\n"}, maxHeadBytes * (maxInterimAnswers + 1)},
-		"answers to others":          {endlessConn{block: "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nno"}, readAhead},
-		"an answer without a length": {endlessConn{beginning: "HTTP/1.1 200 OK\r\n\r\n", block: longBlock}, readAhead},
-		"an answer of great length":  {endlessConn{beginning: "HTTP/1.1 200 OK\r\nContent-Length: 1000000000000\r\n\r\n", block: longBlock}, maxSkippedBytes + readAhead},
-		"an answer of great chunks":  {endlessConn{beginning: "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nfffffffffff\r\n", block: longBlock}, maxSkippedBytes + readAhead},
-		"an answer of small chunks":  {endlessConn{beginning: "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", block: "1\r\nx\r\n"}, 6*maxSkippedBytes + readAhead},
-		"a chunk's length":           {endlessConn{beginning: "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1", block: longBlock}, readAhead},
+		"no line end":                {endlesstest.New("", endlesstest.Text), maxHeadBytes},
+		"empty lines":                {endlesstest.New("", "\r\n"), maxHeadBytes},
+		"status line":                {endlesstest.New("HTTP/1.1 200 ", endlesstest.Text), maxHeadBytes},
+		"header line":                {endlesstest.New("HTTP/1.1 200 OK\r\nA: ", endlesstest.Text), maxHeadBytes},
+		"header lines":               {endlesstest.New("HTTP/1.1 200 OK\r\n", "A: b\r\n"), maxHeadBytes},
+		"interim answers":            {endlesstest.New("", "HTTP/1.1 100 Continue\r\n\r\n"), maxHeadBytes * (maxInterimAnswers + 1)},
+		"long interim answers":       {endlesstest.New("", "HTTP/1.1 103 Early Hints\r\nA: "+strings.Repeat("x", 4000)+"\r\n\r\n"), maxHeadBytes * (maxInterimAnswers + 1)},
+		"answers to others":          {endlesstest.New("", "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nno"), endlesstest.ReadAhead},
+		"an answer without a length": {endlesstest.New("HTTP/1.1 200 OK\r\n\r\n", endlesstest.Text), endlesstest.ReadAhead},
+		"an answer of great length":  {endlesstest.New("HTTP/1.1 200 OK\r\nContent-Length: 1000000000000\r\n\r\n", endlesstest.Text), maxSkippedBytes + endlesstest.ReadAhead},
+		"an answer of great chunks":  {endlesstest.New("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nfffffffffff\r\n", endlesstest.Text), maxSkippedBytes + endlesstest.ReadAhead},
+		"an answer of small chunks":  {endlesstest.New("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", "1\r\nx\r\n"), 6*maxSkippedBytes + endlesstest.ReadAhead},
+		"a chunk's length":           {endlesstest.New("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1", endlesstest.Text), endlesstest.ReadAhead},
 	}
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
-			x, err := c.conn.ask(t)
+			x, err := ask(t, c.conn)
 			is.True(err != nil)
 			x.Release(time.Minute)
-			t.Logf("%d bytes read", c.conn.read)
-			is.True(c.conn.closed)
-			is.True(c.conn.read <= c.most)
+			t.Logf("%d bytes read", c.conn.BytesRead())
+			is.True(c.conn.IsClosed())
+			is.True(c.conn.BytesRead() <= c.most)
 		})
 	}
 }
@@ -119,25 +68,25 @@
 func TestBodyWithoutEndIsGivenUp(t *testing.T) {
 	const limit = 100 << 10 // bytes of a body that the reader takes
 	const chunked = "HTTP/1.1 200 OK\r\n" + ownID + "Transfer-Encoding: chunked\r\n\r\n"
-	cases := map[string]endlessConn{
-		"a great length":   {beginning: "HTTP/1.1 200 OK\r\n" + ownID + "Content-Length: 1000000000000\r\n\r\n", block: longBlock},
-		"no length":        {beginning: "HTTP/1.1 200 OK\r\n" + ownID + "\r\n", block: longBlock},
-		"great chunks":     {beginning: chunked + "fffffffffff\r\n", block: longBlock},
-		"a chunk's length": {beginning: chunked + "1", block: "0"},
-		"chunk extensions": {beginning: chunked, block: "1;" + strings.Repeat("x", 4000) + "\r\nx\r\n"},
-		"a long extension": {beginning: chunked + "1;", block: longBlock},
+	cases := map[string]*endlesstest.Conn{
+		"a great length":   endlesstest.New("HTTP/1.1 200 OK\r\n"+ownID+"Content-Length: 1000000000000\r\n\r\n", endlesstest.Text),
+		"no length":        endlesstest.New("HTTP/1.1 200 OK\r\n"+ownID+"\r\n", endlesstest.Text),
+		"great chunks":     endlesstest.New(chunked+"fffffffffff\r\n", endlesstest.Text),
+		"a chunk's length": endlesstest.New(chunked+"1", "0"),
+		"chunk extensions": endlesstest.New(chunked, "1;"+strings.Repeat("x", 4000)+"\r\nx\r\n"),
+		"a long extension": endlesstest.New(chunked+"1;", endlesstest.Text),
 	}
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
-			x, err := c.ask(t)
+			x, err := ask(t, c)
 			is.NoErr(err)
 			_, err = io.ReadAll(io.LimitReader(x, limit))
 			is.True(err != nil || !x.IsComplete())
 			x.Release(time.Minute)
-			t.Logf("%d bytes read", c.read)
-			is.True(c.closed)
-			is.True(c.read <= limit+readAhead)
+			t.Logf("%d bytes read", c.BytesRead())
+			is.True(c.IsClosed())
+			is.True(c.BytesRead() <= limit+endlesstest.ReadAhead)
 		})
 	}
 }
@@ -145,24 +94,24 @@
 // BOUND: what follows a whole answer is not read, and no request follows on its connection.
 func TestBytesAfterAnAnswerEndItsConnection(t *testing.T) {
 	const head, chunked = "HTTP/1.1 200 OK\r\n" + ownID, "HTTP/1.1 200 OK\r\n" + ownID + "Transfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n"
-	cases := map[string]endlessConn{
-		"after a length":  {beginning: head + "Content-Length: 2\r\n\r\nok", block: longBlock},
-		"after no body":   {beginning: "HTTP/1.1 204 No Content\r\n" + ownID + "\r\n", block: longBlock},
-		"after chunks":    {beginning: chunked + "\r\n", block: longBlock},
-		"trailers":        {beginning: chunked, block: "A: b\r\n"},
-		"a long trailer":  {beginning: chunked + "A: ", block: longBlock},
-		"no line, no end": {beginning: chunked, block: longBlock},
+	cases := map[string]*endlesstest.Conn{
+		"after a length":  endlesstest.New(head+"Content-Length: 2\r\n\r\nok", endlesstest.Text),
+		"after no body":   endlesstest.New("HTTP/1.1 204 No Content\r\n"+ownID+"\r\n", endlesstest.Text),
+		"after chunks":    endlesstest.New(chunked+"\r\n", endlesstest.Text),
+		"trailers":        endlesstest.New(chunked, "A: b\r\n"),
+		"a long trailer":  endlesstest.New(chunked+"A: ", endlesstest.Text),
+		"no line, no end": endlesstest.New(chunked, endlesstest.Text),
 	}
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
-			x, err := c.ask(t)
+			x, err := ask(t, c)
 			is.NoErr(err)
 			_, err = io.ReadAll(x)
 			is.NoErr(err)
 			x.Release(time.Minute)
-			is.True(c.closed)
-			is.True(c.read <= readAhead)
+			is.True(c.IsClosed())
+			is.True(c.BytesRead() <= endlesstest.ReadAhead)
 		})
 	}
 }
@@ -237,7 +186,7 @@
 		replicas = append(replicas, accepted.(*net.TCPConn))
 		defer accepted.Close()
 	}
-	_, err = io.WriteString(replicas[0], longBlock)
+	_, err = io.WriteString(replicas[0], endlesstest.Text)
 	is.NoErr(err)
 	for end := time.Now().Add(10 * time.Second); peek.Inspect(idle[0]) == peek.Idle && time.Now().Before(end); {
 		time.Sleep(time.Millisecond)
@@ -255,22 +204,22 @@
 	head := "HTTP/1.1 200 OK\r\n" + api.HeaderRequest + ": r\r\n" + api.HeaderStage + ": s\r\n" + api.HeaderAttempt + ": 1\r\n" +
 		api.HeaderInputDigest + ": " + Digest(nil) + "\r\n"
 	chunked := head + "Transfer-Encoding: chunked\r\n\r\n"
-	cases := map[string]*endlessConn{
-		"a line":            {beginning: chunked + greatChunk, block: longBlock},
-		"a token's line":    {beginning: chunked + greatChunk + "data: ", block: longBlock},
-		"tokens":            {beginning: chunked + greatChunk, block: "data: {\"text\":\"" + longBlock + "\"}\n"},
-		"lines for nothing": {beginning: chunked + greatChunk, block: "\n"},
-		"great length":      {beginning: head + "Content-Length: 1000000000000\r\n\r\n", block: longBlock},
-		"no length":         {beginning: head + "\r\n", block: longBlock},
+	cases := map[string]*endlesstest.Conn{
+		"a line":            endlesstest.New(chunked+greatChunk, endlesstest.Text),
+		"a token's line":    endlesstest.New(chunked+greatChunk+"data: ", endlesstest.Text),
+		"tokens":            endlesstest.New(chunked+greatChunk, "data: {\"text\":\""+endlesstest.Text+"\"}\n"),
+		"lines for nothing": endlesstest.New(chunked+greatChunk, "\n"),
+		"great length":      endlesstest.New(head+"Content-Length: 1000000000000\r\n\r\n", endlesstest.Text),
+		"no length":         endlesstest.New(head+"\r\n", endlesstest.Text),
 	}
 	for name, conn := range cases {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
 			_, err := New().wrap("replica", conn).Do(newDispatchToken(t), c)
 			is.True(errors.Is(err, ErrIncomplete))
-			t.Logf("%d bytes read", conn.read)
-			is.True(conn.closed)
-			is.True(conn.read <= maxAnswerBytes+readAhead)
+			t.Logf("%d bytes read", conn.BytesRead())
+			is.True(conn.IsClosed())
+			is.True(conn.BytesRead() <= maxAnswerBytes+endlesstest.ReadAhead)
 		})
 	}
 }
