Clients of the older processes bound the bodies that they read

Callers saw (not played with processes): the HTTP client of quince-entry and quince-coord, which asks the platform and asks replicas whether they drain, read any body as a whole. A head with a length of 1 TB ended the process at once ("fatal error: runtime: out of memory"): the library takes the memory for a stated length before anything of it arrives. A body without a length was held until the call's time was over.

Cause: the library bounds heads, chunk lines and interim answers, but bodies only if a limit is set, and none was.

Change: bodies of more than 16 MiB fail the call (maxAnswerBytes), as those of the node's store do.

--- a/transport/endlesstest/endlesstest.go
+++ b/transport/endlesstest/endlesstest.go
@@ -23,13 +23,12 @@
 // Conn is a connection to a server that writes a beginning and then a block again and again. It
 // counts what is read.
 type Conn struct {
-	net.Conn // nil; what tests don't use
-	mu       sync.Mutex
-	text     string // is being read
-	block    string
-	at       int // bytes of the text that are read
-	read     int // bytes
-	closed   bool
+	mu     sync.Mutex
+	text   string // is being read
+	block  string
+	at     int // bytes of the text that are read
+	read   int // bytes
+	closed bool
 }
 
 // New returns a connection to such a server.
@@ -77,6 +76,12 @@
 // SetWriteDeadline implements net.Conn.
 func (c *Conn) SetWriteDeadline(time.Time) error { return nil }
 
+// LocalAddr implements net.Conn.
+func (c *Conn) LocalAddr() net.Addr { return &net.TCPAddr{} }
+
+// RemoteAddr implements net.Conn.
+func (c *Conn) RemoteAddr() net.Addr { return &net.TCPAddr{} }
+
 // BytesRead returns how many bytes were read.
 func (c *Conn) BytesRead() int {
 	c.mu.Lock()
--- a/transport/web/client.go
+++ b/transport/web/client.go
@@ -6,7 +6,11 @@
 	"github.com/valyala/fasthttp"
 )
 
-const clientIdleTimeout = 5 * time.Second // after a longer time another process may listen on the address
+const (
+	clientIdleTimeout = 5 * time.Second // after a longer time another process may listen on the address
+	// maxAnswerBytes is the size of the longest body of an answer, which is read as a whole.
+	maxAnswerBytes = 16 << 20
+)
 
 // NewClient returns an HTTP client that sends each request once. By default the
 // library resends a PUT whose connection was closed without an answer; retries
@@ -16,5 +20,6 @@
 		MaxIdemponentCallAttempts: 1,
 		RetryIfErr:                func(*fasthttp.Request, int, error) (bool, bool) { return false, false },
 		MaxIdleConnDuration:       clientIdleTimeout,
+		MaxResponseBodySize:       maxAnswerBytes,
 	}
 }
