A peer's first frame has a time

Callers saw nothing. A peer that opened a stream and sent no first frame, or a part of it, or a byte of it now and then, held the stream, a worker and up to 8 MiB at its receiver for as long as its session answered pings.

Cause: the requesting side gives each call a time; the receiving side waited for the first frame without one.

Change: the first frame of a stream must be whole 8 s after the stream has come (firstFrameTimeout), else the stream is closed. What comes after it has the times of its handlers, as before.

Bytes that are no frame ended their stream before, too: less than 1 MiB of them are taken.

--- a/transport/link/server.go
+++ b/transport/link/server.go
@@ -3,6 +3,7 @@
 import (
 	"net"
 	"sync"
+	"time"
 
 	"github.com/gravitational/trace"
 	"github.com/hashicorp/yamux"
@@ -14,11 +15,16 @@
 // closed when the handler returns.
 type Handler func(k frame.Kind, first []byte, stream net.Conn)
 
+// firstFrameTimeout is the time for the whole of a stream's first frame, which a peer sends as it opens the
+// stream. The longest takes half of it on a link of 20 Mbit/s.
+const firstFrameTimeout = 8 * time.Second
+
 // Server accepts sessions from peers.
 type Server struct {
 	ln       net.Listener
 	traffic  *Traffic
 	handler  Handler
+	patience time.Duration // for the first frame of a stream
 	mu       sync.Mutex
 	sessions map[*muxSession]struct{}
 	closed   bool
@@ -26,11 +32,15 @@
 
 // Listen starts a server on addr that adds its bytes to t.
 func Listen(addr string, h Handler, t *Traffic) (*Server, error) {
+	return listen(addr, h, t, firstFrameTimeout)
+}
+
+func listen(addr string, h Handler, t *Traffic, patience time.Duration) (*Server, error) {
 	ln, err := net.Listen("tcp", addr)
 	if err != nil {
 		return nil, trace.Wrap(err, "listening on %s", addr)
 	}
-	s := &Server{ln: ln, traffic: t, handler: h, sessions: make(map[*muxSession]struct{})}
+	s := &Server{ln: ln, traffic: t, handler: h, patience: patience, sessions: make(map[*muxSession]struct{})}
 	go s.accept()
 	return s, nil
 }
@@ -78,8 +88,9 @@
 
 func (s *Server) serveStream(st *yamux.Stream) {
 	defer st.Close()
+	_ = st.SetReadDeadline(time.Now().Add(s.patience))
 	k, first, err := frame.ReadRaw(st)
-	if err != nil {
+	if err != nil || st.SetReadDeadline(time.Time{}) != nil {
 		return
 	}
 	s.handler(k, first, st)
