Trailers of a stream of tokens end its connection

Callers could see (not played with processes): the same as with trailers of other answers, at quince-entry: the rest of a trailer came where the answer to the next call was due, whose outcome was then unknown.

Cause: the two bytes after the last chunk were discarded, whatever they were, and the connection was kept.

Change: both readers share one check (readChunksEnd). The stream is whole by its count and digest, as before; its connection is closed if trailers follow.

Measured in the package's test: with "A:" in place of the line end the connection was among the idle ones before, and is closed after; with a line end it is kept, before and after.

--- a/transport/upstream/call.go
+++ b/transport/upstream/call.go
@@ -39,6 +39,8 @@
 	Refused     bool     // the replica reports that it did not run the call
 	Draining    bool     // the replica reports that it is draining
 	Incarnation uint64   // of the replica
+
+	endsConnection bool // unread bytes follow it
 }
 
 // Digest returns the xxhash64 of b in hex, by which inputs and outputs are
@@ -57,6 +59,10 @@
 		}
 		return a, err
 	}
+	if a.endsConnection {
+		cn.Close()
+		return a, nil
+	}
 	cn.client.putIdle(cn)
 	return a, nil
 }
@@ -154,9 +160,11 @@
 			return err
 		}
 	}
-	if _, err := cn.r.Discard(len("\r\n")); err != nil { // after the last chunk
+	hasTrailers, err := cn.readChunksEnd()
+	if err != nil {
 		return errors.Join(ErrIncomplete, err)
 	}
+	a.endsConnection = hasTrailers
 	return verifyEnd(c, a, end)
 }
 
--- a/transport/upstream/endless_test.go
+++ b/transport/upstream/endless_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"strings"
@@ -167,6 +168,28 @@
 	}
 }
 
+// Guards against an answer of bytes that follow a stream of tokens: the same at quince-entry.
+func TestTrailerOfTokensEndsItsConnection(t *testing.T) {
+	c := &Call{Request: "r", Stage: "s", Attempt: 1, Deadline: time.Now().Add(time.Minute)}
+	events := fmt.Sprintf("event: end\ndata: {\"count\":0,\"digest\":%q}\n", Digest(nil))
+	head := tokensHead + "Transfer-Encoding: chunked\r\n\r\n" + fmt.Sprintf("%x\r\n%s\r\n0\r\n", len(events), events)
+	for end, isReused := range map[string]bool{"\r\n": true, "A:": false} {
+		t.Run(end, func(t *testing.T) {
+			is := is.New(t)
+			conn := &pausingConn{parts: []string{head, end}}
+			client := New()
+			_, err := client.wrap("replica", conn).Do(newDispatchToken(t), c)
+			is.NoErr(err)
+			is.Equal(conn.closed, !isReused)
+			is.Equal(len(client.idle["replica"]) == 1, isReused)
+		})
+	}
+}
+
+// tokensHead is the beginning of the head of an answer to the call of these tests.
+var tokensHead = "HTTP/1.1 200 OK\r\n" + api.HeaderRequest + ": r\r\n" + api.HeaderStage + ": s\r\n" + api.HeaderAttempt + ": 1\r\n" +
+	api.HeaderInputDigest + ": " + Digest(nil) + "\r\n"
+
 // BOUND: a replica that writes on after a whole answer, once its connection is idle, is cut off although
 // no request follows on it.
 func TestIdleConnectionOnWhichAReplicaWritesIsClosed(t *testing.T) {
@@ -201,16 +224,14 @@
 // is complete, and tokens until the stream is checked.
 func TestTokensWithoutEndAreGivenUp(t *testing.T) {
 	c := &Call{Request: "r", Stage: "s", Attempt: 1, Deadline: time.Now().Add(time.Minute)}
-	head := "HTTP/1.1 200 OK\r\n" + api.HeaderRequest + ": r\r\n" + api.HeaderStage + ": s\r\n" + api.HeaderAttempt + ": 1\r\n" +
-		api.HeaderInputDigest + ": " + Digest(nil) + "\r\n"
-	chunked := head + "Transfer-Encoding: chunked\r\n\r\n"
+	chunked := tokensHead + "Transfer-Encoding: chunked\r\n\r\n"
 	cases := map[string]*endlesstest.Conn{
 		"a line":            endlesstest.New(chunked+greatChunk, endlesstest.Text),
 		"a token's line":    endlesstest.New(chunked+greatChunk+"data: ", endlesstest.Text),
 		"tokens":            endlesstest.New(chunked+greatChunk, "data: {\"text\":\""+endlesstest.Text+"\"}\n"),
 		"lines for nothing": endlesstest.New(chunked+greatChunk, "\n"),
-		"great length":      endlesstest.New(head+"Content-Length: 1000000000000\r\n\r\n", endlesstest.Text),
-		"no length":         endlesstest.New(head+"\r\n", endlesstest.Text),
+		"great length":      endlesstest.New(tokensHead+"Content-Length: 1000000000000\r\n\r\n", endlesstest.Text),
+		"no length":         endlesstest.New(tokensHead+"\r\n", endlesstest.Text),
 	}
 	for name, conn := range cases {
 		t.Run(name, func(t *testing.T) {
--- a/transport/upstream/exchange.go
+++ b/transport/upstream/exchange.go
@@ -161,7 +161,7 @@
 		return n, errors.Join(ErrIncomplete, io.ErrUnexpectedEOF)
 	}
 	if x.chunked {
-		if err := x.endChunks(); err != nil {
+		if x.hasTrailers, err = x.conn.readChunksEnd(); err != nil {
 			return n, errors.Join(ErrIncomplete, err)
 		}
 	}
@@ -172,15 +172,12 @@
 	return n, io.EOF
 }
 
-// endChunks reads the line end after the last chunk. Trailers may come in its place: they belong to
-// no body, have no bound and are not read.
-func (x *Exchange) endChunks() error {
+// readChunksEnd reads the line end after the last chunk. Trailers may come in its place: they belong to
+// no body, have no bound and are not read, and no answer can follow them.
+func (cn *Conn) readChunksEnd() (hasTrailers bool, err error) {
 	var end [len("\r\n")]byte
-	if _, err := io.ReadFull(x.conn.r, end[:]); err != nil {
-		return err
-	}
-	x.hasTrailers = string(end[:]) != "\r\n"
-	return nil
+	_, err = io.ReadFull(cn.r, end[:])
+	return string(end[:]) != "\r\n", err
 }
 
 // IsFramed reports whether the head states where the body ends, by its length or by chunks. A
