--- a/cmd/node/stream.go
+++ b/cmd/node/stream.go
@@ -14,6 +14,7 @@
 type streamState struct {
 	headersSent bool
 	lastEventID string // ID of the last complete event that has one
+	isAnswer    bool   // what was sent is no stream, so that no other attempt can continue it
 }
 
 // forwardStream forwards events as they arrive, each one complete. A client that reads
@@ -49,12 +50,13 @@
 func (a *attempt) receiveEvents(q *eventstream.Queue, timer *time.Timer) error {
 	events := eventstream.NewReader(a.exchange)
 	lastEventAt := time.Duration(0) // 0: no event yet
+	received := 0                   // bytes
 	for {
 		e, err := events.Next()
 		if err == io.EOF {
 			return a.checkUnframedEnd()
 		}
-		if err != nil {
+		if received += len(e.Bytes); err != nil || received > maxAnswerBytes {
 			return a.abortReasonOr(errStreamBroken)
 		}
 		if lastEventAt == 0 {
--- a/transport/upstream/call.go
+++ b/transport/upstream/call.go
@@ -39,6 +39,8 @@
 	Refused     bool     // the replica reports that it did not run the call
 	Draining    bool     // the replica reports that it is draining
 	Incarnation uint64   // of the replica
+
+	endsConnection bool // unread bytes follow it
 }
 
 // Digest returns the xxhash64 of b in hex, by which inputs and outputs are
@@ -57,6 +59,10 @@
 		}
 		return a, err
 	}
+	if a.endsConnection {
+		cn.Close()
+		return a, nil
+	}
 	cn.client.putIdle(cn)
 	return a, nil
 }
@@ -135,11 +141,15 @@
 
 // readStream reads server-sent tokens up to the end event and verifies them.
 func (cn *Conn) readStream(c *Call, a *Answer) error {
-	body := newLineReader(httputil.NewChunkedReader(cn.r))
+	limited := &io.LimitedReader{R: httputil.NewChunkedReader(cn.r), N: maxAnswerBytes}
+	body := newLineReader(limited)
 	ended := false
 	var end StreamEnd
 	for {
 		line, err := body.next()
+		if limited.N == 0 {
+			return ErrIncomplete // too long
+		}
 		if err == io.EOF && ended {
 			break
 		}
@@ -150,9 +160,11 @@
 			return err
 		}
 	}
-	if _, err := cn.r.Discard(len("\r\n")); err != nil { // after the last chunk
+	hasTrailers, err := cn.readChunksEnd()
+	if err != nil {
 		return errors.Join(ErrIncomplete, err)
 	}
+	a.endsConnection = hasTrailers
 	return verifyEnd(c, a, end)
 }
 
--- a/transport/upstream/exchange.go
+++ b/transport/upstream/exchange.go
@@ -27,6 +27,19 @@
 // connection.
 const maxWrongAnswers = 2
 
+// maxSkippedBytes is how many bytes of bodies of answers to other requests are skipped on one
+// connection, so that a late answer does not cost it. A longer answer is given up with it.
+const maxSkippedBytes = 1 << 20
+
+// Errors of an answer that comes after more than is skipped.
+var (
+	errInterimAnswers  = errors.New("upstream: too many interim answers")
+	errLongWrongAnswer = errors.New("upstream: the answer to another request is too long")
+)
+
+// maxInterimAnswers is how many interim answers (1xx) may come before an answer.
+const maxInterimAnswers = 8
+
 // writeErrorDelay is the time in which a write of a request hears that its connection was reset,
 // after the reader of the answer has seen the end.
 const writeErrorDelay = 10 * time.Millisecond
@@ -36,15 +49,16 @@
 type Exchange struct {
 	Header fasthttp.ResponseHeader
 
-	conn     *Conn
-	noBody   bool
-	written  chan struct{} // closed when a concurrent write of the request has ended; nil if that was before Begin returned
-	writeErr error         // how it ended; set before written is closed
-	body     io.Reader
-	chunked  bool
-	unframed bool // the body ends with the connection
-	complete bool
-	released bool
+	conn        *Conn
+	noBody      bool
+	written     chan struct{} // closed when a concurrent write of the request has ended; nil if that was before Begin returned
+	writeErr    error         // how it ended; set before written is closed
+	body        io.Reader
+	chunked     bool
+	unframed    bool // the body ends with the connection
+	hasTrailers bool // unread ones follow the body
+	complete    bool
+	released    bool
 }
 
 // Begin writes a request; from then on it may have been executed.
@@ -73,6 +87,7 @@
 // ReadHead reads the answer's header. It skips late answers to other requests,
 // for which isOwn returns false.
 func (x *Exchange) ReadHead(isOwn func(*fasthttp.ResponseHeader) bool) error {
+	left := int64(maxSkippedBytes)
 	for range maxWrongAnswers + 1 {
 		if err := x.readOneHead(); err != nil {
 			return err
@@ -80,25 +95,25 @@
 		if isOwn(&x.Header) {
 			return nil
 		}
-		if _, err := io.Copy(io.Discard, x); err != nil {
+		if x.unframed { // no answer follows it
+			return ErrWrongRequest
+		}
+		n, err := io.Copy(io.Discard, io.LimitReader(x, left))
+		if err != nil {
 			return errors.Join(ErrWrongRequest, err)
 		}
-		if !x.complete || x.Header.ContentLength() == lengthUnknown {
-			return ErrWrongRequest
+		if !x.complete || x.hasTrailers {
+			return errors.Join(ErrWrongRequest, errLongWrongAnswer)
 		}
+		left -= n
 	}
 	return ErrWrongRequest
 }
 
 func (x *Exchange) readOneHead() error {
-	x.complete, x.chunked, x.unframed, x.body = false, false, false, nil
-	for {
-		if err := x.Header.Read(x.conn.r); err != nil {
-			return errors.Join(ErrIncomplete, err)
-		}
-		if x.Header.StatusCode() >= fasthttp.StatusOK {
-			break
-		}
+	x.complete, x.chunked, x.unframed, x.hasTrailers, x.body = false, false, false, false, nil
+	if err := x.readFinalHeader(); err != nil {
+		return err
 	}
 	length := x.Header.ContentLength()
 	switch {
@@ -116,6 +131,19 @@
 	return nil
 }
 
+// readFinalHeader reads a header after the interim answers before it.
+func (x *Exchange) readFinalHeader() error {
+	for range maxInterimAnswers + 1 {
+		if err := x.Header.Read(x.conn.r); err != nil {
+			return errors.Join(ErrIncomplete, err)
+		}
+		if x.Header.StatusCode() >= fasthttp.StatusOK {
+			return nil
+		}
+	}
+	return errors.Join(ErrIncomplete, errInterimAnswers)
+}
+
 // Read reads the answer's body; it returns io.EOF once the body is complete. Only io.EOF itself
 // is an end: an error that merely wraps it tells of a connection that broke.
 func (x *Exchange) Read(b []byte) (int, error) {
@@ -133,7 +161,7 @@
 		return n, errors.Join(ErrIncomplete, io.ErrUnexpectedEOF)
 	}
 	if x.chunked {
-		if _, err := x.conn.r.Discard(len("\r\n")); err != nil { // after the last chunk
+		if x.hasTrailers, err = x.conn.readChunksEnd(); err != nil {
 			return n, errors.Join(ErrIncomplete, err)
 		}
 	}
@@ -144,6 +172,14 @@
 	return n, io.EOF
 }
 
+// readChunksEnd reads the line end after the last chunk. Trailers may come in its place: they belong to
+// no body, have no bound and are not read, and no answer can follow them.
+func (cn *Conn) readChunksEnd() (hasTrailers bool, err error) {
+	var end [len("\r\n")]byte
+	_, err = io.ReadFull(cn.r, end[:])
+	return string(end[:]) != "\r\n", err
+}
+
 // IsFramed reports whether the head states where the body ends, by its length or by chunks. A
 // body that is not framed ends with the connection, and looks the same if that breaks.
 func (x *Exchange) IsFramed() bool { return !x.unframed }
@@ -168,7 +204,7 @@
 }
 
 func (x *Exchange) canReuse(idle time.Duration) bool {
-	if !x.complete || idle <= 0 || x.Header.ConnectionClose() || x.Header.ContentLength() == lengthUnknown {
+	if !x.complete || x.hasTrailers || idle <= 0 || x.Header.ConnectionClose() || x.Header.ContentLength() == lengthUnknown {
 		return false
 	}
 	if x.written != nil {
--- a/transport/upstream/upstream.go
+++ b/transport/upstream/upstream.go
@@ -36,7 +36,8 @@
 	dialTimeout    = 300 * time.Millisecond
 	maxIdleConns   = 32               // per replica
 	idleTimeout    = 20 * time.Second // below the idle timeout of the replicas' servers
-	maxAnswerBytes = 4 << 20          // of an answer's body
+	maxAnswerBytes = 4 << 20          // of an answer's body, or of all lines of a stream
+	maxHeadBytes   = 4 << 10          // of an answer's head: it must fit into the buffer of its reader
 )
 
 // Dialer opens a connection to an address within a time limit.
@@ -123,7 +124,7 @@
 }
 
 func (c *Client) wrap(addr string, n net.Conn) *Conn {
-	return &Conn{client: c, addr: addr, net: n, r: bufio.NewReader(n), w: bufio.NewWriter(n)}
+	return &Conn{client: c, addr: addr, net: n, r: bufio.NewReaderSize(n, maxHeadBytes), w: bufio.NewWriter(n)}
 }
 
 // Relayed returns a connection to addr that a peer opened and relays.
@@ -179,18 +180,15 @@
 }
 
 // CloseIdleExcept closes the idle connections to all addresses for which keep returns
-// false.
+// false, and to the others those that carry no further request: a replica may write on one for as
+// long as nobody closes it. It is called every few seconds.
 func (c *Client) CloseIdleExcept(keep func(address string) bool) {
 	c.mu.Lock()
-	defer c.mu.Unlock()
-	for addr, list := range c.idle {
-		if keep(addr) {
-			continue
-		}
-		for _, cn := range list {
-			_ = cn.net.Close()
-		}
-		delete(c.idle, addr)
+	addrs := slices.Collect(maps.Keys(c.idle))
+	c.mu.Unlock()
+	for _, addr := range addrs {
+		isKept := keep(addr)
+		c.closeIdle(addr, func(cn *Conn) bool { return !isKept || !cn.canReuse() })
 	}
 }
 
