A request that was refused is not sent again over the same connection

Cause: a replica may send an answer once more, where the next one on its connection is due; the id tells the two apart. A request that is sent to the same replica again after a backoff, or after its stages were run again, has the id of its own first send: the copy of the refusal looked like the refusal of the second send, which runs. The request was marked as not run and sent elsewhere (TWICE), or refused (REFUSED).

--- a/cmd/node/answer.go
+++ b/cmd/node/answer.go
@@ -20,6 +20,9 @@
 // forwardAnswer passes an answer to the client after its headers have arrived.
 func (a *attempt) forwardAnswer(timer *time.Timer) error {
 	status := a.exchange.Header.StatusCode()
+	if a.head.NotRun {
+		a.conn.RecordRefused(a.req.ID)
+	}
 	switch {
 	case a.head.NotRun && status == http.StatusConflict:
 		_, _ = io.Copy(io.Discard, a.exchange)
--- a/cmd/node/attempt.go
+++ b/cmd/node/attempt.go
@@ -68,7 +68,7 @@
 	}
 	slotEnd := advisory.LeaseUnused
 	defer func() { lease.End(slotEnd) }()
-	conn, err := n.connectReplica(ctx, targetOf(&r), replicaConnectTimeout)
+	conn, err := n.connectReplica(ctx, targetOf(&r), s.req.ID, replicaConnectTimeout)
 	if err != nil {
 		if !isDone(ctx) {
 			s.recordHealth(r.ID, health.Unreachable)
--- a/cmd/node/replica_calls.go
+++ b/cmd/node/replica_calls.go
@@ -179,7 +179,7 @@
 	slotEnd := advisory.LeaseUnused
 	defer func() { lease.End(slotEnd) }()
 	target := replicaTarget{id: c.source.incarnation, service: c.source.service, address: c.call.Address}
-	cn, err := n.connectReplica(ctx, target, callConnectTimeout)
+	cn, err := n.connectReplica(ctx, target, "", callConnectTimeout)
 	if err != nil {
 		return platform.ResponseHead{}, err
 	}
--- a/cmd/node/replica_dial.go
+++ b/cmd/node/replica_dial.go
@@ -16,9 +16,10 @@
 	return replicaTarget{id: r.ID, service: r.Service, address: r.Address}
 }
 
-// connectReplica returns a connection to a replica, a pooled one if there is one.
-func (n *Node) connectReplica(ctx context.Context, t replicaTarget, within time.Duration) (*upstream.Conn, error) {
-	if cn := n.replicaClient.IdleConn(t.address); cn != nil {
+// connectReplica returns a connection to a replica for a client's request, or for a call if
+// request is "": a pooled one if there is one.
+func (n *Node) connectReplica(ctx context.Context, t replicaTarget, request string, within time.Duration) (*upstream.Conn, error) {
+	if cn := n.replicaClient.IdleConnFor(t.address, request); cn != nil {
 		return cn, nil
 	}
 	if deadline, ok := ctx.Deadline(); ok {
--- a/transport/upstream/upstream.go
+++ b/transport/upstream/upstream.go
@@ -81,6 +81,7 @@
 	relayedBy string // name of the peer that relays it; "": none
 	lastUsed  time.Duration
 	handed    [][]handedHash // what its last answers handed out, the latest last
+	refused   []uint64       // hashes of the requests that were refused on it last
 	idleUntil time.Duration  // when the upstream may close the idle connection; 0: idleTimeout after lastUsed
 }
 
@@ -94,9 +95,13 @@
 }
 
 // IdleConn returns an idle connection to addr that can be reused, or nil.
-func (c *Client) IdleConn(addr string) *Conn {
+func (c *Client) IdleConn(addr string) *Conn { return c.IdleConnFor(addr, "") }
+
+// IdleConnFor returns an idle connection to addr over which a request can be sent, or nil. It
+// closes those on which the request was refused.
+func (c *Client) IdleConnFor(addr, request string) *Conn {
 	for cn := c.popIdle(addr); cn != nil; cn = c.popIdle(addr) {
-		if cn.canReuse() {
+		if cn.canReuse() && !cn.hasRefused(request) {
 			return cn
 		}
 		cn.Close()
