A refusal that names no request proves nothing on a connection that was used before

Cause: an answer of 400 and up without an id was taken for the request's own, and with Not-Executed (or 421) for proof that it was not run. Calls to the replica on the same connection (reports, lists of what it keeps) bear no id, and their refusals don't either; a copy of one that comes where the next answer is due was read as the refusal of a request that ran: run elsewhere (TWICE), or refused (REFUSED).

Change: such a refusal counts only on a connection that was not used before. Elsewhere the request may have run: a kind of doubt (sendresult.EndDoubtful) that speaks against nobody, and the connection is closed.

--- a/cmd/node/answer.go
+++ b/cmd/node/answer.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"errors"
 	"io"
 	"net/http"
 	"time"
@@ -22,6 +23,10 @@
 	status := a.exchange.Header.StatusCode()
 	if a.head.NotRun {
 		a.conn.RecordRefused(a.req.ID)
+		if !a.isOwnRefusal() {
+			a.conn.Close()
+			return errRefusalUnnamed
+		}
 	}
 	switch {
 	case a.head.NotRun && status == http.StatusConflict:
@@ -67,6 +72,15 @@
 	return nil
 }
 
+// errRefusalUnnamed is the error of a refusal that may be that of an earlier exchange.
+var errRefusalUnnamed = errors.New("a refusal that names no request came on a connection that was used before")
+
+// isOwnRefusal reports whether a refusal is one of this request: it names it, or no other
+// answer can come on its connection.
+func (a *attempt) isOwnRefusal() bool {
+	return string(a.exchange.Header.Peek(platform.HeaderRequestID)) == a.req.ID || !a.conn.IsReused()
+}
+
 // forwardRest passes on the rest of a long answer as it arrives. A client that reads slowly
 // holds up the replica.
 func (a *attempt) forwardRest() error {
--- a/cmd/node/attempt.go
+++ b/cmd/node/attempt.go
@@ -162,7 +162,7 @@
 		return sendresult.ResponseTimeout
 	case errors.Is(err, errClientGone), errors.Is(err, errQuarantined):
 		return sendresult.ClientGone
-	case errors.Is(err, errEndDoubtful):
+	case errors.Is(err, errEndDoubtful), errors.Is(err, errRefusalUnnamed):
 		return sendresult.EndDoubtful
 	case isDone(ctx):
 		return sendresult.DeadlineExceeded
--- a/coordination/sendresult/sendresult.go
+++ b/coordination/sendresult/sendresult.go
@@ -27,7 +27,7 @@
 	DeadlineExceeded             // ended by this instance: the request's deadline passed
 	ClientGone                   // the client closed its connection
 	LinkLost                     // no answer can arrive: this instance is cut off from a sound replica
-	EndDoubtful                  // the answer ended with its connection, and nobody could tell whether its replica runs
+	EndDoubtful                  // nobody could tell whether the answer is complete, or whether it is the request's own
 )
 
 // VersionEvidence is what an end means for the version of the replica's software.
