An instance that relays lets go of the replica when the requesting one is silent

Cause: a relayed attempt is cancelled by closing the stream to the peer that relays. When the link to it is silent, the close does not arrive; the peer notices by its keepalive, up to 3 s later. The stream went on at another replica meanwhile (after its objective, or 2.5 s without an event), and the first one worked on: TWICE, as the peer is in touch and reaches the replica. The second send often took an idle connection through the same silent peer, and its answer broke off, too.

The requesting one waits for the end of the relay before a stream goes on elsewhere: one round trip, or 0.7 s if the peer is silent, by when that has let go. Idle connections through a silent peer are closed.

--- a/cmd/node/attempt.go
+++ b/cmd/node/attempt.go
@@ -112,6 +112,9 @@
 		defer n.trackSuspect(s.fingerprint, r.ID)()
 	}
 	err = a.sendAndReceive(ctx, fetchFrom)
+	if err != nil && !isDone(ctx) {
+		a.awaitRelayEnd()
+	}
 	kind := a.finish(ctx, err)
 	slotEnd = leaseEnd(kind, a.head.Backoff > 0)
 	return err
--- a/cmd/node/node.go
+++ b/cmd/node/node.go
@@ -99,6 +99,7 @@
 	customers         customers.Counts    // has its own lock; no other is acquired under it
 	heldAnswers       *eventstream.Held   // has its own lock; no other is acquired under it
 	replicaLinks      *replicaLinks       // has its own lock; no other is acquired under it
+	relayWatch        *link.Watch         // of the peers that connections are relayed for; has its own lock
 	origins           *origins.Keeper     // has its own lock; no other is acquired under it
 	slots             *slotlease.Service  // has its own lock; no other is acquired under it
 	trials            *triallease.Service // has its own lock; no other is acquired under it
@@ -147,6 +148,7 @@
 		advisories:        newAdvisories(),
 		heldAnswers:       eventstream.NewHeld(s.MemoryMB * bytesPerMB),
 		replicaLinks:      newReplicaLinks(s.MemoryMB),
+		relayWatch:        link.NewWatch(relayWatchInterval, relayWatchLimit),
 		storeMonitor:      newStoreMonitor(),
 		jitter:            jitterOf(s.Name),
 		detector:          health.New(health.DefaultOptions()),
--- a/cmd/node/relay.go
+++ b/cmd/node/relay.go
@@ -17,6 +17,7 @@
 	"quinceroad/protocol/event"
 	"quinceroad/protocol/frame"
 	"quinceroad/protocol/pb"
+	"quinceroad/state/catalog"
 	"quinceroad/transport/relay"
 )
 
@@ -34,6 +35,14 @@
 	relayMemoryShare = 0.1
 	maxRelayedMB     = 0.3
 	minRelayed       = 16 // connections that are relayed for peers in any case
+	// While an instance relays, it asks the requesting one whether it is there: what
+	// that one goes on with elsewhere must not run here as well. The limit is above the
+	// pauses of a busy process.
+	relayWatchInterval = 150 * time.Millisecond
+	relayWatchLimit    = 500 * time.Millisecond
+	// relayEndWait is the time in which a relaying instance lets go of a replica after the
+	// requesting one has closed the connection, or is not heard any more.
+	relayEndWait = relayWatchInterval + relayWatchLimit + relayWatchLimit/10
 )
 
 // relayResult is how a peer's try to connect to a replica ended. The numbers are stable.
@@ -53,6 +62,8 @@
 	errNoPeer            = errors.New("no peer can relay a connection")
 	errPeersNotConnected = errors.New("peers do not reach the replica either")
 	errPeersUnclear      = errors.New("no peer knows whether the replica can be reached")
+	errRequesterSilent   = errors.New("the instance that it is relayed for is not heard")
+	errRelaySilent       = errors.New("the peer that relays it is not heard")
 	// errPeersRefused also matches errPeersNotConnected.
 	errPeersRefused = fmt.Errorf("%w: its port refuses them", errPeersNotConnected)
 )
@@ -219,6 +230,10 @@
 		return
 	}
 	n.counters.peerConnections.Inc(1)
+	defer n.relayWatch.Add(stream, func() {
+		_ = conn.Close()
+		n.logSideCallFailure("relay for", stream.RemoteAddr().String(), errRequesterSilent)
+	})()
 	relay.Serve(stream, conn)
 }
 
@@ -256,6 +271,18 @@
 // relayedForPeers returns how many connections this instance relays.
 func (n *Node) relayedForPeers() int { return len(n.replicaLinks.served) }
 
+// awaitRelayEnd waits until a stream that was sent through a peer has ended there, before it
+// goes on elsewhere. Idle connections through a silent peer would hang as well.
+func (a *attempt) awaitRelayEnd() {
+	if a.route.Kind != catalog.Stream || !a.canFailOver() || !a.conn.AwaitRelayEnd(relayEndWait) {
+		return
+	}
+	n, silent := a.node, a.conn.RelayedBy()
+	n.logSideCallFailure("end a relayed stream", silent, errRelaySilent)
+	n.replicaLinks.recordPeerFailure(n.now(), silent)
+	n.replicaClient.CloseIdleThrough(func(peer string) bool { return peer == silent })
+}
+
 // leaveStoppingRelays closes the idle connections through instances that are stopping, which
 // wait for those that they relay.
 func (n *Node) leaveStoppingRelays(live []gossip.Instance) {
--- a/transport/relay/relay.go
+++ b/transport/relay/relay.go
@@ -90,13 +90,19 @@
 	return nil
 }
 
-// readError returns the error for one of the stream. The stream's own end is none of the
-// replica's.
+// readError returns the error of a Read for one of the stream.
 func (c *Conn) readError(err error) error {
+	if c.isClosed.Load() {
+		return net.ErrClosed
+	}
+	return c.streamError(err)
+}
+
+// streamError returns the error for one of the stream. The stream's own end is none of the
+// replica's.
+func (c *Conn) streamError(err error) error {
 	var timeout net.Error
 	switch {
-	case c.isClosed.Load():
-		return net.ErrClosed
 	case errors.As(err, &timeout) && timeout.Timeout():
 		return os.ErrDeadlineExceeded
 	case errors.Is(err, io.EOF):
@@ -113,6 +119,17 @@
 	return err
 }
 
+// AwaitEnd waits until the relaying end of a closed connection has let go of the replica, for
+// at most d, and reports whether that end was silent for so long. Of a connection that is not
+// closed it returns at once.
+func (c *Conn) AwaitEnd(d time.Duration) (isSilent bool) {
+	if !c.isClosed.Load() || c.Conn.SetReadDeadline(time.Now().Add(d)) != nil {
+		return false
+	}
+	_, err := io.Copy(io.Discard, c.Conn) // its close of the stream follows that of its connection
+	return errors.Is(c.streamError(err), os.ErrDeadlineExceeded)
+}
+
 // IsIdle reports whether the connection is open and has nothing to read.
 func (c *Conn) IsIdle() bool {
 	if c.left > 0 || c.hasEnded || c.isClosed.Load() || c.Conn.SetReadDeadline(time.Unix(1, 0)) != nil {
--- a/transport/upstream/upstream.go
+++ b/transport/upstream/upstream.go
@@ -143,6 +143,9 @@
 	net.Conn
 	// IsIdle reports whether the connection is open and has nothing to read.
 	IsIdle() bool
+	// AwaitEnd waits until the relaying end of a closed connection has let go of the
+	// replica, for at most d, and reports whether it was silent for so long.
+	AwaitEnd(d time.Duration) (isSilent bool)
 }
 
 // IsRelayed reports whether a peer relays the connection.
@@ -257,6 +260,14 @@
 // progress.
 func (cn *Conn) Close() { _ = cn.net.Close() }
 
+// AwaitRelayEnd waits until the peer that relays a connection that was closed has let go of the
+// replica, for at most d, and reports whether the peer was silent for so long. It returns at once
+// if no peer relays it, or if it is not closed.
+func (cn *Conn) AwaitRelayEnd(d time.Duration) (isSilent bool) {
+	r, ok := cn.net.(RelayedConn)
+	return ok && r.AwaitEnd(d)
+}
+
 // isIdle reports whether an idle connection is open and has nothing to read. A
 // request on a closed one would be lost, and unread bytes are a late answer.
 func isIdle(c net.Conn) bool {
