A replica's 408, 429 or 503 that does not state Not-Executed is no promise to a client

Cause: an answer of a replica is passed on as it is. To a client 408, 429 and 503 promise that its request was not run and never will; of a replica only Not-Executed says that. A 503 of a replica that had run an unsafe request reached the client as a promise (REFUSED), and the client's repeat ran it a second time.

Change: for requests that can't be repeated such an answer counts as a failure of the replica, and the client gets 502. Others are passed on as before.

--- a/cmd/node/answer.go
+++ b/cmd/node/answer.go
@@ -35,6 +35,9 @@
 	case a.head.NotRun:
 		_, _ = io.Copy(io.Discard, a.exchange)
 		return errReplicaRefused
+	case isPromise(status) && !a.canFailOver():
+		_, _ = io.Copy(io.Discard, a.exchange)
+		return errPromiseUnproven
 	case status < http.StatusMultipleChoices && !a.head.HasSignature():
 		return errAnswerBroken
 	case status < http.StatusMultipleChoices && a.route.Kind == catalog.Stream:
@@ -75,6 +78,19 @@
 // errRefusalUnnamed is the error of a refusal that may be that of an earlier exchange.
 var errRefusalUnnamed = errors.New("a refusal that names no request came on a connection that was used before")
 
+// errPromiseUnproven is the error of an answer that would tell the client that its request was
+// not run, though the replica does not state that.
+var errPromiseUnproven = errors.New("the replica's status says that it did not run the request, but it does not state so")
+
+// isPromise reports whether a status promises a client that its request was not run.
+func isPromise(status int) bool {
+	switch status {
+	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return true
+	}
+	return false
+}
+
 // isOwnRefusal reports whether a refusal is one of this request: it names it, or no other
 // answer can come on its connection.
 func (a *attempt) isOwnRefusal() bool {
--- a/cmd/node/attempt.go
+++ b/cmd/node/attempt.go
@@ -159,7 +159,7 @@
 		return sendresult.Refused
 	case errors.Is(err, errMissingInputs):
 		return sendresult.MissingInputs
-	case errors.Is(err, errReplicaFailed):
+	case errors.Is(err, errReplicaFailed), errors.Is(err, errPromiseUnproven):
 		return sendresult.Failed
 	case errors.Is(err, errReplicaTimeout):
 		return sendresult.ResponseTimeout
