A 421 that names no request counts on any connection

Cause: took each refusal without an id on a used connection for doubtful, and with it the 421 of another replica at the address, which states no id in the stand-in: an unsafe request got 502 instead of another replica.

Change: 421 is exempt.

--- a/cmd/node/answer.go
+++ b/cmd/node/answer.go
@@ -92,9 +92,9 @@
 }
 
 // isOwnRefusal reports whether a refusal is one of this request: it names it, or no other
-// answer can come on its connection.
+// answer can come on its connection. Another replica at the address refuses whatever is sent.
 func (a *attempt) isOwnRefusal() bool {
-	return string(a.exchange.Header.Peek(platform.HeaderRequestID)) == a.req.ID || !a.conn.IsReused()
+	return string(a.exchange.Header.Peek(platform.HeaderRequestID)) == a.req.ID || !a.conn.IsReused() || a.head.WrongReplica
 }
 
 // forwardRest passes on the rest of a long answer as it arrives. A client that reads slowly
