An instance that has just started does not take the whole fleet's retries

Cause: a service's retry budget was sized once, when its first request came, by the number of live instances then. After a start of all each instance sees itself alone: each took the whole slack, and kept it (BUDGET). Class: an empty view read as "there is nobody else".

Change: before it knows the others (a settled view, or 700 ms) an instance has one retry of the slack; then it gets its share, less what it has spent. The capacity follows the number of live instances; a budget that grows has to earn it, so that the sides of a partition do not get the slack once more.

An instance whose settings name no other has its share at once.

--- a/cmd/node/heartbeats.go
+++ b/cmd/node/heartbeats.go
@@ -78,15 +78,17 @@
 
 // announceToSeeds announces this instance to the seeds of the settings. The seeds may no
 // longer exist.
-func (n *Node) announceToSeeds() {
-	var to []string
+func (n *Node) announceToSeeds() { n.announceSelf(n.otherSeeds()) }
+
+// otherSeeds returns the heartbeat addresses of the seeds other than this instance.
+func (n *Node) otherSeeds() (out []string) {
 	for _, seed := range *n.seeds.Load() {
 		host, _, err := net.SplitHostPort(seed)
 		if err == nil && host != n.settings.IP {
-			to = append(to, net.JoinHostPort(host, strconv.Itoa(n.settings.HeartbeatPort)))
+			out = append(out, net.JoinHostPort(host, strconv.Itoa(n.settings.HeartbeatPort)))
 		}
 	}
-	n.announceSelf(to)
+	return out
 }
 
 // announceSelf announces this instance to the given addresses.
--- a/cmd/node/request_handler.go
+++ b/cmd/node/request_handler.go
@@ -39,12 +39,14 @@
 	// ratio.
 	retrySlackShare   = 0.6
 	retryRatioShare   = 0.75 // fraction that is used of the retry ratio
+	minRetrySlack     = 1    // an instance's share of them at least, and all that it has before it knows the others
 	failureRateWeight = 0.05 // weight of a new signal in a service's failure rate: about the last 20 count
 )
 
 // serviceRates holds this instance's retry budget and failure rate of a service.
 type serviceRates struct {
 	budget      *retry.Budget
+	hasShare    bool    // the budget is this instance's share of the slack, not that of its start
 	failureRate float64 // share of requests that fail at replicas
 }
 
@@ -197,18 +199,37 @@
 // meanwhile.
 func (s *requestHandler) withServiceRates(f func(*serviceRates)) {
 	n := s.node
-	instances := float64(n.liveInstanceCount())
+	share := max(n.settings.RetrySlack*retrySlackShare/float64(n.liveInstanceCount()), minRetrySlack)
+	knowsOthers := n.knowsOthers()
 	n.detectorMu.Lock()
 	defer n.detectorMu.Unlock()
 	r := n.rates[s.service.Name]
 	if r == nil {
-		slack := n.settings.RetrySlack * retrySlackShare / instances
-		r = &serviceRates{budget: retry.NewBudget(n.settings.RetryRatio*retryRatioShare, max(slack, 1))}
+		r = &serviceRates{budget: retry.NewBudget(n.settings.RetryRatio*retryRatioShare, minRetrySlack)}
 		n.rates[s.service.Name] = r
 	}
+	switch {
+	case r.hasShare:
+		r.budget.SetCapacity(share)
+	case knowsOthers:
+		r.budget.Fill(share)
+		r.hasShare = true
+	}
 	f(r)
 }
 
+// knowsOthers reports whether the number of live instances can be relied on: right after its
+// start an instance sees itself alone, and is so only if its settings name no other.
+func (n *Node) knowsOthers() bool {
+	now := n.now()
+	if now >= startupViewTimeout || len(n.otherSeeds()) == 0 {
+		return true
+	}
+	n.gossipMu.Lock()
+	defer n.gossipMu.Unlock()
+	return n.members.Settled(now)
+}
+
 // consumeRetryBudget reports whether one more send of the request is within this
 // instance's part of the retry budget, and consumes it if so.
 func (s *requestHandler) consumeRetryBudget() bool {
--- a/coordination/retry/retry.go
+++ b/coordination/retry/retry.go
@@ -15,6 +15,18 @@
 	return &Budget{ratio: ratio, capacity: capacity, tokens: capacity}
 }
 
+// SetCapacity changes the capacity. A budget that may hold more has to earn it.
+func (b *Budget) SetCapacity(capacity float64) {
+	b.capacity = capacity
+	b.tokens = min(b.tokens, capacity)
+}
+
+// Fill raises the capacity and fills the budget, less what was spent since it was new.
+func (b *Budget) Fill(capacity float64) {
+	b.tokens = max(b.tokens+capacity-b.capacity, 0)
+	b.capacity = capacity
+}
+
 // RecordSuccess earns a fraction of a retry.
 func (b *Budget) RecordSuccess() {
 	b.tokens = min(b.tokens+b.ratio, b.capacity)
