--- a/cmd/node/answer.go
+++ b/cmd/node/answer.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"errors"
 	"io"
 	"net/http"
 	"time"
@@ -27,6 +28,13 @@
 // forwardAnswer passes an answer to the client after its headers have arrived.
 func (a *attempt) forwardAnswer(timer *time.Timer) error {
 	status := a.exchange.Header.StatusCode()
+	if a.head.NotRun {
+		a.conn.RecordRefused(a.req.ID)
+		if !a.isOwnRefusal() {
+			a.conn.Close()
+			return errRefusalUnnamed
+		}
+	}
 	switch {
 	case a.head.NotRun && status == http.StatusConflict:
 		a.skipRefusalBody()
@@ -34,6 +42,9 @@
 	case a.head.NotRun:
 		a.skipRefusalBody()
 		return errReplicaRefused
+	case isPromise(status) && !a.canFailOver():
+		a.skipRefusalBody()
+		return errPromiseUnproven
 	case status < http.StatusMultipleChoices && !a.head.HasSignature(), a.exchange.Header.ContentLength() > maxAnswerBytes:
 		return errAnswerBroken
 	case status < http.StatusMultipleChoices && a.route.Kind == catalog.Stream:
@@ -71,6 +82,28 @@
 	return nil
 }
 
+// errRefusalUnnamed is the error of a refusal that may be that of an earlier exchange.
+var errRefusalUnnamed = errors.New("a refusal that names no request came on a connection that was used before")
+
+// errPromiseUnproven is the error of an answer that would tell the client that its request was
+// not run, though the replica does not state that.
+var errPromiseUnproven = errors.New("the replica's status says that it did not run the request, but it does not state so")
+
+// isPromise reports whether a status promises a client that its request was not run.
+func isPromise(status int) bool {
+	switch status {
+	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return true
+	}
+	return false
+}
+
+// isOwnRefusal reports whether a refusal is one of this request: it names it, or no other
+// answer can come on its connection. Another replica at the address refuses whatever is sent.
+func (a *attempt) isOwnRefusal() bool {
+	return string(a.exchange.Header.Peek(platform.HeaderRequestID)) == a.req.ID || !a.conn.IsReused() || a.head.WrongReplica
+}
+
 // skipRefusalBody reads what follows the head of a refusal. If that does not end soon, the
 // connection is closed with the exchange.
 func (a *attempt) skipRefusalBody() {
--- a/cmd/node/attempt.go
+++ b/cmd/node/attempt.go
@@ -71,7 +71,7 @@
 	}
 	slotEnd := advisory.LeaseUnused
 	defer func() { lease.End(slotEnd) }()
-	conn, err := n.connectReplica(ctx, targetOf(&r), replicaConnectTimeout)
+	conn, err := n.connectReplica(ctx, targetOf(&r), s.req.ID, replicaConnectTimeout)
 	if err != nil {
 		if !isDone(ctx) {
 			s.recordHealth(r.ID, health.Unreachable)
@@ -115,6 +115,9 @@
 		defer n.trackSuspect(s.fingerprint, r.ID)()
 	}
 	err = a.sendAndReceive(ctx, fetchFrom)
+	if err != nil && !isDone(ctx) {
+		a.awaitRelayEnd()
+	}
 	kind := a.finish(ctx, err)
 	slotEnd = leaseEnd(kind, a.head.Backoff > 0)
 	return err
@@ -159,13 +162,13 @@
 		return sendresult.Refused
 	case errors.Is(err, errMissingInputs):
 		return sendresult.MissingInputs
-	case errors.Is(err, errReplicaFailed):
+	case errors.Is(err, errReplicaFailed), errors.Is(err, errPromiseUnproven):
 		return sendresult.Failed
 	case errors.Is(err, errReplicaTimeout):
 		return sendresult.ResponseTimeout
 	case errors.Is(err, errClientGone), errors.Is(err, errQuarantined), errors.Is(err, errBuildNotLogged):
 		return sendresult.ClientGone
-	case errors.Is(err, errEndDoubtful):
+	case errors.Is(err, errEndDoubtful), errors.Is(err, errRefusalUnnamed):
 		return sendresult.EndDoubtful
 	case isDone(ctx):
 		return sendresult.DeadlineExceeded
--- a/transport/upstream/upstream.go
+++ b/transport/upstream/upstream.go
@@ -82,6 +82,7 @@
 	relayedBy string // name of the peer that relays it; "": none
 	lastUsed  time.Duration
 	handed    [][]handedHash // what its last answers handed out, the latest last
+	refused   []uint64       // hashes of the requests that were refused on it last
 	idleUntil time.Duration  // when the upstream may close the idle connection; 0: idleTimeout after lastUsed
 }
 
@@ -95,9 +96,13 @@
 }
 
 // IdleConn returns an idle connection to addr that can be reused, or nil.
-func (c *Client) IdleConn(addr string) *Conn {
+func (c *Client) IdleConn(addr string) *Conn { return c.IdleConnFor(addr, "") }
+
+// IdleConnFor returns an idle connection to addr over which a request can be sent, or nil. It
+// closes those on which the request was refused.
+func (c *Client) IdleConnFor(addr, request string) *Conn {
 	for cn := c.popIdle(addr); cn != nil; cn = c.popIdle(addr) {
-		if cn.canReuse() {
+		if cn.canReuse() && !cn.hasRefused(request) {
 			return cn
 		}
 		cn.Close()
@@ -139,6 +144,9 @@
 	net.Conn
 	// IsIdle reports whether the connection is open and has nothing to read.
 	IsIdle() bool
+	// AwaitEnd waits until the relaying end of a closed connection has let go of the
+	// replica, for at most d, and reports whether it was silent for so long.
+	AwaitEnd(d time.Duration) (isSilent bool)
 }
 
 // IsRelayed reports whether a peer relays the connection.
@@ -250,6 +258,14 @@
 // progress.
 func (cn *Conn) Close() { _ = cn.net.Close() }
 
+// AwaitRelayEnd waits until the peer that relays a connection that was closed has let go of the
+// replica, for at most d, and reports whether the peer was silent for so long. It returns at once
+// if no peer relays it, or if it is not closed.
+func (cn *Conn) AwaitRelayEnd(d time.Duration) (isSilent bool) {
+	r, ok := cn.net.(RelayedConn)
+	return ok && r.AwaitEnd(d)
+}
+
 // isIdle reports whether an idle connection is open and has nothing to read. A
 // request on a closed one would be lost, and unread bytes are a late answer.
 func isIdle(c net.Conn) bool {
