--- a/cmd/node/fake_store_test.go
+++ b/cmd/node/fake_store_test.go
@@ -20,7 +20,7 @@
 
 func (noStreams) StreamRecords(origin.Shard) ([]origin.Record, error) { return nil, errNoStreams }
 
-func (noStreams) WriteStreamRecords(string, []platform.StreamRecords, uint64) error {
+func (noStreams) WriteStreamRecords(string, []platform.RecordBatch, uint64) error {
 	return errNoStreams
 }
 
--- a/cmd/node/origins/logs.go
+++ b/cmd/node/origins/logs.go
@@ -184,6 +184,7 @@
 func (k *Keeper) Refresh() {
 	wanted := k.opts.Wanted()
 	k.logs.mu.Lock()
+	maps.DeleteFunc(k.logs.extra, func(_ string, w extraWanted) bool { return k.opts.Now() >= w.until })
 	for _, service := range append(k.logs.log.WantedServices(), slices.Collect(maps.Keys(wanted))...) {
 		k.logs.log.Want(service, wanted[service].And(k.logs.extra[service].Wanted))
 	}
@@ -200,11 +201,6 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for service, w := range l.extra {
-		if l.opts.Now() >= w.until {
-			delete(l.extra, service)
-			l.log.Want(service, wanted[service])
-			continue
-		}
 		wanted[service] = wanted[service].And(w.Wanted)
 	}
 	for service, w := range wanted {
--- a/cmd/node/origins/options.go
+++ b/cmd/node/origins/options.go
@@ -25,7 +25,7 @@
 	BuildLogs() (buildlog.Snapshot, error)
 	WriteBuildLogs(logs map[string]buildlog.Entry) error
 	StreamRecords(shard origin.Shard) ([]origin.Record, error)
-	WriteStreamRecords(name string, batches []platform.StreamRecords, lease uint64) error
+	WriteStreamRecords(name string, batches []platform.RecordBatch, lease uint64) error
 	GrantRecordsLease() (uint64, error)
 }
 
--- a/cmd/node/origins/origins.go
+++ b/cmd/node/origins/origins.go
@@ -78,6 +78,7 @@
 // few seconds.
 func (k *Keeper) Expire() {
 	k.table.expire(k.opts.Now())
+	k.Refresh()
 	k.logs.settle()
 }
 
@@ -235,7 +236,7 @@
 	k.asked.Inc(1)
 	defer k.finding.Add(-1)
 	if k.finding.Add(1) > maxFinding {
-		return origin.Unknown(origin.Several)
+		return origin.Unknown(origin.NoRecord)
 	}
 	ctx, cancel := context.WithTimeout(ctx, findTimeout)
 	defer cancel()
@@ -256,10 +257,10 @@
 				return origin.KnownBy(origin.PeersRecord, r).WithPeers(len(candidates), answered)
 			}
 		case <-ctx.Done():
-			return origin.Unknown(origin.Several).WithPeers(len(candidates), answered)
+			return origin.Unknown(origin.NoRecord).WithPeers(len(candidates), answered)
 		}
 	}
-	return origin.Unknown(origin.Several).WithPeers(len(candidates), answered)
+	return origin.Unknown(origin.NoRecord).WithPeers(len(candidates), answered)
 }
 
 // askOne asks an instance for a record, and to look into the store for it if stored is set. It
--- a/cmd/node/origins/store_test.go
+++ b/cmd/node/origins/store_test.go
@@ -93,7 +93,7 @@
 }
 
 // WriteStreamRecords implements Store.
-func (s *memoryStore) WriteStreamRecords(_ string, batches []platform.StreamRecords, _ uint64) error {
+func (s *memoryStore) WriteStreamRecords(_ string, batches []platform.RecordBatch, _ uint64) error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.writes++
--- a/cmd/node/origins/stored.go
+++ b/cmd/node/origins/stored.go
@@ -219,22 +219,22 @@
 }
 
 // takeBatches takes the collected records of as many shards as one write can hold.
-func (s *storedRecords) takeBatches() []platform.StreamRecords {
+func (s *storedRecords) takeBatches() []platform.RecordBatch {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	var out []platform.StreamRecords
+	var out []platform.RecordBatch
 	for shard, records := range s.unwritten {
-		if len(out) == platform.MaxShardsPerWrite {
+		if len(out) == platform.MaxTxnEntries {
 			break
 		}
-		out = append(out, platform.StreamRecords{Shard: shard, Records: records})
+		out = append(out, platform.RecordBatch{Shard: shard, Records: records})
 		s.waiting -= len(records)
 		delete(s.unwritten, shard)
 	}
 	return out
 }
 
-func (s *storedRecords) writeBatches(batches []platform.StreamRecords) error {
+func (s *storedRecords) writeBatches(batches []platform.RecordBatch) error {
 	if s.lease.id == 0 || s.opts.Now() >= s.lease.until {
 		id, err := s.opts.Store.GrantRecordsLease()
 		if err != nil {
--- a/coordination/buildlog/log.go
+++ b/coordination/buildlog/log.go
@@ -175,10 +175,17 @@
 
 // wanted returns the item alone.
 func (i item) wanted() *Wanted {
+	w := &Wanted{}
+	w.add(i)
+	return w
+}
+
+func (w *Wanted) add(i item) {
 	if i.route != "" {
-		return &Wanted{Routes: []Route{i.route}}
+		w.Routes = append(w.Routes, i.route)
+	} else {
+		w.Builds = append(w.Builds, i.build)
 	}
-	return &Wanted{Builds: []string{i.build}}
 }
 
 func (w *Wanted) has(i item) bool {
@@ -254,34 +261,21 @@
 
 func (l *Log) settleEntry(now time.Duration, service string, e *Entry, w *Wanted, current map[absence]bool) (Entry, bool) {
 	out := Entry{Incomplete: e.Incomplete, Era: e.Era, Revision: e.Revision}
-	isLong := func(i item, retiring bool) bool {
-		return !w.has(i) && l.isAbsentLong(now, absence{i, retiring}, current)
-	}
+	var kept Wanted
 	changed := false
-	for _, build := range e.Builds {
-		retiring := slices.Contains(e.Retiring.Builds, build)
-		long := isLong(item{service: service, build: build}, retiring)
-		changed = changed || long
-		if retiring && long {
-			continue
-		}
-		out.Builds = append(out.Builds, build)
-		if retiring || long {
-			out.Retiring.Builds = append(out.Retiring.Builds, build)
-		}
-	}
-	for _, route := range e.Routes {
-		retiring := slices.Contains(e.Retiring.Routes, route)
-		long := isLong(item{service: service, route: route}, retiring)
-		changed = changed || long
-		if retiring && long {
+	for i := range (&Wanted{e.Builds, e.Routes}).items(service) {
+		isRetiring := e.Retiring.has(i)
+		isDue := !w.has(i) && l.isAbsentLong(now, absence{i, isRetiring}, current)
+		changed = changed || isDue
+		if isRetiring && isDue {
 			continue
 		}
-		out.Routes = append(out.Routes, route)
-		if retiring || long {
-			out.Retiring.Routes = append(out.Retiring.Routes, route)
+		kept.add(i)
+		if isRetiring || isDue {
+			out.Retiring.add(i)
 		}
 	}
+	out.Builds, out.Routes = kept.Builds, kept.Routes
 	if seen := l.seen[service]; seen.revision != e.Revision {
 		l.seen[service] = sighting{e.Revision, now}
 	} else if e.Incomplete && e.Has(w) && now-seen.at >= SettleTime {
--- a/coordination/origin/verdict.go
+++ b/coordination/origin/verdict.go
@@ -3,12 +3,13 @@
 // Grounds tell on what a verdict rests.
 type Grounds string
 
-// The grounds of verdicts. All but the last three make a build known.
+// The grounds of verdicts. The first four make a build known.
 const (
 	OwnRecord    Grounds = "own record"
 	PeersRecord  Grounds = "record of a peer"
 	StoredRecord Grounds = "record in the store"
 	OnlyBuild    Grounds = "only build"      // of a complete log that was read for this stream
+	NoRecord     Grounds = "no record"       // was found, or too many are searched for
 	Several      Grounds = "several builds"  // may have begun it, and no record was found
 	Unread       Grounds = "logs not read"   // nobody asked could read the logs in time
 	Uncovered    Grounds = "older instances" // are live, which begin streams without the logs
