--- a/transport/relay/relay.go
+++ b/transport/relay/relay.go
@@ -119,6 +119,10 @@
 	return err
 }
 
+// maxDiscarded bounds the bytes that are read while the relaying end is waited for: as many as
+// may have been under way. An end that sends more is not silent.
+const maxDiscarded = 256 << 10
+
 // AwaitEnd waits until the relaying end of a closed connection has let go of the replica, for
 // at most d, and reports whether that end was silent for so long. Of a connection that is not
 // closed it returns at once.
@@ -126,7 +130,8 @@
 	if !c.isClosed.Load() || c.Conn.SetReadDeadline(time.Now().Add(d)) != nil {
 		return false
 	}
-	_, err := io.Copy(io.Discard, c.Conn) // its close of the stream follows that of its connection
+	// Its close of the stream follows that of its connection.
+	_, err := io.Copy(io.Discard, io.LimitReader(c.Conn, maxDiscarded))
 	return errors.Is(c.streamError(err), os.ErrDeadlineExceeded)
 }
 
