A stream that is taken up is a retry, also at an instance that has just started

Whether a request is a retry is told by deadlines shorter than the usual ones; an instance that has just started knows no usual ones, and read that as 'a first try'. A retry is admitted late rather than refused, as it does not come back.

Change: a request that takes a stream up is a retry by itself.

--- a/cmd/node/request_handler.go
+++ b/cmd/node/request_handler.go
@@ -238,13 +238,14 @@
 	return ok
 }
 
-// isClientRetry reports whether the client's deadline shows that it retries a
-// refused request.
+// isClientRetry reports whether the client retries a request: it takes a stream up again, or
+// its deadline shows that it was refused, as far as this instance knows the usual ones.
 func (s *requestHandler) isClientRetry() bool {
 	n := s.node
 	n.detectorMu.Lock()
 	defer n.detectorMu.Unlock()
-	return n.deadlines.isRetry(s.route.Name, s.req.Timeout)
+	isShort := n.deadlines.isRetry(s.route.Name, s.req.Timeout)
+	return isShort || s.req.LastEventID != ""
 }
 
 // Errors of attempts and of the choice of a replica.
