Records in the store cost half of the calls

Cause: a search asked both collectors of a shard, and the logs were read for each stream without a record, also where they were known to name several builds; each of 8, 16 or 64 shards was written by itself.

Change: half of the shards (a hundredth of the store's writes a second); the second collector is asked if the first can't tell; where the log is known to name several builds the records come first, and the log is read if there is none.

--- a/cmd/node/origins/logs.go
+++ b/cmd/node/origins/logs.go
@@ -114,6 +114,13 @@
 	return l.several[service]
 }
 
+// knowsSeveral reports whether a read has shown that.
+func (l *logs) knowsSeveral(service string) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.log.Knows(service) && l.log.HasSeveral(service)
+}
+
 // contains reports whether the log of a service holds a build and a route, and returns a
 // channel that is closed when the logs change.
 func (l *logs) contains(service, build string, route buildlog.Route) (bool, <-chan struct{}) {
--- a/cmd/node/origins/origins.go
+++ b/cmd/node/origins/origins.go
@@ -210,25 +210,40 @@
 	return k.findStored(ctx, t).WithPeers(peers.Peers())
 }
 
-// findStored tells what the store proves. The logs are read for each stream, as whatever this
-// instance knew of them before may be outdated.
+// findStored tells what the store proves. If the log is known to name several builds, only a
+// record does; a log loses builds after hours, so what is known of it is not outdated then.
 func (k *Keeper) findStored(ctx context.Context, t TakeUp) origin.Verdict {
+	isSearched := t.IsNamed && k.logs.knowsSeveral(t.Service)
+	if isSearched {
+		if r, ok := k.stored.search(ctx, t); ok {
+			return origin.KnownBy(origin.StoredRecord, r)
+		}
+	}
+	verdict := k.findByLog(ctx, t)
+	if verdict.IsKnown() || isSearched || !t.IsNamed || verdict.Grounds() == origin.Unread {
+		return verdict
+	}
+	if r, ok := k.stored.search(ctx, t); ok {
+		return origin.KnownBy(origin.StoredRecord, r)
+	}
+	return verdict
+}
+
+// findByLog tells what the logs prove. They are read for each stream, as whatever this instance
+// knew of them before may be outdated.
+func (k *Keeper) findByLog(ctx context.Context, t TakeUp) origin.Verdict {
 	logs, err := k.logs.readFresh(ctx)
 	if err != nil {
 		return origin.Unknown(origin.Unread)
 	}
-	why := origin.Several
-	build, sole := logs.Sole(t.Service, t.Route)
-	switch {
-	case k.hasOlderPeers():
-		why = origin.Uncovered
-	case sole:
-		return origin.KnownBy(origin.OnlyBuild, origin.Record{Key: t.Key, Service: t.Service, Build: build})
+	if k.hasOlderPeers() {
+		return origin.Unknown(origin.Uncovered)
 	}
-	if r, ok := k.stored.search(ctx, t); ok {
-		return origin.KnownBy(origin.StoredRecord, r)
+	build, sole := logs.Sole(t.Service, t.Route)
+	if !sole {
+		return origin.Unknown(origin.Several)
 	}
-	return origin.Unknown(why)
+	return origin.KnownBy(origin.OnlyBuild, origin.Record{Key: t.Key, Service: t.Service, Build: build})
 }
 
 // ask asks the instances that may hold a record, all at once, until one of them has it.
--- a/cmd/node/origins/stored.go
+++ b/cmd/node/origins/stored.go
@@ -21,6 +21,7 @@
 const (
 	sendInterval  = 50 * time.Millisecond // time in which an instance's records are collected before they are sent
 	maxCollectors = 2                     // instances that are asked to write or read a shard before this one does so itself
+	searchTimeout = storeTimeout / 2      // for a collector to search a shard
 	maxStoreDelay = 1 * time.Second       // pause after writes that failed
 	maxUnwritten  = origin.MaxRecords     // records that wait for the store; of more, the newest are dropped
 )
@@ -257,33 +258,18 @@
 	return nil
 }
 
-// search looks for the record of a stream in the store: the collectors of its shard do so, or
-// else this instance.
+// search looks for the record of a stream in the store: the first collector of its shard that
+// can does so, or else this instance.
 func (s *storedRecords) search(ctx context.Context, t TakeUp) (origin.Record, bool) {
-	if !t.IsNamed {
-		return origin.Record{}, false
-	}
-	collectors := s.collectors(origin.ShardOf(t.Key, s.shards))
-	replies := make(chan *pb.OriginReply, len(collectors))
-	asked := 0
-	for _, i := range collectors {
+	for _, i := range s.collectors(origin.ShardOf(t.Key, s.shards)) {
 		if i.Name == s.opts.Name {
-			r, ok, _ := s.readShard(ctx, t.Key)
-			return r, ok
+			break
 		}
-		asked++
-		go func() { replies <- s.keeper.askOne(i, t, true, storeTimeout) }()
-	}
-	for range asked {
-		select {
-		case reply := <-replies:
-			if reply.GetKnown() {
-				return origin.Record{Key: t.Key, Service: reply.Service, Build: reply.Build}, true
-			}
-			if reply.GetSearched() {
-				return origin.Record{}, false
-			}
-		case <-ctx.Done():
+		reply := s.keeper.askOne(i, t, true, searchTimeout)
+		if reply.GetKnown() {
+			return origin.Record{Key: t.Key, Service: reply.Service, Build: reply.Build}, true
+		}
+		if reply.GetSearched() || ctx.Err() != nil {
 			return origin.Record{}, false
 		}
 	}
--- a/coordination/buildlog/log.go
+++ b/coordination/buildlog/log.go
@@ -211,6 +211,12 @@
 	return true
 }
 
+// Knows reports whether the log of a service was read.
+func (l *Log) Knows(service string) bool {
+	_, known := l.several[service]
+	return known
+}
+
 // HasSeveral reports whether a stream of a service may have begun elsewhere than at one build
 // of it, as far as is known: the store must hold records of streams then.
 func (l *Log) HasSeveral(service string) bool {
--- a/coordination/origin/shards.go
+++ b/coordination/origin/shards.go
@@ -13,8 +13,8 @@
 // has to read for one stream grow with the fleet.
 const (
 	// writesPerShard is how many writes a second the store must take for each shard. A shard
-	// is written at most four times a second, which is less than a tenth of them.
-	writesPerShard = 50
+	// is written at most four times a second, which is less than a twentieth of them.
+	writesPerShard = 100
 	maxShards      = 256
 	// StoreInterval is the time between two writes of an instance's shards.
 	StoreInterval = 250 * time.Millisecond
