--- a/cmd/node/origins/lost_test.go
+++ b/cmd/node/origins/lost_test.go
@@ -221,7 +221,7 @@
 	is := is.New(t)
 	const (
 		readsPerInstance = 16 // a second, those of the whole fleet
-		maxCalls         = 50 // two reads of the logs, two of each of eight shards by the instance and their collectors, some writes
+		maxCalls         = 50 // two reads of the logs, two of each of four shards by each of two collectors, some writes
 	)
 	for _, instances := range []int{100, 2000} {
 		f := newFleetOf(instances, readsPerInstance*float64(instances))
