The head of a replica's answer is judged on its bytes before it is parsed

What callers saw: a replica in trouble sent an answer whose status was 000, and its client got it as a success, with its body; so with any status from 600 on, any version, a blank or a control byte in the name of a field, a blank before a colon, control bytes in the reason, and after an interim answer that was broken. `Content Length: 5` or `Content-Length : 5` framed the body otherwise than the replica meant. Results in such an answer to items were recorded and handed to other replicas as inputs; a broken 503 told the client that its request had not run (MIXED, REFUSED).

Cause: the library's header parser repairs what it reads, and what it returns was believed: StatusCode() tells a status of 0 as 200, and no caller can tell what stood in the bytes.

Change: package transport/answerhead judges a head line by line in the reader's buffer, by the grammar of RFC 9112 without what the standard lets a recipient repair; the one function in transport/upstream that reads a head calls it, for requests, streams, resumed ones, interim answers, skipped answers of others, items, frees, reports, probes, and the first form's calls. A broken head is an answerhead.Error with its reason; it is judged before anything is learned of it. What follows is that of an answer that broke off: repeated elsewhere where the route allows it, else 502, never "not run", the connection closed, no request quarantined for it. A head is judged whole, so a probe that meets half of one and then silence now hears silence, where it took the connection for closed; both say "unknown".

Also refused, by the standard: folded lines, an empty line before the status line, lines that end without a return, a length beside chunks, two lengths, another transfer coding than chunked, chunks in HTTP/1.0, an unasked 101. HTTP/1.2 and later are refused too: the property test found that the parser reads them without their chunks (length unknown).

--- a/cmd/node/liveness/identity.go
+++ b/cmd/node/liveness/identity.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"os"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -66,7 +67,7 @@
 		err = x.ReadHead(func(*fasthttp.ResponseHeader) bool { return true })
 	}
 	switch {
-	case errors.Is(err, fasthttp.ErrTimeout):
+	case errors.Is(err, os.ErrDeadlineExceeded):
 		return ErrSilent
 	case err != nil:
 		return ErrConnectionEnded
--- a/transport/upstream/call.go
+++ b/transport/upstream/call.go
@@ -79,7 +79,7 @@
 		return nil, err
 	}
 	var h fasthttp.ResponseHeader
-	if err := h.Read(cn.r); err != nil {
+	if _, err := cn.readHeader(&h); err != nil {
 		return nil, errors.Join(ErrIncomplete, err)
 	}
 	if !c.matches(&h, digest) {
--- a/transport/upstream/exchange.go
+++ b/transport/upstream/exchange.go
@@ -9,6 +9,7 @@
 	"github.com/valyala/fasthttp"
 
 	"quinceroad/coordination/outcome"
+	"quinceroad/transport/answerhead"
 )
 
 // Body lengths below 0 by which the header parser reports a body without
@@ -134,16 +135,27 @@
 // readFinalHeader reads a header after the interim answers before it.
 func (x *Exchange) readFinalHeader() error {
 	for range maxInterimAnswers + 1 {
-		if err := x.Header.Read(x.conn.r); err != nil {
+		head, err := x.conn.readHeader(&x.Header)
+		if err != nil {
 			return errors.Join(ErrIncomplete, err)
 		}
-		if x.Header.StatusCode() >= fasthttp.StatusOK {
+		if !head.IsInterim() {
 			return nil
 		}
 	}
 	return errors.Join(ErrIncomplete, errInterimAnswers)
 }
 
+// readHeader reads a header. Its bytes are judged before they are parsed, as the parser is lenient. If
+// they are not those of an answer, the error is an answerhead.Error.
+func (cn *Conn) readHeader(h *fasthttp.ResponseHeader) (answerhead.Head, error) {
+	head, err := answerhead.Await(cn.r)
+	if err != nil {
+		return answerhead.Head{}, err
+	}
+	return head, h.Read(cn.r)
+}
+
 // Read reads the answer's body; it returns io.EOF once the body is complete. Only io.EOF itself
 // is an end: an error that merely wraps it tells of a connection that broke.
 func (x *Exchange) Read(b []byte) (int, error) {
