A broken head is logged with its reason and counted, and vouches for nobody

What a broken head stated of its replica was believed: on a drain, a limit, and that it is brittle. Operators saw "the answer broke off" and nothing else.

Change: the error of a broken head keeps its reason: it stands in the log line of the attempt (3051), and a new line (3222, counter node.answers.broken_heads) names the replica, its service, what was asked, the relaying peer and the reason, for requests, calls and probes. A probe has an error of its own for it, which says that something listens and nothing else: the replica neither runs by its word, nor has it ended under a request.

--- a/cmd/node/attempt.go
+++ b/cmd/node/attempt.go
@@ -19,6 +19,7 @@
 	"quinceroad/platform"
 	"quinceroad/protocol/event"
 	"quinceroad/state/catalog"
+	"quinceroad/transport/answerhead"
 	"quinceroad/transport/upstream"
 )
 
@@ -265,7 +266,7 @@
 		x.Release(idleTimeoutAfter(&a.head, defaultReplicaConnIdle))
 	}()
 	if err := x.ReadHead(a.isOwnAnswer); err != nil {
-		return a.abortReasonOr(errAnswerBroken)
+		return a.abortReasonOr(a.headError(err))
 	}
 	a.head = a.node.recordAnswerHead(a.answerSource(), a.advisoryAttempt, &x.Header)
 	a.lastReplicaDrains = a.head.Draining
@@ -273,6 +274,16 @@
 	return a.forwardAnswer(timer)
 }
 
+// headError returns the error of an answer whose head could not be read.
+func (a *attempt) headError(err error) error {
+	x := exchange{replica: a.replica.ID, service: a.service.Name, asked: a.route.Name, through: a.conn.RelayedBy()}
+	if !a.node.recordBrokenHead(x, err) {
+		return errAnswerBroken
+	}
+	reason, _ := answerhead.ReasonOf(err)
+	return &answerhead.Error{Reason: reason}
+}
+
 // isAnswerFramed reports whether the answer's head, if it arrived, states how the answer ends: by
 // a length or chunks.
 func (a *attempt) isAnswerFramed() bool { return a.exchange == nil || a.exchange.IsFramed() }
--- a/cmd/node/counters.go
+++ b/cmd/node/counters.go
@@ -49,6 +49,7 @@
 	foreignHandles      metrics.Counter    // handles that replicas returned for an item while they held them for another
 	overruledDrains     metrics.Counter    // drains inferred from refusals that were not believed, or ended by a served request
 	surplusAnswers      metrics.Counter    // answers of replicas to earlier calls, skipped
+	brokenHeads         metrics.Counter    // answers of replicas whose bytes are not those of an answer's head
 	trialsDenied        metrics.Counter    // suspect requests refused because they got no trial lease
 	quarantinedInFlight metrics.Counter    // requests cancelled at their replicas because they became quarantined
 	backoffs            metrics.Counter    // backoffs stated by replicas
@@ -110,6 +111,7 @@
 		foreignHandles:      counter("node.answers.foreign_handles"),
 		overruledDrains:     counter("node.drains_overruled"),
 		surplusAnswers:      counter("node.answers.surplus"),
+		brokenHeads:         counter("node.answers.broken_heads"),
 		trialsDenied:        counter("node.quarantine.no_turn"),
 		quarantinedInFlight: counter("node.quarantine.in_flight"),
 		backoffs:            counter("node.rests"),
--- a/cmd/node/liveness/identity.go
+++ b/cmd/node/liveness/identity.go
@@ -10,6 +10,7 @@
 	"quinceroad/coordination/outcome"
 	"quinceroad/platform"
 	"quinceroad/state/catalog"
+	"quinceroad/transport/answerhead"
 	"quinceroad/transport/upstream"
 )
 
@@ -28,6 +29,7 @@
 	ErrConnectionEnded = errors.New("the connection was closed at once")
 	ErrAnotherReplica  = errors.New("another replica listens at the address")
 	ErrSilent          = errors.New("the connection stays open, and nothing answers")
+	ErrNoAnswer        = errors.New("something listens, and its bytes are no answer")
 )
 
 // IdentityPath returns the path of a call that the replicas of a service answer without work, ""
@@ -43,7 +45,7 @@
 }
 
 // AskIdentity asks over a new connection whether it leads to a replica. Any answer but that of
-// another replica says so; silence says nothing. With no path to ask at, a connection that stays
+// another replica says so; silence says nothing, and nor do bytes that are no answer. With no path to ask at, a connection that stays
 // open must do.
 func AskIdentity(conn *upstream.Conn, r *catalog.Replica, path string) error {
 	if path == "" {
@@ -66,7 +68,10 @@
 	if err == nil {
 		err = x.ReadHead(func(*fasthttp.ResponseHeader) bool { return true })
 	}
+	_, isBroken := answerhead.ReasonOf(err)
 	switch {
+	case isBroken:
+		return errors.Join(ErrNoAnswer, err)
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		return ErrSilent
 	case err != nil:
--- a/cmd/node/liveness/identity_test.go
+++ b/cmd/node/liveness/identity_test.go
@@ -48,6 +48,8 @@
 		"well":          {"HTTP/1.1 200 OK\r\n" + end, false, nil},
 		"unwell":        {"HTTP/1.1 503 unwell\r\n" + end, false, nil},
 		"another":       {"HTTP/1.1 421 other\r\n" + end, false, ErrAnotherReplica},
+		"status 000":    {"HTTP/1.1 000 OK\r\n" + end, false, ErrNoAnswer},
+		"broken name":   {"HTTP/1.1 200 OK\r\nX y: 1\r\n" + end, false, ErrNoAnswer},
 		"silence":       {"", false, ErrSilent},
 		"half a head":   {"HTTP/1.1 200 OK\r\nA: b\r\n", false, ErrSilent},
 		"closed":        {"", true, ErrConnectionEnded},
--- a/cmd/node/liveness_probe.go
+++ b/cmd/node/liveness_probe.go
@@ -134,7 +134,7 @@
 		err = n.probeConnection(r)
 	}
 	switch {
-	case err == nil, errors.Is(err, liveness.ErrConnectionEnded), errors.Is(err, liveness.ErrSilent):
+	case err == nil, errors.Is(err, liveness.ErrConnectionEnded), errors.Is(err, liveness.ErrSilent), errors.Is(err, liveness.ErrNoAnswer):
 		n.updateQuarantine(causeReplicaEnd, func(t *quarantine.Tracker, _ time.Duration) []quarantine.Change {
 			t.RecordConnection(quarantine.IncarnationOf(incarnation))
 			return nil
@@ -173,7 +173,10 @@
 	if config := n.snapshot.Load().config; config != nil {
 		service = config.Services[r.Service]
 	}
-	return liveness.AskIdentity(conn, r, liveness.IdentityPath(service))
+	path := liveness.IdentityPath(service)
+	err = liveness.AskIdentity(conn, r, path)
+	n.recordBrokenHead(exchange{replica: r.ID, service: r.Service, asked: path, through: conn.RelayedBy()}, err)
+	return err
 }
 
 // dialForProbe opens a connection to a replica to find out whether it runs. Over a cut link the
