The store's answers, and all that clients of the library read, have their heads judged too

What would be seen: a write that nobody had carried out was acknowledged, as the store's answer had the status 000, which the library tells as 200; a list of replicas, a watch's events, a lease and an era in such an answer, or in one of any version or with a blank in a field's name, were believed. Before the stand-in two replicas were taken for gone in a 000, their service was not served for 20 s, and a configuration written later was not followed.

Cause: as for replicas, but these answers are read inside the library's client, which hands out what its parser repaired.

A test of the source tree holds that no other place reads an answer's head (two tools read from our stand-ins).

The tests of answers without end set the library's DialTimeout instead of Dial, as the product does, with the judged connection around theirs; their bounds are the same.

--- a/layers_test.go
+++ b/layers_test.go
@@ -111,3 +111,45 @@
 	}
 	is.New(t).True(files > 100)
 }
+
+// The parsers of libraries repair broken heads of answers. Whatever reads answers has their heads judged
+// before, in transport/upstream or on the connections of transport/web (docs/design/ends.md).
+func TestHeadsOfAnswersAreJudged(t *testing.T) {
+	reads := regexp.MustCompile(`fasthttp\.(Host|Pipeline)?Client\{|fasthttp\.(Do|Get|Post)\w*\(|http\.(Get|Post|Head|PostForm|ReadResponse)\(|http\.(Client|Transport)\{|http\.Default(Client|Transport)|\b\w*[hH](eader)?\.Read\(`)
+	allowed := map[string]string{
+		"transport/upstream/exchange.go":   "return head, h.Read(cn.r)",
+		"transport/web/client.go":          "return &fasthttp.Client{",
+		"platform/store.go":                "return &Store{client: &fasthttp.HostClient{",
+		"cmd/load/load.go":                 `resp, err := http.Get("http://" + control + "/journal")`, // of a stand-in
+		"cmd/standin/upstream/upstream.go": `resp, err := http.Post("http://"+s.config.Platform+"/register", "application/json", bytes.NewReader(b))`,
+	}
+	seen := make(map[string]bool)
+	for _, dir := range layers[2:] {
+		err := filepath.WalkDir(dir, func(path string, d fs.DirEntry, err error) error {
+			if err != nil || !strings.HasSuffix(path, ".go") || strings.HasSuffix(path, "_test.go") || strings.HasPrefix(path, testHarness+"/") {
+				return err
+			}
+			data, err := os.ReadFile(path)
+			if err != nil {
+				return err
+			}
+			for n, line := range strings.Split(string(data), "\n") {
+				if !reads.MatchString(line) {
+					continue
+				}
+				seen[path] = true
+				if strings.TrimSpace(line) != allowed[path] {
+					t.Errorf("%s:%d: %s", path, n+1, strings.TrimSpace(line))
+				}
+			}
+			return nil
+		})
+		is.New(t).NoErr(err)
+	}
+	is.New(t).Equal(len(seen), len(allowed))
+	for path, door := range map[string]string{"transport/web/client.go": "Dial,", "platform/store.go": "web.Dial,"} {
+		data, err := os.ReadFile(path)
+		is.New(t).NoErr(err)
+		is.New(t).True(regexp.MustCompile(`DialTimeout: +` + regexp.QuoteMeta(door)).Match(data))
+	}
+}
--- a/transport/answerhead/answerhead_test.go
+++ b/transport/answerhead/answerhead_test.go
@@ -61,11 +61,12 @@
 	return status, len(lengths)+len(codings) <= 1 && status != http.StatusSwitchingProtocols
 }
 
-// drawHead draws a head that is sound in most of its parts, or in all.
+// drawHead draws a head that is sound in most of its parts or, every other time, has no odd part.
 func drawHead(t *rapid.T) string {
+	mayBeOdd := rapid.Bool().Draw(t, "may be odd")
 	pick := func(label string, values ...string) string { return rapid.SampledFrom(values).Draw(t, label) }
 	odd := func(label, sound string, values ...string) string {
-		if rapid.IntRange(0, 9).Draw(t, label+" is odd") > 0 {
+		if !mayBeOdd || rapid.IntRange(0, 9).Draw(t, label+" is odd") > 0 {
 			return sound
 		}
 		return pick(label, append(values, "", " ", "\t", "\x00", "\x7f", "\xe9", "\r", "\n", ":", "0")...)
--- a/transport/web/endless_test.go
+++ b/transport/web/endless_test.go
@@ -8,6 +8,7 @@
 	"github.com/matryer/is"
 	"github.com/valyala/fasthttp"
 
+	"quinceroad/transport/answerhead"
 	"quinceroad/transport/endlesstest"
 )
 
@@ -36,7 +37,7 @@
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
 			client := NewClient()
-			client.Dial = func(string) (net.Conn, error) { return c.conn, nil }
+			client.DialTimeout = func(string, time.Duration) (net.Conn, error) { return answerhead.NewConn(c.conn), nil }
 			req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
 			req.SetRequestURI("http://server/x")
 			err := client.DoTimeout(req, resp, time.Minute)
