An answer that bears an encoding is none

Cause: the header was passed on as any other.

Change: the judge of heads refuses it, whatever the encoding, so that it holds at each door at once, for calls to replicas and the store as well, which never ask for one. The request is repeated elsewhere or gets 502.

--- a/transport/answerhead/answerhead.go
+++ b/transport/answerhead/answerhead.go
@@ -3,7 +3,8 @@
 // The parsers of libraries are lenient: they repair what a server in trouble has written, or drop it, and
 // what they return can't be told from a sound answer. So whoever reads an answer has its head judged here
 // first. What is accepted is the grammar of RFC 9112, without what the standard lets a recipient repair;
-// a status line may lack the blank before an absent reason.
+// a status line may lack the blank before an absent reason. A body in an encoding is refused as well: nobody
+// asks for one.
 package answerhead
 
 import (
@@ -31,6 +32,7 @@
 	Length          Reason = "the length is no number, or stated twice"                     // 9112, 6.3
 	Coding          Reason = "the transfer coding is not chunked, or stated twice"          // 9112, 6.1
 	LengthAndChunks Reason = "both a length and chunks are stated"                          // 9112, 6.3
+	Encoding        Reason = "the body has an encoding that nobody asked for"               // 9110, 8.4
 )
 
 // Error reports that what came where an answer was due is none.
--- a/transport/answerhead/answerhead_test.go
+++ b/transport/answerhead/answerhead_test.go
@@ -24,9 +24,10 @@
 
 // The fields that frame a body, with their values.
 var (
-	lengthField = regexp.MustCompile(`(?i)(?:^|\n)Content-Length:[\t ]*([^\r]*?)[\t ]*\r`)
-	codingField = regexp.MustCompile(`(?i)(?:^|\n)Transfer-Encoding:[\t ]*([^\r]*?)[\t ]*\r`)
-	number      = regexp.MustCompile(`\A[0-9]{1,18}\z`)
+	lengthField   = regexp.MustCompile(`(?i)(?:^|\n)Content-Length:[\t ]*([^\r]*?)[\t ]*\r`)
+	codingField   = regexp.MustCompile(`(?i)(?:^|\n)Transfer-Encoding:[\t ]*([^\r]*?)[\t ]*\r`)
+	encodingField = regexp.MustCompile(`(?i)(?:^|\n)Content-Encoding:`)
+	number        = regexp.MustCompile(`\A[0-9]{1,18}\z`)
 )
 
 // characters returns a string with a character for each byte, as the grammar reads it.
@@ -39,7 +40,7 @@
 }
 
 // isAnswer reports whether a text is the head of an answer by the grammar, whose body can be framed in one
-// way only (RFC 9112, 6.1 and 6.3), and which goes on in the same protocol.
+// way only (RFC 9112, 6.1 and 6.3) and has no encoding, and which goes on in the same protocol.
 func isAnswer(head string) (status int, ok bool) {
 	parts := grammar.FindStringSubmatch(characters(head))
 	if parts == nil {
@@ -57,6 +58,9 @@
 			return 0, false
 		}
 	}
+	if encodingField.MatchString(fields) {
+		return 0, false
+	}
 	status, _ = strconv.Atoi(parts[1])
 	return status, len(lengths)+len(codings) <= 1 && status != http.StatusSwitchingProtocols
 }
@@ -80,7 +84,7 @@
 	b.WriteString(odd("reason", pick("sound reason", " OK", " ", "", " so so"), " O\x01K", " O\rK", "\tOK"))
 	b.WriteString(end())
 	for range rapid.IntRange(0, 4).Draw(t, "fields") {
-		b.WriteString(odd("name", pick("sound name", "Some-Id", "X", "x~1", "Content-Length", "Transfer-Encoding"), "X y", "X\x02y", "Xy ", " Xy", "Content Length", "X(y)", "X\x80"))
+		b.WriteString(odd("name", pick("sound name", "Some-Id", "X", "x~1", "Content-Length", "Transfer-Encoding"), "Content-Encoding", "content-encoding", "X y", "X\x02y", "Xy ", " Xy", "Content Length", "X(y)", "X\x80"))
 		b.WriteString(odd("colon", ":", " :", "::"))
 		b.WriteString(odd("blank", " ", "  "))
 		b.WriteString(odd("value", pick("sound value", "a", "5", "chunked", "Chunked", "a b"), "05", "+5", "5, 5", "99999999999999999999", "999999999999999999", "gzip, chunked", "a\r\n b", "a\rb"))
@@ -256,6 +260,8 @@
 		"HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n":                 Coding,
 		ok + "Content-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n":          LengthAndChunks,
 		ok + "Transfer-Encoding: chunked\r\nContent-Length: 5\r\n\r\n":          LengthAndChunks,
+		ok + "content-encoding: gzip\r\n\r\n":                                   Encoding,
+		ok + "Content-Encoding: identity\r\n\r\n":                               Encoding,
 	}
 	for head, want := range cases {
 		_, err := Check([]byte(head))
--- a/transport/answerhead/grammar.go
+++ b/transport/answerhead/grammar.go
@@ -17,9 +17,10 @@
 const maxLengthDigits = 18
 
 var (
-	fieldLength = []byte("Content-Length")
-	fieldCoding = []byte("Transfer-Encoding")
-	chunked     = []byte("chunked")
+	fieldLength   = []byte("Content-Length")
+	fieldCoding   = []byte("Transfer-Encoding")
+	fieldEncoding = []byte("Content-Encoding")
+	chunked       = []byte("chunked")
 )
 
 // statusLine judges the first line of a head, such as "HTTP/1.1 200 OK". It returns "" if it is sound.
@@ -70,6 +71,8 @@
 		return j.length(value)
 	case bytes.EqualFold(name, fieldCoding):
 		return j.coding(value)
+	case bytes.EqualFold(name, fieldEncoding): // clients request bodies as they are, and so does whoever reads one here
+		return Encoding
 	}
 	return ""
 }
