--- a/transport/upstream/broken_head_test.go
+++ b/transport/upstream/broken_head_test.go
@@ -1,6 +1,7 @@
 package upstream
 
 import (
+	"io"
 	"strings"
 	"testing"
 	"time"
@@ -68,3 +69,41 @@
 		is.True(conn.closed)
 	}
 }
+
+// Lines of chunks are read by the standard library, which takes what is no length for the end of the answer.
+func TestBrokenChunkIsNoBody(t *testing.T) {
+	const head, end = "HTTP/1.1 200 OK\r\n" + ownID + "Transfer-Encoding: chunked\r\n\r\n", "0\r\n\r\n"
+	chunks := map[string]bool{ // whether they are sound
+		"2\r\nok\r\n" + end:                   true,
+		"02\r\nok\r\n" + end:                  true,
+		"2;x=1\r\nok\r\n" + end:               true,
+		"2;x=\"a\"\r\nok\r\n" + end:           true,
+		"+2\r\nok\r\n" + end:                  false,
+		"-2\r\nok\r\n" + end:                  false,
+		"0x2\r\nok\r\n" + end:                 false,
+		" 2\r\nok\r\n" + end:                  false,
+		"2 2\r\nok\r\n" + end:                 false,
+		"g\r\nok\r\n" + end:                   false,
+		"\r\nok\r\n" + end:                    false,
+		";x\r\nok\r\n" + end:                  false,
+		"2\nok\r\n" + end:                     false,
+		"2\r\nok\n" + end:                     false,
+		"2\r\nok" + end:                       false,
+		"2\r\nokay\r\n" + end:                 false,
+		"3\r\nok\r\n" + end:                   false,
+		"10000000000000002\r\nok\r\n" + end:   false,
+		"\x002\r\nok\r\n" + end:               false,
+		"2\r\nok\r\n0\n\n":                    false,
+		"2\r\nok\r\n" + "HTTP/1.1 200 OK\r\n": false,
+	}
+	for text, isSound := range chunks {
+		x, err := ask(t, &pausingConn{parts: []string{head + text}})
+		if err != nil {
+			t.Fatal(err)
+		}
+		body, err := io.ReadAll(x)
+		if (err == nil && x.IsComplete()) != isSound || isSound && string(body) != "ok" {
+			t.Errorf("%q: %q, %v", text, body, err)
+		}
+	}
+}
