A planned stop takes what surely ends in time, and answers the rest

What callers saw: in a planned stop of one instance, in calm, requests that came late in the grace were taken whatever time they could still take; replicas ran them, and at the end of the grace their connections were cut without an answer, among them requests that may not be repeated (LOST). The same for what was at work or waited when the stop began.

Cause: short requests were taken for 0.45 of the grace by their kind alone, streams for a quarter, and End closed the connections of whatever was not ready.

Change: coordination/shutdown decides by the time at which a request is answered whatever happens, its deadline or its route's timeout. What surely ends in time is taken for 0.45 of the grace, streams too. What may not is taken only if it may be repeated or resumed, for a quarter of the grace as before and 2.5 s at most; one that may not be repeated isn't taken at all then: what it usually takes is a guess, and a wrong one loses it. Half a second before the kill, what is left is ended as if its deadline had come (clock.ExpireDeadlines): what was not sent is told so, 503, the rest gets 504, which promises nothing, and the connections are closed a quarter of a second later. Between the last request's end and the close is one more interval, as its answer is written after its handler has returned.

--- a/cmd/node/node.go
+++ b/cmd/node/node.go
@@ -247,10 +247,11 @@
 	n.members.SetLeaving()
 	n.gossipMu.Unlock()
 	n.sendHeartbeats()
-	time.Sleep(n.stopPlan.RequestsUntil)
-	for (n.inFlight.Load() > 0 || n.relayedForPeers() > 0) && n.now()-start < n.stopPlan.End {
-		time.Sleep(stopPollInterval)
-	}
+	time.Sleep(n.stopPlan.AcceptsUntil)
+	n.awaitIdle(start + n.stopPlan.AnswersAt)
+	n.clock.ExpireDeadlines() // what is left is answered as if its deadline had come
+	n.awaitIdle(start + n.stopPlan.End)
+	time.Sleep(stopPollInterval) // the last answer is written after its request has left inFlight
 	event.NodeStopped.Log(n.log, "in_flight", n.inFlight.Load())
 	n.Kill()
 }
@@ -267,9 +268,20 @@
 	n.links.Stop()
 }
 
-// acceptsRequest reports whether a new request is accepted, also during a stop.
-func (n *Node) acceptsRequest(stream bool) bool {
-	return !n.stopping.Load() || n.stopPlan.Accepts(n.now()-time.Duration(n.stopStarted.Load()), stream)
+// awaitIdle waits until no request is in flight and no connection is relayed, or until a time.
+func (n *Node) awaitIdle(until time.Duration) {
+	for (n.inFlight.Load() > 0 || n.relayedForPeers() > 0) && n.now() < until {
+		time.Sleep(stopPollInterval)
+	}
+}
+
+// acceptsUntil reports whether a new request that is answered by a deadline is accepted, also during a stop.
+func (n *Node) acceptsUntil(deadline time.Duration, isRepeatable bool) bool {
+	if !n.stopping.Load() {
+		return true
+	}
+	now := n.now()
+	return n.stopPlan.Accepts(now-time.Duration(n.stopStarted.Load()), deadline-now, isRepeatable)
 }
 
 const (
--- a/cmd/node/request_handler.go
+++ b/cmd/node/request_handler.go
@@ -150,7 +150,8 @@
 			s.rank = customer.Priority*customerRankFactor + route.Priority
 		}
 	}
-	if !n.acceptsRequest(route.Kind == catalog.Stream) {
+	s.deadline = req.ArrivedAt + s.timeLimit()
+	if !n.acceptsUntil(s.deadline, s.canFailOver()) {
 		return nil, &answerError{status: http.StatusServiceUnavailable, text: errStopping.Error()}
 	}
 	s.service = snap.config.Services[route.PickService(platform.HashString(req.ID))]
@@ -163,7 +164,6 @@
 	if len(req.ItemCounts) != len(route.Stages) {
 		return nil, &answerError{status: http.StatusBadRequest, text: "the piece counts don't fit the route's stages"}
 	}
-	s.deadline = req.ArrivedAt + s.timeLimit()
 	s.fingerprint = quarantine.FingerprintOf(s.customer, req.Method, req.Host, req.Target, req.Body)
 	if s.service.Engine != nil {
 		s.parts = quarantine.PartFingerprints(s.service.Name, req.SharedPrefix())
--- a/transport/clock/deadline.go
+++ b/transport/clock/deadline.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"sync/atomic"
 	"time"
 )
@@ -54,3 +56,13 @@
 	}
 	return err
 }
+
+// ExpireDeadlines ends all contexts of WithDeadline as if their ends had come.
+func (c *Clock) ExpireDeadlines() {
+	c.mu.Lock()
+	deadlines := slices.Collect(maps.Keys(c.deadlines))
+	c.mu.Unlock()
+	for _, d := range deadlines {
+		d.expire()
+	}
+}
