Answers that are not complete count together among what the process holds

What would be seen: all replicas of a service send events that stop just below their bound, over as many connections as they take.

Cause: the bytes of an event that is not complete, and those of an answer before it is passed on, were not counted in eventstream.Held, which holds slow clients' answers to a twentieth of the memory.

Change: 64 KiB of an answer are free, far more than events in use have; what an event has beyond that is reserved in Held until its stream ends, and a stream for which there is no room is broken: it goes on elsewhere if it may be resumed, else it ends visibly. An answer of a plain service is held up to 256 KiB only if there is room, else it is passed on as it arrives from 64 KiB on.

Counted at two sizes, 8 and 80 streams (TestUnfinishedEventsHoldBoundedBytes).

--- a/cmd/node/answer.go
+++ b/cmd/node/answer.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"time"
 
+	"quinceroad/cmd/node/eventstream"
 	"quinceroad/platform"
 	"quinceroad/state/catalog"
 )
@@ -50,11 +51,12 @@
 	case status < http.StatusMultipleChoices && a.route.Kind == catalog.Stream:
 		return a.forwardStream(timer)
 	}
-	body, err := io.ReadAll(io.LimitReader(a.exchange, maxBufferedAnswer))
-	isLong := err == nil && len(body) == maxBufferedAnswer && !a.exchange.IsComplete()
-	if err != nil || !a.exchange.IsComplete() && !isLong {
+	held, err := a.readHeld()
+	defer held.release()
+	if err != nil {
 		return a.abortReasonOr(errAnswerBroken)
 	}
+	body, isLong := held.body, !a.exchange.IsComplete()
 	timer.Stop()
 	a.answerBegan.Store(len(body) > 0)
 	if !isLong {
@@ -82,6 +84,27 @@
 	return nil
 }
 
+// heldAnswer is the beginning of an answer, which is held until it is passed on.
+type heldAnswer struct {
+	body    []byte
+	release func() // ends the counting of its bytes
+}
+
+// readHeld reads an answer's body up to the bytes that are held before the client gets it. The process
+// holds only so much of all answers: where no more has room, less is held of a long one.
+func (a *attempt) readHeld() (heldAnswer, error) {
+	h := heldAnswer{release: func() {}}
+	var err error
+	h.body, err = io.ReadAll(io.LimitReader(a.exchange, eventstream.FreeBytes))
+	if err != nil || a.exchange.IsComplete() || !a.node.heldAnswers.Reserve(maxBufferedAnswer) {
+		return h, err
+	}
+	h.release = func() { a.node.heldAnswers.Release(maxBufferedAnswer) }
+	rest, err := io.ReadAll(io.LimitReader(a.exchange, maxBufferedAnswer-eventstream.FreeBytes))
+	h.body = append(h.body, rest...)
+	return h, err
+}
+
 // errRefusalUnnamed is the error of a refusal that may be that of an earlier exchange.
 var errRefusalUnnamed = errors.New("a refusal that names no request came on a connection that was used before")
 
--- a/cmd/node/eventstream/eventstream_test.go
+++ b/cmd/node/eventstream/eventstream_test.go
@@ -14,7 +14,7 @@
 	f.Add([]byte("id: 1\ndata: a\n\nid: 2\ndata: b\n\n"))
 	f.Add([]byte("id: 1\r\ndata: a\r\n\r\nid: 2\nda"))
 	f.Fuzz(func(t *testing.T, data []byte) {
-		events := NewReader(bytes.NewReader(data))
+		events := NewReader(bytes.NewReader(data), &Held{limit: maxEventBytes})
 		var passed []byte
 		for {
 			e, err := events.Next()
@@ -107,7 +107,7 @@
 
 // A stream of one endless line ends as broken instead of filling the memory.
 func TestEndlessEventIsBroken(t *testing.T) {
-	events := NewReader(io.LimitReader(endlessLine{}, 100*maxEventBytes))
+	events := NewReader(io.LimitReader(endlessLine{}, 100*maxEventBytes), &Held{limit: maxEventBytes})
 	e, err := events.Next()
 	if err != ErrBroken || len(e.Bytes) > 2*maxEventBytes {
 		t.Errorf("%d bytes are held, %v", len(e.Bytes), err)
@@ -122,3 +122,53 @@
 	}
 	return len(b), nil
 }
+
+// Streams whose events stop just below their bound hold no more together than the process bears, however many
+// they are; small events are not counted, and nothing is once the streams have ended.
+func TestUnfinishedEventsHoldBoundedBytes(t *testing.T) {
+	const limit = 4 * maxEventBytes
+	for _, streams := range []int{8, 80} {
+		held := &Held{limit: limit}
+		var readers []*Reader
+		read, broken := 0, 0 // bytes, streams
+		for range streams {
+			source := &countingReader{r: io.LimitReader(endlessLine{}, maxEventBytes-1)}
+			r := NewReader(source, held)
+			readers = append(readers, r)
+			if _, err := r.Next(); err != ErrBroken {
+				t.Fatal(err)
+			}
+			if source.read < maxEventBytes-1 {
+				broken++
+			}
+			read += source.read
+		}
+		if held.Bytes() > limit || held.Bytes() < limit-maxEventBytes {
+			t.Errorf("%d streams: %d bytes are counted", streams, held.Bytes())
+		}
+		if most := limit + streams*(FreeBytes+4<<10); read > most || broken < streams-limit/maxEventBytes-1 {
+			t.Errorf("%d streams: %d bytes were read, more than %d; %d given up", streams, read, most, broken)
+		}
+		small := NewReader(bytes.NewReader(append(bytes.Repeat([]byte("x"), FreeBytes-2), "\n\n"...)), held)
+		if e, err := small.Next(); err != nil || len(e.Bytes) != FreeBytes {
+			t.Errorf("%d streams: a small event of %d bytes: %v", streams, len(e.Bytes), err)
+		}
+		for _, r := range readers {
+			r.Close()
+		}
+		if held.Bytes() != 0 {
+			t.Errorf("%d streams: %d bytes are counted after their end", streams, held.Bytes())
+		}
+	}
+}
+
+type countingReader struct {
+	r    io.Reader
+	read int // bytes
+}
+
+func (c *countingReader) Read(b []byte) (int, error) {
+	n, err := c.r.Read(b)
+	c.read += n
+	return n, err
+}
--- a/cmd/node/eventstream/queue.go
+++ b/cmd/node/eventstream/queue.go
@@ -10,8 +10,8 @@
 	heldMemoryShare = 0.05
 )
 
-// Held bounds the bytes of all answers that this instance holds because their
-// clients read slowly. Without a bound, slow clients would use up its memory.
+// Held bounds the bytes of all answers that this instance holds, because their clients read slowly or
+// as they are not complete. Without a bound, slow clients or faulty replicas would use up its memory.
 type Held struct {
 	mu    sync.Mutex
 	bytes int
@@ -21,8 +21,8 @@
 // NewHeld returns the bound for a process with the given memory in bytes.
 func NewHeld(memory float64) *Held { return &Held{limit: int(memory * heldMemoryShare)} }
 
-// reserve counts bytes as held unless that exceeds the limit.
-func (h *Held) reserve(bytes int) bool {
+// Reserve counts bytes as held unless that exceeds the limit. Release ends that.
+func (h *Held) Reserve(bytes int) bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	if h.bytes+bytes > h.limit {
@@ -32,7 +32,8 @@
 	return true
 }
 
-func (h *Held) release(bytes int) {
+// Release ends the counting of bytes.
+func (h *Held) Release(bytes int) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.bytes -= bytes
@@ -87,7 +88,7 @@
 	size := len(e.Bytes)
 	switch {
 	case len(q.events) == 0: // the only one is not counted
-	case q.reserved+size > maxHeldPerAnswer || !q.held.reserve(size):
+	case q.reserved+size > maxHeldPerAnswer || !q.held.Reserve(size):
 		return false
 	default:
 		q.reserved += size
@@ -145,7 +146,7 @@
 func (q *Queue) release(e Event) {
 	if e.isReserved {
 		q.reserved -= len(e.Bytes)
-		q.held.release(len(e.Bytes))
+		q.held.Release(len(e.Bytes))
 	}
 }
 
--- a/cmd/node/eventstream/reader.go
+++ b/cmd/node/eventstream/reader.go
@@ -20,13 +20,45 @@
 }
 
 // Reader splits a stream into complete events.
-type Reader struct{ r *bufio.Reader }
+type Reader struct {
+	r        *bufio.Reader
+	held     *Held
+	reserved int // bytes of its largest event that are counted in held
+}
+
+// NewReader returns a reader of the events in r, whose bytes count in held if an event is large.
+// Close must be called.
+func NewReader(r io.Reader, held *Held) *Reader { return &Reader{r: bufio.NewReader(r), held: held} }
 
-// NewReader returns a reader of the events in r.
-func NewReader(r io.Reader) *Reader { return &Reader{r: bufio.NewReader(r)} }
+// Close ends the counting of what the reader holds.
+func (e *Reader) Close() {
+	e.held.Release(e.reserved)
+	e.reserved = 0
+}
+
+const (
+	// maxEventBytes is the maximum size of an event. An event is held until it is complete.
+	maxEventBytes = 1 << 20
+	// FreeBytes is how much of an answer may be held without being counted in Held. Events in use
+	// are far smaller.
+	FreeBytes = 64 << 10
+)
 
-// maxEventBytes is the maximum size of an event. An event is held until it is complete.
-const maxEventBytes = 1 << 20
+// hasRoomFor reports whether an event may be as large as size. Streams together hold no more than the
+// process can bear, whatever each of them may.
+func (e *Reader) hasRoomFor(size int) bool {
+	if size > maxEventBytes {
+		return false
+	}
+	if size <= max(FreeBytes, e.reserved) {
+		return true
+	}
+	if !e.held.Reserve(size - e.reserved) {
+		return false
+	}
+	e.reserved = size
+	return true
+}
 
 var idField = []byte("id:")
 
@@ -37,10 +69,11 @@
 	lineStart := 0
 	for {
 		part, err := e.r.ReadSlice('\n')
+		if !e.hasRoomFor(len(ev.Bytes) + len(part)) {
+			return Event{}, ErrBroken
+		}
 		ev.Bytes = append(ev.Bytes, part...)
 		switch {
-		case len(ev.Bytes) > maxEventBytes:
-			return ev, ErrBroken
 		case err == bufio.ErrBufferFull: // a long line
 			continue
 		case err == io.EOF && len(ev.Bytes) > 0:
--- a/cmd/node/stream.go
+++ b/cmd/node/stream.go
@@ -48,7 +48,8 @@
 // receiveEvents puts the replica's events into the queue. It returns nil after the last
 // one of a complete stream. The timer runs only while the replica is to send.
 func (a *attempt) receiveEvents(q *eventstream.Queue, timer *time.Timer) error {
-	events := eventstream.NewReader(a.exchange)
+	events := eventstream.NewReader(a.exchange, a.node.heldAnswers)
+	defer events.Close()
 	lastEventAt := time.Duration(0) // 0: no event yet
 	received := 0                   // bytes
 	for {
