A coding that only folds to chunked is another one

Found by reading the diff: `Transfer-Encoding: chun<Kelvin sign>ed` was accepted as chunked, as names are compared with Unicode's folding, in which the Kelvin sign is a k; the parser reads another coding, so the body's frame would be a guess.

Change: a value of another length is another coding. Names of fields are tokens, all ASCII.

--- a/transport/answerhead/answerhead_test.go
+++ b/transport/answerhead/answerhead_test.go
@@ -254,6 +254,7 @@
 		ok + "Content-Length: 5\r\ncontent-length: 5\r\n\r\n":   Length,
 		ok + "Content-Length: 5\r\nContent-Length: 6\r\n\r\n":   Length,
 		ok + "Transfer-Encoding: gzip, chunked\r\n\r\n":         Coding,
+		ok + "Transfer-Encoding: chun\u212aed\r\n\r\n":          Coding, // a Kelvin sign, which folds to k
 		ok + "Transfer-Encoding: identity\r\n\r\n":              Coding,
 		ok + "Transfer-Encoding:\r\n\r\n":                       Coding,
 		ok + "Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n\r\n": Coding,
--- a/transport/answerhead/grammar.go
+++ b/transport/answerhead/grammar.go
@@ -87,7 +87,8 @@
 
 // coding judges a transfer coding. Nobody asks for another than chunked, and before HTTP/1.1 there was none.
 func (j *judge) coding(value []byte) Reason {
-	if j.isChunked || j.isOld || !bytes.EqualFold(value, chunked) {
+	isChunked := len(value) == len(chunked) && bytes.EqualFold(value, chunked) // a longer value may fold to it
+	if j.isChunked || j.isOld || !isChunked {
 		return Coding
 	}
 	j.isChunked = true
