--- a/cmd/node/attempt.go
+++ b/cmd/node/attempt.go
@@ -276,7 +276,7 @@
 
 // headError returns the error of an answer whose head could not be read.
 func (a *attempt) headError(err error) error {
-	x := exchange{replica: a.replica.ID, service: a.service.Name, asked: a.route.Name, through: a.conn.RelayedBy()}
+	x := exchangeInfo{replica: a.replica.ID, service: a.service.Name, asked: a.route.Name, through: a.conn.RelayedBy()}
 	if !a.node.recordBrokenHead(x, err) {
 		return errAnswerBroken
 	}
--- a/cmd/node/broken_head.go
+++ b/cmd/node/broken_head.go
@@ -5,8 +5,8 @@
 	"quinceroad/transport/answerhead"
 )
 
-// exchange names an exchange with a replica in the log.
-type exchange struct {
+// exchangeInfo names an exchange with a replica in the log.
+type exchangeInfo struct {
 	replica string // its incarnation
 	service string
 	asked   string // the route of a request, or the path of a call
@@ -15,7 +15,7 @@
 
 // recordBrokenHead counts and logs the bytes of a replica that are not the head of an answer, if these are
 // what an error reports.
-func (n *Node) recordBrokenHead(x exchange, err error) (isBroken bool) {
+func (n *Node) recordBrokenHead(x exchangeInfo, err error) (isBroken bool) {
 	reason, isBroken := answerhead.ReasonOf(err)
 	if isBroken {
 		n.counters.brokenHeads.Inc(1)
--- a/cmd/node/liveness/identity.go
+++ b/cmd/node/liveness/identity.go
@@ -45,8 +45,8 @@
 }
 
 // AskIdentity asks over a new connection whether it leads to a replica. Any answer but that of
-// another replica says so; silence says nothing, and nor do bytes that are no answer. With no path to ask at, a connection that stays
-// open must do.
+// another replica says so; silence says nothing, and nor do bytes that are no answer. With no path
+// to ask at, a connection that stays open must do.
 func AskIdentity(conn *upstream.Conn, r *catalog.Replica, path string) error {
 	if path == "" {
 		if !conn.StaysOpen(MinConnectionTime) {
--- a/cmd/node/liveness_probe.go
+++ b/cmd/node/liveness_probe.go
@@ -175,7 +175,7 @@
 	}
 	path := liveness.IdentityPath(service)
 	err = liveness.AskIdentity(conn, r, path)
-	n.recordBrokenHead(exchange{replica: r.ID, service: r.Service, asked: path, through: conn.RelayedBy()}, err)
+	n.recordBrokenHead(exchangeInfo{replica: r.ID, service: r.Service, asked: path, through: conn.RelayedBy()}, err)
 	return err
 }
 
--- a/cmd/node/replica_calls.go
+++ b/cmd/node/replica_calls.go
@@ -210,7 +210,7 @@
 	}
 	answer, err := replicacall.Do(cn, &c.call)
 	if err != nil {
-		n.recordBrokenHead(exchange{replica: c.source.incarnation, service: c.source.service, asked: c.call.Path, through: cn.RelayedBy()}, err)
+		n.recordBrokenHead(exchangeInfo{replica: c.source.incarnation, service: c.source.service, asked: c.call.Path, through: cn.RelayedBy()}, err)
 		return platform.ResponseHead{}, err
 	}
 	head = n.recordAnswerHead(c.source, advisoryAttempt, answer.Header)
--- a/coordination/shutdown/shutdown.go
+++ b/coordination/shutdown/shutdown.go
@@ -16,11 +16,11 @@
 
 // Fractions of the grace period, and times.
 const (
-	longShare    = 0.25 // they are accepted until clients had time to react, 2 s of 8 s
-	maxLong      = 2500 * time.Millisecond
-	acceptsShare = 0.45                   // clients keep addresses for up to 5 s of 8 s
-	endMargin    = 250 * time.Millisecond // before the kill, so that the last answers are sent
-	answerTime   = 250 * time.Millisecond // for the last answers to be written
+	longShare    = 0.25                    // they are accepted until clients had time to react, 2 s of 8 s
+	maxLong      = 2500 * time.Millisecond // clients react no later where the grace is longer
+	acceptsShare = 0.45                    // clients keep addresses for up to 5 s of 8 s
+	endMargin    = 250 * time.Millisecond  // before the kill, so that the last answers are sent
+	answerTime   = 250 * time.Millisecond  // for the last answers to be written
 )
 
 // NewPlan returns the plan for a platform that kills the process after grace.
--- a/transport/answerhead/answerhead.go
+++ b/transport/answerhead/answerhead.go
@@ -63,10 +63,10 @@
 // consumes nothing. It returns an Error if there is no head of an answer, io.EOF if the reader ends before
 // the first byte, and io.ErrUnexpectedEOF if it ends later.
 func Await(r *bufio.Reader) (Head, error) {
-	j := &judge{}
+	j := &judgement{}
 	for {
 		arrived, _ := r.Peek(r.Buffered())
-		ended, err := j.judge(arrived)
+		ended, err := j.addLines(arrived)
 		if err != nil || ended {
 			return j.head, err
 		}
@@ -90,25 +90,25 @@
 // Check judges the bytes of a head and of what follows it. It returns io.ErrUnexpectedEOF if the head has
 // no end.
 func Check(data []byte) (Head, error) {
-	j := &judge{}
-	ended, err := j.judge(data)
+	j := &judgement{}
+	ended, err := j.addLines(data)
 	if err == nil && !ended {
 		err = io.ErrUnexpectedEOF
 	}
 	return j.head, err
 }
 
-// judge judges a head while it arrives.
-type judge struct {
+// judgement is what is known of a head while it arrives.
+type judgement struct {
 	head      Head
 	isOld     bool // HTTP/1.0
 	hasLength bool
 	isChunked bool
 }
 
-// judge judges the lines that have come since it was called last; data begins with the head. It reports
+// addLines judges the lines that have come since it was called last; data begins with the head. It reports
 // whether the head has ended.
-func (j *judge) judge(data []byte) (ended bool, err error) {
+func (j *judgement) addLines(data []byte) (ended bool, err error) {
 	for {
 		line, _, isWhole := bytes.Cut(data[j.head.Bytes:], []byte{'\n'})
 		if !isWhole {
--- a/transport/answerhead/conn.go
+++ b/transport/answerhead/conn.go
@@ -14,10 +14,10 @@
 type Conn struct {
 	net.Conn
 	r        *bufio.Reader
-	headLeft int  // bytes of a judged head that are not read
-	isFinal  bool // that head is followed by a body, not by another head
-	isInBody bool // what follows is no head, until a request is written
-	broken   error
+	headLeft int   // bytes of a judged head that are not read
+	isFinal  bool  // that head is followed by a body, not by another head
+	isInBody bool  // what follows is no head, until a request is written
+	broken   error // of a broken head: nothing is read after it
 }
 
 // NewConn returns a connection on which no request was sent.
--- a/transport/answerhead/grammar.go
+++ b/transport/answerhead/grammar.go
@@ -24,7 +24,7 @@
 )
 
 // statusLine judges the first line of a head, such as "HTTP/1.1 200 OK". It returns "" if it is sound.
-func (j *judge) statusLine(line []byte) Reason {
+func (j *judgement) statusLine(line []byte) Reason {
 	version, rest, _ := bytes.Cut(line, []byte{' '})
 	name, number, isVersion := bytes.Cut(version, []byte{'/'})
 	if !isVersion || string(name) != "HTTP" {
@@ -54,7 +54,7 @@
 }
 
 // fieldLine judges a line after the first one, such as "Content-Length: 2". It returns "" if it is sound.
-func (j *judge) fieldLine(line []byte) Reason {
+func (j *judgement) fieldLine(line []byte) Reason {
 	if isSpace(line[0]) {
 		return FoldedLine
 	}
@@ -77,7 +77,7 @@
 	return ""
 }
 
-func (j *judge) length(value []byte) Reason {
+func (j *judgement) length(value []byte) Reason {
 	if j.hasLength || !isNumber(value) || len(value) > maxLengthDigits {
 		return Length
 	}
@@ -86,7 +86,7 @@
 }
 
 // coding judges a transfer coding. Nobody asks for another than chunked, and before HTTP/1.1 there was none.
-func (j *judge) coding(value []byte) Reason {
+func (j *judgement) coding(value []byte) Reason {
 	isChunked := len(value) == len(chunked) && bytes.EqualFold(value, chunked) // a longer value may fold to it
 	if j.isChunked || j.isOld || !isChunked {
 		return Coding
@@ -95,7 +95,7 @@
 	return j.framing()
 }
 
-func (j *judge) framing() Reason {
+func (j *judgement) framing() Reason {
 	if j.hasLength && j.isChunked {
 		return LengthAndChunks
 	}
