Review, cases 4 and 5: bodies that end processes, crashes that quarantine the innocent

Cause: no bound on the bodies that a process holds; parts of prompts are quarantined for crashes that they did not cause, as long as no whole answer vouches for them.

--- a/review/_casehost/main.go
+++ b/review/_casehost/main.go
@@ -18,10 +18,10 @@
 
 // cases are the cases by number. Each plays its part and returns whether its rule was broken.
 var cases = map[string]func(d *deployment, trouble bool) (isBroken bool, err error){
-	"bodies": bodies,
-	"paths":  paths,
-	"slow":   slowBodies,
-	"hot":    hotThing,
+	"bodies":  bodies,
+	"paths":   paths,
+	"slow":    slowBodies,
+	"crashes": crashes,
 }
 
 func main() {
--- a/review/_casehost/servers.go
+++ b/review/_casehost/servers.go
@@ -76,13 +76,6 @@
 	return s.ended
 }
 
-// activeRequests returns how many requests the server runs.
-func (s *server) activeRequests() int {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.active
-}
-
 // track holds the open connections.
 func (s *server) track(c net.Conn, state http.ConnState) {
 	s.mu.Lock()
