Review, case 8: a body that takes longer than 10 s is refused for good

Cause: bodyTimeout is 10 s whatever the request's deadline is; the answer is a 400. Change: the case; nodes of cases that run at once have other addresses.

--- a/review/_casehost/main.go
+++ b/review/_casehost/main.go
@@ -22,6 +22,7 @@
 	"paths":   paths,
 	"slow":    slowBodies,
 	"crashes": crashes,
+	"silent":  silent,
 }
 
 func main() {
--- a/review/_casehost/nodes.go
+++ b/review/_casehost/nodes.go
@@ -88,11 +88,15 @@
 	}
 }
 
-func nodeIP(i int) string { return fmt.Sprintf("127.0.7.%d", i+1) }
+// nodeIP returns the address of a machine; cases that run at the same time have others.
+func nodeIP(i int) string {
+	pid := os.Getpid()
+	return fmt.Sprintf("127.%d.%d.%d", 20+pid/250%200, 1+pid%250, i+1)
+}
 
 // freePorts returns the first of some ports that are free on all machines.
 func freePorts(count int) (int, error) {
-	for port := 17000 + os.Getpid()%2000; port < 30000; port += portCount {
+	for port := 17000; port < 30000; port += portCount {
 		if arePortsFree(port, count) {
 			return port, nil
 		}
@@ -260,3 +264,11 @@
 	defer r.mu.Unlock()
 	_, _ = fmt.Fprintf(r.file, "%8.3f  %s\n", time.Since(r.started).Seconds(), fmt.Sprintf(format, args...))
 }
+
+// since returns the seconds from the beginning of the record, 0 for no time.
+func (r *record) since(t time.Time) float64 {
+	if t.IsZero() {
+		return 0
+	}
+	return t.Sub(r.started).Seconds()
+}
--- a/review/_casehost/servers.go
+++ b/review/_casehost/servers.go
@@ -34,9 +34,11 @@
 
 // run is a request that the server has run.
 type run struct {
-	path string
-	at   time.Time
-	body int // bytes
+	server string
+	path   string
+	at     time.Time
+	end    time.Time // zero: it is at work
+	body   int       // bytes
 }
 
 // addServer starts a server and keeps its entry in the store.
@@ -102,6 +104,14 @@
 	time.AfterFunc(3600*time.Millisecond, func() { s.d.store.remove("servers/" + s.id) })
 }
 
+// advertise has the server's entry give another address.
+func (s *server) advertise(address string) {
+	s.mu.Lock()
+	s.address = address
+	s.mu.Unlock()
+	s.beat("ready")
+}
+
 // beat writes the server's entry, and reports whether the server runs.
 func (s *server) beat(state string) bool {
 	s.mu.Lock()
@@ -160,6 +170,9 @@
 	defer func() {
 		s.mu.Lock()
 		s.active--
+		x := s.runs[id]
+		x.end = time.Now()
+		s.runs[id] = x
 		s.mu.Unlock()
 	}()
 	s.d.record.add("%s (%s) runs %s: %s %s, %d bytes", s.id, s.service, id, r.Method, r.RequestURI, len(body))
