--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
-# Builds the processes that the scripts of review/4 to review/8 start beside target/quince-node, into
+# Builds the processes that the scripts of review/4 to review/7 start beside target/quince-node, into
 # target/review-casehost. They need only the standard library. The sources are kept as .go.txt and built in a
 # temporary folder: a test of the project allows the platform's names in Go files of platform/ alone.
 set -euo pipefail
